--- /dev/null
+++ b/mustardrill_agent/src/config.rs
@@ -0,0 +1,159 @@
+//! The agent's settings; `docs/SETTINGS.md` lists every key.
+
+use std::net::SocketAddr;
+
+use log::LevelFilter;
+use mustardrill_core::admission::AdmissionSettings;
+use mustardrill_core::agent::AgentSettings;
+use mustardrill_core::membership::MemberSettings;
+use mustardrill_core::ownership::OwnerSettings;
+use mustardrill_core::transfer::{TransferPeer, TransferSettings};
+use mustardrill_runtime::settings::{SettingsOutcome, SettingsReader};
+use mustardrill_types::{ByteRate, ByteSize, Millis};
+
+/// All settings of one agent.
+#[derive(Debug, Clone)]
+pub struct AgentConfig {
+    /// Where entries and other agents reach it.
+    pub listen: SocketAddr,
+    /// Where the engine beside it fetches weights.
+    pub local_listen: SocketAddr,
+    /// The upstream, as `ip:port`.
+    pub upstream: Box<str>,
+    /// The platform's key-value service.
+    pub key_value: Box<str>,
+    /// The platform's instance list.
+    pub instances: Box<str>,
+    /// The origin first, then what stands in for it.
+    pub origins: Vec<Box<str>>,
+    /// How long a call to the platform may take.
+    pub platform_timeout: Millis,
+    /// How often the instance list is read.
+    pub list_every: Millis,
+    /// How often the reducer looks at the time.
+    pub tick: Millis,
+    /// What weights may take of the link towards peers.
+    pub upload_rate: ByteRate,
+    /// What weights may take of the link from peers and origin.
+    pub download_rate: ByteRate,
+    /// How many uploads may wait for the link.
+    pub uploads: u32,
+    /// Where metrics go, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// Which lines are logged.
+    pub log: LevelFilter,
+    /// How long a planned stop waits for requests in progress.
+    pub drain: Millis,
+    /// What the reducer is told.
+    pub agent: AgentSettings,
+}
+
+/// Reads and checks all settings.
+pub fn read(mut reader: SettingsReader) -> SettingsOutcome<AgentConfig> {
+    let local = || SocketAddr::from(([127, 0, 0, 1], 0));
+    let name = |text: &str| text.to_owned();
+    let config = AgentConfig {
+        listen: reader.required("agent", "listen", "IP:PORT", local()),
+        local_listen: reader.value("agent", "local_listen", local()),
+        upstream: address(&mut reader, "upstream", "address"),
+        key_value: address(&mut reader, "platform", "key_value"),
+        instances: address(&mut reader, "platform", "instances"),
+        origins: origins(&mut reader),
+        platform_timeout: reader.value("platform", "timeout", Millis(1_000)),
+        list_every: reader.value("platform", "list_every", Millis(2_000)),
+        tick: reader.value("agent", "tick", Millis(20)),
+        upload_rate: reader.value("weights", "upload_rate", ByteRate(0)),
+        download_rate: reader.value("weights", "download_rate", ByteRate(0)),
+        uploads: reader.bounded("weights", "uploads", 4, 1, 1_000),
+        metrics: reader.optional("agent", "metrics"),
+        log: reader.value("agent", "log", LevelFilter::Info),
+        drain: reader.value("agent", "drain", Millis(30_000)),
+        agent: AgentSettings {
+            own: TransferPeer {
+                id: reader.required("agent", "instance", "NAME", parsed(&name("unnamed"))),
+                data_centre: reader.required("agent", "data_centre", "NAME", parsed("unnamed")),
+            },
+            service: reader.required("agent", "service", "NAME", parsed("unnamed")),
+            region: reader.required("agent", "region", "NAME", parsed("unnamed")),
+            transfer: transfer(&mut reader),
+            copy_per_region: reader.value("weights", "copy_per_region", false),
+            admission: admission(&mut reader),
+            owner: owner(&mut reader),
+            members: members(&mut reader),
+            staging_limit: reader.value("weights", "staging_limit", ByteSize(64_000_000_000)),
+            floor_percent: reader.bounded("weights", "floor_percent", 75, 0, 99),
+            exchange_every: reader.value("weights", "exchange_every", Millis(100)),
+            wave_patience: reader.value("weights", "wave_patience", Millis(120_000)),
+            retry_every: reader.value("weights", "retry_every", Millis(500)),
+            is_engine: reader.value("upstream", "engine", true),
+        },
+    };
+    let owner = &config.agent.owner;
+    if owner.margin >= owner.lease {
+        let message = format!(
+            "[upstream] margin = {}: write less than lease, which is {}",
+            owner.margin, owner.lease
+        );
+        reader.fault(0, message);
+    }
+    reader.finish(config)
+}
+
+fn transfer(reader: &mut SettingsReader) -> TransferSettings {
+    let default = TransferSettings::default();
+    TransferSettings {
+        origin_copies: reader.bounded("weights", "origin_copies", default.origin_copies, 1, 4),
+        drawers: reader.bounded("weights", "drawers", default.drawers, 1, 1_000),
+        window: reader.bounded("weights", "window", default.window, 1, 256),
+        origin_window: reader.bounded("weights", "origin_window", default.origin_window, 1, 64),
+        partners: reader.bounded("weights", "partners", default.partners, 1, 1_000),
+        stall_after: reader.value("weights", "stall_after", default.stall_after),
+        chunk_patience: reader.value("weights", "chunk_patience", default.chunk_patience),
+        corrupt_limit: reader.bounded("weights", "corrupt_limit", default.corrupt_limit, 1, 100),
+        sample: default.sample,
+    }
+}
+
+fn admission(reader: &mut SettingsReader) -> AdmissionSettings {
+    let default = AdmissionSettings::default();
+    AdmissionSettings {
+        capacity: reader.bounded("upstream", "capacity", default.capacity, 1, 100_000),
+        queue: reader.bounded("upstream", "queue", default.queue, 0, 100_000),
+        turns: reader.bounded("upstream", "turns", default.turns, 1, 1_000),
+    }
+}
+
+fn owner(reader: &mut SettingsReader) -> OwnerSettings {
+    let default = OwnerSettings::default();
+    OwnerSettings {
+        lease: reader.value("upstream", "lease", default.lease),
+        margin: reader.value("upstream", "margin", default.margin),
+        longest_order: reader.value("upstream", "longest_order", default.longest_order),
+        upstream_checks: reader.value("upstream", "checks_fencing", default.upstream_checks),
+        retry_after: reader.value("platform", "retry_after", default.retry_after),
+    }
+}
+
+fn members(reader: &mut SettingsReader) -> MemberSettings {
+    let default = MemberSettings::default();
+    MemberSettings {
+        failures: reader.bounded("platform", "failures", default.failures, 1, 100),
+        dead_for: reader.value("platform", "dead_for", default.dead_for),
+    }
+}
+
+fn origins(reader: &mut SettingsReader) -> Vec<Box<str>> {
+    let origin = address(reader, "weights", "origin");
+    let store: Option<SocketAddr> = reader.optional("weights", "store");
+    let store = store.map(|address| address.to_string().into());
+    std::iter::once(origin).chain(store).collect()
+}
+
+fn address(reader: &mut SettingsReader, section: &str, key: &str) -> Box<str> {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+    reader.required(section, key, "IP:PORT", nowhere).to_string().into()
+}
+
+fn parsed<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("a valid name")
+}
--- /dev/null
+++ b/mustardrill_agent/src/context.rs
@@ -0,0 +1,38 @@
+//! What the tasks of one agent share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use cadence::StatsdClient;
+use mustardrill_runtime::clock::ProcessClock;
+use mustardrill_runtime::origin::WeightOrigin;
+use mustardrill_runtime::platform::{InstanceList, KeyValue};
+use mustardrill_types::InstanceId;
+use tokio_util::sync::CancellationToken;
+
+use crate::link::{LinkPace, UploadGate};
+use crate::peers::PeerPool;
+use crate::store::ChunkStore;
+use crate::upstream::Upstream;
+
+/// The borders of one agent to the outside; the reducer knows none of them.
+pub(crate) struct AgentContext {
+    pub(crate) own: InstanceId,
+    pub(crate) clock: ProcessClock,
+    pub(crate) store: Arc<ChunkStore>,
+    pub(crate) origin: Box<dyn WeightOrigin>,
+    pub(crate) key_value: Box<dyn KeyValue>,
+    pub(crate) instances: Box<dyn InstanceList>,
+    pub(crate) upstream: Box<dyn Upstream>,
+    pub(crate) peers: PeerPool,
+    pub(crate) uploads: UploadGate,
+    pub(crate) downloads: LinkPace,
+    pub(crate) sent_bytes: AtomicU64,
+    pub(crate) metrics: StatsdClient,
+    /// The key of the upstream's owner in the platform's service.
+    pub(crate) owner_key: Box<str>,
+    pub(crate) owner_span: mustardrill_types::Millis,
+    /// Where the engine fetches staged weights, up to the digest.
+    pub(crate) weights_base: Box<str>,
+    pub(crate) halt: CancellationToken,
+}
--- /dev/null
+++ b/mustardrill_agent/src/effects.rs
@@ -0,0 +1,296 @@
+//! Carries the reducer's effects out, each in a task of its own that reports back as an event.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cadence::Counted;
+use kameo::prelude::*;
+use mustardrill_core::agent::{AgentEffect, AgentEvent, AgentReducer, LoadOrder};
+use mustardrill_core::manifest::{ChunkBitmap, Manifest};
+use mustardrill_core::ownership::{OwnerAnswer, OwnerCall};
+use mustardrill_core::transfer::{ChunkDraw, ChunkSource, DrawOutcome};
+use mustardrill_proto as proto;
+use mustardrill_runtime::platform::KeyValueError;
+use mustardrill_types::{
+    ByteSize, FencingNumber, InstanceId, ManifestDigest, Millis, ModelName, VersionName,
+};
+
+use crate::actor::{AddressQuery, AgentActor, Event};
+use crate::context::AgentContext;
+
+/// How long a manifest may take.
+const MANIFEST_TIMEOUT: Millis = Millis(5_000);
+
+/// How long an exchange of holdings may take.
+const EXCHANGE_TIMEOUT: Millis = Millis(1_000);
+
+/// Starts what one effect asks for.
+pub(crate) fn carry_out(
+    context: &Arc<AgentContext>,
+    reducer: &AgentReducer,
+    actor: &ActorRef<AgentActor>,
+    effect: AgentEffect,
+) {
+    let task = Task { context: context.clone(), actor: actor.clone() };
+    match effect {
+        AgentEffect::FetchManifest { model, version, digest, sources } => {
+            tokio::spawn(task.fetch_manifest(model, version, digest, sources));
+        }
+        AgentEffect::DrawChunk(digest, draw) => {
+            let held = reducer.held(digest).cloned().unwrap_or_default();
+            tokio::spawn(task.draw(digest, draw, held));
+        }
+        AgentEffect::Exchange(digest, id) => {
+            let held = reducer.held(digest).cloned().unwrap_or_default();
+            tokio::spawn(task.exchange(digest, id, held));
+        }
+        AgentEffect::OrderLoad(order) => {
+            tokio::spawn(task.order_load(order));
+        }
+        AgentEffect::ReadEngine => {
+            tokio::spawn(async move {
+                let report = task.context.upstream.report().await;
+                task.report(AgentEvent::EngineSeen(report)).await;
+            });
+        }
+        AgentEffect::DropWeights(digest) => context.store.remove(digest),
+        AgentEffect::CallOwner(call) => {
+            tokio::spawn(task.call_owner(call));
+        }
+        // An overdue draw ends by its own patience; its late chunk is still verified and kept.
+        AgentEffect::CancelDraw(..) => {}
+        AgentEffect::Dispatch(_) | AgentEffect::Refuse(..) => {
+            unreachable!("verdicts are given by the actor itself")
+        }
+    }
+}
+
+struct Task {
+    context: Arc<AgentContext>,
+    actor: ActorRef<AgentActor>,
+}
+
+impl Task {
+    async fn report(&self, event: AgentEvent) {
+        let _ = self.actor.tell(Event(event)).await;
+    }
+
+    async fn address(&self, id: &InstanceId) -> Option<Box<str>> {
+        self.actor.ask(AddressQuery(id.clone())).await.ok().flatten()
+    }
+
+    async fn client(
+        &self,
+        id: &InstanceId,
+    ) -> Option<proto::agent_client::AgentClient<tonic::transport::Channel>> {
+        let address = self.address(id).await?;
+        self.context.peers.client(&address)
+    }
+
+    async fn fetch_manifest(
+        self,
+        model: ModelName,
+        version: VersionName,
+        digest: ManifestDigest,
+        sources: Vec<ChunkSource>,
+    ) {
+        let mut reason: Box<str> = "no peer has the manifest yet".into();
+        for source in sources {
+            let fetched = match &source {
+                ChunkSource::Origin => self.manifest_from_origin(&model, &version).await,
+                ChunkSource::Peer(id) => self.manifest_from_peer(id, digest).await,
+            };
+            let opened = fetched.and_then(|bytes| {
+                let manifest = Manifest::open(&bytes, digest).map_err(|error| error.to_string())?;
+                Ok((Arc::new(manifest), bytes))
+            });
+            match opened {
+                Ok((manifest, bytes)) => {
+                    self.context.store.open(digest, manifest.clone(), bytes);
+                    return self.report(AgentEvent::ManifestLoaded(manifest, digest)).await;
+                }
+                Err(error) => reason = format!("{source}: {error}").into(),
+            }
+        }
+        self.report(AgentEvent::ManifestFailed(digest, reason)).await;
+    }
+
+    async fn manifest_from_origin(
+        &self,
+        model: &ModelName,
+        version: &VersionName,
+    ) -> Result<Bytes, String> {
+        let answer = self.context.origin.manifest(model, version, MANIFEST_TIMEOUT).await;
+        let found = answer.map_err(|error| error.to_string())?;
+        found.ok_or_else(|| format!("no version {version} of {model}"))
+    }
+
+    async fn manifest_from_peer(
+        &self,
+        id: &InstanceId,
+        digest: ManifestDigest,
+    ) -> Result<Bytes, String> {
+        let mut client = self.client(id).await.ok_or("not listed")?;
+        let sent = proto::FetchManifestRequest { manifest: bytes_of(digest) };
+        let call = client.fetch_manifest(sent);
+        let answer = tokio::time::timeout(MANIFEST_TIMEOUT.to_std(), call).await;
+        let answer = answer.map_err(|_| "no answer in time")?;
+        let data = answer.map_err(|status| status.to_string())?.into_inner().data;
+        if data.is_empty() { Err("lacks the manifest".into()) } else { Ok(data) }
+    }
+
+    async fn draw(self, digest: ManifestDigest, draw: ChunkDraw, held: ChunkBitmap) {
+        let outcome = match &draw.source {
+            ChunkSource::Origin => self.draw_from_origin(digest, &draw).await,
+            ChunkSource::Peer(id) => self.draw_from_peer(digest, &draw, id, held).await,
+        };
+        if outcome == DrawOutcome::Corrupt {
+            let _ = self.context.metrics.count("chunks_corrupt", 1);
+        }
+        let ChunkDraw { index, source, .. } = draw;
+        self.report(AgentEvent::DrawFinished { digest, index, source, outcome }).await;
+    }
+
+    async fn draw_from_origin(&self, digest: ManifestDigest, draw: &ChunkDraw) -> DrawOutcome {
+        let Some(manifest) = self.context.store.manifest(digest) else {
+            return DrawOutcome::Failed;
+        };
+        match self.context.origin.chunk(&manifest, draw.index, draw.patience).await {
+            Ok(bytes) => self.keep(digest, draw, bytes, "chunk_bytes_origin").await,
+            Err(error) => {
+                log::warn!(
+                    "chunk manifest={} index={} source=origin decision=later reason=\"{error}\"",
+                    digest.short(),
+                    draw.index
+                );
+                DrawOutcome::Failed
+            }
+        }
+    }
+
+    async fn draw_from_peer(
+        &self,
+        digest: ManifestDigest,
+        draw: &ChunkDraw,
+        id: &InstanceId,
+        held: ChunkBitmap,
+    ) -> DrawOutcome {
+        let Some(mut client) = self.client(id).await else { return DrawOutcome::Failed };
+        let sent = proto::FetchChunkRequest {
+            manifest: bytes_of(digest),
+            index: draw.index.0,
+            instance: self.context.own.to_string(),
+            bitmap: held.to_bytes().into(),
+        };
+        let call = tokio::time::timeout(draw.patience.to_std(), client.fetch_chunk(sent)).await;
+        let Ok(Ok(answer)) = call else {
+            self.report(AgentEvent::PeerFailed(id.clone())).await;
+            return DrawOutcome::Failed;
+        };
+        let answer = answer.into_inner();
+        if let Some(holding) = answer.holding {
+            self.report_holding(digest, id, &holding).await;
+        }
+        use proto::fetch_chunk_reply::Result as Reply;
+        match answer.result {
+            Some(Reply::Data(bytes)) => self.keep(digest, draw, bytes, "chunk_bytes_peer").await,
+            Some(Reply::Refusal(refusal)) if refusal.busy => {
+                let others = refusal.others.iter().filter_map(|name| name.parse().ok());
+                DrawOutcome::Busy(others.collect())
+            }
+            _ => DrawOutcome::Missing,
+        }
+    }
+
+    /// Passes a chunk through the link's budget and keeps it where its digest is right.
+    async fn keep(
+        &self,
+        digest: ManifestDigest,
+        draw: &ChunkDraw,
+        bytes: Bytes,
+        metric: &str,
+    ) -> DrawOutcome {
+        let size = bytes.len();
+        self.context.downloads.pass(ByteSize(size as u64)).await;
+        if !self.context.store.keep(digest, draw.index, bytes) {
+            return DrawOutcome::Corrupt;
+        }
+        let _ = self.context.metrics.count(metric, size as i64);
+        DrawOutcome::Verified
+    }
+
+    async fn exchange(self, digest: ManifestDigest, id: InstanceId, held: ChunkBitmap) {
+        let Some(mut client) = self.client(&id).await else { return };
+        let sent = proto::ExchangeRequest {
+            manifest: bytes_of(digest),
+            instance: self.context.own.to_string(),
+            bitmap: held.to_bytes().into(),
+        };
+        let call = tokio::time::timeout(EXCHANGE_TIMEOUT.to_std(), client.exchange(sent)).await;
+        match call {
+            Ok(Ok(answer)) => self.report_holding(digest, &id, &answer.into_inner()).await,
+            _ => self.report(AgentEvent::PeerFailed(id)).await,
+        }
+    }
+
+    async fn report_holding(
+        &self,
+        digest: ManifestDigest,
+        id: &InstanceId,
+        holding: &proto::Holding,
+    ) {
+        let total = self.context.store.manifest(digest).map_or(0, |it| it.chunk_count());
+        let bitmap = ChunkBitmap::from_bytes(&holding.bitmap, total);
+        let (id, queue, serving) = (id.clone(), holding.queue, Some(holding.serving));
+        self.report(AgentEvent::HoldingSeen { digest, id, bitmap, queue, serving }).await;
+    }
+
+    async fn order_load(self, order: LoadOrder) {
+        let size = self.context.store.manifest(order.digest).map_or(0, |it| it.size.0);
+        let source = format!("{}{}", self.context.weights_base, order.digest);
+        let result = self.context.upstream.load(&order, ByteSize(size), &source).await;
+        self.report(AgentEvent::LoadAnswered(order.digest, result)).await;
+    }
+
+    async fn call_owner(self, call: OwnerCall) {
+        let answer = match call {
+            OwnerCall::Acquire => self.acquire().await,
+            OwnerCall::Renew(lease) => match self.context.key_value.renew(lease).await {
+                Ok(()) => OwnerAnswer::Renewed,
+                Err(KeyValueError::LeaseOver) => OwnerAnswer::Lapsed,
+                Err(_) => OwnerAnswer::Unavailable,
+            },
+        };
+        self.report(AgentEvent::OwnerAnswered(answer)).await;
+    }
+
+    /// Makes a lease and the owner's key under it; the key's revision is the fencing number.
+    async fn acquire(&self) -> OwnerAnswer {
+        let service = &self.context.key_value;
+        let Ok(lease) = service.grant(self.context.owner_span).await else {
+            return OwnerAnswer::Unavailable;
+        };
+        let name = Bytes::from(self.context.own.to_string());
+        match service.write(&self.context.owner_key, name, 0, Some(lease)).await {
+            Ok(revision) => OwnerAnswer::Acquired { lease, fence: FencingNumber(revision) },
+            Err(error) => {
+                // Whether or not a lost write took effect, it ends with its lease.
+                let _ = service.revoke(lease).await;
+                match error {
+                    KeyValueError::Conflict => OwnerAnswer::HeldByOther,
+                    _ => OwnerAnswer::Unavailable,
+                }
+            }
+        }
+    }
+}
+
+/// A digest as a message's bytes.
+pub(crate) fn bytes_of(digest: ManifestDigest) -> Bytes {
+    Bytes::copy_from_slice(&digest.0)
+}
+
+/// A message's bytes as a digest.
+pub(crate) fn digest_of(bytes: &[u8]) -> Option<ManifestDigest> {
+    Some(ManifestDigest(bytes.try_into().ok()?))
+}
--- /dev/null
+++ b/mustardrill_agent/src/execute.rs
@@ -0,0 +1,224 @@
+//! One request at the agent: verdict, upstream, frames back to the entry.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Response};
+use kameo::prelude::*;
+use log::info;
+use mustardrill_core::agent::AgentEvent;
+use mustardrill_core::document::RequestClass;
+use mustardrill_proto as proto;
+use mustardrill_proto::execute_frame::Part;
+use mustardrill_runtime::http::CallError;
+use mustardrill_types::{AttemptId, ManifestDigest, Millis, ResultCode};
+use tokio::sync::{mpsc, oneshot};
+use tonic::Status;
+
+use crate::actor::{Admit, AgentActor, Event, Verdict};
+use crate::context::AgentContext;
+use crate::effects::{bytes_of, digest_of};
+use crate::upstream::{EXPECT_HEADER, PRIORITY_HEADER, RESUME_HEADER, WEIGHTS_HEADER};
+
+/// How many frames may wait for a slow entry.
+const FRAME_BUFFER: usize = 16;
+
+/// The status with which an engine refuses weights other than those it serves; nothing was run.
+const WEIGHTS_REFUSED: u16 = 412;
+
+/// Frames of one attempt's answer.
+type FrameSender = mpsc::Sender<Result<proto::ExecuteFrame, Status>>;
+
+/// Starts a request; its frames come through the receiver.
+pub(crate) fn spawn(
+    actor: ActorRef<AgentActor>,
+    context: Arc<AgentContext>,
+    request: proto::ExecuteRequest,
+) -> mpsc::Receiver<Result<proto::ExecuteFrame, Status>> {
+    let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
+    tokio::spawn(async move {
+        let Ok(attempt) = <[u8; 16]>::try_from(&*request.attempt) else {
+            let _ = sender.send(Err(Status::invalid_argument("attempt"))).await;
+            return;
+        };
+        let attempt = AttemptId(u128::from_be_bytes(attempt));
+        let run =
+            Run { actor, context, attempt, frames: sender, pinned: digest_of(&request.manifest) };
+        run.run(request).await;
+    });
+    receiver
+}
+
+struct Run {
+    actor: ActorRef<AgentActor>,
+    context: Arc<AgentContext>,
+    attempt: AttemptId,
+    frames: FrameSender,
+    pinned: Option<ManifestDigest>,
+}
+
+/// Why an attempt did not end with a whole answer.
+enum RunError {
+    /// It was not run.
+    NotRun(ResultCode, Millis),
+    /// It may have run; the stream ends with an error.
+    Broken(Box<str>),
+    /// It was answered from other weights than those pinned.
+    WrongWeights,
+    /// The entry is gone.
+    EntryGone,
+}
+
+impl Run {
+    async fn run(self, request: proto::ExecuteRequest) {
+        let (end_event, ended) = match self.verdict(&request).await {
+            Ok(()) => {
+                let answered = tokio::select! {
+                    answered = self.answer(request) => answered,
+                    // Dropping the answer closes the connection to the upstream, which cancels it.
+                    () = self.frames.closed() => Err(RunError::EntryGone),
+                };
+                (AgentEvent::RequestFinished(self.attempt), answered)
+            }
+            Err(RunError::EntryGone) => {
+                (AgentEvent::RequestWithdrawn(self.attempt), Err(RunError::EntryGone))
+            }
+            // The reducer refused it and has nothing of it any more.
+            Err(other) => return self.end_with(other).await,
+        };
+        let _ = self.actor.tell(Event(end_event)).await;
+        if let Err(error) = ended {
+            self.end_with(error).await;
+        }
+    }
+
+    async fn verdict(&self, request: &proto::ExecuteRequest) -> Result<(), RunError> {
+        let now = self.context.clock.now();
+        // The deadline on this agent's own clock holds however long the entry was paused.
+        if request.agent_deadline_ms > 0 && now.0 >= request.agent_deadline_ms {
+            return Err(RunError::NotRun(ResultCode::DeadlinePassed, Millis(0)));
+        }
+        let (sender, receiver) = oneshot::channel();
+        let admit = Admit {
+            attempt: self.attempt,
+            class: RequestClass::from_rank(request.priority as usize),
+            pinned: self.pinned,
+            deadline: now + Millis(request.remaining_ms),
+            verdict: sender,
+        };
+        let _ = self.actor.tell(admit).await;
+        let verdict = tokio::select! {
+            verdict = receiver => verdict,
+            () = self.frames.closed() => return Err(RunError::EntryGone),
+        };
+        match verdict {
+            Ok(Verdict::Run) => Ok(()),
+            Ok(Verdict::Refuse(code, retry_after)) => Err(RunError::NotRun(code, retry_after)),
+            Err(_) => Err(RunError::NotRun(ResultCode::Leaving, Millis(1))),
+        }
+    }
+
+    async fn answer(&self, request: proto::ExecuteRequest) -> Result<(), RunError> {
+        let resume_from = request.resume_from;
+        let sent = self.upstream_request(request)?;
+        let answer = self.context.upstream.run(sent).await.map_err(|error| match error {
+            CallError::NotSent { .. } => RunError::NotRun(ResultCode::NoUpstream, Millis(100)),
+            other => RunError::Broken(other.to_string().into()),
+        })?;
+        if self.pinned.is_some() && answer.status().as_u16() == WEIGHTS_REFUSED {
+            return Err(RunError::NotRun(ResultCode::NoUpstream, Millis(1)));
+        }
+        self.check_weights(answer.headers())?;
+        self.head(&answer).await?;
+        self.body(answer, resume_from).await
+    }
+
+    fn upstream_request(
+        &self,
+        request: proto::ExecuteRequest,
+    ) -> Result<hyper::Request<Full<Bytes>>, RunError> {
+        let mut builder = hyper::Request::builder().method(&*request.method).uri(&*request.path);
+        for header in &request.headers {
+            builder = builder.header(&*header.name, &*header.value);
+        }
+        builder = builder.header(PRIORITY_HEADER, request.priority);
+        if let Some(digest) = self.pinned {
+            builder = builder.header(EXPECT_HEADER, digest.to_string());
+        }
+        if request.resume_from > 0 {
+            builder = builder.header(RESUME_HEADER, request.resume_from);
+        }
+        let built = builder.body(Full::new(request.body));
+        built.map_err(|_| RunError::NotRun(ResultCode::BadRequest, Millis(0)))
+    }
+
+    /// An answer that does not name the pinned weights never leaves this process.
+    fn check_weights(&self, headers: &HeaderMap) -> Result<(), RunError> {
+        let Some(pinned) = self.pinned else { return Ok(()) };
+        let named = headers.get(WEIGHTS_HEADER).and_then(|value| value.to_str().ok());
+        let named = named.and_then(|text| text.parse::<ManifestDigest>().ok());
+        if named == Some(pinned) { Ok(()) } else { Err(RunError::WrongWeights) }
+    }
+
+    async fn head(&self, answer: &Response<Incoming>) -> Result<(), RunError> {
+        let headers = answer.headers().iter().filter_map(|(name, value)| {
+            let value = value.to_str().ok()?.to_owned();
+            Some(proto::Header { name: name.to_string(), value })
+        });
+        let head = proto::ExecuteHead {
+            status: u32::from(answer.status().as_u16()),
+            headers: headers.collect(),
+            manifest: self.pinned.map(bytes_of).unwrap_or_default(),
+        };
+        self.send(Part::Head(head)).await
+    }
+
+    async fn body(&self, answer: Response<Incoming>, resume_from: u64) -> Result<(), RunError> {
+        let mut body = answer.into_body();
+        let mut hasher = blake3::Hasher::new();
+        let mut length = resume_from;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| RunError::Broken(error.to_string().into()))?;
+            let Ok(data) = frame.into_data() else { continue };
+            hasher.update(&data);
+            length += data.len() as u64;
+            self.send(Part::Data(data)).await?;
+        }
+        let digest = Bytes::copy_from_slice(hasher.finalize().as_bytes());
+        self.send(Part::End(proto::ExecuteEnd { length, digest })).await
+    }
+
+    async fn send(&self, part: Part) -> Result<(), RunError> {
+        let attempt = Bytes::copy_from_slice(&self.attempt.0.to_be_bytes());
+        let frame = proto::ExecuteFrame { attempt, part: Some(part) };
+        self.frames.send(Ok(frame)).await.map_err(|_| RunError::EntryGone)
+    }
+
+    async fn end_with(&self, error: RunError) {
+        let refusal = |code: ResultCode, reason: &str, retry_after: Millis| proto::Refusal {
+            code: u32::from(code.number()),
+            reason: reason.to_owned(),
+            retry_after_ms: retry_after.0,
+        };
+        match error {
+            RunError::NotRun(code, retry_after) => {
+                info!("request attempt={} decision=refuse code={code}", self.attempt);
+                let _ = self.send(Part::Refusal(refusal(code, "not run", retry_after))).await;
+            }
+            RunError::WrongWeights => {
+                info!("request attempt={} decision=drop reason=wrong-weights", self.attempt);
+                let code = ResultCode::WrongWeights;
+                let _ = self.send(Part::Refusal(refusal(code, "wrong weights", Millis(0)))).await;
+            }
+            RunError::Broken(reason) => {
+                info!("request attempt={} decision=break reason=\"{reason}\"", self.attempt);
+                let _ = self.frames.send(Err(Status::aborted(reason))).await;
+            }
+            RunError::EntryGone => {
+                info!("request attempt={} decision=cancel reason=entry-gone", self.attempt);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/mustardrill_agent/src/lib.rs
@@ -0,0 +1,19 @@
+//! The process in the slot beside each upstream: draws weights, orders the upstream, runs requests.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod actor;
+pub mod cli;
+pub mod config;
+mod context;
+mod effects;
+mod execute;
+mod link;
+mod peers;
+mod server;
+mod status;
+mod store;
+mod upstream;
+mod weights_http;
+
+pub use actor::{AgentHandle, spawn};
+pub use config::AgentConfig;
--- /dev/null
+++ b/mustardrill_agent/src/server.rs
@@ -0,0 +1,195 @@
+//! What the agent offers to entries and other agents, over tonic.
+
+use std::sync::Arc;
+
+use kameo::prelude::*;
+use log::warn;
+use mustardrill_core::agent::AgentEvent;
+use mustardrill_core::document::CatalogueDocument;
+use mustardrill_core::manifest::ChunkBitmap;
+use mustardrill_proto as proto;
+use mustardrill_proto::agent_server::{Agent, AgentServer};
+use mustardrill_types::{ByteSize, ChunkIndex, ManifestDigest};
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tonic::{Request, Response, Status};
+
+use crate::actor::{AgentActor, Event, HoldingAnswer, HoldingQuery, StatusQuery, count_sent};
+use crate::context::AgentContext;
+use crate::effects::{bytes_of, digest_of};
+use crate::execute;
+use crate::peers::MESSAGE_LIMIT;
+
+/// Starts answering on `listener` until the agent halts.
+pub(crate) fn spawn(
+    listener: TcpListener,
+    actor: ActorRef<AgentActor>,
+    context: Arc<AgentContext>,
+) {
+    const WINDOW: u32 = 4 << 20;
+    let halt = context.halt.clone();
+    let service = AgentServer::new(AgentService { actor, context })
+        .max_decoding_message_size(MESSAGE_LIMIT)
+        .max_encoding_message_size(MESSAGE_LIMIT);
+    let server = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .initial_stream_window_size(WINDOW)
+        .initial_connection_window_size(WINDOW * 2)
+        .add_service(service);
+    tokio::spawn(async move {
+        let incoming = TcpListenerStream::new(listener);
+        tokio::select! {
+            ended = server.serve_with_incoming(incoming) => {
+                if let Err(error) = ended {
+                    warn!("server decision=end reason=\"{error}\"");
+                }
+            }
+            () = halt.cancelled() => {}
+        }
+    });
+}
+
+struct AgentService {
+    actor: ActorRef<AgentActor>,
+    context: Arc<AgentContext>,
+}
+
+impl AgentService {
+    async fn holding(
+        &self,
+        digest: ManifestDigest,
+        index: Option<ChunkIndex>,
+    ) -> Result<HoldingAnswer, Status> {
+        let asked = self.actor.ask(HoldingQuery(digest, index)).await;
+        asked.map_err(|_| Status::unavailable("the agent is ending"))
+    }
+
+    fn holding_message(&self, digest: ManifestDigest, answer: &HoldingAnswer) -> proto::Holding {
+        proto::Holding {
+            manifest: bytes_of(digest),
+            instance: self.context.own.to_string(),
+            bitmap: answer.bitmap.to_bytes().into(),
+            queue: self.context.uploads.queued(),
+            serving: answer.serving,
+        }
+    }
+
+    /// Takes what a caller says it holds; it costs nothing, as the caller asked anyway.
+    async fn note_holding(&self, digest: ManifestDigest, instance: &str, bitmap: &[u8]) {
+        let Ok(id) = instance.parse() else { return };
+        let Some(manifest) = self.context.store.manifest(digest) else { return };
+        let bitmap = ChunkBitmap::from_bytes(bitmap, manifest.chunk_count());
+        let event = AgentEvent::HoldingSeen { digest, id, bitmap, queue: 0, serving: None };
+        let _ = self.actor.tell(Event(event)).await;
+    }
+}
+
+#[tonic::async_trait]
+impl Agent for AgentService {
+    type ExecuteStream = ReceiverStream<Result<proto::ExecuteFrame, Status>>;
+
+    async fn execute(
+        &self,
+        request: Request<proto::ExecuteRequest>,
+    ) -> Result<Response<Self::ExecuteStream>, Status> {
+        let frames = execute::spawn(self.actor.clone(), self.context.clone(), request.into_inner());
+        Ok(Response::new(ReceiverStream::new(frames)))
+    }
+
+    async fn sync(
+        &self,
+        request: Request<proto::SyncRequest>,
+    ) -> Result<Response<proto::SyncReply>, Status> {
+        let sent = request.into_inner();
+        if !sent.catalogue.is_empty() {
+            match CatalogueDocument::decode(&sent.catalogue) {
+                Ok(document) => {
+                    let event = AgentEvent::CatalogueSeen(Arc::new(document));
+                    let _ = self.actor.tell(Event(event)).await;
+                }
+                Err(error) => {
+                    warn!("catalogue from={} decision=keep reason=\"{error}\"", sent.entry);
+                }
+            }
+        }
+        let asked = self.actor.ask(StatusQuery).await;
+        let status = asked.map_err(|_| Status::unavailable("the agent is ending"))?;
+        let sent_bytes = self.context.sent_bytes.load(std::sync::atomic::Ordering::Relaxed);
+        let progress = status.progress.iter().map(|row| proto::Progress {
+            model: row.model.to_string(),
+            manifest: bytes_of(row.digest),
+            held: row.held,
+            total: row.total,
+            origin_bytes: row.origin_bytes,
+            peer_bytes: row.peer_bytes,
+            sent_bytes,
+            state: row.state.to_owned(),
+            trouble: row.trouble.to_string(),
+        });
+        Ok(Response::new(proto::SyncReply {
+            instance: self.context.own.to_string(),
+            generation: status.generation.0,
+            leaving: status.leaving,
+            outstanding: status.outstanding,
+            capacity: status.capacity,
+            serving: status.serving.iter().map(|digest| bytes_of(*digest)).collect(),
+            progress: progress.collect(),
+            clock_ms: self.context.clock.now().0,
+        }))
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<proto::ExchangeRequest>,
+    ) -> Result<Response<proto::Holding>, Status> {
+        let sent = request.into_inner();
+        let digest = digest_of(&sent.manifest).ok_or(Status::invalid_argument("manifest"))?;
+        self.note_holding(digest, &sent.instance, &sent.bitmap).await;
+        let answer = self.holding(digest, None).await?;
+        Ok(Response::new(self.holding_message(digest, &answer)))
+    }
+
+    async fn fetch_manifest(
+        &self,
+        request: Request<proto::FetchManifestRequest>,
+    ) -> Result<Response<proto::FetchManifestReply>, Status> {
+        let digest = digest_of(&request.into_inner().manifest);
+        let data = digest.and_then(|digest| self.context.store.published(digest));
+        Ok(Response::new(proto::FetchManifestReply { data: data.unwrap_or_default() }))
+    }
+
+    async fn fetch_chunk(
+        &self,
+        request: Request<proto::FetchChunkRequest>,
+    ) -> Result<Response<proto::FetchChunkReply>, Status> {
+        let sent = request.into_inner();
+        let digest = digest_of(&sent.manifest).ok_or(Status::invalid_argument("manifest"))?;
+        let index = ChunkIndex(sent.index);
+        self.note_holding(digest, &sent.instance, &sent.bitmap).await;
+        use proto::fetch_chunk_reply::Result as Reply;
+        let chunk = self.context.store.chunk(digest, index);
+        let ticket = self.context.uploads.enter();
+        let (result, asked) = match (chunk, ticket) {
+            (Some(bytes), Some(ticket)) => {
+                ticket.pass(ByteSize(bytes.len() as u64)).await;
+                count_sent(&self.context, bytes.len());
+                (Reply::Data(bytes), None)
+            }
+            (found, _) => {
+                let busy = found.is_some();
+                (Reply::Refusal(proto::FetchRefusal { busy, others: Vec::new() }), Some(index))
+            }
+        };
+        // What is held is read last, so that the answer tells the newest.
+        let answer = self.holding(digest, asked).await?;
+        let result = match result {
+            Reply::Refusal(mut refusal) => {
+                refusal.others = answer.others.iter().map(ToString::to_string).collect();
+                Reply::Refusal(refusal)
+            }
+            data => data,
+        };
+        let holding = Some(self.holding_message(digest, &answer));
+        Ok(Response::new(proto::FetchChunkReply { holding, result: Some(result) }))
+    }
+}
--- /dev/null
+++ b/mustardrill_agent/src/status.rs
@@ -0,0 +1,88 @@
+//! The agent's listener on its own machine: staged weights for the engine, status for operators.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+
+use futures_util::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use kameo::prelude::*;
+use mustardrill_runtime::http::{AnyResponse, HttpHandler, json_response, text_response};
+use serde::Serialize;
+
+use crate::actor::{AgentActor, StatusAnswer, StatusQuery};
+use crate::weights_http::WeightsHandler;
+
+/// Answers `GET /status`, and hands everything else to the weights.
+pub(crate) struct StatusHandler {
+    pub(crate) weights: Box<WeightsHandler>,
+    /// Set once the actor runs, which is after the listener is bound.
+    pub(crate) actor: Arc<OnceLock<ActorRef<AgentActor>>>,
+}
+
+#[derive(Serialize)]
+struct StatusBody {
+    generation: u64,
+    leaving: bool,
+    outstanding: u32,
+    capacity: u32,
+    serving: Vec<String>,
+    versions: Vec<VersionBody>,
+}
+
+#[derive(Serialize)]
+struct VersionBody {
+    model: String,
+    manifest: String,
+    state: &'static str,
+    held: u32,
+    total: u32,
+    origin_bytes: u64,
+    peer_bytes: u64,
+    trouble: Box<str>,
+}
+
+impl HttpHandler for StatusHandler {
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> BoxFuture<'static, AnyResponse> {
+        if request.uri().path() != "/status" {
+            return self.weights.handle(request, peer);
+        }
+        let actor = self.actor.get().cloned();
+        Box::pin(async move {
+            let Some(actor) = actor else {
+                return text_response(StatusCode::SERVICE_UNAVAILABLE, "starting\n");
+            };
+            match actor.ask(StatusQuery).await {
+                Ok(status) => json_response(StatusCode::OK, &StatusBody::from(status)),
+                Err(_) => text_response(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
+            }
+        })
+    }
+}
+
+impl From<StatusAnswer> for StatusBody {
+    fn from(status: StatusAnswer) -> Self {
+        let versions = status.progress.into_iter().map(|row| VersionBody {
+            model: row.model.to_string(),
+            manifest: row.digest.to_string(),
+            state: row.state,
+            held: row.held,
+            total: row.total,
+            origin_bytes: row.origin_bytes,
+            peer_bytes: row.peer_bytes,
+            trouble: row.trouble,
+        });
+        Self {
+            generation: status.generation.0,
+            leaving: status.leaving,
+            outstanding: status.outstanding,
+            capacity: status.capacity,
+            serving: status.serving.iter().map(ToString::to_string).collect(),
+            versions: versions.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/mustardrill_agent/src/weights_http.rs
@@ -0,0 +1,51 @@
+//! Staged weights for the engine beside the agent, over HTTP on this machine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Request, Response, StatusCode};
+use mustardrill_core::manifest::Manifest;
+use mustardrill_runtime::http::{AnyResponse, CutError, HttpHandler, text_response};
+use mustardrill_types::{ChunkIndex, ManifestDigest};
+
+use crate::store::ChunkStore;
+
+/// Answers `GET /weights/DIGEST` with a version's bytes, all of them verified.
+#[derive(Debug)]
+pub(crate) struct WeightsHandler {
+    pub(crate) store: Arc<ChunkStore>,
+}
+
+impl HttpHandler for WeightsHandler {
+    fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> BoxFuture<'static, AnyResponse> {
+        let digest = request.uri().path().strip_prefix("/weights/");
+        let digest = digest.and_then(|text| text.parse::<ManifestDigest>().ok());
+        let store = self.store.clone();
+        Box::pin(async move {
+            let found = digest.and_then(|digest| Some((digest, store.manifest(digest)?)));
+            match found {
+                Some((digest, manifest)) => answer(store, digest, manifest),
+                None => text_response(StatusCode::NOT_FOUND, "no such weights are staged\n"),
+            }
+        })
+    }
+}
+
+fn answer(store: Arc<ChunkStore>, digest: ManifestDigest, manifest: Arc<Manifest>) -> AnyResponse {
+    let length = manifest.size.0;
+    let chunks = (0..manifest.chunk_count()).map(move |index| chunk(&store, digest, index));
+    let body = StreamBody::new(stream::iter(chunks));
+    let mut response = Response::new(body.boxed_unsync());
+    response.headers_mut().insert(hyper::header::CONTENT_LENGTH, length.into());
+    response
+}
+
+/// One chunk as a frame; a chunk that is missing cuts the answer rather than shortening it.
+fn chunk(store: &ChunkStore, digest: ManifestDigest, index: u32) -> Result<Frame<Bytes>, CutError> {
+    store.chunk(digest, ChunkIndex(index)).map(Frame::data).ok_or(CutError)
+}
--- /dev/null
+++ b/mustardrill_core/src/agent/mod.rs
@@ -0,0 +1,9 @@
+//! The agent's reducer: everything that the process beside an upstream decides.
+
+mod event;
+mod reducer;
+mod weights;
+
+pub use event::{AgentEffect, AgentEvent, AgentSettings, EngineReport, LoadOrder, WeightsProgress};
+pub use reducer::AgentReducer;
+pub use weights::assigned;
--- /dev/null
+++ b/mustardrill_core/src/agent/reducer.rs
@@ -0,0 +1,316 @@
+//! One reducer over all events of an agent.
+
+use std::sync::Arc;
+
+use log::{info, warn};
+use mustardrill_types::{
+    AttemptId, ChunkIndex, FastMap, Generation, InstanceId, ManifestDigest, Millis, Moment,
+    ResultCode,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::admission::{Admission, AdmissionQueue};
+use crate::agent::event::{AgentEffect, AgentEvent, AgentSettings, WeightsProgress};
+use crate::agent::weights::WeightsTable;
+use crate::document::{CatalogueDocument, RequestClass};
+use crate::edit::check_successor;
+use crate::manifest::ChunkBitmap;
+use crate::membership::MemberTable;
+use crate::ownership::{OwnerAnswer, OwnerLease};
+
+/// Everything that an agent knows; it holds no bytes of weights or requests.
+#[derive(Debug)]
+pub struct AgentReducer {
+    document: Arc<CatalogueDocument>,
+    members: MemberTable,
+    weights: WeightsTable,
+    owner: OwnerLease,
+    queue: AdmissionQueue,
+    attempts: FastMap<AttemptId, AttemptState>,
+    leaving: bool,
+    is_engine: bool,
+    random: SmallRng,
+    next_refresh: Moment,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct AttemptState {
+    pinned: Option<ManifestDigest>,
+    dispatched: bool,
+    arrived: Moment,
+    finished: bool,
+}
+
+/// How long a finished attempt is remembered, so that a late copy of it is not run.
+const REMEMBER_ATTEMPT: Millis = Millis(120_000);
+
+/// How often the list is weighed anew, since suspicion of dead instances ends by time.
+const REFRESH_EVERY: Millis = Millis(1_000);
+
+impl AgentReducer {
+    /// An agent that knows nothing yet. `seed` decides between equals.
+    pub fn new(now: Moment, settings: AgentSettings, seed: u64) -> Self {
+        Self {
+            document: Arc::default(),
+            members: MemberTable::new(settings.members.clone()),
+            owner: OwnerLease::new(now, settings.owner.clone()),
+            queue: AdmissionQueue::new(settings.admission.clone()),
+            attempts: FastMap::default(),
+            leaving: false,
+            is_engine: settings.is_engine,
+            random: SmallRng::seed_from_u64(seed),
+            next_refresh: now,
+            weights: WeightsTable::new(settings, seed),
+        }
+    }
+
+    /// Takes one event and returns what is to be done.
+    pub fn reduce(&mut self, now: Moment, event: AgentEvent) -> Vec<AgentEffect> {
+        match event {
+            AgentEvent::CatalogueSeen(document) => self.catalogue_seen(now, document),
+            AgentEvent::InstancesSeen(list) => self.instances_seen(now, list),
+            AgentEvent::ManifestLoaded(manifest, digest) => {
+                self.weights.manifest_loaded(now, manifest, digest, &self.members)
+            }
+            AgentEvent::ManifestFailed(digest, reason) => {
+                self.weights.manifest_failed(now, digest, &reason);
+                Vec::new()
+            }
+            AgentEvent::HoldingSeen { digest, id, bitmap, queue, serving } => {
+                self.members.answered(&id);
+                self.weights.heard(now, digest, &id, bitmap, queue, serving)
+            }
+            AgentEvent::PeerFailed(id) => {
+                self.members.failed(now, &id);
+                self.weights.peer_failed(now, &id);
+                Vec::new()
+            }
+            AgentEvent::DrawFinished { digest, index, source, outcome } => {
+                self.weights.draw_finished(now, digest, index, &source, &outcome)
+            }
+            AgentEvent::EngineSeen(report) => {
+                self.weights.engine_seen(now, report);
+                self.advance_weights(now)
+            }
+            AgentEvent::LoadAnswered(digest, result) => {
+                self.weights.load_answered(now, digest, result)
+            }
+            AgentEvent::OwnerAnswered(answer) => self.owner_answered(now, answer),
+            AgentEvent::RequestArrived { attempt, class, pinned, deadline } => {
+                self.request_arrived(now, attempt, class, pinned, deadline)
+            }
+            AgentEvent::RequestWithdrawn(attempt) => self.request_withdrawn(now, attempt),
+            AgentEvent::RequestFinished(attempt) => self.request_finished(now, attempt),
+            AgentEvent::Tick => self.tick(now),
+            AgentEvent::Stop => self.stop(),
+        }
+    }
+
+    /// The generation in force here.
+    pub fn generation(&self) -> Generation {
+        self.document.generation
+    }
+
+    /// Whether the agent takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether nothing is queued or running.
+    pub fn is_drained(&self) -> bool {
+        self.queue.running() == 0 && self.queue.queued() == 0
+    }
+
+    /// Requests queued and running.
+    pub fn outstanding(&self) -> u32 {
+        (self.queue.running() + self.queue.queued()) as u32
+    }
+
+    /// Requests that the upstream runs at once.
+    pub fn capacity(&self) -> u32 {
+        self.queue.capacity()
+    }
+
+    /// The weights that the upstream serves.
+    pub fn serving(&self) -> &[ManifestDigest] {
+        self.weights.serving()
+    }
+
+    /// How far each wanted version is.
+    pub fn progress(&self) -> Vec<WeightsProgress> {
+        self.weights.progress()
+    }
+
+    /// Which chunks of a version are held and verified.
+    pub fn held(&self, digest: ManifestDigest) -> Option<&ChunkBitmap> {
+        self.weights.held(digest)
+    }
+
+    /// Peers that hold a chunk.
+    pub fn holders(&self, digest: ManifestDigest, index: ChunkIndex) -> Vec<InstanceId> {
+        self.weights.holders(digest, index)
+    }
+
+    /// The members as this agent sees them.
+    pub fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// The lease on the upstream.
+    pub fn owner(&self) -> &OwnerLease {
+        &self.owner
+    }
+
+    fn catalogue_seen(&mut self, now: Moment, next: Arc<CatalogueDocument>) -> Vec<AgentEffect> {
+        if next.generation <= self.document.generation {
+            return Vec::new();
+        }
+        if let Err(reason) = check_successor(&self.document, &next) {
+            warn!("catalogue generation={} decision=keep reason=\"{reason}\"", next.generation);
+            return Vec::new();
+        }
+        info!("catalogue generation={} decision=apply", next.generation);
+        self.document = next;
+        self.refresh_weights(now)
+    }
+
+    fn instances_seen(
+        &mut self,
+        now: Moment,
+        list: Vec<crate::membership::InstanceRecord>,
+    ) -> Vec<AgentEffect> {
+        if self.members.replace(list) { self.refresh_weights(now) } else { Vec::new() }
+    }
+
+    fn refresh_weights(&mut self, now: Moment) -> Vec<AgentEffect> {
+        self.next_refresh = now + REFRESH_EVERY;
+        self.weights.refresh(now, &self.document, &self.members)
+    }
+
+    fn advance_weights(&mut self, now: Moment) -> Vec<AgentEffect> {
+        let fence = self.owner.may_order(now);
+        self.weights.advance(now, &self.members, fence)
+    }
+
+    fn owner_answered(&mut self, now: Moment, answer: OwnerAnswer) -> Vec<AgentEffect> {
+        let before = self.owner.lease();
+        let jitter = self.random.random_range(0.0..1.0);
+        self.owner.answered(now, answer, jitter);
+        if before != self.owner.lease() {
+            info!("owner answer={answer:?} held={}", self.owner.lease().is_some());
+        }
+        self.advance_weights(now)
+    }
+
+    fn request_arrived(
+        &mut self,
+        now: Moment,
+        attempt: AttemptId,
+        class: RequestClass,
+        pinned: Option<ManifestDigest>,
+        deadline: Moment,
+    ) -> Vec<AgentEffect> {
+        if self.attempts.contains_key(&attempt) {
+            return refusal(attempt, ResultCode::AlreadyClaimed, Millis(0));
+        }
+        if self.leaving {
+            return refusal(attempt, ResultCode::Leaving, Millis(1));
+        }
+        if !self.serves(pinned) {
+            return refusal(attempt, ResultCode::NoUpstream, Millis(100));
+        }
+        let admission = self.queue.offer(now, attempt, class, deadline);
+        log::debug!(
+            "admission attempt={attempt} class={class} queued={} running={} decision={admission:?}",
+            self.queue.queued(),
+            self.queue.running()
+        );
+        if let Admission::Refused(code, retry_after) = admission {
+            return refusal(attempt, code, retry_after);
+        }
+        let dispatched = admission == Admission::Run;
+        let state = AttemptState { pinned, dispatched, arrived: now, finished: false };
+        self.attempts.insert(attempt, state);
+        if dispatched { vec![AgentEffect::Dispatch(attempt)] } else { Vec::new() }
+    }
+
+    fn request_withdrawn(&mut self, now: Moment, attempt: AttemptId) -> Vec<AgentEffect> {
+        if self.queue.withdraw(attempt) {
+            self.forget(attempt);
+            return refusal(attempt, ResultCode::Withdrawn, Millis(0));
+        }
+        // It runs already: its task closes the connection to the upstream and reports the end.
+        self.request_finished(now, attempt)
+    }
+
+    fn request_finished(&mut self, now: Moment, attempt: AttemptId) -> Vec<AgentEffect> {
+        self.forget(attempt);
+        self.queue.finished(now, attempt);
+        self.run_next(now)
+    }
+
+    fn forget(&mut self, attempt: AttemptId) {
+        if let Some(state) = self.attempts.get_mut(&attempt) {
+            state.finished = true;
+        }
+    }
+
+    fn run_next(&mut self, now: Moment) -> Vec<AgentEffect> {
+        let mut effects = Vec::new();
+        while let Some(attempt) = self.queue.next_run(now) {
+            let pinned = self.attempts.get(&attempt).and_then(|state| state.pinned);
+            // The upstream may have switched while the request waited.
+            if !self.serves(pinned) {
+                self.queue.finished(now, attempt);
+                self.forget(attempt);
+                effects.extend(refusal(attempt, ResultCode::NoUpstream, Millis(1)));
+                continue;
+            }
+            if let Some(state) = self.attempts.get_mut(&attempt) {
+                state.dispatched = true;
+            }
+            effects.push(AgentEffect::Dispatch(attempt));
+        }
+        effects
+    }
+
+    fn serves(&self, pinned: Option<ManifestDigest>) -> bool {
+        pinned.is_none_or(|digest| self.is_engine && self.weights.serving().contains(&digest))
+    }
+
+    fn tick(&mut self, now: Moment) -> Vec<AgentEffect> {
+        let mut effects = Vec::new();
+        for attempt in self.queue.expired(now) {
+            self.forget(attempt);
+            effects.extend(refusal(attempt, ResultCode::DeadlinePassed, Millis(0)));
+        }
+        self.attempts
+            .retain(|_, state| !state.finished || now.since(state.arrived) < REMEMBER_ATTEMPT);
+        if self.is_engine && !self.leaving {
+            effects.extend(self.owner.due(now).map(AgentEffect::CallOwner));
+        }
+        if now >= self.next_refresh {
+            effects.extend(self.refresh_weights(now));
+        }
+        effects.extend(self.advance_weights(now));
+        effects
+    }
+
+    fn stop(&mut self) -> Vec<AgentEffect> {
+        info!("stop queued={} running={}", self.queue.queued(), self.queue.running());
+        self.leaving = true;
+        let drained = self.queue.drain();
+        drained
+            .into_iter()
+            .flat_map(|attempt| {
+                self.forget(attempt);
+                refusal(attempt, ResultCode::Leaving, Millis(1))
+            })
+            .collect()
+    }
+}
+
+fn refusal(attempt: AttemptId, code: ResultCode, retry_after: Millis) -> Vec<AgentEffect> {
+    vec![AgentEffect::Refuse(attempt, code, retry_after)]
+}
--- /dev/null
+++ b/mustardrill_core/src/agent/weights.rs
@@ -0,0 +1,538 @@
+//! The weights at one agent: what is wanted, how far it is, and when the upstream may load it.
+
+use std::sync::Arc;
+
+use log::{info, warn};
+use mustardrill_types::{
+    ByteSize, ChunkIndex, FastMap, FastSet, FencingNumber, InstanceId, ManifestDigest, Millis,
+    ModelName, Moment, ServiceName, VersionName,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::agent::event::{AgentEffect, AgentSettings, EngineReport, LoadOrder, WeightsProgress};
+use crate::document::CatalogueDocument;
+use crate::manifest::{ChunkBitmap, Manifest};
+use crate::membership::MemberTable;
+use crate::rendezvous;
+use crate::transfer::{ChunkSource, DrawOutcome, TransferPeer, TransferPlan};
+use crate::wave;
+
+/// The weights of one agent.
+#[derive(Debug)]
+pub(crate) struct WeightsTable {
+    settings: AgentSettings,
+    versions: FastMap<ManifestDigest, VersionState>,
+    serving: Vec<ManifestDigest>,
+    served_by: FastMap<ManifestDigest, FastSet<InstanceId>>,
+    loading: Option<ManifestDigest>,
+    next_engine_read: Moment,
+    random: SmallRng,
+}
+
+/// After this many tries a manifest is asked for at the origin whatever the rank.
+const MANIFEST_TRIES: u32 = 10;
+
+/// One version that this agent is to serve.
+#[derive(Debug)]
+struct VersionState {
+    model: ModelName,
+    version: VersionName,
+    stage: VersionStage,
+    /// The instances that are to serve the version, in the order of their names.
+    assigned: Vec<InstanceId>,
+    next_try: Moment,
+    tries: u32,
+    waiting_since: Option<Moment>,
+    trouble: Box<str>,
+}
+
+#[derive(Debug)]
+enum VersionStage {
+    Manifest,
+    Drawing(Box<TransferPlan>),
+    Staged(Box<TransferPlan>),
+}
+
+/// The instances that are to serve each model of a service.
+///
+/// Models choose in the order of their names, each by rendezvous hashing among the instances
+/// that no earlier one took. Agents that see the same list agree without talking.
+pub fn assigned(
+    document: &CatalogueDocument,
+    service: &ServiceName,
+    live: &[InstanceId],
+) -> Vec<(ModelName, Vec<InstanceId>)> {
+    let mut free = live.to_vec();
+    let mut result = Vec::new();
+    for (model, weights) in document.weights_of(service) {
+        let ranked = rendezvous::ranked(model.as_str().as_bytes(), &free, |id| id.as_str());
+        let mut chosen: Vec<_> =
+            ranked.into_iter().take(weights.replicas as usize).cloned().collect();
+        chosen.sort();
+        free.retain(|id| !chosen.contains(id));
+        result.push((model.clone(), chosen));
+    }
+    result
+}
+
+impl WeightsTable {
+    pub(crate) fn new(settings: AgentSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            versions: FastMap::default(),
+            serving: Vec::new(),
+            served_by: FastMap::default(),
+            loading: None,
+            next_engine_read: Moment(0),
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    pub(crate) fn serving(&self) -> &[ManifestDigest] {
+        &self.serving
+    }
+
+    /// Works out anew what this instance is to serve, after the catalogue or the list changed.
+    pub(crate) fn refresh(
+        &mut self,
+        now: Moment,
+        document: &CatalogueDocument,
+        members: &MemberTable,
+    ) -> Vec<AgentEffect> {
+        let service = self.settings.service.clone();
+        let own = self.settings.own.id.clone();
+        let live: Vec<_> = members
+            .live_of(now, &service)
+            .into_iter()
+            .filter(|record| !record.leaving)
+            .map(|record| record.id.clone())
+            .collect();
+        let mut wanted = FastMap::default();
+        for (model, instances) in assigned(document, &service, &live) {
+            let weights = document.entries.get(&model).and_then(|entry| entry.weights.as_ref());
+            if let Some(weights) = weights.filter(|_| instances.contains(&own)) {
+                wanted.insert(weights.manifest, (model, weights.version.clone(), instances));
+            }
+        }
+        let mut effects = self.drop_unwanted(&wanted);
+        for (digest, (model, version, instances)) in wanted {
+            let peers = self.peers_of(&instances, members);
+            let state = self.versions.entry(digest).or_insert_with(|| {
+                info!("placement model={model} version={version} manifest={} instances={} decision=fetch", digest.short(), instances.len());
+                VersionState::new(now, model, version)
+            });
+            state.assigned = instances;
+            if let VersionStage::Drawing(plan) | VersionStage::Staged(plan) = &mut state.stage {
+                plan.set_peers(&peers);
+            }
+        }
+        effects.extend(self.advance(now, members, None));
+        effects
+    }
+
+    pub(crate) fn manifest_loaded(
+        &mut self,
+        now: Moment,
+        manifest: Arc<Manifest>,
+        digest: ManifestDigest,
+        members: &MemberTable,
+    ) -> Vec<AgentEffect> {
+        let staged = self.staged_bytes();
+        let Some(state) = self.versions.get(&digest) else { return Vec::new() };
+        if !matches!(state.stage, VersionStage::Manifest) {
+            return Vec::new();
+        }
+        let peers = self.peers_of(&state.assigned, members);
+        let limit = self.settings.staging_limit;
+        let retry = now + self.settings.retry_every;
+        let state = self.versions.get_mut(&digest).expect("the version was looked up");
+        if staged.0 + manifest.size.0 > limit.0 {
+            state.trouble =
+                format!("needs {}, {staged} of {limit} are staged", manifest.size).into();
+            state.next_try = retry;
+            warn!(
+                "placement manifest={} decision=refuse reason=\"{}\"",
+                digest.short(),
+                state.trouble
+            );
+            return Vec::new();
+        }
+        let seed = self.random.random();
+        let own = self.settings.own.clone();
+        let transfer = self.settings.transfer.clone();
+        let mut plan = TransferPlan::new(now, own, manifest, transfer, seed);
+        plan.set_peers(&peers);
+        state.trouble = "".into();
+        state.stage = VersionStage::Drawing(Box::new(plan));
+        self.draw(now, digest)
+    }
+
+    pub(crate) fn manifest_failed(&mut self, now: Moment, digest: ManifestDigest, reason: &str) {
+        let retry = now + self.settings.retry_every;
+        if let Some(state) = self.versions.get_mut(&digest) {
+            warn!("placement manifest={} decision=retry reason=\"{reason}\"", digest.short());
+            // Peers that lack it yet are no trouble; the next try comes soon.
+            if state.tries > MANIFEST_TRIES {
+                state.trouble = reason.into();
+                state.next_try = retry;
+            }
+        }
+    }
+
+    pub(crate) fn heard(
+        &mut self,
+        now: Moment,
+        digest: ManifestDigest,
+        id: &InstanceId,
+        bitmap: ChunkBitmap,
+        queue: u32,
+        serving: Option<bool>,
+    ) -> Vec<AgentEffect> {
+        match serving {
+            Some(true) => {
+                self.served_by.entry(digest).or_default().insert(id.clone());
+            }
+            Some(false) => {
+                self.served_by.entry(digest).or_default().remove(id);
+            }
+            None => {}
+        }
+        if let Some(plan) = self.plan(digest) {
+            plan.heard(now, id, bitmap, queue);
+        }
+        self.draw(now, digest)
+    }
+
+    pub(crate) fn peer_failed(&mut self, now: Moment, id: &InstanceId) {
+        for state in self.versions.values_mut() {
+            if let VersionStage::Drawing(plan) | VersionStage::Staged(plan) = &mut state.stage {
+                plan.shun(now, id);
+            }
+        }
+    }
+
+    pub(crate) fn draw_finished(
+        &mut self,
+        now: Moment,
+        digest: ManifestDigest,
+        index: ChunkIndex,
+        source: &ChunkSource,
+        outcome: &DrawOutcome,
+    ) -> Vec<AgentEffect> {
+        let Some(state) = self.versions.get_mut(&digest) else { return Vec::new() };
+        let VersionStage::Drawing(plan) = &mut state.stage else { return Vec::new() };
+        plan.finished(now, index, source, outcome);
+        if *outcome == DrawOutcome::Corrupt {
+            warn!(
+                "chunk manifest={} index={index} source={source} decision=drop reason=corrupt",
+                digest.short()
+            );
+            if *source == ChunkSource::Origin {
+                state.trouble = format!("the origin sent chunk {index} with another digest").into();
+            }
+        }
+        if *outcome == DrawOutcome::Verified && *source == ChunkSource::Origin {
+            state.trouble = "".into();
+        }
+        self.draw(now, digest)
+    }
+
+    pub(crate) fn engine_seen(&mut self, now: Moment, report: Option<EngineReport>) {
+        self.next_engine_read = now + self.settings.retry_every;
+        let Some(report) = report else { return };
+        if report.serving != self.serving {
+            let names: Vec<_> = report.serving.iter().map(ManifestDigest::short).collect();
+            info!("serving manifests={}", names.join(","));
+        }
+        self.serving = report.serving;
+    }
+
+    pub(crate) fn load_answered(
+        &mut self,
+        now: Moment,
+        digest: ManifestDigest,
+        result: Result<(), Box<str>>,
+    ) -> Vec<AgentEffect> {
+        if self.loading == Some(digest) {
+            self.loading = None;
+        }
+        let retry = now + self.settings.retry_every;
+        if let (Err(reason), Some(state)) = (result, self.versions.get_mut(&digest)) {
+            warn!("load manifest={} decision=retry reason=\"{reason}\"", digest.short());
+            state.trouble = reason;
+            state.next_try = retry;
+        }
+        // Whatever the upstream answered, only what it says it serves now counts.
+        vec![AgentEffect::ReadEngine]
+    }
+
+    /// Takes the next step of every version: manifests, overdue draws, exchanges and loads.
+    pub(crate) fn advance(
+        &mut self,
+        now: Moment,
+        members: &MemberTable,
+        fence: Option<FencingNumber>,
+    ) -> Vec<AgentEffect> {
+        let mut effects = Vec::new();
+        if self.settings.is_engine && now >= self.next_engine_read {
+            self.next_engine_read = now + self.settings.retry_every;
+            effects.push(AgentEffect::ReadEngine);
+        }
+        let mut digests: Vec<_> = self.versions.keys().copied().collect();
+        digests.sort_unstable();
+        for digest in digests {
+            match self.versions[&digest].stage {
+                VersionStage::Manifest => effects.extend(self.ask_manifest(now, digest)),
+                VersionStage::Drawing(_) => effects.extend(self.continue_drawing(now, digest)),
+                VersionStage::Staged(_) => {
+                    effects.extend(self.consider_load(now, digest, members, fence));
+                }
+            }
+        }
+        effects
+    }
+
+    pub(crate) fn progress(&self) -> Vec<WeightsProgress> {
+        let mut rows: Vec<_> = self
+            .versions
+            .iter()
+            .map(|(digest, state)| {
+                let plan = state.plan();
+                let counts = plan.map(TransferPlan::counts).unwrap_or_default();
+                WeightsProgress {
+                    model: state.model.clone(),
+                    digest: *digest,
+                    held: plan.map_or(0, |plan| plan.held().count()),
+                    total: plan.map_or(0, |plan| plan.manifest().chunk_count()),
+                    origin_bytes: counts.origin_bytes,
+                    peer_bytes: counts.peer_bytes,
+                    state: self.state_name(*digest, state),
+                    trouble: state.trouble.clone(),
+                }
+            })
+            .collect();
+        rows.sort_by(|left, right| left.model.cmp(&right.model));
+        rows
+    }
+
+    pub(crate) fn held(&self, digest: ManifestDigest) -> Option<&ChunkBitmap> {
+        self.versions.get(&digest).and_then(VersionState::plan).map(TransferPlan::held)
+    }
+
+    pub(crate) fn holders(&self, digest: ManifestDigest, index: ChunkIndex) -> Vec<InstanceId> {
+        const NAMED: usize = 4;
+        let plan = self.versions.get(&digest).and_then(VersionState::plan);
+        plan.map_or_else(Vec::new, |plan| plan.partners().holders(index, NAMED))
+    }
+
+    fn plan(&mut self, digest: ManifestDigest) -> Option<&mut TransferPlan> {
+        match &mut self.versions.get_mut(&digest)?.stage {
+            VersionStage::Drawing(plan) | VersionStage::Staged(plan) => Some(plan),
+            VersionStage::Manifest => None,
+        }
+    }
+
+    fn peers_of(&self, instances: &[InstanceId], members: &MemberTable) -> Vec<TransferPeer> {
+        let per_region = self.settings.copy_per_region;
+        instances
+            .iter()
+            .filter_map(|id| members.get(id))
+            .filter(|record| !per_region || record.region == self.settings.region)
+            .map(|record| TransferPeer {
+                id: record.id.clone(),
+                data_centre: record.data_centre.clone(),
+            })
+            .collect()
+    }
+
+    fn staged_bytes(&self) -> ByteSize {
+        let plans = self.versions.values().filter_map(VersionState::plan);
+        ByteSize(plans.map(|plan| plan.manifest().size.0).sum())
+    }
+
+    fn drop_unwanted<T>(&mut self, wanted: &FastMap<ManifestDigest, T>) -> Vec<AgentEffect> {
+        let is_gone = |digest: &&ManifestDigest| !wanted.contains_key(*digest);
+        let mut gone: Vec<_> = self.versions.keys().filter(is_gone).copied().collect();
+        gone.sort_unstable();
+        for digest in &gone {
+            info!("placement manifest={} decision=drop reason=not-wanted", digest.short());
+            self.versions.remove(digest);
+            self.served_by.remove(digest);
+        }
+        gone.into_iter().map(AgentEffect::DropWeights).collect()
+    }
+
+    /// Asks for a manifest: a few instances at the origin, the others at peers first, so that
+    /// the origin is not asked by everybody at once.
+    fn ask_manifest(&mut self, now: Moment, digest: ManifestDigest) -> Option<AgentEffect> {
+        const AT_ORIGIN: usize = 2;
+        const ASKED: usize = 3;
+        const PEER_RETRY: Millis = Millis(50);
+        let own = &self.settings.own.id;
+        let state = self.versions.get_mut(&digest)?;
+        if now < state.next_try {
+            return None;
+        }
+        let ranked = rendezvous::ranked(&digest.0, &state.assigned, |id| id.as_str());
+        let at_origin = ranked.iter().take(AT_ORIGIN).any(|id| *id == own);
+        let others: Vec<_> = state.assigned.iter().filter(|id| *id != own).collect();
+        let mut sources = Vec::new();
+        if !at_origin && !others.is_empty() {
+            let mut pick = || others[self.random.random_range(0..others.len())].clone();
+            sources.extend((0..ASKED).map(|_| ChunkSource::Peer(pick())));
+        }
+        state.tries += 1;
+        if at_origin || state.tries > MANIFEST_TRIES {
+            sources.push(ChunkSource::Origin);
+            state.next_try = now + self.settings.retry_every;
+        } else {
+            state.next_try = now + PEER_RETRY;
+        }
+        let (model, version) = (state.model.clone(), state.version.clone());
+        Some(AgentEffect::FetchManifest { model, version, digest, sources })
+    }
+
+    fn continue_drawing(&mut self, now: Moment, digest: ManifestDigest) -> Vec<AgentEffect> {
+        let every = self.settings.exchange_every;
+        let Some(plan) = self.plan(digest) else { return Vec::new() };
+        let late = plan.overdue(now);
+        let stale = plan.partners().stale(now, every);
+        let mut effects: Vec<_> = late
+            .into_iter()
+            .map(|(index, source)| AgentEffect::CancelDraw(digest, index, source))
+            .collect();
+        effects.extend(stale.into_iter().map(|id| AgentEffect::Exchange(digest, id)));
+        effects.extend(self.draw(now, digest));
+        effects
+    }
+
+    /// Starts draws and notes a complete copy.
+    fn draw(&mut self, now: Moment, digest: ManifestDigest) -> Vec<AgentEffect> {
+        let Some(state) = self.versions.get_mut(&digest) else { return Vec::new() };
+        let VersionStage::Drawing(plan) = &mut state.stage else { return Vec::new() };
+        if plan.is_complete() {
+            let counts = plan.counts();
+            info!(
+                "staged manifest={} origin_bytes={} peer_bytes={}",
+                digest.short(),
+                counts.origin_bytes,
+                counts.peer_bytes
+            );
+            let stage = std::mem::replace(&mut state.stage, VersionStage::Manifest);
+            if let VersionStage::Drawing(plan) = stage {
+                state.stage = VersionStage::Staged(plan);
+            }
+            state.trouble = "".into();
+            return Vec::new();
+        }
+        let draws = plan.next_draws(now);
+        draws
+            .into_iter()
+            .map(|draw| {
+                log::debug!(
+                    "chunk manifest={} index={} source={} decision=draw",
+                    digest.short(),
+                    draw.index,
+                    draw.source
+                );
+                AgentEffect::DrawChunk(digest, draw)
+            })
+            .collect()
+    }
+
+    fn consider_load(
+        &mut self,
+        now: Moment,
+        digest: ManifestDigest,
+        members: &MemberTable,
+        fence: Option<FencingNumber>,
+    ) -> Vec<AgentEffect> {
+        if self.serving.contains(&digest) || self.loading.is_some() {
+            return Vec::new();
+        }
+        let Some(fence) = fence else { return Vec::new() };
+        if let Some(id) = self.wave_blocker(now, digest, members) {
+            return vec![AgentEffect::Exchange(digest, id)];
+        }
+        let retry = now + self.settings.retry_every;
+        let state = self.versions.get_mut(&digest).expect("a version of the table");
+        if now < state.next_try {
+            return Vec::new();
+        }
+        state.next_try = retry;
+        info!(
+            "load model={} version={} manifest={} fence={fence} decision=order",
+            state.model,
+            state.version,
+            digest.short()
+        );
+        self.loading = Some(digest);
+        vec![AgentEffect::OrderLoad(LoadOrder {
+            model: state.model.clone(),
+            version: state.version.clone(),
+            digest,
+            fence,
+        })]
+    }
+
+    /// The instance that must switch before this one, where it has not yet.
+    fn wave_blocker(
+        &mut self,
+        now: Moment,
+        digest: ManifestDigest,
+        members: &MemberTable,
+    ) -> Option<InstanceId> {
+        // An upstream that serves nothing yet takes no capacity away by loading.
+        if self.serving.is_empty() {
+            return None;
+        }
+        let state = self.versions.get_mut(&digest)?;
+        let live: Vec<_> =
+            state.assigned.iter().filter(|id| members.is_live(now, id)).cloned().collect();
+        let own = &self.settings.own.id;
+        let id = wave::predecessor(digest, &live, own, self.settings.floor_percent)?;
+        if self.served_by.get(&digest).is_some_and(|known| known.contains(&id)) {
+            return None;
+        }
+        let since = *state.waiting_since.get_or_insert(now);
+        if now.since(since) >= self.settings.wave_patience {
+            warn!("load manifest={} decision=skip-wait instance={id}", digest.short());
+            return None;
+        }
+        Some(id)
+    }
+
+    fn state_name(&self, digest: ManifestDigest, state: &VersionState) -> &'static str {
+        match &state.stage {
+            _ if self.serving.contains(&digest) => "serving",
+            _ if self.loading == Some(digest) => "loading",
+            _ if !state.trouble.is_empty() => "stuck",
+            VersionStage::Manifest => "manifest",
+            VersionStage::Drawing(_) => "fetching",
+            VersionStage::Staged(_) => "staged",
+        }
+    }
+}
+
+impl VersionState {
+    fn new(now: Moment, model: ModelName, version: VersionName) -> Self {
+        Self {
+            model,
+            version,
+            stage: VersionStage::Manifest,
+            assigned: Vec::new(),
+            next_try: now,
+            tries: 0,
+            waiting_since: None,
+            trouble: "".into(),
+        }
+    }
+
+    fn plan(&self) -> Option<&TransferPlan> {
+        match &self.stage {
+            VersionStage::Drawing(plan) | VersionStage::Staged(plan) => Some(plan),
+            VersionStage::Manifest => None,
+        }
+    }
+}
--- /dev/null
+++ b/mustardrill_core/src/entry/mod.rs
@@ -0,0 +1,11 @@
+//! The entry's reducer: everything that the process before the callers decides.
+
+mod event;
+mod reducer;
+mod request;
+
+pub use event::{
+    AgentSync, AttemptEnd, EntryEffect, EntryEvent, EntrySettings, IncomingRequest, RequestId,
+    SendOrder,
+};
+pub use reducer::EntryReducer;
--- /dev/null
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -0,0 +1,570 @@
+//! One reducer over all events of an entry.
+
+use std::sync::Arc;
+
+use log::{info, warn};
+use mustardrill_types::{
+    AttemptId, FastMap, Generation, InstanceId, ManifestDigest, Millis, ModelName, Moment,
+    ResultCode, ServiceName,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::agent::WeightsProgress;
+use crate::budget::RetryBudget;
+use crate::claim::{ClaimBatch, ClaimEffect, ClaimOutcome};
+use crate::document::{CatalogueDocument, CatalogueEntry};
+use crate::edit::check_successor;
+use crate::entry::event::{
+    AgentSync, AttemptEnd, EntryEffect, EntryEvent, EntrySettings, IncomingRequest, RequestId,
+    SendOrder,
+};
+use crate::entry::request::{RequestStage, RequestState, RequestTable};
+use crate::limit::LimitTable;
+use crate::membership::{InstanceRecord, MemberTable};
+use crate::rendezvous;
+use crate::routing::RoutingTable;
+
+/// When a caller may come back where no upstream serves what it asks for.
+const NO_UPSTREAM_RETRY: Millis = Millis(1_000);
+
+/// When a caller may come back where the platform's service does not answer.
+const CLAIM_RETRY: Millis = Millis(2_000);
+
+/// Everything that an entry knows; it holds no bytes of requests or answers.
+#[derive(Debug)]
+pub struct EntryReducer {
+    settings: EntrySettings,
+    document: Arc<CatalogueDocument>,
+    members: MemberTable,
+    routing: RoutingTable,
+    requests: RequestTable,
+    limits: LimitTable,
+    budget: RetryBudget,
+    claims: ClaimBatch,
+    agents: FastMap<InstanceId, AgentView>,
+    entries: usize,
+    leaving: bool,
+    random: SmallRng,
+}
+
+/// What an entry knows of one agent that it talks to.
+#[derive(Debug, Default)]
+struct AgentView {
+    generation: Generation,
+    next_sync: Moment,
+    pending: bool,
+    progress: Vec<WeightsProgress>,
+}
+
+impl EntryReducer {
+    /// An entry that knows nothing yet. `seed` decides between equals and makes attempt ids.
+    pub fn new(settings: EntrySettings, seed: u64) -> Self {
+        Self {
+            document: Arc::default(),
+            members: MemberTable::new(settings.members.clone()),
+            routing: RoutingTable::new(settings.routing.clone()),
+            requests: RequestTable::default(),
+            limits: LimitTable::default(),
+            budget: RetryBudget::new(settings.retry.clone()),
+            claims: ClaimBatch::new(settings.claim.clone()),
+            agents: FastMap::default(),
+            entries: 1,
+            leaving: false,
+            random: SmallRng::seed_from_u64(seed),
+            settings,
+        }
+    }
+
+    /// Takes one event and returns what is to be done. `wall_s` is the wall clock in seconds,
+    /// which only the retention of claims looks at.
+    pub fn reduce(&mut self, now: Moment, wall_s: u64, event: EntryEvent) -> Vec<EntryEffect> {
+        match event {
+            EntryEvent::RequestArrived(incoming) => self.request_arrived(now, wall_s, incoming),
+            EntryEvent::CallerGone(id) => self.caller_gone(now, wall_s, id),
+            EntryEvent::AttemptEnded(attempt, end, delivered) => {
+                self.attempt_ended(now, wall_s, attempt, &end, delivered)
+            }
+            EntryEvent::ClaimAnswered(shard, answer) => {
+                let effects = self.claims.answered(now, wall_s, shard, answer);
+                self.claim_effects(now, wall_s, effects)
+            }
+            EntryEvent::CatalogueSeen(document) => self.catalogue_seen(now, document),
+            EntryEvent::InstancesSeen(list) => self.instances_seen(now, list),
+            EntryEvent::Synced(sync) => self.synced(now, sync),
+            EntryEvent::SyncFailed(id) => self.sync_failed(now, &id),
+            EntryEvent::EntriesCounted(count) => {
+                self.entries = count.max(1);
+                Vec::new()
+            }
+            EntryEvent::Tick => self.tick(now, wall_s),
+            EntryEvent::Stop => {
+                info!("stop decision=leave");
+                self.leaving = true;
+                Vec::new()
+            }
+        }
+    }
+
+    /// The catalogue in force here.
+    pub fn document(&self) -> &Arc<CatalogueDocument> {
+        &self.document
+    }
+
+    /// The members as this entry sees them.
+    pub fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// The limits in use, for the check of edits.
+    pub fn limits(&self) -> &LimitTable {
+        &self.limits
+    }
+
+    /// Whether the entry takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether nothing is in progress and every claim is settled or taken back.
+    pub fn is_drained(&self) -> bool {
+        self.requests.is_empty() && self.claims.is_idle()
+    }
+
+    /// The agents that this entry talks to, each with the generation in force there.
+    pub fn agents(&self) -> impl Iterator<Item = (&InstanceId, Generation, &[WeightsProgress])> {
+        self.agents.iter().map(|(id, view)| (id, view.generation, &*view.progress))
+    }
+
+    /// The upstreams' last reports.
+    pub fn routing(&self) -> &RoutingTable {
+        &self.routing
+    }
+
+    fn request_arrived(
+        &mut self,
+        now: Moment,
+        wall_s: u64,
+        incoming: IncomingRequest,
+    ) -> Vec<EntryEffect> {
+        let id = incoming.id;
+        let entry = match self.admit(now, &incoming) {
+            Ok(entry) => entry,
+            Err((code, retry_after)) => {
+                info!(
+                    "admission request={id} customer={} target={} decision=refuse code={code}",
+                    incoming.customer, incoming.target
+                );
+                return vec![EntryEffect::Reject { id, code, retry_after }];
+            }
+        };
+        self.budget.earn();
+        let key = incoming.key;
+        self.requests.insert(id, RequestState::new(incoming, entry.class));
+        let Some(key) = key else { return self.send(now, wall_s, id) };
+        let attempt = AttemptId(self.random.random());
+        if let Some(state) = self.requests.get_mut(id) {
+            state.claimant = Some(attempt);
+        }
+        self.requests.bind(attempt, id);
+        let effects = self.claims.claim(now, wall_s, key, attempt);
+        self.claim_effects(now, wall_s, effects)
+    }
+
+    fn admit(
+        &mut self,
+        now: Moment,
+        incoming: &IncomingRequest,
+    ) -> Result<CatalogueEntry, (ResultCode, Millis)> {
+        if self.leaving {
+            return Err((ResultCode::Leaving, Millis(1)));
+        }
+        let found = self.document.entries.get(&incoming.target);
+        let found = found.filter(|entry| entry.weights.is_some() == incoming.is_model);
+        let Some(entry) = found.cloned() else {
+            return Err((ResultCode::UnknownModel, Millis(0)));
+        };
+        if !entry.callers.allows(&incoming.customer) {
+            return Err((ResultCode::NotAllowed, Millis(0)));
+        }
+        if incoming.deadline <= now {
+            return Err((ResultCode::DeadlinePassed, Millis(0)));
+        }
+        let key = (incoming.customer.clone(), incoming.target.clone());
+        let admitted = self.limits.admit(now, &key, entry.limits, self.entries);
+        admitted.map_err(|over| (ResultCode::OverLimit, over.retry_after))?;
+        Ok(entry)
+    }
+
+    /// Sends the next attempt of a request, or rejects it.
+    fn send(&mut self, now: Moment, wall_s: u64, id: RequestId) -> Vec<EntryEffect> {
+        let Some(state) = self.requests.get(id) else { return Vec::new() };
+        if state.deadline <= now {
+            return self.reject(now, wall_s, id, ResultCode::DeadlinePassed, Millis(0));
+        }
+        let candidates = self.candidates(now, state);
+        let affinity = state.affinity.as_deref();
+        let chosen =
+            self.routing.choose(now, &candidates, &state.tried, affinity, &mut self.random);
+        let Some((instance, reason)) = chosen else {
+            info!(
+                "routing request={id} target={} candidates={} decision=none",
+                state.target,
+                candidates.len()
+            );
+            return self.reject(now, wall_s, id, ResultCode::NoUpstream, NO_UPSTREAM_RETRY);
+        };
+        let pinned = self.pin(&self.requests.get(id).expect("looked up").target, &instance);
+        let address = self.members.get(&instance).map(|record| record.agent.clone());
+        let attempt = AttemptId(self.random.random());
+        self.requests.bind(attempt, id);
+        self.routing.sent(&instance);
+        let state = self.requests.get_mut(id).expect("the request was looked up");
+        state.attempts += 1;
+        state.tried.push(instance.clone());
+        state.stage = RequestStage::Sent(attempt, instance.clone());
+        state.pinned = pinned;
+        info!(
+            "routing request={id} attempt={attempt} target={} customer={} instance={instance} reason={reason} candidates={} manifest={}",
+            state.target,
+            state.customer,
+            candidates.len(),
+            pinned.map_or("none".into(), |digest| digest.short())
+        );
+        vec![EntryEffect::Send(SendOrder {
+            id,
+            attempt,
+            instance,
+            address: address.unwrap_or_default(),
+            pinned,
+            class: state.class,
+            remaining: state.deadline.since(now),
+            resume_from: state.delivered,
+        })]
+    }
+
+    /// The upstreams that may answer the request; after a first byte only those with its weights.
+    fn candidates(&self, now: Moment, state: &RequestState) -> Vec<InstanceId> {
+        let Some(entry) = self.document.entries.get(&state.target) else { return Vec::new() };
+        let live = self.members.live_of(now, &entry.service);
+        let listed = live.into_iter().filter(|record| !record.leaving);
+        let fits = |record: &&InstanceRecord| {
+            let pin = self.pin(&state.target, &record.id);
+            match (&entry.weights, state.delivered) {
+                (None, _) => true,
+                (Some(_), 0) => pin.is_some(),
+                (Some(_), _) => pin.is_some() && pin == state.pinned,
+            }
+        };
+        listed.filter(fits).map(|record| record.id.clone()).collect()
+    }
+
+    /// The weights of the model that the instance serves: the version wanted, or an earlier one
+    /// of the same model while a switch is under way.
+    fn pin(&self, model: &ModelName, instance: &InstanceId) -> Option<ManifestDigest> {
+        let weights = self.document.entries.get(model)?.weights.as_ref()?;
+        let serving = &self.routing.get(instance)?.report.serving;
+        if serving.contains(&weights.manifest) {
+            return Some(weights.manifest);
+        }
+        let changes = self.document.edits.iter().rev().flat_map(|record| &record.changes);
+        changes
+            .filter(|change| change.name == *model)
+            .filter_map(|change| change.before.as_ref()?.weights.as_ref())
+            .map(|weights| weights.manifest)
+            .find(|digest| serving.contains(digest))
+    }
+
+    fn attempt_ended(
+        &mut self,
+        now: Moment,
+        wall_s: u64,
+        attempt: AttemptId,
+        end: &AttemptEnd,
+        delivered: u64,
+    ) -> Vec<EntryEffect> {
+        let Some(id) = self.requests.of_attempt(attempt) else {
+            info!("attempt={attempt} decision=drop reason=not-awaited");
+            return Vec::new();
+        };
+        let Some(state) = self.requests.get(id) else { return Vec::new() };
+        let RequestStage::Sent(awaited, instance) = state.stage.clone() else { return Vec::new() };
+        if awaited != attempt {
+            return Vec::new();
+        }
+        self.requests.unbind(attempt);
+        if let Some(state) = self.requests.get_mut(id) {
+            state.delivered = delivered;
+        }
+        let is_healthy = matches!(end, AttemptEnd::Whole | AttemptEnd::Refused(..));
+        self.routing.ended(now, &instance, is_healthy);
+        match end {
+            AttemptEnd::Whole => {
+                self.finish(id);
+                Vec::new()
+            }
+            AttemptEnd::Refused(code, retry_after) if code.is_retryable() => {
+                self.retry(now, wall_s, id, *code, *retry_after)
+            }
+            AttemptEnd::Refused(code, retry_after) => {
+                self.reject(now, wall_s, id, *code, *retry_after)
+            }
+            AttemptEnd::NotSent => {
+                self.members.failed(now, &instance);
+                self.retry(now, wall_s, id, ResultCode::NoUpstream, NO_UPSTREAM_RETRY)
+            }
+            AttemptEnd::Lost => self.lost(now, wall_s, id, ResultCode::Unknown),
+            AttemptEnd::WrongWeights => self.lost(now, wall_s, id, ResultCode::WrongWeights),
+        }
+    }
+
+    /// Goes on after an attempt that may have run.
+    fn lost(
+        &mut self,
+        now: Moment,
+        wall_s: u64,
+        id: RequestId,
+        code: ResultCode,
+    ) -> Vec<EntryEffect> {
+        let Some(state) = self.requests.get(id) else { return Vec::new() };
+        if !state.is_idempotent() {
+            return self.reject(now, wall_s, id, ResultCode::Unknown, Millis(0));
+        }
+        self.retry(now, wall_s, id, code, NO_UPSTREAM_RETRY)
+    }
+
+    fn retry(
+        &mut self,
+        now: Moment,
+        wall_s: u64,
+        id: RequestId,
+        code: ResultCode,
+        retry_after: Millis,
+    ) -> Vec<EntryEffect> {
+        let Some(state) = self.requests.get(id) else { return Vec::new() };
+        let attempts = state.attempts;
+        if state.deadline <= now || !self.budget.spend(attempts) {
+            info!("retry request={id} attempts={attempts} decision=give-up code={code}");
+            return self.reject(now, wall_s, id, code, retry_after);
+        }
+        info!("retry request={id} attempts={attempts} decision=send code={code}");
+        self.send(now, wall_s, id)
+    }
+
+    /// Ends a request without a whole answer, at once.
+    fn reject(
+        &mut self,
+        now: Moment,
+        wall_s: u64,
+        id: RequestId,
+        code: ResultCode,
+        retry_after: Millis,
+    ) -> Vec<EntryEffect> {
+        let Some(state) = self.finish(id) else { return Vec::new() };
+        let mut effects = Vec::new();
+        // The claim goes back with the proof that nothing was run, so that the caller may come back.
+        if code.is_not_run() {
+            effects.extend(self.release_claim(now, wall_s, &state));
+        }
+        let code = if state.delivered > 0 { ResultCode::AnswerCut } else { code };
+        info!("request={id} decision=reject code={code} attempts={}", state.attempts);
+        effects.push(EntryEffect::Reject { id, code, retry_after });
+        effects
+    }
+
+    fn release_claim(
+        &mut self,
+        now: Moment,
+        wall_s: u64,
+        state: &RequestState,
+    ) -> Vec<EntryEffect> {
+        let (Some(key), Some(claimant)) = (state.key, state.claimant) else { return Vec::new() };
+        let released = self.claims.release(now, wall_s, key, claimant);
+        self.claim_effects(now, wall_s, released)
+    }
+
+    fn finish(&mut self, id: RequestId) -> Option<RequestState> {
+        let state = self.requests.remove(id)?;
+        self.limits.finished(&(state.customer.clone(), state.target.clone()));
+        Some(state)
+    }
+
+    fn caller_gone(&mut self, now: Moment, wall_s: u64, id: RequestId) -> Vec<EntryEffect> {
+        let Some(state) = self.finish(id) else { return Vec::new() };
+        match state.stage {
+            RequestStage::Sent(attempt, instance) => {
+                self.routing.ended(now, &instance, true);
+                vec![EntryEffect::Cancel(attempt)]
+            }
+            RequestStage::Claiming => self.release_claim(now, wall_s, &state),
+        }
+    }
+
+    fn claim_effects(
+        &mut self,
+        now: Moment,
+        wall_s: u64,
+        effects: Vec<ClaimEffect>,
+    ) -> Vec<EntryEffect> {
+        let mut result = Vec::new();
+        for effect in effects {
+            match effect {
+                ClaimEffect::Settle(attempt, outcome) => {
+                    result.extend(self.claim_settled(now, wall_s, attempt, outcome));
+                }
+                other => result.push(EntryEffect::Claim(other)),
+            }
+        }
+        result
+    }
+
+    fn claim_settled(
+        &mut self,
+        now: Moment,
+        wall_s: u64,
+        attempt: AttemptId,
+        outcome: ClaimOutcome,
+    ) -> Vec<EntryEffect> {
+        let Some(id) = self.requests.of_attempt(attempt) else { return Vec::new() };
+        self.requests.unbind(attempt);
+        info!("claim request={id} attempt={attempt} decision={outcome:?}");
+        match outcome {
+            ClaimOutcome::Granted => self.send(now, wall_s, id),
+            ClaimOutcome::Taken => {
+                // The key is another sending's: nothing of ours is to be taken back.
+                self.forget_claim(id);
+                self.reject(now, wall_s, id, ResultCode::AlreadyClaimed, Millis(0))
+            }
+            ClaimOutcome::Unavailable => {
+                // The batch takes the claim back itself.
+                self.forget_claim(id);
+                self.reject(now, wall_s, id, ResultCode::ClaimUnavailable, CLAIM_RETRY)
+            }
+        }
+    }
+
+    fn forget_claim(&mut self, id: RequestId) {
+        if let Some(state) = self.requests.get_mut(id) {
+            state.claimant = None;
+        }
+    }
+
+    fn catalogue_seen(&mut self, now: Moment, next: Arc<CatalogueDocument>) -> Vec<EntryEffect> {
+        if next.generation <= self.document.generation {
+            return Vec::new();
+        }
+        if let Err(reason) = check_successor(&self.document, &next) {
+            warn!("catalogue generation={} decision=keep reason=\"{reason}\"", next.generation);
+            return Vec::new();
+        }
+        info!("catalogue generation={} decision=apply", next.generation);
+        self.document = next;
+        self.agents.values_mut().for_each(|view| view.next_sync = now);
+        self.sync_due(now)
+    }
+
+    fn instances_seen(&mut self, now: Moment, list: Vec<InstanceRecord>) -> Vec<EntryEffect> {
+        if !self.members.replace(list) {
+            return Vec::new();
+        }
+        let chosen = self.subset();
+        let gone: Vec<_> = self.agents.keys().filter(|id| !chosen.contains(id)).cloned().collect();
+        for id in gone {
+            self.agents.remove(&id);
+            self.routing.forget(&id);
+        }
+        for id in chosen {
+            self.agents
+                .entry(id)
+                .or_insert_with(|| AgentView { next_sync: now, ..AgentView::default() });
+        }
+        self.sync_due(now)
+    }
+
+    /// The agents that this entry talks to: of each service a few, by rendezvous hashing.
+    fn subset(&self) -> Vec<InstanceId> {
+        let mut services: FastMap<&ServiceName, Vec<&InstanceRecord>> = FastMap::default();
+        for record in self.members.records() {
+            services.entry(&record.service).or_default().push(record);
+        }
+        let own = self.settings.own.as_str().as_bytes();
+        let mut chosen = Vec::new();
+        for records in services.values() {
+            let ranked = rendezvous::ranked(own, records, |record| record.id.as_str());
+            chosen.extend(ranked.iter().take(self.settings.subset).map(|record| record.id.clone()));
+        }
+        chosen
+    }
+
+    fn synced(&mut self, now: Moment, sync: AgentSync) -> Vec<EntryEffect> {
+        let Some(view) = self.agents.get_mut(&sync.id) else { return Vec::new() };
+        view.pending = false;
+        view.generation = view.generation.max(sync.generation);
+        view.progress = sync.progress;
+        self.members.answered(&sync.id);
+        let near = self
+            .members
+            .get(&sync.id)
+            .is_some_and(|record| record.data_centre == self.settings.data_centre);
+        self.routing.reported(now, &sync.id, near, sync.report);
+        Vec::new()
+    }
+
+    fn sync_failed(&mut self, now: Moment, id: &InstanceId) -> Vec<EntryEffect> {
+        if let Some(view) = self.agents.get_mut(id) {
+            view.pending = false;
+            // A replaced agent starts with nothing, so it is sent the catalogue again.
+            view.generation = Generation(0);
+        }
+        self.members.failed(now, id);
+        self.routing.unreachable(now, id);
+        Vec::new()
+    }
+
+    fn sync_due(&mut self, now: Moment) -> Vec<EntryEffect> {
+        let every = self.settings.sync_every.0;
+        let mut due: Vec<_> = self
+            .agents
+            .iter()
+            .filter(|(_, view)| !view.pending && view.next_sync <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        due.sort_unstable();
+        let mut effects = Vec::new();
+        for id in due {
+            let Some(record) = self.members.get(&id) else { continue };
+            let address = record.agent.clone();
+            let Some(view) = self.agents.get_mut(&id) else { continue };
+            // Spread by a quarter, so that heartbeats of many entries don't fall into step.
+            let spread = self.random.random_range(0..=every / 4);
+            view.next_sync = now + Millis(every + spread);
+            view.pending = true;
+            let with_catalogue = view.generation < self.document.generation;
+            effects.push(EntryEffect::Sync { id, address, with_catalogue });
+        }
+        effects
+    }
+
+    fn tick(&mut self, now: Moment, wall_s: u64) -> Vec<EntryEffect> {
+        let claims = self.claims.tick(now, wall_s);
+        let mut effects = self.claim_effects(now, wall_s, claims);
+        for id in self.requests.overdue(now) {
+            effects.extend(self.overdue(now, wall_s, id));
+        }
+        effects.extend(self.sync_due(now));
+        effects
+    }
+
+    /// Ends a request whose deadline passed. What was sent may have run.
+    fn overdue(&mut self, now: Moment, wall_s: u64, id: RequestId) -> Vec<EntryEffect> {
+        let Some(state) = self.requests.get(id) else { return Vec::new() };
+        let stage = state.stage.clone();
+        let RequestStage::Sent(attempt, instance) = stage else {
+            return self.reject(now, wall_s, id, ResultCode::DeadlinePassed, Millis(0));
+        };
+        self.routing.ended(now, &instance, true);
+        let mut effects = vec![EntryEffect::Cancel(attempt)];
+        effects.extend(self.reject(now, wall_s, id, ResultCode::Unknown, Millis(0)));
+        effects
+    }
+}
--- /dev/null
+++ b/mustardrill_core/src/lib.rs
@@ -0,0 +1,25 @@
+//! The decisions of mustardrill as reducers and policies, without network or clock.
+//!
+//! A reducer takes the present time and an event, changes its state and returns effects as
+//! data. Whoever embeds it turns I/O into events and carries the effects out.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod admission;
+pub mod agent;
+pub mod budget;
+pub mod catalogue;
+pub mod claim;
+pub mod document;
+pub mod edit;
+pub mod entry;
+pub mod ini_file;
+pub mod limit;
+pub mod manifest;
+pub mod membership;
+pub mod ownership;
+pub mod partner;
+pub mod rendezvous;
+pub mod routing;
+pub mod rule;
+pub mod transfer;
+pub mod wave;
--- /dev/null
+++ b/mustardrill_core/src/ownership.rs
@@ -0,0 +1,150 @@
+//! Ownership of an upstream: a lease in the platform's service and its fencing number.
+//!
+//! The holder counts its lease from the moment it sent the call, on its own clock, and stops a
+//! margin before the end; so a holder that was paused finds its lease over when it wakes. Towards
+//! upstreams that ignore fencing numbers a new holder also waits out what an old one may have
+//! in flight (leases: Gray and Cheriton).
+
+use mustardrill_types::{FencingNumber, Millis, Moment};
+
+/// How ownership is kept.
+#[derive(Debug, Clone)]
+pub struct OwnerSettings {
+    /// How long a lease lasts without being renewed.
+    pub lease: Millis,
+    /// How long before its end the holder stops giving orders.
+    pub margin: Millis,
+    /// The longest that an order can be under way.
+    pub longest_order: Millis,
+    /// Whether the upstream refuses orders with an old fencing number.
+    pub upstream_checks: bool,
+    /// How long to wait after a failed call, with up to as much again at random.
+    pub retry_after: Millis,
+}
+
+/// A call to the platform's service that ownership asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnerCall {
+    /// Make a lease and the owner's key under it.
+    Acquire,
+    /// Renew the lease.
+    Renew(LeaseId),
+}
+
+/// The platform's id of a lease.
+#[derive(Debug, derive_more::Display, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct LeaseId(pub u64);
+
+/// What came of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnerAnswer {
+    /// The key is ours under this lease; its revision is the fencing number.
+    Acquired {
+        /// The lease.
+        lease: LeaseId,
+        /// The revision of the owner's key.
+        fence: FencingNumber,
+    },
+    /// Another holds the key.
+    HeldByOther,
+    /// The lease was renewed.
+    Renewed,
+    /// The lease is over.
+    Lapsed,
+    /// The service did not answer, or its answer was lost.
+    Unavailable,
+}
+
+/// The ownership of one upstream as one agent sees it.
+#[derive(Debug)]
+pub struct OwnerLease {
+    settings: OwnerSettings,
+    state: OwnerState,
+    next_call: Moment,
+    pending: Option<Moment>,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum OwnerState {
+    Without,
+    Held { lease: LeaseId, fence: FencingNumber, until: Moment, orders_from: Moment },
+}
+
+impl Default for OwnerSettings {
+    fn default() -> Self {
+        Self {
+            lease: Millis(10_000),
+            margin: Millis(2_000),
+            longest_order: Millis(5_000),
+            upstream_checks: true,
+            retry_after: Millis(500),
+        }
+    }
+}
+
+impl OwnerLease {
+    /// Ownership that is not held yet.
+    pub fn new(now: Moment, settings: OwnerSettings) -> Self {
+        Self { settings, state: OwnerState::Without, next_call: now, pending: None }
+    }
+
+    /// The call to make now, if one is due.
+    pub fn due(&mut self, now: Moment) -> Option<OwnerCall> {
+        if self.pending.is_some() || now < self.next_call {
+            return None;
+        }
+        self.pending = Some(now);
+        match self.state {
+            OwnerState::Held { lease, until, .. } if now < until => Some(OwnerCall::Renew(lease)),
+            _ => Some(OwnerCall::Acquire),
+        }
+    }
+
+    /// Takes the answer to the pending call. `jitter` spreads retries, from 0 to 1.
+    pub fn answered(&mut self, now: Moment, answer: OwnerAnswer, jitter: f64) {
+        let Some(sent) = self.pending.take() else { return };
+        let renew_in = Millis(self.settings.lease.0 / 3);
+        let retry_in = Millis(
+            self.settings.retry_after.0 + (self.settings.retry_after.0 as f64 * jitter) as u64,
+        );
+        let until = sent + self.settings.lease;
+        self.next_call = now + retry_in;
+        match (answer, &mut self.state) {
+            (OwnerAnswer::Acquired { lease, fence }, state) => {
+                let orders_from = self.settings.orders_from(now);
+                *state = OwnerState::Held { lease, fence, until, orders_from };
+                self.next_call = sent + renew_in;
+            }
+            (OwnerAnswer::Renewed, OwnerState::Held { until: held_until, .. }) => {
+                *held_until = until;
+                self.next_call = sent + renew_in;
+            }
+            (OwnerAnswer::Lapsed | OwnerAnswer::HeldByOther, state) => *state = OwnerState::Without,
+            (OwnerAnswer::Renewed, OwnerState::Without) | (OwnerAnswer::Unavailable, _) => {}
+        }
+    }
+
+    /// The fencing number to order with, where an order may be given now.
+    pub fn may_order(&self, now: Moment) -> Option<FencingNumber> {
+        let OwnerState::Held { fence, until, orders_from, .. } = self.state else { return None };
+        let safe = now + self.settings.margin < until && now >= orders_from;
+        safe.then_some(fence)
+    }
+
+    /// The lease to give back at a planned stop.
+    pub fn lease(&self) -> Option<LeaseId> {
+        match self.state {
+            OwnerState::Held { lease, .. } => Some(lease),
+            OwnerState::Without => None,
+        }
+    }
+}
+
+impl OwnerSettings {
+    /// When a holder that acquired the key at `now` may give its first order.
+    fn orders_from(&self, now: Moment) -> Moment {
+        // The key was free, so the old lease is over by the platform's clock; what is left is an
+        // order that the old holder sent just before its margin.
+        if self.upstream_checks { now } else { now + self.longest_order }
+    }
+}
--- /dev/null
+++ b/mustardrill_core/src/transfer.rs
@@ -0,0 +1,490 @@
+//! The plan by which one instance draws a version's chunks: which, from whom, and when.
+//!
+//! A few drawers, agreed by rendezvous hashing, draw each chunk from the origin; everybody else
+//! draws from peers, rarest first (the idea is `BitTorrent`'s). Nothing here does I/O.
+
+use std::sync::Arc;
+
+use derive_more::Display;
+use mustardrill_types::{
+    ChunkIndex, DataCentre, FastMap, InstanceId, ManifestDigest, Millis, Moment,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::manifest::{ChunkBitmap, Manifest};
+use crate::partner::PartnerTable;
+use crate::rendezvous;
+
+/// How a version is drawn; `docs/SETTINGS.md` gives the section and defaults.
+#[derive(Debug, Clone)]
+pub struct TransferSettings {
+    /// Copies of each chunk drawn from the origin: 1 draws fewest bytes, more start sooner.
+    pub origin_copies: usize,
+    /// How many instances share the drawing.
+    pub drawers: usize,
+    /// Chunks in flight from peers at once.
+    pub window: usize,
+    /// Chunks in flight from the origin at once.
+    pub origin_window: usize,
+    /// Peers whose holdings are followed.
+    pub partners: usize,
+    /// Without a chunk new to the neighbourhood for this long, a successor draws too.
+    pub stall_after: Millis,
+    /// The least time a chunk is given before it is drawn from elsewhere.
+    pub chunk_patience: Millis,
+    /// Corrupt chunks after which a peer is avoided.
+    pub corrupt_limit: u32,
+    /// How many missing chunks are weighed for each draw.
+    pub sample: usize,
+}
+
+/// Where a chunk comes from.
+#[derive(Debug, Display, Clone, PartialEq, Eq, Hash)]
+pub enum ChunkSource {
+    /// The origin, or the weight store where the origin is down.
+    #[display("origin")]
+    Origin,
+    /// Another instance.
+    #[display("{_0}")]
+    Peer(InstanceId),
+}
+
+/// An order to draw one chunk.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChunkDraw {
+    /// The chunk.
+    pub index: ChunkIndex,
+    /// Where to draw it.
+    pub source: ChunkSource,
+    /// Give up without the whole chunk after this.
+    pub patience: Millis,
+}
+
+/// What came of a draw.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DrawOutcome {
+    /// The chunk came and its digest is right.
+    Verified,
+    /// The chunk came with another digest.
+    Corrupt,
+    /// The peer is at its upload budget and names others that hold the chunk.
+    Busy(Vec<InstanceId>),
+    /// The source lacks the chunk.
+    Missing,
+    /// The source failed, stalled or could not be reached.
+    Failed,
+}
+
+/// Another instance that wants or holds the same version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TransferPeer {
+    /// The instance.
+    pub id: InstanceId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+}
+
+/// The state of one version's transfer at one instance.
+#[derive(Debug)]
+pub struct TransferPlan {
+    own: TransferPeer,
+    digest: ManifestDigest,
+    manifest: Arc<Manifest>,
+    settings: TransferSettings,
+    held: ChunkBitmap,
+    missing: MissingSet,
+    seen: ChunkBitmap,
+    partners: PartnerTable,
+    drawers: Vec<InstanceId>,
+    successors: Vec<InstanceId>,
+    own_draws: Vec<ChunkIndex>,
+    flights: FastMap<ChunkIndex, Flight>,
+    pace: Millis,
+    novelty: Moment,
+    origin_rest: Moment,
+    random: SmallRng,
+    counts: TransferCounts,
+}
+
+/// What a transfer has cost so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TransferCounts {
+    /// Bytes drawn from the origin.
+    pub origin_bytes: u64,
+    /// Bytes drawn from peers.
+    pub peer_bytes: u64,
+    /// Corrupt chunks that came, from whomever.
+    pub corrupt_chunks: u32,
+    /// Of these, chunks that the origin sent.
+    pub corrupt_from_origin: u32,
+}
+
+#[derive(Debug)]
+struct Flight {
+    source: ChunkSource,
+    started: Moment,
+}
+
+/// The chunks still missing, with removal and random choice at constant cost.
+#[derive(Debug)]
+struct MissingSet {
+    chunks: Vec<ChunkIndex>,
+    places: Vec<u32>,
+}
+
+impl Default for TransferSettings {
+    fn default() -> Self {
+        Self {
+            origin_copies: 1,
+            drawers: 8,
+            window: 6,
+            origin_window: 2,
+            partners: 16,
+            stall_after: Millis(1_500),
+            chunk_patience: Millis(1_000),
+            corrupt_limit: 2,
+            sample: 48,
+        }
+    }
+}
+
+impl TransferPlan {
+    /// A plan to draw `manifest`, of which nothing is held yet. `seed` decides between equals.
+    pub fn new(
+        now: Moment,
+        own: TransferPeer,
+        manifest: Arc<Manifest>,
+        settings: TransferSettings,
+        seed: u64,
+    ) -> Self {
+        let total = manifest.chunk_count();
+        Self {
+            own,
+            digest: manifest.digest(),
+            held: ChunkBitmap::empty(total),
+            missing: MissingSet::full(total),
+            seen: ChunkBitmap::empty(total),
+            partners: PartnerTable::new(total),
+            drawers: Vec::new(),
+            successors: Vec::new(),
+            own_draws: Vec::new(),
+            flights: FastMap::default(),
+            pace: Millis(settings.chunk_patience.0 / PATIENCE_PACES),
+            novelty: now,
+            origin_rest: now,
+            random: SmallRng::seed_from_u64(seed),
+            counts: TransferCounts::default(),
+            manifest,
+            settings,
+        }
+    }
+
+    /// The manifest that is drawn.
+    pub fn manifest(&self) -> &Arc<Manifest> {
+        &self.manifest
+    }
+
+    /// What is held and verified.
+    pub fn held(&self) -> &ChunkBitmap {
+        &self.held
+    }
+
+    /// What the transfer has cost so far.
+    pub fn counts(&self) -> TransferCounts {
+        self.counts
+    }
+
+    /// The partners whose holdings are followed.
+    pub fn partners(&self) -> &PartnerTable {
+        &self.partners
+    }
+
+    /// Whether every chunk is held and verified.
+    pub fn is_complete(&self) -> bool {
+        self.missing.chunks.is_empty()
+    }
+
+    /// Since when nothing new was seen here or at any partner.
+    pub fn last_novelty(&self) -> Moment {
+        self.novelty
+    }
+
+    /// Takes the live instances that want the version, this one included, and chooses partners
+    /// and drawers among them.
+    pub fn set_peers(&mut self, peers: &[TransferPeer]) {
+        self.choose_drawers(peers);
+        let chosen = self.choose_partners(peers);
+        for id in self.partners.choose(chosen) {
+            self.drop_flights(&id);
+        }
+    }
+
+    /// Takes a partner's word on what it holds and how many uploads it has queued.
+    pub fn heard(&mut self, now: Moment, id: &InstanceId, bitmap: ChunkBitmap, queue: u32) {
+        for index in self.partners.heard(now, id, bitmap, queue) {
+            self.note_seen(now, index);
+        }
+    }
+
+    /// Takes what came of a draw; says whether the draw was still awaited.
+    pub fn finished(
+        &mut self,
+        now: Moment,
+        index: ChunkIndex,
+        source: &ChunkSource,
+        outcome: &DrawOutcome,
+    ) -> bool {
+        let awaited = self.flights.get(&index).is_some_and(|flight| flight.source == *source);
+        let flight = if awaited { self.flights.remove(&index) } else { None };
+        if let (ChunkSource::Peer(id), true) = (source, awaited) {
+            self.partners.ended(id);
+        }
+        match source {
+            _ if *outcome == DrawOutcome::Verified => self.keep(now, index, source, flight),
+            ChunkSource::Origin => self.origin_failed(now, outcome),
+            ChunkSource::Peer(id) => self.peer_failed(now, index, id, outcome),
+        }
+        awaited
+    }
+
+    /// Gives up overdue draws and returns them, so that their I/O can be cancelled.
+    pub fn overdue(&mut self, now: Moment) -> Vec<(ChunkIndex, ChunkSource)> {
+        let patience = self.patience();
+        let late: Vec<_> = self
+            .flights
+            .iter()
+            .filter(|(_, flight)| now.since(flight.started) > patience)
+            .map(|(index, flight)| (*index, flight.source.clone()))
+            .collect();
+        for (index, source) in &late {
+            self.finished(now, *index, source, &DrawOutcome::Failed);
+        }
+        late
+    }
+
+    /// The draws to start now.
+    pub fn next_draws(&mut self, now: Moment) -> Vec<ChunkDraw> {
+        let mut draws = Vec::new();
+        while self.origin_flights() < self.settings.origin_window {
+            let Some(index) = self.next_origin_chunk(now) else { break };
+            draws.push(self.start(now, index, ChunkSource::Origin));
+        }
+        while self.flights.len() - self.origin_flights() < self.settings.window {
+            let Some((index, id)) = self.next_peer_chunk(now) else { break };
+            draws.push(self.start(now, index, ChunkSource::Peer(id)));
+        }
+        draws
+    }
+
+    /// Leaves a partner that did not answer alone for a while.
+    pub fn shun(&mut self, now: Moment, id: &InstanceId) {
+        self.partners.shun(now, id);
+    }
+
+    /// Forgets a partner that left or died.
+    pub fn forget(&mut self, id: &InstanceId) {
+        self.partners.forget(id);
+        self.drop_flights(id);
+    }
+
+    fn choose_drawers(&mut self, peers: &[TransferPeer]) {
+        let ranked = rendezvous::ranked(&self.digest.0, peers, |peer| peer.id.as_str());
+        let ids: Vec<InstanceId> = ranked.into_iter().map(|peer| peer.id.clone()).collect();
+        if ids == self.successors {
+            return;
+        }
+        let count = self.settings.drawers.max(self.settings.origin_copies).min(ids.len());
+        self.drawers = ids[..count].to_vec();
+        self.successors = ids;
+        let copies = self.settings.origin_copies;
+        let is_own = |index: &ChunkIndex| rank_of(&self.drawers, &self.own.id, *index) < copies;
+        self.own_draws = (0..self.manifest.chunk_count()).map(ChunkIndex).filter(is_own).collect();
+    }
+
+    fn choose_partners(&self, peers: &[TransferPeer]) -> FastMap<InstanceId, bool> {
+        let own = self.own.id.as_str().as_bytes();
+        let others: Vec<_> = peers.iter().filter(|peer| peer.id != self.own.id).cloned().collect();
+        let ranked = rendezvous::ranked(own, &others, |peer| peer.id.as_str());
+        let limit = self.settings.partners;
+        let is_near = |peer: &TransferPeer| peer.data_centre == self.own.data_centre;
+        let near = ranked.iter().filter(|peer| is_near(peer)).take(limit.div_ceil(2));
+        let mut chosen: FastMap<_, _> = near.map(|peer| (peer.id.clone(), true)).collect();
+        for peer in ranked {
+            if chosen.len() >= limit {
+                break;
+            }
+            chosen.entry(peer.id.clone()).or_insert_with(|| is_near(peer));
+        }
+        chosen
+    }
+
+    fn note_seen(&mut self, now: Moment, index: ChunkIndex) {
+        if self.seen.insert(index) {
+            self.novelty = now;
+        }
+    }
+
+    fn keep(
+        &mut self,
+        now: Moment,
+        index: ChunkIndex,
+        source: &ChunkSource,
+        flight: Option<Flight>,
+    ) {
+        let (start, end) = self.manifest.range(index);
+        match source {
+            ChunkSource::Origin => self.counts.origin_bytes += end - start,
+            ChunkSource::Peer(_) => self.counts.peer_bytes += end - start,
+        }
+        if let Some(flight) = flight {
+            let took = now.since(flight.started).0;
+            self.pace = Millis((self.pace.0 * 7 + took) / 8);
+        }
+        if self.held.insert(index) {
+            self.missing.remove(index);
+        }
+        self.note_seen(now, index);
+    }
+
+    fn origin_failed(&mut self, now: Moment, outcome: &DrawOutcome) {
+        const ORIGIN_REST: Millis = Millis(500);
+        if *outcome == DrawOutcome::Corrupt {
+            self.counts.corrupt_chunks += 1;
+            self.counts.corrupt_from_origin += 1;
+        }
+        self.origin_rest = now + ORIGIN_REST;
+    }
+
+    fn peer_failed(
+        &mut self,
+        now: Moment,
+        index: ChunkIndex,
+        id: &InstanceId,
+        outcome: &DrawOutcome,
+    ) {
+        match outcome {
+            DrawOutcome::Corrupt => {
+                self.counts.corrupt_chunks += 1;
+                self.partners.blame(now, id, self.settings.corrupt_limit);
+                self.partners.retract(id, index);
+            }
+            DrawOutcome::Busy(others) => {
+                self.partners.rest(now, id, Millis(self.pace.0 / 2 + 1));
+                for other in others {
+                    self.partners.hint(other, index);
+                    self.note_seen(now, index);
+                }
+            }
+            DrawOutcome::Missing => self.partners.retract(id, index),
+            DrawOutcome::Failed | DrawOutcome::Verified => self.partners.shun(now, id),
+        }
+    }
+
+    fn start(&mut self, now: Moment, index: ChunkIndex, source: ChunkSource) -> ChunkDraw {
+        if let ChunkSource::Peer(id) = &source {
+            self.partners.began(id);
+        }
+        self.flights.insert(index, Flight { source: source.clone(), started: now });
+        ChunkDraw { index, source, patience: self.patience() }
+    }
+
+    fn drop_flights(&mut self, id: &InstanceId) {
+        let gone = ChunkSource::Peer(id.clone());
+        self.flights.retain(|_, flight| flight.source != gone);
+    }
+
+    fn patience(&self) -> Millis {
+        Millis(self.settings.chunk_patience.0.max(self.pace.0 * PATIENCE_PACES))
+    }
+
+    fn origin_flights(&self) -> usize {
+        self.flights.values().filter(|flight| flight.source == ChunkSource::Origin).count()
+    }
+
+    fn next_origin_chunk(&mut self, now: Moment) -> Option<ChunkIndex> {
+        if now < self.origin_rest {
+            return None;
+        }
+        self.next_own_chunk().or_else(|| self.next_orphan(now))
+    }
+
+    /// The next chunk that this instance draws as one of the drawers.
+    fn next_own_chunk(&mut self) -> Option<ChunkIndex> {
+        let copies = self.settings.origin_copies as u16;
+        let (held, partners) = (&self.held, &self.partners);
+        // What a peer shows already needs no further copy, unless the setting wants more.
+        self.own_draws.retain(|index| !held.contains(*index) && partners.copies(*index) < copies);
+        let free: Vec<_> =
+            self.own_draws.iter().filter(|it| !self.flights.contains_key(it)).take(64).collect();
+        if free.is_empty() {
+            return None;
+        }
+        Some(*free[self.random.random_range(0..free.len())])
+    }
+
+    /// A chunk that nobody seen holds, once the drawers have shown nothing new for too long.
+    ///
+    /// For each such time that passes, one more successor draws a chunk, so that a dead or
+    /// stalled drawer costs little more than its own draws.
+    fn next_orphan(&self, now: Moment) -> Option<ChunkIndex> {
+        let waited = now.since(self.novelty).0 / self.settings.stall_after.0.max(1);
+        if waited == 0 {
+            return None;
+        }
+        let is_orphan = |index: &ChunkIndex| {
+            self.partners.copies(*index) == 0 && !self.flights.contains_key(index)
+        };
+        let is_next =
+            |index: &ChunkIndex| (rank_of(&self.successors, &self.own.id, *index) as u64) < waited;
+        self.missing.chunks.iter().copied().find(|index| is_orphan(index) && is_next(index))
+    }
+
+    fn next_peer_chunk(&mut self, now: Moment) -> Option<(ChunkIndex, InstanceId)> {
+        let count = self.missing.chunks.len();
+        let mut best: Option<(u16, ChunkIndex, InstanceId)> = None;
+        // A short list is read whole; a long one is sampled, so that the cost stays flat.
+        let sampled = count > self.settings.sample;
+        for turn in 0..self.settings.sample.min(count) {
+            let place = if sampled { self.random.random_range(0..count) } else { turn };
+            let index = self.missing.chunks[place];
+            let copies = self.partners.copies(index);
+            let is_rarer = best.as_ref().is_none_or(|(least, _, _)| copies < *least);
+            if copies == 0 || !is_rarer || self.flights.contains_key(&index) {
+                continue;
+            }
+            if let Some(id) = self.partners.best_holder(now, index, &mut self.random) {
+                best = Some((copies, index, id));
+            }
+        }
+        best.map(|(_, index, id)| (index, id))
+    }
+}
+
+impl MissingSet {
+    fn full(total: u32) -> Self {
+        Self { chunks: (0..total).map(ChunkIndex).collect(), places: (0..total).collect() }
+    }
+
+    /// Removes a chunk that is in the set; the last one takes its place.
+    fn remove(&mut self, index: ChunkIndex) {
+        let place = self.places[index.0 as usize] as usize;
+        self.chunks.swap_remove(place);
+        if let Some(moved) = self.chunks.get(place) {
+            self.places[moved.0 as usize] = place as u32;
+        }
+    }
+}
+
+/// A chunk is given this many times the usual time of a chunk.
+const PATIENCE_PACES: u64 = 8;
+
+/// The place of `own` among `names` for a chunk, from zero; past the end where it is not there.
+fn rank_of(names: &[InstanceId], own: &InstanceId, index: ChunkIndex) -> usize {
+    if !names.contains(own) {
+        return usize::MAX;
+    }
+    let subject = index.0.to_le_bytes();
+    let mine = rendezvous::weight(&subject, own.as_str());
+    names.iter().filter(|id| rendezvous::weight(&subject, id.as_str()) > mine).count()
+}
--- /dev/null
+++ b/mustardrill_core/src/wave.rs
@@ -0,0 +1,28 @@
+//! Waves of a switch: who may load a new version now without taking capacity below the floor.
+
+use mustardrill_types::{InstanceId, ManifestDigest};
+
+use crate::rendezvous;
+
+/// Whom an instance must wait for before it switches.
+///
+/// The instances of a service stand in the order that rendezvous hashing gives for the version.
+/// As many as the floor spares switch at once; each further one follows the instance that stands
+/// a wave before it. So one question to one peer is enough, however large the service.
+pub fn predecessor(
+    version: ManifestDigest,
+    live: &[InstanceId],
+    own: &InstanceId,
+    floor_percent: u32,
+) -> Option<InstanceId> {
+    let ranked = rendezvous::ranked(&version.0, live, |id| id.as_str());
+    let place = ranked.iter().position(|id| *id == own)?;
+    let size = wave_size(live.len(), floor_percent);
+    place.checked_sub(size).map(|earlier| ranked[earlier].clone())
+}
+
+/// How many of `count` instances may switch at once; at least one, or nothing would ever move.
+pub fn wave_size(count: usize, floor_percent: u32) -> usize {
+    let spared = count * (100 - floor_percent.min(100)) as usize / 100;
+    spared.max(1)
+}
--- /dev/null
+++ b/mustardrill_entry/src/actor.rs
@@ -0,0 +1,266 @@
+//! The actor that owns the entry's reducer: events come in, effects go out.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::prelude::*;
+use mustardrill_core::document::CatalogueDocument;
+use mustardrill_core::edit::FleetFacts;
+use mustardrill_core::entry::{EntryEffect, EntryEvent, EntryReducer, IncomingRequest, RequestId};
+use mustardrill_runtime::clock::ProcessClock;
+use mustardrill_runtime::http::{HttpClient, HttpServer};
+use mustardrill_runtime::metrics;
+use mustardrill_runtime::origin::HttpOrigin;
+use mustardrill_runtime::platform::{HttpInstanceList, HttpKeyValue};
+use mustardrill_types::{AttemptId, FastMap, Millis};
+use tokio_util::sync::CancellationToken;
+
+use crate::agents::AgentPool;
+use crate::attempt::RequestIo;
+use crate::callers::CallerHandler;
+use crate::config::EntryConfig;
+use crate::context::EntryContext;
+use crate::effects;
+use crate::operators::OperatorHandler;
+use crate::status::FleetStatus;
+use crate::watch;
+
+/// A running entry.
+#[derive(Debug)]
+pub struct EntryHandle {
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// Where operators reach it.
+    pub operator_address: SocketAddr,
+    actor: ActorRef<EntryActor>,
+    callers: HttpServer,
+    stop_callers: CancellationToken,
+    halt: CancellationToken,
+}
+
+/// Owns the reducer; all of an entry's decisions are made here, one after the other.
+#[derive(Actor)]
+pub(crate) struct EntryActor {
+    pub(crate) reducer: EntryReducer,
+    pub(crate) context: Arc<EntryContext>,
+    pub(crate) requests: FastMap<RequestId, Arc<RequestIo>>,
+    pub(crate) attempts: FastMap<AttemptId, CancellationToken>,
+}
+
+/// An event for the reducer.
+pub(crate) struct Event(pub(crate) EntryEvent);
+
+/// A request with the way back to its caller.
+pub(crate) struct Begin(pub(crate) IncomingRequest, pub(crate) Arc<RequestIo>);
+
+/// Asks for the catalogue in force.
+pub(crate) struct DocumentQuery;
+
+/// Asks for what an edit is checked against.
+pub(crate) struct FactsQuery;
+
+/// Asks who has which generation, and how far weights are.
+pub(crate) struct StatusQuery;
+
+/// Asks whether nothing is in progress.
+pub(crate) struct DrainedQuery;
+
+impl EntryActor {
+    fn reduce(&mut self, event: EntryEvent, actor: &ActorRef<Self>) {
+        if let EntryEvent::AttemptEnded(attempt, ..) = &event {
+            self.attempts.remove(attempt);
+        }
+        let finished = match &event {
+            EntryEvent::CallerGone(id) => Some(*id),
+            _ => None,
+        };
+        let (now, wall_s) = (self.context.clock.now(), self.context.clock.wall_s());
+        let effects = self.reducer.reduce(now, wall_s, event);
+        for effect in effects {
+            self.carry_out(effect, actor);
+        }
+        if let Some(id) = finished {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn carry_out(&mut self, effect: EntryEffect, actor: &ActorRef<Self>) {
+        match effect {
+            EntryEffect::Send(order) => {
+                let Some(io) = self.requests.get(&order.id).cloned() else { return };
+                let cancel = CancellationToken::new();
+                self.attempts.insert(order.attempt, cancel.clone());
+                effects::send(self.context.clone(), actor.clone(), io, order, cancel);
+            }
+            EntryEffect::Cancel(attempt) => {
+                if let Some(cancel) = self.attempts.remove(&attempt) {
+                    cancel.cancel();
+                }
+            }
+            EntryEffect::Reject { id, code, retry_after } => {
+                if let Some(io) = self.requests.remove(&id) {
+                    io.reject(code, retry_after);
+                }
+            }
+            EntryEffect::Claim(claim) => {
+                effects::claim(self.context.clone(), actor.clone(), claim);
+            }
+            EntryEffect::Sync { id, address, with_catalogue } => {
+                let document = self.reducer.document().clone();
+                let document = with_catalogue.then_some(document);
+                effects::sync(self.context.clone(), actor.clone(), id, address, document);
+            }
+        }
+    }
+}
+
+impl Message<Event> for EntryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Event, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        self.reduce(message.0, &actor);
+    }
+}
+
+impl Message<Begin> for EntryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, Begin(incoming, io): Begin, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        self.requests.insert(incoming.id, io);
+        self.reduce(EntryEvent::RequestArrived(incoming), &actor);
+    }
+}
+
+impl Message<DocumentQuery> for EntryActor {
+    type Reply = Arc<CatalogueDocument>;
+
+    async fn handle(
+        &mut self,
+        _: DocumentQuery,
+        _: &mut Context<Self, Arc<CatalogueDocument>>,
+    ) -> Arc<CatalogueDocument> {
+        self.reducer.document().clone()
+    }
+}
+
+impl Message<FactsQuery> for EntryActor {
+    type Reply = Box<FleetFacts>;
+
+    async fn handle(
+        &mut self,
+        _: FactsQuery,
+        _: &mut Context<Self, Box<FleetFacts>>,
+    ) -> Box<FleetFacts> {
+        let mut facts = FleetFacts {
+            customers: self.context.access.customers().cloned().collect(),
+            operators: self.context.access.operators().map(Into::into).collect(),
+            staging_limit: self.context.edits.staging_limit,
+            in_use: self.reducer.limits().in_use(),
+            ..FleetFacts::default()
+        };
+        for record in self.reducer.members().records().filter(|record| !record.leaving) {
+            *facts.instances.entry(record.service.clone()).or_default() += 1;
+        }
+        Box::new(facts)
+    }
+}
+
+impl Message<StatusQuery> for EntryActor {
+    type Reply = FleetStatus;
+
+    async fn handle(&mut self, _: StatusQuery, _: &mut Context<Self, FleetStatus>) -> FleetStatus {
+        FleetStatus::of(self.context.clock.now(), &self.context.own, &self.reducer)
+    }
+}
+
+impl Message<DrainedQuery> for EntryActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, _: DrainedQuery, _: &mut Context<Self, bool>) -> bool {
+        self.reducer.is_drained()
+    }
+}
+
+/// Starts an entry and returns its handle once it listens.
+pub async fn spawn(config: EntryConfig) -> std::io::Result<EntryHandle> {
+    let halt = CancellationToken::new();
+    let stop_callers = halt.child_token();
+    let context = Arc::new(open_context(&config, halt.clone())?);
+    let reducer = EntryReducer::new(config.entry.clone(), rand::random());
+    let (requests, attempts) = (FastMap::default(), FastMap::default());
+    let state = EntryActor { reducer, context: context.clone(), requests, attempts };
+    let actor = EntryActor::spawn_with_mailbox(state, mailbox::unbounded());
+
+    let handler = Box::new(CallerHandler::new(actor.clone(), context.clone()));
+    let callers = HttpServer::bind(config.listen, handler, stop_callers.clone()).await?;
+    let handler = Box::new(OperatorHandler::new(actor.clone(), context.clone()));
+    let operators = HttpServer::bind(config.operator_listen, handler, halt.clone()).await?;
+    spawn_tick(actor.clone(), config.tick, halt.clone());
+    watch::spawn_catalogue(actor.clone(), context.clone());
+    watch::spawn_instances(actor.clone(), context, config.list_every);
+    let (address, operator_address) = (callers.address, operators.address);
+    log::info!(
+        "start instance={} address={address} operators={operator_address}",
+        config.entry.own
+    );
+    Ok(EntryHandle { address, operator_address, actor, callers, stop_callers, halt })
+}
+
+impl EntryHandle {
+    /// Takes no new work, finishes what is in progress within `patience` and ends.
+    pub async fn stop(&self, patience: Duration) {
+        const LOOK_EVERY: Duration = Duration::from_millis(20);
+        let _ = self.actor.tell(Event(EntryEvent::Stop)).await;
+        let drained = async {
+            while !self.actor.ask(DrainedQuery).await.unwrap_or(true) {
+                tokio::time::sleep(LOOK_EVERY).await;
+            }
+            // The last bytes are still on their way to the callers.
+            self.stop_callers.cancel();
+            self.callers.drained().await;
+        };
+        let _ = tokio::time::timeout(patience, drained).await;
+        self.halt();
+    }
+
+    /// Ends at once.
+    pub fn halt(&self) {
+        self.halt.cancel();
+    }
+}
+
+fn open_context(config: &EntryConfig, halt: CancellationToken) -> std::io::Result<EntryContext> {
+    const CONNECT: Duration = Duration::from_secs(1);
+    let client = HttpClient::open(CONNECT);
+    let timeout = config.platform_timeout;
+    Ok(EntryContext {
+        own: config.entry.own.clone(),
+        clock: ProcessClock::start(),
+        key_value: Box::new(HttpKeyValue::open(client.clone(), &config.key_value, timeout)),
+        instances: Box::new(HttpInstanceList::open(client.clone(), &config.instances, timeout)),
+        origin: Box::new(HttpOrigin::open(client, &config.origins)),
+        agents: AgentPool::default(),
+        access: config.access.clone(),
+        callers: config.callers.clone(),
+        edits: config.edits.clone(),
+        metrics: metrics::open("mustardrill.entry", config.metrics)?,
+        halt,
+    })
+}
+
+fn spawn_tick(actor: ActorRef<EntryActor>, every: Millis, halt: CancellationToken) {
+    tokio::spawn(async move {
+        let mut ticks = tokio::time::interval(every.to_std());
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                () = halt.cancelled() => return,
+            }
+            let _ = actor.tell(Event(EntryEvent::Tick)).await;
+        }
+    });
+}
--- /dev/null
+++ b/mustardrill_entry/src/attempt.rs
@@ -0,0 +1,176 @@
+//! One attempt: sends a request to an agent and passes the answer on to the caller.
+
+use std::error::Error;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bytes::Bytes;
+use cadence::Counted;
+use mustardrill_core::entry::{AttemptEnd, SendOrder};
+use mustardrill_proto as proto;
+use mustardrill_proto::execute_frame::Part;
+use mustardrill_types::{Millis, Moment, ResultCode};
+use tokio::sync::mpsc;
+use tonic::Status;
+
+use crate::context::EntryContext;
+
+/// How many parts of an answer may wait for a slow caller.
+pub(crate) const PART_BUFFER: usize = 16;
+
+/// One part of what a caller gets.
+#[derive(Debug)]
+pub(crate) enum CallerPart {
+    /// Status and headers, followed by the first bytes.
+    Head(proto::ExecuteHead),
+    /// Bytes of the answer.
+    Data(Bytes),
+    /// The answer is whole.
+    End,
+    /// There is no answer; after a head the answer is cut.
+    Reject(ResultCode, Millis),
+}
+
+/// A request's content and the way back to its caller.
+#[derive(Debug)]
+pub(crate) struct RequestIo {
+    pub(crate) model: Box<str>,
+    pub(crate) method: Box<str>,
+    pub(crate) path: Box<str>,
+    pub(crate) headers: Vec<proto::Header>,
+    pub(crate) body: Bytes,
+    pub(crate) is_idempotent: bool,
+    pub(crate) deadline: Moment,
+    pub(crate) parts: mpsc::Sender<CallerPart>,
+    pub(crate) delivered: AtomicU64,
+}
+
+/// Why an attempt ended without a whole answer.
+struct Broken(AttemptEnd);
+
+impl RequestIo {
+    /// Tells the caller that there is no answer.
+    pub(crate) fn reject(self: Arc<Self>, code: ResultCode, retry_after: Millis) {
+        // A full buffer belongs to a slow caller: the task waits for it, the actor does not.
+        tokio::spawn(async move {
+            let _ = self.parts.send(CallerPart::Reject(code, retry_after)).await;
+        });
+    }
+
+    fn delivered(&self) -> u64 {
+        self.delivered.load(Ordering::Acquire)
+    }
+}
+
+/// Runs one attempt to its end; returns how it ended and how many bytes the caller has.
+pub(crate) async fn run(
+    context: &EntryContext,
+    io: &RequestIo,
+    order: &SendOrder,
+) -> (AttemptEnd, u64) {
+    let _ = context.metrics.count("attempts", 1);
+    let end = match stream(context, io, order).await {
+        Ok(()) => AttemptEnd::Whole,
+        Err(Broken(end)) => end,
+    };
+    (end, io.delivered())
+}
+
+async fn stream(context: &EntryContext, io: &RequestIo, order: &SendOrder) -> Result<(), Broken> {
+    let Some(mut client) = context.agents.client(&order.address) else {
+        return Err(Broken(AttemptEnd::NotSent));
+    };
+    let request = message(context, io, order);
+    let answer = client.execute(request).await.map_err(|status| Broken(end_of(&status)))?;
+    let mut frames = answer.into_inner();
+    let mut head = None;
+    let mut hasher = blake3::Hasher::new();
+    loop {
+        let frame = frames.message().await.map_err(|status| Broken(end_of(&status)))?;
+        // A stream that ends without an end frame was cut.
+        let Some(frame) = frame else { return Err(Broken(AttemptEnd::Lost)) };
+        if frame.attempt != order.attempt.0.to_be_bytes()[..] {
+            let _ = context.metrics.count("late_frames", 1);
+            continue;
+        }
+        match frame.part {
+            Some(Part::Head(found)) => head = Some(found),
+            Some(Part::Data(data)) => {
+                hasher.update(&data);
+                deliver_head(io, head.take()).await?;
+                let length = data.len() as u64;
+                deliver(io, CallerPart::Data(data)).await?;
+                io.delivered.fetch_add(length, Ordering::AcqRel);
+            }
+            Some(Part::End(end)) => {
+                let is_whole =
+                    end.length == io.delivered() && end.digest == hasher.finalize().as_bytes()[..];
+                if !is_whole {
+                    return Err(Broken(AttemptEnd::Lost));
+                }
+                deliver_head(io, head.take()).await?;
+                return deliver(io, CallerPart::End).await;
+            }
+            Some(Part::Refusal(refusal)) => return Err(Broken(refused(&refusal))),
+            None => {}
+        }
+    }
+}
+
+/// The head goes to the caller with the first bytes, so that until then another upstream may
+/// answer. A resumed answer's head went out with the first attempt.
+async fn deliver_head(io: &RequestIo, head: Option<proto::ExecuteHead>) -> Result<(), Broken> {
+    match head {
+        Some(head) if io.delivered() == 0 => deliver(io, CallerPart::Head(head)).await,
+        _ => Ok(()),
+    }
+}
+
+async fn deliver(io: &RequestIo, part: CallerPart) -> Result<(), Broken> {
+    // The caller is gone; its own task tells the reducer so.
+    io.parts.send(part).await.map_err(|_| Broken(AttemptEnd::Lost))
+}
+
+fn message(context: &EntryContext, io: &RequestIo, order: &SendOrder) -> proto::ExecuteRequest {
+    let now = context.clock.now();
+    let agent_now = context.agents.agent_ms_at(now, &order.instance);
+    let remaining = io.deadline.since(now);
+    let agent_deadline = if agent_now == 0 { 0 } else { agent_now + remaining.0 };
+    proto::ExecuteRequest {
+        attempt: Bytes::copy_from_slice(&order.attempt.0.to_be_bytes()),
+        model: io.model.to_string(),
+        manifest: order.pinned.map_or_else(Bytes::new, |it| Bytes::copy_from_slice(&it.0)),
+        priority: order.class.rank() as u32,
+        remaining_ms: remaining.0.min(order.remaining.0),
+        idempotent: io.is_idempotent,
+        method: io.method.to_string(),
+        path: io.path.to_string(),
+        headers: io.headers.clone(),
+        body: io.body.clone(),
+        resume_from: order.resume_from,
+        agent_deadline_ms: agent_deadline,
+    }
+}
+
+fn refused(refusal: &proto::Refusal) -> AttemptEnd {
+    let code = u16::try_from(refusal.code).ok().and_then(ResultCode::from_number);
+    match code {
+        Some(ResultCode::WrongWeights) => AttemptEnd::WrongWeights,
+        Some(code) if code.is_not_run() => {
+            AttemptEnd::Refused(code, Millis(refusal.retry_after_ms))
+        }
+        _ => AttemptEnd::Lost,
+    }
+}
+
+/// Only an error of making the connection proves that nothing was sent.
+fn end_of(status: &Status) -> AttemptEnd {
+    let mut source = status.source();
+    while let Some(error) = source {
+        if error.is::<tonic::ConnectError>() {
+            return AttemptEnd::NotSent;
+        }
+        source = error.source();
+    }
+    AttemptEnd::Lost
+}
--- /dev/null
+++ b/mustardrill_entry/src/callers.rs
@@ -0,0 +1,325 @@
+//! The callers' side: HTTP in, a checked request to the reducer, the answer back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bytes::Bytes;
+use cadence::{Counted, Timed};
+use futures_util::future::BoxFuture;
+use futures_util::stream;
+use http_body_util::{BodyExt, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::{AUTHORIZATION, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::{Request, Response, StatusCode};
+use kameo::prelude::*;
+use mustardrill_core::entry::{EntryEvent, IncomingRequest, RequestId};
+use mustardrill_proto as proto;
+use mustardrill_runtime::http::{
+    AnyBody, AnyResponse, CutError, HttpHandler, json_response, text_response,
+};
+use mustardrill_types::{CustomerName, Millis, ModelName, Moment, RequestKey, ResultCode};
+use tokio::sync::mpsc;
+
+use crate::actor::{Begin, EntryActor, Event};
+use crate::attempt::{CallerPart, PART_BUFFER, RequestIo};
+use crate::context::EntryContext;
+
+/// The header that names the result code of every answer.
+const CODE_HEADER: &str = "mustardrill-code";
+
+/// The header in which a caller names its time limit in milliseconds.
+const TIMEOUT_HEADER: &str = "mustardrill-timeout-ms";
+
+/// The header that marks a request to be run at most once, with the caller's key for it.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// The header that names what requests with a common prefix share.
+const PREFIX_HEADER: &str = "mustardrill-prefix";
+
+/// The milliseconds after which a caller may come back, finer than `Retry-After`.
+const RETRY_HEADER: &str = "mustardrill-retry-after-ms";
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_HEADERS: [&str; 7] =
+    ["connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "host"];
+
+/// Answers callers.
+pub(crate) struct CallerHandler {
+    inner: Arc<CallerSide>,
+}
+
+struct CallerSide {
+    actor: ActorRef<EntryActor>,
+    context: Arc<EntryContext>,
+    next_id: AtomicU64,
+}
+
+/// Why a request is refused before the reducer sees it.
+struct Refusal {
+    code: ResultCode,
+    message: Box<str>,
+}
+
+/// What a request asks for, read from its head.
+struct Call {
+    customer: CustomerName,
+    target: ModelName,
+    is_model: bool,
+    path: Box<str>,
+    key: Option<RequestKey>,
+    deadline: Moment,
+}
+
+/// Tells the reducer when a caller goes away before its answer ended.
+struct CallerGuard {
+    actor: ActorRef<EntryActor>,
+    context: Arc<EntryContext>,
+    id: RequestId,
+    arrived: Moment,
+    code: Option<ResultCode>,
+}
+
+impl CallerHandler {
+    pub(crate) fn new(actor: ActorRef<EntryActor>, context: Arc<EntryContext>) -> Self {
+        Self { inner: Arc::new(CallerSide { actor, context, next_id: AtomicU64::new(1) }) }
+    }
+}
+
+impl HttpHandler for CallerHandler {
+    fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> BoxFuture<'static, AnyResponse> {
+        let side = self.inner.clone();
+        Box::pin(async move {
+            if request.uri().path() == "/health" {
+                return text_response(StatusCode::OK, "ready\n");
+            }
+            match side.answer(request).await {
+                Ok(response) => response,
+                Err(refusal) => {
+                    let _ = side.context.metrics.count("requests", 1);
+                    rejection(refusal.code, &refusal.message, Millis(0))
+                }
+            }
+        })
+    }
+}
+
+impl CallerSide {
+    async fn answer(&self, request: Request<Incoming>) -> Result<AnyResponse, Refusal> {
+        let arrived = self.context.clock.now();
+        let (head, body) = request.into_parts();
+        let call = self.read_call(arrived, &head.uri, &head.headers)?;
+        let limit = self.context.callers.body_limit.0 as usize;
+        let body = Limited::new(body, limit).collect().await.map_err(|_| {
+            refuse(ResultCode::BadRequest, format!("the body was cut or is above {limit} bytes"))
+        })?;
+        let body = body.to_bytes();
+        let affinity = self.affinity(&call, &head.headers, &body);
+        let (sender, parts) = mpsc::channel(PART_BUFFER);
+        let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
+        let io = RequestIo {
+            model: if call.is_model { call.target.as_str().into() } else { "".into() },
+            method: head.method.as_str().into(),
+            path: call.path,
+            headers: passed_on(&head.headers),
+            body,
+            is_idempotent: call.key.is_none(),
+            deadline: call.deadline,
+            parts: sender,
+            delivered: AtomicU64::new(0),
+        };
+        let incoming = IncomingRequest {
+            id,
+            customer: call.customer,
+            target: call.target,
+            is_model: call.is_model,
+            key: call.key,
+            deadline: call.deadline,
+            affinity,
+        };
+        let (actor, context) = (self.actor.clone(), self.context.clone());
+        let guard = CallerGuard { actor, context, id, arrived, code: None };
+        let _ = self.actor.tell(Begin(incoming, Arc::new(io))).await;
+        Ok(respond(parts, guard).await)
+    }
+
+    fn read_call(
+        &self,
+        arrived: Moment,
+        uri: &hyper::Uri,
+        headers: &HeaderMap,
+    ) -> Result<Call, Refusal> {
+        let customer = self.customer(headers)?;
+        let (is_model, target, path) = target(uri)?;
+        let key = match text(headers, KEY_HEADER) {
+            Some("") => {
+                let message =
+                    format!("{KEY_HEADER} is empty; send a key of your own for each request");
+                return Err(refuse(ResultCode::BadRequest, message));
+            }
+            Some(key) => Some(RequestKey::of(&customer, key)),
+            None => None,
+        };
+        let timeout = self.timeout(headers)?;
+        let deadline = arrived + timeout;
+        Ok(Call { customer, target, is_model, path, key, deadline })
+    }
+
+    fn customer(&self, headers: &HeaderMap) -> Result<CustomerName, Refusal> {
+        let token = bearer(headers);
+        let customer = token.and_then(|token| self.context.access.customer(token));
+        let message = "send authorization: Bearer TOKEN with your customer's token";
+        customer.cloned().ok_or(refuse(ResultCode::UnknownCustomer, message))
+    }
+
+    fn timeout(&self, headers: &HeaderMap) -> Result<Millis, Refusal> {
+        let config = &self.context.callers;
+        let Some(named) = text(headers, TIMEOUT_HEADER) else { return Ok(config.timeout) };
+        let longest = config.longest_timeout.0;
+        let parsed = named.parse().ok().filter(|named| (1..=longest).contains(named));
+        let message = format!("{TIMEOUT_HEADER}: {named}: write 1 to {longest}");
+        parsed.map(Millis).ok_or(refuse(ResultCode::BadRequest, message))
+    }
+
+    fn affinity(&self, call: &Call, headers: &HeaderMap, body: &Bytes) -> Option<Box<str>> {
+        if let Some(named) = text(headers, PREFIX_HEADER) {
+            return Some(named.into());
+        }
+        let prefix = self.context.callers.prefix.0 as usize;
+        // A shorter body has no prefix that is worth keeping together.
+        let is_long = call.is_model && prefix > 0 && body.len() >= prefix;
+        is_long.then(|| blake3::hash(&body[..prefix]).to_hex().as_str().into())
+    }
+}
+
+/// The token of an `authorization: Bearer TOKEN` header.
+pub(crate) fn bearer(headers: &HeaderMap) -> Option<&str> {
+    headers.get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")
+}
+
+async fn respond(mut parts: mpsc::Receiver<CallerPart>, mut guard: CallerGuard) -> AnyResponse {
+    match parts.recv().await {
+        Some(CallerPart::Head(head)) => {
+            let mut response = Response::new(body_of(parts, guard));
+            let status = u16::try_from(head.status).unwrap_or(502);
+            *response.status_mut() =
+                StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+            for header in head.headers.iter().filter(|header| is_passed_on(&header.name)) {
+                let name = hyper::header::HeaderName::try_from(header.name.as_str());
+                let value = HeaderValue::from_str(&header.value);
+                if let (Ok(name), Ok(value)) = (name, value) {
+                    response.headers_mut().append(name, value);
+                }
+            }
+            let code = HeaderValue::from(ResultCode::Answered.number());
+            response.headers_mut().insert(CODE_HEADER, code);
+            response
+        }
+        Some(CallerPart::Reject(code, retry_after)) => {
+            guard.code = Some(code);
+            rejection(code, "", retry_after)
+        }
+        _ => {
+            guard.code = Some(ResultCode::Unknown);
+            rejection(ResultCode::Unknown, "the entry is ending", Millis(0))
+        }
+    }
+}
+
+/// The answer as it comes; a cut is an error that the caller's HTTP library sees.
+fn body_of(parts: mpsc::Receiver<CallerPart>, guard: CallerGuard) -> AnyBody {
+    let frames = stream::unfold(Some((parts, guard)), |state| async move {
+        let (mut parts, mut guard) = state?;
+        match parts.recv().await {
+            Some(CallerPart::Data(data)) => Some((Ok(Frame::data(data)), Some((parts, guard)))),
+            Some(CallerPart::End) => {
+                guard.code = Some(ResultCode::Answered);
+                None
+            }
+            _ => {
+                guard.code = Some(ResultCode::AnswerCut);
+                Some((Err(CutError), None))
+            }
+        }
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        let code = self.code.map_or(0, ResultCode::number);
+        let took = self.context.clock.now().since(self.arrived).0;
+        let _ = self.context.metrics.count(&format!("requests.{code}"), 1);
+        let _ = self.context.metrics.time("request_ms", took);
+        // Told for ended requests too: the actor then lets go of what it keeps for the caller.
+        let (actor, id) = (self.actor.clone(), self.id);
+        tokio::spawn(async move {
+            let _ = actor.tell(Event(EntryEvent::CallerGone(id))).await;
+        });
+    }
+}
+
+/// An answer that says what became of the request, and when it is worth coming back.
+fn rejection(code: ResultCode, message: &str, retry_after: Millis) -> AnyResponse {
+    let run = if code.is_not_run() { "not-run" } else { "unknown" };
+    let body = serde_json::json!({
+        "code": code.number(),
+        "name": format!("{code:?}"),
+        "run": run,
+        "message": message,
+        "retry_after_ms": retry_after.0,
+    });
+    let status = StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = json_response(status, &body);
+    let headers = response.headers_mut();
+    headers.insert(CODE_HEADER, HeaderValue::from(code.number()));
+    if retry_after.0 > 0 {
+        headers.insert(RETRY_AFTER, HeaderValue::from(retry_after.0.div_ceil(1_000)));
+        headers.insert(RETRY_HEADER, HeaderValue::from(retry_after.0));
+    }
+    response
+}
+
+/// Splits `/v1/models/NAME/PATH` or `/v1/services/NAME/PATH`.
+fn target(uri: &hyper::Uri) -> Result<(bool, ModelName, Box<str>), Refusal> {
+    let message = "call /v1/models/NAME/PATH or /v1/services/NAME/PATH";
+    let unknown = || refuse(ResultCode::BadRequest, message);
+    let rest = uri.path().strip_prefix("/v1/").ok_or_else(unknown)?;
+    let (kind, rest) = rest.split_once('/').ok_or_else(unknown)?;
+    let is_model = match kind {
+        "models" => true,
+        "services" => false,
+        _ => return Err(unknown()),
+    };
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let name = name.parse().map_err(|error| {
+        let error: mustardrill_types::id::ParseIdError = error;
+        refuse(ResultCode::BadRequest, error.to_string())
+    })?;
+    let query = uri.query().map_or(String::new(), |query| format!("?{query}"));
+    Ok((is_model, name, format!("/{path}{query}").into()))
+}
+
+fn passed_on(headers: &HeaderMap) -> Vec<proto::Header> {
+    let kept = headers.iter().filter(|(name, _)| {
+        // The token stays here, and the body's length is set anew.
+        is_passed_on(name.as_str()) && *name != AUTHORIZATION && name.as_str() != "content-length"
+    });
+    kept.filter_map(|(name, value)| {
+        let value = value.to_str().ok()?.to_owned();
+        Some(proto::Header { name: name.to_string(), value })
+    })
+    .collect()
+}
+
+fn is_passed_on(name: &str) -> bool {
+    !HOP_HEADERS.contains(&name)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn refuse(code: ResultCode, message: impl Into<Box<str>>) -> Refusal {
+    Refusal { code, message: message.into() }
+}
--- /dev/null
+++ b/mustardrill_entry/src/config.rs
@@ -0,0 +1,252 @@
+//! The entry's settings; `docs/SETTINGS.md` lists every key.
+
+use std::net::SocketAddr;
+
+use log::LevelFilter;
+use mustardrill_core::budget::RetrySettings;
+use mustardrill_core::claim::ClaimSettings;
+use mustardrill_core::entry::EntrySettings;
+use mustardrill_core::membership::MemberSettings;
+use mustardrill_core::routing::RoutingSettings;
+use mustardrill_runtime::settings::{SettingsOutcome, SettingsReader};
+use mustardrill_types::{ByteSize, CustomerName, Millis};
+
+/// All settings of one entry.
+#[derive(Debug, Clone)]
+pub struct EntryConfig {
+    /// Where callers reach it.
+    pub listen: SocketAddr,
+    /// Where operators reach it.
+    pub operator_listen: SocketAddr,
+    /// The platform's key-value service.
+    pub key_value: Box<str>,
+    /// The platform's instance list.
+    pub instances: Box<str>,
+    /// The origin first, then what stands in for it.
+    pub origins: Vec<Box<str>>,
+    /// How long a call to the platform may take.
+    pub platform_timeout: Millis,
+    /// How often the instance list is read.
+    pub list_every: Millis,
+    /// How often the reducer looks at the time.
+    pub tick: Millis,
+    /// Where metrics go, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// Which lines are logged.
+    pub log: LevelFilter,
+    /// How long a planned stop waits for requests in progress.
+    pub drain: Millis,
+    /// Who may call and who may edit.
+    pub access: AccessConfig,
+    /// What callers may ask for.
+    pub callers: CallerConfig,
+    /// How edits are made.
+    pub edits: EditConfig,
+    /// What the reducer is told.
+    pub entry: EntrySettings,
+}
+
+/// Customers and operators with the digests of their tokens; the tokens themselves are not kept.
+#[derive(Clone, Default)]
+pub struct AccessConfig {
+    customers: Vec<(CustomerName, blake3::Hash)>,
+    operators: Vec<(Box<str>, blake3::Hash)>,
+}
+
+/// What callers may ask for.
+#[derive(Debug, Clone)]
+pub struct CallerConfig {
+    /// The deadline of a request that names none.
+    pub timeout: Millis,
+    /// The longest deadline that a request may name.
+    pub longest_timeout: Millis,
+    /// The largest body of a request.
+    pub body_limit: ByteSize,
+    /// How many bytes at the start of a model's request make its affinity key.
+    pub prefix: ByteSize,
+}
+
+/// How edits are made.
+#[derive(Debug, Clone)]
+pub struct EditConfig {
+    /// How long an edit is tried before it is "not yet known".
+    pub patience: Millis,
+    /// How much an agent can stage.
+    pub staging_limit: ByteSize,
+}
+
+impl std::fmt::Debug for AccessConfig {
+    /// Names only: no trace of a token gets into a log.
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let customers: Vec<_> = self.customers.iter().map(|(name, _)| name.as_str()).collect();
+        let operators: Vec<_> = self.operators.iter().map(|(name, _)| &**name).collect();
+        write!(formatter, "AccessConfig {{ customers: {customers:?}, operators: {operators:?} }}")
+    }
+}
+
+impl AccessConfig {
+    /// The customer with this token. Every token is compared, each in constant time.
+    pub fn customer(&self, token: &str) -> Option<&CustomerName> {
+        find(&self.customers, token)
+    }
+
+    /// The operator with this token. Every token is compared, each in constant time.
+    pub fn operator(&self, token: &str) -> Option<&str> {
+        find(&self.operators, token).map(|name| &**name)
+    }
+
+    /// The names of all customers.
+    pub fn customers(&self) -> impl Iterator<Item = &CustomerName> {
+        self.customers.iter().map(|(name, _)| name)
+    }
+
+    /// The names of all operators.
+    pub fn operators(&self) -> impl Iterator<Item = &str> {
+        self.operators.iter().map(|(name, _)| &**name)
+    }
+}
+
+/// Reads and checks all settings.
+pub fn read(mut reader: SettingsReader) -> SettingsOutcome<EntryConfig> {
+    let local = || SocketAddr::from(([127, 0, 0, 1], 0));
+    let config = EntryConfig {
+        listen: reader.required("entry", "listen", "IP:PORT", local()),
+        operator_listen: reader.required("entry", "operator_listen", "IP:PORT", local()),
+        key_value: address(&mut reader, "platform", "key_value"),
+        instances: address(&mut reader, "platform", "instances"),
+        origins: origins(&mut reader),
+        platform_timeout: reader.value("platform", "timeout", Millis(1_000)),
+        list_every: reader.value("platform", "list_every", Millis(2_000)),
+        tick: reader.value("entry", "tick", Millis(10)),
+        metrics: reader.optional("entry", "metrics"),
+        log: reader.value("entry", "log", LevelFilter::Info),
+        drain: reader.value("entry", "drain", Millis(30_000)),
+        access: access(&mut reader),
+        callers: callers(&mut reader),
+        edits: EditConfig {
+            patience: reader.value("edits", "patience", Millis(5_000)),
+            staging_limit: reader.value("edits", "staging_limit", ByteSize(64_000_000_000)),
+        },
+        entry: EntrySettings {
+            own: reader.required("entry", "instance", "NAME", parsed("unnamed")),
+            data_centre: reader.required("entry", "data_centre", "NAME", parsed("unnamed")),
+            routing: routing(&mut reader),
+            retry: retry(&mut reader),
+            claim: claim(&mut reader),
+            members: MemberSettings {
+                failures: reader.bounded("platform", "failures", 2, 1, 100),
+                dead_for: reader.value("platform", "dead_for", Millis(3_000)),
+            },
+            subset: reader.bounded("routing", "subset", 32, 1, 10_000),
+            sync_every: reader.value("routing", "sync_every", Millis(400)),
+        },
+    };
+    let callers = &config.callers;
+    if callers.timeout > callers.longest_timeout {
+        let (timeout, longest) = (callers.timeout, callers.longest_timeout);
+        let message =
+            format!("[callers] timeout = {timeout}: write at most longest_timeout, {longest}");
+        reader.fault(0, message);
+    }
+    reader.finish(config)
+}
+
+fn access(reader: &mut SettingsReader) -> AccessConfig {
+    let mut access = AccessConfig::default();
+    for key in reader.names("customers") {
+        match key.name.parse() {
+            Ok(name) => access.customers.push((name, blake3::hash(key.value.as_bytes()))),
+            Err(error) => reader.fault(key.line, format!("[customers] {error}")),
+        }
+        check_token(reader, "customers", &key);
+    }
+    for key in reader.names("operators") {
+        check_token(reader, "operators", &key);
+        access.operators.push((key.name, blake3::hash(key.value.as_bytes())));
+    }
+    access
+}
+
+fn check_token(
+    reader: &mut SettingsReader,
+    section: &str,
+    key: &mustardrill_core::ini_file::IniKey,
+) {
+    const SHORTEST: usize = 8;
+    if key.value.len() < SHORTEST {
+        // The token itself is not shown.
+        let message =
+            format!("[{section}] {}: write a token of {SHORTEST} letters or more", key.name);
+        reader.fault(key.line, message);
+    }
+}
+
+fn callers(reader: &mut SettingsReader) -> CallerConfig {
+    CallerConfig {
+        timeout: reader.value("callers", "timeout", Millis(30_000)),
+        longest_timeout: reader.value("callers", "longest_timeout", Millis(600_000)),
+        body_limit: reader.value("callers", "body_limit", ByteSize(4_000_000)),
+        prefix: reader.value("callers", "prefix", ByteSize(256)),
+    }
+}
+
+fn routing(reader: &mut SettingsReader) -> RoutingSettings {
+    let default = RoutingSettings::default();
+    RoutingSettings {
+        eject_after: reader.bounded("routing", "eject_after", default.eject_after, 1, 100),
+        eject_for: reader.value("routing", "eject_for", default.eject_for),
+        slow_start: reader.value("routing", "slow_start", default.slow_start),
+        affinity_bound: reader.bounded("routing", "affinity_bound", default.affinity_bound, 0, 400),
+        near_bonus: reader.bounded("routing", "near_bonus", default.near_bonus, 0.0, 100.0),
+        silent_for: reader.value("routing", "silent_for", default.silent_for),
+    }
+}
+
+fn retry(reader: &mut SettingsReader) -> RetrySettings {
+    let default = RetrySettings::default();
+    RetrySettings {
+        percent: reader.bounded("retries", "percent", default.percent, 0, 100),
+        reserve: reader.bounded("retries", "reserve", default.reserve, 0, 10_000),
+        attempts: reader.bounded("retries", "attempts", default.attempts, 1, 20),
+    }
+}
+
+fn claim(reader: &mut SettingsReader) -> ClaimSettings {
+    let default = ClaimSettings::default();
+    ClaimSettings {
+        shards: reader.bounded("claims", "shards", default.shards, 1, 4_096),
+        retention_s: reader.value("claims", "retention", Millis(default.retention_s * 1_000)).0
+            / 1_000,
+        write_every: reader.value("claims", "write_every", default.write_every),
+        patience: reader.value("claims", "patience", default.patience),
+        shard_limit: default.shard_limit,
+    }
+}
+
+fn origins(reader: &mut SettingsReader) -> Vec<Box<str>> {
+    let origin = address(reader, "weights", "origin");
+    let store: Option<SocketAddr> = reader.optional("weights", "store");
+    let store = store.map(|address| address.to_string().into());
+    std::iter::once(origin).chain(store).collect()
+}
+
+fn address(reader: &mut SettingsReader, section: &str, key: &str) -> Box<str> {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+    reader.required(section, key, "IP:PORT", nowhere).to_string().into()
+}
+
+fn find<'a, T>(known: &'a [(T, blake3::Hash)], token: &str) -> Option<&'a T> {
+    let hash = blake3::hash(token.as_bytes());
+    // `blake3::Hash` compares in constant time, and the search does not end early.
+    let mut found = None;
+    for (name, digest) in known {
+        if *digest == hash {
+            found = Some(name);
+        }
+    }
+    found
+}
+
+fn parsed<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("a valid name")
+}
--- /dev/null
+++ b/mustardrill_entry/src/lib.rs
@@ -0,0 +1,19 @@
+//! The entry process: takes callers' requests and operators' edits, and sends work to agents.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod actor;
+mod agents;
+mod attempt;
+mod callers;
+pub mod cli;
+pub mod config;
+mod context;
+mod editor;
+mod effects;
+pub mod operator_client;
+mod operators;
+mod status;
+mod watch;
+
+pub use actor::{EntryHandle, spawn};
+pub use config::EntryConfig;
--- /dev/null
+++ b/mustardrill_entry/src/operator_client.rs
@@ -0,0 +1,216 @@
+//! The operators' command line: asks an entry's operator port and prints what it says.
+
+use std::fmt::Write;
+use std::path::Path;
+use std::time::Duration;
+
+use bytes::Bytes;
+use mustardrill_runtime::http::{CallError, HttpClient, WholeAnswer, request};
+use mustardrill_types::ResultCode;
+use serde_json::Value;
+
+use crate::cli::{CatalogueCommand, OperatorAccess};
+use crate::status::FleetStatus;
+
+/// How a command ended; the number is the process's exit code.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CommandExit {
+    /// Done or accepted.
+    Done = 0,
+    /// Refused.
+    Refused = 1,
+    /// The file can't be read.
+    Usage = 2,
+    /// Not yet known.
+    NotYetKnown = 3,
+    /// The entry does not answer.
+    NoAnswer = 4,
+}
+
+/// What a command prints and how it ends.
+#[derive(Debug)]
+pub struct CommandOutput {
+    /// The text for standard output.
+    pub text: String,
+    /// How it ended.
+    pub exit: CommandExit,
+}
+
+/// Carries a command out.
+pub async fn run(command: &CatalogueCommand, access: &OperatorAccess) -> CommandOutput {
+    let (method, path, body) = match call_of(command) {
+        Ok(call) => call,
+        Err(text) => return CommandOutput { text, exit: CommandExit::Usage },
+    };
+    let answer = match call(access, method, &path, body).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            let text = format!("no answer from the entry at {}: {error}\n", access.address);
+            return CommandOutput { text, exit: CommandExit::NoAnswer };
+        }
+    };
+    let exit = exit_of(&answer);
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let parsed = serde_json::from_str::<Value>(&text);
+    let text = match parsed {
+        Ok(value) if !access.json => print(command, &value),
+        _ => text,
+    };
+    let text = if text.ends_with('\n') { text } else { format!("{text}\n") };
+    CommandOutput { text, exit }
+}
+
+fn call_of(command: &CatalogueCommand) -> Result<(&'static str, String, Bytes), String> {
+    let none = Bytes::new();
+    Ok(match command {
+        CatalogueCommand::Show => ("GET", "/v1/catalogue".into(), none),
+        CatalogueCommand::History => ("GET", "/v1/catalogue/history".into(), none),
+        CatalogueCommand::Status => ("GET", "/v1/status".into(), none),
+        CatalogueCommand::Settle(id) => ("GET", format!("/v1/catalogue/edits/{id}"), none),
+        CatalogueCommand::Undo(id) => ("POST", format!("/v1/catalogue/undo?edit={id}"), none),
+        CatalogueCommand::Check(file) | CatalogueCommand::Diff(file) => {
+            ("POST", "/v1/catalogue/check".into(), read(file)?)
+        }
+        CatalogueCommand::Apply(file, id) => {
+            let id = id.as_ref().map_or(String::new(), |id| format!("?id={id}"));
+            ("POST", format!("/v1/catalogue/edits{id}"), read(file)?)
+        }
+    })
+}
+
+fn read(file: &Path) -> Result<Bytes, String> {
+    let bytes = std::fs::read(file);
+    bytes.map(Into::into).map_err(|error| format!("{}: can't be read: {error}\n", file.display()))
+}
+
+async fn call(
+    access: &OperatorAccess,
+    method: &str,
+    path: &str,
+    body: Bytes,
+) -> Result<WholeAnswer, CallError> {
+    const TIMEOUT: Duration = Duration::from_secs(15);
+    const ANSWER_LIMIT: usize = 16_000_000;
+    let mut sent = request(method, &format!("http://{}{path}", access.address), body);
+    let value = format!("Bearer {}", access.token).parse();
+    let value = value.map_err(|_| CallError::NotSent { reason: "malformed token".into() })?;
+    sent.headers_mut().insert(hyper::header::AUTHORIZATION, value);
+    HttpClient::open(Duration::from_secs(2)).call(sent, TIMEOUT, ANSWER_LIMIT).await
+}
+
+fn exit_of(answer: &WholeAnswer) -> CommandExit {
+    match answer.status.as_u16() {
+        202 => CommandExit::NotYetKnown,
+        200..300 => CommandExit::Done,
+        503 => CommandExit::NoAnswer,
+        _ => CommandExit::Refused,
+    }
+}
+
+fn print(command: &CatalogueCommand, value: &Value) -> String {
+    match command {
+        CatalogueCommand::Status => match serde_json::from_value(value.clone()) {
+            Ok(status) => print_status(&status),
+            Err(_) => print_outcome(value),
+        },
+        CatalogueCommand::History => print_history(value),
+        _ => print_outcome(value),
+    }
+}
+
+fn print_outcome(value: &Value) -> String {
+    let text = |key: &str| value[key].as_str().unwrap_or_default().to_owned();
+    let mut lines = match value["code"].as_u64().and_then(|code| u16::try_from(code).ok()) {
+        Some(code) if Some(ResultCode::EditAccepted) == ResultCode::from_number(code) => {
+            match value["generation"].as_u64() {
+                Some(generation) => {
+                    format!("accepted: generation {generation}, edit {}\n", hex(value))
+                }
+                None => "would be accepted\n".into(),
+            }
+        }
+        Some(code) => format!("{} ({code}) {}{}\n", text("outcome"), hex(value), text("message")),
+        None => format!("{}\n", text("message")),
+    };
+    for row in value["refusals"].as_array().into_iter().flatten() {
+        let part = |key: &str| row[key].as_str().unwrap_or_default().to_owned();
+        let (line, rule) = (&row["line"], &row["rule"]);
+        let _ = writeln!(
+            lines,
+            "  line {line}, [{}]: {rule} {}: {}; {}",
+            part("entry"),
+            part("name"),
+            part("message"),
+            part("remedy")
+        );
+    }
+    lines.push_str(&print_history(&value["changes"]));
+    lines
+}
+
+/// The edit's id, with a blank behind it; an answer may give it as a number or as text.
+fn hex(value: &Value) -> String {
+    value["edit"].as_str().map_or(String::new(), |id| format!("{id} "))
+}
+
+fn print_history(value: &Value) -> String {
+    let mut lines = String::new();
+    for record in value.as_array().into_iter().flatten() {
+        let part = |key: &str| record[key].as_str().unwrap_or_default();
+        let _ = writeln!(
+            lines,
+            "generation {} by {}, edit {}",
+            record["generation"],
+            part("operator"),
+            part("edit")
+        );
+        for entry in record["entries"].as_array().into_iter().flatten() {
+            let changes = entry["changes"].as_array().into_iter().flatten();
+            let changes: Vec<_> = changes.filter_map(Value::as_str).collect();
+            let name = entry["entry"].as_str().unwrap_or_default();
+            let _ = writeln!(lines, "  {name}: {}", changes.join("; "));
+        }
+    }
+    lines
+}
+
+fn print_status(status: &FleetStatus) -> String {
+    let mut lines = format!("entry {}: generation {}\n", status.entry, status.generation);
+    let behind = status.behind().count();
+    let agents = status.agents.len();
+    let _ = writeln!(
+        lines,
+        "in force at {} of {agents} agents seen here; {} more are seen by other entries",
+        agents - behind,
+        status.elsewhere
+    );
+    for agent in &status.agents {
+        let silent =
+            agent.silent_ms.map_or("never heard of".into(), |ms| format!("heard {ms} ms ago"));
+        let leaving = if agent.leaving { ", leaving" } else { "" };
+        let _ = writeln!(
+            lines,
+            "  {} ({}, {}): generation {}, {silent}{leaving}, {} requests",
+            agent.instance, agent.service, agent.data_centre, agent.generation, agent.outstanding
+        );
+        for version in &agent.versions {
+            let trouble = if version.trouble.is_empty() {
+                String::new()
+            } else {
+                format!(": {}", version.trouble)
+            };
+            let _ = writeln!(
+                lines,
+                "    {} {}: {} {}/{} chunks, {} bytes from the origin, {} from peers{trouble}",
+                version.model,
+                &version.manifest[..8],
+                version.state,
+                version.held,
+                version.total,
+                version.origin_bytes,
+                version.peer_bytes
+            );
+        }
+    }
+    lines
+}
--- /dev/null
+++ b/mustardrill_runtime/src/clock.rs
@@ -0,0 +1,28 @@
+//! The clocks of one process; only the daemons read them and hand the time to the reducers.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use mustardrill_types::Moment;
+
+/// The monotonic clock of this process and the wall clock.
+#[derive(Debug, Clone, Copy)]
+pub struct ProcessClock {
+    start: Instant,
+}
+
+impl ProcessClock {
+    /// A clock whose first moment is now.
+    pub fn start() -> Self {
+        Self { start: Instant::now() }
+    }
+
+    /// The present moment; never zero, so that zero can stand for "not yet".
+    pub fn now(&self) -> Moment {
+        Moment(self.start.elapsed().as_millis() as u64 + 1)
+    }
+
+    /// The wall clock in seconds; only the retention of claims looks at it.
+    pub fn wall_s(&self) -> u64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_secs())
+    }
+}
--- /dev/null
+++ b/mustardrill_runtime/src/lib.rs
@@ -0,0 +1,11 @@
+//! Clients, settings, logging and metrics shared by the two daemons.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod clock;
+pub mod http;
+pub mod logging;
+pub mod metrics;
+pub mod origin;
+pub mod platform;
+pub mod settings;
+pub mod signal;
--- /dev/null
+++ b/mustardrill_runtime/src/origin.rs
@@ -0,0 +1,106 @@
+//! The origin of weights and the weight store, by HTTP with byte ranges.
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use mustardrill_core::manifest::Manifest;
+use mustardrill_types::{ChunkIndex, Millis, ModelName, VersionName};
+
+use crate::http::{CallError, HttpClient, WholeAnswer, request};
+
+/// The largest manifest taken, in bytes.
+const MANIFEST_LIMIT: usize = 8_000_000;
+
+/// Where weights come from.
+pub trait WeightOrigin: Send + Sync {
+    /// Reads a version's manifest as published; nothing where the origin has no such version.
+    fn manifest<'a>(
+        &'a self,
+        model: &'a ModelName,
+        version: &'a VersionName,
+        timeout: Millis,
+    ) -> BoxFuture<'a, Result<Option<Bytes>, CallError>>;
+
+    /// Reads the bytes of one chunk, not verified yet.
+    fn chunk<'a>(
+        &'a self,
+        manifest: &'a Manifest,
+        index: ChunkIndex,
+        timeout: Millis,
+    ) -> BoxFuture<'a, Result<Bytes, CallError>>;
+}
+
+/// The origin over HTTP, with the weight store tried where the origin does not answer.
+#[derive(Debug)]
+pub struct HttpOrigin {
+    client: HttpClient,
+    bases: Vec<Box<str>>,
+}
+
+impl HttpOrigin {
+    /// A client of the origin at the first of `addresses`; the others stand in for it.
+    pub fn open(client: HttpClient, addresses: &[Box<str>]) -> Self {
+        let bases = addresses.iter().map(|address| format!("http://{address}").into()).collect();
+        Self { client, bases }
+    }
+
+    async fn get(
+        &self,
+        path: &str,
+        range: Option<(u64, u64)>,
+        timeout: Millis,
+        limit: usize,
+    ) -> Result<WholeAnswer, CallError> {
+        let mut result = Err(CallError::NotSent { reason: "no origin in the settings".into() });
+        for base in &self.bases {
+            let mut sent = request("GET", &format!("{base}{path}"), Bytes::new());
+            if let Some((start, end)) = range {
+                let value = format!("bytes={start}-{}", end - 1);
+                let value = value.parse().expect("digits make a header");
+                sent.headers_mut().insert(hyper::header::RANGE, value);
+            }
+            result = self.client.call(sent, timeout.to_std(), limit).await;
+            if result.as_ref().is_ok_and(|answer| !answer.status.is_server_error()) {
+                break;
+            }
+        }
+        result
+    }
+}
+
+impl WeightOrigin for HttpOrigin {
+    fn manifest<'a>(
+        &'a self,
+        model: &'a ModelName,
+        version: &'a VersionName,
+        timeout: Millis,
+    ) -> BoxFuture<'a, Result<Option<Bytes>, CallError>> {
+        Box::pin(async move {
+            let path = format!("/v1/weights/{model}/{version}/manifest");
+            let answer = self.get(&path, None, timeout, MANIFEST_LIMIT).await?;
+            match answer.status.as_u16() {
+                200 => Ok(Some(answer.body)),
+                404 => Ok(None),
+                status => Err(CallError::NoAnswer { reason: format!("status {status}").into() }),
+            }
+        })
+    }
+
+    fn chunk<'a>(
+        &'a self,
+        manifest: &'a Manifest,
+        index: ChunkIndex,
+        timeout: Millis,
+    ) -> BoxFuture<'a, Result<Bytes, CallError>> {
+        Box::pin(async move {
+            let (start, end) = manifest.range(index);
+            let path = format!("/v1/weights/{}/{}/bytes", manifest.model, manifest.version);
+            let limit = (end - start) as usize;
+            let answer = self.get(&path, Some((start, end)), timeout, limit).await?;
+            if !answer.status.is_success() {
+                let reason = format!("status {}", answer.status).into();
+                return Err(CallError::NoAnswer { reason });
+            }
+            Ok(answer.body)
+        })
+    }
+}
--- /dev/null
+++ b/mustardrill_runtime/src/settings.rs
@@ -0,0 +1,191 @@
+//! Settings in INI: every value is checked at start, and errors name file, line, key and remedy.
+
+use std::fmt::Display;
+use std::path::Path;
+use std::str::FromStr;
+
+use derive_more::Display as DeriveDisplay;
+use mustardrill_core::ini_file::{IniFile, IniKey, suggestion};
+
+/// One thing wrong with a settings file.
+#[derive(Debug, DeriveDisplay, Clone, PartialEq, Eq)]
+#[display("{file}:{line}: {message}")]
+pub struct SettingsFault {
+    /// The file.
+    pub file: Box<str>,
+    /// The line, from one.
+    pub line: usize,
+    /// Section, key, value, and what would be right.
+    pub message: Box<str>,
+}
+
+/// Reads one file's sections into checked values and remembers all faults.
+#[derive(Debug)]
+pub struct SettingsReader {
+    file: IniFile,
+    known: Vec<(Box<str>, Box<str>)>,
+    open_sections: Vec<Box<str>>,
+    faults: Vec<SettingsFault>,
+}
+
+/// What a settings file came to.
+#[derive(Debug)]
+pub struct SettingsOutcome<T> {
+    /// The values, where nothing is wrong.
+    pub settings: Result<T, Vec<SettingsFault>>,
+    /// Unknown keys, each with the nearest known one.
+    pub warnings: Vec<SettingsFault>,
+}
+
+impl SettingsReader {
+    /// Reads a file from disk.
+    pub fn open(path: &Path) -> Result<Self, SettingsFault> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| SettingsFault {
+            file: name.as_str().into(),
+            line: 0,
+            message: format!("can't be read: {error}; name a file with --settings").into(),
+        })?;
+        Self::read(&name, &text)
+    }
+
+    /// Reads a file's text.
+    pub fn read(name: &str, text: &str) -> Result<Self, SettingsFault> {
+        let file = IniFile::read(name, text).map_err(|error| SettingsFault {
+            file: name.into(),
+            line: error.line(),
+            message: error.to_string().into(),
+        })?;
+        let mut reader =
+            Self { file, known: Vec::new(), open_sections: Vec::new(), faults: Vec::new() };
+        reader.check_duplicates();
+        Ok(reader)
+    }
+
+    /// A value with a default.
+    pub fn value<T: FromStr<Err: Display>>(&mut self, section: &str, key: &str, default: T) -> T {
+        self.optional(section, key).unwrap_or(default)
+    }
+
+    /// A value that may be absent.
+    pub fn optional<T: FromStr<Err: Display>>(&mut self, section: &str, key: &str) -> Option<T> {
+        self.known.push((section.into(), key.into()));
+        let found = self.find(section, key)?.clone();
+        match found.value.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                let error: T::Err = error;
+                self.fault(found.line, format!("[{section}] {key} = {}: {error}", found.value));
+                None
+            }
+        }
+    }
+
+    /// A value that must be there; the default stands in for it so that reading goes on.
+    pub fn required<T: FromStr<Err: Display>>(
+        &mut self,
+        section: &str,
+        key: &str,
+        expected: &str,
+        default: T,
+    ) -> T {
+        let value = self.optional(section, key);
+        if value.is_none() && self.find(section, key).is_none() {
+            let line = self.section_line(section);
+            self.fault(line, format!("[{section}] {key} is missing; write {key} = {expected}"));
+        }
+        value.unwrap_or(default)
+    }
+
+    /// A value with a default that must lie within bounds.
+    pub fn bounded<T>(&mut self, section: &str, key: &str, default: T, least: T, most: T) -> T
+    where
+        T: FromStr<Err: Display> + PartialOrd + Display + Copy,
+    {
+        let value = self.value(section, key, default);
+        if value < least || value > most {
+            let line = self.find(section, key).map_or(0, |found| found.line);
+            let message = format!("[{section}] {key} = {value}: write {least} to {most}");
+            self.fault(line, message);
+        }
+        value
+    }
+
+    /// All keys of a section whose keys are names, such as customers.
+    pub fn names(&mut self, section: &str) -> Vec<IniKey> {
+        self.open_sections.push(section.into());
+        let found = self.file.sections.iter().filter(|found| &*found.name == section);
+        found.flat_map(|found| found.keys.iter().cloned()).collect()
+    }
+
+    /// Adds a fault that the caller found.
+    pub fn fault(&mut self, line: usize, message: impl Into<Box<str>>) {
+        let file = self.file.name.clone();
+        self.faults.push(SettingsFault { file, line, message: message.into() });
+    }
+
+    /// Ends reading: the values where nothing is wrong, and what the file has too much.
+    pub fn finish<T>(self, settings: T) -> SettingsOutcome<T> {
+        let warnings = self.unknown_keys();
+        let settings = if self.faults.is_empty() { Ok(settings) } else { Err(self.faults) };
+        SettingsOutcome { settings, warnings }
+    }
+
+    fn find(&self, section: &str, key: &str) -> Option<&IniKey> {
+        let mut sections = self.file.sections.iter().filter(|found| &*found.name == section);
+        sections.find_map(|found| found.key(key))
+    }
+
+    fn section_line(&self, section: &str) -> usize {
+        let found = self.file.sections.iter().find(|found| &*found.name == section);
+        found.map_or(1, |found| found.line)
+    }
+
+    fn check_duplicates(&mut self) {
+        let duplicates: Vec<_> = self
+            .file
+            .sections
+            .iter()
+            .filter_map(|section| Some((section.name.clone(), section.duplicate()?.clone())))
+            .collect();
+        for (section, key) in duplicates {
+            let message = format!("[{section}] {} stands twice; keep one line", key.name);
+            self.fault(key.line, message);
+        }
+    }
+
+    fn unknown_keys(&self) -> Vec<SettingsFault> {
+        let mut warnings = Vec::new();
+        let known_sections: Vec<&str> = self
+            .known
+            .iter()
+            .map(|(section, _)| &**section)
+            .chain(self.open_sections.iter().map(|section| &**section))
+            .collect();
+        for section in &self.file.sections {
+            let mut warn = |line, message: String| {
+                let file = self.file.name.clone();
+                warnings.push(SettingsFault { file, line, message: message.into() });
+            };
+            if !known_sections.contains(&&*section.name) {
+                let near = suggestion(&section.name, known_sections.iter().copied());
+                warn(section.line, format!("[{}] is not a known section{near}", section.name));
+                continue;
+            }
+            if self.open_sections.contains(&section.name) {
+                continue;
+            }
+            let keys: Vec<&str> = self
+                .known
+                .iter()
+                .filter(|(of, _)| *of == section.name)
+                .map(|(_, key)| &**key)
+                .collect();
+            for key in section.keys.iter().filter(|key| !keys.contains(&&*key.name)) {
+                let near = suggestion(&key.name, keys.iter().copied());
+                warn(key.line, format!("[{}] {} is not a known key{near}", section.name, key.name));
+            }
+        }
+        warnings
+    }
+}
--- /dev/null
+++ b/mustardrill_standins/src/engine.rs
@@ -0,0 +1,267 @@
+//! A model engine: load orders with fencing, priorities, streamed answers that name their weights.
+//!
+//! An answer is made from the digest of the loaded weights and the prompt alone, so whoever has
+//! both can tell whether it is whole and from which weights it came.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Request, Response, StatusCode};
+use mustardrill_core::manifest::Manifest;
+use mustardrill_runtime::http::{
+    AnyResponse, CutError, HttpClient, HttpHandler, json_response, request, text_response,
+};
+use mustardrill_types::ByteSize;
+use serde::Deserialize;
+use tokio::sync::Semaphore;
+
+use crate::fault::FaultPanel;
+
+/// How an engine behaves.
+#[derive(Debug, Clone)]
+pub struct EngineOptions {
+    /// Requests run at once.
+    pub capacity: usize,
+    /// The pieces of an answer.
+    pub pieces: u64,
+    /// The time between pieces.
+    pub piece_time: Duration,
+    /// The time a load takes after the bytes are there.
+    pub load_time: Duration,
+    /// Whether an order with an old fencing number is refused.
+    pub checks_fencing: bool,
+}
+
+/// The state of one engine.
+#[derive(Debug)]
+pub struct EngineState {
+    options: EngineOptions,
+    loaded: Mutex<Loaded>,
+    slots: Semaphore,
+    runs: Mutex<Vec<String>>,
+    finished: AtomicU64,
+    client: HttpClient,
+    /// The switches.
+    pub faults: FaultPanel,
+}
+
+/// Answers calls to an engine.
+#[derive(Debug, Clone)]
+pub struct EngineHandler {
+    /// The state, shared with whoever looks in from a test.
+    pub state: Arc<EngineState>,
+}
+
+#[derive(Debug, Default)]
+struct Loaded {
+    serving: Option<String>,
+    fence: u64,
+    /// Every accepted order: fencing number and digest.
+    orders: Vec<(u64, String)>,
+    refused_orders: u64,
+}
+
+#[derive(Deserialize)]
+struct LoadBody {
+    model: String,
+    version: String,
+    digest: String,
+    fence: u64,
+    size: u64,
+    source: String,
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        Self {
+            capacity: 8,
+            pieces: 8,
+            piece_time: Duration::from_millis(5),
+            load_time: Duration::from_millis(200),
+            checks_fencing: true,
+        }
+    }
+}
+
+impl EngineState {
+    /// An engine without weights.
+    pub fn new(options: EngineOptions) -> Self {
+        Self {
+            slots: Semaphore::new(options.capacity),
+            options,
+            loaded: Mutex::default(),
+            runs: Mutex::default(),
+            finished: AtomicU64::new(0),
+            client: HttpClient::open(Duration::from_secs(1)),
+            faults: FaultPanel::default(),
+        }
+    }
+
+    /// The prompts that were run, in order; a prompt that was run twice stands twice.
+    pub fn runs(&self) -> Vec<String> {
+        self.runs.lock().expect("nobody panics under this lock").clone()
+    }
+
+    /// The accepted load orders and how many were refused.
+    pub fn orders(&self) -> (Vec<(u64, String)>, u64) {
+        let loaded = self.loaded();
+        (loaded.orders.clone(), loaded.refused_orders)
+    }
+
+    fn loaded(&self) -> std::sync::MutexGuard<'_, Loaded> {
+        self.loaded.lock().expect("nobody panics under this lock")
+    }
+
+    async fn load(&self, body: &[u8]) -> AnyResponse {
+        let Ok(order) = serde_json::from_slice::<LoadBody>(body) else {
+            return text_response(StatusCode::BAD_REQUEST, "not a load order\n");
+        };
+        if !self.admits_fence(order.fence) {
+            return text_response(StatusCode::CONFLICT, "an old fencing number\n");
+        }
+        let limit = order.size as usize + 1;
+        let sent = request("GET", &order.source, Bytes::new());
+        let fetched = self.client.call(sent, Duration::from_secs(60), limit).await;
+        let Ok(fetched) = fetched else {
+            return text_response(StatusCode::BAD_GATEWAY, "the weights could not be fetched\n");
+        };
+        // Whoever looks in from a test finds a wrong byte here, whatever the agent believed.
+        let digest = digest_of_bytes(&order, &fetched.body);
+        tokio::time::sleep(self.options.load_time).await;
+        if !self.admits_fence(order.fence) {
+            return text_response(StatusCode::CONFLICT, "an old fencing number\n");
+        }
+        let mut loaded = self.loaded();
+        loaded.orders.push((order.fence, digest.clone()));
+        loaded.serving = Some(digest);
+        text_response(StatusCode::OK, "")
+    }
+
+    /// Refuses an old fencing number, also one that became old while the weights were loaded.
+    fn admits_fence(&self, fence: u64) -> bool {
+        let mut loaded = self.loaded();
+        if self.options.checks_fencing && fence < loaded.fence {
+            loaded.refused_orders += 1;
+            return false;
+        }
+        loaded.fence = loaded.fence.max(fence);
+        true
+    }
+
+    async fn run(self: Arc<Self>, request: Request<Incoming>) -> AnyResponse {
+        let (head, body) = request.into_parts();
+        let Ok(prompt) = body.collect().await.map(http_body_util::Collected::to_bytes) else {
+            return text_response(StatusCode::BAD_REQUEST, "the request was cut\n");
+        };
+        let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let Some(serving) = self.loaded().serving.clone() else {
+            return text_response(StatusCode::PRECONDITION_FAILED, "no weights are loaded\n");
+        };
+        if text("x-expected-weights").is_some_and(|expected| expected != serving) {
+            return text_response(StatusCode::PRECONDITION_FAILED, "other weights are loaded\n");
+        }
+        let resume = text("x-resume-from").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let prompt = String::from_utf8_lossy(&prompt).into_owned();
+        self.runs.lock().expect("nobody panics under this lock").push(prompt.clone());
+        let answer = answer_text(&serving, &prompt, self.options.pieces);
+        let mut response = Response::new(self.stream(answer, resume));
+        let headers = response.headers_mut();
+        headers.insert("x-weights", serving.parse().expect("digits make a header"));
+        headers.insert("content-type", "text/plain".parse().expect("a header"));
+        response
+    }
+
+    fn stream(self: Arc<Self>, answer: Bytes, resume: usize) -> mustardrill_runtime::http::AnyBody {
+        let piece = answer.len().div_ceil(self.options.pieces.max(1) as usize).max(1);
+        let rest = answer.slice(resume.min(answer.len())..);
+        let pieces =
+            stream::unfold((self, rest, false), move |(state, mut rest, begun)| async move {
+                if rest.is_empty() {
+                    state.finished.fetch_add(1, Ordering::Relaxed);
+                    return None;
+                }
+                if state.faults.get().stall && begun {
+                    std::future::pending::<()>().await;
+                }
+                if state.faults.get().corrupt && begun {
+                    return Some((Err(CutError), (state, Bytes::new(), true)));
+                }
+                {
+                    // Continuous batching: a slot is taken for a piece, not for a whole answer.
+                    let _slot = state.slots.acquire().await;
+                    tokio::time::sleep(state.options.piece_time).await;
+                }
+                let next = rest.split_to(rest.len().min(piece));
+                Some((Ok(Frame::data(next)), (state, rest, true)))
+            });
+        StreamBody::new(pieces).boxed_unsync()
+    }
+
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> AnyResponse {
+        if let Some(answer) = self.faults.admin(&request) {
+            return answer;
+        }
+        if self.faults.get().down {
+            return text_response(StatusCode::SERVICE_UNAVAILABLE, "down\n");
+        }
+        match request.uri().path() {
+            "/v1/load" => {
+                let body = request.into_body().collect().await;
+                let body = body.map(http_body_util::Collected::to_bytes).unwrap_or_default();
+                // An accepted order goes on when whoever gave it is gone.
+                let loading = tokio::spawn(async move { self.load(&body).await });
+                loading
+                    .await
+                    .unwrap_or_else(|_| text_response(StatusCode::INTERNAL_SERVER_ERROR, ""))
+            }
+            "/v1/state" => {
+                let loaded = self.loaded();
+                let serving: Vec<_> = loaded.serving.iter().collect();
+                let (fence, refused) = (loaded.fence, loaded.refused_orders);
+                let state = serde_json::json!({ "serving": serving, "fence": fence, "refused_orders": refused, "orders": loaded.orders });
+                json_response(StatusCode::OK, &state)
+            }
+            "/admin/runs" => json_response(StatusCode::OK, &self.runs()),
+            _ => self.run(request).await,
+        }
+    }
+}
+
+impl HttpHandler for EngineHandler {
+    fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> BoxFuture<'static, AnyResponse> {
+        let state = self.state.clone();
+        Box::pin(state.handle(request))
+    }
+}
+
+/// The answer that weights of this digest give to a prompt.
+pub fn answer_text(digest: &str, prompt: &str, pieces: u64) -> Bytes {
+    let mut text = String::new();
+    for piece in 0..pieces {
+        let hash = blake3::hash(format!("{digest}\n{prompt}\n{piece}").as_bytes());
+        text.push_str(&hash.to_hex());
+        text.push('\n');
+    }
+    text.into()
+}
+
+/// The digest of the manifest that the fetched bytes make, by trying the usual chunk sizes.
+fn digest_of_bytes(order: &LoadBody, bytes: &[u8]) -> String {
+    let (Ok(model), Ok(version)) = (order.model.parse(), order.version.parse()) else {
+        return "malformed".into();
+    };
+    let sizes = (10..=26).map(|power| 1_u64 << power);
+    let manifests = sizes.map(|size| {
+        Manifest::describe(Clone::clone(&model), Clone::clone(&version), ByteSize(size), bytes)
+    });
+    let digests: Vec<_> = manifests.map(|it| it.digest().to_string()).collect();
+    let found = digests.iter().find(|digest| **digest == order.digest);
+    found.cloned().unwrap_or_else(|| "wrong-bytes".into())
+}
