--- /dev/null
+++ b/mustardrill_standins/src/lab.rs
@@ -0,0 +1,531 @@
+//! Starts the daemons and stand-ins as separate processes on this machine, and ends them again.
+//!
+//! Only programs that this workspace built are started, and only they are ended, by their ids.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mustardrill_core::membership::InstanceRecord;
+use mustardrill_runtime::http::{HttpClient, WholeAnswer, request};
+use mustardrill_runtime::platform::InstanceListing;
+use rustix::process::{Pid, Signal, kill_process};
+
+/// The token of the operator `ana` in a lab.
+pub const OPERATOR_TOKEN: &str = "lab-operator-ana";
+
+/// The token of the second operator, `beto`.
+pub const SECOND_OPERATOR_TOKEN: &str = "lab-operator-beto";
+
+/// The token of the customer `comedor` in a lab.
+pub const CUSTOMER_TOKEN: &str = "lab-customer-comedor";
+
+/// The size of a lab.
+#[derive(Debug, Clone)]
+pub struct LabOptions {
+    /// Agents, each beside a model engine, in turn in one of two data centres.
+    pub agents: usize,
+    /// Entries.
+    pub entries: usize,
+    /// Plain services with an agent each.
+    pub plain: usize,
+    /// The origin's link in bytes a second; zero is unlimited.
+    pub origin_rate: u64,
+    /// Each machine's link in bytes a second; zero is unlimited.
+    pub machine_rate: u64,
+    /// How long an engine takes to load weights that are there.
+    pub load_ms: u64,
+    /// Further lines for each agent's settings, by section.
+    pub agent_lines: Vec<(&'static str, String)>,
+    /// Further lines for each entry's settings, by section.
+    pub entry_lines: Vec<(&'static str, String)>,
+    /// Whether engines refuse old fencing numbers.
+    pub checks_fencing: bool,
+    /// The pieces of an engine's answer, and the milliseconds of each.
+    pub pieces: (u64, u64),
+    /// Where the processes' logs go; a folder of the lab's own where there is none.
+    pub folder: Option<PathBuf>,
+}
+
+/// One process of a lab.
+#[derive(Debug)]
+pub struct LabProcess {
+    /// Its name in the lab.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its second listener: the entry's operator port, the agent's local one.
+    pub second: Option<SocketAddr>,
+    child: Child,
+}
+
+/// An agent and the upstream beside it.
+#[derive(Debug)]
+pub struct LabUpstream {
+    /// The agent.
+    pub agent: LabProcess,
+    /// The engine or plain service.
+    pub upstream: LabProcess,
+    /// What the instance list says of it.
+    pub record: InstanceRecord,
+}
+
+/// The processes of one lab; dropping it ends them all.
+#[derive(Debug)]
+pub struct Lab {
+    /// The key-value service.
+    pub key_value: LabProcess,
+    /// The instance list.
+    pub instances: LabProcess,
+    /// The origin.
+    pub origin: LabProcess,
+    /// The entries.
+    pub entries: Vec<LabProcess>,
+    /// The model engines with their agents.
+    pub engines: Vec<LabUpstream>,
+    /// The plain services with their agents.
+    pub plain: Vec<LabUpstream>,
+    /// A client for calls of the lab's own.
+    pub client: HttpClient,
+    options: LabOptions,
+    folder: PathBuf,
+    next_agent: usize,
+}
+
+impl Default for LabOptions {
+    fn default() -> Self {
+        Self {
+            agents: 4,
+            entries: 2,
+            plain: 1,
+            origin_rate: 0,
+            machine_rate: 0,
+            load_ms: 50,
+            agent_lines: Vec::new(),
+            entry_lines: Vec::new(),
+            checks_fencing: true,
+            pieces: (8, 5),
+            folder: None,
+        }
+    }
+}
+
+impl Lab {
+    /// Starts all processes and tells the instance list of them.
+    pub async fn spawn(options: LabOptions) -> Self {
+        let folder = options.folder.clone().unwrap_or_else(|| {
+            let unique =
+                format!("mustardrill-lab-{}-{:08x}", std::process::id(), rand::random::<u32>());
+            std::env::temp_dir().join(unique)
+        });
+        std::fs::create_dir_all(&folder).expect("the lab's folder can be made");
+        let origin_rate = options.origin_rate.to_string();
+        let mut lab = Self {
+            key_value: stand_in(&folder, "key_value", "key-value", &[]),
+            instances: stand_in(&folder, "instances", "instances", &["--lag-ms", "100"]),
+            origin: stand_in(&folder, "origin", "origin", &["--rate", &origin_rate]),
+            entries: Vec::new(),
+            engines: Vec::new(),
+            plain: Vec::new(),
+            client: HttpClient::open(Duration::from_secs(2)),
+            options,
+            folder,
+            next_agent: 0,
+        };
+        for _ in 0..lab.options.agents {
+            lab.add_engine();
+        }
+        for _ in 0..lab.options.plain {
+            let upstream = lab.spawn_upstream("plain", "records-desk");
+            lab.plain.push(upstream);
+        }
+        for place in 0..lab.options.entries {
+            let entry = lab.spawn_entry(place);
+            lab.entries.push(entry);
+        }
+        lab.publish_instances().await;
+        lab
+    }
+
+    /// Starts one more engine with its agent; `publish_instances` tells the list of it.
+    pub fn add_engine(&mut self) {
+        let upstream = self.spawn_upstream("engine", "mustard-pool");
+        self.engines.push(upstream);
+    }
+
+    /// Starts an entry in the place of one that ended.
+    pub fn restart_entry(&mut self, place: usize) {
+        self.entries[place] = self.spawn_entry(place);
+    }
+
+    /// Tells the instance list who is there, as the platform would.
+    pub async fn publish_instances(&self) {
+        let upstreams = self.engines.iter().chain(&self.plain);
+        let instances = upstreams.map(|upstream| upstream.record.clone()).collect();
+        let listing = InstanceListing { instances, entries: self.entries.len() };
+        let body = serde_json::to_vec(&listing).expect("a listing is plain data");
+        self.call("PUT", self.instances.address, "/v1/instances", body).await;
+    }
+
+    /// Publishes a version at the origin; returns its manifest's digest.
+    pub async fn publish(
+        &self,
+        model: &str,
+        version: &str,
+        size: u64,
+        chunk: u64,
+        seed: u64,
+    ) -> String {
+        let path = format!(
+            "/admin/publish?model={model}&version={version}&size={size}&chunk={chunk}&seed={seed}"
+        );
+        let answer = self.call("POST", self.origin.address, &path, Bytes::new()).await;
+        String::from_utf8_lossy(&answer.body).into_owned()
+    }
+
+    /// Applies a catalogue file through the operator port of an entry, as `ana`.
+    pub async fn apply(&self, entry: usize, text: &str) -> (u16, serde_json::Value) {
+        self.operate(entry, "POST", "/v1/catalogue/edits", text, OPERATOR_TOKEN).await
+    }
+
+    /// Calls the operator port of an entry.
+    pub async fn operate(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        text: &str,
+        token: &str,
+    ) -> (u16, serde_json::Value) {
+        let address = self.entries[entry].second.expect("an entry has an operator port");
+        let mut sent = request(method, &format!("http://{address}{path}"), text.to_owned());
+        let value = format!("Bearer {token}").parse().expect("a token makes a header");
+        sent.headers_mut().insert("authorization", value);
+        let answer = self.client.call(sent, Duration::from_secs(20), 16_000_000).await;
+        let answer = answer.expect("the entry answers");
+        let body = serde_json::from_slice(&answer.body).unwrap_or_else(|_| {
+            serde_json::Value::String(String::from_utf8_lossy(&answer.body).into_owned())
+        });
+        (answer.status.as_u16(), body)
+    }
+
+    /// Calls one of the lab's processes.
+    pub async fn call(
+        &self,
+        method: &str,
+        address: SocketAddr,
+        path: &str,
+        body: impl Into<Bytes>,
+    ) -> WholeAnswer {
+        let sent = request(method, &format!("http://{address}{path}"), body);
+        let answer = self.client.call(sent, Duration::from_secs(20), 64_000_000).await;
+        answer.unwrap_or_else(|error| panic!("{address}{path}: {error}"))
+    }
+
+    /// Sets a stand-in's switches, such as `down=1`.
+    pub async fn switch(&self, address: SocketAddr, switches: &str) {
+        self.call("POST", address, &format!("/admin/faults?{switches}"), Bytes::new()).await;
+    }
+
+    /// The digest that each engine serves, in the order of the engines.
+    pub async fn serving(&self) -> Vec<Option<String>> {
+        let mut digests = Vec::new();
+        for engine in &self.engines {
+            digests.push(self.serving_of(engine).await);
+        }
+        digests
+    }
+
+    /// The digest that an engine serves; nothing where it is gone.
+    pub async fn serving_of(&self, engine: &LabUpstream) -> Option<String> {
+        let uri = format!("http://{}/v1/state", engine.upstream.address);
+        let sent = request("GET", &uri, Bytes::new());
+        let answer = self.client.call(sent, Duration::from_secs(2), 1_000_000).await.ok()?;
+        let state: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
+        state["serving"][0].as_str().map(str::to_owned)
+    }
+
+    /// Waits until `count` engines serve `digest`; returns how long it took.
+    pub async fn wait_serving(
+        &self,
+        digest: &str,
+        count: usize,
+        limit: Duration,
+    ) -> Option<Duration> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            let serving = self.serving().await;
+            if serving.iter().flatten().filter(|found| *found == digest).count() >= count {
+                return Some(started.elapsed());
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        None
+    }
+
+    /// Waits until an entry answers for a model or service.
+    pub async fn wait_ready(&self, path: &str, limit: Duration) -> bool {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            let mut is_ready = true;
+            for entry in &self.entries {
+                let sent = caller_request(entry.address, path, "ready?");
+                let answer = self.client.call(sent, Duration::from_secs(5), 1_000_000).await;
+                is_ready &= answer.is_ok_and(|answer| answer.status.is_success());
+            }
+            if is_ready {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        false
+    }
+
+    /// The bytes that the origin sent so far.
+    pub async fn origin_sent(&self) -> u64 {
+        let answer = self.call("GET", self.origin.address, "/admin/sent", Bytes::new()).await;
+        String::from_utf8_lossy(&answer.body).parse().unwrap_or(0)
+    }
+
+    /// The folder with settings and logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    fn spawn_upstream(&mut self, kind: &str, service: &str) -> LabUpstream {
+        let place = self.next_agent;
+        self.next_agent += 1;
+        let name = format!("{service}-{place}");
+        let (load_ms, pieces) = (self.options.load_ms.to_string(), self.options.pieces);
+        let checks = self.options.checks_fencing.to_string();
+        let (pieces, piece_ms) = (pieces.0.to_string(), pieces.1.to_string());
+        let arguments: Vec<&str> = match kind {
+            "engine" => vec![
+                "--load-ms",
+                &load_ms,
+                "--checks-fencing",
+                &checks,
+                "--pieces",
+                &pieces,
+                "--piece-ms",
+                &piece_ms,
+            ],
+            _ => vec!["--work-ms", "2"],
+        };
+        let upstream = stand_in(&self.folder, kind, &format!("{kind}-{place}"), &arguments);
+        let centre = if place.is_multiple_of(2) { "gc-hall-a" } else { "xela-hall" };
+        let region = if place.is_multiple_of(2) { "guate-central" } else { "occidente" };
+        let settings = self.agent_settings(&name, service, centre, region, upstream.address, kind);
+        let agent = daemon(&self.folder, "mustardrill-agent", &name, &settings);
+        let record = InstanceRecord {
+            id: name.parse().expect("a valid instance name"),
+            service: service.parse().expect("a valid service name"),
+            data_centre: centre.parse().expect("a valid data centre name"),
+            region: region.parse().expect("a valid region name"),
+            agent: agent.address.to_string().into(),
+            leaving: false,
+        };
+        LabUpstream { agent, upstream, record }
+    }
+
+    fn agent_settings(
+        &self,
+        name: &str,
+        service: &str,
+        centre: &str,
+        region: &str,
+        upstream: SocketAddr,
+        kind: &str,
+    ) -> String {
+        let (rate, checks) = (self.options.machine_rate, self.options.checks_fencing);
+        let engine = kind == "engine";
+        let sections = [
+            (
+                "agent",
+                format!(
+                    "instance = {name}\ndata_centre = {centre}\nregion = {region}\nservice = {service}\nlisten = 127.0.0.1:0\ntick = 10ms"
+                ),
+            ),
+            ("platform", self.platform_lines()),
+            (
+                "upstream",
+                format!(
+                    "address = {upstream}\nengine = {engine}\nchecks_fencing = {checks}\nlease = 3s\nmargin = 1s\nlongest_order = 2s"
+                ),
+            ),
+            (
+                "weights",
+                format!(
+                    "origin = {}\nupload_rate = {rate}B/s\ndownload_rate = {rate}B/s\nretry_every = 100ms\nexchange_every = 50ms",
+                    self.origin.address
+                ),
+            ),
+        ];
+        write_settings(&sections, &self.options.agent_lines)
+    }
+
+    fn spawn_entry(&self, place: usize) -> LabProcess {
+        let centre = if place.is_multiple_of(2) { "gc-hall-a" } else { "xela-hall" };
+        let sections = [
+            (
+                "entry",
+                format!(
+                    "instance = entry-{place}\ndata_centre = {centre}\nlisten = 127.0.0.1:0\noperator_listen = 127.0.0.1:0"
+                ),
+            ),
+            ("platform", self.platform_lines()),
+            ("weights", format!("origin = {}", self.origin.address)),
+            ("routing", "sync_every = 200ms".to_owned()),
+            (
+                "customers",
+                format!("comedor = {CUSTOMER_TOKEN}\ninspector = lab-customer-inspector"),
+            ),
+            ("operators", format!("ana = {OPERATOR_TOKEN}\nbeto = {SECOND_OPERATOR_TOKEN}")),
+        ];
+        let settings = write_settings(&sections, &self.options.entry_lines);
+        daemon(&self.folder, "mustardrill-entry", &format!("entry-{place}"), &settings)
+    }
+
+    fn platform_lines(&self) -> String {
+        let (key_value, instances) = (self.key_value.address, self.instances.address);
+        format!(
+            "key_value = {key_value}\ninstances = {instances}\nlist_every = 100ms\ntimeout = 500ms\nretry_after = 200ms"
+        )
+    }
+}
+
+impl Drop for Lab {
+    fn drop(&mut self) {
+        // A failed test keeps its logs for whoever looks for the cause.
+        if !std::thread::panicking() && self.options.folder.is_none() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl LabProcess {
+    /// Ends the process at once, as a crash would.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Stops the process without ending it.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks for a planned stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(id) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            let _ = kill_process(id, signal);
+        }
+    }
+}
+
+impl Drop for LabProcess {
+    fn drop(&mut self) {
+        self.thaw();
+        self.kill();
+    }
+}
+
+/// A caller's request to an entry, as the customer `comedor`.
+pub fn caller_request(
+    entry: SocketAddr,
+    path: &str,
+    body: &str,
+) -> hyper::Request<http_body_util::Full<Bytes>> {
+    let mut sent = request("POST", &format!("http://{entry}{path}"), body.to_owned());
+    let value = format!("Bearer {CUSTOMER_TOKEN}").parse().expect("a token makes a header");
+    sent.headers_mut().insert("authorization", value);
+    sent
+}
+
+/// The folder with the binaries of this build.
+fn build_folder() -> PathBuf {
+    let own = std::env::current_exe().expect("a process knows its program");
+    // Tests lie in `deps`, examples in `examples`, both one below the binaries.
+    own.parent().and_then(Path::parent).expect("a build folder").to_owned()
+}
+
+fn stand_in(folder: &Path, program: &str, name: &str, arguments: &[&str]) -> LabProcess {
+    let program = build_folder().join("examples").join(program);
+    let mut command = Command::new(&program);
+    command.args(["--listen", "127.0.0.1:0"]).args(arguments);
+    start(folder, name, &program, command)
+}
+
+fn daemon(folder: &Path, program: &str, name: &str, settings: &str) -> LabProcess {
+    let program = build_folder().join(program);
+    let file = folder.join(format!("{name}.ini"));
+    std::fs::write(&file, settings).expect("settings can be written");
+    let mut command = Command::new(&program);
+    command.arg("--settings").arg(&file);
+    start(folder, name, &program, command)
+}
+
+/// Starts a program and reads from its first line where it listens.
+fn start(folder: &Path, name: &str, program: &Path, mut command: Command) -> LabProcess {
+    let log = std::fs::File::create(folder.join(format!("{name}.log"))).expect("a log file");
+    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log);
+    let mut child = command.spawn().unwrap_or_else(|error| {
+        panic!(
+            "{}: {error}; build first with `cargo build --workspace --all-targets`",
+            program.display()
+        )
+    });
+    let mut line = String::new();
+    let output = child.stdout.take().expect("the output is piped");
+    BufReader::new(output).read_line(&mut line).expect("the first line is read");
+    let mut addresses = line
+        .split_whitespace()
+        .map(|word| word.rsplit('=').next().unwrap_or(word))
+        .filter_map(|word| word.parse().ok());
+    let address = addresses.next().unwrap_or_else(|| panic!("{name} did not start: {line}"));
+    LabProcess { name: name.to_owned(), address, second: addresses.next(), child }
+}
+
+fn write_settings(sections: &[(&str, String)], more: &[(&'static str, String)]) -> String {
+    let mut text = String::new();
+    for (section, lines) in sections {
+        let added: Vec<_> = more.iter().filter(|(name, _)| name == section).collect();
+        let names: Vec<_> = added.iter().filter_map(|(_, line)| line.split(" = ").next()).collect();
+        text.push_str(&format!("[{section}]\n"));
+        // A further line takes the place of the usual one with the same key.
+        for line in lines.lines() {
+            if !names.contains(&line.split(" = ").next().unwrap_or_default()) {
+                text.push_str(&format!("{line}\n"));
+            }
+        }
+        added.iter().for_each(|(_, line)| text.push_str(&format!("{line}\n")));
+    }
+    for (section, line) in more {
+        if !sections.iter().any(|(name, _)| name == section) {
+            text.push_str(&format!("[{section}]\n{line}\n"));
+        }
+    }
+    text
+}
--- /dev/null
+++ b/mustardrill_standins/src/origin.rs
@@ -0,0 +1,188 @@
+//! The origin of weights and the weight store: byte ranges, `ETag`s, a link of limited rate.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Request, Response, StatusCode};
+use mustardrill_core::manifest::Manifest;
+use mustardrill_runtime::http::{
+    AnyResponse, CutError, HttpHandler, query, text_response, whole_body,
+};
+use mustardrill_types::ByteSize;
+use rand::rngs::StdRng;
+use rand::{RngCore, SeedableRng};
+
+use crate::fault::FaultPanel;
+use crate::pace::PacedLink;
+
+/// How much is sent at once; small, so that readers share the link evenly.
+const PIECE: usize = 16_384;
+
+/// The weights that an origin has.
+#[derive(Debug)]
+pub struct WeightShelf {
+    versions: Mutex<BTreeMap<String, Published>>,
+    link: PacedLink,
+    sent: AtomicU64,
+    /// The switches.
+    pub faults: FaultPanel,
+}
+
+/// Answers reads of a shelf.
+#[derive(Debug, Clone)]
+pub struct OriginHandler {
+    /// The shelf, shared with whoever publishes from a test.
+    pub shelf: Arc<WeightShelf>,
+}
+
+#[derive(Debug, Clone)]
+struct Published {
+    manifest: Bytes,
+    bytes: Bytes,
+}
+
+impl WeightShelf {
+    /// An empty shelf behind a link of this rate in bytes a second; zero is unlimited.
+    pub fn new(rate: u64) -> Self {
+        Self {
+            versions: Mutex::default(),
+            link: PacedLink::new(rate),
+            sent: AtomicU64::new(0),
+            faults: FaultPanel::default(),
+        }
+    }
+
+    /// Publishes a version of `size` bytes made from `seed`, and returns its manifest.
+    pub fn publish(
+        &self,
+        model: &str,
+        version: &str,
+        size: usize,
+        chunk: u64,
+        seed: u64,
+    ) -> Manifest {
+        let mut bytes = vec![0; size];
+        StdRng::seed_from_u64(seed).fill_bytes(&mut bytes);
+        let model_name = model.parse().expect("a valid model name");
+        let version_name = version.parse().expect("a valid version name");
+        let manifest = Manifest::describe(model_name, version_name, ByteSize(chunk), &bytes);
+        let published = Published { manifest: manifest.encode().into(), bytes: bytes.into() };
+        self.versions().insert(format!("{model}/{version}"), published);
+        manifest
+    }
+
+    /// Puts other bytes under a version's name, whose manifest stays as it was.
+    pub fn swap_bytes(&self, model: &str, version: &str, seed: u64) {
+        if let Some(published) = self.versions().get_mut(&format!("{model}/{version}")) {
+            let mut bytes = vec![0; published.bytes.len()];
+            StdRng::seed_from_u64(seed).fill_bytes(&mut bytes);
+            published.bytes = bytes.into();
+        }
+    }
+
+    /// How many bytes of weights were sent.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    fn versions(&self) -> std::sync::MutexGuard<'_, BTreeMap<String, Published>> {
+        self.versions.lock().expect("nobody panics under this lock")
+    }
+}
+
+impl HttpHandler for OriginHandler {
+    fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> BoxFuture<'static, AnyResponse> {
+        let shelf = self.shelf.clone();
+        Box::pin(async move { answer(shelf, &request).await })
+    }
+}
+
+async fn answer(shelf: Arc<WeightShelf>, request: &Request<Incoming>) -> AnyResponse {
+    if let Some(answer) = shelf.faults.admin(request) {
+        return answer;
+    }
+    let path = request.uri().path();
+    if path == "/admin/sent" {
+        return text_response(StatusCode::OK, shelf.sent().to_string());
+    }
+    if path == "/admin/publish" {
+        return publish(&shelf, request);
+    }
+    let faults = shelf.faults.get();
+    if faults.down {
+        return text_response(StatusCode::SERVICE_UNAVAILABLE, "down\n");
+    }
+    tokio::time::sleep(faults.delay).await;
+    let Some((name, part)) = path.strip_prefix("/v1/weights/").and_then(|it| it.rsplit_once('/'))
+    else {
+        return text_response(StatusCode::NOT_FOUND, "no such call\n");
+    };
+    let Some(published) = shelf.versions().get(name).cloned() else {
+        return text_response(StatusCode::NOT_FOUND, "no such version\n");
+    };
+    match part {
+        "manifest" => Response::new(whole_body(published.manifest)),
+        "bytes" => send_range(shelf, &published, request),
+        _ => text_response(StatusCode::NOT_FOUND, "no such part\n"),
+    }
+}
+
+fn publish(shelf: &WeightShelf, request: &Request<Incoming>) -> AnyResponse {
+    let text = |name| query(request.uri(), name);
+    let number = |name| text(name).and_then(|text| text.parse::<u64>().ok());
+    let (Some(model), Some(version)) = (text("model"), text("version")) else {
+        return text_response(StatusCode::BAD_REQUEST, "model and version are missing\n");
+    };
+    let size = number("size").unwrap_or(1 << 20) as usize;
+    let chunk = number("chunk").unwrap_or(1 << 16);
+    let manifest = shelf.publish(model, version, size, chunk, number("seed").unwrap_or(1));
+    text_response(StatusCode::OK, manifest.digest().to_string())
+}
+
+fn send_range(
+    shelf: Arc<WeightShelf>,
+    published: &Published,
+    request: &Request<Incoming>,
+) -> AnyResponse {
+    let range = request.headers().get(hyper::header::RANGE).and_then(|value| value.to_str().ok());
+    let range = range.and_then(|text| text.strip_prefix("bytes=")?.split_once('-'));
+    let whole = published.bytes.len();
+    let start = range.and_then(|(start, _)| start.parse().ok()).unwrap_or(0).min(whole);
+    let end = range.and_then(|(_, end)| end.parse::<usize>().ok()).map_or(whole, |end| end + 1);
+    let end = end.clamp(start, whole);
+    let mut bytes = published.bytes.slice(start..end);
+    if shelf.faults.get().corrupt && !bytes.is_empty() {
+        let mut changed = bytes.to_vec();
+        changed[0] ^= 1;
+        bytes = changed.into();
+    }
+    let length = bytes.len() as u64;
+    let pieces = stream::unfold((shelf, bytes), |(shelf, mut rest)| async move {
+        if rest.is_empty() {
+            return None;
+        }
+        if shelf.faults.get().stall {
+            std::future::pending::<()>().await;
+        }
+        let piece = rest.split_to(rest.len().min(PIECE));
+        shelf.link.pass(piece.len()).await;
+        shelf.sent.fetch_add(piece.len() as u64, Ordering::Relaxed);
+        Some((Ok::<_, CutError>(Frame::data(piece)), (shelf, rest)))
+    });
+    let mut response = Response::new(StreamBody::new(pieces).boxed_unsync());
+    let partial = if range.is_some() { StatusCode::PARTIAL_CONTENT } else { StatusCode::OK };
+    *response.status_mut() = partial;
+    let headers = response.headers_mut();
+    headers.insert(hyper::header::CONTENT_LENGTH, length.into());
+    let etag = blake3::hash(&published.manifest).to_hex();
+    let etag = format!("\"{etag}\"").parse().expect("digits make a header");
+    headers.insert(hyper::header::ETAG, etag);
+    response
+}
--- /dev/null
+++ b/mustardrill_standins/src/program.rs
@@ -0,0 +1,56 @@
+//! What the stand-ins' programs share: `--listen IP:PORT` and options of the form `--name VALUE`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use lexopt::prelude::*;
+use mustardrill_runtime::http::HttpHandler;
+
+use crate::StandIn;
+
+/// The options of one program's command line.
+#[derive(Debug, Default)]
+pub struct ProgramOptions {
+    values: BTreeMap<String, String>,
+}
+
+impl ProgramOptions {
+    /// Reads the command line; ends the process with a message where it is malformed.
+    pub fn read() -> Self {
+        Self::parse().unwrap_or_else(|error| {
+            eprintln!("{error}");
+            std::process::exit(2);
+        })
+    }
+
+    /// The value of an option, or its default.
+    pub fn get<T: FromStr>(&self, name: &str, default: T) -> T {
+        self.values.get(name).and_then(|text| text.parse().ok()).unwrap_or(default)
+    }
+
+    fn parse() -> Result<Self, lexopt::Error> {
+        let mut parser = lexopt::Parser::from_env();
+        let mut values = BTreeMap::new();
+        while let Some(arg) = parser.next()? {
+            let Long(name) = arg else { return Err(arg.unexpected()) };
+            let name = name.to_owned();
+            values.insert(name, parser.value()?.string()?);
+        }
+        Ok(Self { values })
+    }
+}
+
+/// Answers with `handler` until the process is ended.
+pub fn serve(options: &ProgramOptions, handler: Box<dyn HttpHandler>) {
+    let address = options.get("listen", SocketAddr::from(([127, 0, 0, 1], 0)));
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    runtime.expect("the runtime starts").block_on(async {
+        let stand_in = StandIn::spawn(address, handler).await.unwrap_or_else(|error| {
+            eprintln!("can't listen at {address}: {error}");
+            std::process::exit(1);
+        });
+        println!("{}", stand_in.address);
+        let _ = tokio::signal::ctrl_c().await;
+    });
+}
--- /dev/null
+++ b/mustardrill_types/src/lib.rs
@@ -0,0 +1,17 @@
+//! Ids, sizes, rates and result codes shared by every part of mustardrill.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod code;
+pub mod id;
+pub mod map;
+pub mod time;
+pub mod unit;
+
+pub use code::ResultCode;
+pub use id::{
+    AttemptId, ChunkIndex, CustomerName, DataCentre, EditId, FencingNumber, Generation, InstanceId,
+    ManifestDigest, ModelName, RegionName, RequestKey, ServiceName, VersionName,
+};
+pub use map::{FastMap, FastSet};
+pub use time::{Millis, Moment};
+pub use unit::{ByteRate, ByteSize, ParseUnitError};
