Four drawers and four draws in flight: bursts near the bound

Between processes the engine stand-in hashed the weights 17 times over to guess the chunk size, which took over a second with 32 engines. Change: drawers 8 -> 4, window 6 -> 4; the load order names the chunk size; the receiving side of a link no longer counts a chunk's time twice.

--- a/mustardrill_agent/src/effects.rs
+++ b/mustardrill_agent/src/effects.rs
@@ -211,7 +211,7 @@
         metric: &str,
     ) -> DrawOutcome {
         let size = bytes.len();
-        self.context.downloads.pass(ByteSize(size as u64)).await;
+        self.context.downloads.receive(ByteSize(size as u64)).await;
         if !self.context.store.keep(digest, draw.index, bytes) {
             return DrawOutcome::Corrupt;
         }
@@ -246,9 +246,13 @@
     }
 
     async fn order_load(self, order: LoadOrder) {
-        let size = self.context.store.manifest(order.digest).map_or(0, |it| it.size.0);
-        let source = format!("{}{}", self.context.weights_base, order.digest);
-        let result = self.context.upstream.load(&order, ByteSize(size), &source).await;
+        let result = match self.context.store.manifest(order.digest) {
+            Some(manifest) => {
+                let source = format!("{}{}", self.context.weights_base, order.digest);
+                self.context.upstream.load(&order, &manifest, &source).await
+            }
+            None => Err("the weights are not staged any more".into()),
+        };
         self.report(AgentEvent::LoadAnswered(order.digest, result)).await;
     }
 
--- a/mustardrill_agent/src/link.rs
+++ b/mustardrill_agent/src/link.rs
@@ -31,15 +31,29 @@
         Self { rate, free_at: Mutex::new(Instant::now()) }
     }
 
-    /// Waits until `size` bytes have passed.
-    pub(crate) async fn pass(&self, size: ByteSize) {
+    /// Sends `size` bytes: they begin when the link is free, and this waits until they are through.
+    pub(crate) async fn send(&self, size: ByteSize) {
+        self.pass(size, |free_at, now, span| free_at.max(now) + span).await;
+    }
+
+    /// Takes `size` bytes that just came: they were on the link while they were sent, so this
+    /// waits only for what came over the same link before them.
+    pub(crate) async fn receive(&self, size: ByteSize) {
+        self.pass(size, |free_at, now, span| (free_at + span).max(now)).await;
+    }
+
+    async fn pass(
+        &self,
+        size: ByteSize,
+        through_at: impl Fn(Instant, Instant, Duration) -> Instant,
+    ) {
         if self.rate.0 == 0 {
             return;
         }
         let span = Duration::from_secs_f64(size.0 as f64 / self.rate.0 as f64);
         let until = {
             let mut free_at = self.free_at.lock().expect("nobody panics under this lock");
-            *free_at = (*free_at).max(Instant::now()) + span;
+            *free_at = through_at(*free_at, Instant::now(), span);
             *free_at
         };
         tokio::time::sleep_until(until.into()).await;
@@ -67,9 +81,9 @@
 }
 
 impl UploadTicket<'_> {
-    /// Waits until `size` bytes have passed.
-    pub(crate) async fn pass(&self, size: ByteSize) {
-        self.0.pace.pass(size).await;
+    /// Waits until `size` bytes are through.
+    pub(crate) async fn send(&self, size: ByteSize) {
+        self.0.pace.send(size).await;
     }
 }
 
--- a/mustardrill_agent/src/server.rs
+++ b/mustardrill_agent/src/server.rs
@@ -171,7 +171,7 @@
         let ticket = self.context.uploads.enter();
         let (result, asked) = match (chunk, ticket) {
             (Some(bytes), Some(ticket)) => {
-                ticket.pass(ByteSize(bytes.len() as u64)).await;
+                ticket.send(ByteSize(bytes.len() as u64)).await;
                 count_sent(&self.context, bytes.len());
                 (Reply::Data(bytes), None)
             }
--- a/mustardrill_agent/src/upstream.rs
+++ b/mustardrill_agent/src/upstream.rs
@@ -8,9 +8,10 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use mustardrill_core::agent::{EngineReport, LoadOrder};
+use mustardrill_core::manifest::Manifest;
 use mustardrill_core::ownership::OwnerSettings;
 use mustardrill_runtime::http::{CallError, HttpClient, request};
-use mustardrill_types::{ByteSize, ManifestDigest};
+use mustardrill_types::ManifestDigest;
 use serde::{Deserialize, Serialize};
 
 /// The header in which an engine names the weights of its answer.
@@ -31,7 +32,7 @@
     fn load<'a>(
         &'a self,
         order: &'a LoadOrder,
-        size: ByteSize,
+        manifest: &'a Manifest,
         source: &'a str,
     ) -> BoxFuture<'a, Result<(), Box<str>>>;
 
@@ -60,6 +61,7 @@
     digest: String,
     fence: u64,
     size: u64,
+    chunk_size: u64,
     source: &'a str,
 }
 
@@ -81,7 +83,7 @@
     fn load<'a>(
         &'a self,
         order: &'a LoadOrder,
-        size: ByteSize,
+        manifest: &'a Manifest,
         source: &'a str,
     ) -> BoxFuture<'a, Result<(), Box<str>>> {
         const ANSWER_LIMIT: usize = 65_536;
@@ -91,7 +93,8 @@
                 version: order.version.as_str(),
                 digest: order.digest.to_string(),
                 fence: order.fence.0,
-                size: size.0,
+                size: manifest.size.0,
+                chunk_size: manifest.chunk_size.0,
                 source,
             };
             let body = serde_json::to_vec(&body).expect("an order is plain data");
--- a/mustardrill_core/src/transfer.rs
+++ b/mustardrill_core/src/transfer.rs
@@ -137,8 +137,8 @@
     fn default() -> Self {
         Self {
             origin_copies: 1,
-            drawers: 8,
-            window: 6,
+            drawers: 4,
+            window: 4,
             origin_window: 2,
             partners: 16,
             stall_after: Millis(1_500),
--- a/mustardrill_standins/examples/demo.rs
+++ b/mustardrill_standins/examples/demo.rs
@@ -13,13 +13,13 @@
   --agents N     agents, each beside a model engine (8)
   --size-mb N    the size of the weights in megabytes (32)
   --rate-mb N    each machine's link in megabytes a second (8); the origin's is twice that
+  --chunk-kb N   the size of a chunk in units of 1024 bytes, a power of two (128)
   --requests N   live requests a second (100)
   --seed N       what the weights are made from (1)
   --keep         leave all running until Ctrl-C
 ";
 
 const MODEL: &str = "renewal-drafts";
-const CHUNK: u64 = 1 << 16;
 const LOAD_MS: u64 = 200;
 const PIECES: u64 = 8;
 
@@ -28,6 +28,7 @@
     size: u64,
     rate: u64,
     requests: f64,
+    chunk: u64,
     seed: u64,
     keep: bool,
 }
@@ -68,6 +69,7 @@
         size: 32_000_000,
         rate: 8_000_000,
         requests: 100.0,
+        chunk: 1 << 17,
         seed: 1,
         keep: false,
     };
@@ -77,6 +79,7 @@
             Long("agents") => options.agents = parser.value()?.parse()?,
             Long("size-mb") => options.size = parser.value()?.parse::<u64>()? * 1_000_000,
             Long("rate-mb") => options.rate = parser.value()?.parse::<u64>()? * 1_000_000,
+            Long("chunk-kb") => options.chunk = parser.value()?.parse::<u64>()? << 10,
             Long("requests") => options.requests = parser.value()?.parse()?,
             Long("seed") => options.seed = parser.value()?.parse()?,
             Long("keep") => options.keep = true,
@@ -98,8 +101,8 @@
         ..LabOptions::default()
     })
     .await;
-    let first = lab.publish(MODEL, "v1", options.size, CHUNK, options.seed).await;
-    let second = lab.publish(MODEL, "v2", options.size, CHUNK, options.seed + 1).await;
+    let first = lab.publish(MODEL, "v1", options.size, options.chunk, options.seed).await;
+    let second = lab.publish(MODEL, "v2", options.size, options.chunk, options.seed + 1).await;
     wait_for_fleet(&lab, options.agents).await;
 
     let Some(cold) = burst(&lab, options, "first version", "v1", &first, None).await else {
@@ -188,7 +191,7 @@
 fn bound(options: &DemoOptions, waves: usize) -> Duration {
     let rate = options.rate as f64;
     let hops = 1.0 + (options.agents as f64).log2().ceil();
-    let transfer = options.size as f64 / rate + hops * CHUNK as f64 / rate;
+    let transfer = options.size as f64 / rate + hops * options.chunk as f64 / rate;
     Duration::from_secs_f64(transfer) + Duration::from_millis(LOAD_MS) * waves as u32
 }
 
--- a/mustardrill_standins/src/engine.rs
+++ b/mustardrill_standins/src/engine.rs
@@ -75,6 +75,7 @@
     digest: String,
     fence: u64,
     size: u64,
+    chunk_size: u64,
     source: String,
 }
 
@@ -252,16 +253,12 @@
     text.into()
 }
 
-/// The digest of the manifest that the fetched bytes make, by trying the usual chunk sizes.
+/// The digest of the manifest that the fetched bytes make.
 fn digest_of_bytes(order: &LoadBody, bytes: &[u8]) -> String {
     let (Ok(model), Ok(version)) = (order.model.parse(), order.version.parse()) else {
         return "malformed".into();
     };
-    let sizes = (10..=26).map(|power| 1_u64 << power);
-    let manifests = sizes.map(|size| {
-        Manifest::describe(Clone::clone(&model), Clone::clone(&version), ByteSize(size), bytes)
-    });
-    let digests: Vec<_> = manifests.map(|it| it.digest().to_string()).collect();
-    let found = digests.iter().find(|digest| **digest == order.digest);
-    found.cloned().unwrap_or_else(|| "wrong-bytes".into())
+    let made = Manifest::describe(model, version, ByteSize(order.chunk_size), bytes);
+    let digest = made.digest().to_string();
+    if digest == order.digest { digest } else { "wrong-bytes".into() }
 }
