Edits settle in the core; limits follow demand; entries learn catalogues from agents

Cause: three promises had no mechanism: an edit's three answers were decided between I/O calls where no property test reaches; an entry that starts during an outage of the key-value service knew no catalogue; a customer's limit was split evenly whatever the balancer does. Ruled out for the limits: a write for each request or each round (340 entries at one write in two seconds are 170 writes a second of several hundred). Change: EditSession in the core; heartbeats carry the catalogue both ways and what customers asked, which agents sum; towards upstreams that check fencing numbers the last holder of a lease goes on through an outage; a planned stop gives the lease back. What both daemons send is converted in one place. Not measured yet.

--- a/mustardrill_agent/src/actor.rs
+++ b/mustardrill_agent/src/actor.rs
@@ -7,8 +7,11 @@
 
 use kameo::prelude::*;
 use mustardrill_core::agent::{AgentEffect, AgentEvent, AgentReducer, WeightsProgress};
-use mustardrill_core::document::RequestClass;
+use mustardrill_core::demand::DemandRow;
+use mustardrill_core::document::{CatalogueDocument, RequestClass};
 use mustardrill_core::manifest::ChunkBitmap;
+use mustardrill_core::ownership::LeaseId;
+use mustardrill_runtime::agents::AgentPool;
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::http::{HttpClient, HttpServer};
 use mustardrill_runtime::metrics;
@@ -25,7 +28,6 @@
 use crate::context::AgentContext;
 use crate::effects;
 use crate::link::{LinkPace, UploadGate};
-use crate::peers::PeerPool;
 use crate::server;
 use crate::status::StatusHandler;
 use crate::store::ChunkStore;
@@ -49,6 +51,7 @@
     /// Where the engine fetches weights and operators ask for the status.
     pub local_address: SocketAddr,
     actor: ActorRef<AgentActor>,
+    context: Arc<AgentContext>,
     halt: CancellationToken,
     finished: CancellationToken,
 }
@@ -97,8 +100,14 @@
     pub(crate) capacity: u32,
     pub(crate) serving: Vec<ManifestDigest>,
     pub(crate) progress: Vec<WeightsProgress>,
+    pub(crate) document: Arc<CatalogueDocument>,
+    pub(crate) demand: Vec<DemandRow>,
+    pub(crate) entries: u32,
 }
 
+/// Asks for the lease, to give it back.
+pub(crate) struct LeaseQuery;
+
 /// Asks where an instance listens.
 pub(crate) struct AddressQuery(pub(crate) InstanceId);
 
@@ -181,10 +190,21 @@
             capacity: self.reducer.capacity(),
             serving: self.reducer.serving().to_vec(),
             progress: self.reducer.progress(),
+            document: self.reducer.document().clone(),
+            demand: self.reducer.demand().totals(),
+            entries: self.reducer.demand().entries(),
         }
     }
 }
 
+impl Message<LeaseQuery> for AgentActor {
+    type Reply = Option<u64>;
+
+    async fn handle(&mut self, _: LeaseQuery, _: &mut Context<Self, Option<u64>>) -> Option<u64> {
+        self.reducer.owner().lease().map(|lease| lease.0)
+    }
+}
+
 impl Message<AddressQuery> for AgentActor {
     type Reply = Option<Box<str>>;
 
@@ -217,10 +237,10 @@
     let _ = status.set(actor.clone());
     server::spawn(listener, actor.clone(), context.clone());
     spawn_tick(actor.clone(), config.tick, halt.clone());
-    spawn_list_reader(actor.clone(), context, config.list_every);
+    spawn_list_reader(actor.clone(), context.clone(), config.list_every);
     log::info!("start instance={} address={address} local={}", config.agent.own.id, local.address);
     let finished = CancellationToken::new();
-    Ok(AgentHandle { address, local_address: local.address, actor, halt, finished })
+    Ok(AgentHandle { address, local_address: local.address, actor, context, halt, finished })
 }
 
 impl AgentHandle {
@@ -238,6 +258,10 @@
             }
             tokio::time::sleep(LOOK_EVERY).await;
         }
+        // A successor need not wait for the lease to lapse.
+        if let Ok(Some(lease)) = self.actor.ask(LeaseQuery).await {
+            let _ = self.context.key_value.revoke(LeaseId(lease)).await;
+        }
         self.halt();
     }
 
@@ -271,7 +295,7 @@
         key_value: Box::new(HttpKeyValue::open(client.clone(), &config.key_value, timeout)),
         instances: Box::new(HttpInstanceList::open(client.clone(), &config.instances, timeout)),
         upstream: Box::new(HttpUpstream::open(client, &config.upstream, owner)),
-        peers: PeerPool::default(),
+        peers: AgentPool::default(),
         uploads: UploadGate::new(config.upload_rate, config.uploads),
         downloads: LinkPace::new(config.download_rate),
         sent_bytes: AtomicU64::new(0),
--- a/mustardrill_agent/src/context.rs
+++ b/mustardrill_agent/src/context.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicU64;
 
 use cadence::StatsdClient;
+use mustardrill_runtime::agents::AgentPool;
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::origin::WeightOrigin;
 use mustardrill_runtime::platform::{InstanceList, KeyValue};
@@ -11,10 +12,15 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::link::{LinkPace, UploadGate};
-use crate::peers::PeerPool;
 use crate::store::ChunkStore;
 use crate::upstream::Upstream;
 
+impl std::fmt::Debug for AgentContext {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("AgentContext").field("own", &self.own).finish_non_exhaustive()
+    }
+}
+
 /// The borders of one agent to the outside; the reducer knows none of them.
 pub(crate) struct AgentContext {
     pub(crate) own: InstanceId,
@@ -24,7 +30,7 @@
     pub(crate) key_value: Box<dyn KeyValue>,
     pub(crate) instances: Box<dyn InstanceList>,
     pub(crate) upstream: Box<dyn Upstream>,
-    pub(crate) peers: PeerPool,
+    pub(crate) peers: AgentPool,
     pub(crate) uploads: UploadGate,
     pub(crate) downloads: LinkPace,
     pub(crate) sent_bytes: AtomicU64,
--- a/mustardrill_core/src/agent/event.rs
+++ b/mustardrill_core/src/agent/event.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::admission::AdmissionSettings;
+use crate::demand::DemandRow;
 use crate::document::{CatalogueDocument, RequestClass};
 use crate::manifest::{ChunkBitmap, Manifest};
 use crate::membership::{InstanceRecord, MemberSettings};
@@ -72,6 +73,8 @@
     RequestWithdrawn(AttemptId),
     /// The upstream ended a dispatched attempt, or its connection is closed.
     RequestFinished(AttemptId),
+    /// An entry told what customers asked of it lately.
+    DemandSeen(InstanceId, Vec<DemandRow>),
     /// Time passed.
     Tick,
     /// A planned stop begins.
--- a/mustardrill_core/src/agent/reducer.rs
+++ b/mustardrill_core/src/agent/reducer.rs
@@ -13,6 +13,7 @@
 use crate::admission::{Admission, AdmissionQueue};
 use crate::agent::event::{AgentEffect, AgentEvent, AgentSettings, WeightsProgress};
 use crate::agent::weights::WeightsTable;
+use crate::demand::DemandBoard;
 use crate::document::{CatalogueDocument, RequestClass};
 use crate::edit::check_successor;
 use crate::manifest::ChunkBitmap;
@@ -28,6 +29,7 @@
     owner: OwnerLease,
     queue: AdmissionQueue,
     attempts: FastMap<AttemptId, AttemptState>,
+    demand: DemandBoard,
     leaving: bool,
     is_engine: bool,
     random: SmallRng,
@@ -57,6 +59,7 @@
             owner: OwnerLease::new(now, settings.owner.clone()),
             queue: AdmissionQueue::new(settings.admission.clone()),
             attempts: FastMap::default(),
+            demand: DemandBoard::default(),
             leaving: false,
             is_engine: settings.is_engine,
             random: SmallRng::seed_from_u64(seed),
@@ -102,11 +105,25 @@
             }
             AgentEvent::RequestWithdrawn(attempt) => self.request_withdrawn(now, attempt),
             AgentEvent::RequestFinished(attempt) => self.request_finished(now, attempt),
+            AgentEvent::DemandSeen(entry, rows) => {
+                self.demand.note(now, entry, rows);
+                Vec::new()
+            }
             AgentEvent::Tick => self.tick(now),
             AgentEvent::Stop => self.stop(),
         }
     }
 
+    /// The catalogue in force here.
+    pub fn document(&self) -> &Arc<CatalogueDocument> {
+        &self.document
+    }
+
+    /// What customers asked of all entries lately.
+    pub fn demand(&self) -> &DemandBoard {
+        &self.demand
+    }
+
     /// The generation in force here.
     pub fn generation(&self) -> Generation {
         self.document.generation
--- a/mustardrill_core/src/entry/event.rs
+++ b/mustardrill_core/src/entry/event.rs
@@ -7,8 +7,10 @@
     Moment, RequestKey, ResultCode,
 };
 
+use crate::agent::WeightsProgress;
 use crate::budget::RetrySettings;
 use crate::claim::{ClaimAnswer, ClaimEffect, ClaimSettings, ShardIndex};
+use crate::demand::DemandRow;
 use crate::document::{CatalogueDocument, RequestClass};
 use crate::membership::{InstanceRecord, MemberSettings};
 use crate::routing::{RoutingSettings, UpstreamReport};
@@ -88,7 +90,11 @@
     /// Load, capacity, weights and whether it is leaving.
     pub report: UpstreamReport,
     /// How far its wanted versions are.
-    pub progress: Vec<crate::agent::WeightsProgress>,
+    pub progress: Vec<WeightsProgress>,
+    /// What customers asked of all entries that the agent heard lately.
+    pub demand: Vec<DemandRow>,
+    /// How many entries these are.
+    pub entries: u32,
 }
 
 /// Something that an entry does.
--- a/mustardrill_core/src/entry/reducer.rs
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -13,6 +13,7 @@
 use crate::agent::WeightsProgress;
 use crate::budget::RetryBudget;
 use crate::claim::{ClaimBatch, ClaimEffect, ClaimOutcome};
+use crate::demand::DemandRow;
 use crate::document::{CatalogueDocument, CatalogueEntry};
 use crate::edit::check_successor;
 use crate::entry::event::{
@@ -31,6 +32,9 @@
 /// When a caller may come back where the platform's service does not answer.
 const CLAIM_RETRY: Millis = Millis(2_000);
 
+/// How long a round of demand is, by which limits are shared.
+const DEMAND_ROUND: Millis = Millis(1_000);
+
 /// Everything that an entry knows; it holds no bytes of requests or answers.
 #[derive(Debug)]
 pub struct EntryReducer {
@@ -44,6 +48,9 @@
     claims: ClaimBatch,
     agents: FastMap<InstanceId, AgentView>,
     entries: usize,
+    /// What customers asked of this entry during the last round.
+    demand: Vec<DemandRow>,
+    next_round: Moment,
     leaving: bool,
     random: SmallRng,
 }
@@ -70,6 +77,8 @@
             claims: ClaimBatch::new(settings.claim.clone()),
             agents: FastMap::default(),
             entries: 1,
+            demand: Vec::new(),
+            next_round: Moment(0),
             leaving: false,
             random: SmallRng::seed_from_u64(seed),
             settings,
@@ -111,6 +120,11 @@
         &self.document
     }
 
+    /// What customers asked of this entry during the last round.
+    pub fn demand(&self) -> &[DemandRow] {
+        &self.demand
+    }
+
     /// The members as this entry sees them.
     pub fn members(&self) -> &MemberTable {
         &self.members
@@ -499,8 +513,10 @@
     fn synced(&mut self, now: Moment, sync: AgentSync) -> Vec<EntryEffect> {
         let Some(view) = self.agents.get_mut(&sync.id) else { return Vec::new() };
         view.pending = false;
-        view.generation = view.generation.max(sync.generation);
+        // An agent that was replaced begins anew, whatever its forerunner had.
+        view.generation = sync.generation;
         view.progress = sync.progress;
+        self.share_limits(&sync.demand, sync.entries);
         self.members.answered(&sync.id);
         let near = self
             .members
@@ -510,6 +526,30 @@
         Vec::new()
     }
 
+    /// Moves this entry's shares of the limits towards its part of the demand.
+    fn share_limits(&mut self, totals: &[DemandRow], heard: u32) {
+        if heard == 0 {
+            return;
+        }
+        for row in totals {
+            let own = self.demand.iter().find(|mine| mine.key == row.key);
+            let own = own.map_or(0, |mine| mine.asked);
+            // An agent that some entries don't talk to stands for all with what it heard.
+            let all = u64::from(row.asked) * self.entries as u64 / u64::from(heard);
+            self.limits.set_share(&row.key, own, all as u32, self.entries);
+        }
+    }
+
+    /// Ends a round of demand.
+    fn count_demand(&mut self, now: Moment) {
+        if now < self.next_round {
+            return;
+        }
+        self.next_round = now + DEMAND_ROUND;
+        let asked = self.limits.take_demand().into_iter().filter(|(_, asked)| *asked > 0);
+        self.demand = asked.map(|(key, asked)| DemandRow { key, asked }).collect();
+    }
+
     fn sync_failed(&mut self, now: Moment, id: &InstanceId) -> Vec<EntryEffect> {
         if let Some(view) = self.agents.get_mut(id) {
             view.pending = false;
@@ -546,6 +586,7 @@
     }
 
     fn tick(&mut self, now: Moment, wall_s: u64) -> Vec<EntryEffect> {
+        self.count_demand(now);
         let claims = self.claims.tick(now, wall_s);
         let mut effects = self.claim_effects(now, wall_s, claims);
         for id in self.requests.overdue(now) {
--- a/mustardrill_entry/src/actor.rs
+++ b/mustardrill_entry/src/actor.rs
@@ -8,6 +8,7 @@
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::edit::FleetFacts;
 use mustardrill_core::entry::{EntryEffect, EntryEvent, EntryReducer, IncomingRequest, RequestId};
+use mustardrill_runtime::agents::AgentPool;
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::http::{HttpClient, HttpServer};
 use mustardrill_runtime::metrics;
@@ -16,9 +17,9 @@
 use mustardrill_types::{AttemptId, FastMap, Millis};
 use tokio_util::sync::CancellationToken;
 
-use crate::agents::AgentPool;
 use crate::attempt::RequestIo;
 use crate::callers::CallerHandler;
+use crate::clocks::ClockTable;
 use crate::config::EntryConfig;
 use crate::context::EntryContext;
 use crate::effects;
@@ -107,9 +108,14 @@
                 effects::claim(self.context.clone(), actor.clone(), claim);
             }
             EntryEffect::Sync { id, address, with_catalogue } => {
-                let document = self.reducer.document().clone();
-                let document = with_catalogue.then_some(document);
-                effects::sync(self.context.clone(), actor.clone(), id, address, document);
+                let call = effects::SyncCall {
+                    id,
+                    address,
+                    document: self.reducer.document().clone(),
+                    with_catalogue,
+                    demand: self.reducer.demand().to_vec(),
+                };
+                effects::sync(self.context.clone(), actor.clone(), call);
             }
         }
     }
@@ -243,6 +249,7 @@
         instances: Box::new(HttpInstanceList::open(client.clone(), &config.instances, timeout)),
         origin: Box::new(HttpOrigin::open(client, &config.origins)),
         agents: AgentPool::default(),
+        clocks: ClockTable::default(),
         access: config.access.clone(),
         callers: config.callers.clone(),
         edits: config.edits.clone(),
--- a/mustardrill_entry/src/context.rs
+++ b/mustardrill_entry/src/context.rs
@@ -1,13 +1,14 @@
 //! What the tasks of one entry share.
 
 use cadence::StatsdClient;
+use mustardrill_runtime::agents::AgentPool;
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::origin::WeightOrigin;
 use mustardrill_runtime::platform::{InstanceList, KeyValue};
 use mustardrill_types::InstanceId;
 use tokio_util::sync::CancellationToken;
 
-use crate::agents::AgentPool;
+use crate::clocks::ClockTable;
 use crate::config::{AccessConfig, CallerConfig, EditConfig};
 
 /// The key of the catalogue in the platform's service.
@@ -21,6 +22,7 @@
     pub(crate) instances: Box<dyn InstanceList>,
     pub(crate) origin: Box<dyn WeightOrigin>,
     pub(crate) agents: AgentPool,
+    pub(crate) clocks: ClockTable,
     pub(crate) access: AccessConfig,
     pub(crate) callers: CallerConfig,
     pub(crate) edits: EditConfig,
--- a/mustardrill_entry/src/lib.rs
+++ b/mustardrill_entry/src/lib.rs
@@ -2,10 +2,10 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod actor;
-mod agents;
 mod attempt;
 mod callers;
 pub mod cli;
+mod clocks;
 pub mod config;
 mod context;
 mod editor;
--- a/mustardrill_entry/src/operators.rs
+++ b/mustardrill_entry/src/operators.rs
@@ -12,6 +12,7 @@
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::edit::{DOCUMENT_LIMIT, EditChange, EditRequest, differences};
 use mustardrill_core::rule::{EditRefusal, EditRule};
+use mustardrill_core::session::EditOutcome;
 use mustardrill_runtime::http::{AnyResponse, HttpHandler, json_response, query, text_response};
 use mustardrill_runtime::platform::KeyValueError;
 use mustardrill_types::{EditId, ResultCode};
@@ -20,7 +21,7 @@
 use crate::actor::{DocumentQuery, EntryActor, StatusQuery};
 use crate::callers::bearer;
 use crate::context::EntryContext;
-use crate::editor::{CatalogueEditor, EditOutcome};
+use crate::editor::CatalogueEditor;
 
 /// Answers operators.
 pub(crate) struct OperatorHandler {
@@ -149,7 +150,7 @@
     async fn make(&self, request: EditRequest) -> AnyResponse {
         // The edit goes on when the operator's connection breaks; the id settles it later.
         let (editor, id) = (self.editor.clone(), request.id);
-        let making = tokio::spawn(async move { editor.apply(&request).await });
+        let making = tokio::spawn(async move { editor.apply(request).await });
         outcome_response(id, &making.await.unwrap_or(EditOutcome::NotYetKnown))
     }
 }
--- a/mustardrill_proto/src/generated.rs
+++ b/mustardrill_proto/src/generated.rs
@@ -87,7 +87,7 @@
     #[prost(uint64, tag = "3")]
     pub retry_after_ms: u64,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SyncRequest {
     #[prost(string, tag = "1")]
     pub entry: ::prost::alloc::string::String,
@@ -96,6 +96,18 @@
     /// empty unless the agent is known to be behind
     #[prost(bytes = "bytes", tag = "3")]
     pub catalogue: ::prost::bytes::Bytes,
+    #[prost(message, repeated, tag = "4")]
+    pub demand: ::prost::alloc::vec::Vec<Demand>,
+}
+/// How much a customer asked of an entry of the catalogue lately.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Demand {
+    #[prost(string, tag = "1")]
+    pub customer: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub target: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "3")]
+    pub asked: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SyncReply {
@@ -115,6 +127,15 @@
     pub progress: ::prost::alloc::vec::Vec<Progress>,
     #[prost(uint64, tag = "8")]
     pub clock_ms: u64,
+    /// empty unless the entry is behind
+    #[prost(bytes = "bytes", tag = "9")]
+    pub catalogue: ::prost::bytes::Bytes,
+    /// the sum over the entries heard of lately
+    #[prost(message, repeated, tag = "10")]
+    pub demand: ::prost::alloc::vec::Vec<Demand>,
+    /// how many these are
+    #[prost(uint32, tag = "11")]
+    pub entries: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Progress {
--- a/mustardrill_runtime/src/lib.rs
+++ b/mustardrill_runtime/src/lib.rs
@@ -1,6 +1,7 @@
 //! Clients, settings, logging and metrics shared by the two daemons.
 #![deny(missing_docs, unsafe_code)]
 
+pub mod agents;
 pub mod clock;
 pub mod http;
 pub mod logging;
@@ -9,3 +10,4 @@
 pub mod platform;
 pub mod settings;
 pub mod signal;
+pub mod wire;
