A request that may have run is never told "not run"

Cause: an idempotent request whose first attempt was lost after it was sent was tried again; when the second attempt was refused or found no upstream, the caller was told the second attempt's code, such as 2012, "not run", although the first may have run. Ruled out: the agents' refusals (true each for its own attempt), late answers (dropped by their attempt id). Change: a request remembers that an attempt was lost; from then on a refusal is told as 3001, unknown.

--- a/mustardrill_core/src/edit.rs
+++ b/mustardrill_core/src/edit.rs
@@ -91,7 +91,7 @@
             None => next.entries.remove(&change.name),
         };
     }
-    editor.check_whole(&next, &changes)?;
+    editor.check_whole(&next, &changes, &request.change)?;
     let operator = request.operator.clone();
     next.edits.push(EditRecord { id: request.id, generation, operator, changes });
     let excess = next.edits.len().saturating_sub(HISTORY_LIMIT);
@@ -202,7 +202,7 @@
         let refuse =
             |rule, message: String| Err(EditRefusal::of(&draft.name, draft.line, rule, message));
         match (current, draft.base) {
-            (None, None) if draft.content.is_none() => {
+            (None, _) if draft.content.is_none() => {
                 refuse(EditRule::NothingToRemove, "the catalogue has no such entry".into())
             }
             (None, None) => Ok(()),
@@ -414,6 +414,7 @@
         &self,
         next: &CatalogueDocument,
         changes: &[EntryChange],
+        asked: &EditChange,
     ) -> Result<(), Vec<EditRefusal>> {
         let mut refusals = Vec::new();
         for change in changes {
@@ -425,13 +426,26 @@
                 let service = &entry.service;
                 let message = format!("{service} has {instances} instances, {wanted} are wanted");
                 let rule = EditRule::ServiceOvercommitted;
-                refusals.push(EditRefusal::of(&change.name, 0, rule, message));
+                refusals.push(EditRefusal::of(
+                    &change.name,
+                    asked.line_of(&change.name),
+                    rule,
+                    message,
+                ));
             }
         }
         if refusals.is_empty() { Ok(()) } else { Err(refusals) }
     }
 }
 
+impl EditChange {
+    /// The line of an entry in the operator's file; zero for an undo.
+    fn line_of(&self, name: &ModelName) -> usize {
+        let Self::Drafts(drafts) = self else { return 0 };
+        drafts.iter().find(|draft| draft.name == *name).map_or(0, |draft| draft.line)
+    }
+}
+
 impl DraftContent {
     /// Whether the draft says just what the entry says.
     pub fn matches(&self, entry: &CatalogueEntry) -> bool {
--- a/mustardrill_core/src/entry/reducer.rs
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -145,6 +145,11 @@
         self.requests.is_empty() && self.claims.is_idle()
     }
 
+    /// The request that awaits an attempt; nothing for a late or foreign one.
+    pub fn awaits(&self, attempt: AttemptId) -> Option<RequestId> {
+        self.requests.of_attempt(attempt)
+    }
+
     /// The agents that this entry talks to, each with the generation in force there.
     pub fn agents(&self) -> impl Iterator<Item = (&InstanceId, Generation, &[WeightsProgress])> {
         self.agents.iter().map(|(id, view)| (id, view.generation, &*view.progress))
@@ -340,7 +345,8 @@
         id: RequestId,
         code: ResultCode,
     ) -> Vec<EntryEffect> {
-        let Some(state) = self.requests.get(id) else { return Vec::new() };
+        let Some(state) = self.requests.get_mut(id) else { return Vec::new() };
+        state.may_have_run = true;
         if !state.is_idempotent() {
             return self.reject(now, wall_s, id, ResultCode::Unknown, Millis(0));
         }
@@ -376,6 +382,8 @@
     ) -> Vec<EntryEffect> {
         let Some(state) = self.finish(id) else { return Vec::new() };
         let mut effects = Vec::new();
+        // A later attempt's refusal says nothing of an earlier one that was lost.
+        let code = if state.may_have_run && code.is_not_run() { ResultCode::Unknown } else { code };
         // The claim goes back with the proof that nothing was run, so that the caller may come back.
         if code.is_not_run() {
             effects.extend(self.release_claim(now, wall_s, &state));
--- a/mustardrill_core/src/entry/request.rs
+++ b/mustardrill_core/src/entry/request.rs
@@ -21,6 +21,8 @@
     pub(crate) attempts: u32,
     /// Upstreams that were tried.
     pub(crate) tried: Vec<InstanceId>,
+    /// Whether an attempt was lost that may have run.
+    pub(crate) may_have_run: bool,
     /// Bytes of the answer that went to the caller.
     pub(crate) delivered: u64,
     /// The weights of the bytes that went to the caller.
@@ -57,6 +59,7 @@
             stage: RequestStage::Claiming,
             attempts: 0,
             tried: Vec::new(),
+            may_have_run: false,
             delivered: 0,
             pinned: None,
             claimant: None,
