A partner that fails or lies counts as holding nothing

Change: a partner that fails or passes the limit of corrupt chunks is counted as holding nothing until it answers again; a bitmap knows its length, as one with a bit past its end did not survive a message.

--- a/mustardrill_agent/src/lib.rs
+++ b/mustardrill_agent/src/lib.rs
@@ -1,5 +1,5 @@
 //! The process in the slot beside each upstream: draws weights, orders the upstream, runs requests.
-#![deny(missing_docs, unsafe_code)]
+#![deny(missing_docs, unsafe_code, clippy::unwrap_used)]
 
 pub mod actor;
 pub mod cli;
--- a/mustardrill_core/src/lib.rs
+++ b/mustardrill_core/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A reducer takes the present time and an event, changes its state and returns effects as
 //! data. Whoever embeds it turns I/O into events and carries the effects out.
-#![deny(missing_docs, unsafe_code)]
+#![deny(missing_docs, unsafe_code, clippy::unwrap_used)]
 
 pub mod admission;
 pub mod agent;
--- a/mustardrill_core/src/manifest.rs
+++ b/mustardrill_core/src/manifest.rs
@@ -42,6 +42,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ChunkBitmap {
     words: Vec<u64>,
+    total: u32,
     count: u32,
 }
 
@@ -112,7 +113,7 @@
 impl ChunkBitmap {
     /// An empty bitmap for `total` chunks.
     pub fn empty(total: u32) -> Self {
-        Self { words: vec![0; (total as usize).div_ceil(64)], count: 0 }
+        Self { words: vec![0; (total as usize).div_ceil(64)], total, count: 0 }
     }
 
     /// A full bitmap for `total` chunks.
@@ -132,11 +133,10 @@
 
     /// Adds a chunk; says whether it was new. A chunk past the end is ignored.
     pub fn insert(&mut self, index: ChunkIndex) -> bool {
-        if self.contains(index) {
+        if index.0 >= self.total || self.contains(index) {
             return false;
         }
-        let Some(word) = self.words.get_mut(index.0 as usize / 64) else { return false };
-        *word |= 1 << (index.0 % 64);
+        self.words[index.0 as usize / 64] |= 1 << (index.0 % 64);
         self.count += 1;
         true
     }
@@ -153,7 +153,7 @@
 
     /// The chunks that are held, in order.
     pub fn held(&self) -> Vec<ChunkIndex> {
-        Self { words: vec![0; self.words.len()], count: 0 }.added_in(self)
+        Self::empty(self.total).added_in(self)
     }
 
     /// How many chunks are held.
--- a/mustardrill_core/src/partner.rs
+++ b/mustardrill_core/src/partner.rs
@@ -68,6 +68,9 @@
         queue: u32,
     ) -> Vec<ChunkIndex> {
         let Some(partner) = self.partners.get_mut(id) else { return Vec::new() };
+        if partner.corrupt > 0 && partner.avoid_until > now {
+            return Vec::new();
+        }
         let added = partner.bitmap.added_in(&bitmap);
         added.iter().for_each(|index| self.copies[index.0 as usize] += 1);
         for index in bitmap.added_in(&partner.bitmap) {
@@ -119,13 +122,26 @@
         let Some(partner) = self.partners.get_mut(id) else { return };
         partner.corrupt += 1;
         if partner.corrupt >= limit {
-            partner.avoid_until = now + AVOID_CORRUPT;
+            self.rest(now, id, AVOID_CORRUPT);
+            self.disbelieve(id);
         }
     }
 
     /// Avoids a partner that failed for a while.
     pub fn shun(&mut self, now: Moment, id: &InstanceId) {
         self.rest(now, id, AVOID_FAILED);
+        self.disbelieve(id);
+    }
+
+    /// Counts a partner as holding nothing, so that what only it holds is drawn elsewhere. A
+    /// partner that answers again says anew what it holds.
+    fn disbelieve(&mut self, id: &InstanceId) {
+        let Some(partner) = self.partners.get_mut(id) else { return };
+        let empty = ChunkBitmap::empty(self.copies.len() as u32);
+        let believed = std::mem::replace(&mut partner.bitmap, empty);
+        for index in believed.held() {
+            self.copies[index.0 as usize] -= 1;
+        }
     }
 
     /// Leaves a partner alone for `span`.
--- a/mustardrill_entry/src/lib.rs
+++ b/mustardrill_entry/src/lib.rs
@@ -1,5 +1,5 @@
 //! The entry process: takes callers' requests and operators' edits, and sends work to agents.
-#![deny(missing_docs, unsafe_code)]
+#![deny(missing_docs, unsafe_code, clippy::unwrap_used)]
 
 pub mod actor;
 mod attempt;
--- a/mustardrill_runtime/src/lib.rs
+++ b/mustardrill_runtime/src/lib.rs
@@ -1,5 +1,5 @@
 //! Clients, settings, logging and metrics shared by the two daemons.
-#![deny(missing_docs, unsafe_code)]
+#![deny(missing_docs, unsafe_code, clippy::unwrap_used)]
 
 pub mod agents;
 pub mod clock;
--- a/mustardrill_standins/src/lib.rs
+++ b/mustardrill_standins/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each does just what the brief says of the real one, with switches for its failures. The
 //! programs under `examples/` start them as processes; tests start them within their own.
-#![deny(missing_docs, unsafe_code)]
+#![deny(missing_docs, unsafe_code, clippy::unwrap_used)]
 
 pub mod engine;
 pub mod fault;
--- a/mustardrill_types/src/lib.rs
+++ b/mustardrill_types/src/lib.rs
@@ -1,5 +1,5 @@
 //! Ids, sizes, rates and result codes shared by every part of mustardrill.
-#![deny(missing_docs, unsafe_code)]
+#![deny(missing_docs, unsafe_code, clippy::unwrap_used)]
 
 pub mod code;
 pub mod id;
