Tests between processes: the path, the command line, wrong settings

Cause: nothing showed what whoever errs is told. Two faults were found: a section header without its bracket was read on over several lines (the library allows it) and gave misleading messages; an edit whose content was in force already was refused as a race. Change: the header is named with its line; such an edit is "no change".

--- a/mustardrill_core/src/edit.rs
+++ b/mustardrill_core/src/edit.rs
@@ -191,7 +191,10 @@
     fn is_untouched(&self, draft: &EntryDraft, current: Option<&CatalogueEntry>) -> bool {
         let Some(content) = &draft.content else { return false };
         let base = draft.base.and_then(|base| self.document.entry_at(&draft.name, base));
-        base.or(current).is_some_and(|entry| draft.base.is_some() && content.matches(entry))
+        let says_base = base.is_some_and(|entry| content.matches(entry));
+        // What is in force already is no change either, whoever put it there.
+        let says_current = current.is_some_and(|entry| content.matches(entry));
+        says_base || (says_current && draft.base.is_some())
     }
 
     fn check_base(
--- a/mustardrill_core/src/ini_file.rs
+++ b/mustardrill_core/src/ini_file.rs
@@ -66,6 +66,15 @@
                 continue;
             }
             let title = title.unwrap_or("");
+            if let Some((start, _)) = title.split_once('\n') {
+                // The library takes a header without its bracket for one of several lines.
+                let reason = format!("[{start} lacks its closing bracket").into();
+                return Err(IniError {
+                    file: name.into(),
+                    line: finder.open_header(start),
+                    reason,
+                });
+            }
             let line = finder.section(title);
             let keys = properties
                 .iter()
@@ -132,6 +141,10 @@
         })
     }
 
+    fn open_header(&mut self, start: &str) -> usize {
+        self.find(|line| line.strip_prefix('[').is_some_and(|rest| rest.starts_with(start)))
+    }
+
     fn key(&mut self, key: &str) -> usize {
         self.find(|line| {
             let rest = line.strip_prefix(key).map(str::trim_start);
--- a/mustardrill_standins/examples/demo.rs
+++ b/mustardrill_standins/examples/demo.rs
@@ -103,7 +103,8 @@
     .await;
     let first = lab.publish(MODEL, "v1", options.size, options.chunk, options.seed).await;
     let second = lab.publish(MODEL, "v2", options.size, options.chunk, options.seed + 1).await;
-    wait_for_fleet(&lab, options.agents).await;
+    progress("waiting until the entries see the fleet");
+    lab.wait_fleet(0, options.agents + 1, Duration::from_secs(10)).await;
 
     let Some(cold) = burst(&lab, options, "first version", "v1", &first, None).await else {
         return failed(&lab);
@@ -209,19 +210,6 @@
     )
 }
 
-async fn wait_for_fleet(lab: &Lab, agents: usize) {
-    progress("waiting until the entries see the fleet");
-    let token = mustardrill_standins::lab::OPERATOR_TOKEN;
-    for _ in 0..500 {
-        let (_, status) = lab.operate(0, "GET", "/v1/status", "", token).await;
-        let heard = status["agents"].as_array().into_iter().flatten();
-        if heard.filter(|agent| !agent["silent_ms"].is_null()).count() > agents {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 fn print_table(options: &DemoOptions, bursts: &[Burst], quiet: &LoadReport) {
     println!(
         "{} agents in two data centres, {} MB, machine links {} MB/s, origin {} MB/s",
--- a/mustardrill_standins/src/lab.rs
+++ b/mustardrill_standins/src/lab.rs
@@ -191,6 +191,69 @@
         self.operate(entry, "POST", "/v1/catalogue/edits", text, OPERATOR_TOKEN).await
     }
 
+    /// Runs an operator's command line against an entry; returns exit code and output.
+    pub fn command(&self, entry: usize, words: &[&str]) -> (i32, String) {
+        let address = self.entries[entry].second.expect("an entry has an operator port");
+        let output = Command::new(build_folder().join("mustardrill-entry"))
+            .arg("catalogue")
+            .args(words)
+            .args(["--operator", &address.to_string()])
+            .env("MUSTARDRILL_TOKEN", OPERATOR_TOKEN)
+            .output()
+            .expect("the command line runs");
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        (output.status.code().unwrap_or(-1), text)
+    }
+
+    /// Waits until the agents that an entry sees have its generation in force.
+    pub async fn wait_in_force(&self, entry: usize, generation: u64, limit: Duration) -> bool {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            let (_, status) = self.operate(entry, "GET", "/v1/status", "", OPERATOR_TOKEN).await;
+            let agents = status["agents"].as_array().cloned().unwrap_or_default();
+            let has = |value: &serde_json::Value| value["generation"].as_u64() == Some(generation);
+            if has(&status) && !agents.is_empty() && agents.iter().all(has) {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        false
+    }
+
+    /// Waits until an entry has heard of this many agents.
+    pub async fn wait_fleet(&self, entry: usize, agents: usize, limit: Duration) -> bool {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            let (_, status) = self.operate(entry, "GET", "/v1/status", "", OPERATOR_TOKEN).await;
+            let heard = status["agents"].as_array().into_iter().flatten();
+            if heard.filter(|agent| !agent["silent_ms"].is_null()).count() >= agents {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        false
+    }
+
+    /// What an agent says of itself.
+    pub async fn agent_status(&self, upstream: &LabUpstream) -> serde_json::Value {
+        let local = upstream.agent.second.expect("an agent has a local port");
+        let answer = self.call("GET", local, "/status", Bytes::new()).await;
+        serde_json::from_slice(&answer.body).unwrap_or_default()
+    }
+
+    /// What an upstream ran, in order.
+    pub async fn runs(&self, upstream: &LabUpstream) -> Vec<String> {
+        let answer = self.call("GET", upstream.upstream.address, "/admin/runs", Bytes::new()).await;
+        serde_json::from_slice(&answer.body).unwrap_or_default()
+    }
+
+    /// All logs of the lab's processes.
+    pub fn logs(&self) -> String {
+        let files = std::fs::read_dir(&self.folder).into_iter().flatten().flatten();
+        let logs = files.filter(|file| file.path().extension().is_some_and(|it| it == "log"));
+        logs.filter_map(|file| std::fs::read_to_string(file.path()).ok()).collect()
+    }
+
     /// Calls the operator port of an entry.
     pub async fn operate(
         &self,
--- /dev/null
+++ b/mustardrill_standins/tests/common/mod.rs
@@ -0,0 +1,86 @@
+//! What the tests between processes share.
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use std::time::Duration;
+
+use mustardrill_standins::lab::{Lab, LabOptions};
+use mustardrill_standins::load::{LoadDriver, LoadOptions};
+
+/// The model of the tests.
+pub const MODEL: &str = "drafts";
+
+/// The pieces of an engine's answer.
+pub const PIECES: u64 = 8;
+
+/// A wait that only a broken build exceeds.
+pub const LONG: Duration = Duration::from_secs(60);
+
+/// The size of the weights.
+pub const SIZE: u64 = 2_000_000;
+
+/// The size of a chunk.
+pub const CHUNK: u64 = 1 << 15;
+
+/// The model as an operator's file.
+pub fn model_file(version: &str, revision: u64, replicas: usize) -> String {
+    let revision = if revision > 0 { format!("revision = {revision}\n") } else { String::new() };
+    format!(
+        "[model {MODEL}]\n{revision}service = mustard-pool\nowner = ana\nclass = urgent\n\
+         callers = comedor\nrequests_per_second = 5000\nin_flight = 500\nversion = {version}\n\
+         replicas = {replicas}\n"
+    )
+}
+
+/// The plain service as an operator's file.
+pub fn plain_file() -> String {
+    "[plain desk]\nservice = records-desk\nowner = ana\nclass = standard\ncallers = all\n\
+     requests_per_second = 5000\nin_flight = 500\n"
+        .into()
+}
+
+/// A lab that serves the model at version v1 and the plain service; returns v1's digest too.
+pub async fn serving_lab(options: LabOptions) -> (Lab, String) {
+    let agents = options.agents;
+    let lab = Lab::spawn(options).await;
+    let digest = lab.publish(MODEL, "v1", SIZE, CHUNK, 1).await;
+    assert!(lab.wait_fleet(0, agents + 1, LONG).await, "the entries never saw the fleet");
+    let file = format!("{}\n{}", model_file("v1", 0, agents), plain_file());
+    let (status, body) = lab.apply(0, &file).await;
+    assert_eq!(status, 200, "{body}");
+    assert!(lab.wait_serving(&digest, agents, LONG).await.is_some(), "v1 was never served");
+    assert!(lab.wait_ready(&format!("/v1/models/{MODEL}/x"), LONG).await, "never ready");
+    assert!(lab.wait_ready("/v1/services/desk/x", LONG).await, "never ready");
+    (lab, digest)
+}
+
+/// Callers of the model.
+pub fn callers(lab: &Lab, rate: f64) -> LoadDriver {
+    let entries = lab.entries.iter().map(|entry| entry.address).collect();
+    LoadDriver::spawn(
+        lab.client.clone(),
+        LoadOptions {
+            entries,
+            path: format!("/v1/models/{MODEL}/draft"),
+            rate,
+            pieces: Some(PIECES),
+            keyed: false,
+            timeout: Duration::from_secs(5),
+        },
+    )
+}
+
+/// Callers of the plain service, with a key for each request.
+pub fn keyed_callers(lab: &Lab, rate: f64) -> LoadDriver {
+    let entries = lab.entries.iter().map(|entry| entry.address).collect();
+    LoadDriver::spawn(
+        lab.client.clone(),
+        LoadOptions {
+            entries,
+            path: "/v1/services/desk/file".into(),
+            rate,
+            pieces: None,
+            keyed: true,
+            timeout: Duration::from_secs(3),
+        },
+    )
+}
