--- a/mustardrill_core/src/edit.rs
+++ b/mustardrill_core/src/edit.rs
@@ -217,6 +217,11 @@
                 refuse(EditRule::RevisionUnknown, format!("there is no revision {base} yet"))
             }
             (Some(entry), Some(base)) if entry.revision == base => Ok(()),
+            (Some(entry), Some(base)) if entry.revision < base => {
+                let revision = entry.revision;
+                let message = format!("the entry is at revision {revision}, it never had {base}");
+                refuse(EditRule::RevisionUnknown, message)
+            }
             (current, Some(base)) => {
                 refuse(EditRule::EditRace, self.describe_race(&draft.name, current, base))
             }
--- a/mustardrill_core/tests/edit_histories.rs
+++ b/mustardrill_core/tests/edit_histories.rs
@@ -143,7 +143,7 @@
 fn begin(editor: &mut Editor, key: &FakeKey, turn: &Turn, number: u64, now: Moment) {
     // Every other edit starts from a state that others may have changed since.
     let base = editor.base.get_or_insert_with(|| key.now().clone()).clone();
-    if turn.edit % 2 == 0 {
+    if turn.edit.is_multiple_of(2) {
         editor.base = Some(key.now().clone());
     }
     let edit =
--- a/mustardrill_core/tests/requests.rs
+++ b/mustardrill_core/tests/requests.rs
@@ -623,7 +623,7 @@
     let sending = |place: u64| Sending {
         at: 10 + place * 40,
         entry: (place % 2) as usize,
-        key: (place % 3 == 0).then_some(place as u8),
+        key: (place.is_multiple_of(3)).then_some(place as u8),
         is_model: place % 3 == 1,
         timeout: 2_000,
     };
--- a/mustardrill_standins/src/fault.rs
+++ b/mustardrill_standins/src/fault.rs
@@ -16,6 +16,8 @@
     pub delay: Duration,
     /// Lets calls take effect and never answers.
     pub lose_answers: bool,
+    /// Lets writes take effect and never answers them; reads are answered.
+    pub lose_writes: bool,
     /// Stops sending in the middle of an answer without closing.
     pub stall: bool,
     /// Changes a byte of every answer.
@@ -56,6 +58,7 @@
         down: is_on("down"),
         delay: Duration::from_millis(delay),
         lose_answers: is_on("lose_answers"),
+        lose_writes: is_on("lose_writes"),
         stall: is_on("stall"),
         corrupt: is_on("corrupt"),
     }
--- a/mustardrill_standins/src/key_value.rs
+++ b/mustardrill_standins/src/key_value.rs
@@ -185,7 +185,8 @@
             }
             _ => text_response(StatusCode::NOT_FOUND, "no such call\n"),
         };
-        if faults.lose_answers && path.starts_with("/v1/") {
+        let is_lost = faults.lose_answers || (faults.lose_writes && head.method != Method::GET);
+        if is_lost && path.starts_with("/v1/") {
             std::future::pending::<()>().await;
         }
         answer
--- /dev/null
+++ b/mustardrill_standins/tests/requests.rs
@@ -0,0 +1,172 @@
+//! Requests between processes under failure: answered once, whole, or truthfully refused.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use common::{LONG, callers, keyed_callers, serving_lab};
+use mustardrill_runtime::http::WholeAnswer;
+use mustardrill_standins::lab::{Lab, LabOptions, caller_request};
+
+async fn file(lab: &Lab, entry: usize, key: &str, body: &str) -> WholeAnswer {
+    let mut sent = caller_request(lab.entries[entry].address, "/v1/services/desk/file", body);
+    sent.headers_mut().insert("idempotency-key", key.parse().unwrap());
+    lab.client.call(sent, Duration::from_secs(20), 1_000_000).await.unwrap()
+}
+
+fn code(answer: &WholeAnswer) -> &str {
+    answer.headers["mustardrill-code"].to_str().unwrap()
+}
+
+/// How often each call was run by the plain services.
+async fn runs(lab: &Lab) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for plain in &lab.plain {
+        for run in lab.runs(plain).await.into_iter().filter(|run| run != "ready?") {
+            *counts.entry(run).or_default() += 1;
+        }
+    }
+    counts
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_notice_sent_twice_runs_once() {
+    let (lab, _) = serving_lab(LabOptions { agents: 1, ..LabOptions::default() }).await;
+    let first = file(&lab, 0, "notice-1", "a hull").await;
+    assert_eq!(code(&first), "1000");
+    let again = file(&lab, 1, "notice-1", "a hull").await;
+    assert_eq!((code(&again), again.status.as_u16()), ("2015", 409));
+    let other = file(&lab, 1, "notice-2", "a mast").await;
+    assert_eq!(code(&other), "1000");
+    let counts = runs(&lab).await;
+    assert!(counts.len() == 2 && counts.values().all(|count| *count == 1), "{counts:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_the_key_value_service_only_claims_are_refused() {
+    let (lab, _) = serving_lab(LabOptions { agents: 2, ..LabOptions::default() }).await;
+    lab.switch(lab.key_value.address, "down=1").await;
+    let load = callers(&lab, 50.0);
+    let refused = file(&lab, 0, "notice-1", "a hull").await;
+    assert_eq!(code(&refused), "2014");
+    assert!(refused.headers.contains_key("retry-after"));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let report = load.finish().await;
+    assert_eq!(report.whole, report.sent, "{:?}", report.codes);
+    lab.switch(lab.key_value.address, "").await;
+    let mut last = String::new();
+    for _ in 0..200 {
+        last = code(&file(&lab, 1, "notice-1", "a hull").await).to_owned();
+        if last == "1000" {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(last, "1000", "what was told \"not run\" may be sent again");
+    assert_eq!(runs(&lab).await.values().sum::<usize>(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_claims_never_run_a_call_twice() {
+    let (lab, _) = serving_lab(LabOptions { agents: 1, plain: 2, ..LabOptions::default() }).await;
+    let load = keyed_callers(&lab, 100.0);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    lab.switch(lab.key_value.address, "lose_answers=1").await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    lab.switch(lab.key_value.address, "").await;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let report = load.finish().await;
+    let counts = runs(&lab).await;
+    assert!(counts.values().all(|count| *count == 1), "{counts:?}");
+    assert_eq!((report.wrong, report.lost), (0, 0));
+    assert_eq!(counts.len() as u64, report.whole + report.unknown, "{:?}", report.codes);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_agent_loses_no_request_that_may_be_repeated() {
+    let (mut lab, _) = serving_lab(LabOptions { agents: 4, ..LabOptions::default() }).await;
+    let load = callers(&lab, 200.0);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    lab.engines[1].agent.kill();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let report = load.finish().await;
+    assert_eq!((report.wrong, report.lost), (0, 0), "{:?}", report.codes);
+    assert_eq!(report.whole, report.sent, "{:?}", report.codes);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_agents_never_run_a_claim_notice_twice() {
+    let (mut lab, _) =
+        serving_lab(LabOptions { agents: 1, plain: 3, ..LabOptions::default() }).await;
+    let load = keyed_callers(&lab, 150.0);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    lab.plain[0].agent.kill();
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    lab.plain[1].agent.freeze();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    lab.plain[1].agent.thaw();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let report = load.finish().await;
+    let counts = runs(&lab).await;
+    assert!(counts.values().all(|count| *count == 1), "{counts:?}");
+    assert_eq!((report.wrong, report.lost), (0, 0), "{:?}", report.codes);
+    // What was told "not run" was not run: only whole and unknown ones may have been.
+    let ran = counts.len() as u64;
+    assert!(ran >= report.whole && ran <= report.whole + report.unknown, "{ran} {report:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_answer_is_resumed_under_the_same_weights() {
+    let (lab, _) = serving_lab(LabOptions { agents: 3, ..LabOptions::default() }).await;
+    let load = callers(&lab, 100.0);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    // This engine ends every answer with an error after its first piece.
+    lab.switch(lab.engines[0].upstream.address, "corrupt=1").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    lab.switch(lab.engines[0].upstream.address, "").await;
+    let report = load.finish().await;
+    assert_eq!(report.wrong, 0);
+    assert_eq!(report.whole, report.sent, "{:?} lost {}", report.codes, report.lost);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_off_nothing() {
+    let (mut lab, _) = serving_lab(LabOptions { agents: 4, ..LabOptions::default() }).await;
+    let load = callers(&lab, 200.0);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    lab.engines[2].agent.terminate();
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let before = lab.runs(&lab.engines[2]).await.len();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(lab.runs(&lab.engines[2]).await.len(), before, "new work after two seconds");
+    let report = load.finish().await;
+    assert_eq!(report.whole, report.sent, "{:?} lost {}", report.codes, report.lost);
+    for _ in 0..500 {
+        if lab.engines[2].agent.has_ended() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the agent never ended");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_entry_finishes_what_it_has() {
+    let options = LabOptions { agents: 2, pieces: (8, 60), ..LabOptions::default() };
+    let (mut lab, digest) = serving_lab(options).await;
+    let sent = caller_request(lab.entries[1].address, "/v1/models/drafts/draft", "a long one");
+    let client = lab.client.clone();
+    let call = tokio::spawn(async move { client.call(sent, LONG, 1_000_000).await });
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    lab.entries[1].terminate();
+    let answer = call.await.unwrap().unwrap();
+    assert_eq!(answer.body, mustardrill_standins::engine::answer_text(&digest, "a long one", 8));
+    for _ in 0..500 {
+        if lab.entries[1].has_ended() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the entry never ended");
+}
--- /dev/null
+++ b/mustardrill_standins/tests/weights.rs
@@ -0,0 +1,152 @@
+//! Bursts between processes under failure: no wrong byte, no more from the origin than needed.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{CHUNK, LONG, MODEL, SIZE, callers, model_file, serving_lab};
+use mustardrill_standins::lab::{Lab, LabOptions};
+
+/// Links slow enough that a burst lasts a second.
+fn paced(agents: usize) -> LabOptions {
+    LabOptions {
+        agents,
+        machine_rate: SIZE,
+        origin_rate: SIZE * 2,
+        agent_lines: vec![
+            ("weights", "stall_after = 400ms".into()),
+            ("weights", "chunk_patience = 400ms".into()),
+        ],
+        ..LabOptions::default()
+    }
+}
+
+/// No engine ever loaded bytes that are not those of a published version.
+async fn no_wrong_byte(lab: &Lab, digests: &[&str]) {
+    for engine in &lab.engines {
+        if let Some(serving) = lab.serving_of(engine).await {
+            assert!(digests.contains(&serving.as_str()), "{serving} is served");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_of_ten_are_killed_half_way() {
+    let (mut lab, v1) = serving_lab(paced(10)).await;
+    let v2 = lab.publish(MODEL, "v2", SIZE, CHUNK, 2).await;
+    let before = lab.origin_sent().await;
+    assert_eq!(lab.apply(0, &model_file("v2", 1, 10)).await.0, 200);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for place in [3, 7] {
+        lab.engines[place].agent.kill();
+        lab.engines[place].upstream.kill();
+    }
+    assert!(lab.wait_serving(&v2, 8, LONG).await.is_some(), "the others never served v2");
+    let share = (lab.origin_sent().await - before) as f64 / SIZE as f64;
+    assert!(share <= 1.25, "{share} copies came from the origin");
+    no_wrong_byte(&lab, &[&v1, &v2]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_burst_goes_on_while_the_key_value_service_is_down() {
+    let (lab, _) = serving_lab(paced(4)).await;
+    let v2 = lab.publish(MODEL, "v2", SIZE, CHUNK, 2).await;
+    assert_eq!(lab.apply(0, &model_file("v2", 1, 4)).await.0, 200);
+    lab.switch(lab.key_value.address, "down=1").await;
+    let load = callers(&lab, 50.0);
+    // The outage outlasts the leases of three seconds.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    assert!(lab.wait_serving(&v2, 4, LONG).await.is_some(), "v2 was never served");
+    let report = load.finish().await;
+    assert_eq!((report.wrong, report.lost, report.unknown), (0, 0, 0), "{:?}", report.codes);
+    assert_eq!(report.whole, report.sent, "{:?}", report.codes);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changed_bytes_at_the_origin_are_never_loaded() {
+    let (lab, v1) = serving_lab(paced(4)).await;
+    let v2 = lab.publish(MODEL, "v2", SIZE, CHUNK, 2).await;
+    lab.switch(lab.origin.address, "corrupt=1").await;
+    assert_eq!(lab.apply(0, &model_file("v2", 1, 4)).await.0, 200);
+    let load = callers(&lab, 50.0);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let serving = lab.serving().await;
+    assert!(serving.iter().flatten().all(|digest| *digest == v1), "{serving:?}");
+    let mut troubles = Vec::new();
+    for engine in &lab.engines {
+        let status = lab.agent_status(engine).await;
+        troubles.push(status["versions"][0]["trouble"].as_str().unwrap_or_default().to_owned());
+    }
+    assert!(troubles.iter().any(|it| it.contains("another digest")), "{troubles:?}");
+    lab.switch(lab.origin.address, "").await;
+    assert!(lab.wait_serving(&v2, 4, LONG).await.is_some(), "v2 was never served");
+    let report = load.finish().await;
+    assert_eq!((report.wrong, report.lost), (0, 0), "{:?}", report.codes);
+    assert_eq!(report.whole, report.sent, "{:?}", report.codes);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stalled_origin_and_a_frozen_agent_only_cost_time() {
+    let (lab, v1) = serving_lab(paced(6)).await;
+    let v2 = lab.publish(MODEL, "v2", SIZE, CHUNK, 2).await;
+    assert_eq!(lab.apply(0, &model_file("v2", 1, 6)).await.0, 200);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    lab.switch(lab.origin.address, "stall=1").await;
+    lab.engines[2].agent.freeze();
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    lab.switch(lab.origin.address, "").await;
+    assert!(lab.wait_serving(&v2, 5, LONG).await.is_some(), "the others never served v2");
+    lab.engines[2].agent.thaw();
+    assert!(lab.wait_serving(&v2, 6, LONG).await.is_some(), "the frozen one never served v2");
+    no_wrong_byte(&lab, &[&v1, &v2]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_newer_version_may_come_half_way() {
+    let (lab, v1) = serving_lab(paced(4)).await;
+    let v2 = lab.publish(MODEL, "v2", SIZE, CHUNK, 2).await;
+    let v3 = lab.publish(MODEL, "v3", SIZE, CHUNK, 3).await;
+    assert_eq!(lab.apply(0, &model_file("v2", 1, 4)).await.0, 200);
+    let load = callers(&lab, 50.0);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(lab.apply(1, &model_file("v3", 2, 4)).await.0, 200);
+    assert!(lab.wait_serving(&v3, 4, LONG).await.is_some(), "v3 was never served");
+    no_wrong_byte(&lab, &[&v1, &v2, &v3]).await;
+    let report = load.finish().await;
+    assert_eq!((report.wrong, report.lost, report.unknown), (0, 0, 0), "{:?}", report.codes);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_may_join_during_a_burst() {
+    let (mut lab, _) = serving_lab(paced(4)).await;
+    let v2 = lab.publish(MODEL, "v2", SIZE, CHUNK, 2).await;
+    lab.add_engine();
+    lab.publish_instances().await;
+    assert!(lab.wait_fleet(0, 6, LONG).await);
+    assert_eq!(lab.apply(0, &model_file("v2", 1, 5)).await.0, 200);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    lab.add_engine();
+    lab.publish_instances().await;
+    assert!(lab.wait_serving(&v2, 5, LONG).await.is_some(), "v2 was never served");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn weights_that_do_not_fit_are_refused_plainly() {
+    let limit = ("weights", "staging_limit = 3MB".to_owned());
+    let (lab, v1) =
+        serving_lab(LabOptions { agents: 2, agent_lines: vec![limit], ..LabOptions::default() })
+            .await;
+    lab.publish(MODEL, "v2", 4_000_000, CHUNK, 2).await;
+    assert_eq!(lab.apply(0, &model_file("v2", 1, 2)).await.0, 200);
+    let mut trouble = String::new();
+    for _ in 0..500 {
+        let status = lab.agent_status(&lab.engines[0]).await;
+        trouble = status["versions"][0]["trouble"].as_str().unwrap_or_default().to_owned();
+        if !trouble.is_empty() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(trouble.contains("needs 4000000B"), "{trouble}");
+    assert_eq!(lab.serving().await, [Some(v1.clone()), Some(v1)]);
+}
