--- a/mustardrill_core/src/agent/weights.rs
+++ b/mustardrill_core/src/agent/weights.rs
@@ -257,11 +257,13 @@
         if self.loading == Some(digest) {
             self.loading = None;
         }
-        let retry = now + self.settings.retry_every;
-        if let (Err(reason), Some(state)) = (result, self.versions.get_mut(&digest)) {
-            warn!("load manifest={} decision=retry reason=\"{reason}\"", digest.short());
-            state.trouble = reason;
-            state.next_try = retry;
+        if let Some(state) = self.versions.get_mut(&digest) {
+            // Until the upstream has been read, a second order would only repeat the first.
+            state.next_try = now + self.settings.retry_every;
+            if let Err(reason) = result {
+                warn!("load manifest={} decision=retry reason=\"{reason}\"", digest.short());
+                state.trouble = reason;
+            }
         }
         // Whatever the upstream answered, only what it says it serves now counts.
         vec![AgentEffect::ReadEngine]
--- /dev/null
+++ b/mustardrill_core/tests/policies.rs
@@ -0,0 +1,232 @@
+//! Admission, limits, routing and budgets, each with the measure that speaks for it.
+
+mod common;
+
+use mustardrill_core::admission::{Admission, AdmissionQueue, AdmissionSettings};
+use mustardrill_core::budget::{RetryBudget, RetrySettings};
+use mustardrill_core::document::{CustomerLimits, RequestClass};
+use mustardrill_core::limit::{LimitKey, LimitTable, share_of};
+use mustardrill_core::rendezvous;
+use mustardrill_core::routing::{RoutingReason, RoutingSettings, RoutingTable, UpstreamReport};
+use mustardrill_types::{AttemptId, InstanceId, Millis, Moment, ResultCode};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn queue(capacity: u32, places: u32, turns: u32) -> AdmissionQueue {
+    AdmissionQueue::new(AdmissionSettings { capacity, queue: places, turns })
+}
+
+fn offer(queue: &mut AdmissionQueue, attempt: u128, class: RequestClass) -> Admission {
+    queue.offer(Moment(1), AttemptId(attempt), class, Moment(1_000_000))
+}
+
+#[test]
+fn higher_classes_go_first_and_lower_ones_are_not_starved() {
+    let mut queue = queue(1, 100, 4);
+    assert_eq!(offer(&mut queue, 0, RequestClass::Urgent), Admission::Run);
+    for number in 1..=20 {
+        let class = if u128::is_multiple_of(number, 2) {
+            RequestClass::Urgent
+        } else {
+            RequestClass::Background
+        };
+        assert_eq!(offer(&mut queue, number, class), Admission::Queued);
+    }
+    let mut order = Vec::new();
+    let mut running = AttemptId(0);
+    for turn in 0..20 {
+        queue.finished(Moment(10 * turn), running);
+        running = queue.next_run(Moment(10 * turn)).unwrap();
+        order.push(running.0.is_multiple_of(2));
+    }
+    assert_eq!(&order[..5], [true, true, true, true, false], "one of five goes to the lower class");
+    let urgent_done = order.iter().rposition(|is_urgent| *is_urgent).unwrap();
+    assert_eq!(urgent_done, 11, "ten urgent ones with two others between them");
+}
+
+#[test]
+fn what_would_be_late_is_refused_at_once() {
+    let mut queue = queue(1, 100, 4);
+    offer(&mut queue, 0, RequestClass::Standard);
+    // A run takes 100 ms as far as is known, so a second one ends at 200 ms.
+    let late = queue.offer(Moment(1), AttemptId(1), RequestClass::Standard, Moment(150));
+    assert!(
+        matches!(late, Admission::Refused(ResultCode::Overloaded, wait) if wait.0 >= 100),
+        "{late:?}"
+    );
+    let dead = queue.offer(Moment(1), AttemptId(2), RequestClass::Standard, Moment(1));
+    assert!(matches!(dead, Admission::Refused(ResultCode::DeadlinePassed, _)));
+    let fits = queue.offer(Moment(1), AttemptId(3), RequestClass::Standard, Moment(500));
+    assert_eq!(fits, Admission::Queued);
+    assert_eq!(queue.expired(Moment(600)), [AttemptId(3)]);
+}
+
+#[test]
+fn a_full_queue_refuses_and_a_withdrawn_one_frees_its_place() {
+    let mut queue = queue(1, 1, 4);
+    offer(&mut queue, 0, RequestClass::Standard);
+    assert_eq!(offer(&mut queue, 1, RequestClass::Standard), Admission::Queued);
+    assert!(matches!(
+        offer(&mut queue, 2, RequestClass::Standard),
+        Admission::Refused(ResultCode::Overloaded, _)
+    ));
+    assert!(queue.withdraw(AttemptId(1)) && !queue.withdraw(AttemptId(0)), "what runs stays");
+    assert_eq!(offer(&mut queue, 3, RequestClass::Standard), Admission::Queued);
+}
+
+fn key(customer: &str) -> LimitKey {
+    (customer.parse().unwrap(), "drafts".parse().unwrap())
+}
+
+/// Admits `offered` requests a second at each entry for ten seconds, with a round of shares each
+/// second; returns how many were admitted a second after the first three.
+fn admitted(offered: &[u64], limits: CustomerLimits) -> f64 {
+    let mut tables: Vec<LimitTable> = offered.iter().map(|_| LimitTable::default()).collect();
+    let key = key("comedor");
+    let mut count = 0;
+    for now in 0..10_000_u64 {
+        for (table, rate) in tables.iter_mut().zip(offered) {
+            let due = (now + 1) * rate / 1_000 - now * rate / 1_000;
+            for _ in 0..due {
+                if table.admit(Moment(now), &key, limits, offered.len()).is_ok() {
+                    table.finished(&key);
+                    count += u64::from(now >= 3_000);
+                }
+            }
+        }
+        if now % 1_000 == 999 {
+            let demand: Vec<_> = tables
+                .iter_mut()
+                .map(|it| it.take_demand().get(&key).copied().unwrap_or(0))
+                .collect();
+            let all = demand.iter().sum();
+            for (table, own) in tables.iter_mut().zip(demand) {
+                table.set_share(&key, own, all, offered.len());
+            }
+        }
+    }
+    count as f64 / 7.0
+}
+
+#[test]
+fn a_limit_is_shared_by_entries_and_follows_demand() {
+    let limits = CustomerLimits { requests_per_second: 100, in_flight: 50 };
+    for offered in [vec![300, 0, 0, 0], vec![100, 100, 100, 100], vec![200, 50, 10, 0], vec![400]] {
+        let rate = admitted(&offered, limits);
+        let error = (rate - 100.0) / 100.0;
+        assert!((-0.12..=0.05).contains(&error), "{offered:?}: {rate} a second of 100");
+    }
+    for entries in [1, 4, 100] {
+        let shares: f64 =
+            (0..entries).map(|place| share_of(place, (0..entries).sum(), entries as usize)).sum();
+        assert!((shares - 1.0).abs() < 1e-9, "the shares sum to {shares}");
+    }
+}
+
+#[test]
+fn one_customers_storm_leaves_another_whole() {
+    let limits = CustomerLimits { requests_per_second: 10, in_flight: 5 };
+    let mut table = LimitTable::default();
+    let storm =
+        (0..1_000).filter(|_| table.admit(Moment(1), &key("storm"), limits, 1).is_ok()).count();
+    assert!(storm <= 5, "{storm} were admitted");
+    assert!(table.admit(Moment(1), &key("calm"), limits, 1).is_ok());
+    let over = table.admit(Moment(1), &key("storm"), limits, 1).unwrap_err();
+    assert!(over.retry_after.0 > 0);
+    assert_eq!(table.in_flight(&key("calm")), 1);
+}
+
+#[test]
+fn retries_stay_within_their_share() {
+    let mut budget = RetryBudget::new(RetrySettings { percent: 20, reserve: 10, attempts: 4 });
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.earn();
+        retries += u32::from(budget.spend(1));
+    }
+    assert!((200..=210).contains(&retries), "{retries} retries of 1000 requests");
+    assert!(!budget.spend(4), "a request has its last attempt");
+}
+
+fn ids(count: usize) -> Vec<InstanceId> {
+    (0..count).map(|place| format!("instance-{place}").parse().unwrap()).collect()
+}
+
+fn report(outstanding: u32) -> UpstreamReport {
+    UpstreamReport { outstanding, capacity: 4, serving: Vec::new(), leaving: false }
+}
+
+fn table(count: usize, settings: RoutingSettings) -> (RoutingTable, Vec<InstanceId>) {
+    let mut table = RoutingTable::new(settings);
+    let ids = ids(count);
+    ids.iter().for_each(|id| table.reported(Moment(1), id, true, report(0)));
+    (table, ids)
+}
+
+#[test]
+fn a_failing_upstream_is_left_out_and_comes_back_slowly() {
+    let settings = RoutingSettings { silent_for: Millis(1_000_000), ..RoutingSettings::default() };
+    let (mut table, ids) = table(2, settings);
+    let mut random = SmallRng::seed_from_u64(1);
+    for _ in 0..3 {
+        table.sent(&ids[0]);
+        table.ended(Moment(10), &ids[0], false);
+    }
+    let mut share = |table: &mut RoutingTable, now: u64| {
+        let mut picked = 0;
+        for number in 0..1_000 {
+            let (id, _) = table.choose(Moment(now), &ids, &[], None, &mut random).unwrap();
+            table.sent(&id);
+            picked += u32::from(id == ids[0]);
+            if u32::is_multiple_of(number, 7) {
+                table.ended(Moment(now), &id, true);
+            }
+        }
+        for id in &ids {
+            table.reported(Moment(now), id, true, report(0));
+            (0..1_000).for_each(|_| table.ended(Moment(now), id, true));
+        }
+        picked
+    };
+    assert_eq!(share(&mut table, 100), 0, "it is left out");
+    let back = share(&mut table, 2_020);
+    assert!(back > 0 && back < 300, "{back} of 1000 went to one that has just returned");
+}
+
+#[test]
+fn a_prefix_stays_with_its_upstream_within_the_bound() {
+    let (mut table, ids) = table(8, RoutingSettings::default());
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut choose = |table: &RoutingTable| {
+        table.choose(Moment(2), &ids, &[], Some("prefix"), &mut random).unwrap()
+    };
+    let (first, reason) = choose(&table);
+    assert_eq!(reason, RoutingReason::Affinity);
+    assert_eq!(choose(&table).0, first);
+    (0..40).for_each(|_| table.sent(&first));
+    assert_ne!(choose(&table).0, first, "it is far above the mean");
+}
+
+#[test]
+fn a_silent_or_leaving_upstream_is_not_chosen() {
+    let (mut table, ids) = table(2, RoutingSettings::default());
+    let mut random = SmallRng::seed_from_u64(1);
+    table.reported(Moment(9_000), &ids[0], true, UpstreamReport { leaving: true, ..report(0) });
+    assert!(table.choose(Moment(9_000), &ids, &[], None, &mut random).is_none());
+    table.reported(Moment(9_000), &ids[1], true, report(9));
+    let chosen = table.choose(Moment(9_000), &ids, &[], None, &mut random);
+    assert_eq!(chosen, Some((ids[1].clone(), RoutingReason::Only)));
+}
+
+#[test]
+fn a_leaver_moves_only_its_own_share() {
+    let before = ids(50);
+    let after: Vec<_> = before.iter().filter(|id| id.as_str() != "instance-7").cloned().collect();
+    let first = |names: &[InstanceId], subject: u32| {
+        rendezvous::ranked(&subject.to_le_bytes(), names, |id| id.as_str())[0].clone()
+    };
+    for subject in 0..500 {
+        let (old, new) = (first(&before, subject), first(&after, subject));
+        assert!(old == new || old.as_str() == "instance-7");
+    }
+}
--- a/mustardrill_standins/src/engine.rs
+++ b/mustardrill_standins/src/engine.rs
@@ -162,12 +162,15 @@
             return text_response(StatusCode::BAD_REQUEST, "the request was cut\n");
         };
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
-        let Some(serving) = self.loaded().serving.clone() else {
+        let Some(mut serving) = self.loaded().serving.clone() else {
             return text_response(StatusCode::PRECONDITION_FAILED, "no weights are loaded\n");
         };
         if text("x-expected-weights").is_some_and(|expected| expected != serving) {
             return text_response(StatusCode::PRECONDITION_FAILED, "other weights are loaded\n");
         }
+        if self.faults.get().wrong_weights {
+            serving = "f".repeat(serving.len());
+        }
         let resume = text("x-resume-from").and_then(|text| text.parse().ok()).unwrap_or(0);
         let prompt = String::from_utf8_lossy(&prompt).into_owned();
         self.runs.lock().expect("nobody panics under this lock").push(prompt.clone());
--- a/mustardrill_standins/src/fault.rs
+++ b/mustardrill_standins/src/fault.rs
@@ -18,6 +18,8 @@
     pub lose_answers: bool,
     /// Lets writes take effect and never answers them; reads are answered.
     pub lose_writes: bool,
+    /// An engine answers from other weights than those it was asked for.
+    pub wrong_weights: bool,
     /// Stops sending in the middle of an answer without closing.
     pub stall: bool,
     /// Changes a byte of every answer.
@@ -59,6 +61,7 @@
         delay: Duration::from_millis(delay),
         lose_answers: is_on("lose_answers"),
         lose_writes: is_on("lose_writes"),
+        wrong_weights: is_on("wrong_weights"),
         stall: is_on("stall"),
         corrupt: is_on("corrupt"),
     }
--- a/mustardrill_standins/tests/requests.rs
+++ b/mustardrill_standins/tests/requests.rs
@@ -130,6 +130,19 @@
     assert_eq!(report.whole, report.sent, "{:?} lost {}", report.codes, report.lost);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_from_other_weights_reaches_no_caller() {
+    let (lab, digest) = serving_lab(LabOptions { agents: 3, ..LabOptions::default() }).await;
+    lab.switch(lab.engines[0].upstream.address, "wrong_weights=1").await;
+    let load = callers(&lab, 100.0);
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let report = load.finish().await;
+    assert_eq!((report.wrong, report.lost), (0, 0));
+    assert_eq!(report.whole, report.sent, "{:?}", report.codes);
+    assert_eq!(report.weights.keys().collect::<Vec<_>>(), [&digest]);
+    assert!(lab.logs().contains("reason=wrong-weights"));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_cuts_off_nothing() {
     let (mut lab, _) = serving_lab(LabOptions { agents: 4, ..LabOptions::default() }).await;
