An entry looks only at its own subset of upstreams

Cause: the slope of an entry's cost was in the listed workers, not in the 32 it talks to: each choice collected and sorted all live instances of the service. Change: the subset of each service is kept and only it is looked at.

--- a/mustardrill_core/src/entry/reducer.rs
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -4,7 +4,7 @@
 
 use log::{info, warn};
 use mustardrill_types::{
-    AttemptId, FastMap, Generation, InstanceId, ManifestDigest, Millis, ModelName, Moment,
+    AttemptId, FastMap, FastSet, Generation, InstanceId, ManifestDigest, Millis, ModelName, Moment,
     ResultCode, ServiceName,
 };
 use rand::rngs::SmallRng;
@@ -47,6 +47,8 @@
     budget: RetryBudget,
     claims: ClaimBatch,
     agents: FastMap<InstanceId, AgentView>,
+    /// The agents of each service that this entry talks to.
+    subsets: FastMap<ServiceName, Vec<InstanceId>>,
     entries: usize,
     /// What customers asked of this entry during the last round.
     demand: Vec<DemandRow>,
@@ -76,6 +78,7 @@
             budget: RetryBudget::new(settings.retry.clone()),
             claims: ClaimBatch::new(settings.claim.clone()),
             agents: FastMap::default(),
+            subsets: FastMap::default(),
             entries: 1,
             demand: Vec::new(),
             next_round: Moment(0),
@@ -265,17 +268,20 @@
     /// The upstreams that may answer the request; after a first byte only those with its weights.
     fn candidates(&self, now: Moment, state: &RequestState) -> Vec<InstanceId> {
         let Some(entry) = self.document.entries.get(&state.target) else { return Vec::new() };
-        let live = self.members.live_of(now, &entry.service);
-        let listed = live.into_iter().filter(|record| !record.leaving);
-        let fits = |record: &&InstanceRecord| {
-            let pin = self.pin(&state.target, &record.id);
+        let Some(subset) = self.subsets.get(&entry.service) else { return Vec::new() };
+        let is_listed = |id: &&InstanceId| {
+            let record = self.members.get(id);
+            record.is_some_and(|it| !it.leaving) && self.members.is_live(now, id)
+        };
+        let fits = |id: &&InstanceId| {
+            let pin = self.pin(&state.target, id);
             match (&entry.weights, state.delivered) {
                 (None, _) => true,
                 (Some(_), 0) => pin.is_some(),
                 (Some(_), _) => pin.is_some() && pin == state.pinned,
             }
         };
-        listed.filter(fits).map(|record| record.id.clone()).collect()
+        subset.iter().filter(is_listed).filter(fits).cloned().collect()
     }
 
     /// The weights of the model that the instance serves: the version wanted, or an earlier one
@@ -489,8 +495,10 @@
         if !self.members.replace(list) {
             return Vec::new();
         }
-        let chosen = self.subset();
-        let gone: Vec<_> = self.agents.keys().filter(|id| !chosen.contains(id)).cloned().collect();
+        self.subsets = self.choose_subsets();
+        let chosen: FastSet<_> = self.subsets.values().flatten().cloned().collect();
+        let is_gone = |id: &&InstanceId| !chosen.contains(*id);
+        let gone: Vec<_> = self.agents.keys().filter(is_gone).cloned().collect();
         for id in gone {
             self.agents.remove(&id);
             self.routing.forget(&id);
@@ -504,18 +512,17 @@
     }
 
     /// The agents that this entry talks to: of each service a few, by rendezvous hashing.
-    fn subset(&self) -> Vec<InstanceId> {
-        let mut services: FastMap<&ServiceName, Vec<&InstanceRecord>> = FastMap::default();
+    fn choose_subsets(&self) -> FastMap<ServiceName, Vec<InstanceId>> {
+        let mut services: FastMap<ServiceName, Vec<&InstanceRecord>> = FastMap::default();
         for record in self.members.records() {
-            services.entry(&record.service).or_default().push(record);
+            services.entry(record.service.clone()).or_default().push(record);
         }
         let own = self.settings.own.as_str().as_bytes();
-        let mut chosen = Vec::new();
-        for records in services.values() {
-            let ranked = rendezvous::ranked(own, records, |record| record.id.as_str());
-            chosen.extend(ranked.iter().take(self.settings.subset).map(|record| record.id.clone()));
-        }
-        chosen
+        let choose = |records: Vec<&InstanceRecord>| {
+            let ranked = rendezvous::ranked(own, &records, |record| record.id.as_str());
+            ranked.iter().take(self.settings.subset).map(|record| record.id.clone()).collect()
+        };
+        services.into_iter().map(|(service, records)| (service, choose(records))).collect()
     }
 
     fn synced(&mut self, now: Moment, sync: AgentSync) -> Vec<EntryEffect> {
