Claims and refreshes cost what the platform can bear

Cause: two slopes broke a budget. Claims made 1,442 writes a second at 1,200 claims a second and four entries, where the service takes several hundred. An agent worked out its placement anew each second, 9 ms at 2,300 instances. Change: entries share a budget of calls for claims (300 a second in all, a token bucket each) and serve shards in turn; 16 shards every 20 ms became 8 every 40 ms. Placement is worked out anew only when who is live has changed. Ruled out: 4 shards every 80 ms refuses none at 1,200 but holds half as many claims; 4 every 40 ms and 8 every 80 ms lie between. Conclusion: holds for today's teams, not for 12,000 keyed requests a second. Half of the writes conflict; what would hold is one writer for each shard, with a log in segments. It is written down as not built.

--- a/mustardrill_core/src/agent/reducer.rs
+++ b/mustardrill_core/src/agent/reducer.rs
@@ -201,7 +201,6 @@
     }
 
     fn refresh_weights(&mut self, now: Moment) -> Vec<AgentEffect> {
-        self.next_refresh = now + REFRESH_EVERY;
         self.weights.refresh(now, &self.document, &self.members)
     }
 
@@ -308,7 +307,9 @@
             effects.extend(self.owner.due(now).map(AgentEffect::CallOwner));
         }
         if now >= self.next_refresh {
-            effects.extend(self.refresh_weights(now));
+            self.next_refresh = now + REFRESH_EVERY;
+            let (document, members) = (&self.document, &self.members);
+            effects.extend(self.weights.refresh_if_changed(now, document, members));
         }
         effects.extend(self.advance_weights(now));
         effects
--- a/mustardrill_core/src/agent/weights.rs
+++ b/mustardrill_core/src/agent/weights.rs
@@ -23,6 +23,8 @@
 pub(crate) struct WeightsTable {
     settings: AgentSettings,
     versions: FastMap<ManifestDigest, VersionState>,
+    /// The instances of the service by which `versions` was worked out.
+    live: Vec<InstanceId>,
     serving: Vec<ManifestDigest>,
     served_by: FastMap<ManifestDigest, FastSet<InstanceId>>,
     loading: Option<ManifestDigest>,
@@ -81,6 +83,7 @@
         Self {
             settings,
             versions: FastMap::default(),
+            live: Vec::new(),
             serving: Vec::new(),
             served_by: FastMap::default(),
             loading: None,
@@ -93,6 +96,19 @@
         &self.serving
     }
 
+    /// Works out anew what this instance is to serve, where who is live has changed.
+    pub(crate) fn refresh_if_changed(
+        &mut self,
+        now: Moment,
+        document: &CatalogueDocument,
+        members: &MemberTable,
+    ) -> Vec<AgentEffect> {
+        if self.live_instances(now, members) == self.live {
+            return Vec::new();
+        }
+        self.refresh(now, document, members)
+    }
+
     /// Works out anew what this instance is to serve, after the catalogue or the list changed.
     pub(crate) fn refresh(
         &mut self,
@@ -102,12 +118,7 @@
     ) -> Vec<AgentEffect> {
         let service = self.settings.service.clone();
         let own = self.settings.own.id.clone();
-        let live: Vec<_> = members
-            .live_of(now, &service)
-            .into_iter()
-            .filter(|record| !record.leaving)
-            .map(|record| record.id.clone())
-            .collect();
+        let live = self.live_instances(now, members);
         let mut wanted = FastMap::default();
         for (model, instances) in assigned(document, &service, &live) {
             let weights = document.entries.get(&model).and_then(|entry| entry.weights.as_ref());
@@ -127,6 +138,7 @@
                 plan.set_peers(&peers);
             }
         }
+        self.live = live;
         effects.extend(self.advance(now, members, None));
         effects
     }
@@ -328,6 +340,12 @@
         plan.map_or_else(Vec::new, |plan| plan.partners().holders(index, NAMED))
     }
 
+    fn live_instances(&self, now: Moment, members: &MemberTable) -> Vec<InstanceId> {
+        let live = members.live_of(now, &self.settings.service);
+        let staying = live.into_iter().filter(|record| !record.leaving);
+        staying.map(|record| record.id.clone()).collect()
+    }
+
     fn plan(&mut self, digest: ManifestDigest) -> Option<&mut TransferPlan> {
         match &mut self.versions.get_mut(&digest)?.stage {
             VersionStage::Drawing(plan) | VersionStage::Staged(plan) => Some(plan),
--- a/mustardrill_core/src/claim.rs
+++ b/mustardrill_core/src/claim.rs
@@ -10,6 +10,8 @@
 use mustardrill_types::{AttemptId, FastMap, Millis, Moment, RequestKey};
 use serde::{Deserialize, Serialize};
 
+use crate::budget::TokenBucket;
+
 /// How claims are kept.
 #[derive(Debug, Clone)]
 pub struct ClaimSettings {
@@ -19,6 +21,8 @@
     pub retention_s: u64,
     /// The least time between two writes of a shard by one entry.
     pub write_every: Millis,
+    /// How many calls a second all entries together may make for claims.
+    pub calls_per_second: u32,
     /// A claim not settled after this is given up as not run.
     pub patience: Millis,
     /// The most claims that a shard remembers.
@@ -87,11 +91,18 @@
     Unknown,
 }
 
+/// Calls that an entry may save up, so that the first claims after a quiet time go at once.
+const CALL_BURST: f64 = 10.0;
+
 /// The claims of one entry that are not settled, and what it knows of each shard.
 #[derive(Debug)]
 pub struct ClaimBatch {
     settings: ClaimSettings,
     shards: FastMap<ShardIndex, ShardState>,
+    calls: TokenBucket,
+    entries: u32,
+    /// The shard that goes first at the next tick, so that a small budget serves all in turn.
+    first: u32,
 }
 
 #[derive(Debug, Default)]
@@ -121,9 +132,10 @@
 impl Default for ClaimSettings {
     fn default() -> Self {
         Self {
-            shards: 16,
-            retention_s: 3_600,
-            write_every: Millis(20),
+            shards: 8,
+            retention_s: 600,
+            write_every: Millis(40),
+            calls_per_second: 300,
             patience: Millis(1_000),
             shard_limit: 8_000,
         }
@@ -133,7 +145,13 @@
 impl ClaimBatch {
     /// A batch without claims.
     pub fn new(settings: ClaimSettings) -> Self {
-        Self { settings, shards: FastMap::default() }
+        let calls = TokenBucket::full(Moment(0), CALL_BURST);
+        Self { settings, shards: FastMap::default(), calls, entries: 1, first: 0 }
+    }
+
+    /// Notes how many entries share the budget of calls.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries.max(1) as u32;
     }
 
     /// Asks for a claim.
@@ -198,7 +216,9 @@
         let mut effects = Vec::new();
         let patience = self.settings.patience;
         let mut indexes: Vec<_> = self.shards.keys().copied().collect();
-        indexes.sort_unstable();
+        self.first = (self.first + 1) % self.settings.shards.max(1);
+        let shards = self.settings.shards.max(1);
+        indexes.sort_unstable_by_key(|index| (index.0 + shards - self.first) % shards);
         for index in indexes {
             let shard = self.shards.get_mut(&index).expect("an index of the map");
             let is_late = |claim: &WaitingClaim| now.since(claim.since) >= patience;
@@ -243,11 +263,15 @@
 
     /// Starts the read or write that the shard needs next.
     fn advance(&mut self, now: Moment, wall_s: u64, index: ShardIndex) -> Vec<ClaimEffect> {
+        let rate = f64::from(self.settings.calls_per_second) / f64::from(self.entries);
         let shard = self.shards.get_mut(&index).expect("the shard was looked up");
         let is_idle = shard.waiting.is_empty() && shard.releasing.is_empty();
         if is_idle || shard.pending != Pending::Nothing || now < shard.next_write {
             return Vec::new();
         }
+        if self.calls.take(now, rate, CALL_BURST).is_err() {
+            return Vec::new();
+        }
         let Some((known, revision)) = &shard.known else {
             shard.pending = Pending::Reading;
             return vec![ClaimEffect::Read(index)];
--- a/mustardrill_core/src/entry/reducer.rs
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -107,6 +107,7 @@
             EntryEvent::SyncFailed(id) => self.sync_failed(now, &id),
             EntryEvent::EntriesCounted(count) => {
                 self.entries = count.max(1);
+                self.claims.set_entries(count);
                 Vec::new()
             }
             EntryEvent::Tick => self.tick(now, wall_s),
--- a/mustardrill_entry/src/config.rs
+++ b/mustardrill_entry/src/config.rs
@@ -218,6 +218,13 @@
         retention_s: reader.value("claims", "retention", Millis(default.retention_s * 1_000)).0
             / 1_000,
         write_every: reader.value("claims", "write_every", default.write_every),
+        calls_per_second: reader.bounded(
+            "claims",
+            "calls_per_second",
+            default.calls_per_second,
+            1,
+            100_000,
+        ),
         patience: reader.value("claims", "patience", default.patience),
         shard_limit: default.shard_limit,
     }
--- a/mustardrill_standins/examples/slopes.rs
+++ b/mustardrill_standins/examples/slopes.rs
@@ -254,6 +254,7 @@
     const RUN_MS: u64 = 10_000;
     let mut batches: Vec<_> =
         (0..entries).map(|_| ClaimBatch::new(ClaimSettings::default())).collect();
+    batches.iter_mut().for_each(|batch| batch.set_entries(entries));
     let mut keys: BTreeMap<ShardIndex, (u64, ClaimDocument)> = BTreeMap::new();
     let mut calls: Vec<(u64, usize, ClaimEffect)> = Vec::new();
     let mut begun = BTreeMap::new();
