--- a/mustardrill_agent/src/actor.rs
+++ b/mustardrill_agent/src/actor.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use cadence::{Counted, Gauged};
 use kameo::prelude::*;
 use mustardrill_core::agent::{AgentEffect, AgentEvent, AgentReducer, WeightsProgress};
 use mustardrill_core::demand::DemandRow;
@@ -114,7 +115,11 @@
 impl AgentActor {
     fn reduce(&mut self, event: AgentEvent, actor: &ActorRef<Self>) {
         let now = self.context.clock.now();
+        let before = self.reducer.generation();
         let effects = self.reducer.reduce(now, event);
+        if self.reducer.generation() != before {
+            let _ = self.context.metrics.gauge("generation", self.reducer.generation().0);
+        }
         for effect in effects {
             match effect {
                 AgentEffect::Dispatch(attempt) => self.decide(attempt, Verdict::Run),
@@ -340,7 +345,6 @@
 
 /// Counts bytes sent to peers.
 pub(crate) fn count_sent(context: &AgentContext, bytes: usize) {
-    use cadence::Counted;
     context.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
     let _ = context.metrics.count("chunk_bytes_sent", bytes as i64);
 }
--- a/mustardrill_entry/src/actor.rs
+++ b/mustardrill_entry/src/actor.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cadence::Gauged;
 use kameo::prelude::*;
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::edit::FleetFacts;
@@ -77,7 +78,12 @@
             _ => None,
         };
         let (now, wall_s) = (self.context.clock.now(), self.context.clock.wall_s());
+        let before = self.reducer.document().generation;
         let effects = self.reducer.reduce(now, wall_s, event);
+        let generation = self.reducer.document().generation;
+        if generation != before {
+            let _ = self.context.metrics.gauge("generation", generation.0);
+        }
         for effect in effects {
             self.carry_out(effect, actor);
         }
--- a/mustardrill_standins/src/lab.rs
+++ b/mustardrill_standins/src/lab.rs
@@ -46,6 +46,8 @@
     pub checks_fencing: bool,
     /// The pieces of an engine's answer, and the milliseconds of each.
     pub pieces: (u64, u64),
+    /// The milliseconds of a plain service's call.
+    pub plain_ms: u64,
     /// Where the processes' logs go; a folder of the lab's own where there is none.
     pub folder: Option<PathBuf>,
 }
@@ -108,6 +110,7 @@
             entry_lines: Vec::new(),
             checks_fencing: true,
             pieces: (8, 5),
+            plain_ms: 2,
             folder: None,
         }
     }
@@ -364,6 +367,7 @@
         let name = format!("{service}-{place}");
         let (load_ms, pieces) = (self.options.load_ms.to_string(), self.options.pieces);
         let checks = self.options.checks_fencing.to_string();
+        let plain_ms = self.options.plain_ms.to_string();
         let (pieces, piece_ms) = (pieces.0.to_string(), pieces.1.to_string());
         let arguments: Vec<&str> = match kind {
             "engine" => vec![
@@ -376,7 +380,7 @@
                 "--piece-ms",
                 &piece_ms,
             ],
-            _ => vec!["--work-ms", "2"],
+            _ => vec!["--work-ms", &plain_ms],
         };
         let upstream = stand_in(&self.folder, kind, &format!("{kind}-{place}"), &arguments);
         let centre = if place.is_multiple_of(2) { "gc-hall-a" } else { "xela-hall" };
--- a/mustardrill_standins/src/load.rs
+++ b/mustardrill_standins/src/load.rs
@@ -51,6 +51,8 @@
     pub weights: std::collections::BTreeMap<String, u64>,
     /// The time to whole answers, in microseconds.
     pub times: Histogram<u64>,
+    /// The time to refusals, in microseconds.
+    pub refusal_times: Histogram<u64>,
 }
 
 /// Callers that run until they are stopped.
@@ -80,6 +82,7 @@
             codes: Default::default(),
             weights: Default::default(),
             times: Histogram::new(3).expect("three digits are allowed"),
+            refusal_times: Histogram::new(3).expect("three digits are allowed"),
         }
     }
 }
@@ -99,6 +102,7 @@
             }
             Fate::Refused(code, is_not_run) => {
                 *self.codes.entry(code).or_default() += 1;
+                let _ = self.refusal_times.record(took.as_micros() as u64);
                 if is_not_run {
                     self.not_run += 1;
                 } else {
