A lying process between processes reaches neither callers nor engines

Cause: crossed frames, short answers, lost streams and corrupt chunks from a peer were guarded against, but nothing between processes brought them about. Change: a test plays an agent that lies in turn, and calls an agent past its deadline and with one attempt twice.

--- /dev/null
+++ b/mustardrill_standins/tests/liars.rs
@@ -0,0 +1,223 @@
+//! A process that breaks the rules between processes: nothing of it reaches callers or engines.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{CHUNK, LONG, MODEL, SIZE, callers, model_file, serving_lab};
+use mustardrill_core::membership::InstanceRecord;
+use mustardrill_proto as proto;
+use mustardrill_proto::agent_server::{Agent, AgentServer};
+use mustardrill_proto::execute_frame::Part;
+use mustardrill_runtime::agents::AgentPool;
+use mustardrill_runtime::platform::InstanceListing;
+use mustardrill_standins::lab::{Lab, LabOptions};
+use mustardrill_types::ManifestDigest;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status};
+
+/// An agent that claims to serve everything, and lies about it in turn.
+#[derive(Clone)]
+struct Liar {
+    serving: Vec<Bytes>,
+    lies: Arc<AtomicU64>,
+    chunks: Arc<AtomicU64>,
+}
+
+fn frame(attempt: &Bytes, part: Part) -> Result<proto::ExecuteFrame, Status> {
+    Ok(proto::ExecuteFrame { attempt: attempt.clone(), part: Some(part) })
+}
+
+/// The frames of one lie.
+fn lie(number: u64, attempt: &Bytes) -> Vec<Result<proto::ExecuteFrame, Status>> {
+    let head = || Part::Head(proto::ExecuteHead { status: 200, ..proto::ExecuteHead::default() });
+    let data = || Part::Data(Bytes::from_static(b"somebody else's answer"));
+    let end = |length| Part::End(proto::ExecuteEnd { length, digest: vec![0; 32].into() });
+    let crossed = Bytes::from_static(&[9; 16]);
+    match number % 4 {
+        // Another attempt's answer, whole.
+        0 => vec![frame(&crossed, head()), frame(&crossed, data()), frame(&crossed, end(22))],
+        // Nothing at all.
+        1 => Vec::new(),
+        // A head and then the end of a longer answer.
+        2 => vec![frame(attempt, head()), frame(attempt, end(4_000))],
+        // An answer made from other weights than those asked for.
+        _ => vec![frame(
+            attempt,
+            Part::Refusal(proto::Refusal { code: 3004, ..proto::Refusal::default() }),
+        )],
+    }
+}
+
+#[tonic::async_trait]
+impl Agent for Liar {
+    type ExecuteStream = ReceiverStream<Result<proto::ExecuteFrame, Status>>;
+
+    async fn execute(
+        &self,
+        request: Request<proto::ExecuteRequest>,
+    ) -> Result<Response<Self::ExecuteStream>, Status> {
+        let number = self.lies.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = tokio::sync::mpsc::channel(8);
+        for part in lie(number, &request.into_inner().attempt) {
+            sender.try_send(part).unwrap();
+        }
+        Ok(Response::new(ReceiverStream::new(receiver)))
+    }
+
+    async fn sync(
+        &self,
+        request: Request<proto::SyncRequest>,
+    ) -> Result<Response<proto::SyncReply>, Status> {
+        Ok(Response::new(proto::SyncReply {
+            instance: "liar".into(),
+            generation: request.into_inner().generation,
+            capacity: 1_000,
+            serving: self.serving.clone(),
+            ..proto::SyncReply::default()
+        }))
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<proto::ExchangeRequest>,
+    ) -> Result<Response<proto::Holding>, Status> {
+        Ok(Response::new(holding(request.into_inner().manifest)))
+    }
+
+    async fn fetch_manifest(
+        &self,
+        _: Request<proto::FetchManifestRequest>,
+    ) -> Result<Response<proto::FetchManifestReply>, Status> {
+        Ok(Response::new(proto::FetchManifestReply { data: Bytes::from_static(b"{}") }))
+    }
+
+    async fn fetch_chunk(
+        &self,
+        request: Request<proto::FetchChunkRequest>,
+    ) -> Result<Response<proto::FetchChunkReply>, Status> {
+        self.chunks.fetch_add(1, Ordering::Relaxed);
+        let result = proto::fetch_chunk_reply::Result::Data(vec![0; CHUNK as usize].into());
+        let holding = Some(holding(request.into_inner().manifest));
+        Ok(Response::new(proto::FetchChunkReply { holding, result: Some(result) }))
+    }
+}
+
+/// It claims to hold every chunk.
+fn holding(manifest: Bytes) -> proto::Holding {
+    let bitmap = vec![255; 64].into();
+    proto::Holding {
+        manifest,
+        instance: "liar".into(),
+        bitmap,
+        serving: true,
+        ..proto::Holding::default()
+    }
+}
+
+/// Starts a liar and tells the instance list of it.
+async fn add_liar(lab: &Lab, digests: &[&str]) -> Liar {
+    let bytes = |digest: &&str| {
+        let digest: ManifestDigest = digest.parse().unwrap();
+        Bytes::copy_from_slice(&digest.0)
+    };
+    let liar = Liar {
+        serving: digests.iter().map(bytes).collect(),
+        lies: Arc::default(),
+        chunks: Arc::default(),
+    };
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let server = tonic::transport::Server::builder().add_service(AgentServer::new(liar.clone()));
+    tokio::spawn(server.serve_with_incoming(TcpIncoming::from(listener)));
+    let record = InstanceRecord {
+        id: "liar".parse().unwrap(),
+        agent: address.into(),
+        ..lab.engines[0].record.clone()
+    };
+    let mut instances: Vec<_> =
+        lab.engines.iter().chain(&lab.plain).map(|upstream| upstream.record.clone()).collect();
+    instances.push(record);
+    let body = serde_json::to_vec(&InstanceListing { instances, entries: 2 }).unwrap();
+    lab.call("PUT", lab.instances.address, "/v1/instances", body).await;
+    liar
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crossed_short_and_foreign_answers_reach_no_caller() {
+    // It is not left out for its failures, so that it gets to tell all of its lies.
+    let keep = ("routing", "eject_after = 100".to_owned());
+    let options = LabOptions { agents: 3, entry_lines: vec![keep], ..LabOptions::default() };
+    let (lab, digest) = serving_lab(options).await;
+    let liar = add_liar(&lab, &[&digest]).await;
+    assert!(lab.wait_fleet(0, 5, LONG).await);
+    let load = callers(&lab, 100.0);
+    for _ in 0..500 {
+        if liar.lies.load(Ordering::Relaxed) >= 12 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let report = load.finish().await;
+    assert!(liar.lies.load(Ordering::Relaxed) >= 12, "the liar was hardly asked");
+    assert_eq!((report.wrong, report.lost), (0, 0), "{:?}", report.codes);
+    assert_eq!(report.whole, report.sent, "{:?}", report.codes);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_peer_that_sends_corrupt_chunks_spoils_nothing() {
+    let (lab, v1) = serving_lab(LabOptions { agents: 3, ..LabOptions::default() }).await;
+    let v2 = lab.publish(MODEL, "v2", SIZE, CHUNK, 2).await;
+    let liar = add_liar(&lab, &[&v1]).await;
+    assert!(lab.wait_fleet(0, 5, LONG).await);
+    // Four replicas: the liar is one of those that are to serve, and so a peer.
+    assert_eq!(lab.apply(0, &model_file("v2", 1, 4)).await.0, 200);
+    assert!(lab.wait_serving(&v2, 3, LONG).await.is_some(), "v2 was never served");
+    let sent = liar.chunks.load(Ordering::Relaxed);
+    // Each of three asks it a few times, until it is avoided.
+    assert!((1..=30).contains(&sent), "{sent} chunks were drawn from the liar");
+    assert!(lab.logs().contains("decision=drop reason=corrupt"));
+}
+
+async fn execute(lab: &Lab, request: proto::ExecuteRequest) -> Vec<Part> {
+    let pool = AgentPool::default();
+    let mut client = pool.client(&lab.plain[0].agent.address.to_string()).unwrap();
+    let mut frames = client.execute(request).await.unwrap().into_inner();
+    let mut parts = Vec::new();
+    while let Ok(Some(frame)) = frames.message().await {
+        parts.extend(frame.part);
+    }
+    parts
+}
+
+fn refusal(parts: &[Part]) -> Option<u32> {
+    match parts {
+        [Part::Refusal(refusal)] => Some(refusal.code),
+        _ => None,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_refuses_what_is_late_or_comes_twice() {
+    let (lab, _) = serving_lab(LabOptions { agents: 1, ..LabOptions::default() }).await;
+    let request = proto::ExecuteRequest {
+        attempt: Bytes::from_static(&[7; 16]),
+        remaining_ms: 5_000,
+        method: "POST".into(),
+        path: "/x".into(),
+        body: Bytes::from_static(b"once"),
+        ..proto::ExecuteRequest::default()
+    };
+    // The time left looks ample, but on the agent's own clock the deadline is long over.
+    let late = proto::ExecuteRequest { agent_deadline_ms: 1, ..request.clone() };
+    assert_eq!(refusal(&execute(&lab, late).await), Some(2013));
+    let first = execute(&lab, request.clone()).await;
+    assert!(matches!(first.last(), Some(Part::End(_))), "{first:?}");
+    assert_eq!(refusal(&execute(&lab, request).await), Some(2015));
+    let runs = lab.runs(&lab.plain[0]).await;
+    assert_eq!(runs.iter().filter(|run| *run == "once").count(), 1);
+}
