Files of one job each; a data centre that is cut off and comes back

A test freezes the agents of one data centre during a burst: the other half serves v2 in the meantime, the frozen half after it, within two copies from the origin.

--- a/mustardrill_agent/src/actor.rs
+++ b/mustardrill_agent/src/actor.rs
@@ -104,6 +104,7 @@
     pub(crate) document: Arc<CatalogueDocument>,
     pub(crate) demand: Vec<DemandRow>,
     pub(crate) entries: u32,
+    pub(crate) sent_bytes: u64,
 }
 
 /// Asks for the lease, to give it back.
@@ -198,6 +199,7 @@
             document: self.reducer.document().clone(),
             demand: self.reducer.demand().totals(),
             entries: self.reducer.demand().entries(),
+            sent_bytes: self.context.sent_bytes.load(Ordering::Relaxed),
         }
     }
 }
--- a/mustardrill_agent/src/server.rs
+++ b/mustardrill_agent/src/server.rs
@@ -111,7 +111,6 @@
         }
         let asked = self.actor.ask(StatusQuery).await;
         let status = asked.map_err(|_| Status::unavailable("the agent is ending"))?;
-        let sent_bytes = self.context.sent_bytes.load(std::sync::atomic::Ordering::Relaxed);
         let progress = status.progress.iter().map(|row| proto::Progress {
             model: row.model.to_string(),
             manifest: digest_bytes(row.digest),
@@ -119,7 +118,7 @@
             total: row.total,
             origin_bytes: row.origin_bytes,
             peer_bytes: row.peer_bytes,
-            sent_bytes,
+            sent_bytes: status.sent_bytes,
             state: row.state.to_owned(),
             trouble: row.trouble.to_string(),
         });
--- a/mustardrill_agent/src/status.rs
+++ b/mustardrill_agent/src/status.rs
@@ -26,14 +26,16 @@
     leaving: bool,
     outstanding: u32,
     capacity: u32,
-    serving: Vec<String>,
+    serving: Vec<Box<str>>,
+    /// Bytes of chunks sent to peers since the start.
+    sent_bytes: u64,
     versions: Vec<VersionBody>,
 }
 
 #[derive(Serialize)]
 struct VersionBody {
-    model: String,
-    manifest: String,
+    model: Box<str>,
+    manifest: Box<str>,
     state: &'static str,
     held: u32,
     total: u32,
@@ -67,8 +69,8 @@
 impl From<StatusAnswer> for StatusBody {
     fn from(status: StatusAnswer) -> Self {
         let versions = status.progress.into_iter().map(|row| VersionBody {
-            model: row.model.to_string(),
-            manifest: row.digest.to_string(),
+            model: row.model.as_str().into(),
+            manifest: row.digest.to_string().into(),
             state: row.state,
             held: row.held,
             total: row.total,
@@ -81,7 +83,8 @@
             leaving: status.leaving,
             outstanding: status.outstanding,
             capacity: status.capacity,
-            serving: status.serving.iter().map(ToString::to_string).collect(),
+            serving: status.serving.iter().map(|digest| digest.to_string().into()).collect(),
+            sent_bytes: status.sent_bytes,
             versions: versions.collect(),
         }
     }
--- a/mustardrill_agent/src/upstream.rs
+++ b/mustardrill_agent/src/upstream.rs
@@ -58,7 +58,7 @@
 struct LoadBody<'a> {
     model: &'a str,
     version: &'a str,
-    digest: String,
+    digest: Box<str>,
     fence: u64,
     size: u64,
     chunk_size: u64,
@@ -91,7 +91,7 @@
             let body = LoadBody {
                 model: order.model.as_str(),
                 version: order.version.as_str(),
-                digest: order.digest.to_string(),
+                digest: order.digest.to_string().into(),
                 fence: order.fence.0,
                 size: manifest.size.0,
                 chunk_size: manifest.chunk_size.0,
--- a/mustardrill_core/src/agent/mod.rs
+++ b/mustardrill_core/src/agent/mod.rs
@@ -2,8 +2,8 @@
 
 mod event;
 mod reducer;
+mod version;
 mod weights;
 
 pub use event::{AgentEffect, AgentEvent, AgentSettings, EngineReport, LoadOrder, WeightsProgress};
 pub use reducer::AgentReducer;
-pub use weights::assigned;
--- /dev/null
+++ b/mustardrill_core/src/agent/version.rs
@@ -0,0 +1,48 @@
+//! One version of weights at one agent, from its manifest to a whole staged copy.
+
+use mustardrill_types::{InstanceId, ModelName, Moment, VersionName};
+
+use crate::transfer::TransferPlan;
+
+/// One version that this agent is to serve.
+#[derive(Debug)]
+pub(super) struct VersionState {
+    pub(super) model: ModelName,
+    pub(super) version: VersionName,
+    pub(super) stage: VersionStage,
+    /// The instances that are to serve the version, in the order of their names.
+    pub(super) assigned: Vec<InstanceId>,
+    pub(super) next_try: Moment,
+    pub(super) tries: u32,
+    pub(super) waiting_since: Option<Moment>,
+    pub(super) trouble: Box<str>,
+}
+
+#[derive(Debug)]
+pub(super) enum VersionStage {
+    Manifest,
+    Drawing(Box<TransferPlan>),
+    Staged(Box<TransferPlan>),
+}
+
+impl VersionState {
+    pub(super) fn new(now: Moment, model: ModelName, version: VersionName) -> Self {
+        Self {
+            model,
+            version,
+            stage: VersionStage::Manifest,
+            assigned: Vec::new(),
+            next_try: now,
+            tries: 0,
+            waiting_since: None,
+            trouble: "".into(),
+        }
+    }
+
+    pub(super) fn plan(&self) -> Option<&TransferPlan> {
+        match &self.stage {
+            VersionStage::Drawing(plan) | VersionStage::Staged(plan) => Some(plan),
+            VersionStage::Manifest => None,
+        }
+    }
+}
--- a/mustardrill_core/src/agent/weights.rs
+++ b/mustardrill_core/src/agent/weights.rs
@@ -5,15 +5,17 @@
 use log::{info, warn};
 use mustardrill_types::{
     ByteSize, ChunkIndex, FastMap, FastSet, FencingNumber, InstanceId, ManifestDigest, Millis,
-    ModelName, Moment, ServiceName, VersionName,
+    Moment,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use crate::agent::event::{AgentEffect, AgentSettings, EngineReport, LoadOrder, WeightsProgress};
+use crate::agent::version::{VersionStage, VersionState};
 use crate::document::CatalogueDocument;
 use crate::manifest::{ChunkBitmap, Manifest};
 use crate::membership::MemberTable;
+use crate::placement::assigned;
 use crate::rendezvous;
 use crate::transfer::{ChunkSource, DrawOutcome, TransferPeer, TransferPlan};
 use crate::wave;
@@ -35,49 +37,6 @@
 /// After this many tries a manifest is asked for at the origin whatever the rank.
 const MANIFEST_TRIES: u32 = 10;
 
-/// One version that this agent is to serve.
-#[derive(Debug)]
-struct VersionState {
-    model: ModelName,
-    version: VersionName,
-    stage: VersionStage,
-    /// The instances that are to serve the version, in the order of their names.
-    assigned: Vec<InstanceId>,
-    next_try: Moment,
-    tries: u32,
-    waiting_since: Option<Moment>,
-    trouble: Box<str>,
-}
-
-#[derive(Debug)]
-enum VersionStage {
-    Manifest,
-    Drawing(Box<TransferPlan>),
-    Staged(Box<TransferPlan>),
-}
-
-/// The instances that are to serve each model of a service.
-///
-/// Models choose in the order of their names, each by rendezvous hashing among the instances
-/// that no earlier one took. Agents that see the same list agree without talking.
-pub fn assigned(
-    document: &CatalogueDocument,
-    service: &ServiceName,
-    live: &[InstanceId],
-) -> Vec<(ModelName, Vec<InstanceId>)> {
-    let mut free = live.to_vec();
-    let mut result = Vec::new();
-    for (model, weights) in document.weights_of(service) {
-        let ranked = rendezvous::ranked(model.as_str().as_bytes(), &free, |id| id.as_str());
-        let mut chosen: Vec<_> =
-            ranked.into_iter().take(weights.replicas as usize).cloned().collect();
-        chosen.sort();
-        free.retain(|id| !chosen.contains(id));
-        result.push((model.clone(), chosen));
-    }
-    result
-}
-
 impl WeightsTable {
     pub(crate) fn new(settings: AgentSettings, seed: u64) -> Self {
         Self {
@@ -534,25 +493,3 @@
         }
     }
 }
-
-impl VersionState {
-    fn new(now: Moment, model: ModelName, version: VersionName) -> Self {
-        Self {
-            model,
-            version,
-            stage: VersionStage::Manifest,
-            assigned: Vec::new(),
-            next_try: now,
-            tries: 0,
-            waiting_since: None,
-            trouble: "".into(),
-        }
-    }
-
-    fn plan(&self) -> Option<&TransferPlan> {
-        match &self.stage {
-            VersionStage::Drawing(plan) | VersionStage::Staged(plan) => Some(plan),
-            VersionStage::Manifest => None,
-        }
-    }
-}
--- a/mustardrill_core/src/edit.rs
+++ b/mustardrill_core/src/edit.rs
@@ -6,22 +6,15 @@
 };
 
 use crate::catalogue::{DraftContent, EntryDraft};
+use crate::check::check_kept;
 use crate::document::{
     CallerSet, CatalogueDocument, CatalogueEntry, EditRecord, EntryChange, HISTORY_LIMIT,
-    ModelWeights,
 };
-use crate::ini_file::suggestion;
 use crate::rule::{EditRefusal, EditRule};
 
 /// The largest document that the platform's service holds with room to spare, in bytes.
 pub const DOCUMENT_LIMIT: usize = 900_000;
 
-/// The highest requests a second of one customer that an edit may ask for.
-const RATE_CEILING: u32 = 100_000;
-
-/// The highest number of requests in progress of one customer that an edit may ask for.
-const IN_FLIGHT_CEILING: u32 = 10_000;
-
 /// One edit as an operator sends it.
 #[derive(Debug, Clone)]
 pub struct EditRequest {
@@ -126,10 +119,10 @@
     Ok(())
 }
 
-struct Editor<'a> {
-    document: &'a CatalogueDocument,
-    operator: &'a str,
-    facts: &'a FleetFacts,
+pub(crate) struct Editor<'a> {
+    pub(crate) document: &'a CatalogueDocument,
+    pub(crate) operator: &'a str,
+    pub(crate) facts: &'a FleetFacts,
     generation: Generation,
 }
 
@@ -269,121 +262,6 @@
         Ok(EntryChange { name, before: Some(entry.clone()), after: None })
     }
 
-    fn check_people(
-        &self,
-        draft: &EntryDraft,
-        content: &DraftContent,
-        current: Option<&CatalogueEntry>,
-    ) -> Vec<EditRefusal> {
-        let refuse =
-            |rule, message: String| EditRefusal::of(&draft.name, draft.line, rule, message);
-        let mut refusals = Vec::new();
-        let owner = current.map_or(&content.owner, |entry| &entry.owner);
-        if !self.facts.operators.contains(&content.owner) {
-            let known = self.facts.operators.iter().map(|name| &**name);
-            let near = suggestion(&content.owner, known);
-            let message = format!("no operator {}{near}", content.owner);
-            refusals.push(refuse(EditRule::UnknownOwner, message));
-        } else if &**owner != self.operator {
-            let message = format!("it belongs to {owner}, the edit is by {}", self.operator);
-            refusals.push(refuse(EditRule::NotOwner, message));
-        }
-        if let CallerSet::Only(names) = &content.callers {
-            for name in names.iter().filter(|name| !self.facts.customers.contains(*name)) {
-                let known = self.facts.customers.iter().map(CustomerName::as_str);
-                let near = suggestion(name.as_str(), known);
-                refusals.push(refuse(EditRule::UnknownCaller, format!("no customer {name}{near}")));
-            }
-        }
-        if !self.facts.instances.contains_key(&content.service) {
-            let known = self.facts.instances.keys().map(ServiceName::as_str);
-            let near = suggestion(content.service.as_str(), known);
-            let message = format!("no instance of a service {}{near}", content.service);
-            refusals.push(refuse(EditRule::UnknownService, message));
-        }
-        refusals
-    }
-
-    fn check_limits(&self, draft: &EntryDraft, content: &DraftContent) -> Vec<EditRefusal> {
-        let refuse =
-            |rule, message: String| EditRefusal::of(&draft.name, draft.line, rule, message);
-        let limits = content.limits;
-        let in_use = self.facts.in_use.get(&draft.name).copied().unwrap_or(0);
-        let mut refusals = Vec::new();
-        if limits.requests_per_second == 0 || limits.in_flight == 0 {
-            refusals.push(refuse(EditRule::ZeroLimit, "a limit is zero".into()));
-        } else if limits.in_flight < in_use {
-            let message = format!("in_flight = {}, in use now: {in_use}", limits.in_flight);
-            refusals.push(refuse(EditRule::LimitBelowUse, message));
-        }
-        if limits.requests_per_second > RATE_CEILING || limits.in_flight > IN_FLIGHT_CEILING {
-            let (rate, flight) = (limits.requests_per_second, limits.in_flight);
-            let message = format!("requests_per_second = {rate}, in_flight = {flight}");
-            refusals.push(refuse(EditRule::LimitTooHigh, message));
-        }
-        refusals
-    }
-
-    fn weights_of(
-        &self,
-        draft: &EntryDraft,
-        content: &DraftContent,
-        current: Option<&CatalogueEntry>,
-        refusals: &mut Vec<EditRefusal>,
-    ) -> Option<ModelWeights> {
-        let (version, replicas) = content.weights.as_ref()?;
-        let mut refuse = |rule, message: String| {
-            refusals.push(EditRefusal::of(&draft.name, draft.line, rule, message));
-        };
-        let instances = self.facts.instances.get(&content.service).copied().unwrap_or(0);
-        if *replicas == 0 && content.callers != CallerSet::Only(Vec::new()) {
-            refuse(EditRule::NoReplicas, "replicas = 0 while customers may call it".into());
-        }
-        if instances > 0 && *replicas > instances {
-            let service = &content.service;
-            let message = format!("replicas = {replicas}, {service} has {instances} instances");
-            refuse(EditRule::TooManyReplicas, message);
-        }
-        let kept = current.and_then(|entry| entry.weights.as_ref());
-        let kept = kept.filter(|weights| weights.version == *version);
-        let fact = self.facts.versions.get(&(draft.name.clone(), version.clone()));
-        let manifest = match (kept, fact) {
-            // A version in force keeps its pinned bytes, whatever the origin shows now.
-            (Some(weights), _) => weights.manifest,
-            (None, None) => {
-                let message = format!("the origin has no version {version} of {}", draft.name);
-                refuse(EditRule::VersionMissing, message);
-                return None;
-            }
-            (None, Some(fact)) => {
-                if fact.size > self.facts.staging_limit {
-                    let limit = self.facts.staging_limit;
-                    let message = format!("{version} has {}, an agent stages {limit}", fact.size);
-                    refuse(EditRule::VersionTooLarge, message);
-                }
-                if let Some(pinned) = self.pinned_before(&draft.name, version)
-                    && pinned != fact.manifest
-                {
-                    let message = format!("{version} stood for other bytes ({})", pinned.short());
-                    refuse(EditRule::VersionReused, message);
-                }
-                fact.manifest
-            }
-        };
-        Some(ModelWeights { version: version.clone(), manifest, replicas: *replicas })
-    }
-
-    /// The digest that a version's name was pinned to by any remembered edit.
-    fn pinned_before(&self, name: &ModelName, version: &VersionName) -> Option<ManifestDigest> {
-        let changes = self.document.edits.iter().flat_map(|record| &record.changes);
-        changes
-            .filter(|change| change.name == *name)
-            .flat_map(|change| [&change.before, &change.after])
-            .filter_map(|entry| entry.as_ref()?.weights.as_ref())
-            .find(|weights| weights.version == *version)
-            .map(|weights| weights.manifest)
-    }
-
     fn reverse_of(&self, id: EditId) -> Result<Vec<EntryChange>, Vec<EditRefusal>> {
         let Some(record) = self.document.edit(id) else {
             let message = format!("edit {id} is not among the last {HISTORY_LIMIT}");
@@ -467,28 +345,6 @@
     }
 }
 
-/// Checks what may not change between an entry and its successor.
-fn check_kept(
-    draft: &EntryDraft,
-    content: &DraftContent,
-    current: &CatalogueEntry,
-) -> Vec<EditRefusal> {
-    let refuse = |rule, message: String| EditRefusal::of(&draft.name, draft.line, rule, message);
-    let mut refusals = Vec::new();
-    if content.owner != current.owner && content.limits != current.limits {
-        let message = format!("owner {} becomes {}", current.owner, content.owner);
-        refusals.push(refuse(EditRule::OwnerWithLimits, message));
-    }
-    if content.weights.is_some() != current.weights.is_some() {
-        refusals.push(refuse(EditRule::KindChanged, "model and plain are exchanged".into()));
-    }
-    if content.service != current.service && current.callers != CallerSet::Only(Vec::new()) {
-        let message = format!("service {} becomes {}", current.service, content.service);
-        refusals.push(refuse(EditRule::ServiceChanged, message));
-    }
-    refusals
-}
-
 /// Drops old edits until the document fits; refuses where the entries alone don't.
 fn check_size(document: &mut CatalogueDocument) -> Result<(), Vec<EditRefusal>> {
     let mut size = document.encode().len();
--- a/mustardrill_core/src/entry/mod.rs
+++ b/mustardrill_core/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry's reducer: everything that the process before the callers decides.
 
+mod dispatch;
 mod event;
 mod reducer;
 mod request;
--- a/mustardrill_core/src/entry/reducer.rs
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -4,8 +4,7 @@
 
 use log::{info, warn};
 use mustardrill_types::{
-    AttemptId, FastMap, FastSet, Generation, InstanceId, ManifestDigest, Millis, ModelName, Moment,
-    ResultCode, ServiceName,
+    AttemptId, FastMap, FastSet, Generation, InstanceId, Millis, Moment, ResultCode, ServiceName,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -17,8 +16,7 @@
 use crate::document::{CatalogueDocument, CatalogueEntry};
 use crate::edit::check_successor;
 use crate::entry::event::{
-    AgentSync, AttemptEnd, EntryEffect, EntryEvent, EntrySettings, IncomingRequest, RequestId,
-    SendOrder,
+    AgentSync, EntryEffect, EntryEvent, EntrySettings, IncomingRequest, RequestId,
 };
 use crate::entry::request::{RequestStage, RequestState, RequestTable};
 use crate::limit::LimitTable;
@@ -26,9 +24,6 @@
 use crate::rendezvous;
 use crate::routing::RoutingTable;
 
-/// When a caller may come back where no upstream serves what it asks for.
-const NO_UPSTREAM_RETRY: Millis = Millis(1_000);
-
 /// When a caller may come back where the platform's service does not answer.
 const CLAIM_RETRY: Millis = Millis(2_000);
 
@@ -38,23 +33,23 @@
 /// Everything that an entry knows; it holds no bytes of requests or answers.
 #[derive(Debug)]
 pub struct EntryReducer {
-    settings: EntrySettings,
-    document: Arc<CatalogueDocument>,
-    members: MemberTable,
-    routing: RoutingTable,
-    requests: RequestTable,
-    limits: LimitTable,
-    budget: RetryBudget,
-    claims: ClaimBatch,
+    pub(super) settings: EntrySettings,
+    pub(super) document: Arc<CatalogueDocument>,
+    pub(super) members: MemberTable,
+    pub(super) routing: RoutingTable,
+    pub(super) requests: RequestTable,
+    pub(super) limits: LimitTable,
+    pub(super) budget: RetryBudget,
+    pub(super) claims: ClaimBatch,
     agents: FastMap<InstanceId, AgentView>,
     /// The agents of each service that this entry talks to.
-    subsets: FastMap<ServiceName, Vec<InstanceId>>,
-    entries: usize,
+    pub(super) subsets: FastMap<ServiceName, Vec<InstanceId>>,
+    pub(super) entries: usize,
     /// What customers asked of this entry during the last round.
-    demand: Vec<DemandRow>,
-    next_round: Moment,
-    leaving: bool,
-    random: SmallRng,
+    pub(super) demand: Vec<DemandRow>,
+    pub(super) next_round: Moment,
+    pub(super) leaving: bool,
+    pub(super) random: SmallRng,
 }
 
 /// What an entry knows of one agent that it talks to.
@@ -219,205 +214,6 @@
         Ok(entry)
     }
 
-    /// Sends the next attempt of a request, or rejects it.
-    fn send(&mut self, now: Moment, wall_s: u64, id: RequestId) -> Vec<EntryEffect> {
-        let Some(state) = self.requests.get(id) else { return Vec::new() };
-        if state.deadline <= now {
-            return self.reject(now, wall_s, id, ResultCode::DeadlinePassed, Millis(0));
-        }
-        let candidates = self.candidates(now, state);
-        let affinity = state.affinity.as_deref();
-        let chosen =
-            self.routing.choose(now, &candidates, &state.tried, affinity, &mut self.random);
-        let Some((instance, reason)) = chosen else {
-            info!(
-                "routing request={id} target={} candidates={} decision=none",
-                state.target,
-                candidates.len()
-            );
-            return self.reject(now, wall_s, id, ResultCode::NoUpstream, NO_UPSTREAM_RETRY);
-        };
-        let pinned = self.pin(&self.requests.get(id).expect("looked up").target, &instance);
-        let address = self.members.get(&instance).map(|record| record.agent.clone());
-        let attempt = AttemptId(self.random.random());
-        self.requests.bind(attempt, id);
-        self.routing.sent(&instance);
-        let state = self.requests.get_mut(id).expect("the request was looked up");
-        state.attempts += 1;
-        state.tried.push(instance.clone());
-        state.stage = RequestStage::Sent(attempt, instance.clone());
-        state.pinned = pinned;
-        info!(
-            "routing request={id} attempt={attempt} target={} customer={} instance={instance} reason={reason} candidates={} manifest={}",
-            state.target,
-            state.customer,
-            candidates.len(),
-            pinned.map_or("none".into(), |digest| digest.short())
-        );
-        vec![EntryEffect::Send(SendOrder {
-            id,
-            attempt,
-            instance,
-            address: address.unwrap_or_default(),
-            pinned,
-            class: state.class,
-            remaining: state.deadline.since(now),
-            resume_from: state.delivered,
-        })]
-    }
-
-    /// The upstreams that may answer the request; after a first byte only those with its weights.
-    fn candidates(&self, now: Moment, state: &RequestState) -> Vec<InstanceId> {
-        let Some(entry) = self.document.entries.get(&state.target) else { return Vec::new() };
-        let Some(subset) = self.subsets.get(&entry.service) else { return Vec::new() };
-        let is_listed = |id: &&InstanceId| {
-            let record = self.members.get(id);
-            record.is_some_and(|it| !it.leaving) && self.members.is_live(now, id)
-        };
-        let fits = |id: &&InstanceId| {
-            let pin = self.pin(&state.target, id);
-            match (&entry.weights, state.delivered) {
-                (None, _) => true,
-                (Some(_), 0) => pin.is_some(),
-                (Some(_), _) => pin.is_some() && pin == state.pinned,
-            }
-        };
-        subset.iter().filter(is_listed).filter(fits).cloned().collect()
-    }
-
-    /// The weights of the model that the instance serves: the version wanted, or an earlier one
-    /// of the same model while a switch is under way.
-    fn pin(&self, model: &ModelName, instance: &InstanceId) -> Option<ManifestDigest> {
-        let weights = self.document.entries.get(model)?.weights.as_ref()?;
-        let serving = &self.routing.get(instance)?.report.serving;
-        if serving.contains(&weights.manifest) {
-            return Some(weights.manifest);
-        }
-        let changes = self.document.edits.iter().rev().flat_map(|record| &record.changes);
-        changes
-            .filter(|change| change.name == *model)
-            .filter_map(|change| change.before.as_ref()?.weights.as_ref())
-            .map(|weights| weights.manifest)
-            .find(|digest| serving.contains(digest))
-    }
-
-    fn attempt_ended(
-        &mut self,
-        now: Moment,
-        wall_s: u64,
-        attempt: AttemptId,
-        end: &AttemptEnd,
-        delivered: u64,
-    ) -> Vec<EntryEffect> {
-        let Some(id) = self.requests.of_attempt(attempt) else {
-            info!("attempt={attempt} decision=drop reason=not-awaited");
-            return Vec::new();
-        };
-        let Some(state) = self.requests.get(id) else { return Vec::new() };
-        let RequestStage::Sent(awaited, instance) = state.stage.clone() else { return Vec::new() };
-        if awaited != attempt {
-            return Vec::new();
-        }
-        self.requests.unbind(attempt);
-        if let Some(state) = self.requests.get_mut(id) {
-            state.delivered = delivered;
-        }
-        let is_healthy = matches!(end, AttemptEnd::Whole | AttemptEnd::Refused(..));
-        self.routing.ended(now, &instance, is_healthy);
-        match end {
-            AttemptEnd::Whole => {
-                self.finish(id);
-                Vec::new()
-            }
-            AttemptEnd::Refused(code, retry_after) if code.is_retryable() => {
-                self.retry(now, wall_s, id, *code, *retry_after)
-            }
-            AttemptEnd::Refused(code, retry_after) => {
-                self.reject(now, wall_s, id, *code, *retry_after)
-            }
-            AttemptEnd::NotSent => {
-                self.members.failed(now, &instance);
-                self.retry(now, wall_s, id, ResultCode::NoUpstream, NO_UPSTREAM_RETRY)
-            }
-            AttemptEnd::Lost => self.lost(now, wall_s, id, ResultCode::Unknown),
-            AttemptEnd::WrongWeights => self.lost(now, wall_s, id, ResultCode::WrongWeights),
-        }
-    }
-
-    /// Goes on after an attempt that may have run.
-    fn lost(
-        &mut self,
-        now: Moment,
-        wall_s: u64,
-        id: RequestId,
-        code: ResultCode,
-    ) -> Vec<EntryEffect> {
-        let Some(state) = self.requests.get_mut(id) else { return Vec::new() };
-        state.may_have_run = true;
-        if !state.is_idempotent() {
-            return self.reject(now, wall_s, id, ResultCode::Unknown, Millis(0));
-        }
-        self.retry(now, wall_s, id, code, NO_UPSTREAM_RETRY)
-    }
-
-    fn retry(
-        &mut self,
-        now: Moment,
-        wall_s: u64,
-        id: RequestId,
-        code: ResultCode,
-        retry_after: Millis,
-    ) -> Vec<EntryEffect> {
-        let Some(state) = self.requests.get(id) else { return Vec::new() };
-        let attempts = state.attempts;
-        if state.deadline <= now || !self.budget.spend(attempts) {
-            info!("retry request={id} attempts={attempts} decision=give-up code={code}");
-            return self.reject(now, wall_s, id, code, retry_after);
-        }
-        info!("retry request={id} attempts={attempts} decision=send code={code}");
-        self.send(now, wall_s, id)
-    }
-
-    /// Ends a request without a whole answer, at once.
-    fn reject(
-        &mut self,
-        now: Moment,
-        wall_s: u64,
-        id: RequestId,
-        code: ResultCode,
-        retry_after: Millis,
-    ) -> Vec<EntryEffect> {
-        let Some(state) = self.finish(id) else { return Vec::new() };
-        let mut effects = Vec::new();
-        // A later attempt's refusal says nothing of an earlier one that was lost.
-        let code = if state.may_have_run && code.is_not_run() { ResultCode::Unknown } else { code };
-        // The claim goes back with the proof that nothing was run, so that the caller may come back.
-        if code.is_not_run() {
-            effects.extend(self.release_claim(now, wall_s, &state));
-        }
-        let code = if state.delivered > 0 { ResultCode::AnswerCut } else { code };
-        info!("request={id} decision=reject code={code} attempts={}", state.attempts);
-        effects.push(EntryEffect::Reject { id, code, retry_after });
-        effects
-    }
-
-    fn release_claim(
-        &mut self,
-        now: Moment,
-        wall_s: u64,
-        state: &RequestState,
-    ) -> Vec<EntryEffect> {
-        let (Some(key), Some(claimant)) = (state.key, state.claimant) else { return Vec::new() };
-        let released = self.claims.release(now, wall_s, key, claimant);
-        self.claim_effects(now, wall_s, released)
-    }
-
-    fn finish(&mut self, id: RequestId) -> Option<RequestState> {
-        let state = self.requests.remove(id)?;
-        self.limits.finished(&(state.customer.clone(), state.target.clone()));
-        Some(state)
-    }
-
     fn caller_gone(&mut self, now: Moment, wall_s: u64, id: RequestId) -> Vec<EntryEffect> {
         let Some(state) = self.finish(id) else { return Vec::new() };
         match state.stage {
@@ -429,7 +225,7 @@
         }
     }
 
-    fn claim_effects(
+    pub(super) fn claim_effects(
         &mut self,
         now: Moment,
         wall_s: u64,
--- a/mustardrill_standins/src/lab.rs
+++ b/mustardrill_standins/src/lab.rs
@@ -2,17 +2,18 @@
 //!
 //! Only programs that this workspace built are started, and only they are ended, by their ids.
 
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use mustardrill_core::membership::InstanceRecord;
 use mustardrill_runtime::http::{HttpClient, WholeAnswer, request};
 use mustardrill_runtime::platform::InstanceListing;
-use rustix::process::{Pid, Signal, kill_process};
+
+pub use crate::process::LabProcess;
+use crate::process::{build_folder, daemon, stand_in};
 
 /// The token of the operator `ana` in a lab.
 pub const OPERATOR_TOKEN: &str = "lab-operator-ana";
@@ -52,18 +53,6 @@
     pub folder: Option<PathBuf>,
 }
 
-/// One process of a lab.
-#[derive(Debug)]
-pub struct LabProcess {
-    /// Its name in the lab.
-    pub name: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its second listener: the entry's operator port, the agent's local one.
-    pub second: Option<SocketAddr>,
-    child: Child,
-}
-
 /// An agent and the upstream beside it.
 #[derive(Debug)]
 pub struct LabUpstream {
@@ -473,52 +462,6 @@
     }
 }
 
-impl LabProcess {
-    /// Ends the process at once, as a crash would.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Stops the process without ending it.
-    pub fn freeze(&self) {
-        self.signal(Signal::STOP);
-    }
-
-    /// Lets a frozen process go on.
-    pub fn thaw(&self) {
-        self.signal(Signal::CONT);
-    }
-
-    /// Asks for a planned stop.
-    pub fn terminate(&self) {
-        self.signal(Signal::TERM);
-    }
-
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
-
-    /// The process's id.
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    fn signal(&self, signal: Signal) {
-        if let Some(id) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
-            let _ = kill_process(id, signal);
-        }
-    }
-}
-
-impl Drop for LabProcess {
-    fn drop(&mut self) {
-        self.thaw();
-        self.kill();
-    }
-}
-
 /// A caller's request to an entry, as the customer `comedor`.
 pub fn caller_request(
     entry: SocketAddr,
@@ -531,50 +474,6 @@
     sent
 }
 
-/// The folder with the binaries of this build.
-fn build_folder() -> PathBuf {
-    let own = std::env::current_exe().expect("a process knows its program");
-    // Tests lie in `deps`, examples in `examples`, both one below the binaries.
-    own.parent().and_then(Path::parent).expect("a build folder").to_owned()
-}
-
-fn stand_in(folder: &Path, program: &str, name: &str, arguments: &[&str]) -> LabProcess {
-    let program = build_folder().join("examples").join(program);
-    let mut command = Command::new(&program);
-    command.args(["--listen", "127.0.0.1:0"]).args(arguments);
-    start(folder, name, &program, command)
-}
-
-fn daemon(folder: &Path, program: &str, name: &str, settings: &str) -> LabProcess {
-    let program = build_folder().join(program);
-    let file = folder.join(format!("{name}.ini"));
-    std::fs::write(&file, settings).expect("settings can be written");
-    let mut command = Command::new(&program);
-    command.arg("--settings").arg(&file);
-    start(folder, name, &program, command)
-}
-
-/// Starts a program and reads from its first line where it listens.
-fn start(folder: &Path, name: &str, program: &Path, mut command: Command) -> LabProcess {
-    let log = std::fs::File::create(folder.join(format!("{name}.log"))).expect("a log file");
-    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log);
-    let mut child = command.spawn().unwrap_or_else(|error| {
-        panic!(
-            "{}: {error}; build first with `cargo build --workspace --all-targets`",
-            program.display()
-        )
-    });
-    let mut line = String::new();
-    let output = child.stdout.take().expect("the output is piped");
-    BufReader::new(output).read_line(&mut line).expect("the first line is read");
-    let mut addresses = line
-        .split_whitespace()
-        .map(|word| word.rsplit('=').next().unwrap_or(word))
-        .filter_map(|word| word.parse().ok());
-    let address = addresses.next().unwrap_or_else(|| panic!("{name} did not start: {line}"));
-    LabProcess { name: name.to_owned(), address, second: addresses.next(), child }
-}
-
 fn write_settings(sections: &[(&str, String)], more: &[(&'static str, String)]) -> String {
     let mut text = String::new();
     for (section, lines) in sections {
--- a/mustardrill_standins/src/lib.rs
+++ b/mustardrill_standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod origin;
 pub mod pace;
 pub mod plain;
+pub mod process;
 pub mod program;
 
 use std::net::SocketAddr;
--- a/mustardrill_standins/tests/weights.rs
+++ b/mustardrill_standins/tests/weights.rs
@@ -101,6 +101,24 @@
     no_wrong_byte(&lab, &[&v1, &v2]).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_is_cut_off_and_comes_back() {
+    let (lab, v1) = serving_lab(paced(8)).await;
+    let v2 = lab.publish(MODEL, "v2", SIZE, CHUNK, 2).await;
+    let before = lab.origin_sent().await;
+    assert_eq!(lab.apply(0, &model_file("v2", 1, 8)).await.0, 200);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    // Every other agent stands in the second data centre; frozen, it answers nobody.
+    let cut = || lab.engines.iter().skip(1).step_by(2);
+    cut().for_each(|engine| engine.agent.freeze());
+    assert!(lab.wait_serving(&v2, 4, LONG).await.is_some(), "the near half never served v2");
+    cut().for_each(|engine| engine.agent.thaw());
+    assert!(lab.wait_serving(&v2, 8, LONG).await.is_some(), "the far half never served v2");
+    let share = (lab.origin_sent().await - before) as f64 / SIZE as f64;
+    assert!(share <= 2.0, "{share} copies came from the origin");
+    no_wrong_byte(&lab, &[&v1, &v2]).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_newer_version_may_come_half_way() {
     let (lab, v1) = serving_lab(paced(4)).await;
