--- a/mustardrill_standins/examples/overhead.rs
+++ b/mustardrill_standins/examples/overhead.rs
@@ -17,9 +17,22 @@
 
 #[tokio::main]
 async fn main() {
-    added_latency().await;
-    println!();
-    overload().await;
+    let part = std::env::args().nth(1).unwrap_or_default();
+    if part.is_empty() || part == "latency" {
+        added_latency().await;
+        println!();
+    }
+    if part.is_empty() || part == "overload" {
+        overload().await;
+        println!();
+    }
+    if part.is_empty() || part == "frames" {
+        frames().await;
+        println!();
+    }
+    if part.is_empty() || part == "idle" {
+        idle().await;
+    }
 }
 
 fn plain_entry(name: &str, class: &str) -> String {
@@ -213,6 +226,90 @@
     )
 }
 
+/// Long streamed answers, a frame for each piece as for each token.
+async fn frames() {
+    const PIECES: u64 = 2_000;
+    let quiet = |section| (section, "log = warn".to_owned());
+    let options = LabOptions {
+        agents: 1,
+        plain: 0,
+        pieces: (PIECES, 0),
+        agent_lines: vec![quiet("agent"), ("upstream", "capacity = 256".to_owned())],
+        entry_lines: vec![quiet("entry")],
+        ..LabOptions::default()
+    };
+    let lab = Lab::spawn(options).await;
+    let digest = lab.publish("drafts", "v1", 1_000_000, 1 << 16, 1).await;
+    assert!(lab.wait_fleet(0, 1, LONG).await, "the entries never saw the fleet");
+    let entry = plain_entry("drafts", "urgent").replace("[plain", "[model");
+    let file = entry.replace("records-desk", "mustard-pool") + "version = v1\nreplicas = 1\n";
+    let (status, body) = lab.apply(0, &file).await;
+    assert_eq!(status, 200, "{body}");
+    assert!(lab.wait_serving(&digest, 1, LONG).await.is_some(), "never served");
+    assert!(lab.wait_ready("/v1/models/drafts/x", LONG).await, "never ready");
+    let (entry, agent) = (&lab.entries[0], &lab.engines[0].agent);
+    let before = (seconds(entry), seconds(agent));
+    let started = Instant::now();
+    let callers: Vec<_> = (0..16)
+        .map(|_| {
+            let (client, address) = (lab.client.clone(), entry.address);
+            tokio::spawn(async move {
+                let mut count = 0;
+                while started.elapsed() < RUN {
+                    let sent = caller_request(address, "/v1/models/drafts/x", "a long answer");
+                    let answer = client.call(sent, LONG, 10_000_000).await.expect("an answer");
+                    assert!(answer.status.is_success(), "{}", answer.status);
+                    count += PIECES;
+                }
+                count
+            })
+        })
+        .collect();
+    let mut count = 0;
+    for caller in callers {
+        count += caller.await.expect("a caller ends");
+    }
+    let rate = count as f64 / started.elapsed().as_secs_f64();
+    let spent = (seconds(entry) - before.0, seconds(agent) - before.1);
+    println!("streams of {PIECES} pieces of 65 bytes, 16 callers: {rate:.0} pieces a second");
+    println!("pieces for each second of a core: entry {:.0}, agent {:.0}", count as f64 / spent.0, count as f64 / spent.1);
+}
+
+/// What the processes take while nothing is asked of them.
+async fn idle() {
+    println!("at rest, heartbeats every 400 ms, ticks of 10 and 20 ms: percent of a core and megabytes");
+    println!("{:>8} {:>9} {:>9} {:>9} {:>9}", "agents", "entry %", "entry MB", "agent %", "agent MB");
+    for agents in [4, 16, 32] {
+        let rate = |section| (section, "list_every = 2s".to_owned());
+        let options = LabOptions {
+            agents: 0,
+            plain: agents,
+            entries: 1,
+            agent_lines: vec![rate("platform"), ("agent", "tick = 20ms".to_owned())],
+            entry_lines: vec![rate("platform"), ("routing", "sync_every = 400ms".to_owned())],
+            ..LabOptions::default()
+        };
+        let lab = Lab::spawn(options).await;
+        assert!(lab.wait_fleet(0, agents, LONG).await, "the entry never saw the fleet");
+        let agent_seconds = || lab.plain.iter().map(|it| seconds(&it.agent)).sum::<f64>();
+        let before = (seconds(&lab.entries[0]), agent_seconds());
+        let started = Instant::now();
+        tokio::time::sleep(RUN * 2).await;
+        let span = started.elapsed().as_secs_f64();
+        let entry = (seconds(&lab.entries[0]) - before.0) * 100.0 / span;
+        let agent = (agent_seconds() - before.1) * 100.0 / span / agents as f64;
+        println!("{agents:>8} {entry:>9.2} {:>9.1} {agent:>9.2} {:>9.1}", megabytes(&lab.entries[0]), megabytes(&lab.plain[0].agent));
+    }
+}
+
+/// The memory that a process has resident, in megabytes.
+fn megabytes(process: &LabProcess) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
+    kilobytes.unwrap_or(0.0) / 1_000.0
+}
+
 /// The processor time that a process has taken, in seconds.
 fn seconds(process: &LabProcess) -> f64 {
     const TICKS_A_SECOND: f64 = 100.0;
