One keeper writes the claims of a shard; ended streams are not reset

Claims: each entry wrote for itself, so that half of the writes conflicted; at 340 entries and 120 claims a second 2 % were refused, at 1,200 most. Change: of each shard one agent is the keeper, by rendezvous hashing; entries ask it, and the next two in rank where it does not answer. The compare-and-swap keeps it safe. The first try was wrong: a keeper that gave a claim up took it back itself, although the next keeper had granted the same attempt; the property test of requests showed a key that ran twice. Now only the entry takes back. Ruled out: shards by entry (a key must have one shard whoever asks).

The entry dropped each answer's stream after its last frame, which resets it; HTTP/2 servers take many resets for an attack and close the connection with all other attempts on it. Change: the stream's end is read. Ruled out: ports, the pool of connections to the upstream, the queue.

--- a/mustardrill_agent/src/actor.rs
+++ b/mustardrill_agent/src/actor.rs
@@ -8,6 +8,7 @@
 use cadence::{Counted, Gauged};
 use kameo::prelude::*;
 use mustardrill_core::agent::{AgentEffect, AgentEvent, AgentReducer, WeightsProgress};
+use mustardrill_core::claim::{ClaimEffect, ClaimOutcome};
 use mustardrill_core::demand::DemandRow;
 use mustardrill_core::document::{CatalogueDocument, RequestClass};
 use mustardrill_core::manifest::ChunkBitmap;
@@ -20,7 +21,7 @@
 use mustardrill_runtime::platform::{HttpInstanceList, HttpKeyValue};
 use mustardrill_types::{
     AttemptId, ChunkIndex, FastMap, Generation, InstanceId, ManifestDigest, Millis, Moment,
-    ResultCode,
+    RequestKey, ResultCode,
 };
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
@@ -63,6 +64,7 @@
     reducer: AgentReducer,
     context: Arc<AgentContext>,
     waiting: FastMap<AttemptId, oneshot::Sender<Verdict>>,
+    claims: FastMap<AttemptId, oneshot::Sender<ClaimOutcome>>,
 }
 
 /// An event for the reducer.
@@ -77,6 +79,13 @@
     pub(crate) verdict: oneshot::Sender<Verdict>,
 }
 
+/// A claim that asks what comes of it.
+pub(crate) struct AskClaim {
+    pub(crate) key: RequestKey,
+    pub(crate) attempt: AttemptId,
+    pub(crate) settled: oneshot::Sender<ClaimOutcome>,
+}
+
 /// Asks what is held of a version, and who else holds a chunk.
 pub(crate) struct HoldingQuery(pub(crate) ManifestDigest, pub(crate) Option<ChunkIndex>);
 
@@ -124,6 +133,11 @@
         for effect in effects {
             match effect {
                 AgentEffect::Dispatch(attempt) => self.decide(attempt, Verdict::Run),
+                AgentEffect::Claim(ClaimEffect::Settle(attempt, outcome)) => {
+                    if let Some(waiting) = self.claims.remove(&attempt) {
+                        let _ = waiting.send(outcome);
+                    }
+                }
                 AgentEffect::Refuse(attempt, code, retry_after) => {
                     self.decide(attempt, Verdict::Refuse(code, retry_after));
                 }
@@ -164,6 +178,19 @@
     }
 }
 
+impl Message<AskClaim> for AgentActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: AskClaim, context: &mut Context<Self, ()>) {
+        let AskClaim { key, attempt, settled } = message;
+        let actor = context.actor_ref().clone();
+        // An entry that asks again has given up the call before.
+        self.claims.insert(attempt, settled);
+        let wall_s = self.context.clock.wall_s();
+        self.reduce(AgentEvent::ClaimAsked(key, attempt, wall_s), &actor);
+    }
+}
+
 impl Message<HoldingQuery> for AgentActor {
     type Reply = HoldingAnswer;
 
@@ -238,8 +265,8 @@
     let context = Arc::new(open_context(&config, store, &local, halt.clone())?);
     let seed = rand::random();
     let reducer = AgentReducer::new(context.clock.now(), config.agent.clone(), seed);
-    let waiting = FastMap::default();
-    let state = AgentActor { reducer, context: context.clone(), waiting };
+    let (waiting, claims) = (FastMap::default(), FastMap::default());
+    let state = AgentActor { reducer, context: context.clone(), waiting, claims };
     let actor = AgentActor::spawn_with_mailbox(state, mailbox::unbounded());
     let _ = status.set(actor.clone());
     server::spawn(listener, actor.clone(), context.clone());
--- a/mustardrill_agent/src/config.rs
+++ b/mustardrill_agent/src/config.rs
@@ -5,6 +5,7 @@
 use log::LevelFilter;
 use mustardrill_core::admission::AdmissionSettings;
 use mustardrill_core::agent::AgentSettings;
+use mustardrill_core::claim::ClaimSettings;
 use mustardrill_core::membership::MemberSettings;
 use mustardrill_core::ownership::OwnerSettings;
 use mustardrill_core::transfer::{TransferPeer, TransferSettings};
@@ -78,6 +79,7 @@
             transfer: transfer(&mut reader),
             copy_per_region: reader.value("weights", "copy_per_region", false),
             admission: admission(&mut reader),
+            claim: claim(&mut reader),
             owner: owner(&mut reader),
             members: members(&mut reader),
             staging_limit: reader.value("weights", "staging_limit", ByteSize(64_000_000_000)),
@@ -142,6 +144,25 @@
     }
 }
 
+fn claim(reader: &mut SettingsReader) -> ClaimSettings {
+    let default = ClaimSettings::default();
+    ClaimSettings {
+        shards: reader.bounded("claims", "shards", default.shards, 1, 4_096),
+        retention_s: reader.value("claims", "retention", Millis(default.retention_s * 1_000)).0
+            / 1_000,
+        write_every: reader.value("claims", "write_every", default.write_every),
+        calls_per_second: reader.bounded(
+            "claims",
+            "calls_per_second",
+            default.calls_per_second,
+            1,
+            100_000,
+        ),
+        patience: reader.value("claims", "patience", default.patience),
+        shard_limit: default.shard_limit,
+    }
+}
+
 fn origins(reader: &mut SettingsReader) -> Vec<Box<str>> {
     let origin = address(reader, "weights", "origin");
     let store: Option<SocketAddr> = reader.optional("weights", "store");
--- a/mustardrill_agent/src/effects.rs
+++ b/mustardrill_agent/src/effects.rs
@@ -6,6 +6,7 @@
 use cadence::Counted;
 use kameo::prelude::*;
 use mustardrill_core::agent::{AgentEffect, AgentEvent, AgentReducer, LoadOrder};
+use mustardrill_core::claim::{ClaimAnswer, ClaimDocument, ClaimEffect, ShardIndex};
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
 use mustardrill_core::ownership::{OwnerAnswer, OwnerCall};
 use mustardrill_core::transfer::{ChunkDraw, ChunkSource, DrawOutcome};
@@ -58,6 +59,9 @@
         AgentEffect::CallOwner(call) => {
             tokio::spawn(task.call_owner(call));
         }
+        AgentEffect::Claim(effect) => {
+            tokio::spawn(task.claim(effect));
+        }
         // An overdue draw ends by its own patience; its late chunk is still verified and kept.
         AgentEffect::CancelDraw(..) => {}
         AgentEffect::Dispatch(_) | AgentEffect::Refuse(..) => {
@@ -257,6 +261,17 @@
         self.report(AgentEvent::LoadAnswered(order.digest, result)).await;
     }
 
+    async fn claim(self, effect: ClaimEffect) {
+        let (shard, answer) = match effect {
+            ClaimEffect::Read(shard) => (shard, read_claims(&self.context, shard).await),
+            ClaimEffect::Write { shard, expect, document } => {
+                (shard, write_claims(&self.context, shard, expect, &document).await)
+            }
+            ClaimEffect::Settle(..) => unreachable!("the actor itself tells what came of a claim"),
+        };
+        self.report(AgentEvent::ClaimAnswered(shard, answer)).await;
+    }
+
     async fn call_owner(self, call: OwnerCall) {
         let answer = match call {
             OwnerCall::Acquire => self.acquire().await,
@@ -289,3 +304,37 @@
         }
     }
 }
+
+async fn read_claims(context: &AgentContext, shard: ShardIndex) -> ClaimAnswer {
+    let Ok(value) = context.key_value.read(&claim_key(shard)).await else {
+        return ClaimAnswer::Unknown;
+    };
+    if value.bytes.is_empty() {
+        return ClaimAnswer::Read(ClaimDocument::default(), value.revision);
+    }
+    match ClaimDocument::decode(&value.bytes) {
+        Ok(document) => ClaimAnswer::Read(document, value.revision),
+        Err(error) => {
+            log::warn!("claims shard={shard} decision=refuse reason=\"{error}\"");
+            ClaimAnswer::Unknown
+        }
+    }
+}
+
+async fn write_claims(
+    context: &AgentContext,
+    shard: ShardIndex,
+    expect: u64,
+    document: &ClaimDocument,
+) -> ClaimAnswer {
+    let bytes = Bytes::from(document.encode());
+    match context.key_value.write(&claim_key(shard), bytes, expect, None).await {
+        Ok(revision) => ClaimAnswer::Written(revision),
+        Err(KeyValueError::Conflict) => ClaimAnswer::Conflict,
+        Err(_) => ClaimAnswer::Unknown,
+    }
+}
+
+fn claim_key(shard: ShardIndex) -> String {
+    format!("mustardrill/claims/{shard}")
+}
--- a/mustardrill_agent/src/server.rs
+++ b/mustardrill_agent/src/server.rs
@@ -5,21 +5,26 @@
 use kameo::prelude::*;
 use log::warn;
 use mustardrill_core::agent::AgentEvent;
+use mustardrill_core::claim::ClaimOutcome;
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_proto as proto;
 use mustardrill_proto::agent_server::{Agent, AgentServer};
 use mustardrill_runtime::agents::{MESSAGE_LIMIT, STREAM_WINDOW};
 use mustardrill_runtime::wire::{
-    catalogue_of, demand_message, demand_row, digest_bytes, digest_of,
+    attempt_of, catalogue_of, claim_message, demand_message, demand_row, digest_bytes, digest_of,
+    key_of,
 };
 use mustardrill_types::{ByteSize, ChunkIndex, ManifestDigest};
 use tokio::net::TcpListener;
+use tokio::sync::oneshot;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 
-use crate::actor::{AgentActor, Event, HoldingAnswer, HoldingQuery, StatusQuery, count_sent};
+use crate::actor::{
+    AgentActor, AskClaim, Event, HoldingAnswer, HoldingQuery, StatusQuery, count_sent,
+};
 use crate::context::AgentContext;
 use crate::execute;
 
@@ -148,6 +153,27 @@
         Ok(Response::new(self.holding_message(digest, &answer)))
     }
 
+    async fn claim(
+        &self,
+        request: Request<proto::ClaimRequest>,
+    ) -> Result<Response<proto::ClaimReply>, Status> {
+        let sent = request.into_inner();
+        let key = key_of(&sent.key).ok_or(Status::invalid_argument("key"))?;
+        let attempt = attempt_of(&sent.attempt).ok_or(Status::invalid_argument("attempt"))?;
+        let outcome = if sent.release {
+            let wall_s = self.context.clock.wall_s();
+            let event = AgentEvent::ClaimReleased(key, attempt, wall_s);
+            let _ = self.actor.tell(Event(event)).await;
+            ClaimOutcome::Unavailable
+        } else {
+            let (settled, receiver) = oneshot::channel();
+            let _ = self.actor.tell(AskClaim { key, attempt, settled }).await;
+            receiver.await.map_err(|_| Status::unavailable("the agent is ending"))?
+        };
+        let outcome = claim_message(outcome) as i32;
+        Ok(Response::new(proto::ClaimReply { outcome }))
+    }
+
     async fn fetch_manifest(
         &self,
         request: Request<proto::FetchManifestRequest>,
--- a/mustardrill_core/src/agent/event.rs
+++ b/mustardrill_core/src/agent/event.rs
@@ -4,10 +4,11 @@
 
 use mustardrill_types::{
     AttemptId, ByteSize, ChunkIndex, FencingNumber, InstanceId, ManifestDigest, Millis, ModelName,
-    Moment, RegionName, ResultCode, ServiceName, VersionName,
+    Moment, RegionName, RequestKey, ResultCode, ServiceName, VersionName,
 };
 
 use crate::admission::AdmissionSettings;
+use crate::claim::{ClaimAnswer, ClaimEffect, ClaimSettings, ShardIndex};
 use crate::demand::DemandRow;
 use crate::document::{CatalogueDocument, RequestClass};
 use crate::manifest::{ChunkBitmap, Manifest};
@@ -75,6 +76,12 @@
     RequestFinished(AttemptId),
     /// An entry told what customers asked of it lately.
     DemandSeen(InstanceId, Vec<DemandRow>),
+    /// An entry asks for a claim. The wall clock, in seconds, is for its retention alone.
+    ClaimAsked(RequestKey, AttemptId, u64),
+    /// An entry takes a claim back, as the request was not run.
+    ClaimReleased(RequestKey, AttemptId, u64),
+    /// The platform's service answered about claims.
+    ClaimAnswered(ShardIndex, ClaimAnswer),
     /// Time passed.
     Tick,
     /// A planned stop begins.
@@ -109,6 +116,8 @@
     DropWeights(ManifestDigest),
     /// Call the platform's service about the lease.
     CallOwner(OwnerCall),
+    /// Read or write claims, or tell what came of one.
+    Claim(ClaimEffect),
     /// Give a request to the upstream.
     Dispatch(AttemptId),
     /// Refuse a request, which was not run.
@@ -171,6 +180,8 @@
     pub copy_per_region: bool,
     /// How requests wait.
     pub admission: AdmissionSettings,
+    /// How claims are kept.
+    pub claim: ClaimSettings,
     /// How the upstream is owned.
     pub owner: OwnerSettings,
     /// How the instance list is corrected.
--- a/mustardrill_core/src/agent/reducer.rs
+++ b/mustardrill_core/src/agent/reducer.rs
@@ -13,6 +13,7 @@
 use crate::admission::{Admission, AdmissionQueue};
 use crate::agent::event::{AgentEffect, AgentEvent, AgentSettings, WeightsProgress};
 use crate::agent::weights::WeightsTable;
+use crate::claim::{ClaimBatch, ClaimEffect};
 use crate::demand::DemandBoard;
 use crate::document::{CatalogueDocument, RequestClass};
 use crate::edit::check_successor;
@@ -30,6 +31,9 @@
     queue: AdmissionQueue,
     attempts: FastMap<AttemptId, AttemptState>,
     demand: DemandBoard,
+    claims: ClaimBatch,
+    /// The wall clock that came with the last claim.
+    wall: Option<(Moment, u64)>,
     leaving: bool,
     is_engine: bool,
     random: SmallRng,
@@ -59,6 +63,8 @@
             queue: AdmissionQueue::new(settings.admission.clone()),
             attempts: FastMap::default(),
             demand: DemandBoard::default(),
+            claims: ClaimBatch::new(settings.claim.clone()),
+            wall: None,
             leaving: false,
             is_engine: settings.is_engine,
             random: SmallRng::seed_from_u64(seed),
@@ -108,6 +114,18 @@
                 self.demand.note(now, entry, rows);
                 Vec::new()
             }
+            AgentEvent::ClaimAsked(key, attempt, wall_s) => {
+                self.wall = Some((now, wall_s));
+                claim_effects(self.claims.claim(now, wall_s, key, attempt))
+            }
+            AgentEvent::ClaimReleased(key, attempt, wall_s) => {
+                self.wall = Some((now, wall_s));
+                claim_effects(self.claims.release(now, wall_s, key, attempt))
+            }
+            AgentEvent::ClaimAnswered(shard, answer) => {
+                let wall_s = self.wall_s(now);
+                claim_effects(self.claims.answered(now, wall_s, shard, answer))
+            }
             AgentEvent::Tick => self.tick(now),
             AgentEvent::Stop => self.stop(),
         }
@@ -133,9 +151,9 @@
         self.leaving
     }
 
-    /// Whether nothing is queued or running.
+    /// Whether nothing is queued or running, and every claim is settled or taken back.
     pub fn is_drained(&self) -> bool {
-        self.queue.running() == 0 && self.queue.queued() == 0
+        self.queue.running() == 0 && self.queue.queued() == 0 && self.claims.is_idle()
     }
 
     /// Requests queued and running.
@@ -298,7 +316,8 @@
     }
 
     fn tick(&mut self, now: Moment) -> Vec<AgentEffect> {
-        let mut effects = Vec::new();
+        let wall_s = self.wall_s(now);
+        let mut effects = claim_effects(self.claims.tick(now, wall_s));
         for attempt in self.queue.expired(now) {
             self.forget(attempt);
             effects.extend(refusal(attempt, ResultCode::DeadlinePassed, Millis(0)));
@@ -317,6 +336,11 @@
         effects
     }
 
+    /// The wall clock, reckoned from the last claim; claims are all that it matters to.
+    fn wall_s(&self, now: Moment) -> u64 {
+        self.wall.map_or(0, |(heard, wall_s)| wall_s + now.since(heard).0 / 1_000)
+    }
+
     fn stop(&mut self) -> Vec<AgentEffect> {
         info!("stop queued={} running={}", self.queue.queued(), self.queue.running());
         self.leaving = true;
@@ -331,6 +355,10 @@
     }
 }
 
+fn claim_effects(effects: Vec<ClaimEffect>) -> Vec<AgentEffect> {
+    effects.into_iter().map(AgentEffect::Claim).collect()
+}
+
 fn refusal(attempt: AttemptId, code: ResultCode, retry_after: Millis) -> Vec<AgentEffect> {
     vec![AgentEffect::Refuse(attempt, code, retry_after)]
 }
--- a/mustardrill_core/src/entry/event.rs
+++ b/mustardrill_core/src/entry/event.rs
@@ -9,9 +9,10 @@
 
 use crate::agent::WeightsProgress;
 use crate::budget::RetrySettings;
-use crate::claim::{ClaimAnswer, ClaimEffect, ClaimSettings, ShardIndex};
+use crate::claim::ClaimOutcome;
 use crate::demand::DemandRow;
 use crate::document::{CatalogueDocument, RequestClass};
+use crate::keeper::ClaimKeeper;
 use crate::membership::{InstanceRecord, MemberSettings};
 use crate::routing::{RoutingSettings, UpstreamReport};
 
@@ -62,8 +63,8 @@
     CallerGone(RequestId),
     /// An attempt ended; the caller has this many bytes of the answer.
     AttemptEnded(AttemptId, AttemptEnd, u64),
-    /// The platform's service answered about claims.
-    ClaimAnswered(ShardIndex, ClaimAnswer),
+    /// What came of a claim.
+    ClaimSettled(AttemptId, ClaimOutcome),
     /// A catalogue was read.
     CatalogueSeen(Arc<CatalogueDocument>),
     /// The platform's instance list was read.
@@ -113,8 +114,10 @@
         /// When it is worth coming back.
         retry_after: Millis,
     },
-    /// Read or write claims.
-    Claim(ClaimEffect),
+    /// Ask for a claim, one keeper after the other until one answers.
+    AskClaim(ClaimOrder),
+    /// Take a claim back, until a keeper has noted it.
+    ReleaseClaim(ClaimOrder),
     /// Send a heartbeat, with the catalogue where the agent is behind.
     Sync {
         /// The agent's instance.
@@ -126,6 +129,17 @@
     },
 }
 
+/// A claim to be asked for or taken back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimOrder {
+    /// The request's key.
+    pub key: RequestKey,
+    /// The attempt that claims it.
+    pub attempt: AttemptId,
+    /// Whom to ask, first choice first.
+    pub keepers: Vec<ClaimKeeper>,
+}
+
 /// An attempt to be sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SendOrder {
@@ -158,8 +172,8 @@
     pub routing: RoutingSettings,
     /// How attempts are repeated.
     pub retry: RetrySettings,
-    /// How non-idempotent requests are agreed.
-    pub claim: ClaimSettings,
+    /// Over how many documents claims are spread; the same at all agents.
+    pub claim_shards: u32,
     /// How the instance list is corrected.
     pub members: MemberSettings,
     /// How many agents of each service this entry talks to.
--- a/mustardrill_core/src/entry/mod.rs
+++ b/mustardrill_core/src/entry/mod.rs
@@ -6,7 +6,7 @@
 mod request;
 
 pub use event::{
-    AgentSync, AttemptEnd, EntryEffect, EntryEvent, EntrySettings, IncomingRequest, RequestId,
-    SendOrder,
+    AgentSync, AttemptEnd, ClaimOrder, EntryEffect, EntryEvent, EntrySettings, IncomingRequest,
+    RequestId, SendOrder,
 };
 pub use reducer::EntryReducer;
--- a/mustardrill_core/src/lib.rs
+++ b/mustardrill_core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod edit;
 pub mod entry;
 pub mod ini_file;
+pub mod keeper;
 pub mod limit;
 pub mod manifest;
 pub mod membership;
--- a/mustardrill_entry/src/actor.rs
+++ b/mustardrill_entry/src/actor.rs
@@ -77,9 +77,9 @@
             EntryEvent::CallerGone(id) => Some(*id),
             _ => None,
         };
-        let (now, wall_s) = (self.context.clock.now(), self.context.clock.wall_s());
+        let now = self.context.clock.now();
         let before = self.reducer.document().generation;
-        let effects = self.reducer.reduce(now, wall_s, event);
+        let effects = self.reducer.reduce(now, event);
         let generation = self.reducer.document().generation;
         if generation != before {
             let _ = self.context.metrics.gauge("generation", generation.0);
@@ -110,8 +110,11 @@
                     io.reject(code, retry_after);
                 }
             }
-            EntryEffect::Claim(claim) => {
-                effects::claim(self.context.clone(), actor.clone(), claim);
+            EntryEffect::AskClaim(order) => {
+                effects::ask_claim(self.context.clone(), actor.clone(), order);
+            }
+            EntryEffect::ReleaseClaim(order) => {
+                effects::release_claim(self.context.clone(), order);
             }
             EntryEffect::Sync { id, address, with_catalogue } => {
                 let call = effects::SyncCall {
--- a/mustardrill_entry/src/attempt.rs
+++ b/mustardrill_entry/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::error::Error;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use cadence::Counted;
@@ -110,14 +111,28 @@
                     return Err(Broken(AttemptEnd::Lost));
                 }
                 deliver_head(io, head.take()).await?;
-                return deliver(io, CallerPart::End).await;
+                deliver(io, CallerPart::End).await?;
+                finish(&mut frames).await;
+                return Ok(());
+            }
+            Some(Part::Refusal(refusal)) => {
+                finish(&mut frames).await;
+                return Err(Broken(refused(&refusal)));
             }
-            Some(Part::Refusal(refusal)) => return Err(Broken(refused(&refusal))),
             None => {}
         }
     }
 }
 
+/// Reads the stream's end, which follows the last frame.
+///
+/// A stream that is dropped before is reset, and HTTP/2 servers take many resets for an attack:
+/// they close the connection, and with it all other attempts on it.
+async fn finish(frames: &mut tonic::Streaming<proto::ExecuteFrame>) {
+    const END_TIMEOUT: Duration = Duration::from_secs(1);
+    let _ = tokio::time::timeout(END_TIMEOUT, frames.message()).await;
+}
+
 /// The head goes to the caller with the first bytes, so that until then another upstream may
 /// answer. A resumed answer's head went out with the first attempt.
 async fn deliver_head(io: &RequestIo, head: Option<proto::ExecuteHead>) -> Result<(), Broken> {
--- a/mustardrill_entry/src/config.rs
+++ b/mustardrill_entry/src/config.rs
@@ -4,7 +4,6 @@
 
 use log::LevelFilter;
 use mustardrill_core::budget::RetrySettings;
-use mustardrill_core::claim::ClaimSettings;
 use mustardrill_core::entry::EntrySettings;
 use mustardrill_core::membership::MemberSettings;
 use mustardrill_core::routing::RoutingSettings;
@@ -132,7 +131,7 @@
             data_centre: reader.required("entry", "data_centre", "NAME", parsed("unnamed")),
             routing: routing(&mut reader),
             retry: retry(&mut reader),
-            claim: claim(&mut reader),
+            claim_shards: reader.bounded("claims", "shards", 8, 1, 4_096),
             members: MemberSettings {
                 failures: reader.bounded("platform", "failures", 2, 1, 100),
                 dead_for: reader.value("platform", "dead_for", Millis(3_000)),
@@ -211,25 +210,6 @@
     }
 }
 
-fn claim(reader: &mut SettingsReader) -> ClaimSettings {
-    let default = ClaimSettings::default();
-    ClaimSettings {
-        shards: reader.bounded("claims", "shards", default.shards, 1, 4_096),
-        retention_s: reader.value("claims", "retention", Millis(default.retention_s * 1_000)).0
-            / 1_000,
-        write_every: reader.value("claims", "write_every", default.write_every),
-        calls_per_second: reader.bounded(
-            "claims",
-            "calls_per_second",
-            default.calls_per_second,
-            1,
-            100_000,
-        ),
-        patience: reader.value("claims", "patience", default.patience),
-        shard_limit: default.shard_limit,
-    }
-}
-
 fn origins(reader: &mut SettingsReader) -> Vec<Box<str>> {
     let origin = address(reader, "weights", "origin");
     let store: Option<SocketAddr> = reader.optional("weights", "store");
--- a/mustardrill_runtime/src/wire.rs
+++ b/mustardrill_runtime/src/wire.rs
@@ -1,10 +1,11 @@
 //! Values of the core as parts of messages, and back.
 
 use bytes::Bytes;
+use mustardrill_core::claim::ClaimOutcome;
 use mustardrill_core::demand::DemandRow;
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_proto as proto;
-use mustardrill_types::{AttemptId, ManifestDigest};
+use mustardrill_types::{AttemptId, ManifestDigest, RequestKey};
 
 /// A digest as a message's bytes.
 pub fn digest_bytes(digest: ManifestDigest) -> Bytes {
@@ -51,3 +52,31 @@
         })
         .ok()
 }
+
+/// A request key as a message's bytes.
+pub fn key_bytes(key: RequestKey) -> Bytes {
+    Bytes::copy_from_slice(&key.0.to_be_bytes())
+}
+
+/// A message's bytes as a request key.
+pub fn key_of(bytes: &[u8]) -> Option<RequestKey> {
+    Some(RequestKey(u128::from_be_bytes(bytes.try_into().ok()?)))
+}
+
+/// What came of a claim as a message.
+pub fn claim_message(outcome: ClaimOutcome) -> proto::ClaimOutcome {
+    match outcome {
+        ClaimOutcome::Granted => proto::ClaimOutcome::Granted,
+        ClaimOutcome::Taken => proto::ClaimOutcome::Taken,
+        ClaimOutcome::Unavailable => proto::ClaimOutcome::Unavailable,
+    }
+}
+
+/// A message's word on a claim; whatever is not known counts as not agreed.
+pub fn claim_of(outcome: proto::ClaimOutcome) -> ClaimOutcome {
+    match outcome {
+        proto::ClaimOutcome::Granted => ClaimOutcome::Granted,
+        proto::ClaimOutcome::Taken => ClaimOutcome::Taken,
+        proto::ClaimOutcome::Unavailable => ClaimOutcome::Unavailable,
+    }
+}
--- a/mustardrill_standins/tests/liars.rs
+++ b/mustardrill_standins/tests/liars.rs
@@ -89,6 +89,13 @@
         Ok(Response::new(holding(request.into_inner().manifest)))
     }
 
+    async fn claim(
+        &self,
+        _: Request<proto::ClaimRequest>,
+    ) -> Result<Response<proto::ClaimReply>, Status> {
+        Err(Status::unavailable("a liar keeps no claims"))
+    }
+
     async fn fetch_manifest(
         &self,
         _: Request<proto::FetchManifestRequest>,
--- a/mustardrill_standins/tests/requests.rs
+++ b/mustardrill_standins/tests/requests.rs
@@ -130,6 +130,34 @@
     assert_eq!(report.whole, report.sent, "{:?} lost {}", report.codes, report.lost);
 }
 
+/// As fast as the machine goes, which shows what slow callers never do: resets of streams that
+/// ended, taken for an attack, closed the connection between entry and agent.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_callers_at_once_are_all_answered() {
+    const CALLS: usize = 150;
+    let capacity = ("upstream", "capacity = 256".to_owned());
+    let options =
+        LabOptions { agents: 1, plain: 2, agent_lines: vec![capacity], ..LabOptions::default() };
+    let (lab, _) = serving_lab(options).await;
+    let address = lab.entries[0].address;
+    let callers: Vec<_> = (0..64)
+        .map(|caller| {
+            let client = lab.client.clone();
+            tokio::spawn(async move {
+                for call in 0..CALLS {
+                    let body = format!("{caller}-{call}");
+                    let sent = caller_request(address, "/v1/services/desk/x", &body);
+                    let answer = client.call(sent, LONG, 1_000_000).await.unwrap();
+                    assert_eq!(code(&answer), "1000", "{body}: {:?}", answer.body);
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.await.unwrap();
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_from_other_weights_reaches_no_caller() {
     let (lab, digest) = serving_lab(LabOptions { agents: 3, ..LabOptions::default() }).await;
