What both daemons read and do alike stands once

The settings of the platform, the ticks and the taking over of a newer catalogue stood twice; they are PlatformConfig, spawn_ticks and adopt now.

--- a/mustardrill_agent/src/actor.rs
+++ b/mustardrill_agent/src/actor.rs
@@ -14,7 +14,7 @@
 use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_core::ownership::LeaseId;
 use mustardrill_runtime::agents::AgentPool;
-use mustardrill_runtime::clock::ProcessClock;
+use mustardrill_runtime::clock::{ProcessClock, spawn_ticks};
 use mustardrill_runtime::http::{HttpClient, HttpServer};
 use mustardrill_runtime::metrics;
 use mustardrill_runtime::origin::HttpOrigin;
@@ -270,8 +270,14 @@
     let actor = AgentActor::spawn_with_mailbox(state, mailbox::unbounded());
     let _ = status.set(actor.clone());
     server::spawn(listener, actor.clone(), context.clone());
-    spawn_tick(actor.clone(), config.tick, halt.clone());
-    spawn_list_reader(actor.clone(), context.clone(), config.list_every);
+    let ticked = actor.clone();
+    spawn_ticks(config.tick, halt.clone(), move || {
+        let actor = ticked.clone();
+        async move {
+            let _ = actor.tell(Event(AgentEvent::Tick)).await;
+        }
+    });
+    spawn_list_reader(actor.clone(), context.clone(), config.platform.list_every);
     log::info!("start instance={} address={address} local={}", config.agent.own.id, local.address);
     let finished = CancellationToken::new();
     Ok(AgentHandle { address, local_address: local.address, actor, context, halt, finished })
@@ -320,14 +326,14 @@
     const CONNECT: Duration = Duration::from_secs(1);
     let client = HttpClient::open(CONNECT);
     let owner = &config.agent.owner;
-    let timeout = config.platform_timeout;
+    let (platform, timeout) = (&config.platform, config.platform.timeout);
     Ok(AgentContext {
         own: config.agent.own.id.clone(),
         clock: ProcessClock::start(),
         store,
-        origin: Box::new(HttpOrigin::open(client.clone(), &config.origins)),
-        key_value: Box::new(HttpKeyValue::open(client.clone(), &config.key_value, timeout)),
-        instances: Box::new(HttpInstanceList::open(client.clone(), &config.instances, timeout)),
+        origin: Box::new(HttpOrigin::open(client.clone(), &platform.origins)),
+        key_value: Box::new(HttpKeyValue::open(client.clone(), &platform.key_value, timeout)),
+        instances: Box::new(HttpInstanceList::open(client.clone(), &platform.instances, timeout)),
         upstream: Box::new(HttpUpstream::open(client, &config.upstream, owner)),
         peers: AgentPool::default(),
         uploads: UploadGate::new(config.upload_rate, config.uploads),
@@ -341,20 +347,6 @@
     })
 }
 
-fn spawn_tick(actor: ActorRef<AgentActor>, every: Millis, halt: CancellationToken) {
-    tokio::spawn(async move {
-        let mut ticks = tokio::time::interval(every.to_std());
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                _ = ticks.tick() => {}
-                () = halt.cancelled() => return,
-            }
-            let _ = actor.tell(Event(AgentEvent::Tick)).await;
-        }
-    });
-}
-
 fn spawn_list_reader(actor: ActorRef<AgentActor>, context: Arc<AgentContext>, every: Millis) {
     tokio::spawn(async move {
         loop {
--- a/mustardrill_agent/src/config.rs
+++ b/mustardrill_agent/src/config.rs
@@ -6,9 +6,9 @@
 use mustardrill_core::admission::AdmissionSettings;
 use mustardrill_core::agent::AgentSettings;
 use mustardrill_core::claim::ClaimSettings;
-use mustardrill_core::membership::MemberSettings;
 use mustardrill_core::ownership::OwnerSettings;
 use mustardrill_core::transfer::{TransferPeer, TransferSettings};
+use mustardrill_runtime::config::{PlatformConfig, address, local, name};
 use mustardrill_runtime::settings::{SettingsOutcome, SettingsReader};
 use mustardrill_types::{ByteRate, ByteSize, Millis};
 
@@ -21,16 +21,8 @@
     pub local_listen: SocketAddr,
     /// The upstream, as `ip:port`.
     pub upstream: Box<str>,
-    /// The platform's key-value service.
-    pub key_value: Box<str>,
-    /// The platform's instance list.
-    pub instances: Box<str>,
-    /// The origin first, then what stands in for it.
-    pub origins: Vec<Box<str>>,
-    /// How long a call to the platform may take.
-    pub platform_timeout: Millis,
-    /// How often the instance list is read.
-    pub list_every: Millis,
+    /// The platform and the origin.
+    pub platform: PlatformConfig,
     /// How often the reducer looks at the time.
     pub tick: Millis,
     /// What weights may take of the link towards peers.
@@ -51,17 +43,12 @@
 
 /// Reads and checks all settings.
 pub fn read(mut reader: SettingsReader) -> SettingsOutcome<AgentConfig> {
-    let local = || SocketAddr::from(([127, 0, 0, 1], 0));
-    let name = |text: &str| text.to_owned();
+    let platform = PlatformConfig::read(&mut reader);
     let config = AgentConfig {
         listen: reader.required("agent", "listen", "IP:PORT", local()),
         local_listen: reader.value("agent", "local_listen", local()),
         upstream: address(&mut reader, "upstream", "address"),
-        key_value: address(&mut reader, "platform", "key_value"),
-        instances: address(&mut reader, "platform", "instances"),
-        origins: origins(&mut reader),
-        platform_timeout: reader.value("platform", "timeout", Millis(1_000)),
-        list_every: reader.value("platform", "list_every", Millis(2_000)),
+        platform: platform.clone(),
         tick: reader.value("agent", "tick", Millis(20)),
         upload_rate: reader.value("weights", "upload_rate", ByteRate(0)),
         download_rate: reader.value("weights", "download_rate", ByteRate(0)),
@@ -71,17 +58,17 @@
         drain: reader.value("agent", "drain", Millis(30_000)),
         agent: AgentSettings {
             own: TransferPeer {
-                id: reader.required("agent", "instance", "NAME", parsed(&name("unnamed"))),
-                data_centre: reader.required("agent", "data_centre", "NAME", parsed("unnamed")),
+                id: name(&mut reader, "agent", "instance"),
+                data_centre: name(&mut reader, "agent", "data_centre"),
             },
-            service: reader.required("agent", "service", "NAME", parsed("unnamed")),
-            region: reader.required("agent", "region", "NAME", parsed("unnamed")),
+            service: name(&mut reader, "agent", "service"),
+            region: name(&mut reader, "agent", "region"),
             transfer: transfer(&mut reader),
             copy_per_region: reader.value("weights", "copy_per_region", false),
             admission: admission(&mut reader),
             claim: claim(&mut reader),
             owner: owner(&mut reader),
-            members: members(&mut reader),
+            members: platform.members.clone(),
             staging_limit: reader.value("weights", "staging_limit", ByteSize(64_000_000_000)),
             floor_percent: reader.bounded("weights", "floor_percent", 75, 0, 99),
             exchange_every: reader.value("weights", "exchange_every", Millis(100)),
@@ -136,14 +123,6 @@
     }
 }
 
-fn members(reader: &mut SettingsReader) -> MemberSettings {
-    let default = MemberSettings::default();
-    MemberSettings {
-        failures: reader.bounded("platform", "failures", default.failures, 1, 100),
-        dead_for: reader.value("platform", "dead_for", default.dead_for),
-    }
-}
-
 fn claim(reader: &mut SettingsReader) -> ClaimSettings {
     let default = ClaimSettings::default();
     ClaimSettings {
@@ -162,19 +141,3 @@
         shard_limit: default.shard_limit,
     }
 }
-
-fn origins(reader: &mut SettingsReader) -> Vec<Box<str>> {
-    let origin = address(reader, "weights", "origin");
-    let store: Option<SocketAddr> = reader.optional("weights", "store");
-    let store = store.map(|address| address.to_string().into());
-    std::iter::once(origin).chain(store).collect()
-}
-
-fn address(reader: &mut SettingsReader, section: &str, key: &str) -> Box<str> {
-    let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
-    reader.required(section, key, "IP:PORT", nowhere).to_string().into()
-}
-
-fn parsed<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
-    text.parse().expect("a valid name")
-}
--- a/mustardrill_core/src/agent/reducer.rs
+++ b/mustardrill_core/src/agent/reducer.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use log::{info, warn};
+use log::info;
 use mustardrill_types::{
     AttemptId, ChunkIndex, FastMap, Generation, InstanceId, ManifestDigest, Millis, Moment,
     ResultCode,
@@ -16,7 +16,7 @@
 use crate::claim::{ClaimBatch, ClaimEffect};
 use crate::demand::DemandBoard;
 use crate::document::{CatalogueDocument, RequestClass};
-use crate::edit::check_successor;
+use crate::edit::adopt;
 use crate::manifest::ChunkBitmap;
 use crate::membership::MemberTable;
 use crate::ownership::{OwnerAnswer, OwnerLease};
@@ -197,15 +197,9 @@
     }
 
     fn catalogue_seen(&mut self, now: Moment, next: Arc<CatalogueDocument>) -> Vec<AgentEffect> {
-        if next.generation <= self.document.generation {
+        if !adopt(&mut self.document, next) {
             return Vec::new();
         }
-        if let Err(reason) = check_successor(&self.document, &next) {
-            warn!("catalogue generation={} decision=keep reason=\"{reason}\"", next.generation);
-            return Vec::new();
-        }
-        info!("catalogue generation={} decision=apply", next.generation);
-        self.document = next;
         self.refresh_weights(now)
     }
 
--- a/mustardrill_core/src/edit.rs
+++ b/mustardrill_core/src/edit.rs
@@ -1,5 +1,8 @@
 //! Edits of the catalogue: checked, applied as one change, settled by id, undone as a new edit.
 
+use std::sync::Arc;
+
+use log::{info, warn};
 use mustardrill_types::{
     ByteSize, CustomerName, EditId, FastMap, FastSet, Generation, ManifestDigest, ModelName,
     ServiceName, VersionName,
@@ -93,6 +96,22 @@
     Ok(next)
 }
 
+/// Puts `next` in force in the place of `current`, where it may follow; says whether it did.
+///
+/// Every reader checks again what it is given, and keeps its last good generation.
+pub fn adopt(current: &mut Arc<CatalogueDocument>, next: Arc<CatalogueDocument>) -> bool {
+    if next.generation <= current.generation {
+        return false;
+    }
+    if let Err(reason) = check_successor(current, &next) {
+        warn!("catalogue generation={} decision=keep reason=\"{reason}\"", next.generation);
+        return false;
+    }
+    info!("catalogue generation={} decision=apply", next.generation);
+    *current = next;
+    true
+}
+
 /// Checks that a document may follow the one in force; every reader does so before it applies.
 pub fn check_successor(
     current: &CatalogueDocument,
--- a/mustardrill_core/src/entry/reducer.rs
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use log::{info, warn};
+use log::info;
 use mustardrill_types::{
     AttemptId, FastMap, FastSet, Generation, InstanceId, Millis, Moment, RequestKey, ResultCode,
     ServiceName,
@@ -15,7 +15,7 @@
 use crate::claim::ClaimOutcome;
 use crate::demand::DemandRow;
 use crate::document::{CatalogueDocument, CatalogueEntry};
-use crate::edit::check_successor;
+use crate::edit::adopt;
 use crate::entry::event::{
     AgentSync, ClaimOrder, EntryEffect, EntryEvent, EntrySettings, IncomingRequest, RequestId,
 };
@@ -258,15 +258,9 @@
     }
 
     fn catalogue_seen(&mut self, now: Moment, next: Arc<CatalogueDocument>) -> Vec<EntryEffect> {
-        if next.generation <= self.document.generation {
+        if !adopt(&mut self.document, next) {
             return Vec::new();
         }
-        if let Err(reason) = check_successor(&self.document, &next) {
-            warn!("catalogue generation={} decision=keep reason=\"{reason}\"", next.generation);
-            return Vec::new();
-        }
-        info!("catalogue generation={} decision=apply", next.generation);
-        self.document = next;
         self.agents.values_mut().for_each(|view| view.next_sync = now);
         self.sync_due(now)
     }
--- a/mustardrill_entry/src/actor.rs
+++ b/mustardrill_entry/src/actor.rs
@@ -10,12 +10,12 @@
 use mustardrill_core::edit::FleetFacts;
 use mustardrill_core::entry::{EntryEffect, EntryEvent, EntryReducer, IncomingRequest, RequestId};
 use mustardrill_runtime::agents::AgentPool;
-use mustardrill_runtime::clock::ProcessClock;
+use mustardrill_runtime::clock::{ProcessClock, spawn_ticks};
 use mustardrill_runtime::http::{HttpClient, HttpServer};
 use mustardrill_runtime::metrics;
 use mustardrill_runtime::origin::HttpOrigin;
 use mustardrill_runtime::platform::{HttpInstanceList, HttpKeyValue};
-use mustardrill_types::{AttemptId, FastMap, Millis};
+use mustardrill_types::{AttemptId, FastMap};
 use tokio_util::sync::CancellationToken;
 
 use crate::attempt::RequestIo;
@@ -213,9 +213,15 @@
     let callers = HttpServer::bind(config.listen, handler, stop_callers.clone()).await?;
     let handler = Box::new(OperatorHandler::new(actor.clone(), context.clone()));
     let operators = HttpServer::bind(config.operator_listen, handler, halt.clone()).await?;
-    spawn_tick(actor.clone(), config.tick, halt.clone());
+    let ticked = actor.clone();
+    spawn_ticks(config.tick, halt.clone(), move || {
+        let actor = ticked.clone();
+        async move {
+            let _ = actor.tell(Event(EntryEvent::Tick)).await;
+        }
+    });
     watch::spawn_catalogue(actor.clone(), context.clone());
-    watch::spawn_instances(actor.clone(), context, config.list_every);
+    watch::spawn_instances(actor.clone(), context, config.platform.list_every);
     let (address, operator_address) = (callers.address, operators.address);
     log::info!(
         "start instance={} address={address} operators={operator_address}",
@@ -250,13 +256,13 @@
 fn open_context(config: &EntryConfig, halt: CancellationToken) -> std::io::Result<EntryContext> {
     const CONNECT: Duration = Duration::from_secs(1);
     let client = HttpClient::open(CONNECT);
-    let timeout = config.platform_timeout;
+    let (platform, timeout) = (&config.platform, config.platform.timeout);
     Ok(EntryContext {
         own: config.entry.own.clone(),
         clock: ProcessClock::start(),
-        key_value: Box::new(HttpKeyValue::open(client.clone(), &config.key_value, timeout)),
-        instances: Box::new(HttpInstanceList::open(client.clone(), &config.instances, timeout)),
-        origin: Box::new(HttpOrigin::open(client, &config.origins)),
+        key_value: Box::new(HttpKeyValue::open(client.clone(), &platform.key_value, timeout)),
+        instances: Box::new(HttpInstanceList::open(client.clone(), &platform.instances, timeout)),
+        origin: Box::new(HttpOrigin::open(client, &platform.origins)),
         agents: AgentPool::default(),
         clocks: ClockTable::default(),
         access: config.access.clone(),
@@ -266,17 +272,3 @@
         halt,
     })
 }
-
-fn spawn_tick(actor: ActorRef<EntryActor>, every: Millis, halt: CancellationToken) {
-    tokio::spawn(async move {
-        let mut ticks = tokio::time::interval(every.to_std());
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            tokio::select! {
-                _ = ticks.tick() => {}
-                () = halt.cancelled() => return,
-            }
-            let _ = actor.tell(Event(EntryEvent::Tick)).await;
-        }
-    });
-}
--- a/mustardrill_entry/src/config.rs
+++ b/mustardrill_entry/src/config.rs
@@ -5,8 +5,8 @@
 use log::LevelFilter;
 use mustardrill_core::budget::RetrySettings;
 use mustardrill_core::entry::EntrySettings;
-use mustardrill_core::membership::MemberSettings;
 use mustardrill_core::routing::RoutingSettings;
+use mustardrill_runtime::config::{PlatformConfig, local, name};
 use mustardrill_runtime::settings::{SettingsOutcome, SettingsReader};
 use mustardrill_types::{ByteSize, CustomerName, Millis};
 
@@ -17,16 +17,8 @@
     pub listen: SocketAddr,
     /// Where operators reach it.
     pub operator_listen: SocketAddr,
-    /// The platform's key-value service.
-    pub key_value: Box<str>,
-    /// The platform's instance list.
-    pub instances: Box<str>,
-    /// The origin first, then what stands in for it.
-    pub origins: Vec<Box<str>>,
-    /// How long a call to the platform may take.
-    pub platform_timeout: Millis,
-    /// How often the instance list is read.
-    pub list_every: Millis,
+    /// The platform and the origin.
+    pub platform: PlatformConfig,
     /// How often the reducer looks at the time.
     pub tick: Millis,
     /// Where metrics go, if anywhere.
@@ -107,15 +99,11 @@
 
 /// Reads and checks all settings.
 pub fn read(mut reader: SettingsReader) -> SettingsOutcome<EntryConfig> {
-    let local = || SocketAddr::from(([127, 0, 0, 1], 0));
+    let platform = PlatformConfig::read(&mut reader);
     let config = EntryConfig {
         listen: reader.required("entry", "listen", "IP:PORT", local()),
         operator_listen: reader.required("entry", "operator_listen", "IP:PORT", local()),
-        key_value: address(&mut reader, "platform", "key_value"),
-        instances: address(&mut reader, "platform", "instances"),
-        origins: origins(&mut reader),
-        platform_timeout: reader.value("platform", "timeout", Millis(1_000)),
-        list_every: reader.value("platform", "list_every", Millis(2_000)),
+        platform: platform.clone(),
         tick: reader.value("entry", "tick", Millis(10)),
         metrics: reader.optional("entry", "metrics"),
         log: reader.value("entry", "log", LevelFilter::Info),
@@ -127,15 +115,12 @@
             staging_limit: reader.value("edits", "staging_limit", ByteSize(64_000_000_000)),
         },
         entry: EntrySettings {
-            own: reader.required("entry", "instance", "NAME", parsed("unnamed")),
-            data_centre: reader.required("entry", "data_centre", "NAME", parsed("unnamed")),
+            own: name(&mut reader, "entry", "instance"),
+            data_centre: name(&mut reader, "entry", "data_centre"),
             routing: routing(&mut reader),
             retry: retry(&mut reader),
             claim_shards: reader.bounded("claims", "shards", 8, 1, 4_096),
-            members: MemberSettings {
-                failures: reader.bounded("platform", "failures", 2, 1, 100),
-                dead_for: reader.value("platform", "dead_for", Millis(3_000)),
-            },
+            members: platform.members.clone(),
             subset: reader.bounded("routing", "subset", 32, 1, 10_000),
             sync_every: reader.value("routing", "sync_every", Millis(400)),
         },
@@ -210,18 +195,6 @@
     }
 }
 
-fn origins(reader: &mut SettingsReader) -> Vec<Box<str>> {
-    let origin = address(reader, "weights", "origin");
-    let store: Option<SocketAddr> = reader.optional("weights", "store");
-    let store = store.map(|address| address.to_string().into());
-    std::iter::once(origin).chain(store).collect()
-}
-
-fn address(reader: &mut SettingsReader, section: &str, key: &str) -> Box<str> {
-    let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
-    reader.required(section, key, "IP:PORT", nowhere).to_string().into()
-}
-
 fn find<'a, T>(known: &'a [(T, blake3::Hash)], token: &str) -> Option<&'a T> {
     let hash = blake3::hash(token.as_bytes());
     // `blake3::Hash` compares in constant time, and the search does not end early.
@@ -233,7 +206,3 @@
     }
     found
 }
-
-fn parsed<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
-    text.parse().expect("a valid name")
-}
--- a/mustardrill_runtime/src/clock.rs
+++ b/mustardrill_runtime/src/clock.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use mustardrill_types::Moment;
+use mustardrill_types::{Millis, Moment};
+use tokio_util::sync::CancellationToken;
 
 /// The monotonic clock of this process and the wall clock.
 #[derive(Debug, Clone, Copy)]
@@ -26,3 +27,24 @@
         SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_secs())
     }
 }
+
+/// Calls `tick` again and again until `halt` is cancelled; a late tick is not made up for.
+pub fn spawn_ticks<F>(
+    every: Millis,
+    halt: CancellationToken,
+    mut tick: impl FnMut() -> F + Send + 'static,
+) where
+    F: Future<Output = ()> + Send,
+{
+    tokio::spawn(async move {
+        let mut ticks = tokio::time::interval(every.to_std());
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                () = halt.cancelled() => return,
+            }
+            tick().await;
+        }
+    });
+}
--- a/mustardrill_runtime/src/lib.rs
+++ b/mustardrill_runtime/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod agents;
 pub mod clock;
+pub mod config;
 pub mod http;
 pub mod logging;
 pub mod metrics;
--- a/mustardrill_standins/tests/docs.rs
+++ b/mustardrill_standins/tests/docs.rs
@@ -60,7 +60,11 @@
 #[test]
 fn every_setting_is_on_its_page() {
     let page = read("docs/SETTINGS.md");
-    for source in ["mustardrill_agent/src/config.rs", "mustardrill_entry/src/config.rs"] {
+    for source in [
+        "mustardrill_agent/src/config.rs",
+        "mustardrill_entry/src/config.rs",
+        "mustardrill_runtime/src/config.rs",
+    ] {
         let text = read(source).replace(['\n', ' '], "");
         for call in [
             "value(",
@@ -69,6 +73,7 @@
             "optional(",
             "address(reader,",
             "address(&mutreader,",
+            "name(&mutreader,",
         ] {
             for part in text.split(call).skip(1) {
                 let mut words = part.split('"').skip(1).step_by(2);
