status sums up each model; the load driver counts only its own round

The command line's status shows for each model how many instances are wanted and how far they are. The demo's table showed more answers than requests, as answers to requests from before the count began were counted; they are not any more.

--- a/mustardrill_entry/src/operator_client.rs
+++ b/mustardrill_entry/src/operator_client.rs
@@ -1,5 +1,6 @@
 //! The operators' command line: asks an entry's operator port and prints what it says.
 
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::path::Path;
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use serde_json::Value;
 
 use crate::cli::{CatalogueCommand, OperatorAccess};
-use crate::status::FleetStatus;
+use crate::status::{FleetStatus, VersionStatus};
 
 /// How a command ended; the number is the process's exit code.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -174,6 +175,29 @@
     lines
 }
 
+/// A line for each model: how many instances are how far, and where the bytes came from.
+fn print_models(status: &FleetStatus) -> String {
+    let mut models: BTreeMap<&str, Vec<&VersionStatus>> = BTreeMap::new();
+    for version in status.agents.iter().flat_map(|agent| &agent.versions) {
+        models.entry(&version.model).or_default().push(version);
+    }
+    let mut lines = String::new();
+    for (model, versions) in models {
+        let mut states: BTreeMap<&str, usize> = BTreeMap::new();
+        versions.iter().for_each(|version| *states.entry(&version.state).or_default() += 1);
+        let states: Vec<_> =
+            states.iter().map(|(state, count)| format!("{count} {state}")).collect();
+        let origin: u64 = versions.iter().map(|version| version.origin_bytes).sum();
+        let peers: u64 = versions.iter().map(|version| version.peer_bytes).sum();
+        let (wanted, states) = (versions.len(), states.join(", "));
+        let _ = writeln!(
+            lines,
+            "model {model}: {wanted} wanted: {states}; {origin} bytes from the origin, {peers} from peers"
+        );
+    }
+    lines
+}
+
 fn print_status(status: &FleetStatus) -> String {
     let mut lines = format!("entry {}: generation {}\n", status.entry, status.generation);
     let behind = status.behind().count();
@@ -184,6 +208,7 @@
         agents - behind,
         status.elsewhere
     );
+    lines.push_str(&print_models(status));
     for agent in &status.agents {
         let silent =
             agent.silent_ms.map_or("never heard of".into(), |ms| format!("heard {ms} ms ago"));
--- a/mustardrill_standins/src/load.rs
+++ b/mustardrill_standins/src/load.rs
@@ -58,11 +58,18 @@
 /// Callers that run until they are stopped.
 #[derive(Debug)]
 pub struct LoadDriver {
-    report: Arc<Mutex<LoadReport>>,
+    counting: Arc<Mutex<Counting>>,
     stop: CancellationToken,
     tracker: TaskTracker,
 }
 
+/// The report, and which requests it counts: those sent since it began.
+#[derive(Debug, Default)]
+struct Counting {
+    report: LoadReport,
+    round: u64,
+}
+
 enum Fate {
     Whole(String),
     Refused(String, bool),
@@ -115,12 +122,26 @@
     }
 }
 
+impl Counting {
+    fn begin(&mut self) -> u64 {
+        self.report.sent += 1;
+        self.round
+    }
+
+    fn end(&mut self, round: u64, fate: Fate, took: Duration) {
+        if round == self.round {
+            self.report.note(fate, took);
+        }
+    }
+}
+
 impl LoadDriver {
     /// Starts callers that send at a steady rate, whether or not answers come.
     pub fn spawn(client: HttpClient, options: LoadOptions) -> Self {
-        let report = Arc::new(Mutex::new(LoadReport::default()));
+        let counting = Arc::new(Mutex::new(Counting::default()));
         let (stop, tracker) = (CancellationToken::new(), TaskTracker::new());
-        let driver = Self { report: report.clone(), stop: stop.clone(), tracker: tracker.clone() };
+        let driver =
+            Self { counting: counting.clone(), stop: stop.clone(), tracker: tracker.clone() };
         tokio::spawn(async move {
             let mut ticks = tokio::time::interval(Duration::from_secs_f64(1.0 / options.rate));
             let options = Arc::new(options);
@@ -129,13 +150,14 @@
                     _ = ticks.tick() => {}
                     () = stop.cancelled() => return,
                 }
-                let (client, options, report) = (client.clone(), options.clone(), report.clone());
+                let (client, options) = (client.clone(), options.clone());
+                let counting = counting.clone();
                 tracker.spawn(async move {
-                    report.lock().expect("no panic under this lock").sent += 1;
+                    let round = counting.lock().expect("no panic under this lock").begin();
                     let started = Instant::now();
                     let fate = call(&client, &options, number).await;
                     let took = started.elapsed();
-                    report.lock().expect("no panic under this lock").note(fate, took);
+                    counting.lock().expect("no panic under this lock").end(round, fate, took);
                 });
             }
         });
@@ -144,12 +166,14 @@
 
     /// What became of the requests so far.
     pub fn report(&self) -> LoadReport {
-        self.report.lock().expect("no panic under this lock").clone()
+        self.counting.lock().expect("no panic under this lock").report.clone()
     }
 
-    /// Starts counting anew.
+    /// Starts counting anew; requests that are under way are not counted any more.
     pub fn reset(&self) {
-        *self.report.lock().expect("no panic under this lock") = LoadReport::default();
+        let mut counting = self.counting.lock().expect("no panic under this lock");
+        counting.round += 1;
+        counting.report = LoadReport::default();
     }
 
     /// Sends nothing more, waits for the answers and returns the report.
--- a/mustardrill_standins/tests/path.rs
+++ b/mustardrill_standins/tests/path.rs
@@ -97,6 +97,7 @@
     assert!(lab.wait_in_force(0, 3, common::LONG).await);
     let (exit, text) = lab.command(0, &["status"]);
     assert!(exit == 0 && text.contains("in force at 3 of 3"), "{exit} {text}");
+    assert!(text.contains("model drafts: 2 wanted: 2 serving"), "{text}");
     let (exit, text) = lab.command(0, &["apply", "no-such-file.ini"]);
     assert!(exit == 2 && text.contains("can't be read"), "{exit} {text}");
     let (status, _) = lab.operate(0, "GET", "/v1/status", "", "no-operator").await;
