--- a/mustardrill_standins/tests/docs.rs
+++ b/mustardrill_standins/tests/docs.rs
@@ -39,6 +39,27 @@
     }
 }
 
+#[test]
+fn every_proof_that_is_named_exists() {
+    let page = read("docs/PROOFS.md");
+    let mut tests = String::new();
+    for folder in ["mustardrill_core/tests", "mustardrill_standins/tests"] {
+        for file in std::fs::read_dir(root().join(folder)).unwrap().flatten() {
+            tests.push_str(&std::fs::read_to_string(file.path()).unwrap_or_default());
+        }
+    }
+    let promises = page.split("## Not proved").next().unwrap();
+    let named = promises.split('`').skip(1).step_by(2).filter(|name| !name.contains('/'));
+    for name in named {
+        let (file, test) = name.split_once("::").unwrap_or((name, ""));
+        let is_file = root().join(format!("mustardrill_core/tests/{file}.rs")).exists()
+            || root().join(format!("mustardrill_standins/tests/{file}.rs")).exists();
+        let is_test = tests.contains(&format!("fn {file}("));
+        assert!(is_file || is_test, "no {name}");
+        assert!(test.is_empty() || tests.contains(&format!("fn {test}(")), "no test {name}");
+    }
+}
+
 #[test]
 fn the_samples_are_right() {
     for team in ["sello-limpio", "lakeshore"] {
--- a/mustardrill_standins/tests/requests.rs
+++ b/mustardrill_standins/tests/requests.rs
@@ -116,6 +116,44 @@
     assert!(ran >= report.whole && ran <= report.whole + report.unknown, "{ran} {report:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_entry_runs_nothing_twice_when_it_goes_on() {
+    let (lab, _) = serving_lab(LabOptions { agents: 1, plain: 3, ..LabOptions::default() }).await;
+    let load = keyed_callers(&lab, 150.0);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    lab.entries[0].freeze();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    lab.entries[0].thaw();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let report = load.finish().await;
+    let counts = runs(&lab).await;
+    assert!(counts.values().all(|count| *count == 1), "{counts:?}");
+    assert_eq!(report.wrong, 0, "{:?}", report.codes);
+    let ran = counts.len() as u64;
+    let may_have_run = report.whole + report.unknown + report.lost;
+    assert!(ran >= report.whole && ran <= may_have_run, "{ran} {report:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_keeper_costs_time_and_no_second_run() {
+    let (lab, _) = serving_lab(LabOptions { agents: 3, plain: 2, ..LabOptions::default() }).await;
+    let load = keyed_callers(&lab, 100.0);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    // Engines' agents keep claims too; two of five are frozen and come back.
+    lab.engines[0].agent.freeze();
+    lab.engines[1].agent.freeze();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    lab.engines[0].agent.thaw();
+    lab.engines[1].agent.thaw();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let report = load.finish().await;
+    let counts = runs(&lab).await;
+    assert!(counts.values().all(|count| *count == 1), "{counts:?}");
+    assert_eq!((report.wrong, report.lost), (0, 0), "{:?}", report.codes);
+    let ran = counts.len() as u64;
+    assert!(ran >= report.whole && ran <= report.whole + report.unknown, "{ran} {report:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_cut_answer_is_resumed_under_the_same_weights() {
     let (lab, _) = serving_lab(LabOptions { agents: 3, ..LabOptions::default() }).await;
