--- a/mustardrill_agent/src/server.rs
+++ b/mustardrill_agent/src/server.rs
@@ -160,6 +160,11 @@
         let sent = request.into_inner();
         let key = key_of(&sent.key).ok_or(Status::invalid_argument("key"))?;
         let attempt = attempt_of(&sent.attempt).ok_or(Status::invalid_argument("attempt"))?;
+        let is_late =
+            sent.agent_deadline_ms > 0 && self.context.clock.now().0 >= sent.agent_deadline_ms;
+        if is_late && !sent.release {
+            return Err(Status::deadline_exceeded("the claim was given up before it came"));
+        }
         let outcome = if sent.release {
             let wall_s = self.context.clock.wall_s();
             let event = AgentEvent::ClaimReleased(key, attempt, wall_s);
--- a/mustardrill_entry/src/effects.rs
+++ b/mustardrill_entry/src/effects.rs
@@ -90,10 +90,14 @@
     release: bool,
 ) -> Option<ClaimOutcome> {
     let mut client = context.agents.client(&keeper.address)?;
+    // An ask that lay in a frozen keeper is void: by then another was asked, or the caller told.
+    let agent_now = context.clocks.agent_ms_at(context.clock.now(), &keeper.id);
+    let agent_deadline_ms = if agent_now == 0 { 0 } else { agent_now + CLAIM_TIMEOUT.0 };
     let request = proto::ClaimRequest {
         key: key_bytes(order.key),
         attempt: attempt_bytes(order.attempt),
         release,
+        agent_deadline_ms,
     };
     let call = tokio::time::timeout(CLAIM_TIMEOUT.to_std(), client.claim(request));
     let reply = call.await.ok()?.ok()?.into_inner();
--- a/mustardrill_proto/src/generated.rs
+++ b/mustardrill_proto/src/generated.rs
@@ -237,6 +237,9 @@
     pub attempt: ::prost::bytes::Bytes,
     #[prost(bool, tag = "3")]
     pub release: bool,
+    /// on the agent's own clock: an ask that comes later is void; 0 if unknown
+    #[prost(uint64, tag = "4")]
+    pub agent_deadline_ms: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ClaimReply {
--- a/mustardrill_standins/tests/liars.rs
+++ b/mustardrill_standins/tests/liars.rs
@@ -222,6 +222,14 @@
     // The time left looks ample, but on the agent's own clock the deadline is long over.
     let late = proto::ExecuteRequest { agent_deadline_ms: 1, ..request.clone() };
     assert_eq!(refusal(&execute(&lab, late).await), Some(2013));
+    let pool = AgentPool::default();
+    let mut client = pool.client(&lab.plain[0].agent.address.to_string()).unwrap();
+    let (key, attempt) = (vec![5; 16].into(), vec![6; 16].into());
+    let claim = proto::ClaimRequest { key, attempt, release: false, agent_deadline_ms: 1 };
+    let late = client.claim(claim.clone()).await.unwrap_err();
+    assert_eq!(late.code(), tonic::Code::DeadlineExceeded);
+    let timely = client.claim(proto::ClaimRequest { agent_deadline_ms: 0, ..claim }).await.unwrap();
+    assert_eq!(timely.into_inner().outcome(), proto::ClaimOutcome::Granted);
     let first = execute(&lab, request.clone()).await;
     assert!(matches!(first.last(), Some(Part::End(_))), "{first:?}");
     assert_eq!(refusal(&execute(&lab, request).await), Some(2015));
