--- a/mustardrill_standins/tests/requests.rs
+++ b/mustardrill_standins/tests/requests.rs
@@ -168,8 +168,7 @@
     assert_eq!(report.whole, report.sent, "{:?} lost {}", report.codes, report.lost);
 }
 
-/// As fast as the machine goes, which shows what slow callers never do: resets of streams that
-/// ended, taken for an attack, closed the connection between entry and agent.
+/// As fast as the machine goes: nothing is refused or lost for the sake of speed alone.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_callers_at_once_are_all_answered() {
     const CALLS: usize = 150;
