The engine stand-in honours priorities and reports its load with a lag

Change: whoever waits with the highest priority gets the next slot; the state tells how many pieces waited or ran half a second ago. The agent does not use that report, as it counts what runs itself without a lag (docs/PROOFS.md).

--- a/mustardrill_standins/src/engine.rs
+++ b/mustardrill_standins/src/engine.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -20,10 +20,13 @@
 };
 use mustardrill_types::ByteSize;
 use serde::Deserialize;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::fault::FaultPanel;
 
+/// The classes of priority that an engine tells apart.
+const PRIORITIES: usize = 3;
+
 /// How an engine behaves.
 #[derive(Debug, Clone)]
 pub struct EngineOptions {
@@ -44,7 +47,8 @@
 pub struct EngineState {
     options: EngineOptions,
     loaded: Mutex<Loaded>,
-    slots: Semaphore,
+    slots: SlotQueue,
+    loads: Mutex<Vec<(Instant, usize)>>,
     runs: Mutex<Vec<String>>,
     finished: AtomicU64,
     client: HttpClient,
@@ -95,7 +99,8 @@
     /// An engine without weights.
     pub fn new(options: EngineOptions) -> Self {
         Self {
-            slots: Semaphore::new(options.capacity),
+            slots: SlotQueue::new(options.capacity),
+            loads: Mutex::default(),
             options,
             loaded: Mutex::default(),
             runs: Mutex::default(),
@@ -175,14 +180,31 @@
         let prompt = String::from_utf8_lossy(&prompt).into_owned();
         self.runs.lock().expect("nobody panics under this lock").push(prompt.clone());
         let answer = answer_text(&serving, &prompt, self.options.pieces);
-        let mut response = Response::new(self.stream(answer, resume));
+        let priority = text("x-priority").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let mut response = Response::new(self.stream(answer, resume, priority));
         let headers = response.headers_mut();
         headers.insert("x-weights", serving.parse().expect("digits make a header"));
         headers.insert("content-type", "text/plain".parse().expect("a header"));
         response
     }
 
-    fn stream(self: Arc<Self>, answer: Bytes, resume: usize) -> mustardrill_runtime::http::AnyBody {
+    /// How many pieces waited or ran a while ago, as engines report their load with a lag.
+    fn lagging_load(&self) -> usize {
+        const LAG: Duration = Duration::from_millis(500);
+        let running = self.options.capacity - self.slots.slots.available_permits();
+        let mut loads = self.loads.lock().expect("nobody panics under this lock");
+        loads.push((Instant::now(), self.slots.queued() + running));
+        let newest = loads.iter().rposition(|(since, _)| since.elapsed() >= LAG);
+        loads.drain(..newest.unwrap_or(0));
+        loads[0].1
+    }
+
+    fn stream(
+        self: Arc<Self>,
+        answer: Bytes,
+        resume: usize,
+        priority: usize,
+    ) -> mustardrill_runtime::http::AnyBody {
         let piece = answer.len().div_ceil(self.options.pieces.max(1) as usize).max(1);
         let rest = answer.slice(resume.min(answer.len())..);
         let pieces =
@@ -199,7 +221,7 @@
                 }
                 {
                     // Continuous batching: a slot is taken for a piece, not for a whole answer.
-                    let _slot = state.slots.acquire().await;
+                    let _slot = state.slots.take(priority).await;
                     tokio::time::sleep(state.options.piece_time).await;
                 }
                 let next = rest.split_to(rest.len().min(piece));
@@ -229,7 +251,8 @@
                 let loaded = self.loaded();
                 let serving: Vec<_> = loaded.serving.iter().collect();
                 let (fence, refused) = (loaded.fence, loaded.refused_orders);
-                let state = serde_json::json!({ "serving": serving, "fence": fence, "refused_orders": refused, "orders": loaded.orders });
+                let load = self.lagging_load();
+                let state = serde_json::json!({ "serving": serving, "fence": fence, "refused_orders": refused, "load": load, "orders": loaded.orders });
                 json_response(StatusCode::OK, &state)
             }
             "/admin/runs" => json_response(StatusCode::OK, &self.runs()),
@@ -245,6 +268,51 @@
     }
 }
 
+/// The engine's slots: whoever waits with the highest priority gets the next one.
+#[derive(Debug)]
+struct SlotQueue {
+    slots: Semaphore,
+    waiting: Mutex<[usize; PRIORITIES]>,
+}
+
+/// Notes that somebody waits, until it is dropped.
+struct WaitingMark<'a>(&'a SlotQueue, usize);
+
+impl SlotQueue {
+    fn new(capacity: usize) -> Self {
+        Self { slots: Semaphore::new(capacity), waiting: Mutex::default() }
+    }
+
+    /// Takes a slot once nobody of a higher priority (a lower number) waits for one.
+    async fn take(&self, priority: usize) -> SemaphorePermit<'_> {
+        const LOOK_EVERY: Duration = Duration::from_millis(1);
+        let priority = priority.min(PRIORITIES - 1);
+        self.waiting.lock().expect("nobody panics under this lock")[priority] += 1;
+        let _mark = WaitingMark(self, priority);
+        loop {
+            let is_first = {
+                let waiting = self.waiting.lock().expect("nobody panics under this lock");
+                waiting[..priority].iter().all(|count| *count == 0)
+            };
+            if is_first && let Ok(slot) = self.slots.try_acquire() {
+                return slot;
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// How many pieces wait for a slot.
+    fn queued(&self) -> usize {
+        self.waiting.lock().expect("nobody panics under this lock").iter().sum()
+    }
+}
+
+impl Drop for WaitingMark<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.lock().expect("nobody panics under this lock")[self.1] -= 1;
+    }
+}
+
 /// The answer that weights of this digest give to a prompt.
 pub fn answer_text(digest: &str, prompt: &str, pieces: u64) -> Bytes {
     let mut text = String::new();
