A switch of versions refuses no request

Entries learn on heartbeats what an upstream serves. A request pinned to weights that were just replaced was refused by the agent and sent to the next upstream; where the others had switched within the same heartbeat, all four attempts were used up on stale pins. Change: a refusal for other weights names what is served (core AttemptRefusal, proto Refusal.serving, the engine's 412 with x-weights). The entry takes it as a report and sends the request to the same upstream under the new pin, within the retry budget and the deadline.

--- a/mustardrill_agent/src/actor.rs
+++ b/mustardrill_agent/src/actor.rs
@@ -13,6 +13,7 @@
 use mustardrill_core::document::{CatalogueDocument, RequestClass};
 use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_core::ownership::LeaseId;
+use mustardrill_core::refusal::AttemptRefusal;
 use mustardrill_runtime::agents::AgentPool;
 use mustardrill_runtime::clock::{ProcessClock, spawn_ticks};
 use mustardrill_runtime::http::{HttpClient, HttpServer};
@@ -37,12 +38,12 @@
 use crate::weights_http::WeightsHandler;
 
 /// What becomes of a request before it reaches the upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) enum Verdict {
     /// Give it to the upstream now.
     Run,
     /// It was not run.
-    Refuse(ResultCode, Millis),
+    Refuse(AttemptRefusal),
 }
 
 /// A running agent.
@@ -137,8 +138,8 @@
                         let _ = waiting.send(outcome);
                     }
                 }
-                AgentEffect::Refuse(attempt, code, retry_after) => {
-                    self.decide(attempt, Verdict::Refuse(code, retry_after));
+                AgentEffect::Refuse(attempt, refusal) => {
+                    self.decide(attempt, Verdict::Refuse(refusal));
                 }
                 other => effects::carry_out(&self.context, &self.reducer, actor, other),
             }
@@ -169,7 +170,8 @@
         let Admit { attempt, class, pinned, deadline, verdict } = message;
         let actor = context.actor_ref().clone();
         if self.waiting.contains_key(&attempt) {
-            let _ = verdict.send(Verdict::Refuse(ResultCode::AlreadyClaimed, Millis(0)));
+            let refusal = AttemptRefusal::new(ResultCode::AlreadyClaimed, Millis(0));
+            let _ = verdict.send(Verdict::Refuse(refusal));
             return;
         }
         self.waiting.insert(attempt, verdict);
--- a/mustardrill_agent/src/execute.rs
+++ b/mustardrill_agent/src/execute.rs
@@ -10,6 +10,7 @@
 use log::info;
 use mustardrill_core::agent::AgentEvent;
 use mustardrill_core::document::RequestClass;
+use mustardrill_core::refusal::AttemptRefusal;
 use mustardrill_proto as proto;
 use mustardrill_proto::execute_frame::Part;
 use mustardrill_runtime::http::CallError;
@@ -61,7 +62,7 @@
 /// Why an attempt did not end with a whole answer.
 enum RunError {
     /// It was not run.
-    NotRun(ResultCode, Millis),
+    NotRun(AttemptRefusal),
     /// It may have run; the stream ends with an error.
     Broken(Box<str>),
     /// It was answered from other weights than those pinned.
@@ -70,6 +71,12 @@
     EntryGone,
 }
 
+impl RunError {
+    fn not_run(code: ResultCode, retry_after: Millis) -> Self {
+        Self::NotRun(AttemptRefusal::new(code, retry_after))
+    }
+}
+
 impl Run {
     async fn run(self, request: proto::ExecuteRequest) {
         let (end_event, ended) = match self.verdict(&request).await {
@@ -97,7 +104,7 @@
         let now = self.context.clock.now();
         // The deadline on this agent's own clock holds however long the entry was paused.
         if request.agent_deadline_ms > 0 && now.0 >= request.agent_deadline_ms {
-            return Err(RunError::NotRun(ResultCode::DeadlinePassed, Millis(0)));
+            return Err(RunError::not_run(ResultCode::DeadlinePassed, Millis(0)));
         }
         let (sender, receiver) = oneshot::channel();
         let admit = Admit {
@@ -114,8 +121,8 @@
         };
         match verdict {
             Ok(Verdict::Run) => Ok(()),
-            Ok(Verdict::Refuse(code, retry_after)) => Err(RunError::NotRun(code, retry_after)),
-            Err(_) => Err(RunError::NotRun(ResultCode::Leaving, Millis(1))),
+            Ok(Verdict::Refuse(refusal)) => Err(RunError::NotRun(refusal)),
+            Err(_) => Err(RunError::not_run(ResultCode::Leaving, Millis(1))),
         }
     }
 
@@ -123,11 +130,12 @@
         let resume_from = request.resume_from;
         let sent = self.upstream_request(request)?;
         let answer = self.context.upstream.run(sent).await.map_err(|error| match error {
-            CallError::NotSent { .. } => RunError::NotRun(ResultCode::NoUpstream, Millis(100)),
+            CallError::NotSent { .. } => RunError::not_run(ResultCode::NoUpstream, Millis(100)),
             other => RunError::Broken(other.to_string().into()),
         })?;
         if self.pinned.is_some() && answer.status().as_u16() == WEIGHTS_REFUSED {
-            return Err(RunError::NotRun(ResultCode::NoUpstream, Millis(1)));
+            let serving = named_weights(answer.headers()).into_iter().collect();
+            return Err(RunError::NotRun(AttemptRefusal::other_weights(Millis(1), serving)));
         }
         self.check_weights(answer.headers())?;
         self.head(&answer).await?;
@@ -150,15 +158,13 @@
             builder = builder.header(RESUME_HEADER, request.resume_from);
         }
         let built = builder.body(Full::new(request.body));
-        built.map_err(|_| RunError::NotRun(ResultCode::BadRequest, Millis(0)))
+        built.map_err(|_| RunError::not_run(ResultCode::BadRequest, Millis(0)))
     }
 
     /// An answer that does not name the pinned weights never leaves this process.
     fn check_weights(&self, headers: &HeaderMap) -> Result<(), RunError> {
         let Some(pinned) = self.pinned else { return Ok(()) };
-        let named = headers.get(WEIGHTS_HEADER).and_then(|value| value.to_str().ok());
-        let named = named.and_then(|text| text.parse::<ManifestDigest>().ok());
-        if named == Some(pinned) { Ok(()) } else { Err(RunError::WrongWeights) }
+        if named_weights(headers) == Some(pinned) { Ok(()) } else { Err(RunError::WrongWeights) }
     }
 
     async fn head(&self, answer: &Response<Incoming>) -> Result<(), RunError> {
@@ -196,20 +202,15 @@
     }
 
     async fn end_with(&self, error: RunError) {
-        let refusal = |code: ResultCode, reason: &str, retry_after: Millis| proto::Refusal {
-            code: u32::from(code.number()),
-            reason: reason.to_owned(),
-            retry_after_ms: retry_after.0,
-        };
         match error {
-            RunError::NotRun(code, retry_after) => {
-                info!("request attempt={} decision=refuse code={code}", self.attempt);
-                let _ = self.send(Part::Refusal(refusal(code, "not run", retry_after))).await;
+            RunError::NotRun(refusal) => {
+                info!("request attempt={} decision=refuse code={}", self.attempt, refusal.code);
+                let _ = self.send(Part::Refusal(refusal_message(refusal, "not run"))).await;
             }
             RunError::WrongWeights => {
                 info!("request attempt={} decision=drop reason=wrong-weights", self.attempt);
-                let code = ResultCode::WrongWeights;
-                let _ = self.send(Part::Refusal(refusal(code, "wrong weights", Millis(0)))).await;
+                let refusal = AttemptRefusal::new(ResultCode::WrongWeights, Millis(0));
+                let _ = self.send(Part::Refusal(refusal_message(refusal, "wrong weights"))).await;
             }
             RunError::Broken(reason) => {
                 info!("request attempt={} decision=break reason=\"{reason}\"", self.attempt);
@@ -221,3 +222,17 @@
         }
     }
 }
+
+/// The weights that an engine's answer names.
+fn named_weights(headers: &HeaderMap) -> Option<ManifestDigest> {
+    headers.get(WEIGHTS_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+fn refusal_message(refusal: AttemptRefusal, reason: &str) -> proto::Refusal {
+    proto::Refusal {
+        code: u32::from(refusal.code.number()),
+        reason: reason.to_owned(),
+        retry_after_ms: refusal.retry_after.0,
+        serving: refusal.serving.into_iter().map(digest_bytes).collect(),
+    }
+}
--- a/mustardrill_core/src/agent/event.rs
+++ b/mustardrill_core/src/agent/event.rs
@@ -4,7 +4,7 @@
 
 use mustardrill_types::{
     AttemptId, ByteSize, ChunkIndex, FencingNumber, InstanceId, ManifestDigest, Millis, ModelName,
-    Moment, RegionName, RequestKey, ResultCode, ServiceName, VersionName,
+    Moment, RegionName, RequestKey, ServiceName, VersionName,
 };
 
 use crate::admission::AdmissionSettings;
@@ -14,6 +14,7 @@
 use crate::manifest::{ChunkBitmap, Manifest};
 use crate::membership::{InstanceRecord, MemberSettings};
 use crate::ownership::{OwnerAnswer, OwnerCall, OwnerSettings};
+use crate::refusal::AttemptRefusal;
 use crate::transfer::{ChunkDraw, ChunkSource, DrawOutcome, TransferPeer, TransferSettings};
 
 /// Something that happened at or to an agent.
@@ -121,7 +122,7 @@
     /// Give a request to the upstream.
     Dispatch(AttemptId),
     /// Refuse a request, which was not run.
-    Refuse(AttemptId, ResultCode, Millis),
+    Refuse(AttemptId, AttemptRefusal),
 }
 
 /// An order to the upstream.
--- a/mustardrill_core/src/agent/reducer.rs
+++ b/mustardrill_core/src/agent/reducer.rs
@@ -20,6 +20,7 @@
 use crate::manifest::ChunkBitmap;
 use crate::membership::MemberTable;
 use crate::ownership::{OwnerAnswer, OwnerLease};
+use crate::refusal::AttemptRefusal;
 
 /// Everything that an agent knows; it holds no bytes of weights or requests.
 #[derive(Debug)]
@@ -245,7 +246,7 @@
             return refusal(attempt, ResultCode::Leaving, Millis(1));
         }
         if !self.serves(pinned) {
-            return refusal(attempt, ResultCode::NoUpstream, Millis(100));
+            return self.other_weights(attempt, Millis(100));
         }
         let admission = self.queue.offer(now, attempt, class, deadline);
         log::debug!(
@@ -297,7 +298,7 @@
             if !self.serves(pinned) {
                 self.queue.finished(now, attempt);
                 self.forget(attempt);
-                effects.extend(refusal(attempt, ResultCode::NoUpstream, Millis(1)));
+                effects.extend(self.other_weights(attempt, Millis(1)));
                 continue;
             }
             effects.push(AgentEffect::Dispatch(attempt));
@@ -309,6 +310,12 @@
         pinned.is_none_or(|digest| self.is_engine && self.weights.serving().contains(&digest))
     }
 
+    /// Refuses a request and tells what the upstream serves, ahead of the next heartbeat.
+    fn other_weights(&self, attempt: AttemptId, retry_after: Millis) -> Vec<AgentEffect> {
+        let serving = self.weights.serving().to_vec();
+        vec![AgentEffect::Refuse(attempt, AttemptRefusal::other_weights(retry_after, serving))]
+    }
+
     fn tick(&mut self, now: Moment) -> Vec<AgentEffect> {
         let wall_s = self.wall_s(now);
         let mut effects = claim_effects(self.claims.tick(now, wall_s));
@@ -354,5 +361,5 @@
 }
 
 fn refusal(attempt: AttemptId, code: ResultCode, retry_after: Millis) -> Vec<AgentEffect> {
-    vec![AgentEffect::Refuse(attempt, code, retry_after)]
+    vec![AgentEffect::Refuse(attempt, AttemptRefusal::new(code, retry_after))]
 }
--- a/mustardrill_core/src/entry/dispatch.rs
+++ b/mustardrill_core/src/entry/dispatch.rs
@@ -9,6 +9,8 @@
 use crate::entry::event::{AttemptEnd, EntryEffect, RequestId, SendOrder};
 use crate::entry::reducer::EntryReducer;
 use crate::entry::request::{RequestStage, RequestState};
+use crate::refusal::AttemptRefusal;
+use crate::routing::RoutingReason;
 
 /// When a caller may come back where no upstream serves what it asks for.
 const NO_UPSTREAM_RETRY: Millis = Millis(1_000);
@@ -32,7 +34,19 @@
             );
             return self.reject(now, id, ResultCode::NoUpstream, NO_UPSTREAM_RETRY);
         };
-        let pinned = self.pin(&self.requests.get(id).expect("looked up").target, &instance);
+        self.send_to(now, id, instance, reason)
+    }
+
+    fn send_to(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        instance: InstanceId,
+        reason: RoutingReason,
+    ) -> Vec<EntryEffect> {
+        let Some(state) = self.requests.get(id) else { return Vec::new() };
+        let candidates = self.candidates(now, state).len();
+        let pinned = self.pin(&state.target, &instance);
         let address = self.members.get(&instance).map(|record| record.agent.clone());
         let attempt = AttemptId(self.random.random());
         self.requests.bind(attempt, id);
@@ -43,10 +57,9 @@
         state.stage = RequestStage::Sent(attempt, instance.clone());
         state.pinned = pinned;
         info!(
-            "routing request={id} attempt={attempt} target={} customer={} instance={instance} reason={reason} candidates={} manifest={}",
+            "routing request={id} attempt={attempt} target={} customer={} instance={instance} reason={reason} candidates={candidates} manifest={}",
             state.target,
             state.customer,
-            candidates.len(),
             pinned.map_or("none".into(), |digest| digest.short())
         );
         vec![EntryEffect::Send(SendOrder {
@@ -123,10 +136,7 @@
                 self.finish(id);
                 Vec::new()
             }
-            AttemptEnd::Refused(code, retry_after) if code.is_retryable() => {
-                self.retry(now, id, *code, *retry_after)
-            }
-            AttemptEnd::Refused(code, retry_after) => self.reject(now, id, *code, *retry_after),
+            AttemptEnd::Refused(refusal) => self.refused(now, id, &instance, refusal),
             AttemptEnd::NotSent => {
                 self.members.failed(now, &instance);
                 self.retry(now, id, ResultCode::NoUpstream, NO_UPSTREAM_RETRY)
@@ -136,6 +146,39 @@
         }
     }
 
+    /// Goes on after an attempt that was not run.
+    fn refused(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        instance: &InstanceId,
+        refusal: &AttemptRefusal,
+    ) -> Vec<EntryEffect> {
+        let AttemptRefusal { code, retry_after, serving } = refusal;
+        if !code.is_retryable() {
+            return self.reject(now, id, *code, *retry_after);
+        }
+        if !serving.is_empty() {
+            self.routing.switched(instance, serving);
+        }
+        if !self.may_retry(now, id, *code) {
+            return self.reject(now, id, *code, *retry_after);
+        }
+        // Of all upstreams this one's weights are known best: the others may have switched too.
+        if !serving.is_empty() && self.serves_otherwise(now, id, instance) {
+            return self.send_to(now, id, instance.clone(), RoutingReason::Switched);
+        }
+        self.send(now, id)
+    }
+
+    /// Whether the instance serves weights for the request other than those that it refused.
+    fn serves_otherwise(&self, now: Moment, id: RequestId, instance: &InstanceId) -> bool {
+        self.requests.get(id).is_some_and(|state| {
+            let pin = self.pin(&state.target, instance);
+            pin != state.pinned && self.candidates(now, state).contains(instance)
+        })
+    }
+
     /// Goes on after an attempt that may have run.
     fn lost(&mut self, now: Moment, id: RequestId, code: ResultCode) -> Vec<EntryEffect> {
         let Some(state) = self.requests.get_mut(id) else { return Vec::new() };
@@ -153,16 +196,22 @@
         code: ResultCode,
         retry_after: Millis,
     ) -> Vec<EntryEffect> {
-        let Some(state) = self.requests.get(id) else { return Vec::new() };
-        let attempts = state.attempts;
-        if state.deadline <= now || !self.budget.spend(attempts) {
-            info!("retry request={id} attempts={attempts} decision=give-up code={code}");
+        if !self.may_retry(now, id, code) {
             return self.reject(now, id, code, retry_after);
         }
-        info!("retry request={id} attempts={attempts} decision=send code={code}");
         self.send(now, id)
     }
 
+    /// Whether the deadline and the budget leave a further attempt; takes it from the budget.
+    fn may_retry(&mut self, now: Moment, id: RequestId, code: ResultCode) -> bool {
+        let Some(state) = self.requests.get(id) else { return false };
+        let attempts = state.attempts;
+        let may = state.deadline > now && self.budget.spend(attempts);
+        let decision = if may { "send" } else { "give-up" };
+        info!("retry request={id} attempts={attempts} decision={decision} code={code}");
+        may
+    }
+
     /// Ends a request without a whole answer, at once.
     pub(super) fn reject(
         &mut self,
--- a/mustardrill_core/src/entry/event.rs
+++ b/mustardrill_core/src/entry/event.rs
@@ -14,6 +14,7 @@
 use crate::document::{CatalogueDocument, RequestClass};
 use crate::keeper::ClaimKeeper;
 use crate::membership::{InstanceRecord, MemberSettings};
+use crate::refusal::AttemptRefusal;
 use crate::routing::{RoutingSettings, UpstreamReport};
 
 /// The number of a request within one entry.
@@ -43,7 +44,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AttemptEnd {
     /// The agent refused it: it was not run.
-    Refused(ResultCode, Millis),
+    Refused(AttemptRefusal),
     /// The agent could not be reached, and nothing of the attempt was sent: it was not run.
     NotSent,
     /// The agent or its upstream was lost after the attempt was sent.
--- a/mustardrill_core/src/lib.rs
+++ b/mustardrill_core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod ownership;
 pub mod partner;
 pub mod placement;
+pub mod refusal;
 pub mod rendezvous;
 pub mod routing;
 pub mod rule;
--- a/mustardrill_core/src/routing.rs
+++ b/mustardrill_core/src/routing.rs
@@ -75,6 +75,9 @@
     /// The only one.
     #[display("only")]
     Only,
+    /// It refused the request for weights that it no longer serves, and told which it does.
+    #[display("switched")]
+    Switched,
 }
 
 impl Default for RoutingSettings {
@@ -110,6 +113,13 @@
         }
     }
 
+    /// Notes what an upstream serves, as told with a refusal, ahead of its next report.
+    pub fn switched(&mut self, id: &InstanceId, serving: &[ManifestDigest]) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.report.serving = serving.to_vec();
+        }
+    }
+
     /// Forgets an upstream that is no longer listed.
     pub fn forget(&mut self, id: &InstanceId) {
         self.views.remove(id);
--- a/mustardrill_core/tests/agents.rs
+++ b/mustardrill_core/tests/agents.rs
@@ -17,6 +17,7 @@
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
 use mustardrill_core::membership::{InstanceRecord, MemberSettings};
 use mustardrill_core::ownership::{LeaseId, OwnerAnswer, OwnerSettings};
+use mustardrill_core::refusal::AttemptRefusal;
 use mustardrill_core::transfer::{ChunkSource, DrawOutcome, TransferPeer, TransferSettings};
 use mustardrill_types::{
     AttemptId, ByteSize, FencingNumber, Generation, ManifestDigest, Millis, Moment, ResultCode,
@@ -273,6 +274,12 @@
     reducer
 }
 
+/// The attempt that a single effect refuses, with the code.
+fn refused_code(effects: &[AgentEffect]) -> Option<(AttemptId, ResultCode)> {
+    let [AgentEffect::Refuse(attempt, refusal)] = effects else { return None };
+    Some((*attempt, refusal.code))
+}
+
 fn arrive(reducer: &mut AgentReducer, attempt: u128, version: &str) -> Vec<AgentEffect> {
     let pinned = Some(manifest(version).digest());
     let (attempt, deadline) = (AttemptId(attempt), Moment(60_000));
@@ -286,14 +293,13 @@
     assert_eq!(arrive(&mut agent, 1, "v1"), [AgentEffect::Dispatch(AttemptId(1))]);
     assert_eq!(arrive(&mut agent, 2, "v1"), [], "it waits");
     let refused = arrive(&mut agent, 3, "v2");
-    assert!(matches!(refused[..], [AgentEffect::Refuse(AttemptId(3), ResultCode::NoUpstream, _)]));
+    let other = AttemptRefusal::other_weights(Millis(100), vec![manifest("v1").digest()]);
+    assert_eq!(refused, [AgentEffect::Refuse(AttemptId(3), other)]);
     let serving = vec![manifest("v2").digest()];
     agent.reduce(Moment(20), AgentEvent::EngineSeen(Some(EngineReport { serving })));
     let effects = agent.reduce(Moment(30), AgentEvent::RequestFinished(AttemptId(1)));
-    let is_refused = |effect: &AgentEffect| {
-        matches!(effect, AgentEffect::Refuse(AttemptId(2), ResultCode::NoUpstream, _))
-    };
-    assert!(effects.iter().any(is_refused), "{effects:?}");
+    let other = AttemptRefusal::other_weights(Millis(1), vec![manifest("v2").digest()]);
+    assert!(effects.contains(&AgentEffect::Refuse(AttemptId(2), other)), "{effects:?}");
     assert!(!effects.contains(&AgentEffect::Dispatch(AttemptId(2))), "{effects:?}");
 }
 
@@ -303,10 +309,7 @@
     arrive(&mut agent, 1, "v1");
     agent.reduce(Moment(20), AgentEvent::RequestFinished(AttemptId(1)));
     let again = arrive(&mut agent, 1, "v1");
-    assert!(
-        matches!(again[..], [AgentEffect::Refuse(_, ResultCode::AlreadyClaimed, _)]),
-        "{again:?}"
-    );
+    assert_eq!(refused_code(&again), Some((AttemptId(1), ResultCode::AlreadyClaimed)));
 }
 
 #[test]
@@ -315,9 +318,9 @@
     arrive(&mut agent, 1, "v1");
     arrive(&mut agent, 2, "v1");
     let effects = agent.reduce(Moment(20), AgentEvent::Stop);
-    assert!(matches!(effects[..], [AgentEffect::Refuse(AttemptId(2), ResultCode::Leaving, _)]));
+    assert_eq!(refused_code(&effects), Some((AttemptId(2), ResultCode::Leaving)));
     let refused = arrive(&mut agent, 3, "v1");
-    assert!(matches!(refused[..], [AgentEffect::Refuse(AttemptId(3), ResultCode::Leaving, _)]));
+    assert_eq!(refused_code(&refused), Some((AttemptId(3), ResultCode::Leaving)));
     assert!(!agent.is_drained(), "the first one still runs");
     agent.reduce(Moment(30), AgentEvent::RequestFinished(AttemptId(1)));
     assert!(agent.is_drained());
--- a/mustardrill_core/tests/requests.rs
+++ b/mustardrill_core/tests/requests.rs
@@ -432,11 +432,11 @@
                     let at = self.now + self.delay(60);
                     self.push(at, Happening::Finishes { agent, attempt, life });
                 }
-                AgentEffect::Refuse(attempt, code, retry_after) => {
+                AgentEffect::Refuse(attempt, refusal) => {
                     let Some((entry, _)) = self.agents[agent].attempts.remove(&attempt) else {
                         continue;
                     };
-                    self.answer(entry, attempt, AttemptEnd::Refused(code, retry_after));
+                    self.answer(entry, attempt, AttemptEnd::Refused(refusal));
                 }
                 AgentEffect::Claim(ClaimEffect::Settle(attempt, outcome)) => {
                     self.settled(agent, attempt, outcome);
--- a/mustardrill_entry/src/attempt.rs
+++ b/mustardrill_entry/src/attempt.rs
@@ -8,9 +8,10 @@
 use bytes::Bytes;
 use cadence::Counted;
 use mustardrill_core::entry::{AttemptEnd, SendOrder};
+use mustardrill_core::refusal::AttemptRefusal;
 use mustardrill_proto as proto;
 use mustardrill_proto::execute_frame::Part;
-use mustardrill_runtime::wire::{attempt_bytes, digest_bytes};
+use mustardrill_runtime::wire::{attempt_bytes, digest_bytes, digest_of};
 use mustardrill_types::{Millis, Moment, ResultCode};
 use tokio::sync::mpsc;
 use tonic::Status;
@@ -175,7 +176,9 @@
         // The agent had this very attempt before, and may have run it.
         Some(ResultCode::AlreadyClaimed) => AttemptEnd::Lost,
         Some(code) if code.is_not_run() => {
-            AttemptEnd::Refused(code, Millis(refusal.retry_after_ms))
+            let serving = refusal.serving.iter().filter_map(|bytes| digest_of(bytes)).collect();
+            let retry_after = Millis(refusal.retry_after_ms);
+            AttemptEnd::Refused(AttemptRefusal { code, retry_after, serving })
         }
         _ => AttemptEnd::Lost,
     }
--- a/mustardrill_proto/src/generated.rs
+++ b/mustardrill_proto/src/generated.rs
@@ -86,6 +86,9 @@
     pub reason: ::prost::alloc::string::String,
     #[prost(uint64, tag = "3")]
     pub retry_after_ms: u64,
+    /// what is served where the pinned weights are not; may be empty
+    #[prost(bytes = "bytes", repeated, tag = "4")]
+    pub serving: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SyncRequest {
--- a/mustardrill_standins/src/engine.rs
+++ b/mustardrill_standins/src/engine.rs
@@ -171,7 +171,10 @@
             return text_response(StatusCode::PRECONDITION_FAILED, "no weights are loaded\n");
         };
         if text("x-expected-weights").is_some_and(|expected| expected != serving) {
-            return text_response(StatusCode::PRECONDITION_FAILED, "other weights are loaded\n");
+            let mut refusal =
+                text_response(StatusCode::PRECONDITION_FAILED, "other weights are loaded\n");
+            name_weights(&mut refusal, &serving);
+            return refusal;
         }
         if self.faults.get().wrong_weights {
             serving = "f".repeat(serving.len());
@@ -182,9 +185,8 @@
         let answer = answer_text(&serving, &prompt, self.options.pieces);
         let priority = text("x-priority").and_then(|text| text.parse().ok()).unwrap_or(0);
         let mut response = Response::new(self.stream(answer, resume, priority));
-        let headers = response.headers_mut();
-        headers.insert("x-weights", serving.parse().expect("digits make a header"));
-        headers.insert("content-type", "text/plain".parse().expect("a header"));
+        name_weights(&mut response, &serving);
+        response.headers_mut().insert("content-type", "text/plain".parse().expect("a header"));
         response
     }
 
@@ -333,3 +335,7 @@
     let digest = made.digest().to_string();
     if digest == order.digest { digest } else { "wrong-bytes".into() }
 }
+
+fn name_weights(response: &mut AnyResponse, digest: &str) {
+    response.headers_mut().insert("x-weights", digest.parse().expect("digits make a header"));
+}
--- a/mustardrill_standins/tests/requests.rs
+++ b/mustardrill_standins/tests/requests.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use common::{LONG, callers, keyed_callers, serving_lab};
+use common::{CHUNK, LONG, MODEL, SIZE, callers, keyed_callers, model_file, serving_lab};
 use mustardrill_runtime::http::WholeAnswer;
 use mustardrill_standins::lab::{Lab, LabOptions, caller_request};
 
@@ -254,3 +254,21 @@
     }
     panic!("the entry never ended");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_switch_between_two_heartbeats_refuses_nobody() {
+    // All upstreams switch long before any entry hears of it by a heartbeat.
+    let options = LabOptions {
+        entry_lines: vec![("routing", "sync_every = 2s".into())],
+        ..LabOptions::default()
+    };
+    let (lab, _) = serving_lab(options).await;
+    let v2 = lab.publish(MODEL, "v2", SIZE, CHUNK, 2).await;
+    let load = callers(&lab, 200.0);
+    assert_eq!(lab.apply(0, &model_file("v2", 1, 4)).await.0, 200);
+    assert!(lab.wait_serving(&v2, 4, LONG).await.is_some(), "v2 was never served");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let report = load.finish().await;
+    assert_eq!((report.wrong, report.lost, report.unknown), (0, 0, 0), "{:?}", report.codes);
+    assert_eq!(report.whole, report.sent, "{:?}", report.codes);
+}
