status tells when a burst will be over, and the demo what each link carried

Ruled out: an estimate made by entries from successive heartbeats (an entry sees a subset of the agents and may have started a moment ago); the mean since the begin (says a stalled copy will soon be whole).

--- a/mustardrill_agent/src/actor.rs
+++ b/mustardrill_agent/src/actor.rs
@@ -223,7 +223,7 @@
             outstanding: self.reducer.outstanding(),
             capacity: self.reducer.capacity(),
             serving: self.reducer.serving().to_vec(),
-            progress: self.reducer.progress(),
+            progress: self.reducer.progress(self.context.clock.now()),
             document: self.reducer.document().clone(),
             demand: self.reducer.demand().totals(),
             entries: self.reducer.demand().entries(),
--- a/mustardrill_agent/src/server.rs
+++ b/mustardrill_agent/src/server.rs
@@ -124,6 +124,7 @@
             origin_bytes: row.origin_bytes,
             peer_bytes: row.peer_bytes,
             sent_bytes: status.sent_bytes,
+            remaining_ms: row.remaining.map(|left| left.0),
             state: row.state.to_owned(),
             trouble: row.trouble.to_string(),
         });
--- a/mustardrill_agent/src/status.rs
+++ b/mustardrill_agent/src/status.rs
@@ -41,6 +41,8 @@
     total: u32,
     origin_bytes: u64,
     peer_bytes: u64,
+    /// Until all chunks are held; absent where that can't be told.
+    remaining_ms: Option<u64>,
     trouble: Box<str>,
 }
 
@@ -76,6 +78,7 @@
             total: row.total,
             origin_bytes: row.origin_bytes,
             peer_bytes: row.peer_bytes,
+            remaining_ms: row.remaining.map(|left| left.0),
             trouble: row.trouble,
         });
         Self {
--- a/mustardrill_core/src/agent/event.rs
+++ b/mustardrill_core/src/agent/event.rs
@@ -160,6 +160,8 @@
     pub origin_bytes: u64,
     /// Bytes drawn from peers.
     pub peer_bytes: u64,
+    /// How long until all chunks are held at the present pace; nothing where none is known.
+    pub remaining: Option<Millis>,
     /// Where it stands: manifest, fetching, staged, loading, serving or stuck.
     pub state: &'static str,
     /// What is in the way; empty where nothing is.
--- a/mustardrill_core/src/agent/reducer.rs
+++ b/mustardrill_core/src/agent/reducer.rs
@@ -173,8 +173,8 @@
     }
 
     /// How far each wanted version is.
-    pub fn progress(&self) -> Vec<WeightsProgress> {
-        self.weights.progress()
+    pub fn progress(&self, now: Moment) -> Vec<WeightsProgress> {
+        self.weights.progress(now)
     }
 
     /// Which chunks of a version are held and verified.
--- a/mustardrill_core/src/agent/version.rs
+++ b/mustardrill_core/src/agent/version.rs
@@ -1,7 +1,8 @@
 //! One version of weights at one agent, from its manifest to a whole staged copy.
 
-use mustardrill_types::{InstanceId, ModelName, Moment, VersionName};
+use mustardrill_types::{InstanceId, Millis, ModelName, Moment, VersionName};
 
+use crate::pace::TransferPace;
 use crate::transfer::TransferPlan;
 
 /// One version that this agent is to serve.
@@ -16,6 +17,7 @@
     pub(super) tries: u32,
     pub(super) waiting_since: Option<Moment>,
     pub(super) trouble: Box<str>,
+    pub(super) pace: TransferPace,
 }
 
 #[derive(Debug)]
@@ -36,9 +38,16 @@
             tries: 0,
             waiting_since: None,
             trouble: "".into(),
+            pace: TransferPace::default(),
         }
     }
 
+    /// How long until the copy is whole, where that can be told.
+    pub(super) fn remaining(&self, now: Moment) -> Option<Millis> {
+        let plan = self.plan()?;
+        self.pace.remaining(now, plan.held().count(), plan.manifest().chunk_count())
+    }
+
     pub(super) fn plan(&self) -> Option<&TransferPlan> {
         match &self.stage {
             VersionStage::Drawing(plan) | VersionStage::Staged(plan) => Some(plan),
--- a/mustardrill_core/src/agent/weights.rs
+++ b/mustardrill_core/src/agent/weights.rs
@@ -134,6 +134,7 @@
         let transfer = self.settings.transfer.clone();
         let mut plan = TransferPlan::new(now, own, manifest, transfer, seed);
         plan.set_peers(&peers);
+        state.pace.note(now, 0);
         state.trouble = "".into();
         state.stage = VersionStage::Drawing(Box::new(plan));
         self.draw(now, digest)
@@ -194,6 +195,7 @@
         let Some(state) = self.versions.get_mut(&digest) else { return Vec::new() };
         let VersionStage::Drawing(plan) = &mut state.stage else { return Vec::new() };
         plan.finished(now, index, source, outcome);
+        state.pace.note(now, plan.held().count());
         if *outcome == DrawOutcome::Corrupt {
             warn!(
                 "chunk manifest={} index={index} source={source} decision=drop reason=corrupt",
@@ -266,7 +268,7 @@
         effects
     }
 
-    pub(crate) fn progress(&self) -> Vec<WeightsProgress> {
+    pub(crate) fn progress(&self, now: Moment) -> Vec<WeightsProgress> {
         let mut rows: Vec<_> = self
             .versions
             .iter()
@@ -280,6 +282,7 @@
                     total: plan.map_or(0, |plan| plan.manifest().chunk_count()),
                     origin_bytes: counts.origin_bytes,
                     peer_bytes: counts.peer_bytes,
+                    remaining: state.remaining(now),
                     state: self.state_name(*digest, state),
                     trouble: state.trouble.clone(),
                 }
--- a/mustardrill_core/src/lib.rs
+++ b/mustardrill_core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod manifest;
 pub mod membership;
 pub mod ownership;
+pub mod pace;
 pub mod partner;
 pub mod placement;
 pub mod refusal;
--- a/mustardrill_entry/src/effects.rs
+++ b/mustardrill_entry/src/effects.rs
@@ -173,6 +173,7 @@
         total: row.total,
         origin_bytes: row.origin_bytes,
         peer_bytes: row.peer_bytes,
+        remaining: row.remaining_ms.map(Millis),
         state: STATES.into_iter().find(|state| *state == row.state)?,
         trouble: row.trouble.as_str().into(),
     })
--- a/mustardrill_entry/src/operator_client.rs
+++ b/mustardrill_entry/src/operator_client.rs
@@ -192,12 +192,24 @@
         let (wanted, states) = (versions.len(), states.join(", "));
         let _ = writeln!(
             lines,
-            "model {model}: {wanted} wanted: {states}; {origin} bytes from the origin, {peers} from peers"
+            "model {model}: {wanted} wanted: {states}; {origin} bytes from the origin, {peers} from peers{}",
+            print_finish(&versions)
         );
     }
     lines
 }
 
+/// When the last of the copies will be whole, which leaves loads and waves out.
+fn print_finish(versions: &[&VersionStatus]) -> String {
+    let is_open = |version: &&&VersionStatus| version.held < version.total || version.total == 0;
+    let open: Vec<_> = versions.iter().filter(is_open).collect();
+    let unknown = open.iter().filter(|version| version.remaining_ms.is_none()).count();
+    let last = open.iter().filter_map(|version| version.remaining_ms).max();
+    let estimate = last.map(|ms| format!("; fetched in about {:.0} s", ms as f64 / 1_000.0));
+    let doubt = (unknown > 0).then(|| format!("; {unknown} without an estimate"));
+    estimate.into_iter().chain(doubt).collect()
+}
+
 fn print_status(status: &FleetStatus) -> String {
     let mut lines = format!("entry {}: generation {}\n", status.entry, status.generation);
     let behind = status.behind().count();
--- a/mustardrill_entry/src/status.rs
+++ b/mustardrill_entry/src/status.rs
@@ -60,6 +60,8 @@
     pub origin_bytes: u64,
     /// Bytes drawn from peers.
     pub peer_bytes: u64,
+    /// Milliseconds until all chunks are held; absent where that can't be told.
+    pub remaining_ms: Option<u64>,
     /// What is in the way.
     pub trouble: Box<str>,
 }
@@ -115,6 +117,7 @@
             total: row.total,
             origin_bytes: row.origin_bytes,
             peer_bytes: row.peer_bytes,
+            remaining_ms: row.remaining.map(|left| left.0),
             trouble: row.trouble.clone(),
         }
     }
--- a/mustardrill_proto/src/generated.rs
+++ b/mustardrill_proto/src/generated.rs
@@ -160,6 +160,9 @@
     pub state: ::prost::alloc::string::String,
     #[prost(string, tag = "9")]
     pub trouble: ::prost::alloc::string::String,
+    /// until all chunks are held, where that can be told
+    #[prost(uint64, optional, tag = "10")]
+    pub remaining_ms: ::core::option::Option<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ExchangeRequest {
--- a/mustardrill_standins/examples/demo.rs
+++ b/mustardrill_standins/examples/demo.rs
@@ -38,6 +38,8 @@
     time: Duration,
     bound: Duration,
     origin_share: f64,
+    /// The most that a machine's link took down and up, in copies.
+    link_shares: (f64, f64),
     report: LoadReport,
 }
 
@@ -151,6 +153,7 @@
     driver: Option<&LoadDriver>,
 ) -> Option<Burst> {
     let sent_before = lab.origin_sent().await;
+    let links_before = lab.link_bytes(digest).await;
     let started = Instant::now();
     let revision = revision_of(lab).await;
     let (status, body) = lab.apply(0, &entry_text(version, revision, options.agents)).await;
@@ -177,6 +180,12 @@
     }
     let time = started.elapsed();
     let drawn = lab.origin_sent().await - sent_before;
+    let links = lab.link_bytes(digest).await;
+    let grown = |of: fn(&(u64, u64)) -> u64| {
+        let pairs = links.iter().zip(&links_before);
+        let most = pairs.map(|(after, before)| of(after) - of(before)).max();
+        most.unwrap_or_default() as f64 / options.size as f64
+    };
     let waves =
         if driver.is_some() { options.agents.div_ceil((options.agents / 4).max(1)) } else { 1 };
     Some(Burst {
@@ -184,6 +193,7 @@
         time,
         bound: bound(options, waves),
         origin_share: drawn as f64 / options.size as f64,
+        link_shares: (grown(|link| link.0), grown(|link| link.1)),
         report: driver.map(LoadDriver::report).unwrap_or_default(),
     })
 }
@@ -219,12 +229,14 @@
         options.rate * 2 / 1_000_000
     );
     println!(
-        "{:<16} {:>9} {:>9} {:>11} {:>13} {:>7} {:>7} {:>8} {:>6} {:>6}",
+        "{:<16} {:>9} {:>9} {:>11} {:>13} {:>10} {:>8} {:>7} {:>7} {:>8} {:>6} {:>6}",
         "",
         "time s",
         "bound s",
         "time/bound",
         "origin/size",
+        "most down",
+        "most up",
         "sent",
         "whole",
         "not run",
@@ -235,10 +247,12 @@
         let (time, bound) = (burst.time.as_secs_f64(), burst.bound.as_secs_f64());
         let report = &burst.report;
         println!(
-            "{:<16} {time:>9.2} {bound:>9.2} {:>11.3} {:>13.3} {:>7} {:>7} {:>8} {:>6} {:>6}",
+            "{:<16} {time:>9.2} {bound:>9.2} {:>11.3} {:>13.3} {:>10.3} {:>8.3} {:>7} {:>7} {:>8} {:>6} {:>6}",
             burst.name,
             time / bound,
             burst.origin_share,
+            burst.link_shares.0,
+            burst.link_shares.1,
             report.sent,
             report.whole,
             report.not_run,
--- a/mustardrill_standins/src/lab.rs
+++ b/mustardrill_standins/src/lab.rs
@@ -233,6 +233,21 @@
         serde_json::from_slice(&answer.body).unwrap_or_default()
     }
 
+    /// Bytes of weights down and up the link of each machine: of one version down, of all up.
+    pub async fn link_bytes(&self, digest: &str) -> Vec<(u64, u64)> {
+        let mut links = Vec::new();
+        for engine in &self.engines {
+            let status = self.agent_status(engine).await;
+            let versions = status["versions"].as_array().into_iter().flatten();
+            let down = versions.filter(|version| version["manifest"] == digest).map(|version| {
+                let bytes = |key: &str| version[key].as_u64().unwrap_or_default();
+                bytes("origin_bytes") + bytes("peer_bytes")
+            });
+            links.push((down.sum(), status["sent_bytes"].as_u64().unwrap_or_default()));
+        }
+        links
+    }
+
     /// What an upstream ran, in order.
     pub async fn runs(&self, upstream: &LabUpstream) -> Vec<String> {
         let answer = self.call("GET", upstream.upstream.address, "/admin/runs", Bytes::new()).await;
--- a/mustardrill_standins/tests/weights.rs
+++ b/mustardrill_standins/tests/weights.rs
@@ -172,3 +172,29 @@
     assert!(trouble.contains("needs 4000000B"), "{trouble}");
     assert_eq!(lab.serving().await, [Some(v1.clone()), Some(v1)]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_are_told_when_a_burst_will_be_over() {
+    // The links carry the weights in three seconds; a status is heard twice a second.
+    let (lab, _) = serving_lab(LabOptions { machine_rate: SIZE / 3, ..paced(4) }).await;
+    let v2 = lab.publish(MODEL, "v2", SIZE, CHUNK, 2).await;
+    assert_eq!(lab.apply(0, &model_file("v2", 1, 4)).await.0, 200);
+    assert!(status_says(&lab, |model| model.contains("; fetched in about")).await, "no estimate");
+    assert!(lab.wait_serving(&v2, 4, LONG).await.is_some(), "v2 was never served");
+    let is_over = |model: &str| model.contains("4 serving") && !model.contains("fetched in");
+    assert!(status_says(&lab, is_over).await, "the estimate outlived the burst");
+}
+
+/// Waits until the model's line of `status` is as it should be.
+async fn status_says(lab: &Lab, is_right: impl Fn(&str) -> bool) -> bool {
+    let said = async {
+        loop {
+            let (_, text) = lab.command(0, &["status"]);
+            if text.lines().any(|line| line.starts_with("model") && is_right(line)) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    tokio::time::timeout(LONG, said).await.is_ok()
+}
