Whoever has switched tells the next; waiting agents no longer ask at every tick

Cause: a waiting agent exchanged holdings with the one before it at every tick (20 ms by default), bitmaps both ways; the world of tests/agents showed it once it was asked ("it asks at every tick" on the old code). Asking every exchange_every: still bitmaps ten times a second. Change: the agent whose engine has switched sends one exchange, with "serving", to the one a wave behind (wave::successor); asking stays every retry_every for a lost word.

--- a/mustardrill_agent/src/effects.rs
+++ b/mustardrill_agent/src/effects.rs
@@ -44,7 +44,8 @@
         }
         AgentEffect::Exchange(digest, id) => {
             let held = reducer.held(digest).cloned().unwrap_or_default();
-            tokio::spawn(task.exchange(digest, id, held));
+            let serving = reducer.serving().contains(&digest);
+            tokio::spawn(task.exchange(digest, id, held, serving));
         }
         AgentEffect::OrderLoad(order) => {
             tokio::spawn(task.order_load(order));
@@ -224,12 +225,19 @@
         DrawOutcome::Verified
     }
 
-    async fn exchange(self, digest: ManifestDigest, id: InstanceId, held: ChunkBitmap) {
+    async fn exchange(
+        self,
+        digest: ManifestDigest,
+        id: InstanceId,
+        held: ChunkBitmap,
+        serving: bool,
+    ) {
         let Some(mut client) = self.client(&id).await else { return };
         let sent = proto::ExchangeRequest {
             manifest: digest_bytes(digest),
             instance: self.context.own.to_string(),
             bitmap: held.to_bytes().into(),
+            serving,
         };
         let call = tokio::time::timeout(EXCHANGE_TIMEOUT.to_std(), client.exchange(sent)).await;
         match call {
--- a/mustardrill_agent/src/server.rs
+++ b/mustardrill_agent/src/server.rs
@@ -81,11 +81,17 @@
     }
 
     /// Takes what a caller says it holds; it costs nothing, as the caller asked anyway.
-    async fn note_holding(&self, digest: ManifestDigest, instance: &str, bitmap: &[u8]) {
+    async fn note_holding(
+        &self,
+        digest: ManifestDigest,
+        instance: &str,
+        bitmap: &[u8],
+        serving: Option<bool>,
+    ) {
         let Ok(id) = instance.parse() else { return };
         let Some(manifest) = self.context.store.manifest(digest) else { return };
         let bitmap = ChunkBitmap::from_bytes(bitmap, manifest.chunk_count());
-        let event = AgentEvent::HoldingSeen { digest, id, bitmap, queue: 0, serving: None };
+        let event = AgentEvent::HoldingSeen { digest, id, bitmap, queue: 0, serving };
         let _ = self.actor.tell(Event(event)).await;
     }
 }
@@ -149,7 +155,8 @@
     ) -> Result<Response<proto::Holding>, Status> {
         let sent = request.into_inner();
         let digest = digest_of(&sent.manifest).ok_or(Status::invalid_argument("manifest"))?;
-        self.note_holding(digest, &sent.instance, &sent.bitmap).await;
+        let serving = Some(sent.serving);
+        self.note_holding(digest, &sent.instance, &sent.bitmap, serving).await;
         let answer = self.holding(digest, None).await?;
         Ok(Response::new(self.holding_message(digest, &answer)))
     }
@@ -196,7 +203,7 @@
         let sent = request.into_inner();
         let digest = digest_of(&sent.manifest).ok_or(Status::invalid_argument("manifest"))?;
         let index = ChunkIndex(sent.index);
-        self.note_holding(digest, &sent.instance, &sent.bitmap).await;
+        self.note_holding(digest, &sent.instance, &sent.bitmap, None).await;
         use proto::fetch_chunk_reply::Result as Reply;
         let chunk = self.context.store.chunk(digest, index);
         let ticket = self.context.uploads.enter();
--- a/mustardrill_core/src/agent/reducer.rs
+++ b/mustardrill_core/src/agent/reducer.rs
@@ -99,8 +99,9 @@
                 self.weights.draw_finished(now, digest, index, &source, &outcome)
             }
             AgentEvent::EngineSeen(report) => {
-                self.weights.engine_seen(now, report);
-                self.advance_weights(now)
+                let mut effects = self.weights.engine_seen(now, report, &self.members);
+                effects.extend(self.advance_weights(now));
+                effects
             }
             AgentEvent::LoadAnswered(digest, result) => {
                 self.weights.load_answered(now, digest, result)
--- a/mustardrill_core/src/agent/version.rs
+++ b/mustardrill_core/src/agent/version.rs
@@ -2,6 +2,7 @@
 
 use mustardrill_types::{InstanceId, Millis, ModelName, Moment, VersionName};
 
+use crate::membership::MemberTable;
 use crate::pace::TransferPace;
 use crate::transfer::TransferPlan;
 
@@ -16,6 +17,8 @@
     pub(super) next_try: Moment,
     pub(super) tries: u32,
     pub(super) waiting_since: Option<Moment>,
+    /// When the instance before this one in the wave order may be asked again.
+    pub(super) next_question: Moment,
     pub(super) trouble: Box<str>,
     pub(super) pace: TransferPace,
 }
@@ -37,11 +40,17 @@
             next_try: now,
             tries: 0,
             waiting_since: None,
+            next_question: now,
             trouble: "".into(),
             pace: TransferPace::default(),
         }
     }
 
+    /// The instances that are to serve the version and are not believed dead.
+    pub(super) fn live_instances(&self, now: Moment, members: &MemberTable) -> Vec<InstanceId> {
+        self.assigned.iter().filter(|id| members.is_live(now, id)).cloned().collect()
+    }
+
     /// How long until the copy is whole, where that can be told.
     pub(super) fn remaining(&self, now: Moment) -> Option<Millis> {
         let plan = self.plan()?;
--- a/mustardrill_core/src/agent/weights.rs
+++ b/mustardrill_core/src/agent/weights.rs
@@ -211,14 +211,36 @@
         self.draw(now, digest)
     }
 
-    pub(crate) fn engine_seen(&mut self, now: Moment, report: Option<EngineReport>) {
+    pub(crate) fn engine_seen(
+        &mut self,
+        now: Moment,
+        report: Option<EngineReport>,
+        members: &MemberTable,
+    ) -> Vec<AgentEffect> {
         self.next_engine_read = now + self.settings.retry_every;
-        let Some(report) = report else { return };
-        if report.serving != self.serving {
-            let names: Vec<_> = report.serving.iter().map(ManifestDigest::short).collect();
-            info!("serving manifests={}", names.join(","));
+        let Some(report) = report else { return Vec::new() };
+        if report.serving == self.serving {
+            return Vec::new();
         }
-        self.serving = report.serving;
+        let names: Vec<_> = report.serving.iter().map(ManifestDigest::short).collect();
+        info!("serving manifests={}", names.join(","));
+        let before = std::mem::replace(&mut self.serving, report.serving);
+        let new: Vec<_> =
+            self.serving.iter().filter(|digest| !before.contains(digest)).copied().collect();
+        new.into_iter().filter_map(|digest| self.tell_successor(now, digest, members)).collect()
+    }
+
+    /// Tells the instance that waits for this one that it has switched.
+    fn tell_successor(
+        &self,
+        now: Moment,
+        digest: ManifestDigest,
+        members: &MemberTable,
+    ) -> Option<AgentEffect> {
+        let live = self.versions.get(&digest)?.live_instances(now, members);
+        let own = &self.settings.own.id;
+        let id = wave::successor(digest, &live, own, self.settings.floor_percent)?;
+        Some(AgentEffect::Exchange(digest, id))
     }
 
     pub(crate) fn load_answered(
@@ -435,7 +457,7 @@
         }
         let Some(fence) = fence else { return Vec::new() };
         if let Some(id) = self.wave_blocker(now, digest, members) {
-            return vec![AgentEffect::Exchange(digest, id)];
+            return self.ask_blocker(now, digest, id).into_iter().collect();
         }
         let retry = now + self.settings.retry_every;
         let state = self.versions.get_mut(&digest).expect("a version of the table");
@@ -458,6 +480,19 @@
         })]
     }
 
+    /// Asks whether the instance before this one has switched, in case that its word of it was lost.
+    fn ask_blocker(
+        &mut self,
+        now: Moment,
+        digest: ManifestDigest,
+        id: InstanceId,
+    ) -> Option<AgentEffect> {
+        let next = now + self.settings.retry_every;
+        let state = self.versions.get_mut(&digest).filter(|state| now >= state.next_question)?;
+        state.next_question = next;
+        Some(AgentEffect::Exchange(digest, id))
+    }
+
     /// The instance that must switch before this one, where it has not yet.
     fn wave_blocker(
         &mut self,
@@ -470,8 +505,7 @@
             return None;
         }
         let state = self.versions.get_mut(&digest)?;
-        let live: Vec<_> =
-            state.assigned.iter().filter(|id| members.is_live(now, id)).cloned().collect();
+        let live = state.live_instances(now, members);
         let own = &self.settings.own.id;
         let id = wave::predecessor(digest, &live, own, self.settings.floor_percent)?;
         if self.served_by.get(&digest).is_some_and(|known| known.contains(&id)) {
--- a/mustardrill_core/src/wave.rs
+++ b/mustardrill_core/src/wave.rs
@@ -21,6 +21,19 @@
     place.checked_sub(size).map(|earlier| ranked[earlier].clone())
 }
 
+/// Who waits for an instance; it is told once that instance has switched.
+pub fn successor(
+    version: ManifestDigest,
+    live: &[InstanceId],
+    own: &InstanceId,
+    floor_percent: u32,
+) -> Option<InstanceId> {
+    let ranked = rendezvous::ranked(&version.0, live, |id| id.as_str());
+    let place = ranked.iter().position(|id| *id == own)?;
+    let later = place + wave_size(live.len(), floor_percent);
+    ranked.get(later).map(|id| (*id).clone())
+}
+
 /// How many of `count` instances may switch at once; at least one, or nothing would ever move.
 pub fn wave_size(count: usize, floor_percent: u32) -> usize {
     let spared = count * (100 - floor_percent.min(100)) as usize / 100;
--- a/mustardrill_core/tests/agents.rs
+++ b/mustardrill_core/tests/agents.rs
@@ -104,6 +104,10 @@
     sides: Vec<Side>,
     due: Vec<(u64, usize, AgentEvent)>,
     most_loading: usize,
+    /// When an agent with a whole copy last asked whether its turn has come.
+    asked: BTreeMap<usize, u64>,
+    /// How often an agent that has switched told the one that waits for it.
+    told: usize,
     /// The origin sends corrupt chunks until then.
     corrupt_until: u64,
 }
@@ -121,6 +125,8 @@
             sides: sides.collect(),
             due: Vec::new(),
             most_loading: 0,
+            asked: BTreeMap::new(),
+            told: 0,
             corrupt_until: 0,
         };
         let list: Vec<_> = (0..AGENTS).map(record).collect();
@@ -167,6 +173,7 @@
                 let other = (0..AGENTS).find(|other| record(*other).id == id).unwrap();
                 let held = self.sides[other].reducer.held(digest).cloned();
                 let total = manifest("v1").chunk_count();
+                self.note_turns(place, other, digest);
                 let bitmap = held.unwrap_or(ChunkBitmap::empty(total));
                 let serving = Some(self.sides[other].reducer.serving().contains(&digest));
                 self.later(
@@ -194,6 +201,20 @@
         }
     }
 
+    /// Whoever has switched tells the next one; whoever waits asks, but not at every tick.
+    fn note_turns(&mut self, place: usize, other: usize, digest: ManifestDigest) {
+        let total = manifest("v1").chunk_count();
+        let bitmap = ChunkBitmap::full(total);
+        if self.sides[place].reducer.serving().contains(&digest) {
+            self.told += 1;
+            let (id, serving) = (record(place).id, Some(true));
+            self.later(other, AgentEvent::HoldingSeen { digest, id, bitmap, queue: 0, serving });
+        } else if self.sides[place].staged.get(&digest) >= Some(&total) {
+            let before = self.asked.insert(place, self.now).unwrap_or(0);
+            assert!(self.now - before >= 20, "it asks at every tick");
+        }
+    }
+
     /// Loads take a while, during which the engine counts as taken away.
     fn order(&mut self, place: usize, order: LoadOrder) {
         let total = manifest(order.version.as_str()).chunk_count();
@@ -245,7 +266,9 @@
     world.publish(catalogue(&["v1"]));
     world.run_until_serving("v1");
     world.publish(catalogue(&["v1", "v2"]));
+    world.told = 0;
     world.run_until_serving("v2");
+    assert_eq!(world.told, AGENTS - 2, "each tells the one a wave behind");
     assert_eq!(world.most_loading, 2, "a quarter of eight may load at once");
 }
 
--- a/mustardrill_proto/src/generated.rs
+++ b/mustardrill_proto/src/generated.rs
@@ -172,6 +172,9 @@
     pub instance: ::prost::alloc::string::String,
     #[prost(bytes = "bytes", tag = "3")]
     pub bitmap: ::prost::bytes::Bytes,
+    /// whether the asking instance serves this version
+    #[prost(bool, tag = "4")]
+    pub serving: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Holding {
--- a/mustardrill_standins/examples/slopes.rs
+++ b/mustardrill_standins/examples/slopes.rs
@@ -362,6 +362,7 @@
     for chunks in [500_usize, 4_400, 17_500] {
         let bitmap = vec![255; chunks.div_ceil(64) * 8];
         let exchange = proto::ExchangeRequest {
+            serving: false,
             manifest: vec![7; 32].into(),
             instance: "worker-123".into(),
             bitmap: bitmap.into(),
