--- a/mustardrill_agent/src/config.rs
+++ b/mustardrill_agent/src/config.rs
@@ -109,6 +109,7 @@
         capacity: reader.bounded("upstream", "capacity", default.capacity, 1, 100_000),
         queue: reader.bounded("upstream", "queue", default.queue, 0, 100_000),
         turns: reader.bounded("upstream", "turns", default.turns, 1, 1_000),
+        spread: reader.bounded("upstream", "spread", default.spread, 0, 100),
     }
 }
 
--- a/mustardrill_agent/src/effects.rs
+++ b/mustardrill_agent/src/effects.rs
@@ -65,6 +65,13 @@
         }
         // An overdue draw ends by its own patience; its late chunk is still verified and kept.
         AgentEffect::CancelDraw(..) => {}
+        AgentEffect::Wake(at) => {
+            let wait = at.since(task.context.clock.now());
+            tokio::spawn(async move {
+                tokio::time::sleep(wait.to_std()).await;
+                task.report(AgentEvent::Woke).await;
+            });
+        }
         AgentEffect::Dispatch(_) | AgentEffect::Refuse(..) => {
             unreachable!("verdicts are given by the actor itself")
         }
--- a/mustardrill_core/src/admission.rs
+++ b/mustardrill_core/src/admission.rs
@@ -1,4 +1,7 @@
 //! The queue before one upstream: classes in order, bounded starvation, bounded predicted wait.
+//!
+//! Starts of lower classes are spread in time, so that slots free up one by one and a request of
+//! a higher class finds the next one soon. Without that, runs that began together end together.
 
 use std::collections::VecDeque;
 
@@ -6,6 +9,9 @@
 
 use crate::document::RequestClass;
 
+/// For how many runs after the last request of a higher class starts are spread.
+const SPREAD_RUNS: f64 = 20.0;
+
 /// How requests wait for an upstream.
 #[derive(Debug, Clone)]
 pub struct AdmissionSettings {
@@ -15,6 +21,10 @@
     pub queue: u32,
     /// After this many in a row of a higher class, one of a lower class goes first.
     pub turns: u32,
+    /// The least time between a start and one of a lower class, in percent of the time in which one
+    /// slot frees up, while requests of a higher class come. Zero spreads nothing; nearer to 100
+    /// the higher class waits less and more of the capacity is lost.
+    pub spread: u32,
 }
 
 /// What becomes of a request that arrives.
@@ -36,7 +46,11 @@
     settings: AdmissionSettings,
     waiting: [VecDeque<Waiting>; RequestClass::ALL.len()],
     running: FastMap<AttemptId, Moment>,
+    /// Starts of the higher class in a row while a lower one waited.
     turn: u32,
+    last_start: Moment,
+    /// When a request of each class came last.
+    last_offer: [Option<Moment>; RequestClass::ALL.len()],
     /// The usual time of a run, smoothed, in milliseconds.
     pace: f64,
 }
@@ -49,7 +63,7 @@
 
 impl Default for AdmissionSettings {
     fn default() -> Self {
-        Self { capacity: 8, queue: 32, turns: 8 }
+        Self { capacity: 8, queue: 32, turns: 8, spread: 50 }
     }
 }
 
@@ -62,6 +76,8 @@
             waiting: Default::default(),
             running: FastMap::default(),
             turn: 0,
+            last_start: Moment(0),
+            last_offer: Default::default(),
             pace: FIRST_PACE,
         }
     }
@@ -77,11 +93,12 @@
         if deadline <= now {
             return Admission::Refused(ResultCode::DeadlinePassed, Millis(0));
         }
-        if self.running.len() < self.settings.capacity as usize && self.queued() == 0 {
-            self.running.insert(attempt, now);
+        self.last_offer[class.rank()] = Some(now);
+        let ahead = self.ahead_of(class);
+        if self.has_room() && ahead == 0 && !self.is_held(now, class.rank()) {
+            self.start(now, attempt);
             return Admission::Run;
         }
-        let ahead = self.ahead_of(class);
         let wait = self.predicted_wait(ahead);
         // The run itself needs its time too; queueing for an answer that comes late helps nobody.
         let is_late = now + wait + Millis(self.pace as u64) > deadline;
@@ -120,15 +137,21 @@
 
     /// The next request to run, while the upstream has room.
     pub fn next_run(&mut self, now: Moment) -> Option<AttemptId> {
-        if self.running.len() >= self.settings.capacity as usize {
+        if !self.has_room() {
             return None;
         }
-        let class = self.next_class()?;
+        let class = self.next_class(now)?;
         let waiting = self.waiting[class].pop_front()?;
-        self.running.insert(waiting.attempt, now);
+        self.start(now, waiting.attempt);
         Some(waiting.attempt)
     }
 
+    /// When the next start comes, where there is room and the request that waits is held back.
+    pub fn held_until(&self) -> Option<Moment> {
+        let is_waiting = self.has_room() && self.queued() > 0;
+        is_waiting.then(|| self.last_start + self.spacing())
+    }
+
     /// Takes out what waits and can no longer be answered in time.
     pub fn expired(&mut self, now: Moment) -> Vec<AttemptId> {
         let mut expired = Vec::new();
@@ -169,21 +192,43 @@
         self.predicted_wait(self.queued()).max(Millis(1))
     }
 
-    fn next_class(&mut self) -> Option<usize> {
+    fn next_class(&mut self, now: Moment) -> Option<usize> {
         let mut classes = (0..self.waiting.len()).filter(|class| !self.waiting[*class].is_empty());
         let first = classes.next()?;
-        let Some(lower) = classes.next() else {
-            self.turn = 0;
-            return Some(first);
-        };
-        self.turn += 1;
-        if self.turn > self.settings.turns {
+        let lower = classes.next();
+        if let Some(lower) = lower.filter(|_| self.turn >= self.settings.turns) {
+            // Its turn is not held back as well, or many starts of the higher class would starve it.
             self.turn = 0;
             return Some(lower);
         }
+        if self.is_held(now, first) {
+            return None;
+        }
+        self.turn = if lower.is_some() { self.turn + 1 } else { 0 };
         Some(first)
     }
 
+    fn start(&mut self, now: Moment, attempt: AttemptId) {
+        self.last_start = now;
+        self.running.insert(attempt, now);
+    }
+
+    fn has_room(&self) -> bool {
+        self.running.len() < self.settings.capacity as usize
+    }
+
+    /// Whether a start of the class would come too soon after the last one.
+    fn is_held(&self, now: Moment, class: usize) -> bool {
+        let recent = |offer: &Moment| now.since(*offer).0 as f64 <= SPREAD_RUNS * self.pace;
+        let is_spread = self.last_offer[..class].iter().flatten().any(recent);
+        is_spread && !self.running.is_empty() && now < self.last_start + self.spacing()
+    }
+
+    fn spacing(&self) -> Millis {
+        let freed = self.pace / f64::from(self.settings.capacity.max(1));
+        Millis((freed * f64::from(self.settings.spread) / 100.0) as u64)
+    }
+
     /// Takes out the newest of the lowest class that waits, where that is below `class`.
     fn displace(&mut self, class: RequestClass) -> Option<AttemptId> {
         let lower = self.waiting.iter_mut().skip(class.rank() + 1).rev();
--- a/mustardrill_core/src/agent/event.rs
+++ b/mustardrill_core/src/agent/event.rs
@@ -85,6 +85,8 @@
     ClaimAnswered(ShardIndex, ClaimAnswer),
     /// Time passed.
     Tick,
+    /// The moment came for which `AgentEffect::Wake` asked.
+    Woke,
     /// A planned stop begins.
     Stop,
 }
@@ -119,6 +121,8 @@
     CallOwner(OwnerCall),
     /// Read or write claims, or tell what came of one.
     Claim(ClaimEffect),
+    /// Send `AgentEvent::Woke` at that moment.
+    Wake(Moment),
     /// Give a request to the upstream.
     Dispatch(AttemptId),
     /// Refuse a request, which was not run.
--- a/mustardrill_core/src/agent/reducer.rs
+++ b/mustardrill_core/src/agent/reducer.rs
@@ -36,6 +36,8 @@
     /// The wall clock that came with the last claim.
     wall: Option<(Moment, u64)>,
     leaving: bool,
+    /// When a request that is held back may start.
+    wake_at: Option<Moment>,
     is_engine: bool,
     random: SmallRng,
     next_refresh: Moment,
@@ -67,6 +69,7 @@
             claims: ClaimBatch::new(settings.claim.clone()),
             wall: None,
             leaving: false,
+            wake_at: None,
             is_engine: settings.is_engine,
             random: SmallRng::seed_from_u64(seed),
             next_refresh: now,
@@ -129,6 +132,10 @@
                 claim_effects(self.claims.answered(now, wall_s, shard, answer))
             }
             AgentEvent::Tick => self.tick(now),
+            AgentEvent::Woke => {
+                self.wake_at = None;
+                self.run_next(now)
+            }
             AgentEvent::Stop => self.stop(),
         }
     }
@@ -266,7 +273,8 @@
                 self.forget(other);
                 refusal(other, ResultCode::Overloaded, self.queue.retry_after())
             }
-            Admission::Queued | Admission::Refused(..) => Vec::new(),
+            Admission::Queued => self.wake(now).into_iter().collect(),
+            Admission::Refused(..) => Vec::new(),
         }
     }
 
@@ -304,9 +312,20 @@
             }
             effects.push(AgentEffect::Dispatch(attempt));
         }
+        effects.extend(self.wake(now));
         effects
     }
 
+    /// Asks to be woken for the next start, where one is held back and no waking is due before.
+    fn wake(&mut self, now: Moment) -> Option<AgentEffect> {
+        let at = self.queue.held_until().filter(|at| *at > now)?;
+        if self.wake_at.is_some_and(|due| due <= at) {
+            return None;
+        }
+        self.wake_at = Some(at);
+        Some(AgentEffect::Wake(at))
+    }
+
     fn serves(&self, pinned: Option<ManifestDigest>) -> bool {
         pinned.is_none_or(|digest| self.is_engine && self.weights.serving().contains(&digest))
     }
@@ -324,6 +343,7 @@
             self.forget(attempt);
             effects.extend(refusal(attempt, ResultCode::DeadlinePassed, Millis(0)));
         }
+        effects.extend(self.run_next(now));
         self.attempts
             .retain(|_, state| !state.finished || now.since(state.arrived) < REMEMBER_ATTEMPT);
         if self.is_engine && !self.leaving {
--- a/mustardrill_core/tests/agents.rs
+++ b/mustardrill_core/tests/agents.rs
@@ -77,7 +77,7 @@
         region: record.region,
         transfer: TransferSettings { stall_after: Millis(200), ..TransferSettings::default() },
         copy_per_region: false,
-        admission: AdmissionSettings { capacity: 1, queue: 8, turns: 2 },
+        admission: AdmissionSettings { capacity: 1, queue: 8, turns: 2, ..Default::default() },
         claim: ClaimSettings::default(),
         owner: OwnerSettings::default(),
         members: MemberSettings::default(),
@@ -194,7 +194,8 @@
             AgentEffect::DropWeights(digest) => {
                 self.sides[place].staged.remove(&digest);
             }
-            AgentEffect::CancelDraw(..)
+            AgentEffect::Wake(_)
+            | AgentEffect::CancelDraw(..)
             | AgentEffect::Claim(_)
             | AgentEffect::Dispatch(_)
             | AgentEffect::Refuse(..) => {}
--- a/mustardrill_core/tests/policies.rs
+++ b/mustardrill_core/tests/policies.rs
@@ -13,7 +13,7 @@
 use rand::rngs::SmallRng;
 
 fn queue(capacity: u32, places: u32, turns: u32) -> AdmissionQueue {
-    AdmissionQueue::new(AdmissionSettings { capacity, queue: places, turns })
+    AdmissionQueue::new(AdmissionSettings { capacity, queue: places, turns, ..Default::default() })
 }
 
 fn offer(queue: &mut AdmissionQueue, attempt: u128, class: RequestClass) -> Admission {
@@ -44,6 +44,39 @@
     assert_eq!(urgent_done, 11, "ten urgent ones with two others between them");
 }
 
+#[test]
+fn lower_classes_start_one_by_one_while_a_higher_one_is_about() {
+    // A run is taken to last 100 ms at first, so a slot of ten frees up every 10 ms.
+    let mut queue = queue(10, 100, 1_000);
+    let far = Moment(1_000_000);
+    let urgent = queue.offer(Moment(1_000), AttemptId(0), RequestClass::Urgent, far);
+    assert_eq!(urgent, Admission::Run);
+    for number in 1..=5 {
+        let low = queue.offer(Moment(1_000), AttemptId(number), RequestClass::Background, far);
+        assert_eq!(low, Admission::Queued, "it would end together with the urgent one");
+    }
+    assert_eq!(queue.next_run(Moment(1_004)), None);
+    assert_eq!(queue.held_until(), Some(Moment(1_005)));
+    assert_eq!(queue.next_run(Moment(1_005)), Some(AttemptId(1)));
+    assert_eq!(queue.next_run(Moment(1_006)), None, "one at a time");
+    // A request of the higher class never waits for a free slot.
+    let urgent = queue.offer(Moment(1_006), AttemptId(9), RequestClass::Urgent, far);
+    assert_eq!(urgent, Admission::Run);
+    assert_eq!(queue.next_run(Moment(1_011)), Some(AttemptId(2)));
+    // Long after the last of the higher class nothing is held back any more.
+    let later = Moment(10_000);
+    assert_eq!(queue.next_run(later), Some(AttemptId(3)));
+    assert_eq!(queue.next_run(later), Some(AttemptId(4)));
+}
+
+#[test]
+fn one_class_alone_is_never_held_back() {
+    let mut queue = queue(10, 100, 8);
+    let runs = (0..10).map(|number| offer(&mut queue, number, RequestClass::Background));
+    assert!(runs.into_iter().all(|admission| admission == Admission::Run));
+    assert_eq!(queue.held_until(), None);
+}
+
 #[test]
 fn what_would_be_late_is_refused_at_once() {
     let mut queue = queue(1, 100, 4);
--- a/mustardrill_core/tests/requests.rs
+++ b/mustardrill_core/tests/requests.rs
@@ -170,7 +170,7 @@
         region: record.region,
         transfer: TransferSettings::default(),
         copy_per_region: false,
-        admission: AdmissionSettings { capacity: 2, queue: 4, turns: 4 },
+        admission: AdmissionSettings { capacity: 2, queue: 4, turns: 4, ..Default::default() },
         claim: ClaimSettings {
             shards: 2,
             write_every: Millis(5),
--- a/mustardrill_standins/examples/slopes.rs
+++ b/mustardrill_standins/examples/slopes.rs
@@ -175,7 +175,12 @@
         region: own.region,
         transfer: TransferSettings::default(),
         copy_per_region: false,
-        admission: AdmissionSettings { capacity: 8, queue: 100_000, turns: 8 },
+        admission: AdmissionSettings {
+            capacity: 8,
+            queue: 100_000,
+            turns: 8,
+            ..Default::default()
+        },
         claim: ClaimSettings::default(),
         owner: OwnerSettings::default(),
         members: MemberSettings::default(),
