Leases come back after an outage without a stampede

Cause: an agent without an answer about its lease called again within 0.5 to 1 s, so calls grew with the fleet: `readers outage` (new), 337 agents: 361 a second during 15 s of outage, 515 in the worst second, 545 in the worst second after it; 2,300 would make about 3,700 where the service takes several hundred writes. Ruled out: entries (3 in each row; their watches back off to 3 s). Change: the wait doubles twice, is never under a second for each 100 instances of the list, and is spread by half either way; an agent that learns that its lease lapsed asks for a new one at once, as that call was spread; renewals are spread by a fifth. Conclusion: bounded by the fleet's budget; the price is that leases take half a minute at 2,300 agents.

--- a/mustardrill_core/src/agent/reducer.rs
+++ b/mustardrill_core/src/agent/reducer.rs
@@ -217,6 +217,7 @@
         now: Moment,
         list: Vec<crate::membership::InstanceRecord>,
     ) -> Vec<AgentEffect> {
+        self.owner.set_fleet(list.len());
         if self.members.replace(list) { self.refresh_weights(now) } else { Vec::new() }
     }
 
--- a/mustardrill_core/src/ownership.rs
+++ b/mustardrill_core/src/ownership.rs
@@ -11,6 +11,16 @@
 
 use mustardrill_types::{FencingNumber, Millis, Moment};
 
+/// How many agents of a fleet may call again each second while the service fails, so that it is
+/// not trampled when it comes back.
+const FLEET_RETRIES: u64 = 100;
+
+/// How often the wait after a failed call is doubled.
+const DOUBLINGS: u32 = 2;
+
+/// The part of the time between renewals that is at random, so that agents don't renew in step.
+const RENEWAL_JITTER: f64 = 0.2;
+
 /// How ownership is kept.
 #[derive(Debug, Clone)]
 pub struct OwnerSettings {
@@ -22,7 +32,8 @@
     pub longest_order: Millis,
     /// Whether the upstream refuses orders with an old fencing number.
     pub upstream_checks: bool,
-    /// How long to wait after a failed call, with up to as much again at random.
+    /// How long to wait after a failed call, give or take a half. It doubles twice, and is never
+    /// less than the fleet's size allows.
     pub retry_after: Millis,
 }
 
@@ -66,6 +77,9 @@
     state: OwnerState,
     next_call: Moment,
     pending: Option<Moment>,
+    failures: u32,
+    /// The instances that share the service.
+    fleet: usize,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -89,7 +103,19 @@
 impl OwnerLease {
     /// Ownership that is not held yet.
     pub fn new(now: Moment, settings: OwnerSettings) -> Self {
-        Self { settings, state: OwnerState::Without, next_call: now, pending: None }
+        Self {
+            settings,
+            state: OwnerState::Without,
+            next_call: now,
+            pending: None,
+            failures: 0,
+            fleet: 1,
+        }
+    }
+
+    /// Notes how many instances share the platform's service.
+    pub fn set_fleet(&mut self, instances: usize) {
+        self.fleet = instances.max(1);
     }
 
     /// The call to make now, if one is due.
@@ -107,12 +133,12 @@
     /// Takes the answer to the pending call. `jitter` spreads retries, from 0 to 1.
     pub fn answered(&mut self, now: Moment, answer: OwnerAnswer, jitter: f64) {
         let Some(sent) = self.pending.take() else { return };
-        let renew_in = Millis(self.settings.lease.0 / 3);
-        let retry_in = Millis(
-            self.settings.retry_after.0 + (self.settings.retry_after.0 as f64 * jitter) as u64,
-        );
+        let third = self.settings.lease.0 as f64 / 3.0;
+        let renew_in = Millis((third * (1.0 - RENEWAL_JITTER * jitter)) as u64);
         let until = sent + self.settings.lease;
-        self.next_call = now + retry_in;
+        let has_failed = answer == OwnerAnswer::Unavailable;
+        self.failures = if has_failed { self.failures + 1 } else { 0 };
+        self.next_call = now + self.retry_in(jitter);
         match (answer, &mut self.state) {
             (OwnerAnswer::Acquired { lease, fence }, state) => {
                 let orders_from = self.settings.orders_from(now);
@@ -123,11 +149,24 @@
                 *held_until = until;
                 self.next_call = sent + renew_in;
             }
-            (OwnerAnswer::Lapsed | OwnerAnswer::HeldByOther, state) => *state = OwnerState::Without,
+            (OwnerAnswer::Lapsed, state) => {
+                // The call that found it out was spread already.
+                *state = OwnerState::Without;
+                self.next_call = now;
+            }
+            (OwnerAnswer::HeldByOther, state) => *state = OwnerState::Without,
             (OwnerAnswer::Renewed, OwnerState::Without) | (OwnerAnswer::Unavailable, _) => {}
         }
     }
 
+    /// How long to wait after a call that brought nothing.
+    fn retry_in(&self, jitter: f64) -> Millis {
+        let doubled = self.settings.retry_after.0 << self.failures.saturating_sub(1).min(DOUBLINGS);
+        let shared = self.fleet as u64 * 1_000 / FLEET_RETRIES;
+        let span = doubled.max(shared);
+        Millis(span / 2 + (span as f64 * jitter) as u64)
+    }
+
     /// The fencing number to order with, where an order may be given now.
     pub fn may_order(&self, now: Moment) -> Option<FencingNumber> {
         let OwnerState::Held { fence, until, orders_from, .. } = self.state else { return None };
--- a/mustardrill_core/tests/ownership.rs
+++ b/mustardrill_core/tests/ownership.rs
@@ -145,6 +145,40 @@
     assert_eq!(owner.may_order(Moment(5_000)), None);
 }
 
+/// The calls that a fleet makes in each second of an outage, each agent with a jitter of its own.
+fn outage_calls(fleet: usize, seconds: u64) -> Vec<u64> {
+    let mut bins = vec![0; seconds as usize];
+    for place in 0..fleet {
+        let real = OwnerSettings { lease: Millis(10_000), ..OwnerSettings::default() };
+        let mut owner = OwnerLease::new(Moment(1), real);
+        owner.set_fleet(fleet);
+        owner.due(Moment(1));
+        let acquired = OwnerAnswer::Acquired { lease: LeaseId(3), fence: FencingNumber(3) };
+        owner.answered(Moment(1), acquired, place as f64 / fleet as f64);
+        for now in (1..seconds * 1_000).step_by(10) {
+            if owner.due(Moment(now)).is_some() {
+                bins[now as usize / 1_000] += 1;
+                let jitter = (place as u64 * 7_919 + now) % 1_000;
+                let answer = OwnerAnswer::Unavailable;
+                owner.answered(Moment(now), answer, jitter as f64 / 1_000.0);
+            }
+        }
+    }
+    bins
+}
+
+#[test]
+fn calls_of_an_outage_do_not_grow_with_the_fleet() {
+    for fleet in [600, 2_300] {
+        let bins = outage_calls(fleet, 120);
+        // The renewals that first find it out come at the pace of renewals, within a second.
+        let later = bins[12..].iter().max().copied().unwrap();
+        assert!(later <= 200, "{fleet} agents made {later} calls in a second");
+    }
+    let few: u64 = outage_calls(8, 60).iter().sum();
+    assert!(few >= 8 * 60 / 4, "a small fleet finds the end of an outage soon: {few} calls");
+}
+
 #[test]
 fn an_outage_does_not_stop_orders_to_an_upstream_that_checks() {
     let mut owner = OwnerLease::new(Moment(1), settings(true));
--- a/mustardrill_standins/examples/readers.rs
+++ b/mustardrill_standins/examples/readers.rs
@@ -1,6 +1,6 @@
 //! How soon an edit is in force, and what the key-value service is asked, by readers.
 //!
-//! `cargo run --release -p mustardrill_standins --example readers`. Entries and agents run within
+//! `cargo run --release -p mustardrill_standins --example readers [edits|outage]`. Entries and agents run within
 //! this process, each with its own sockets; the key-value service and list are stand-ins.
 
 use std::net::SocketAddr;
@@ -15,12 +15,19 @@
 use mustardrill_runtime::settings::SettingsReader;
 use mustardrill_standins::StandIn;
 use mustardrill_standins::engine::{EngineHandler, EngineOptions, EngineState};
+use mustardrill_standins::fault::FaultSwitches;
 use mustardrill_standins::instances::{InstancesHandler, LaggingList};
 use mustardrill_standins::key_value::{KeyValueHandler, KeyValueStore};
 
 const TOKEN: &str = "bench-operator";
 const EDITS: usize = 12;
 
+/// Where agents keep who owns an upstream.
+const OWNER_KEYS: &str = "mustardrill/owner/";
+
+/// For how many seconds calls are counted after an outage.
+const SETTLE: usize = 20;
+
 struct Fleet {
     entries: Vec<EntryHandle>,
     agents: Vec<mustardrill_agent::AgentHandle>,
@@ -31,6 +38,16 @@
 
 #[tokio::main]
 async fn main() {
+    let part = std::env::args().nth(1).unwrap_or_default();
+    if part.is_empty() || part == "edits" {
+        edits().await;
+    }
+    if part.is_empty() || part == "outage" {
+        outages().await;
+    }
+}
+
+async fn edits() {
     println!(
         "time from acceptance until in force at every reader, over {EDITS} edits; calls a second at rest"
     );
@@ -50,6 +67,41 @@
     }
 }
 
+/// Calls to the key-value service before, during and after an outage that outlasts every lease.
+async fn outages() {
+    println!("calls a second at rest, during an outage of 15 s, and after it; leases of 10 s");
+    println!(
+        "{:>8} {:>8} {:>9} {:>9} {:>9} {:>11} {:>14}",
+        "agents", "entries", "rest", "outage", "most", "most after", "all owned in s"
+    );
+    for agents in [10, 100, 337] {
+        let fleet = Fleet::spawn(3, agents).await;
+        fleet.wait(0).await;
+        fleet.wait_owned(agents).await;
+        let rest = fleet.calls_by_second(10).await;
+        fleet.store.faults.set(FaultSwitches { down: true, ..FaultSwitches::default() });
+        let outage = fleet.calls_by_second(15).await;
+        fleet.store.faults.set(FaultSwitches::default());
+        let ended = Instant::now();
+        let owned = async {
+            fleet.wait_owned(agents).await;
+            ended.elapsed().as_secs_f64()
+        };
+        let (after, owned) = tokio::join!(fleet.calls_by_second(SETTLE), owned);
+        let mean = |bins: &[u64]| bins.iter().sum::<u64>() as f64 / bins.len() as f64;
+        let most = |bins: &[u64]| bins.iter().max().copied().unwrap_or_default();
+        println!(
+            "{agents:>8} {:>8} {:>9.1} {:>9.1} {:>9} {:>11} {owned:>14.1}",
+            3,
+            mean(&rest),
+            mean(&outage),
+            most(&outage),
+            most(&after)
+        );
+        fleet.halt();
+    }
+}
+
 async fn run(entries: usize, agents: usize) {
     let fleet = Fleet::spawn(entries, agents).await;
     fleet.wait(0).await;
@@ -79,8 +131,7 @@
         reads + writes,
         for_edits / EDITS as f64
     );
-    fleet.agents.iter().for_each(mustardrill_agent::AgentHandle::halt);
-    fleet.entries.iter().for_each(EntryHandle::halt);
+    fleet.halt();
 }
 
 impl Fleet {
@@ -140,6 +191,33 @@
         fleet
     }
 
+    fn halt(&self) {
+        self.agents.iter().for_each(mustardrill_agent::AgentHandle::halt);
+        self.entries.iter().for_each(EntryHandle::halt);
+    }
+
+    /// Waits until every agent has its lease.
+    async fn wait_owned(&self, agents: usize) {
+        while self.store.count_keys(OWNER_KEYS) < agents {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// The calls that the service got in each of the next seconds.
+    async fn calls_by_second(&self, seconds: usize) -> Vec<u64> {
+        let count = || {
+            let (reads, writes) = self.store.counts();
+            reads + writes + self.store.refused()
+        };
+        let mut bins = Vec::new();
+        for _ in 0..seconds {
+            let before = count();
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            bins.push(count() - before);
+        }
+        bins
+    }
+
     async fn operate(
         &self,
         entry: usize,
--- a/mustardrill_standins/src/key_value.rs
+++ b/mustardrill_standins/src/key_value.rs
@@ -39,6 +39,8 @@
     revision: u64,
     reads: u64,
     writes: u64,
+    /// Calls that came while the service was down.
+    refused: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -81,6 +83,16 @@
         (table.reads, table.writes)
     }
 
+    /// How many calls came while the service was down.
+    pub fn refused(&self) -> u64 {
+        self.table().refused
+    }
+
+    /// How many keys begin with this text.
+    pub fn count_keys(&self, prefix: &str) -> usize {
+        self.table().values.keys().filter(|key| key.starts_with(prefix)).count()
+    }
+
     /// The bytes of a key.
     pub fn peek(&self, key: &str) -> Option<Bytes> {
         self.table().values.get(key).map(|value| value.bytes.clone())
@@ -161,6 +173,7 @@
         }
         let faults = self.faults.get();
         if faults.down {
+            self.table().refused += 1;
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "down\n");
         }
         tokio::time::sleep(faults.delay).await;
