Two agents for one upstream between processes, and the window measured

Change: scenario::late_order: a holder is paused with an order held in its link, the platform starts another agent in its place, a newer version is loaded by it, then the old order arrives.

--- a/mustardrill_standins/src/lab.rs
+++ b/mustardrill_standins/src/lab.rs
@@ -65,6 +65,8 @@
     pub upstream: LabProcess,
     /// The link to the agent, where the lab has links.
     pub link: Option<LabLink>,
+    /// The link from the agent to the upstream, where the lab has links.
+    pub order_link: Option<LabLink>,
     /// What the instance list says of it.
     pub record: InstanceRecord,
 }
@@ -154,6 +156,29 @@
         self.engines.push(upstream);
     }
 
+    /// Starts a second agent for an engine, as a platform does that takes the first for dead, and
+    /// lists it in the first one's place; returns the first one with its link to the engine.
+    pub async fn replace_agent(&mut self, place: usize) -> (LabProcess, Option<LabLink>) {
+        let engine = &self.engines[place];
+        let record = engine.record.clone();
+        let settings = self.agent_settings(
+            record.id.as_str(),
+            record.service.as_str(),
+            record.data_centre.as_str(),
+            record.region.as_str(),
+            engine.upstream.address,
+            "engine",
+        );
+        let name = format!("{}-again", record.id);
+        let agent = daemon(&self.folder, "mustardrill-agent", &name, &settings);
+        let engine = &mut self.engines[place];
+        engine.record.agent = agent.address.to_string().into();
+        engine.link = None;
+        let first = (std::mem::replace(&mut engine.agent, agent), engine.order_link.take());
+        self.publish_instances().await;
+        first
+    }
+
     /// Starts an entry in the place of one that ended.
     pub fn restart_entry(&mut self, place: usize) {
         self.entries[place] = self.spawn_entry(place);
@@ -259,6 +284,14 @@
         links
     }
 
+    /// The load orders that an engine accepted, fencing number and digest, and how many it refused.
+    pub async fn orders(&self, engine: &LabUpstream) -> (Vec<(u64, String)>, u64) {
+        let answer = self.call("GET", engine.upstream.address, "/v1/state", Bytes::new()).await;
+        let state: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let orders = serde_json::from_value(state["orders"].clone()).unwrap_or_default();
+        (orders, state["refused_orders"].as_u64().unwrap_or_default())
+    }
+
     /// What an upstream ran, in order.
     pub async fn runs(&self, upstream: &LabUpstream) -> Vec<String> {
         let answer = self.call("GET", upstream.upstream.address, "/admin/runs", Bytes::new()).await;
@@ -400,7 +433,10 @@
         let upstream = stand_in(&self.folder, kind, &format!("{kind}-{place}"), &arguments);
         let centre = if place.is_multiple_of(2) { "gc-hall-a" } else { "xela-hall" };
         let region = if place.is_multiple_of(2) { "guate-central" } else { "occidente" };
-        let settings = self.agent_settings(&name, service, centre, region, upstream.address, kind);
+        let order_link =
+            self.options.links.then(|| LabLink::spawn(upstream.address).expect("a link"));
+        let reached = order_link.as_ref().map_or(upstream.address, |link| link.address);
+        let settings = self.agent_settings(&name, service, centre, region, reached, kind);
         let agent = daemon(&self.folder, "mustardrill-agent", &name, &settings);
         let link = self.options.links.then(|| LabLink::spawn(agent.address).expect("a link"));
         let listed = link.as_ref().map_or(agent.address, |link| link.address);
@@ -412,7 +448,7 @@
             agent: listed.to_string().into(),
             leaving: false,
         };
-        LabUpstream { agent, upstream, link, record }
+        LabUpstream { agent, upstream, link, order_link, record }
     }
 
     fn agent_settings(
--- a/mustardrill_standins/src/lib.rs
+++ b/mustardrill_standins/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod plain;
 pub mod process;
 pub mod program;
+pub mod scenario;
 
 use std::net::SocketAddr;
 
--- /dev/null
+++ b/mustardrill_standins/src/scenario.rs
@@ -0,0 +1,94 @@
+//! Courses of events that both a test and a bench play.
+
+use std::time::{Duration, Instant};
+
+use crate::lab::{Lab, LabOptions};
+use crate::link::LinkState;
+
+/// A wait that only a broken build exceeds.
+const LONG: Duration = Duration::from_secs(60);
+
+const MODEL: &str = "drafts";
+const SIZE: u64 = 500_000;
+const CHUNK: u64 = 1 << 15;
+
+/// What came of an order that arrived after the next holder's.
+#[derive(Debug)]
+pub struct LateOrder {
+    /// The accepted orders: fencing number and digest.
+    pub orders: Vec<(u64, String)>,
+    /// How many orders the engine refused.
+    pub refused: u64,
+    /// How long the engine served what the late order had loaded; nothing where it never did.
+    pub served_for: Option<Duration>,
+}
+
+/// An agent is paused with an order under way; another takes its place and orders a newer
+/// version; then the first goes on and its order arrives.
+pub async fn late_order(checks_fencing: bool) -> LateOrder {
+    let options =
+        LabOptions { agents: 1, plain: 0, links: true, checks_fencing, ..LabOptions::default() };
+    let mut lab = Lab::spawn(options).await;
+    let mut digests = Vec::new();
+    for (place, version) in ["v1", "v2", "v3"].into_iter().enumerate() {
+        digests.push(lab.publish(MODEL, version, SIZE, CHUNK, place as u64 + 1).await);
+    }
+    assert!(lab.wait_fleet(0, 1, LONG).await, "the entry never saw the agent");
+    accept(&lab, "v1", None).await;
+    assert!(lab.wait_serving(&digests[0], 1, LONG).await.is_some(), "v1 is never served");
+    lab.engines[0].order_link.as_ref().expect("the lab has links").set(LinkState::Silent);
+    accept(&lab, "v2", Some(1)).await;
+    wait_for_order(&lab, "v2").await;
+    lab.engines[0].agent.freeze();
+    let (first, link) = lab.replace_agent(0).await;
+    accept(&lab, "v3", Some(2)).await;
+    assert!(lab.wait_serving(&digests[2], 1, LONG).await.is_some(), "v3 is never served");
+    link.as_ref().expect("the lab has links").set(LinkState::Open);
+    first.thaw();
+    let served_for = watch_engine(&lab, &digests[1], &digests[2]).await;
+    let (orders, refused) = lab.orders(&lab.engines[0]).await;
+    LateOrder { orders, refused, served_for }
+}
+
+async fn accept(lab: &Lab, version: &str, revision: Option<u64>) {
+    let revision = revision.map_or(String::new(), |revision| format!("revision = {revision}\n"));
+    let text = format!(
+        "[model {MODEL}]\n{revision}service = mustard-pool\nowner = ana\nclass = urgent\ncallers = all\n\
+         requests_per_second = 1000\nin_flight = 100\nversion = {version}\nreplicas = 1\n"
+    );
+    let (status, body) = lab.apply(0, &text).await;
+    assert_eq!(status, 200, "{body}");
+}
+
+async fn wait_for_order(lab: &Lab, version: &str) {
+    let order = format!("load model={MODEL} version={version}");
+    let ordered = async {
+        while !lab.logs().contains(&order) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(LONG, ordered).await.expect("an order is given");
+}
+
+/// Watches the engine for a few seconds, longer where it serves the old version, until it serves
+/// the new one again.
+async fn watch_engine(lab: &Lab, old: &str, new: &str) -> Option<Duration> {
+    const AT_LEAST: Duration = Duration::from_secs(3);
+    let begun = Instant::now();
+    let mut old_since: Option<Instant> = None;
+    let mut served_for = None;
+    while begun.elapsed() < AT_LEAST || old_since.is_some() {
+        let serving = lab.serving_of(&lab.engines[0]).await;
+        match (&old_since, serving.as_deref()) {
+            (None, Some(found)) if found == old => old_since = Some(Instant::now()),
+            (Some(since), Some(found)) if found == new => {
+                served_for = Some(since.elapsed());
+                old_since = None;
+            }
+            _ => {}
+        }
+        assert!(begun.elapsed() < LONG, "the engine never serves the new version again");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    served_for
+}
