A customer at one entry of many has its whole limit; demand is told once a round

Cause: an agent hears of some entries, of the asking one always, and the sum was scaled by all over heard. Found when the bytes of demand were looked at. Change: the others that were heard stand for the others, this entry for itself (demand_of_all); heard alone it keeps to an equal share. Demand and its sums go with one heartbeat a round, not with each.

--- a/mustardrill_agent/src/server.rs
+++ b/mustardrill_agent/src/server.rs
@@ -116,7 +116,8 @@
         if let Some(document) = catalogue_of(&sent.catalogue, &sent.entry) {
             let _ = self.actor.tell(Event(AgentEvent::CatalogueSeen(Arc::new(document)))).await;
         }
-        if let Ok(entry) = sent.entry.parse() {
+        let teller = sent.entry.parse().ok().filter(|_| sent.with_demand);
+        if let Some(entry) = teller {
             let rows = sent.demand.iter().filter_map(demand_row).collect();
             let _ = self.actor.tell(Event(AgentEvent::DemandSeen(entry, rows))).await;
         }
@@ -134,6 +135,7 @@
             state: row.state.to_owned(),
             trouble: row.trouble.to_string(),
         });
+        let sums = status.demand.iter().filter(|_| sent.with_demand);
         Ok(Response::new(proto::SyncReply {
             instance: self.context.own.to_string(),
             generation: status.generation.0,
@@ -144,8 +146,8 @@
             progress: progress.collect(),
             clock_ms: self.context.clock.now().0,
             catalogue: newer_catalogue(&status.document, sent.generation),
-            demand: status.demand.iter().map(demand_message).collect(),
-            entries: status.entries,
+            demand: sums.map(demand_message).collect(),
+            entries: if sent.with_demand { status.entries } else { 0 },
         }))
     }
 
--- a/mustardrill_core/src/entry/event.rs
+++ b/mustardrill_core/src/entry/event.rs
@@ -127,6 +127,8 @@
         address: Box<str>,
         /// Whether to send the catalogue along.
         with_catalogue: bool,
+        /// Whether to tell what customers ask for, and to ask for the sum.
+        with_demand: bool,
     },
 }
 
--- a/mustardrill_core/src/entry/reducer.rs
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -49,6 +49,8 @@
     /// What customers asked of this entry during the last round.
     pub(super) demand: Vec<DemandRow>,
     pub(super) next_round: Moment,
+    /// The number of the round of demand.
+    round: u64,
     pub(super) leaving: bool,
     pub(super) random: SmallRng,
 }
@@ -58,6 +60,8 @@
 struct AgentView {
     generation: Generation,
     next_sync: Moment,
+    /// The last round whose demand the agent was told.
+    told_round: u64,
     pending: bool,
     progress: Vec<WeightsProgress>,
 }
@@ -77,6 +81,7 @@
             entries: 1,
             demand: Vec::new(),
             next_round: Moment(0),
+            round: 1,
             leaving: false,
             random: SmallRng::seed_from_u64(seed),
             settings,
@@ -323,11 +328,10 @@
         for row in totals {
             let own = self.demand.iter().find(|mine| mine.key == row.key);
             let own = own.map_or(0, |mine| mine.asked);
-            // An agent that some entries don't talk to stands for all with what it heard.
-            let all = u64::from(row.asked) * self.entries as u64 / u64::from(heard);
+            let all = demand_of_all(own, row.asked, heard, self.entries);
             let entry = self.document.entries.get(&row.key.1);
             let limit = entry.map_or(0, |entry| entry.limits.requests_per_second);
-            let demand = RoundDemand { own, all: all as u32, limit };
+            let demand = RoundDemand { own, all, limit };
             self.limits.set_share(&row.key, demand, self.entries);
         }
     }
@@ -338,6 +342,7 @@
             return;
         }
         self.next_round = now + DEMAND_ROUND;
+        self.round += 1;
         let asked = self.limits.take_demand().into_iter().filter(|(_, asked)| *asked > 0);
         self.demand = asked.map(|(key, asked)| DemandRow { key, asked }).collect();
     }
@@ -372,7 +377,9 @@
             view.next_sync = now + Millis(every + spread);
             view.pending = true;
             let with_catalogue = view.generation < self.document.generation;
-            effects.push(EntryEffect::Sync { id, address, with_catalogue });
+            // More often than once a round there is nothing new to tell.
+            let with_demand = std::mem::replace(&mut view.told_round, self.round) != self.round;
+            effects.push(EntryEffect::Sync { id, address, with_catalogue, with_demand });
         }
         effects
     }
@@ -400,3 +407,17 @@
         effects
     }
 }
+
+/// What was asked of all entries, from an agent that heard of some of them, this one included.
+///
+/// The others that were heard stand for those that were not. This entry stands for itself alone:
+/// counted among them, a customer of one entry would seem to ask the same of all. Where nobody
+/// else was heard nothing is known, and zero stands for equal shares.
+fn demand_of_all(own: u32, asked: u32, heard: u32, entries: usize) -> u32 {
+    let (others, others_heard) = (entries as u64 - 1, u64::from(heard) - 1);
+    if others_heard == 0 {
+        return if others == 0 { own } else { 0 };
+    }
+    let of_others = u64::from(asked.saturating_sub(own)) * others / others_heard;
+    u64::from(own).saturating_add(of_others).min(u64::from(u32::MAX)) as u32
+}
--- a/mustardrill_entry/src/actor.rs
+++ b/mustardrill_entry/src/actor.rs
@@ -116,13 +116,13 @@
             EntryEffect::ReleaseClaim(order) => {
                 effects::release_claim(self.context.clone(), order);
             }
-            EntryEffect::Sync { id, address, with_catalogue } => {
+            EntryEffect::Sync { id, address, with_catalogue, with_demand } => {
                 let call = effects::SyncCall {
                     id,
                     address,
                     document: self.reducer.document().clone(),
                     with_catalogue,
-                    demand: self.reducer.demand().to_vec(),
+                    demand: with_demand.then(|| self.reducer.demand().to_vec()),
                 };
                 effects::sync(self.context.clone(), actor.clone(), call);
             }
--- a/mustardrill_entry/src/effects.rs
+++ b/mustardrill_entry/src/effects.rs
@@ -112,7 +112,8 @@
     pub(crate) document: Arc<CatalogueDocument>,
     /// Whether the agent is behind and is sent the catalogue.
     pub(crate) with_catalogue: bool,
-    pub(crate) demand: Vec<DemandRow>,
+    /// What customers asked for, where it is to be told.
+    pub(crate) demand: Option<Vec<DemandRow>>,
 }
 
 /// Sends a heartbeat.
@@ -136,7 +137,8 @@
         entry: context.own.to_string(),
         generation: call.document.generation.0,
         catalogue,
-        demand: call.demand.iter().map(demand_message).collect(),
+        demand: call.demand.iter().flatten().map(demand_message).collect(),
+        with_demand: call.demand.is_some(),
     };
     let sent = tokio::time::timeout(SYNC_TIMEOUT.to_std(), client.sync(request));
     let reply = sent.await.ok()?.ok()?.into_inner();
--- a/mustardrill_proto/src/generated.rs
+++ b/mustardrill_proto/src/generated.rs
@@ -101,6 +101,9 @@
     pub catalogue: ::prost::bytes::Bytes,
     #[prost(message, repeated, tag = "4")]
     pub demand: ::prost::alloc::vec::Vec<Demand>,
+    /// whether demand is told, and the sum asked for: once a round
+    #[prost(bool, tag = "5")]
+    pub with_demand: bool,
 }
 /// How much a customer asked of an entry of the catalogue lately.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/mustardrill_standins/examples/slopes.rs
+++ b/mustardrill_standins/examples/slopes.rs
@@ -346,6 +346,7 @@
             generation: 510,
             catalogue: Default::default(),
             demand: demand.clone(),
+            with_demand: true,
         };
         let reply = proto::SyncReply {
             instance: "worker-123".into(),
--- a/mustardrill_standins/tests/requests.rs
+++ b/mustardrill_standins/tests/requests.rs
@@ -3,11 +3,14 @@
 mod common;
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use common::{CHUNK, LONG, MODEL, SIZE, callers, keyed_callers, model_file, serving_lab};
+use common::{
+    CHUNK, LONG, MODEL, SIZE, callers, keyed_callers, model_file, plain_file, serving_lab,
+};
 use mustardrill_runtime::http::WholeAnswer;
-use mustardrill_standins::lab::{Lab, LabOptions, caller_request};
+use mustardrill_standins::lab::{Lab, LabOptions, OPERATOR_TOKEN, caller_request};
+use mustardrill_standins::load::{LoadDriver, LoadOptions};
 
 async fn file(lab: &Lab, entry: usize, key: &str, body: &str) -> WholeAnswer {
     let mut sent = caller_request(lab.entries[entry].address, "/v1/services/desk/file", body);
@@ -272,3 +275,39 @@
     assert_eq!((report.wrong, report.lost, report.unknown), (0, 0, 0), "{:?}", report.codes);
     assert_eq!(report.whole, report.sent, "{:?}", report.codes);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_share_a_limit_by_demand() {
+    const LIMIT: f64 = 50.0;
+    let options = LabOptions { agents: 1, plain: 2, entries: 3, ..LabOptions::default() };
+    let (lab, _) = serving_lab(options).await;
+    let (_, body) = lab.operate(0, "GET", "/v1/catalogue?json=1", "", OPERATOR_TOKEN).await;
+    let revision = body["catalogue"]["entries"]["desk"]["revision"].as_u64().unwrap();
+    let text = plain_file()
+        .replace("requests_per_second = 100000", &format!("requests_per_second = {LIMIT}"))
+        .replace("[plain desk]\n", &format!("[plain desk]\nrevision = {revision}\n"));
+    let (status, body) = lab.apply(0, &text).await;
+    assert_eq!(status, 200, "{body}");
+    // Four in five calls come by one entry, and four times of what the limit allows.
+    let address = |place: usize| lab.entries[place].address;
+    let entries = vec![address(0), address(0), address(0), address(0), address(1)];
+    let options = LoadOptions {
+        entries,
+        path: "/v1/services/desk/x".into(),
+        rate: LIMIT * 4.0,
+        pieces: None,
+        keyed: false,
+        timeout: Duration::from_secs(5),
+    };
+    let load = LoadDriver::spawn(lab.client.clone(), options);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    load.reset();
+    let started = Instant::now();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let report = load.report();
+    let allowed = LIMIT * started.elapsed().as_secs_f64();
+    load.finish().await;
+    let share = report.whole as f64 / allowed;
+    assert!((0.6..=1.4).contains(&share), "{share} of the limit was admitted: {report:?}");
+    assert!(report.codes.keys().all(|code| code == "2010"), "{:?}", report.codes);
+}
