Requests that pass a held one count towards its turn; the switch is a module of its own

Cause: reading admission as a newcomer: a request of the top class that starts at once, past a lower one that is held back, did not count towards the lower one's turn. Enough of them would have held it for as long as they came; policies::requests_that_pass_a_held_one_count_towards_its_turn failed on that (None after eight).

--- a/mustardrill_core/src/admission.rs
+++ b/mustardrill_core/src/admission.rs
@@ -96,6 +96,8 @@
         self.last_offer[class.rank()] = Some(now);
         let ahead = self.ahead_of(class);
         if self.has_room() && ahead == 0 && !self.is_held(now, class.rank()) {
+            // It passes what waits of lower classes, which counts towards their turn.
+            self.turn += u32::from(self.queued() > 0);
             self.start(now, attempt);
             return Admission::Run;
         }
@@ -196,10 +198,10 @@
         let mut classes = (0..self.waiting.len()).filter(|class| !self.waiting[*class].is_empty());
         let first = classes.next()?;
         let lower = classes.next();
-        if let Some(lower) = lower.filter(|_| self.turn >= self.settings.turns) {
+        if self.turn >= self.settings.turns {
             // Its turn is not held back as well, or many starts of the higher class would starve it.
             self.turn = 0;
-            return Some(lower);
+            return lower.or(Some(first));
         }
         if self.is_held(now, first) {
             return None;
--- a/mustardrill_core/src/agent/mod.rs
+++ b/mustardrill_core/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod event;
 mod reducer;
+mod switch;
 mod version;
 mod weights;
 
--- a/mustardrill_core/src/agent/weights.rs
+++ b/mustardrill_core/src/agent/weights.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::agent::event::{AgentEffect, AgentSettings, EngineReport, LoadOrder, WeightsProgress};
+use crate::agent::event::{AgentEffect, AgentSettings, EngineReport, WeightsProgress};
 use crate::agent::version::{VersionStage, VersionState};
 use crate::document::CatalogueDocument;
 use crate::manifest::{ChunkBitmap, Manifest};
@@ -18,18 +18,17 @@
 use crate::placement::assigned;
 use crate::rendezvous;
 use crate::transfer::{ChunkSource, DrawOutcome, TransferPeer, TransferPlan};
-use crate::wave;
 
 /// The weights of one agent.
 #[derive(Debug)]
 pub(crate) struct WeightsTable {
-    settings: AgentSettings,
-    versions: FastMap<ManifestDigest, VersionState>,
+    pub(super) settings: AgentSettings,
+    pub(super) versions: FastMap<ManifestDigest, VersionState>,
     /// The instances of the service by which `versions` was worked out.
     live: Vec<InstanceId>,
-    serving: Vec<ManifestDigest>,
-    served_by: FastMap<ManifestDigest, FastSet<InstanceId>>,
-    loading: Option<ManifestDigest>,
+    pub(super) serving: Vec<ManifestDigest>,
+    pub(super) served_by: FastMap<ManifestDigest, FastSet<InstanceId>>,
+    pub(super) loading: Option<ManifestDigest>,
     next_engine_read: Moment,
     random: SmallRng,
 }
@@ -230,19 +229,6 @@
         new.into_iter().filter_map(|digest| self.tell_successor(now, digest, members)).collect()
     }
 
-    /// Tells the instance that waits for this one that it has switched.
-    fn tell_successor(
-        &self,
-        now: Moment,
-        digest: ManifestDigest,
-        members: &MemberTable,
-    ) -> Option<AgentEffect> {
-        let live = self.versions.get(&digest)?.live_instances(now, members);
-        let own = &self.settings.own.id;
-        let id = wave::successor(digest, &live, own, self.settings.floor_percent)?;
-        Some(AgentEffect::Exchange(digest, id))
-    }
-
     pub(crate) fn load_answered(
         &mut self,
         now: Moment,
@@ -445,80 +431,6 @@
             .collect()
     }
 
-    fn consider_load(
-        &mut self,
-        now: Moment,
-        digest: ManifestDigest,
-        members: &MemberTable,
-        fence: Option<FencingNumber>,
-    ) -> Vec<AgentEffect> {
-        if self.serving.contains(&digest) || self.loading.is_some() {
-            return Vec::new();
-        }
-        let Some(fence) = fence else { return Vec::new() };
-        if let Some(id) = self.wave_blocker(now, digest, members) {
-            return self.ask_blocker(now, digest, id).into_iter().collect();
-        }
-        let retry = now + self.settings.retry_every;
-        let state = self.versions.get_mut(&digest).expect("a version of the table");
-        if now < state.next_try {
-            return Vec::new();
-        }
-        state.next_try = retry;
-        info!(
-            "load model={} version={} manifest={} fence={fence} decision=order",
-            state.model,
-            state.version,
-            digest.short()
-        );
-        self.loading = Some(digest);
-        vec![AgentEffect::OrderLoad(LoadOrder {
-            model: state.model.clone(),
-            version: state.version.clone(),
-            digest,
-            fence,
-        })]
-    }
-
-    /// Asks whether the instance before this one has switched, in case that its word of it was lost.
-    fn ask_blocker(
-        &mut self,
-        now: Moment,
-        digest: ManifestDigest,
-        id: InstanceId,
-    ) -> Option<AgentEffect> {
-        let next = now + self.settings.retry_every;
-        let state = self.versions.get_mut(&digest).filter(|state| now >= state.next_question)?;
-        state.next_question = next;
-        Some(AgentEffect::Exchange(digest, id))
-    }
-
-    /// The instance that must switch before this one, where it has not yet.
-    fn wave_blocker(
-        &mut self,
-        now: Moment,
-        digest: ManifestDigest,
-        members: &MemberTable,
-    ) -> Option<InstanceId> {
-        // An upstream that serves nothing yet takes no capacity away by loading.
-        if self.serving.is_empty() {
-            return None;
-        }
-        let state = self.versions.get_mut(&digest)?;
-        let live = state.live_instances(now, members);
-        let own = &self.settings.own.id;
-        let id = wave::predecessor(digest, &live, own, self.settings.floor_percent)?;
-        if self.served_by.get(&digest).is_some_and(|known| known.contains(&id)) {
-            return None;
-        }
-        let since = *state.waiting_since.get_or_insert(now);
-        if now.since(since) >= self.settings.wave_patience {
-            warn!("load manifest={} decision=skip-wait instance={id}", digest.short());
-            return None;
-        }
-        Some(id)
-    }
-
     fn state_name(&self, digest: ManifestDigest, state: &VersionState) -> &'static str {
         match &state.stage {
             _ if self.serving.contains(&digest) => "serving",
--- a/mustardrill_core/tests/policies.rs
+++ b/mustardrill_core/tests/policies.rs
@@ -69,6 +69,20 @@
     assert_eq!(queue.next_run(later), Some(AttemptId(4)));
 }
 
+#[test]
+fn requests_that_pass_a_held_one_count_towards_its_turn() {
+    let mut queue = queue(10, 100, 8);
+    let far = Moment(1_000_000);
+    queue.offer(Moment(1_000), AttemptId(0), RequestClass::Urgent, far);
+    queue.offer(Moment(1_000), AttemptId(1), RequestClass::Background, far);
+    for number in 2..10 {
+        assert_eq!(queue.next_run(Moment(1_000)), None, "it is held back");
+        let urgent = queue.offer(Moment(1_000), AttemptId(number), RequestClass::Urgent, far);
+        assert_eq!(urgent, Admission::Run);
+    }
+    assert_eq!(queue.next_run(Moment(1_000)), Some(AttemptId(1)), "after eight it is its turn");
+}
+
 #[test]
 fn one_class_alone_is_never_held_back() {
     let mut queue = queue(10, 100, 8);
