The late order's test waits for what stays, not for what may be missed

The scenario polled for the old version being served, which lasts about 100 ms; a look that comes late misses it and waits for ever. That is inferred: the run's log was not kept. Change: it waits for the engine's list of orders, which keeps the late one; the test asserts what it did.

--- a/mustardrill_standins/src/scenario.rs
+++ b/mustardrill_standins/src/scenario.rs
@@ -19,7 +19,8 @@
     pub orders: Vec<(u64, String)>,
     /// How many orders the engine refused.
     pub refused: u64,
-    /// How long the engine served what the late order had loaded; nothing where it never did.
+    /// How long the engine served what the late order had loaded; nothing where it never did,
+    /// or where that was too short to be seen.
     pub served_for: Option<Duration>,
 }
 
@@ -72,16 +73,23 @@
 }
 
 /// Watches the engine until the late order was refused, or until what it loaded gave way again.
+///
+/// The engine's list of orders tells that, as it stays; what it serves meanwhile may be missed.
 async fn watch_engine(lab: &Lab, old: &str, new: &str) -> Option<Duration> {
+    let engine = &lab.engines[0];
     let begun = Instant::now();
-    let mut old_since = None;
+    let mut old_since: Option<Instant> = None;
     while begun.elapsed() < LONG {
-        let serving = lab.serving_of(&lab.engines[0]).await;
-        match (old_since, serving.as_deref()) {
-            (None, Some(found)) if found == old => old_since = Some(Instant::now()),
-            (None, _) if lab.orders(&lab.engines[0]).await.1 > 0 => return None,
-            (Some(since), Some(found)) if found == new => return Some(since.elapsed()),
-            _ => {}
+        if old_since.is_none() && lab.serving_of(engine).await.as_deref() == Some(old) {
+            old_since = Some(Instant::now());
+        }
+        let (orders, refused) = lab.orders(engine).await;
+        let loaded: Vec<_> = orders.iter().map(|(_, digest)| digest.as_str()).collect();
+        if refused > 0 {
+            return None;
+        }
+        if loaded.contains(&old) && loaded.last() == Some(&new) {
+            return old_since.map(|since| since.elapsed());
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
