--- a/mustardrill_agent/src/config.rs
+++ b/mustardrill_agent/src/config.rs
@@ -100,6 +100,9 @@
         chunk_patience: reader.value("weights", "chunk_patience", default.chunk_patience),
         corrupt_limit: reader.bounded("weights", "corrupt_limit", default.corrupt_limit, 1, 100),
         sample: default.sample,
+        far_drawers: default.far_drawers,
+        homes: default.homes,
+        origin_pace: default.origin_pace,
     }
 }
 
--- a/mustardrill_agent/src/lib.rs
+++ b/mustardrill_agent/src/lib.rs
@@ -15,4 +15,6 @@
 mod weights_http;
 
 pub use actor::{AgentHandle, spawn};
+pub mod stock;
+
 pub use config::AgentConfig;
--- a/mustardrill_agent/src/main.rs
+++ b/mustardrill_agent/src/main.rs
@@ -4,14 +4,20 @@
 use std::process::ExitCode;
 
 use mustardrill_agent::cli::{self, AgentCommand};
+use mustardrill_agent::stock::{self, StockBorders, StockConfig};
 use mustardrill_agent::{AgentConfig, config};
-use mustardrill_runtime::settings::SettingsReader;
+use mustardrill_platform::{PlatformEngine, PlatformOrigin, PlatformStore};
+use mustardrill_runtime::http::HttpClient;
+use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
 use mustardrill_runtime::{logging, signal};
 use tokio_util::sync::CancellationToken;
 
 /// Wrong command line or settings.
 const USAGE: u8 = 2;
 
+/// How long a connection to the store, the origin or the engine may take to be made.
+const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(500);
+
 fn main() -> ExitCode {
     let command = match cli::parse(std::env::args_os().skip(1)) {
         Ok(command) => command,
@@ -39,14 +45,27 @@
     }
 }
 
-fn read(path: &Path) -> Option<AgentConfig> {
-    let outcome = match SettingsReader::open(path) {
-        Ok(reader) => config::read(reader),
+/// The settings of an agent, by the platform that it runs on.
+enum AnyConfig {
+    Own(AgentConfig),
+    Prepared(StockConfig),
+}
+
+fn read(path: &Path) -> Option<AnyConfig> {
+    let reader = match SettingsReader::open(path) {
+        Ok(reader) => reader,
         Err(fault) => {
             eprintln!("mustardrill-agent: {fault}");
             return None;
         }
     };
+    match reader.platform("agent") {
+        PlatformKind::Own => checked(config::read(reader)).map(AnyConfig::Own),
+        PlatformKind::Prepared => checked(stock::read(reader)).map(AnyConfig::Prepared),
+    }
+}
+
+fn checked<T>(outcome: SettingsOutcome<T>) -> Option<T> {
     outcome.warnings.iter().for_each(|warning| eprintln!("mustardrill-agent: warning: {warning}"));
     match outcome.settings {
         Ok(config) => Some(config),
@@ -57,7 +76,48 @@
     }
 }
 
-fn run(config: AgentConfig) -> ExitCode {
+fn run(config: AnyConfig) -> ExitCode {
+    match config {
+        AnyConfig::Own(config) => run_own(config),
+        AnyConfig::Prepared(config) => run_prepared(config),
+    }
+}
+
+fn run_prepared(config: StockConfig) -> ExitCode {
+    logging::init(&config.instance, config.log);
+    // One thread: the machines of that platform have a fraction of one core.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("the runtime starts");
+    let code = runtime.block_on(serve_prepared(config));
+    runtime.shutdown_background();
+    code
+}
+
+async fn serve_prepared(config: StockConfig) -> ExitCode {
+    let (stop, halt) = (CancellationToken::new(), CancellationToken::new());
+    signal::spawn(stop.clone(), halt).expect("signals can be watched");
+    let client = HttpClient::open(CONNECT_TIMEOUT);
+    let borders = StockBorders {
+        source: Box::new(PlatformStore::open(client.clone(), config.store)),
+        engine: Box::new(PlatformEngine::open(client.clone(), config.stock.engine)),
+        origin: Box::new(PlatformOrigin::open(client)),
+    };
+    let listen = config.listen;
+    let handle = match stock::spawn(config, borders).await {
+        Ok(handle) => handle,
+        Err(error) => {
+            eprintln!(
+                "mustardrill-agent: can't listen at {listen}: {error}; free the port or change [agent] listen"
+            );
+            return ExitCode::FAILURE;
+        }
+    };
+    stop.cancelled().await;
+    handle.halt();
+    ExitCode::SUCCESS
+}
+
+fn run_own(config: AgentConfig) -> ExitCode {
     logging::init(config.agent.own.id.as_str(), config.log);
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let runtime = runtime.expect("the runtime starts");
--- /dev/null
+++ b/mustardrill_agent/src/stock/effects.rs
@@ -0,0 +1,237 @@
+//! Carries out what the reducer of an agent that stocks its engine decides.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::StatusCode;
+use kameo::prelude::*;
+use mustardrill_core::direct::FleetChange;
+use mustardrill_core::manifest::ChunkBitmap;
+use mustardrill_core::stock::{StockEvent, VersionId, WeightSource};
+use mustardrill_core::transfer::{ChunkDraw, ChunkSource, DrawOutcome};
+use mustardrill_runtime::border::{ChunkList, FleetPart, OrderAnswer};
+use mustardrill_runtime::datagram::{Datagram, EngineRow};
+use mustardrill_runtime::http::{CallError, request};
+use mustardrill_types::ChunkIndex;
+use tokio_util::sync::CancellationToken;
+
+use crate::stock::actor::{Event, ListFetched, StockActor, StockContext};
+use crate::stock::peers::{self, chunk_path, list_path};
+
+/// How long a connection to another agent may take to be made.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The largest chunk or list taken from another agent.
+const PEER_LIMIT: usize = 4 << 20;
+
+/// How long another agent may take for a list.
+const LIST_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A chunk to be drawn.
+pub(crate) struct ChunkOrder {
+    pub(crate) version: VersionId,
+    pub(crate) draw: ChunkDraw,
+    pub(crate) address: SocketAddr,
+}
+
+/// Reads who else serves the same models.
+pub(crate) fn read_peers(context: Arc<StockContext>, actor: ActorRef<StockActor>) {
+    tokio::spawn(async move {
+        match context.borders.source.read_part(FleetPart::Upstreams).await {
+            Ok(page) => {
+                let _ = actor.tell(Event(StockEvent::Fleet(page))).await;
+            }
+            // The peers known from before do for a transfer.
+            Err(error) => log::warn!("peers outcome=kept reason=\"{error}\""),
+        }
+    });
+}
+
+/// Fetches a list of chunks from the first source that has it.
+pub(crate) fn fetch_list(
+    context: Arc<StockContext>,
+    actor: ActorRef<StockActor>,
+    version: VersionId,
+    sources: Vec<WeightSource>,
+) {
+    tokio::spawn(async move {
+        let mut found = None;
+        for source in &sources {
+            match list_from(&context, &version, source).await {
+                Ok(list) => {
+                    found = Some(list);
+                    break;
+                }
+                Err(reason) => {
+                    log::info!(
+                        "list version={version} source={source} outcome=failed reason=\"{reason}\""
+                    );
+                }
+            }
+        }
+        let _ = actor.tell(ListFetched(version, found)).await;
+    });
+}
+
+async fn list_from(
+    context: &StockContext,
+    version: &VersionId,
+    source: &WeightSource,
+) -> Result<ChunkList, Box<str>> {
+    let origin = &context.borders.origin;
+    let list = match source {
+        WeightSource::Origin(address) => {
+            origin.list(*address, &version.model, version.version).await?
+        }
+        WeightSource::Peer(peer) => {
+            let uri = format!("http://{peer}:{}{}", context.config.stock.port, list_path(version));
+            let call =
+                context.client.call(request("GET", &uri, Bytes::new()), LIST_TIMEOUT, PEER_LIMIT);
+            let answer = call.await.map_err(|error| error.to_string())?;
+            if answer.status != StatusCode::OK {
+                return Err(format!("status {}", answer.status).into());
+            }
+            origin.read_list(answer.body)?
+        }
+    };
+    if list.model != version.model || list.version != version.version {
+        return Err(format!("the list is of {}:{}", list.model, list.version).into());
+    }
+    Ok(list)
+}
+
+/// Draws a chunk, verifies it and stages it.
+pub(crate) fn draw(
+    context: Arc<StockContext>,
+    actor: ActorRef<StockActor>,
+    list: Arc<ChunkList>,
+    order: ChunkOrder,
+    token: CancellationToken,
+) {
+    tokio::spawn(async move {
+        let drawing = draw_and_stage(&context, &list, &order);
+        let patience = order.draw.patience.to_std();
+        let outcome = tokio::select! {
+            outcome = tokio::time::timeout(patience, drawing) => outcome.unwrap_or(DrawOutcome::Failed),
+            () = token.cancelled() => return,
+        };
+        let ChunkDraw { index, source, .. } = order.draw;
+        let event = StockEvent::DrawEnded(order.version, index, source, outcome);
+        let _ = actor.tell(Event(event)).await;
+    });
+}
+
+async fn draw_and_stage(
+    context: &StockContext,
+    list: &ChunkList,
+    order: &ChunkOrder,
+) -> DrawOutcome {
+    let ChunkOrder { version, draw, address } = order;
+    let bytes = match &draw.source {
+        ChunkSource::Origin => {
+            let origin = &context.borders.origin;
+            let chunk = origin.chunk(*address, &version.model, version.version, draw.index);
+            chunk.await.map_err(|reason| {
+                log::info!("chunk version={version} index={} source=origin outcome=failed reason=\"{reason}\"", draw.index);
+                DrawOutcome::Failed
+            })
+        }
+        ChunkSource::Peer(_) => chunk_from_peer(context, order).await,
+    };
+    let bytes = match bytes {
+        Ok(bytes) => bytes,
+        Err(outcome) => return outcome,
+    };
+    if !context.borders.origin.verifies(list, draw.index, &bytes) {
+        return DrawOutcome::Corrupt;
+    }
+    if !context.borders.engine.stage(&version.model, draw.index, bytes).await {
+        log::warn!("chunk version={version} index={} outcome=not-staged", draw.index);
+        return DrawOutcome::Failed;
+    }
+    DrawOutcome::Verified
+}
+
+async fn chunk_from_peer(context: &StockContext, order: &ChunkOrder) -> Result<Bytes, DrawOutcome> {
+    let uri = format!("http://{}{}", order.address, chunk_path(&order.version, order.draw.index));
+    let call = request("GET", &uri, Bytes::new());
+    let answer = context.client.call(call, order.draw.patience.to_std(), PEER_LIMIT).await;
+    match answer {
+        Ok(answer) if answer.status == StatusCode::OK => Ok(answer.body),
+        Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
+            Err(DrawOutcome::Busy(Vec::new()))
+        }
+        Ok(_) => Err(DrawOutcome::Missing),
+        Err(CallError::BadBody | CallError::NoAnswer { .. } | CallError::Timeout) => {
+            Err(DrawOutcome::Failed)
+        }
+        Err(CallError::NotSent { .. }) => Err(DrawOutcome::Failed),
+    }
+}
+
+/// Reads all staged chunks back and says which are whole.
+pub(crate) fn read_back(
+    context: Arc<StockContext>,
+    actor: ActorRef<StockActor>,
+    version: VersionId,
+    list: Arc<ChunkList>,
+) {
+    tokio::spawn(async move {
+        let total = list.digests.len() as u32;
+        let mut whole = ChunkBitmap::empty(total);
+        for index in (0..total).map(ChunkIndex) {
+            let bytes = context.borders.engine.staged(&version.model, index).await;
+            let Some(bytes) = bytes else { continue };
+            if context.borders.origin.verifies(&list, index, &bytes) {
+                whole.insert(index);
+            }
+        }
+        let _ = actor.tell(Event(StockEvent::ReadBack(version, whole))).await;
+    });
+}
+
+/// Orders the engine to load what is staged.
+pub(crate) fn order(
+    context: Arc<StockContext>,
+    actor: ActorRef<StockActor>,
+    version: VersionId,
+    sequence: u64,
+) {
+    tokio::spawn(async move {
+        let answer = context.borders.engine.load(&version.model, version.version, sequence).await;
+        if answer != OrderAnswer::Taken {
+            log::warn!("order version={version} sequence={sequence} outcome=\"{answer}\"");
+        }
+        // An order without an answer may have been taken: the engine's state tells.
+        let taken = answer != OrderAnswer::Conflict;
+        let _ = actor.tell(Event(StockEvent::Ordered(version, taken))).await;
+    });
+}
+
+/// Tells all entries what the engine takes and serves; twice, as datagrams get lost.
+pub(crate) fn tell_entries(context: Arc<StockContext>, accepting: bool, version: VersionId) {
+    const TELL_AGAIN: Duration = Duration::from_millis(60);
+    tokio::spawn(async move {
+        let page = match context.borders.source.read_part(FleetPart::Entries).await {
+            Ok(page) => page,
+            Err(error) => {
+                // The entries learn of it from the registry and from answers.
+                log::warn!("entries outcome=untold reason=\"{error}\"");
+                return;
+            }
+        };
+        let entries = page.changes.iter().filter_map(|change| match change {
+            FleetChange::Peer(peer) => Some(peer.address),
+            _ => None,
+        });
+        let entries: Vec<_> = entries.collect();
+        let mut datagram = Datagram::new(&context.config.stock.own);
+        let address = context.config.stock.engine;
+        datagram.engine = Some(EngineRow::new(address, accepting, &version.model, version.version));
+        peers::send(context.clone(), datagram.clone(), entries.clone());
+        tokio::time::sleep(TELL_AGAIN).await;
+        peers::send(context, datagram, entries);
+    });
+}
--- /dev/null
+++ b/mustardrill_agent/src/stock/mod.rs
@@ -0,0 +1,11 @@
+//! The agent on a platform where entries send to upstreams themselves: it stocks its engine.
+
+mod actor;
+mod config;
+mod effects;
+mod peers;
+mod upload;
+mod watch;
+
+pub use actor::{StockBorders, StockHandle, spawn};
+pub use config::{StockConfig, read};
--- /dev/null
+++ b/mustardrill_agent/src/stock/peers.rs
@@ -0,0 +1,172 @@
+//! What agents tell and give each other: holdings by datagram, lists and chunks over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode, Uri};
+use kameo::prelude::*;
+use mustardrill_core::manifest::ChunkBitmap;
+use mustardrill_core::stock::{HoldingNews, StockEvent, VersionId};
+use mustardrill_runtime::datagram::{DATAGRAM_LIMIT, Datagram, HoldingRow};
+use mustardrill_runtime::http::{AnyResponse, HttpHandler, text_response, whole_body};
+use mustardrill_types::{ChunkIndex, WeightVersion};
+
+use crate::stock::actor::{Event, HoldsQuery, ListQuery, StockActor, StockContext};
+
+/// The size by which uploads are counted before they are read, in bytes.
+const USUAL_CHUNK: usize = 24_576;
+
+/// Where a list of chunks is found at an agent.
+pub(crate) fn list_path(version: &VersionId) -> String {
+    format!("/v1/lists/{}/{}", version.model, version.version)
+}
+
+/// Where a chunk is found at an agent.
+pub(crate) fn chunk_path(version: &VersionId, index: ChunkIndex) -> String {
+    format!("/v1/chunks/{}/{}/{index}", version.model, version.version)
+}
+
+/// Answers other agents.
+pub(crate) struct PeerHandler {
+    actor: ActorRef<StockActor>,
+    context: Arc<StockContext>,
+}
+
+/// What another agent asks for.
+enum PeerCall {
+    List(VersionId),
+    Chunk(VersionId, ChunkIndex),
+}
+
+impl PeerHandler {
+    pub(crate) fn new(actor: ActorRef<StockActor>, context: Arc<StockContext>) -> Self {
+        Self { actor, context }
+    }
+}
+
+impl HttpHandler for PeerHandler {
+    fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> BoxFuture<'static, AnyResponse> {
+        let (actor, context) = (self.actor.clone(), self.context.clone());
+        Box::pin(async move {
+            match read_call(request.uri()) {
+                Some(PeerCall::List(version)) => give_list(&actor, version).await,
+                Some(PeerCall::Chunk(version, index)) => {
+                    give_chunk(&actor, &context, version, index).await
+                }
+                None => text_response(StatusCode::NOT_FOUND, "unknown path\n"),
+            }
+        })
+    }
+}
+
+fn read_call(uri: &Uri) -> Option<PeerCall> {
+    let mut words = uri.path().strip_prefix("/v1/")?.split('/');
+    let kind = words.next()?;
+    let model = words.next()?.parse().ok()?;
+    let version = words.next()?.parse::<WeightVersion>().ok()?;
+    let version = VersionId { model, version };
+    match kind {
+        "lists" => Some(PeerCall::List(version)),
+        "chunks" => Some(PeerCall::Chunk(version, words.next()?.parse().ok()?)),
+        _ => None,
+    }
+}
+
+async fn give_list(actor: &ActorRef<StockActor>, version: VersionId) -> AnyResponse {
+    let list = actor.ask(ListQuery(version)).await.ok().and_then(|reply| reply.0);
+    match list {
+        Some(list) => Response::new(whole_body(list.published.clone())),
+        None => text_response(StatusCode::NOT_FOUND, "not here\n"),
+    }
+}
+
+async fn give_chunk(
+    actor: &ActorRef<StockActor>,
+    context: &StockContext,
+    version: VersionId,
+    index: ChunkIndex,
+) -> AnyResponse {
+    let model = version.model.clone();
+    if !actor.ask(HoldsQuery(version, index)).await.unwrap_or(false) {
+        return text_response(StatusCode::NOT_FOUND, "not here\n");
+    }
+    if !context.uploads.accept(context.clock.now(), USUAL_CHUNK) {
+        return text_response(StatusCode::SERVICE_UNAVAILABLE, "busy\n");
+    }
+    let bytes = context.borders.engine.staged(&model, index).await;
+    match bytes {
+        Some(bytes) => Response::new(whole_body(bytes)),
+        None => text_response(StatusCode::NOT_FOUND, "not staged\n"),
+    }
+}
+
+/// Tells other agents what is held of a version.
+pub(crate) fn tell_holding(
+    context: Arc<StockContext>,
+    version: &VersionId,
+    to: Vec<SocketAddr>,
+    bitmap: &ChunkBitmap,
+    asks: bool,
+) {
+    let mut datagram = Datagram::new(&context.config.stock.own);
+    datagram.holding = Some(HoldingRow {
+        model: version.model.to_string(),
+        version: version.version.0,
+        bitmap: bitmap.to_bytes(),
+        queue: context.uploads.waiting(context.clock.now(), USUAL_CHUNK),
+        asks,
+    });
+    send(context, datagram, to);
+}
+
+/// Sends a datagram to each address.
+pub(crate) fn send(context: Arc<StockContext>, datagram: Datagram, to: Vec<SocketAddr>) {
+    let bytes = datagram.to_bytes();
+    tokio::spawn(async move {
+        for address in to {
+            if let Err(error) = context.socket.send_to(&bytes, address).await {
+                log::debug!("datagram to={address} outcome=unsent reason=\"{error}\"");
+            }
+        }
+    });
+}
+
+/// Starts to hear other agents.
+pub(crate) fn spawn_hearing(actor: ActorRef<StockActor>, context: Arc<StockContext>) {
+    let halt = context.halt.clone();
+    tokio::spawn(halt.run_until_cancelled_owned(hear(actor, context)));
+}
+
+async fn hear(actor: ActorRef<StockActor>, context: Arc<StockContext>) {
+    const ERROR_PAUSE: Duration = Duration::from_millis(50);
+    let mut buffer = vec![0; DATAGRAM_LIMIT];
+    loop {
+        match context.socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => {
+                if let Some(news) = Datagram::read(&buffer[..length]).and_then(news_of) {
+                    let _ = actor.tell(Event(StockEvent::HoldingSeen(news))).await;
+                }
+            }
+            Err(error) => {
+                // An earlier datagram met a closed port: its receiver is gone.
+                log::debug!("datagram outcome=unheard reason=\"{error}\"");
+                tokio::time::sleep(ERROR_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn news_of(datagram: Datagram) -> Option<HoldingNews> {
+    let row = datagram.holding?;
+    let version = VersionId { model: row.model.parse().ok()?, version: WeightVersion(row.version) };
+    Some(HoldingNews {
+        from: datagram.from.parse().ok()?,
+        version,
+        bitmap: row.bitmap.into(),
+        queue: row.queue,
+        asks: row.asks,
+    })
+}
--- /dev/null
+++ b/mustardrill_agent/src/stock/watch.rs
@@ -0,0 +1,87 @@
+//! Follows the versions named in the store, and the engine's state.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::prelude::*;
+use log::{info, warn};
+use mustardrill_core::direct::FleetChange;
+use mustardrill_core::stock::{EngineView, StockEvent};
+use mustardrill_runtime::border::{EngineState, FleetScope, StoreError};
+use mustardrill_types::Millis;
+use rand::Rng;
+
+use crate::stock::actor::{BusyQuery, Event, StockActor, StockContext};
+
+/// The least pause after a call that failed.
+const RETRY_PAUSE: Millis = Millis(200);
+
+/// How often the time is looked at while chunks are drawn or an order is under way: a chunk takes
+/// about 30 ms on the links of the engines.
+const BUSY_EVERY: Duration = Duration::from_millis(25);
+
+/// How often the engine is asked while there is something to be done.
+const BUSY_LOOK: Millis = Millis(100);
+
+/// Starts following the store and the engine.
+pub(crate) fn spawn(actor: ActorRef<StockActor>, context: Arc<StockContext>) {
+    let halt = context.halt.clone();
+    let following = follow(actor.clone(), context.clone());
+    tokio::spawn(halt.clone().run_until_cancelled_owned(following));
+    tokio::spawn(halt.run_until_cancelled_owned(look(actor, context)));
+}
+
+async fn follow(actor: ActorRef<StockActor>, context: Arc<StockContext>) {
+    let source = &context.borders.source;
+    let (mut revision, mut scope) = (None, FleetScope::Operator);
+    loop {
+        let read = match revision {
+            Some(revision) => source.read_changes(scope, revision, context.config.watch).await,
+            None => source.read_all().await,
+        };
+        match read {
+            Ok(page) => {
+                revision = Some(page.at);
+                if page.changes.iter().any(|change| matches!(change, FleetChange::Configured(_))) {
+                    scope = FleetScope::Versions;
+                }
+                let _ = actor.tell(Event(StockEvent::Fleet(page))).await;
+            }
+            Err(StoreError::HistoryGone) => {
+                info!("store outcome=read-anew reason=history-gone revision={revision:?}");
+                revision = None;
+            }
+            Err(error) => {
+                warn!("dependency=store outcome=failed reason=\"{error}\"");
+                let spread = rand::rng().random_range(0..=RETRY_PAUSE.0);
+                tokio::time::sleep(Millis(RETRY_PAUSE.0 + spread).to_std()).await;
+            }
+        }
+    }
+}
+
+/// Asks the engine for its state, and looks at the time more often while there is work.
+async fn look(actor: ActorRef<StockActor>, context: Arc<StockContext>) {
+    loop {
+        let state = context.borders.engine.state().await.map(view);
+        let _ = actor.tell(Event(StockEvent::EngineSeen(state))).await;
+        let asked = context.clock.now();
+        loop {
+            let busy = actor.ask(BusyQuery).await.unwrap_or(false);
+            let (pause, look) = if busy {
+                (BUSY_EVERY, BUSY_LOOK)
+            } else {
+                (context.config.look_every.to_std(), context.config.look_every)
+            };
+            tokio::time::sleep(pause).await;
+            if context.clock.now().since(asked) >= look {
+                break;
+            }
+            let _ = actor.tell(Event(StockEvent::Woke)).await;
+        }
+    }
+}
+
+fn view(state: EngineState) -> EngineView {
+    EngineView { busy: state.busy, sequence: state.sequence, serving: state.serving }
+}
--- /dev/null
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -0,0 +1,374 @@
+//! How an entry sends requests to upstreams, lets them wait, and goes on after an attempt.
+
+use log::info;
+use mustardrill_types::{InstanceId, Millis, Moment, ResultCode, ServiceName, WeightVersion};
+use rand::Rng;
+
+use crate::direct::event::{
+    AttemptOutcome, DirectEffect, LoadReport, RefusalPlan, RequestNumber, SendPlan,
+};
+use crate::direct::forecast::{EngineForecast, WorkSize};
+use crate::direct::pressure::{self, ChoiceInputs};
+use crate::direct::reducer::DirectReducer;
+use crate::direct::request::{RequestStage, RequestState};
+use crate::direct::route::EngineProfile;
+use crate::direct::upstream::UpstreamState;
+use crate::direct::waiting::WaitRank;
+
+/// When a caller may come back where no upstream is listed.
+const NO_UPSTREAM_RETRY: Millis = Millis(500);
+
+/// The least after which a caller may come back to a full fleet.
+const FULL_RETRY: Millis = Millis(150);
+
+/// The most after which a caller may come back to a full fleet; callers wait no longer than a
+/// third of the time that they have left.
+const LONGEST_RETRY: Millis = Millis(1_800);
+
+/// How long a request that was sent once waits for another upstream.
+const REPEAT_WAIT: Millis = Millis(1_000);
+
+/// Upstreams that can't be reached before a request is given up.
+const UNREACHED_LIMIT: usize = 4;
+
+/// Requests for each slot that wait for a plain service, whose times nobody tells.
+const PLAIN_QUEUE: usize = 2;
+
+impl DirectReducer {
+    /// Sends a request that came now, lets it wait, or refuses it at once.
+    pub(super) fn start(&mut self, now: Moment, number: RequestNumber) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.get(&number) else { return Vec::new() };
+        let service = state.service.clone();
+        let rank = state.rank(now);
+        let first = self.queues.get(&service).and_then(|queue| queue.first());
+        if first.is_none_or(|first| rank < first)
+            && let Some(upstream) = self.choose(now, state)
+        {
+            return self.send(now, number, upstream);
+        }
+        self.wait(now, number, rank)
+    }
+
+    /// Lets a request wait, or refuses it where that would be in vain.
+    fn wait(&mut self, now: Moment, number: RequestNumber, rank: WaitRank) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.get(&number) else { return Vec::new() };
+        let until = self.wait_end(now, state);
+        let ahead = self.queues.get(&state.service).map_or(0, |queue| queue.ahead(&rank));
+        if !self.is_possible(now, state) {
+            return self.refuse(now, number, ResultCode::NoUpstream, NO_UPSTREAM_RETRY);
+        }
+        let expected = self.expected_wait(now, state, ahead);
+        if now + expected > until {
+            let retry_after = self.spread(expected);
+            return self.refuse(now, number, ResultCode::Overloaded, retry_after);
+        }
+        let service = state.service.clone();
+        self.queues.entry(service).or_default().push(rank, until);
+        if let Some(state) = self.requests.get_mut(&number) {
+            state.stage = RequestStage::Waiting(rank);
+        }
+        Vec::new()
+    }
+
+    /// Until when a request waits for an upstream.
+    fn wait_end(&self, now: Moment, state: &RequestState) -> Moment {
+        if !state.tried.is_empty() || rank_is_late(state, now) {
+            return (now + REPEAT_WAIT).min(state.deadline);
+        }
+        let share = state.objective_span().0 * u64::from(self.settings.wait_percent) / 100;
+        (state.arrived + Millis(share)).min(state.deadline)
+    }
+
+    /// Whether any upstream may take the request once it has room.
+    fn is_possible(&self, now: Moment, state: &RequestState) -> bool {
+        let usable = self.upstreams.usable(now, &state.service);
+        usable.iter().any(|upstream| self.fits(now, state, upstream))
+    }
+
+    /// How long a request waits behind `ahead` others, where the profile lets that be told.
+    fn expected_wait(&self, now: Moment, state: &RequestState, ahead: usize) -> Millis {
+        let usable = self.upstreams.usable(now, &state.service).len().max(1);
+        let Some(profile) = self.profile(&state.service) else {
+            let places = self.upstreams.slots(&state.service) as usize * PLAIN_QUEUE;
+            return if ahead >= places { Millis(u64::MAX / 4) } else { Millis(0) };
+        };
+        let forecast = EngineForecast::new(profile);
+        let usual = WorkSize { prompt: profile.usual_prompt, answer: profile.usual_answer };
+        let whole = forecast.whole_ms(profile.slots, usual);
+        // Others ask for the freed slots as well, so this entry gets its share of them.
+        let entries = self.peers().len() + 1;
+        let turn = whole * entries as f64 / f64::from(profile.slots.max(1)) / usable as f64;
+        Millis((turn * (ahead + 1) as f64) as u64)
+    }
+
+    /// A time to come back after `expected`, spread so that callers don't return all at once.
+    fn spread(&mut self, expected: Millis) -> Millis {
+        let least = expected.0.clamp(FULL_RETRY.0, LONGEST_RETRY.0 / 2);
+        Millis(least + self.random.random_range(0..=least))
+    }
+
+    /// Sends waiting requests while upstreams have room.
+    pub(super) fn pump(&mut self, now: Moment, service: &ServiceName) -> Vec<DirectEffect> {
+        let mut effects = Vec::new();
+        while let Some(rank) = self.queues.get(service).and_then(|queue| queue.first()) {
+            let Some(state) = self.requests.get(&rank.number) else { break };
+            let Some(upstream) = self.choose(now, state) else { break };
+            if let Some(queue) = self.queues.get_mut(service) {
+                queue.remove(&rank);
+            }
+            effects.extend(self.send(now, rank.number, upstream));
+        }
+        effects
+    }
+
+    /// The upstream for a request; nothing where none has room.
+    fn choose(&self, now: Moment, state: &RequestState) -> Option<InstanceId> {
+        let usable = self.upstreams.usable(now, &state.service);
+        let fitting = usable.into_iter().filter(|upstream| self.fits(now, state, upstream));
+        let (tried, fresh): (Vec<_>, Vec<_>) =
+            fitting.partition(|upstream| state.tried.contains(&upstream.record.id));
+        let candidates = if fresh.is_empty() { tried } else { fresh };
+        let patience = self.settings.peer_patience;
+        let mut best: Option<(f64, &InstanceId)> = None;
+        for upstream in candidates {
+            let id = &upstream.record.id;
+            let present = self.upstreams.present(now, id, patience);
+            if present >= pressure::limit(upstream.record.slots, self.settings.ahead) {
+                continue;
+            }
+            let cost = pressure::cost(&ChoiceInputs {
+                present,
+                slots: upstream.record.slots,
+                far: upstream.record.data_centre != self.settings.data_centre,
+                failing: upstream.failing,
+            });
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    /// Whether an upstream holds weights that the request may be run with.
+    fn fits(&self, now: Moment, state: &RequestState, upstream: &UpstreamState) -> bool {
+        let Some(model) = &state.model else { return true };
+        if self.profile(&state.service).is_none() {
+            return true;
+        }
+        let Some(version) = upstream.version_of(model) else { return false };
+        let floor = self.floor(now, state);
+        floor.is_none_or(|floor| version >= floor)
+            && state.pinned.is_none_or(|pinned| version == pinned)
+    }
+
+    fn floor(&self, now: Moment, state: &RequestState) -> Option<WeightVersion> {
+        let model = state.model.as_ref()?;
+        self.versions.floor(now, model, self.settings.version_patience)
+    }
+
+    fn profile(&self, service: &ServiceName) -> Option<&EngineProfile> {
+        self.document.as_ref()?.service(service)?.engine.as_ref()
+    }
+
+    fn send(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+        upstream: InstanceId,
+    ) -> Vec<DirectEffect> {
+        if let Err(code) = self.readmit(now, number) {
+            return self.refuse(now, number, code, Millis(0));
+        }
+        let Some(state) = self.requests.get(&number) else { return Vec::new() };
+        let Some(target) = self.upstreams.get(&upstream) else { return Vec::new() };
+        if state.deadline <= now {
+            return self.refuse(now, number, ResultCode::DeadlinePassed, Millis(0));
+        }
+        let address = target.record.address;
+        let profile = self.document.as_ref().and_then(|it| it.service(&state.service));
+        let entries = self.peers().len() as u32 + 1;
+        // A version that has replaced all others is demanded, should the belief be wrong.
+        let pinned = state.pinned.or_else(|| {
+            let newest = self.versions.newest(state.model.as_ref()?)?;
+            let floor = self.floor(now, state)?;
+            (floor == newest && floor.0 > 1).then_some(floor)
+        });
+        let plan = SendPlan {
+            upstream: upstream.clone(),
+            address,
+            connections: profile.map_or(0, |profile| profile.connections) / entries,
+            customer: state.customer.clone(),
+            pinned,
+            deadline: state.deadline,
+            silence: self.settings.silence,
+            repeat: state.repeat,
+            priority: state.priority,
+        };
+        info!(
+            "request={} decision=send instance={upstream} waited={} attempt={} present={} pinned={}",
+            state.attempt,
+            now.since(state.arrived),
+            state.tried.len() + 1,
+            self.upstreams.present(now, &upstream, self.settings.peer_patience),
+            plan.pinned.map_or(0, |version| version.0),
+        );
+        self.upstreams.sent(&upstream);
+        if let Some(state) = self.requests.get_mut(&number) {
+            state.tried.push(upstream.clone());
+            state.stage = RequestStage::Sent(upstream);
+        }
+        vec![DirectEffect::Send(number, plan)]
+    }
+
+    pub(super) fn answering(
+        &mut self,
+        number: RequestNumber,
+        load: Option<LoadReport>,
+        version: Option<WeightVersion>,
+    ) {
+        let Some(state) = self.requests.get_mut(&number) else { return };
+        let RequestStage::Sent(upstream) = &state.stage else { return };
+        if state.pinned.is_none() && state.repeat.is_stream() {
+            state.pinned = version;
+        }
+        self.upstreams.answering(upstream, load, state.model.as_ref(), version);
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+        outcome: AttemptOutcome,
+    ) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.get_mut(&number) else { return Vec::new() };
+        let RequestStage::Sent(upstream) = state.stage.clone() else { return Vec::new() };
+        state.stage = RequestStage::Between;
+        let service = state.service.clone();
+        let attempt = state.attempt.clone();
+        self.upstreams.left(&upstream);
+        self.upstreams.judge(now, &upstream, outcome, self.settings.ejection);
+        if outcome != AttemptOutcome::Whole {
+            info!("request={attempt} instance={upstream} outcome={outcome:?}");
+        }
+        let mut effects = self.go_on(now, number, outcome);
+        effects.extend(self.pump(now, &service));
+        effects
+    }
+
+    fn go_on(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+        outcome: AttemptOutcome,
+    ) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.get_mut(&number) else { return Vec::new() };
+        state.reached += u32::from(outcome != AttemptOutcome::NotSent);
+        match outcome {
+            AttemptOutcome::Whole => {
+                self.requests.remove(&number);
+                Vec::new()
+            }
+            AttemptOutcome::Failed => {
+                state.may_have_run = true;
+                if state.is_repeatable() && self.may_repeat(now, number) {
+                    return self.again(now, number);
+                }
+                self.requests.remove(&number);
+                vec![DirectEffect::PassOn(number)]
+            }
+            AttemptOutcome::Full | AttemptOutcome::Misdirected => {
+                if self.may_repeat(now, number) {
+                    return self.again(now, number);
+                }
+                let retry_after = self.spread(FULL_RETRY);
+                self.refuse(now, number, ResultCode::Overloaded, retry_after)
+            }
+            AttemptOutcome::NotSent => {
+                if state.tried.len() < UNREACHED_LIMIT {
+                    return self.again(now, number);
+                }
+                self.refuse(now, number, ResultCode::NoUpstream, NO_UPSTREAM_RETRY)
+            }
+            AttemptOutcome::Lost { delivered } => {
+                state.may_have_run = true;
+                state.delivered |= delivered;
+                if state.is_repeatable() && self.may_repeat(now, number) {
+                    return self.again(now, number);
+                }
+                self.refuse(now, number, ResultCode::Unknown, Millis(0))
+            }
+        }
+    }
+
+    /// Whether the request may be sent once more: by its route's attempts, its deadline and the
+    /// budget of its service.
+    fn may_repeat(&mut self, now: Moment, number: RequestNumber) -> bool {
+        let Some(state) = self.requests.get(&number) else { return false };
+        if state.reached >= state.attempts_limit || state.deadline <= now {
+            return false;
+        }
+        let window = self.windows.entry(state.service.clone()).or_default();
+        let granted = window.spend(now, &self.settings.retry);
+        if !granted {
+            info!("request={} decision=no-repeat reason=budget", state.attempt);
+        }
+        granted
+    }
+
+    fn again(&mut self, now: Moment, number: RequestNumber) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.get(&number) else { return Vec::new() };
+        if !self.is_possible(now, state) {
+            let code = ResultCode::NoUpstream;
+            return self.refuse(now, number, code, NO_UPSTREAM_RETRY);
+        }
+        let rank = state.rank(now);
+        match self.choose(now, state) {
+            Some(upstream) => self.send(now, number, upstream),
+            None => self.wait(now, number, rank),
+        }
+    }
+
+    /// Gives up a request that found no upstream with room in time.
+    pub(super) fn waited_in_vain(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+    ) -> Vec<DirectEffect> {
+        if let Some(state) = self.requests.get_mut(&number) {
+            state.stage = RequestStage::Between;
+        }
+        let retry_after = self.spread(FULL_RETRY);
+        self.refuse(now, number, ResultCode::Overloaded, retry_after)
+    }
+
+    /// Ends a request without a whole answer, at once.
+    pub(super) fn refuse(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+        code: ResultCode,
+        retry_after: Millis,
+    ) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.remove(&number) else { return Vec::new() };
+        self.release(&state);
+        // A later attempt's refusal says nothing of an earlier one that may have run.
+        let code = match code {
+            _ if state.delivered => ResultCode::AnswerCut,
+            code if state.may_have_run && code.is_not_run() => ResultCode::Unknown,
+            code => code,
+        };
+        info!(
+            "request={} decision=refuse code={code} waited={} attempts={} queue={} usable={} retry_after={retry_after}",
+            state.attempt,
+            now.since(state.arrived),
+            state.tried.len(),
+            self.queues.get(&state.service).map_or(0, |queue| queue.len()),
+            self.upstreams.usable(now, &state.service).len(),
+        );
+        vec![DirectEffect::Refuse(number, RefusalPlan { code, retry_after })]
+    }
+}
+
+fn rank_is_late(state: &RequestState, now: Moment) -> bool {
+    now >= state.objective
+}
--- /dev/null
+++ b/mustardrill_core/src/direct/event.rs
@@ -0,0 +1,201 @@
+//! What an entry that sends to upstreams itself sees, and what it does about it, as data.
+
+use std::net::SocketAddr;
+
+use mustardrill_types::{
+    CustomerName, DataCentre, Generation, InstanceId, Millis, ModelName, Moment, ResultCode,
+    WeightVersion,
+};
+
+use crate::direct::fleet::FleetPage;
+use crate::direct::forecast::WorkSize;
+use crate::direct::route::RepeatRule;
+use crate::direct::spending::RetryShare;
+
+/// The number of a request within one entry.
+#[derive(Debug, derive_more::Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestNumber(pub u64);
+
+/// A request as it came from a caller.
+#[derive(Debug, Clone)]
+pub struct DirectRequest {
+    /// The request.
+    pub number: RequestNumber,
+    /// The caller's own name for it, which upstreams are told and log lines show.
+    pub attempt: Box<str>,
+    /// The host that it is for.
+    pub host: Box<str>,
+    /// Its path without a query.
+    pub path: Box<str>,
+    /// The key that the caller showed.
+    pub key: Option<Box<str>>,
+    /// How long the caller waits; nothing where it did not say.
+    pub patience: Option<Millis>,
+    /// When its head came.
+    pub arrived: Moment,
+    /// The model that it is for, where it is for one.
+    pub model: Option<ModelName>,
+    /// How large it is, as far as the caller says.
+    pub size: WorkSize,
+    /// Whether the caller goes on with a stream that another connection began.
+    pub resumes: bool,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// The whole answer came and goes, or went, to the caller.
+    Whole,
+    /// The upstream ran the request and failed; its whole answer is at hand.
+    Failed,
+    /// The upstream says that it did not run the request: it is full.
+    Full,
+    /// The upstream says that it did not run the request: another start of it, or other weights.
+    Misdirected,
+    /// No connection could be made, so nothing was sent.
+    NotSent,
+    /// The attempt was sent, may have run, and has no whole answer.
+    Lost {
+        /// Whether the caller has events of it already.
+        delivered: bool,
+    },
+}
+
+/// The load that an upstream told with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// What another entry has at upstreams.
+#[derive(Debug, Clone)]
+pub struct PeerLoad {
+    /// The entry.
+    pub from: InstanceId,
+    /// Its requests at each upstream.
+    pub outstanding: Vec<(InstanceId, u32)>,
+}
+
+/// Something that happened at or to the entry.
+#[derive(Debug, Clone)]
+pub enum DirectEvent {
+    /// A caller sent a request.
+    Arrived(DirectRequest),
+    /// The caller is gone, or its answer has ended.
+    Gone(RequestNumber),
+    /// An answer began.
+    Answering(RequestNumber, Option<LoadReport>, Option<WeightVersion>),
+    /// An attempt ended.
+    Ended(RequestNumber, AttemptOutcome),
+    /// The store answered; the call was sent at that moment.
+    Fleet(FleetPage, Moment),
+    /// The store did not answer.
+    StoreFailed,
+    /// Another entry told its load.
+    PeerHeard(PeerLoad),
+    /// An agent tells what its engine serves, or that it takes no work while it loads.
+    EngineHeard {
+        /// Where the engine listens.
+        address: SocketAddr,
+        /// Whether it takes requests.
+        accepting: bool,
+        /// The weights that it holds whole.
+        model: ModelName,
+        /// Their version; zero for none.
+        version: WeightVersion,
+    },
+    /// The moment came for which `DirectEffect::Wake` asked.
+    Woke,
+}
+
+/// Something that the entry does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum DirectEffect {
+    /// Send a request to an upstream.
+    Send(RequestNumber, SendPlan),
+    /// Tell the caller that there is no answer, or cut the one that is under way.
+    Refuse(RequestNumber, RefusalPlan),
+    /// Give the caller the upstream's failure that is at hand.
+    PassOn(RequestNumber),
+    /// Send `DirectEvent::Woke` at that moment.
+    Wake(Moment),
+}
+
+/// An attempt to be sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SendPlan {
+    /// The upstream.
+    pub upstream: InstanceId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Connections to it that this entry may keep.
+    pub connections: u32,
+    /// Who calls; nothing on a public route without a key.
+    pub customer: Option<CustomerName>,
+    /// The weights that the answer must be made from, where only those will do.
+    pub pinned: Option<WeightVersion>,
+    /// When the caller's time ends.
+    pub deadline: Moment,
+    /// How long the upstream may be silent before and within its answer.
+    pub silence: Millis,
+    /// What may be repeated.
+    pub repeat: RepeatRule,
+    /// The rank towards the upstream; zero is the most urgent.
+    pub priority: u8,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RefusalPlan {
+    /// The code.
+    pub code: ResultCode,
+    /// When it is worth coming back.
+    pub retry_after: Millis,
+}
+
+/// What an entry must know of itself and how it decides.
+#[derive(Debug, Clone)]
+pub struct DirectSettings {
+    /// The entry's own instance.
+    pub own: InstanceId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// A key is taken while the configuration was proved newest less than this ago.
+    pub proof_limit: Millis,
+    /// A request may begin on older weights for this long after newer ones were seen named.
+    pub version_patience: Millis,
+    /// What this entry may repeat.
+    pub retry: RetryShare,
+    /// Requests beyond its slots that an upstream gets at once, from all entries together.
+    pub ahead: u32,
+    /// The share of its objective that a request may wait here, in percent.
+    pub wait_percent: u32,
+    /// How long an upstream may be silent before its first event and between events.
+    pub silence: Millis,
+    /// How long an upstream stays listed whose registration ended while the store was away.
+    pub lapse_grace: Millis,
+    /// Another entry's load counts for this long after its last word.
+    pub peer_patience: Millis,
+    /// How long an upstream that can't be reached is left alone at first; doubled each time.
+    pub ejection: Millis,
+}
+
+/// Where the entry stands, for its operators and for readiness.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StatusRow {
+    /// The configuration in force.
+    pub generation: Option<Generation>,
+    /// How old the proof is that it is the newest.
+    pub proof_age: Option<Millis>,
+    /// Upstreams listed.
+    pub upstreams: usize,
+    /// Requests in progress.
+    pub requests: usize,
+    /// Requests that wait for an upstream.
+    pub waiting: usize,
+}
--- /dev/null
+++ b/mustardrill_core/src/direct/freshness.rs
@@ -0,0 +1,32 @@
+//! How long ago the configuration was proved to be the newest.
+//!
+//! A key that is taken away must be refused after a bounded time by entries that the store turns
+//! away, too. Such an entry hears nothing, so it goes by the age of its last proof. The moments
+//! must come from a clock that counts suspension: an entry that was frozen has an old proof.
+
+use mustardrill_types::{Millis, Moment};
+
+/// The time of the last proof.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ProofClock {
+    proved: Option<Moment>,
+}
+
+impl ProofClock {
+    /// Notes a complete answer of the store to a call that was sent at `sent`.
+    ///
+    /// The answer may have been made any time after that, so only the sending is certain.
+    pub fn prove(&mut self, sent: Moment) {
+        self.proved = Some(self.proved.map_or(sent, |proved| proved.max(sent)));
+    }
+
+    /// How old the proof is; nothing where there was none.
+    pub fn age(&self, now: Moment) -> Option<Millis> {
+        self.proved.map(|proved| now.since(proved))
+    }
+
+    /// Whether the proof is younger than `limit`.
+    pub fn is_fresh(&self, now: Moment, limit: Millis) -> bool {
+        self.age(now).is_some_and(|age| age < limit)
+    }
+}
--- /dev/null
+++ b/mustardrill_core/src/direct/mod.rs
@@ -0,0 +1,35 @@
+//! Serving on a platform where an entry sends requests to upstreams itself.
+//!
+//! The operator's configuration, the upstreams and the versions named come from the platform's
+//! store. [`DirectReducer`] takes them and the callers' requests as events, and says as data who
+//! is asked, who waits and who is refused. Nothing here does I/O or reads a clock.
+
+mod dispatch;
+mod event;
+mod fleet;
+mod forecast;
+mod freshness;
+mod pressure;
+mod reducer;
+mod request;
+mod route;
+mod spending;
+mod upstream;
+mod version;
+mod waiting;
+
+pub use event::{
+    AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, LoadReport, PeerLoad,
+    RefusalPlan, RequestNumber, SendPlan, StatusRow,
+};
+pub use fleet::{FleetChange, FleetPage, PeerRecord, ServedWeights, UpstreamRecord};
+pub use forecast::{EngineForecast, WorkSize};
+pub use freshness::ProofClock;
+pub use reducer::DirectReducer;
+pub use route::{
+    CallerLimits, CustomerRecord, EngineProfile, ModelProfile, OriginProfile, RepeatRule,
+    RouteDocument, RouteRule, ServiceProfile,
+};
+pub use spending::{RetryShare, RetryWindow};
+pub use version::VersionTable;
+pub use waiting::{WaitQueue, WaitRank};
--- /dev/null
+++ b/mustardrill_core/src/direct/pressure.rs
@@ -0,0 +1,40 @@
+//! How many requests an upstream is given at once, and who is asked first.
+//!
+//! Load pattern: entries that don't see each other's requests fill one engine while another
+//! idles. The count therefore covers all entries. An engine gets a few requests beyond its slots,
+//! so that a slot never idles for the way back and forth, and no more: one that waits inside an
+//! engine can't be moved to another one that becomes free.
+
+/// How many an upstream of `slots` slots may have from all entries together.
+pub(crate) fn limit(slots: u32, ahead: u32) -> u32 {
+    slots.max(1) + ahead
+}
+
+/// What makes an upstream a worse choice; the least goes first.
+pub(crate) struct ChoiceInputs {
+    /// Requests there, of all entries.
+    pub(crate) present: u32,
+    /// Its slots.
+    pub(crate) slots: u32,
+    /// Whether it stands in another data centre.
+    pub(crate) far: bool,
+    /// The share of its latest answers that failed.
+    pub(crate) failing: f64,
+}
+
+/// A far upstream is asked where a near one has this much more of its slots taken.
+///
+/// Bytes between data centres are billed; a sixteenth of the slots is one request of an engine.
+const FAR_PENALTY: f64 = 0.06;
+
+/// A failing upstream counts as this much busier for each whole share of failures.
+///
+/// At 2.0 one that fails half of its answers is asked only when all others are full.
+const FAILURE_PENALTY: f64 = 2.0;
+
+/// The cost of a choice.
+pub(crate) fn cost(inputs: &ChoiceInputs) -> f64 {
+    let busy = f64::from(inputs.present) / f64::from(inputs.slots.max(1));
+    let far = if inputs.far { FAR_PENALTY } else { 0.0 };
+    busy + far + inputs.failing * FAILURE_PENALTY
+}
--- /dev/null
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -0,0 +1,342 @@
+//! One reducer over all events of an entry that sends to upstreams itself.
+
+use std::sync::Arc;
+
+use log::{info, warn};
+use mustardrill_types::{FastMap, FastSet, Millis, Moment, ResultCode, ServiceName};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::direct::event::{
+    DirectEffect, DirectEvent, DirectRequest, DirectSettings, RefusalPlan, RequestNumber, StatusRow,
+};
+use crate::direct::fleet::{FleetChange, FleetPage, PeerRecord};
+use crate::direct::freshness::ProofClock;
+use crate::direct::request::{RequestStage, RequestState};
+use crate::direct::route::{RouteDocument, RouteRule};
+use crate::direct::spending::RetryWindow;
+use crate::direct::upstream::UpstreamTable;
+use crate::direct::version::VersionTable;
+use crate::direct::waiting::WaitQueue;
+
+/// How long an agent's word counts that its engine takes no requests.
+///
+/// Loading takes less; an agent that dies meanwhile must not keep its engine idle.
+const PAUSE_LIMIT: Millis = Millis(5_000);
+
+/// When a caller may come back to an entry that has no proof of its configuration.
+///
+/// Another entry may have one, and the balancer gives each new connection to another.
+const PROOF_RETRY: Millis = Millis(300);
+
+/// The state of one entry.
+#[derive(Debug)]
+pub struct DirectReducer {
+    pub(super) settings: DirectSettings,
+    pub(super) document: Option<Arc<RouteDocument>>,
+    pub(super) proof: ProofClock,
+    pub(super) upstreams: UpstreamTable,
+    pub(super) versions: VersionTable,
+    pub(super) requests: FastMap<RequestNumber, RequestState>,
+    pub(super) queues: FastMap<ServiceName, WaitQueue>,
+    pub(super) windows: FastMap<ServiceName, RetryWindow>,
+    pub(super) random: SmallRng,
+    peers: Vec<PeerRecord>,
+    /// Whether the last call to the store failed.
+    store_away: bool,
+    /// When the store answered again after it was away.
+    store_back: Moment,
+    /// The moment of the last wish to be woken that has not come yet.
+    wake: Option<Moment>,
+}
+
+impl DirectReducer {
+    /// A reducer that knows nothing yet. `seed` decides between equals.
+    pub fn new(settings: DirectSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            document: None,
+            proof: ProofClock::default(),
+            upstreams: UpstreamTable::default(),
+            versions: VersionTable::default(),
+            requests: FastMap::default(),
+            queues: FastMap::default(),
+            windows: FastMap::default(),
+            random: SmallRng::seed_from_u64(seed),
+            peers: Vec::new(),
+            store_away: false,
+            store_back: Moment(0),
+            wake: None,
+        }
+    }
+
+    /// Takes an event at `now` and returns what is to be done.
+    pub fn reduce(&mut self, now: Moment, event: DirectEvent) -> Vec<DirectEffect> {
+        let mut effects = match event {
+            DirectEvent::Arrived(request) => self.arrived(now, request),
+            DirectEvent::Gone(number) => self.gone(now, number),
+            DirectEvent::Answering(number, load, version) => {
+                self.answering(number, load, version);
+                Vec::new()
+            }
+            DirectEvent::Ended(number, outcome) => self.ended(now, number, outcome),
+            DirectEvent::Fleet(page, sent) => self.fleet_seen(now, page, sent),
+            DirectEvent::StoreFailed => {
+                self.store_failed(now);
+                Vec::new()
+            }
+            DirectEvent::PeerHeard(load) => {
+                self.upstreams.hear(now, load);
+                self.pump_all(now)
+            }
+            DirectEvent::EngineHeard { address, accepting, model, version } => {
+                let Some(state) = self.upstreams.by_address(address) else { return Vec::new() };
+                state.paused_until = if accepting { Moment(0) } else { now + PAUSE_LIMIT };
+                if accepting && version.0 > 0 {
+                    state.serves(&model, version);
+                }
+                info!(
+                    "engine instance={} accepting={accepting} model={model} version={version} source=agent",
+                    state.record.id
+                );
+                self.pump_all(now)
+            }
+            DirectEvent::Woke => self.woke(now),
+        };
+        effects.extend(self.next_wake(now));
+        effects
+    }
+
+    /// The configuration in force.
+    pub fn document(&self) -> Option<&Arc<RouteDocument>> {
+        self.document.as_ref()
+    }
+
+    /// The other entries.
+    pub fn peers(&self) -> &[PeerRecord] {
+        &self.peers
+    }
+
+    /// What this entry has at each upstream, for the other entries.
+    pub fn outstanding(&self) -> Vec<(mustardrill_types::InstanceId, u32)> {
+        let ids = self.upstreams.ids().into_iter();
+        let counted = ids.map(|id| (self.upstreams.get(&id).map_or(0, |it| it.own), id));
+        counted.filter(|(own, _)| *own > 0).map(|(own, id)| (id, own)).collect()
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self, now: Moment) -> bool {
+        self.document.is_some() && self.proof.is_fresh(now, self.settings.proof_limit)
+    }
+
+    /// Where the entry stands.
+    pub fn status(&self, now: Moment) -> StatusRow {
+        StatusRow {
+            generation: self.document.as_ref().map(|document| document.generation),
+            proof_age: self.proof.age(now),
+            upstreams: self.upstreams.len(),
+            requests: self.requests.len(),
+            waiting: self.queues.values().map(WaitQueue::len).sum(),
+        }
+    }
+
+    fn arrived(&mut self, now: Moment, request: DirectRequest) -> Vec<DirectEffect> {
+        let number = request.number;
+        let attempt = request.attempt.clone();
+        match self.admit(now, request) {
+            Ok(state) => {
+                let service = state.service.clone();
+                let share = &self.settings.retry;
+                self.windows.entry(service).or_default().earn(now, share);
+                self.requests.insert(number, state);
+                self.start(now, number)
+            }
+            Err(plan) => {
+                info!(
+                    "request={attempt} decision=refuse code={} generation={} proof_age={}",
+                    plan.code,
+                    self.document.as_ref().map_or(0, |document| document.generation.0),
+                    self.proof.age(now).map_or(-1, |age| age.0 as i64),
+                );
+                vec![DirectEffect::Refuse(number, plan)]
+            }
+        }
+    }
+
+    /// Checks who calls and what; the request's state where it may be sent.
+    fn admit(&mut self, now: Moment, request: DirectRequest) -> Result<RequestState, RefusalPlan> {
+        let refuse = |code| RefusalPlan { code, retry_after: Millis(0) };
+        let stale = RefusalPlan { code: ResultCode::NotCurrent, retry_after: PROOF_RETRY };
+        let is_fresh = self.proof.is_fresh(now, self.settings.proof_limit);
+        let document = self.document.clone().ok_or(stale)?;
+        let route = document.route(&request.host, &request.path);
+        // What an older configuration does not know, the newest one may.
+        let route = route.ok_or(if is_fresh { refuse(ResultCode::UnknownModel) } else { stale })?;
+        let customer = request.key.as_deref().and_then(|key| document.customer(key));
+        if customer.is_none() && !route.public && document.has_customers() {
+            return Err(if is_fresh { refuse(ResultCode::UnknownCustomer) } else { stale });
+        }
+        // A key may have been taken away since the last proof.
+        if customer.is_some() && !is_fresh {
+            return Err(stale);
+        }
+        let customer = customer.map(|customer| (customer.name.clone(), customer.priority));
+        let service = route.service_for(self.random.random()).clone();
+        Ok(RequestState::new(request, route, service, customer))
+    }
+
+    /// Whether a request that was admitted earlier may still be sent under the configuration in
+    /// force; moves it to another service where its route moved.
+    pub(super) fn readmit(&mut self, now: Moment, number: RequestNumber) -> Result<(), ResultCode> {
+        let Some(state) = self.requests.get_mut(&number) else { return Err(ResultCode::Withdrawn) };
+        let document = self.document.as_ref().ok_or(ResultCode::NotCurrent)?;
+        if state.customer.is_some() {
+            if !self.proof.is_fresh(now, self.settings.proof_limit) {
+                return Err(ResultCode::NotCurrent);
+            }
+            let key = state.key.as_deref().and_then(|key| document.customer(key));
+            key.ok_or(ResultCode::UnknownCustomer)?;
+        }
+        let route = document.route(&state.host, &state.path).ok_or(ResultCode::UnknownModel)?;
+        if !serves(route, &state.service) && !state.delivered {
+            state.service = route.service_for(self.random.random()).clone();
+        }
+        Ok(())
+    }
+
+    fn gone(&mut self, now: Moment, number: RequestNumber) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.remove(&number) else { return Vec::new() };
+        info!("request={} outcome=caller-gone stage={:?}", state.attempt, state.stage);
+        self.release(&state);
+        self.pump(now, &state.service)
+    }
+
+    /// Frees what a request occupies.
+    pub(super) fn release(&mut self, state: &RequestState) {
+        match &state.stage {
+            RequestStage::Waiting(rank) => {
+                if let Some(queue) = self.queues.get_mut(&state.service) {
+                    queue.remove(rank);
+                }
+            }
+            RequestStage::Sent(upstream) => self.upstreams.left(upstream),
+            RequestStage::Between => {}
+        }
+    }
+
+    fn fleet_seen(&mut self, now: Moment, page: FleetPage, sent: Moment) -> Vec<DirectEffect> {
+        if std::mem::take(&mut self.store_away) {
+            self.store_back = now;
+            info!("dependency=store outcome=regained proof_age={}", age_text(&self.proof, now));
+        }
+        let grace = self.store_back + self.settings.lapse_grace;
+        let grace = (self.store_back.0 > 0 && now < grace).then_some(grace);
+        if page.whole {
+            self.forget_missing(&page, grace);
+        }
+        for change in page.changes {
+            self.apply(now, change, grace);
+        }
+        self.proof.prove(sent);
+        self.pump_all(now)
+    }
+
+    fn forget_missing(&mut self, page: &FleetPage, grace: Option<Moment>) {
+        let mut present = FastSet::default();
+        self.peers.clear();
+        for change in &page.changes {
+            if let FleetChange::Upstream(record) = change {
+                present.insert(record.id.clone());
+            }
+        }
+        for id in self.upstreams.ids() {
+            if !present.contains(&id) {
+                self.upstreams.lapse(&id, grace);
+            }
+        }
+    }
+
+    fn apply(&mut self, now: Moment, change: FleetChange, grace: Option<Moment>) {
+        match change {
+            FleetChange::Configured(document) => {
+                let current = self.document.as_ref().map(|document| document.generation);
+                let newer = current.is_none_or(|generation| document.generation > generation);
+                info!(
+                    "config generation={} before={} outcome={}",
+                    document.generation,
+                    current.unwrap_or_default(),
+                    if newer { "applied" } else { "kept" }
+                );
+                if newer {
+                    self.document = Some(document);
+                }
+            }
+            FleetChange::Upstream(record) => self.upstreams.register(record),
+            FleetChange::UpstreamGone(id) => self.upstreams.lapse(&id, grace),
+            FleetChange::VersionNamed(model, version) => {
+                if self.versions.name(now, &model, version) {
+                    info!("weights model={model} version={version} outcome=named");
+                }
+            }
+            FleetChange::Peer(record) => {
+                if record.id != self.settings.own {
+                    self.peers.retain(|peer| peer.id != record.id);
+                    self.peers.push(record);
+                }
+            }
+            FleetChange::PeerGone(id) => {
+                self.peers.retain(|peer| peer.id != id);
+                self.upstreams.forget_peer(&id);
+            }
+        }
+    }
+
+    fn store_failed(&mut self, now: Moment) {
+        if !self.store_away {
+            warn!("dependency=store outcome=lost proof_age={}", age_text(&self.proof, now));
+        }
+        self.store_away = true;
+    }
+
+    fn woke(&mut self, now: Moment) -> Vec<DirectEffect> {
+        self.wake = None;
+        self.upstreams.forget_lapsed(now);
+        let mut effects = Vec::new();
+        for service in self.queues.keys().cloned().collect::<Vec<_>>() {
+            let Some(queue) = self.queues.get_mut(&service) else { continue };
+            for rank in queue.take_overdue(now) {
+                effects.extend(self.waited_in_vain(now, rank.number));
+            }
+        }
+        effects.extend(self.pump_all(now));
+        effects
+    }
+
+    /// The wish to be woken when the next request gives up waiting.
+    fn next_wake(&mut self, now: Moment) -> Option<DirectEffect> {
+        let overdue = self.queues.values().filter_map(WaitQueue::next_overdue).min();
+        let lapse = (self.store_back.0 > 0)
+            .then_some(self.store_back + self.settings.lapse_grace)
+            .filter(|moment| *moment >= now);
+        let next = overdue.into_iter().chain(lapse).min()?;
+        if self.wake.is_some_and(|wake| wake <= next) {
+            return None;
+        }
+        self.wake = Some(next);
+        Some(DirectEffect::Wake(next))
+    }
+
+    pub(super) fn pump_all(&mut self, now: Moment) -> Vec<DirectEffect> {
+        let busy = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        let services: Vec<_> = busy.map(|(service, _)| service.clone()).collect();
+        services.iter().flat_map(|service| self.pump(now, service)).collect()
+    }
+}
+
+fn serves(route: &RouteRule, service: &ServiceName) -> bool {
+    route.split.iter().any(|(name, _)| name == service)
+}
+
+fn age_text(proof: &ProofClock, now: Moment) -> String {
+    proof.age(now).map_or("none".into(), |age| age.to_string())
+}
--- /dev/null
+++ b/mustardrill_core/src/direct/request.rs
@@ -0,0 +1,111 @@
+//! A request in progress at an entry.
+
+use mustardrill_types::{
+    CustomerName, InstanceId, Millis, ModelName, Moment, ServiceName, WeightVersion,
+};
+
+use crate::direct::event::{DirectRequest, RequestNumber};
+use crate::direct::route::{RepeatRule, RouteRule};
+use crate::direct::waiting::WaitRank;
+
+/// One request in progress.
+#[derive(Debug)]
+pub(crate) struct RequestState {
+    pub(crate) number: RequestNumber,
+    pub(crate) attempt: Box<str>,
+    pub(crate) host: Box<str>,
+    pub(crate) path: Box<str>,
+    pub(crate) key: Option<Box<str>>,
+    pub(crate) customer: Option<CustomerName>,
+    pub(crate) service: ServiceName,
+    pub(crate) model: Option<ModelName>,
+    pub(crate) repeat: RepeatRule,
+    pub(crate) priority: u8,
+    pub(crate) attempts_limit: u32,
+    pub(crate) arrived: Moment,
+    /// Until then an answer, or a stream's first event, has its full value.
+    pub(crate) objective: Moment,
+    pub(crate) deadline: Moment,
+    pub(crate) stage: RequestStage,
+    /// Upstreams that were sent the request.
+    pub(crate) tried: Vec<InstanceId>,
+    /// Attempts that reached an upstream.
+    pub(crate) reached: u32,
+    /// Whether an attempt was sent that may have run.
+    pub(crate) may_have_run: bool,
+    /// Whether the caller has events already.
+    pub(crate) delivered: bool,
+    /// The weights of the events that the caller has.
+    pub(crate) pinned: Option<WeightVersion>,
+}
+
+/// Where a request stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum RequestStage {
+    /// It waits for an upstream.
+    Waiting(WaitRank),
+    /// It is at an upstream.
+    Sent(InstanceId),
+    /// It is between two attempts.
+    Between,
+}
+
+impl RequestState {
+    /// The state of a request on `route`, with the longest time that it may take where the caller
+    /// names none.
+    pub(crate) fn new(
+        request: DirectRequest,
+        route: &RouteRule,
+        service: ServiceName,
+        customer: Option<(CustomerName, Option<u8>)>,
+    ) -> Self {
+        let patience = request.patience.unwrap_or(route.timeout).min(route.timeout);
+        let priority = customer.as_ref().and_then(|(_, priority)| *priority);
+        Self {
+            number: request.number,
+            attempt: request.attempt,
+            host: request.host,
+            path: request.path,
+            key: request.key,
+            customer: customer.map(|(name, _)| name),
+            service,
+            model: request.model,
+            repeat: route.repeat,
+            priority: priority.unwrap_or(route.priority),
+            attempts_limit: route.attempts.max(1),
+            arrived: request.arrived,
+            objective: request.arrived + route.objective,
+            deadline: request.arrived + patience,
+            stage: RequestStage::Between,
+            tried: Vec::new(),
+            reached: 0,
+            may_have_run: false,
+            delivered: false,
+            pinned: None,
+        }
+    }
+
+    /// Its place among those that wait at `now`.
+    pub(crate) fn rank(&self, now: Moment) -> WaitRank {
+        WaitRank {
+            late: now >= self.objective,
+            priority: self.priority,
+            since: self.arrived,
+            number: self.number,
+        }
+    }
+
+    /// How long after its arrival an answer is still in time.
+    pub(crate) fn objective_span(&self) -> Millis {
+        self.objective.since(self.arrived)
+    }
+
+    /// Whether it may be sent once more after an attempt that may have run.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        match self.repeat {
+            RepeatRule::Idempotent => !self.delivered,
+            RepeatRule::StreamResumable => true,
+            RepeatRule::Once | RepeatRule::StreamOnce => false,
+        }
+    }
+}
--- /dev/null
+++ b/mustardrill_core/src/direct/upstream.rs
@@ -0,0 +1,261 @@
+//! The upstreams as one entry believes them to be.
+
+use std::net::SocketAddr;
+
+use log::info;
+use mustardrill_types::{
+    FastMap, InstanceId, Millis, ModelName, Moment, ServiceName, WeightVersion,
+};
+
+use crate::direct::event::{AttemptOutcome, LoadReport, PeerLoad};
+use crate::direct::fleet::{ServedWeights, UpstreamRecord};
+
+/// The share by which one outcome moves the share of failures.
+///
+/// A tenth remembers about ten answers: enough to tell a failing upstream within a second of the
+/// usual traffic, and few enough to forgive it as soon.
+const FAILURE_SHARE: f64 = 0.1;
+
+/// An upstream that failed this often in a row is left alone.
+const FAILURES_IN_A_ROW: u32 = 3;
+
+/// The longest that an upstream is left alone.
+const LONGEST_EJECTION: Millis = Millis(8_000);
+
+/// One upstream.
+#[derive(Debug)]
+pub(crate) struct UpstreamState {
+    pub(crate) record: UpstreamRecord,
+    /// Requests of this entry there.
+    pub(crate) own: u32,
+    /// The share of its latest answers that failed.
+    pub(crate) failing: f64,
+    /// It takes no requests until then, as it loads weights.
+    pub(crate) paused_until: Moment,
+    failed_in_a_row: u32,
+    ejections: u32,
+    ejected_until: Moment,
+    /// Its registration ended while the store was away; it is believed until then.
+    lapsed_until: Option<Moment>,
+}
+
+/// All upstreams, by instance and by service.
+#[derive(Debug, Default)]
+pub(crate) struct UpstreamTable {
+    states: FastMap<InstanceId, UpstreamState>,
+    by_service: FastMap<ServiceName, Vec<InstanceId>>,
+    peers: FastMap<InstanceId, (Moment, FastMap<InstanceId, u32>)>,
+}
+
+impl UpstreamTable {
+    /// Takes a registration over.
+    pub(crate) fn register(&mut self, record: UpstreamRecord) {
+        if let Some(state) = self.states.get_mut(&record.id) {
+            if state.record != record {
+                info!(
+                    "membership instance={} leaving={} serving={} outcome=changed",
+                    record.id,
+                    record.leaving,
+                    versions(&record.serving)
+                );
+            }
+            if state.record.serving != record.serving {
+                state.paused_until = Moment(0);
+            }
+            state.record = record;
+            state.lapsed_until = None;
+            return;
+        }
+        info!(
+            "membership instance={} service={} address={} serving={} outcome=listed",
+            record.id,
+            record.service,
+            record.address,
+            versions(&record.serving)
+        );
+        self.by_service.entry(record.service.clone()).or_default().push(record.id.clone());
+        self.states.insert(record.id.clone(), UpstreamState::new(record));
+    }
+
+    /// Forgets an upstream whose registration ended, or keeps it until `grace` ends.
+    pub(crate) fn lapse(&mut self, id: &InstanceId, grace: Option<Moment>) {
+        let Some(state) = self.states.get_mut(id) else { return };
+        if let Some(until) = grace.filter(|_| !state.record.leaving) {
+            state.lapsed_until.get_or_insert(until);
+            return;
+        }
+        info!("membership instance={id} outcome=gone");
+        self.remove(id);
+    }
+
+    /// Forgets those whose grace has ended.
+    pub(crate) fn forget_lapsed(&mut self, now: Moment) {
+        let is_over = |state: &UpstreamState| state.lapsed_until.is_some_and(|until| until <= now);
+        let over: Vec<_> =
+            self.states.iter().filter(|(_, it)| is_over(it)).map(|(id, _)| id.clone()).collect();
+        for id in over {
+            info!("membership instance={id} outcome=gone reason=lapsed");
+            self.remove(&id);
+        }
+    }
+
+    fn remove(&mut self, id: &InstanceId) {
+        if let Some(state) = self.states.remove(id)
+            && let Some(ids) = self.by_service.get_mut(&state.record.service)
+        {
+            ids.retain(|other| other != id);
+        }
+    }
+
+    pub(crate) fn ids(&self) -> Vec<InstanceId> {
+        self.states.keys().cloned().collect()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.states.len()
+    }
+
+    pub(crate) fn get(&self, id: &InstanceId) -> Option<&UpstreamState> {
+        self.states.get(id)
+    }
+
+    pub(crate) fn by_address(&mut self, address: SocketAddr) -> Option<&mut UpstreamState> {
+        self.states.values_mut().find(|state| state.record.address == address)
+    }
+
+    /// The upstreams of a service that take requests now.
+    pub(crate) fn usable(&self, now: Moment, service: &ServiceName) -> Vec<&UpstreamState> {
+        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let listed = ids.iter().filter_map(|id| self.states.get(id));
+        let open: Vec<_> =
+            listed.filter(|it| !it.record.leaving && it.paused_until <= now).collect();
+        let sound: Vec<_> = open.iter().copied().filter(|it| it.ejected_until <= now).collect();
+        // Where all are left alone, trying one is better than refusing everybody.
+        if sound.is_empty() { open } else { sound }
+    }
+
+    /// The slots of all upstreams of a service that are listed.
+    pub(crate) fn slots(&self, service: &ServiceName) -> u32 {
+        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        ids.iter().filter_map(|id| self.states.get(id)).map(|it| it.record.slots).sum()
+    }
+
+    /// Requests at an upstream, of all entries that were heard lately.
+    pub(crate) fn present(&self, now: Moment, id: &InstanceId, patience: Millis) -> u32 {
+        let own = self.states.get(id).map_or(0, |state| state.own);
+        let heard = self.peers.values().filter(|(at, _)| now.since(*at) < patience);
+        own + heard.filter_map(|(_, loads)| loads.get(id)).sum::<u32>()
+    }
+
+    /// Takes another entry's word on its load.
+    pub(crate) fn hear(&mut self, now: Moment, load: PeerLoad) {
+        self.peers.insert(load.from, (now, load.outstanding.into_iter().collect()));
+    }
+
+    pub(crate) fn forget_peer(&mut self, id: &InstanceId) {
+        self.peers.remove(id);
+    }
+
+    pub(crate) fn sent(&mut self, id: &InstanceId) {
+        if let Some(state) = self.states.get_mut(id) {
+            state.own += 1;
+        }
+    }
+
+    /// Notes that a request has left an upstream.
+    pub(crate) fn left(&mut self, id: &InstanceId) {
+        if let Some(state) = self.states.get_mut(id) {
+            state.own = state.own.saturating_sub(1);
+        }
+    }
+
+    /// Takes what an answer's beginning tells.
+    pub(crate) fn answering(
+        &mut self,
+        id: &InstanceId,
+        load: Option<LoadReport>,
+        model: Option<&ModelName>,
+        version: Option<WeightVersion>,
+    ) {
+        let Some(state) = self.states.get_mut(id) else { return };
+        if let Some(load) = load {
+            state.record.slots = load.slots;
+        }
+        if let (Some(model), Some(version)) = (model, version) {
+            state.serves(model, version);
+        }
+    }
+
+    /// Takes how an attempt ended.
+    pub(crate) fn judge(
+        &mut self,
+        now: Moment,
+        id: &InstanceId,
+        outcome: AttemptOutcome,
+        first: Millis,
+    ) {
+        let Some(state) = self.states.get_mut(id) else { return };
+        match outcome {
+            AttemptOutcome::Whole => state.succeeded(),
+            AttemptOutcome::Full | AttemptOutcome::Misdirected => {}
+            AttemptOutcome::Failed => state.failing += FAILURE_SHARE * (1.0 - state.failing),
+            AttemptOutcome::NotSent | AttemptOutcome::Lost { .. } => {
+                state.failing += FAILURE_SHARE * (1.0 - state.failing);
+                state.failed_in_a_row += 1;
+                let unreachable = outcome == AttemptOutcome::NotSent;
+                if unreachable || state.failed_in_a_row >= FAILURES_IN_A_ROW {
+                    state.eject(now, first);
+                }
+            }
+        }
+    }
+}
+
+impl UpstreamState {
+    fn new(record: UpstreamRecord) -> Self {
+        Self {
+            record,
+            own: 0,
+            failing: 0.0,
+            paused_until: Moment(0),
+            failed_in_a_row: 0,
+            ejections: 0,
+            ejected_until: Moment(0),
+            lapsed_until: None,
+        }
+    }
+
+    /// Notes that it holds a version of a model.
+    pub(crate) fn serves(&mut self, model: &ModelName, version: WeightVersion) {
+        let served = self.record.serving.iter_mut().find(|served| served.model == *model);
+        match served {
+            Some(served) => served.version = version,
+            None => self.record.serving.push(ServedWeights { model: model.clone(), version }),
+        }
+    }
+
+    /// The version of a model that it holds whole.
+    pub(crate) fn version_of(&self, model: &ModelName) -> Option<WeightVersion> {
+        let served = self.record.serving.iter().find(|served| served.model == *model);
+        served.map(|served| served.version)
+    }
+
+    fn succeeded(&mut self) {
+        self.failing -= FAILURE_SHARE * self.failing;
+        self.failed_in_a_row = 0;
+        self.ejections = 0;
+    }
+
+    fn eject(&mut self, now: Moment, first: Millis) {
+        let span = Millis(first.0 << self.ejections.min(8)).min(LONGEST_EJECTION);
+        self.ejections += 1;
+        self.failed_in_a_row = 0;
+        self.ejected_until = now + span;
+        info!("ejection instance={} span={span} times={}", self.record.id, self.ejections);
+    }
+}
+
+fn versions(serving: &[ServedWeights]) -> String {
+    let texts: Vec<_> = serving.iter().map(|it| format!("{}:{}", it.model, it.version)).collect();
+    texts.join(",")
+}
--- /dev/null
+++ b/mustardrill_core/src/direct/version.rs
@@ -0,0 +1,46 @@
+//! Which versions of a model's weights a request may still begin on.
+
+use mustardrill_types::{FastMap, Millis, ModelName, Moment, WeightVersion};
+
+/// The versions named, and when this process learned of each.
+#[derive(Debug, Default)]
+pub struct VersionTable {
+    named: FastMap<ModelName, Vec<(WeightVersion, Moment)>>,
+}
+
+impl VersionTable {
+    /// Notes a version; says whether it is newer than all before.
+    pub fn name(&mut self, now: Moment, model: &ModelName, version: WeightVersion) -> bool {
+        let known = self.named.entry(model.clone()).or_default();
+        if known.last().is_some_and(|(newest, _)| *newest >= version) {
+            return false;
+        }
+        known.push((version, now));
+        true
+    }
+
+    /// The newest version named.
+    pub fn newest(&self, model: &ModelName) -> Option<WeightVersion> {
+        self.named.get(model)?.last().map(|(version, _)| *version)
+    }
+
+    /// When the first version after `version` was named.
+    pub fn named_after(&self, model: &ModelName, version: WeightVersion) -> Option<Moment> {
+        let known = self.named.get(model)?;
+        known.iter().find(|(named, _)| *named > version).map(|(_, since)| *since)
+    }
+
+    /// When a version was named.
+    pub fn named_at(&self, model: &ModelName, version: WeightVersion) -> Option<Moment> {
+        let known = self.named.get(model)?;
+        known.iter().find(|(named, _)| *named == version).map(|(_, since)| *since)
+    }
+
+    /// The least version that a request may begin on: every version named longer ago than
+    /// `patience` has replaced those before it.
+    pub fn floor(&self, now: Moment, model: &ModelName, patience: Millis) -> Option<WeightVersion> {
+        let known = self.named.get(model)?;
+        let due = known.iter().rev().find(|(_, since)| now.since(*since) >= patience);
+        due.map(|(version, _)| *version)
+    }
+}
--- a/mustardrill_core/src/partner.rs
+++ b/mustardrill_core/src/partner.rs
@@ -151,15 +151,24 @@
         }
     }
 
-    /// The least loaded usable partner that holds the chunk; near ones go first between equals.
+    /// Whether a partner holds the chunk and may be asked for it now.
+    pub fn is_usable(&self, now: Moment, id: &InstanceId, index: ChunkIndex) -> bool {
+        self.partners.get(id).is_some_and(|partner| partner.is_usable(now, index))
+    }
+
+    /// The least loaded usable partner that holds the chunk; near ones go first between equals,
+    /// and only they are asked where `far` is false.
     pub fn best_holder(
         &self,
         now: Moment,
         index: ChunkIndex,
+        far: bool,
         random: &mut SmallRng,
     ) -> Option<InstanceId> {
         let mut best: Option<(u32, u32, &InstanceId)> = None;
-        for (id, partner) in self.partners.iter().filter(|(_, it)| it.is_usable(now, index)) {
+        let usable =
+            |partner: &PartnerState| partner.is_usable(now, index) && (far || partner.near);
+        for (id, partner) in self.partners.iter().filter(|(_, it)| usable(it)) {
             let load = (partner.queue + partner.flights) * 2 + u32::from(!partner.near);
             let tie = random.random::<u32>();
             if best.is_none_or(|(least, other, _)| (load, tie) < (least, other)) {
--- /dev/null
+++ b/mustardrill_core/src/stock/mod.rs
@@ -0,0 +1,16 @@
+//! Keeps the engine beside an agent stocked with the weights that the operator named.
+//!
+//! The chunks are staged beside the engine, not in the agent's memory. [`StockReducer`] decides
+//! what is drawn from where, when the staged copy is read back, and when the engine is ordered to
+//! load it. Nothing here does I/O or reads a clock.
+
+mod event;
+mod reducer;
+mod turn;
+
+pub use event::{
+    EngineView, HoldingNews, StockEffect, StockEvent, StockSettings, StockStatus, VersionId,
+    WeightSource,
+};
+pub use reducer::StockReducer;
+pub use turn::{TurnSettings, is_worth_finishing, turn_of};
--- /dev/null
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -0,0 +1,636 @@
+//! One reducer over all events of an agent that stocks its engine.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use log::{debug, info, warn};
+use mustardrill_types::{ChunkIndex, FastMap, InstanceId, Millis, Moment, WeightVersion};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::direct::{
+    FleetChange, FleetPage, OriginProfile, RouteDocument, UpstreamRecord, VersionTable,
+};
+use crate::manifest::{ChunkBitmap, Manifest};
+use crate::rendezvous;
+use crate::stock::event::{
+    EngineView, HoldingNews, StockEffect, StockEvent, StockSettings, StockStatus, VersionId,
+    WeightSource,
+};
+use crate::stock::turn::{is_worth_finishing, turn_of};
+use crate::transfer::{ChunkSource, DrawOutcome, TransferPeer, TransferPlan};
+
+/// The version that engines hold before any is named.
+const FIRST_VERSION: WeightVersion = WeightVersion(1);
+
+/// How many agents ask the origin for a list first; the others ask them.
+const LIST_DRAWERS: usize = 2;
+
+/// How long until a list is asked for again: about what the first in rank take to fetch it.
+const LIST_RETRY: Millis = Millis(150);
+
+/// How long an order may take before it is looked at again.
+const ORDER_PATIENCE: Millis = Millis(4_000);
+
+/// Where the wanted version stands.
+#[derive(Debug)]
+enum StockStage {
+    /// Its list of chunks is awaited.
+    Listing { next_try: Moment, tries: u32 },
+    /// An earlier staged copy is looked at.
+    Inspecting(Box<TransferPlan>),
+    /// Its chunks are drawn.
+    Drawing(Box<TransferPlan>),
+    /// All chunks are staged; its turn is awaited.
+    Staged(Box<TransferPlan>, Moment),
+    /// The staged chunks are read back before the order.
+    Checking(Box<TransferPlan>),
+    /// The engine was ordered to load them.
+    Ordered(Box<TransferPlan>, OrderState),
+}
+
+/// An order that was given.
+#[derive(Debug, Clone, Copy)]
+struct OrderState {
+    since: Moment,
+    /// Whether the engine has taken it; what is staged may be replaced from then on.
+    taken: bool,
+}
+
+/// The state of one agent.
+#[derive(Debug)]
+pub struct StockReducer {
+    settings: StockSettings,
+    document: Option<Arc<RouteDocument>>,
+    /// The upstreams of this service by the address of their machine.
+    peers: FastMap<InstanceId, TransferPeer>,
+    /// Registrations, to find the peer that one ends.
+    registered: FastMap<InstanceId, InstanceId>,
+    versions: VersionTable,
+    engine: Option<EngineView>,
+    wanted: Option<VersionId>,
+    stage: Option<StockStage>,
+    /// The version whose chunks are staged whole.
+    staged: Option<(VersionId, u32)>,
+    told: Moment,
+    told_far: Moment,
+    told_count: u32,
+    /// Whether the staged copy may be of the version wanted, after a restart.
+    inspect: bool,
+    random: SmallRng,
+}
+
+impl StockReducer {
+    /// A reducer that knows nothing yet. `seed` decides between equals.
+    pub fn new(settings: StockSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            document: None,
+            peers: FastMap::default(),
+            registered: FastMap::default(),
+            versions: VersionTable::default(),
+            engine: None,
+            wanted: None,
+            stage: None,
+            staged: None,
+            told: Moment(0),
+            told_far: Moment(0),
+            told_count: 0,
+            inspect: true,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes an event at `now` and returns what is to be done.
+    pub fn reduce(&mut self, now: Moment, event: StockEvent) -> Vec<StockEffect> {
+        let mut effects = match event {
+            StockEvent::Fleet(page) => self.fleet_seen(now, page),
+            StockEvent::EngineSeen(view) => self.engine_seen(view),
+            StockEvent::ListSeen(version, list) => self.list_seen(now, version, list),
+            StockEvent::HoldingSeen(news) => self.holding_seen(now, &news),
+            StockEvent::DrawEnded(version, index, source, outcome) => {
+                self.draw_ended(now, &version, index, &source, &outcome);
+                Vec::new()
+            }
+            StockEvent::ReadBack(version, whole) => self.read_back(now, &version, &whole),
+            StockEvent::Ordered(version, taken) => self.ordered(now, &version, taken),
+            StockEvent::Woke => Vec::new(),
+        };
+        effects.extend(self.advance(now));
+        effects
+    }
+
+    /// Whether there is anything to be done soon, so that the agent looks at the time often.
+    pub fn is_busy(&self) -> bool {
+        self.stage.is_some()
+    }
+
+    /// Whether a version's chunk is staged here.
+    pub fn holds(&self, version: &VersionId, index: ChunkIndex) -> bool {
+        if self.staged.as_ref().is_some_and(|(staged, _)| staged == version) {
+            return true;
+        }
+        self.wanted.as_ref() == Some(version)
+            && self.plan().is_some_and(|plan| plan.held().contains(index))
+    }
+
+    /// Where the stocking stands.
+    pub fn status(&self) -> StockStatus {
+        StockStatus {
+            wanted: self.wanted.clone(),
+            held: self.plan().map_or(0, |plan| plan.held().count()),
+            total: self.plan().map_or(0, |plan| plan.manifest().chunk_count()),
+            serving: self.wanted.is_some() && self.stage.is_none(),
+        }
+    }
+
+    fn plan(&self) -> Option<&TransferPlan> {
+        match self.stage.as_ref()? {
+            StockStage::Listing { .. } => None,
+            StockStage::Inspecting(plan)
+            | StockStage::Drawing(plan)
+            | StockStage::Staged(plan, _)
+            | StockStage::Checking(plan)
+            | StockStage::Ordered(plan, _) => Some(plan),
+        }
+    }
+
+    fn plan_mut(&mut self) -> Option<&mut TransferPlan> {
+        match self.stage.as_mut()? {
+            StockStage::Listing { .. } => None,
+            StockStage::Inspecting(plan)
+            | StockStage::Drawing(plan)
+            | StockStage::Staged(plan, _)
+            | StockStage::Checking(plan)
+            | StockStage::Ordered(plan, _) => Some(plan),
+        }
+    }
+
+    fn fleet_seen(&mut self, now: Moment, page: FleetPage) -> Vec<StockEffect> {
+        let mut effects = Vec::new();
+        if page.whole {
+            self.peers.clear();
+            self.registered.clear();
+        }
+        for change in page.changes {
+            match change {
+                FleetChange::Configured(document) => self.document = Some(document),
+                FleetChange::Upstream(record) => self.register(&record),
+                FleetChange::UpstreamGone(id) => {
+                    if let Some(peer) = self.registered.remove(&id) {
+                        self.peers.remove(&peer);
+                    }
+                }
+                FleetChange::VersionNamed(model, version) => {
+                    if self.versions.name(now, &model, version) {
+                        info!("weights model={model} version={version} outcome=named");
+                        // Who else needs it was read long ago.
+                        if !page.whole {
+                            effects.push(StockEffect::ReadPeers);
+                        }
+                    }
+                }
+                FleetChange::Peer(_) | FleetChange::PeerGone(_) => {}
+            }
+        }
+        let peers = self.transfer_peers();
+        if let Some(plan) = self.plan_mut() {
+            plan.set_peers(&peers);
+        }
+        effects
+    }
+
+    fn register(&mut self, record: &UpstreamRecord) {
+        let Some(id) = machine(record.address.ip()) else { return };
+        if record.service != self.settings.service {
+            return;
+        }
+        self.registered.insert(record.id.clone(), id.clone());
+        let data_centre = record.data_centre.clone();
+        self.peers.insert(id.clone(), TransferPeer { id, data_centre });
+    }
+
+    /// All agents of the service, this one included.
+    fn transfer_peers(&self) -> Vec<TransferPeer> {
+        let mut peers: Vec<_> = self.peers.values().cloned().collect();
+        if !self.peers.contains_key(&self.settings.own) {
+            let id = self.settings.own.clone();
+            peers.push(TransferPeer { id, data_centre: self.settings.data_centre.clone() });
+        }
+        peers.sort_by(|left, right| left.id.cmp(&right.id));
+        peers
+    }
+
+    fn engine_seen(&mut self, view: Option<EngineView>) -> Vec<StockEffect> {
+        let before = self.engine.take();
+        let Some(view) = view else { return Vec::new() };
+        let mut effects = Vec::new();
+        let restarted = before.as_ref().is_none_or(|before| view.sequence < before.sequence)
+            || view.serving.is_empty();
+        if restarted && self.stage.is_none() {
+            self.inspect = true;
+        }
+        let served = before.map(|before| before.serving).unwrap_or_default();
+        if served != view.serving
+            && let Some(now_served) = view.serving.first()
+        {
+            let version = version_of(now_served);
+            info!("engine serving={version} sequence={} outcome=changed", view.sequence);
+            effects.push(StockEffect::TellEntries { accepting: true, version });
+        }
+        self.engine = Some(view);
+        effects
+    }
+
+    /// Where nothing was drawn since the agent's start, what the engine serves is what was staged.
+    /// Whoever draws from here verifies it.
+    fn assume_staged(&mut self) {
+        if self.staged.is_some() || self.stage.is_some() {
+            return;
+        }
+        let served = self.engine.as_ref().and_then(|engine| engine.serving.first());
+        self.staged = served.map(version_of).zip(self.total_chunks());
+    }
+
+    fn total_chunks(&self) -> Option<u32> {
+        let document = self.document.as_ref()?;
+        let engine = document.service(&self.settings.service)?.engine.as_ref()?;
+        Some(engine.chunks)
+    }
+
+    /// The version that the engine should serve.
+    fn target(&self) -> Option<VersionId> {
+        let document = self.document.as_ref()?;
+        let engine = document.service(&self.settings.service)?.engine.as_ref()?;
+        let model = engine.models.first()?.name.clone();
+        let version = self.versions.newest(&model).unwrap_or(FIRST_VERSION);
+        Some(VersionId { model, version })
+    }
+
+    /// Does what the present state asks for.
+    fn advance(&mut self, now: Moment) -> Vec<StockEffect> {
+        let mut effects = self.retarget(now);
+        self.assume_staged();
+        let Some(stage) = self.stage.take() else { return effects };
+        let Some(wanted) = self.wanted.clone() else { return effects };
+        let (next, more) = self.step(now, &wanted, stage);
+        self.stage = next;
+        effects.extend(more);
+        effects.extend(self.tell(now, &wanted));
+        effects
+    }
+
+    /// Begins with a version that is wanted newly, or ends where the engine serves it.
+    fn retarget(&mut self, now: Moment) -> Vec<StockEffect> {
+        let (Some(target), Some(engine)) = (self.target(), &self.engine) else {
+            return Vec::new();
+        };
+        let serves = engine.serving.iter().any(|served| version_of(served) == target);
+        if self.wanted.as_ref() == Some(&target) && self.stage.is_some() {
+            if !serves {
+                return Vec::new();
+            }
+            self.stage = None;
+            self.inspect = false;
+            info!("weights version={target} outcome=served");
+            return vec![StockEffect::TellEntries { accepting: true, version: target }];
+        }
+        if serves {
+            self.wanted = Some(target);
+            return Vec::new();
+        }
+        if self.finishes_older(now) {
+            return Vec::new();
+        }
+        let mut effects = Vec::new();
+        if let Some(old) = self.wanted.replace(target.clone()).filter(|old| *old != target) {
+            effects.push(StockEffect::DropList(old));
+        }
+        info!(
+            "weights version={target} decision=stock serving={} inspect={}",
+            engine.serving.first().map_or("none".into(), |served| version_of(served).to_string()),
+            self.inspect
+        );
+        self.stage = Some(StockStage::Listing { next_try: now, tries: 0 });
+        effects
+    }
+
+    /// Whether the version under way is finished before the newer one is begun.
+    fn finishes_older(&self, now: Moment) -> bool {
+        let (Some(wanted), Some(stage)) = (&self.wanted, &self.stage) else { return false };
+        let plan = match stage {
+            StockStage::Listing { .. } | StockStage::Inspecting(_) => return false,
+            StockStage::Ordered(_, order) => return !order.taken,
+            StockStage::Drawing(plan)
+            | StockStage::Staged(plan, _)
+            | StockStage::Checking(plan) => plan,
+        };
+        let Some(named) = self.versions.named_at(&wanted.model, wanted.version) else {
+            return false;
+        };
+        let held = plan.held().count() * 100 / plan.manifest().chunk_count().max(1);
+        is_worth_finishing(now, named, held, self.settings.turns)
+    }
+
+    /// One step of a stage; the stage that follows, and what is to be done.
+    fn step(
+        &mut self,
+        now: Moment,
+        wanted: &VersionId,
+        stage: StockStage,
+    ) -> (Option<StockStage>, Vec<StockEffect>) {
+        match stage {
+            StockStage::Listing { next_try, tries } if next_try <= now => {
+                let sources = self.list_sources(wanted, tries);
+                let next_try = now + LIST_RETRY;
+                let stage = StockStage::Listing { next_try, tries: tries + 1 };
+                (Some(stage), vec![StockEffect::FetchList(wanted.clone(), sources)])
+            }
+            StockStage::Drawing(plan) => self.draw(now, wanted, plan),
+            StockStage::Staged(plan, staged) if self.turn(wanted, staged) <= now => {
+                (Some(StockStage::Checking(plan)), vec![StockEffect::ReadBack(wanted.clone())])
+            }
+            StockStage::Ordered(plan, order) if now.since(order.since) > ORDER_PATIENCE => {
+                warn!("order version={wanted} outcome=overdue");
+                (Some(StockStage::Staged(plan, now)), Vec::new())
+            }
+            stage => (Some(stage), Vec::new()),
+        }
+    }
+
+    fn draw(
+        &mut self,
+        now: Moment,
+        wanted: &VersionId,
+        mut plan: Box<TransferPlan>,
+    ) -> (Option<StockStage>, Vec<StockEffect>) {
+        if plan.is_complete() {
+            let counts = plan.counts();
+            info!(
+                "weights version={wanted} outcome=staged origin_bytes={} peer_bytes={} corrupt={}",
+                counts.origin_bytes, counts.peer_bytes, counts.corrupt_chunks
+            );
+            let total = plan.manifest().chunk_count();
+            self.staged = Some((wanted.clone(), total));
+            return (Some(StockStage::Staged(plan, now)), Vec::new());
+        }
+        let late = plan.overdue(now).into_iter();
+        let mut effects: Vec<_> =
+            late.map(|(index, source)| StockEffect::CancelDraw(index, source)).collect();
+        let origin = self.origin();
+        for draw in plan.next_draws(now) {
+            let address = match &draw.source {
+                ChunkSource::Origin => origin,
+                ChunkSource::Peer(id) => self.address(id),
+            };
+            match address {
+                Some(address) => {
+                    effects.push(StockEffect::Draw(wanted.clone(), draw, address));
+                }
+                None => {
+                    plan.finished(now, draw.index, &draw.source, &DrawOutcome::Failed);
+                }
+            }
+        }
+        (Some(StockStage::Drawing(plan)), effects)
+    }
+
+    /// When this engine's turn to load comes; at once for one that serves nothing.
+    fn turn(&self, wanted: &VersionId, staged: Moment) -> Moment {
+        let served = self.engine.as_ref().and_then(|engine| engine.serving.first());
+        let named = self.versions.named_at(&wanted.model, wanted.version);
+        let (Some(served), Some(named)) = (served, named) else { return Moment(0) };
+        let replaced = self.versions.named_after(&wanted.model, served.version).unwrap_or(named);
+        let turns = self.settings.turns;
+        // All have staged it at about the same time, so each goes by its own.
+        let first = (named + turns.first).max(staged);
+        let last = (named + turns.last).min(replaced + turns.last);
+        let ids: Vec<_> = self.transfer_peers().into_iter().map(|peer| peer.id).collect();
+        let subject = wanted.to_string();
+        turn_of((first, last), subject.as_bytes(), &ids, &self.settings.own)
+    }
+
+    /// Whom to ask for a list: the first in rank ask the origin, the others ask them first.
+    fn list_sources(&mut self, wanted: &VersionId, tries: u32) -> Vec<WeightSource> {
+        let origin = self.origin().map(WeightSource::Origin);
+        let ids: Vec<_> = self.transfer_peers().into_iter().map(|peer| peer.id).collect();
+        let subject = wanted.to_string();
+        let ranked = rendezvous::ranked(subject.as_bytes(), &ids, |id| id.as_str());
+        let place = ranked.iter().position(|id| **id == self.settings.own).unwrap_or(0);
+        let others = ranked.iter().filter(|id| ***id != self.settings.own);
+        let mut peers: Vec<_> =
+            others.take(LIST_DRAWERS).map(|id| WeightSource::Peer((*id).clone())).collect();
+        if !ids.is_empty() && tries > 0 {
+            let any = &ids[self.random.random_range(0..ids.len())];
+            peers.push(WeightSource::Peer(any.clone()));
+        }
+        if place < LIST_DRAWERS || tries > 1 {
+            return origin.into_iter().chain(peers).collect();
+        }
+        peers
+    }
+
+    fn origin(&self) -> Option<SocketAddr> {
+        Some(self.origin_profile()?.address)
+    }
+
+    fn origin_profile(&self) -> Option<&OriginProfile> {
+        let document = self.document.as_ref()?;
+        document.services().find_map(|(_, profile)| profile.origin.as_ref())
+    }
+
+    /// How long the origin's link takes for a chunk, in milliseconds; zero where not told.
+    fn origin_pace(&self) -> f64 {
+        const BITS_PER_MS: f64 = 1_000.0;
+        let Some(mbps) = self.origin_profile().map(|origin| origin.link_mbps) else { return 0.0 };
+        let document = self.document.as_ref();
+        let service = document.and_then(|document| document.service(&self.settings.service));
+        let bytes = service.and_then(|service| Some(service.engine.as_ref()?.chunk_size.0));
+        if mbps > 0.0 { bytes.unwrap_or(0) as f64 * 8.0 / (mbps * BITS_PER_MS) } else { 0.0 }
+    }
+
+    fn address(&self, id: &InstanceId) -> Option<SocketAddr> {
+        Some(SocketAddr::new(id.as_str().parse().ok()?, self.settings.port))
+    }
+
+    fn list_seen(
+        &mut self,
+        now: Moment,
+        version: VersionId,
+        list: Option<Arc<Manifest>>,
+    ) -> Vec<StockEffect> {
+        let Some(StockStage::Listing { .. }) = &self.stage else { return Vec::new() };
+        if self.wanted.as_ref() != Some(&version) {
+            return Vec::new();
+        }
+        let Some(list) = list else { return Vec::new() };
+        let peers = self.transfer_peers();
+        let own = TransferPeer {
+            id: self.settings.own.clone(),
+            data_centre: self.settings.data_centre.clone(),
+        };
+        let mut transfer = self.settings.transfer.clone();
+        transfer.origin_pace = self.origin_pace();
+        let mut plan = TransferPlan::new(now, own, list, transfer, self.random.random());
+        plan.set_peers(&peers);
+        self.told = Moment(0);
+        if std::mem::take(&mut self.inspect) {
+            self.stage = Some(StockStage::Inspecting(Box::new(plan)));
+            return vec![StockEffect::ReadBack(version)];
+        }
+        // From the first chunk on, the staged copy is no longer the earlier version.
+        self.staged = None;
+        self.stage = Some(StockStage::Drawing(Box::new(plan)));
+        Vec::new()
+    }
+
+    fn holding_seen(&mut self, now: Moment, news: &HoldingNews) -> Vec<StockEffect> {
+        let mut effects = Vec::new();
+        if self.wanted.as_ref() == Some(&news.version)
+            && let Some(plan) = self.plan_mut()
+        {
+            let total = plan.manifest().chunk_count();
+            let bitmap = ChunkBitmap::from_bytes(&news.bitmap, total);
+            plan.heard(now, &news.from, bitmap, news.queue);
+        }
+        // One that draws, too, tells at its own pace; one that has all tells when asked.
+        let whole = self.staged.as_ref().filter(|(staged, _)| *staged == news.version);
+        if let (Some((_, total)), true, Some(to)) = (whole, news.asks, self.address(&news.from)) {
+            effects.push(StockEffect::TellHolding {
+                version: news.version.clone(),
+                to: vec![to],
+                bitmap: ChunkBitmap::full(*total),
+                asks: false,
+            });
+        }
+        effects
+    }
+
+    fn draw_ended(
+        &mut self,
+        now: Moment,
+        version: &VersionId,
+        index: ChunkIndex,
+        source: &ChunkSource,
+        outcome: &DrawOutcome,
+    ) {
+        if self.wanted.as_ref() != Some(version) {
+            return;
+        }
+        if *outcome == DrawOutcome::Corrupt {
+            warn!("chunk version={version} index={index} source={source} outcome=corrupt");
+        }
+        debug!("chunk version={version} index={index} source={source} outcome={outcome:?}");
+        if let Some(plan) = self.plan_mut() {
+            plan.finished(now, index, source, outcome);
+        }
+    }
+
+    fn read_back(
+        &mut self,
+        now: Moment,
+        version: &VersionId,
+        whole: &ChunkBitmap,
+    ) -> Vec<StockEffect> {
+        if self.wanted.as_ref() != Some(version) {
+            return Vec::new();
+        }
+        match self.stage.take() {
+            Some(StockStage::Inspecting(mut plan)) => {
+                whole.held().into_iter().for_each(|index| plan.found(now, index));
+                info!("weights version={version} outcome=inspected whole={}", whole.count());
+                self.staged = None;
+                self.stage = Some(StockStage::Drawing(plan));
+                Vec::new()
+            }
+            Some(StockStage::Checking(plan)) => self.checked(now, version, whole, plan),
+            other => {
+                self.stage = other;
+                Vec::new()
+            }
+        }
+    }
+
+    fn checked(
+        &mut self,
+        now: Moment,
+        version: &VersionId,
+        whole: &ChunkBitmap,
+        mut plan: Box<TransferPlan>,
+    ) -> Vec<StockEffect> {
+        let bad: Vec<_> = whole.added_in(plan.held());
+        if !bad.is_empty() {
+            warn!("weights version={version} outcome=spoilt chunks={}", bad.len());
+            bad.into_iter().for_each(|index| plan.lost(index));
+            self.staged = None;
+            self.stage = Some(StockStage::Drawing(plan));
+            return Vec::new();
+        }
+        let Some(engine) = &self.engine else {
+            self.stage = Some(StockStage::Staged(plan, now));
+            return Vec::new();
+        };
+        let sequence = engine.sequence;
+        info!("order version={version} sequence={sequence} decision=load");
+        self.stage = Some(StockStage::Ordered(plan, OrderState { since: now, taken: false }));
+        let none = VersionId { model: version.model.clone(), version: WeightVersion(0) };
+        vec![
+            StockEffect::TellEntries { accepting: false, version: none },
+            StockEffect::Order(version.clone(), sequence),
+        ]
+    }
+
+    fn ordered(&mut self, now: Moment, version: &VersionId, taken: bool) -> Vec<StockEffect> {
+        info!("order version={version} taken={taken}");
+        if self.wanted.as_ref() != Some(version) {
+            return Vec::new();
+        }
+        if let Some(StockStage::Ordered(_, order)) = &mut self.stage {
+            order.taken = taken;
+            if !taken {
+                // The engine took another order or restarted: look at it again, then order anew.
+                order.since = now - ORDER_PATIENCE;
+            }
+        }
+        Vec::new()
+    }
+
+    /// Tells partners what is held, where that has changed or they may have missed it.
+    fn tell(&mut self, now: Moment, wanted: &VersionId) -> Vec<StockEffect> {
+        const REPEAT_TELLS: u64 = 5;
+        const FAR_TELLS: u64 = 3;
+        let Some(StockStage::Drawing(plan) | StockStage::Staged(plan, _)) = &self.stage else {
+            return Vec::new();
+        };
+        let every = self.settings.tell_every.0;
+        let changed = plan.held().count() != self.told_count;
+        // Only some instances of a data centre draw from others, and those bytes are billed.
+        let far = now.since(self.told_far).0 >= every * FAR_TELLS;
+        let due = if changed { every } else { every * FAR_TELLS * REPEAT_TELLS };
+        if now.since(self.told).0 < due {
+            return Vec::new();
+        }
+        let near = |id: &&InstanceId| {
+            let peer = self.peers.get(*id);
+            far || peer.is_none_or(|peer| peer.data_centre == self.settings.data_centre)
+        };
+        let partners = plan.partners().ids().filter(near);
+        let to: Vec<_> = partners.filter_map(|id| self.address(id)).collect();
+        let (bitmap, asks) = (plan.held().clone(), !plan.is_complete());
+        self.told = now;
+        self.told_count = bitmap.count();
+        if far {
+            self.told_far = now;
+        }
+        vec![StockEffect::TellHolding { version: wanted.clone(), to, bitmap, asks }]
+    }
+}
+
+fn version_of(served: &crate::direct::ServedWeights) -> VersionId {
+    VersionId { model: served.model.clone(), version: served.version }
+}
+
+/// The name of the agent on a machine, the same at all agents.
+fn machine(address: IpAddr) -> Option<InstanceId> {
+    address.to_string().parse().ok()
+}
--- a/mustardrill_core/src/transfer.rs
+++ b/mustardrill_core/src/transfer.rs
@@ -12,6 +12,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::homes::HomeTable;
 use crate::manifest::{ChunkBitmap, Manifest};
 use crate::partner::PartnerTable;
 use crate::rendezvous;
@@ -37,6 +38,15 @@
     pub corrupt_limit: u32,
     /// How many missing chunks are weighed for each draw.
     pub sample: usize,
+    /// How many instances of a data centre draw a chunk from another one; the rest wait for
+    /// theirs. Zero: all may. Bytes between data centres are billed, and their links are shared.
+    pub far_drawers: usize,
+    /// Whether each chunk has a home in each data centre that the others there ask first, so that
+    /// all uplinks are taken alike; otherwise the least loaded holder is asked.
+    pub homes: bool,
+    /// How long the origin's link takes for a chunk, in milliseconds; zero: its drawers don't wait
+    /// for their turns. With turns the first chunks come one after the other, not all at last.
+    pub origin_pace: f64,
 }
 
 /// Where a chunk comes from.
@@ -98,11 +108,13 @@
     partners: PartnerTable,
     drawers: Vec<InstanceId>,
     successors: Vec<InstanceId>,
+    homes: HomeTable,
     own_draws: Vec<ChunkIndex>,
     flights: FastMap<ChunkIndex, Flight>,
     pace: Millis,
     novelty: Moment,
     origin_rest: Moment,
+    started: Moment,
     random: SmallRng,
     counts: TransferCounts,
 }
@@ -145,6 +157,9 @@
             chunk_patience: Millis(1_000),
             corrupt_limit: 2,
             sample: 48,
+            far_drawers: 0,
+            homes: false,
+            origin_pace: 0.0,
         }
     }
 }
@@ -168,11 +183,13 @@
             partners: PartnerTable::new(total),
             drawers: Vec::new(),
             successors: Vec::new(),
+            homes: HomeTable::default(),
             own_draws: Vec::new(),
             flights: FastMap::default(),
             pace: Millis(settings.chunk_patience.0 / PATIENCE_PACES),
             novelty: now,
             origin_rest: now,
+            started: now,
             random: SmallRng::seed_from_u64(seed),
             counts: TransferCounts::default(),
             manifest,
@@ -208,6 +225,7 @@
     /// Takes the live instances that want the version, this one included, and chooses partners
     /// and drawers among them.
     pub fn set_peers(&mut self, peers: &[TransferPeer]) {
+        self.homes = HomeTable::new(self.digest, peers, &self.own.id);
         self.choose_drawers(peers);
         let chosen = self.choose_partners(peers);
         for id in self.partners.choose(chosen) {
@@ -215,6 +233,21 @@
         }
     }
 
+    /// Notes that a chunk was found whole beside the upstream, from an earlier transfer.
+    pub fn found(&mut self, now: Moment, index: ChunkIndex) {
+        if self.held.insert(index) {
+            self.missing.remove(index);
+        }
+        self.note_seen(now, index);
+    }
+
+    /// Notes that a held chunk has turned bad, so that it is drawn anew.
+    pub fn lost(&mut self, index: ChunkIndex) {
+        if self.held.remove(index) {
+            self.missing.add(index);
+        }
+    }
+
     /// Takes a partner's word on what it holds and how many uploads it has queued.
     pub fn heard(&mut self, now: Moment, id: &InstanceId, bitmap: ChunkBitmap, queue: u32) {
         for index in self.partners.heard(now, id, bitmap, queue) {
@@ -287,7 +320,12 @@
         self.drawers = ids[..count].to_vec();
         self.successors = ids;
         let copies = self.settings.origin_copies;
-        let is_own = |index: &ChunkIndex| rank_of(&self.drawers, &self.own.id, *index) < copies;
+        let is_own = |index: &ChunkIndex| {
+            if self.settings.homes {
+                return self.homes.origin_rank(*index) < copies;
+            }
+            rank_of(&self.drawers, &self.own.id, *index) < copies
+        };
         self.own_draws = (0..self.manifest.chunk_count()).map(ChunkIndex).filter(is_own).collect();
     }
 
@@ -395,11 +433,11 @@
         if now < self.origin_rest {
             return None;
         }
-        self.next_own_chunk().or_else(|| self.next_orphan(now))
+        self.next_own_chunk(now).or_else(|| self.next_orphan(now))
     }
 
     /// The next chunk that this instance draws as one of the drawers.
-    fn next_own_chunk(&mut self) -> Option<ChunkIndex> {
+    fn next_own_chunk(&mut self, now: Moment) -> Option<ChunkIndex> {
         let copies = self.settings.origin_copies as u16;
         let (held, partners) = (&self.held, &self.partners);
         // What a peer shows already needs no further copy, unless the setting wants more.
@@ -409,6 +447,11 @@
         if free.is_empty() {
             return None;
         }
+        let pace = self.settings.origin_pace;
+        if pace > 0.0 {
+            let reached = now.since(self.started).0 as f64 / pace;
+            return free.into_iter().copied().find(|index| f64::from(index.0) <= reached);
+        }
         Some(*free[self.random.random_range(0..free.len())])
     }
 
@@ -424,11 +467,35 @@
         let is_orphan = |index: &ChunkIndex| {
             self.partners.copies(*index) == 0 && !self.flights.contains_key(index)
         };
-        let is_next =
-            |index: &ChunkIndex| (rank_of(&self.successors, &self.own.id, *index) as u64) < waited;
+        let rank = |index: &ChunkIndex| {
+            if self.settings.homes {
+                return self.homes.origin_rank(*index);
+            }
+            rank_of(&self.successors, &self.own.id, *index)
+        };
+        let is_next = |index: &ChunkIndex| (rank(index) as u64) < waited;
         self.missing.chunks.iter().copied().find(|index| is_orphan(index) && is_next(index))
     }
 
+    /// Whether this instance is among those of its data centre that draw a chunk from afar; with
+    /// each time that passes without anything new, one more is.
+    fn may_draw_far(&self, now: Moment, index: ChunkIndex) -> bool {
+        let drawers = self.settings.far_drawers;
+        if drawers == 0 {
+            return true;
+        }
+        let waited = now.since(self.novelty).0 / self.settings.stall_after.0.max(1);
+        (self.homes.near_rank(index) as u64) < drawers as u64 + waited
+    }
+
+    /// The instance of this data centre that the others here ask first for a chunk.
+    fn home(&self, index: ChunkIndex) -> Option<&InstanceId> {
+        if !self.settings.homes {
+            return None;
+        }
+        self.homes.near_home(index)
+    }
+
     fn next_peer_chunk(&mut self, now: Moment) -> Option<(ChunkIndex, InstanceId)> {
         let count = self.missing.chunks.len();
         let mut best: Option<(u16, ChunkIndex, InstanceId)> = None;
@@ -437,12 +504,21 @@
         for turn in 0..self.settings.sample.min(count) {
             let place = if sampled { self.random.random_range(0..count) } else { turn };
             let index = self.missing.chunks[place];
-            let copies = self.partners.copies(index);
+            let mut copies = self.partners.copies(index);
+            // The others here wait for what this instance is the home of.
+            if copies > 0 && self.settings.homes && self.homes.near_rank(index) == 0 {
+                copies = 1;
+            }
             let is_rarer = best.as_ref().is_none_or(|(least, _, _)| copies < *least);
             if copies == 0 || !is_rarer || self.flights.contains_key(&index) {
                 continue;
             }
-            if let Some(id) = self.partners.best_holder(now, index, &mut self.random) {
+            let far = self.may_draw_far(now, index);
+            let home = self.home(index).filter(|id| self.partners.is_usable(now, id, index));
+            let holder = home
+                .cloned()
+                .or_else(|| self.partners.best_holder(now, index, far, &mut self.random));
+            if let Some(id) = holder {
                 best = Some((copies, index, id));
             }
         }
@@ -455,6 +531,12 @@
         Self { chunks: (0..total).map(ChunkIndex).collect(), places: (0..total).collect() }
     }
 
+    /// Adds a chunk that is not in the set.
+    fn add(&mut self, index: ChunkIndex) {
+        self.places[index.0 as usize] = self.chunks.len() as u32;
+        self.chunks.push(index);
+    }
+
     /// Removes a chunk that is in the set; the last one takes its place.
     fn remove(&mut self, index: ChunkIndex) {
         let place = self.places[index.0 as usize] as usize;
--- a/mustardrill_entry/src/callers.rs
+++ b/mustardrill_entry/src/callers.rs
@@ -10,11 +10,12 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::{AUTHORIZATION, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use kameo::prelude::*;
 use mustardrill_core::entry::{EntryEvent, IncomingRequest, RequestId};
 use mustardrill_proto as proto;
+use mustardrill_runtime::headers;
 use mustardrill_runtime::http::{
     AnyBody, AnyResponse, CutError, HttpHandler, json_response, text_response,
 };
@@ -40,10 +41,6 @@
 /// The milliseconds after which a caller may come back, finer than `Retry-After`.
 const RETRY_HEADER: &str = "mustardrill-retry-after-ms";
 
-/// Headers that belong to one connection and are not passed on.
-const HOP_HEADERS: [&str; 7] =
-    ["connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "host"];
-
 /// Answers callers.
 pub(crate) struct CallerHandler {
     inner: Arc<CallerSide>,
@@ -313,7 +310,7 @@
 }
 
 fn is_passed_on(name: &str) -> bool {
-    !HOP_HEADERS.contains(&name)
+    !headers::is_hop(name) && name != HOST.as_str()
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- /dev/null
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -0,0 +1,258 @@
+//! The actor that owns the reducer of an entry that sends to upstreams itself.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use kameo::prelude::*;
+use mustardrill_core::direct::{
+    CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest, PeerRecord, RefusalPlan,
+    RequestNumber, SendPlan, StatusRow,
+};
+use mustardrill_runtime::border::{CallDialect, FleetSource};
+use mustardrill_runtime::clock::ProcessClock;
+use mustardrill_runtime::http::HttpServer;
+use mustardrill_types::{FastMap, InstanceId, Moment};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::direct::callers::DirectHandler;
+use crate::direct::config::DirectConfig;
+use crate::direct::connections::ConnectionPool;
+use crate::direct::{gossip, watch};
+
+/// The platform, as the entry sees it.
+pub struct DirectBorders {
+    /// The store.
+    pub source: Box<dyn FleetSource>,
+    /// How callers and upstreams write.
+    pub dialect: Box<dyn CallDialect>,
+}
+
+/// A running entry.
+#[derive(Debug)]
+pub struct DirectHandle {
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub ready_address: SocketAddr,
+    context: Arc<DirectContext>,
+    callers: HttpServer,
+    stop_callers: CancellationToken,
+}
+
+/// What the tasks of the entry share.
+pub(crate) struct DirectContext {
+    pub(crate) clock: ProcessClock,
+    pub(crate) config: DirectConfig,
+    pub(crate) borders: DirectBorders,
+    pub(crate) pool: ConnectionPool,
+    /// Whether a planned stop has begun.
+    pub(crate) leaving: AtomicBool,
+    pub(crate) halt: CancellationToken,
+}
+
+/// What a request's own task is told.
+#[derive(Debug)]
+pub(crate) enum Verdict {
+    /// Send it to an upstream.
+    Send(SendPlan),
+    /// Give the caller the failure that is at hand.
+    PassOn,
+    /// There is no answer.
+    Refuse(RefusalPlan),
+}
+
+/// Owns the reducer; all decisions are made here, one after the other.
+#[derive(Actor)]
+pub(crate) struct DirectActor {
+    reducer: DirectReducer,
+    context: Arc<DirectContext>,
+    verdicts: FastMap<RequestNumber, mpsc::UnboundedSender<Verdict>>,
+}
+
+/// An event for the reducer.
+pub(crate) struct Event(pub(crate) DirectEvent);
+
+/// A request with the way back to its task.
+pub(crate) struct Begin(pub(crate) DirectRequest, pub(crate) mpsc::UnboundedSender<Verdict>);
+
+/// Asks for what the other entries are told, and who they are.
+pub(crate) struct GossipQuery;
+
+/// The answer to `GossipQuery`.
+#[derive(Debug, Reply)]
+pub(crate) struct GossipReply {
+    pub(crate) peers: Vec<PeerRecord>,
+    pub(crate) outstanding: Vec<(InstanceId, u32)>,
+}
+
+/// Asks whether callers should be sent here.
+pub(crate) struct ReadyQuery;
+
+/// Asks what callers may send.
+pub(crate) struct LimitsQuery;
+
+/// The answer to `LimitsQuery`.
+#[derive(Debug, Reply)]
+pub(crate) struct LimitsReply(pub(crate) CallerLimits);
+
+/// Asks where the entry stands.
+pub(crate) struct StatusQuery;
+
+/// The answer to `StatusQuery`.
+#[derive(Debug, Reply)]
+pub(crate) struct StatusReply(pub(crate) StatusRow);
+
+impl DirectActor {
+    fn reduce(&mut self, event: DirectEvent, actor: &ActorRef<Self>) {
+        let now = self.context.clock.now();
+        for effect in self.reducer.reduce(now, event) {
+            match effect {
+                DirectEffect::Send(number, plan) => self.tell(number, Verdict::Send(plan)),
+                DirectEffect::PassOn(number) => self.tell(number, Verdict::PassOn),
+                DirectEffect::Refuse(number, plan) => self.tell(number, Verdict::Refuse(plan)),
+                DirectEffect::Wake(at) => wake(now, at, actor.clone()),
+            }
+        }
+    }
+
+    fn tell(&self, number: RequestNumber, verdict: Verdict) {
+        if let Some(task) = self.verdicts.get(&number) {
+            // A task that is gone has told so, or is about to.
+            let _ = task.send(verdict);
+        }
+    }
+}
+
+fn wake(now: Moment, at: Moment, actor: ActorRef<DirectActor>) {
+    tokio::spawn(async move {
+        tokio::time::sleep(at.since(now).to_std()).await;
+        let _ = actor.tell(Event(DirectEvent::Woke)).await;
+    });
+}
+
+impl Message<Event> for DirectActor {
+    type Reply = ();
+
+    async fn handle(&mut self, Event(event): Event, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        let ended = match &event {
+            DirectEvent::Gone(number) => Some(*number),
+            _ => None,
+        };
+        self.reduce(event, &actor);
+        if let Some(number) = ended {
+            self.verdicts.remove(&number);
+        }
+    }
+}
+
+impl Message<Begin> for DirectActor {
+    type Reply = ();
+
+    async fn handle(&mut self, Begin(request, task): Begin, context: &mut Context<Self, ()>) {
+        let actor = context.actor_ref().clone();
+        self.verdicts.insert(request.number, task);
+        self.reduce(DirectEvent::Arrived(request), &actor);
+    }
+}
+
+impl Message<GossipQuery> for DirectActor {
+    type Reply = GossipReply;
+
+    async fn handle(&mut self, _: GossipQuery, _: &mut Context<Self, GossipReply>) -> GossipReply {
+        GossipReply {
+            peers: self.reducer.peers().to_vec(),
+            outstanding: self.reducer.outstanding(),
+        }
+    }
+}
+
+impl Message<ReadyQuery> for DirectActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, _: ReadyQuery, _: &mut Context<Self, bool>) -> bool {
+        let leaving = self.context.leaving.load(Ordering::Relaxed);
+        !leaving && self.reducer.is_ready(self.context.clock.now())
+    }
+}
+
+impl Message<LimitsQuery> for DirectActor {
+    type Reply = LimitsReply;
+
+    async fn handle(&mut self, _: LimitsQuery, _: &mut Context<Self, LimitsReply>) -> LimitsReply {
+        let document = self.reducer.document();
+        LimitsReply(document.map(|document| document.limits.clone()).unwrap_or_default())
+    }
+}
+
+impl Message<StatusQuery> for DirectActor {
+    type Reply = StatusReply;
+
+    async fn handle(&mut self, _: StatusQuery, _: &mut Context<Self, StatusReply>) -> StatusReply {
+        StatusReply(self.reducer.status(self.context.clock.now()))
+    }
+}
+
+/// Starts an entry and returns its handle once it listens.
+pub async fn spawn(config: DirectConfig, borders: DirectBorders) -> std::io::Result<DirectHandle> {
+    let halt = CancellationToken::new();
+    let stop_callers = halt.child_token();
+    let context = Arc::new(DirectContext {
+        clock: ProcessClock::start(),
+        config: config.clone(),
+        borders,
+        pool: ConnectionPool::default(),
+        leaving: AtomicBool::new(false),
+        halt: halt.clone(),
+    });
+    let reducer = DirectReducer::new(config.direct.clone(), rand::random());
+    let state = DirectActor { reducer, context: context.clone(), verdicts: FastMap::default() };
+    let actor = DirectActor::spawn_with_mailbox(state, mailbox::unbounded());
+    let handler = DirectHandler::new(actor.clone(), context.clone());
+    let ready =
+        HttpServer::bind(config.ready_listen, Box::new(handler.clone()), halt.clone()).await?;
+    let callers = HttpServer::bind(config.listen, Box::new(handler), stop_callers.clone()).await?;
+    gossip::spawn(actor.clone(), context.clone()).await?;
+    watch::spawn(actor.clone(), context.clone());
+    let (address, ready_address) = (callers.address, ready.address);
+    log::info!("start instance={} address={address} store={}", config.direct.own, config.store);
+    Ok(DirectHandle { address, ready_address, context, callers, stop_callers })
+}
+
+impl DirectHandle {
+    /// Tells the balancer to send nobody, serves until it does, finishes what is in progress and
+    /// ends. Requests that come late are answered like all others as long as the time allows.
+    pub async fn stop(&self) {
+        let config = &self.context.config;
+        self.context.leaving.store(true, Ordering::Relaxed);
+        log::info!(
+            "stop instance={} linger={} grace={}",
+            config.direct.own,
+            config.linger,
+            config.grace
+        );
+        tokio::time::sleep(config.linger.to_std()).await;
+        self.stop_callers.cancel();
+        // A margin for the process's own end, so that the platform needs not kill it.
+        const END_MARGIN: mustardrill_types::Millis = mustardrill_types::Millis(300);
+        let left = mustardrill_types::Millis(
+            config.grace.0.saturating_sub(config.linger.0 + END_MARGIN.0),
+        );
+        let drained = tokio::time::timeout(left.to_std(), self.callers.drained()).await;
+        log::info!("end instance={} drained={}", config.direct.own, drained.is_ok());
+        self.halt();
+    }
+
+    /// Ends at once.
+    pub fn halt(&self) {
+        self.context.halt.cancel();
+    }
+}
+
+impl std::fmt::Debug for DirectContext {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "DirectContext {{ config: {:?} }}", self.config)
+    }
+}
--- /dev/null
+++ b/mustardrill_entry/src/direct/callers.rs
@@ -0,0 +1,94 @@
+//! The callers' side: reads a request, starts its task, and answers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use futures_util::future::BoxFuture;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
+use kameo::prelude::*;
+use mustardrill_core::direct::{RefusalPlan, RequestNumber};
+use mustardrill_runtime::http::{AnyResponse, HttpHandler, text_response};
+use mustardrill_types::{Millis, ResultCode};
+use tokio::sync::mpsc;
+
+use crate::direct::actor::{DirectActor, DirectContext, LimitsQuery, ReadyQuery};
+use crate::direct::answer::{PART_BUFFER, refusal, respond};
+use crate::direct::attempt::RequestTask;
+
+/// Answers callers and the balancer's questions.
+#[derive(Clone)]
+pub(crate) struct DirectHandler {
+    actor: ActorRef<DirectActor>,
+    context: Arc<DirectContext>,
+    next: Arc<AtomicU64>,
+}
+
+impl DirectHandler {
+    pub(crate) fn new(actor: ActorRef<DirectActor>, context: Arc<DirectContext>) -> Self {
+        Self { actor, context, next: Arc::new(AtomicU64::new(1)) }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> AnyResponse {
+        let dialect = &*self.context.borders.dialect;
+        if dialect.is_readiness(request.uri()) {
+            let ready = self.actor.ask(ReadyQuery).await.unwrap_or(false);
+            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            return text_response(status, "");
+        }
+        let arrived = self.context.clock.now();
+        let number = RequestNumber(self.next.fetch_add(1, Ordering::Relaxed));
+        let (head, body) = request.into_parts();
+        let call = match dialect.read_request(number, arrived, &head) {
+            Ok(call) => call,
+            Err(reason) => {
+                log::info!("request={number} decision=refuse reason=\"{reason}\"");
+                return bad_request(dialect);
+            }
+        };
+        let limits = self.actor.ask(LimitsQuery).await.map(|reply| reply.0).unwrap_or_default();
+        let body = Limited::new(body, limits.body.0 as usize).collect().await;
+        let Ok(body) = body else {
+            log::info!(
+                "request={} decision=refuse reason=\"the body was cut or is above {}\"",
+                call.attempt,
+                limits.body
+            );
+            return bad_request(dialect);
+        };
+        let (sender, parts) = mpsc::channel(PART_BUFFER);
+        let task = RequestTask {
+            context: self.context.clone(),
+            actor: self.actor.clone(),
+            number,
+            head,
+            body: body.to_bytes(),
+            parts: sender,
+        };
+        tokio::spawn(task.run(call));
+        let response = respond(parts, dialect).await;
+        self.mark_leaving(response)
+    }
+
+    /// Asks the caller to come over another connection once a planned stop has begun.
+    fn mark_leaving(&self, mut response: AnyResponse) -> AnyResponse {
+        if self.context.leaving.load(Ordering::Relaxed) {
+            let close = hyper::header::HeaderValue::from_static("close");
+            response.headers_mut().insert(hyper::header::CONNECTION, close);
+        }
+        response
+    }
+}
+
+impl HttpHandler for DirectHandler {
+    fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> BoxFuture<'static, AnyResponse> {
+        let handler = self.clone();
+        Box::pin(async move { handler.answer(request).await })
+    }
+}
+
+fn bad_request(dialect: &dyn mustardrill_runtime::border::CallDialect) -> AnyResponse {
+    refusal(&RefusalPlan { code: ResultCode::BadRequest, retry_after: Millis(0) }, dialect)
+}
--- /dev/null
+++ b/mustardrill_entry/src/direct/config.rs
@@ -0,0 +1,91 @@
+//! The settings of an entry that sends requests to upstreams itself.
+
+use std::net::SocketAddr;
+
+use log::LevelFilter;
+use mustardrill_core::direct::{DirectSettings, RetryShare};
+use mustardrill_runtime::config::{local, name};
+use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
+use mustardrill_types::Millis;
+
+/// All settings of such an entry.
+#[derive(Debug, Clone)]
+pub struct DirectConfig {
+    /// Where callers reach it.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub ready_listen: SocketAddr,
+    /// Where it takes datagrams of other entries and of agents.
+    pub peer_listen: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Where metrics are served, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// Which lines are logged.
+    pub log: LevelFilter,
+    /// How long one watch of the store waits.
+    pub watch: Millis,
+    /// How long a planned stop may take.
+    pub grace: Millis,
+    /// How long a stopping entry still takes new work, until the balancer sends it none.
+    pub linger: Millis,
+    /// What the reducer is told.
+    pub direct: DirectSettings,
+}
+
+/// The share of the revocation bound for which a proof is good, in percent. The rest is for the
+/// way of the request that is checked.
+const PROOF_PERCENT: u64 = 90;
+
+/// What remains of the version bound for a request that waits inside an engine.
+const VERSION_MARGIN: Millis = Millis(900);
+
+/// The share of the retry ratio that one entry uses, as windows of entries don't begin together.
+const RATIO_SHARE: f64 = 0.6;
+
+/// Over how many entries the allowance of repeats is spread; a restart forgets what was spent,
+/// so it is more than there are.
+const ALLOWANCE_SHARES: u32 = 12;
+
+/// Reads and checks all settings.
+pub fn read(mut reader: SettingsReader) -> SettingsOutcome<DirectConfig> {
+    // Read before, to choose among the kinds of settings; named here as a known key.
+    let _: Option<PlatformKind> = reader.optional("entry", "platform");
+    let revocation = reader.value("bounds", "revocation", Millis(5_000));
+    let version = reader.value("bounds", "version", Millis(8_000));
+    let config = DirectConfig {
+        listen: reader.required("entry", "listen", "IP:PORT", local()),
+        ready_listen: reader.required("entry", "ready_listen", "IP:PORT", local()),
+        peer_listen: reader.required("entry", "peer_listen", "IP:PORT", local()),
+        store: reader.required("platform", "store", "IP:PORT", local()),
+        metrics: reader.optional("entry", "metrics"),
+        log: reader.value("entry", "log", LevelFilter::Info),
+        watch: reader.value("platform", "watch", Millis(1_500)),
+        grace: reader.value("bounds", "grace", Millis(8_000)),
+        linger: reader.value("entry", "linger", Millis(2_600)),
+        direct: DirectSettings {
+            own: name(&mut reader, "entry", "instance"),
+            data_centre: name(&mut reader, "entry", "data_centre"),
+            proof_limit: Millis(revocation.0 * PROOF_PERCENT / 100),
+            version_patience: Millis(version.0.saturating_sub(VERSION_MARGIN.0)),
+            retry: retry(&mut reader),
+            ahead: reader.bounded("admission", "ahead", 2, 0, 1_000),
+            wait_percent: reader.bounded("admission", "wait_percent", 50, 0, 100),
+            silence: reader.value("upstream", "silence", Millis(1_200)),
+            lapse_grace: reader.value("platform", "lapse_grace", Millis(2_200)),
+            peer_patience: reader.value("entry", "peer_patience", Millis(1_500)),
+            ejection: reader.value("upstream", "ejection", Millis(500)),
+        },
+    };
+    reader.finish(config)
+}
+
+fn retry(reader: &mut SettingsReader) -> RetryShare {
+    let ratio: f64 = reader.bounded("bounds", "retry_ratio", 0.2, 0.0, 10.0);
+    let allowance: u32 = reader.bounded("bounds", "retry_allowance", 100, 0, 1_000_000);
+    RetryShare {
+        ratio: ratio * RATIO_SHARE,
+        allowance: allowance / ALLOWANCE_SHARES,
+        window: reader.value("bounds", "retry_window", Millis(10_000)),
+    }
+}
--- /dev/null
+++ b/mustardrill_entry/src/direct/gossip.rs
@@ -0,0 +1,91 @@
+//! Tells the other entries what this one has at upstreams, and hears them and the agents.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::prelude::*;
+use log::warn;
+use mustardrill_core::direct::{DirectEvent, PeerLoad};
+use mustardrill_runtime::datagram::{DATAGRAM_LIMIT, Datagram, LoadRow};
+use mustardrill_types::WeightVersion;
+use tokio::net::UdpSocket;
+
+use crate::direct::actor::{DirectActor, DirectContext, Event, GossipQuery};
+
+/// How often changed load is told. An engine ends a request about every 85 ms at full load, so
+/// others are a request or two behind.
+const TELL_EVERY: Duration = Duration::from_millis(50);
+
+/// Unchanged load is told anew after this many times, so that silence means absence.
+const TELL_UNCHANGED: u32 = 10;
+
+/// Starts to listen and to tell.
+pub(crate) async fn spawn(
+    actor: ActorRef<DirectActor>,
+    context: Arc<DirectContext>,
+) -> std::io::Result<()> {
+    let socket = Arc::new(UdpSocket::bind(context.config.peer_listen).await?);
+    let halt = context.halt.clone();
+    let hearing = hear(actor.clone(), socket.clone());
+    tokio::spawn(halt.clone().run_until_cancelled_owned(hearing));
+    tokio::spawn(halt.run_until_cancelled_owned(tell(actor, context, socket)));
+    Ok(())
+}
+
+async fn hear(actor: ActorRef<DirectActor>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_LIMIT];
+    loop {
+        let length = match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                // An earlier datagram met a closed port: its receiver is gone.
+                warn!("datagram outcome=unheard reason=\"{error}\"");
+                tokio::time::sleep(TELL_EVERY).await;
+                continue;
+            }
+        };
+        let Some(event) = Datagram::read(&buffer[..length]).and_then(event_of) else { continue };
+        let _ = actor.tell(Event(event)).await;
+    }
+}
+
+fn event_of(datagram: Datagram) -> Option<DirectEvent> {
+    if let Some(engine) = datagram.engine {
+        return Some(DirectEvent::EngineHeard {
+            address: engine.address.parse::<SocketAddr>().ok()?,
+            accepting: engine.accepting,
+            model: engine.model.parse().ok()?,
+            version: WeightVersion(engine.version),
+        });
+    }
+    let loads = datagram.loads.into_iter();
+    let rows = loads.filter_map(|row| Some((row.upstream.parse().ok()?, row.outstanding)));
+    let load = PeerLoad { from: datagram.from.parse().ok()?, outstanding: rows.collect() };
+    Some(DirectEvent::PeerHeard(load))
+}
+
+async fn tell(actor: ActorRef<DirectActor>, context: Arc<DirectContext>, socket: Arc<UdpSocket>) {
+    let (mut told, mut unchanged) = (Vec::new(), 0);
+    loop {
+        tokio::time::sleep(TELL_EVERY).await;
+        let Ok(reply) = actor.ask(GossipQuery).await else { return };
+        unchanged += 1;
+        if reply.outstanding == told && unchanged < TELL_UNCHANGED {
+            continue;
+        }
+        unchanged = 0;
+        told = reply.outstanding;
+        let mut datagram = Datagram::new(&context.config.direct.own);
+        datagram.loads = told
+            .iter()
+            .map(|(id, count)| LoadRow { upstream: id.to_string(), outstanding: *count })
+            .collect();
+        let bytes = datagram.to_bytes();
+        for peer in &reply.peers {
+            if let Err(error) = socket.send_to(&bytes, peer.address).await {
+                log::debug!("datagram to={} outcome=unsent reason=\"{error}\"", peer.id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/mustardrill_entry/src/direct/mod.rs
@@ -0,0 +1,14 @@
+//! The entry on a platform where it sends requests to upstreams itself.
+
+mod actor;
+mod answer;
+mod attempt;
+mod callers;
+mod config;
+mod connections;
+mod events;
+mod gossip;
+mod watch;
+
+pub use actor::{DirectBorders, DirectHandle, spawn};
+pub use config::{DirectConfig, read};
--- /dev/null
+++ b/mustardrill_entry/src/direct/watch.rs
@@ -0,0 +1,95 @@
+//! Follows the store: configuration, upstreams, versions, and the entries' own registrations.
+
+use std::sync::Arc;
+
+use kameo::prelude::*;
+use log::{info, warn};
+use mustardrill_core::direct::{DirectEvent, FleetPage, PeerRecord};
+use mustardrill_runtime::border::{FleetScope, StoreError};
+use mustardrill_types::{Millis, StoreRevision};
+use rand::Rng;
+
+use crate::direct::actor::{DirectActor, DirectContext, Event};
+
+/// The least pause after a call that failed. Refused calls are billed like others, and a store
+/// that comes back must not be met by all entries at once.
+const RETRY_PAUSE: Millis = Millis(150);
+
+/// How long a registration outlives its entry.
+const LEASE_SPAN: Millis = Millis(10_000);
+
+/// How often it is renewed: a renewal may fail twice.
+const RENEW_EVERY: Millis = Millis(3_000);
+
+/// Starts following the store, and registers the entry.
+pub(crate) fn spawn(actor: ActorRef<DirectActor>, context: Arc<DirectContext>) {
+    let halt = context.halt.clone();
+    let following = follow(actor, context.clone());
+    tokio::spawn(halt.clone().run_until_cancelled_owned(following));
+    tokio::spawn(halt.run_until_cancelled_owned(register(context)));
+}
+
+async fn follow(actor: ActorRef<DirectActor>, context: Arc<DirectContext>) {
+    let mut revision = None;
+    loop {
+        let sent = context.clock.now();
+        match read(&context, revision).await {
+            Ok(page) => {
+                revision = Some(page.at);
+                let _ = actor.tell(Event(DirectEvent::Fleet(page, sent))).await;
+            }
+            Err(StoreError::HistoryGone) => {
+                info!("store outcome=read-anew reason=history-gone revision={revision:?}");
+                revision = None;
+            }
+            Err(error) => {
+                warn!("store outcome=failed reason=\"{error}\"");
+                let _ = actor.tell(Event(DirectEvent::StoreFailed)).await;
+                pause().await;
+            }
+        }
+    }
+}
+
+async fn read(
+    context: &DirectContext,
+    revision: Option<StoreRevision>,
+) -> Result<FleetPage, StoreError> {
+    let source = &context.borders.source;
+    match revision {
+        Some(revision) => {
+            source.read_changes(FleetScope::Whole, revision, context.config.watch).await
+        }
+        None => source.read_all().await,
+    }
+}
+
+async fn register(context: Arc<DirectContext>) {
+    let peer =
+        PeerRecord { id: context.config.direct.own.clone(), address: context.config.peer_listen };
+    let source = &context.borders.source;
+    loop {
+        let lease = match source.announce(&peer, LEASE_SPAN).await {
+            Ok(lease) => lease,
+            Err(error) => {
+                warn!("registration outcome=failed reason=\"{error}\"");
+                pause().await;
+                continue;
+            }
+        };
+        info!("registration lease={lease} outcome=made");
+        loop {
+            tokio::time::sleep(RENEW_EVERY.to_std()).await;
+            match source.renew(lease).await {
+                Ok(()) => {}
+                Err(StoreError::LeaseGone) => break,
+                Err(error) => warn!("registration lease={lease} outcome=late reason=\"{error}\""),
+            }
+        }
+    }
+}
+
+async fn pause() {
+    let spread = rand::rng().random_range(0..=RETRY_PAUSE.0);
+    tokio::time::sleep(Millis(RETRY_PAUSE.0 + spread).to_std()).await;
+}
--- a/mustardrill_entry/src/lib.rs
+++ b/mustardrill_entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod clocks;
 pub mod config;
 mod context;
+pub mod direct;
 mod editor;
 mod effects;
 pub mod operator_client;
--- a/mustardrill_entry/src/main.rs
+++ b/mustardrill_entry/src/main.rs
@@ -4,14 +4,20 @@
 use std::process::ExitCode;
 
 use mustardrill_entry::cli::{self, EntryCommand};
+use mustardrill_entry::direct::{self, DirectBorders, DirectConfig};
 use mustardrill_entry::{EntryConfig, config, operator_client};
-use mustardrill_runtime::settings::SettingsReader;
+use mustardrill_platform::{PlatformDialect, PlatformStore};
+use mustardrill_runtime::http::HttpClient;
+use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
 use mustardrill_runtime::{logging, signal};
 use tokio_util::sync::CancellationToken;
 
 /// Wrong command line or settings.
 const USAGE: u8 = 2;
 
+/// How long a connection to the store may take to be made.
+const STORE_CONNECT: std::time::Duration = std::time::Duration::from_millis(500);
+
 fn main() -> ExitCode {
     let token = std::env::var("MUSTARDRILL_TOKEN").ok();
     let command = match cli::parse(std::env::args_os().skip(1), token) {
@@ -45,14 +51,27 @@
     }
 }
 
-fn read(path: &Path) -> Option<EntryConfig> {
-    let outcome = match SettingsReader::open(path) {
-        Ok(reader) => config::read(reader),
+/// The settings of an entry, by the platform that it runs on.
+enum AnyConfig {
+    Own(EntryConfig),
+    Prepared(DirectConfig),
+}
+
+fn read(path: &Path) -> Option<AnyConfig> {
+    let reader = match SettingsReader::open(path) {
+        Ok(reader) => reader,
         Err(fault) => {
             eprintln!("mustardrill-entry: {fault}");
             return None;
         }
     };
+    match reader.platform("entry") {
+        PlatformKind::Own => checked(config::read(reader)).map(AnyConfig::Own),
+        PlatformKind::Prepared => checked(direct::read(reader)).map(AnyConfig::Prepared),
+    }
+}
+
+fn checked<T>(outcome: SettingsOutcome<T>) -> Option<T> {
     outcome.warnings.iter().for_each(|warning| eprintln!("mustardrill-entry: warning: {warning}"));
     match outcome.settings {
         Ok(config) => Some(config),
@@ -68,7 +87,50 @@
     runtime.expect("the runtime starts")
 }
 
-fn run(config: EntryConfig) -> ExitCode {
+fn run(config: AnyConfig) -> ExitCode {
+    match config {
+        AnyConfig::Own(config) => run_own(config),
+        AnyConfig::Prepared(config) => run_prepared(config),
+    }
+}
+
+fn run_prepared(config: DirectConfig) -> ExitCode {
+    logging::init(config.direct.own.as_str(), config.log);
+    // One thread: the machines of that platform have a fraction of one core.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("the runtime starts");
+    let code = runtime.block_on(serve_prepared(config));
+    runtime.shutdown_background();
+    code
+}
+
+async fn serve_prepared(config: DirectConfig) -> ExitCode {
+    let (stop, halt) = (CancellationToken::new(), CancellationToken::new());
+    signal::spawn(stop.clone(), halt.clone()).expect("signals can be watched");
+    let client = HttpClient::open(STORE_CONNECT);
+    let borders = DirectBorders {
+        source: Box::new(PlatformStore::open(client, config.store)),
+        dialect: Box::new(PlatformDialect),
+    };
+    let listen = config.listen;
+    let handle = match direct::spawn(config, borders).await {
+        Ok(handle) => handle,
+        Err(error) => {
+            eprintln!(
+                "mustardrill-entry: can't listen at {listen} or beside it: {error}; free the port or change [entry] listen, ready_listen or peer_listen"
+            );
+            return ExitCode::FAILURE;
+        }
+    };
+    stop.cancelled().await;
+    tokio::select! {
+        () = handle.stop() => {}
+        () = halt.cancelled() => handle.halt(),
+    }
+    ExitCode::SUCCESS
+}
+
+fn run_own(config: EntryConfig) -> ExitCode {
     logging::init(config.entry.own.as_str(), config.log);
     let runtime = runtime();
     let code = runtime.block_on(serve(config));
--- a/mustardrill_runtime/src/clock.rs
+++ b/mustardrill_runtime/src/clock.rs
@@ -1,25 +1,29 @@
 //! The clocks of one process; only the daemons read them and hand the time to the reducers.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use mustardrill_types::{Millis, Moment};
+use rustix::time::{ClockId, clock_gettime};
 use tokio_util::sync::CancellationToken;
 
 /// The monotonic clock of this process and the wall clock.
+///
+/// The monotonic one counts the time that the machine is suspended: after a freeze, leases have
+/// run out, callers' deadlines have passed, and what was proved is old.
 #[derive(Debug, Clone, Copy)]
 pub struct ProcessClock {
-    start: Instant,
+    start: Duration,
 }
 
 impl ProcessClock {
     /// A clock whose first moment is now.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self { start: since_boot() }
     }
 
     /// The present moment; never zero, so that zero can stand for "not yet".
     pub fn now(&self) -> Moment {
-        Moment(self.start.elapsed().as_millis() as u64 + 1)
+        Moment(since_boot().saturating_sub(self.start).as_millis() as u64 + 1)
     }
 
     /// The wall clock in seconds; only the retention of claims looks at it.
@@ -48,3 +52,8 @@
         }
     });
 }
+
+fn since_boot() -> Duration {
+    let now = clock_gettime(ClockId::Boottime);
+    Duration::new(now.tv_sec as u64, now.tv_nsec as u32)
+}
--- /dev/null
+++ b/mustardrill_runtime/src/datagram.rs
@@ -0,0 +1,109 @@
+//! Datagrams between entries, and from agents to entries and to each other.
+//!
+//! They carry what is soon told anew: a lost one costs a moment's precision. A stream would cost
+//! connections that go silent, and memory for each pair of processes.
+
+use std::net::SocketAddr;
+
+use mustardrill_types::{InstanceId, ModelName, WeightVersion};
+use prost::Message;
+
+/// The largest datagram that is sent: what passes every link whole.
+pub const DATAGRAM_LIMIT: usize = 1_400;
+
+/// One datagram.
+#[derive(Clone, PartialEq, Message)]
+pub struct Datagram {
+    /// The sender's instance.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// What an entry has at upstreams.
+    #[prost(message, repeated, tag = "2")]
+    pub loads: Vec<LoadRow>,
+    /// What an agent tells of its engine.
+    #[prost(message, optional, tag = "3")]
+    pub engine: Option<EngineRow>,
+    /// What an agent holds of a version.
+    #[prost(message, optional, tag = "4")]
+    pub holding: Option<HoldingRow>,
+}
+
+/// An entry's requests at one upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoadRow {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// How many.
+    #[prost(uint32, tag = "2")]
+    pub outstanding: u32,
+}
+
+/// What an engine serves.
+#[derive(Clone, PartialEq, Message)]
+pub struct EngineRow {
+    /// Where it listens.
+    #[prost(string, tag = "1")]
+    pub address: String,
+    /// Whether it takes requests.
+    #[prost(bool, tag = "2")]
+    pub accepting: bool,
+    /// The model.
+    #[prost(string, tag = "3")]
+    pub model: String,
+    /// The version held whole; zero for none.
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
+}
+
+/// What an agent holds of a version.
+#[derive(Clone, PartialEq, Message)]
+pub struct HoldingRow {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// One bit a chunk.
+    #[prost(bytes = "vec", tag = "3")]
+    pub bitmap: Vec<u8>,
+    /// Uploads that wait.
+    #[prost(uint32, tag = "4")]
+    pub queue: u32,
+    /// Whether an answer is wanted.
+    #[prost(bool, tag = "5")]
+    pub asks: bool,
+}
+
+impl Datagram {
+    /// A datagram from `from` with nothing in it.
+    pub fn new(from: &InstanceId) -> Self {
+        Self { from: from.to_string(), ..Self::default() }
+    }
+
+    /// The bytes to be sent.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        self.encode_to_vec()
+    }
+
+    /// Reads a datagram; nothing where it is malformed.
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        Self::decode(bytes)
+            .inspect_err(|error| log::warn!("datagram outcome=dropped reason=\"{error}\""))
+            .ok()
+    }
+}
+
+impl EngineRow {
+    /// What an agent tells of the engine at `address`.
+    pub fn new(
+        address: SocketAddr,
+        accepting: bool,
+        model: &ModelName,
+        version: WeightVersion,
+    ) -> Self {
+        let (address, model) = (address.to_string(), model.to_string());
+        Self { address, accepting, model, version: version.0 }
+    }
+}
--- a/mustardrill_runtime/src/lib.rs
+++ b/mustardrill_runtime/src/lib.rs
@@ -2,8 +2,11 @@
 #![deny(missing_docs, unsafe_code, clippy::unwrap_used)]
 
 pub mod agents;
+pub mod border;
 pub mod clock;
 pub mod config;
+pub mod datagram;
+pub mod headers;
 pub mod http;
 pub mod logging;
 pub mod metrics;
--- a/mustardrill_runtime/src/settings.rs
+++ b/mustardrill_runtime/src/settings.rs
@@ -37,7 +37,36 @@
     pub warnings: Vec<SettingsFault>,
 }
 
+/// The platform that a process runs on.
+#[derive(Debug, DeriveDisplay, Clone, Copy, PartialEq, Eq)]
+pub enum PlatformKind {
+    /// The one of this product's own pages.
+    #[display("own")]
+    Own,
+    /// One on which entries send to upstreams themselves.
+    #[display("prepared")]
+    Prepared,
+}
+
+impl FromStr for PlatformKind {
+    type Err = Box<str>;
+
+    fn from_str(text: &str) -> Result<Self, Box<str>> {
+        match text {
+            "own" => Ok(Self::Own),
+            "prepared" => Ok(Self::Prepared),
+            _ => Err("write own or prepared".into()),
+        }
+    }
+}
+
 impl SettingsReader {
+    /// The platform that the settings are for, which decides what else they must say.
+    pub fn platform(&self, section: &str) -> PlatformKind {
+        let found = self.find(section, "platform");
+        found.and_then(|key| key.value.parse().ok()).unwrap_or(PlatformKind::Own)
+    }
+
     /// Reads a file from disk.
     pub fn open(path: &Path) -> Result<Self, SettingsFault> {
         let name = path.display().to_string();
--- a/mustardrill_runtime/src/signal.rs
+++ b/mustardrill_runtime/src/signal.rs
@@ -8,6 +8,14 @@
 pub fn spawn(stop: CancellationToken, halt: CancellationToken) -> std::io::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    tokio::spawn(async move {
+        // The settings of a process are read at its start; without a handler the signal would end
+        // it and with it the requests in progress.
+        while reload.recv().await.is_some() {
+            log::info!("reload outcome=kept reason=\"settings are read at start\"");
+        }
+    });
     tokio::spawn(async move {
         for token in [stop, halt] {
             tokio::select! {
--- a/mustardrill_types/src/code.rs
+++ b/mustardrill_types/src/code.rs
@@ -32,6 +32,8 @@
     Leaving,
     /// The request was withdrawn before it was run; not run.
     Withdrawn,
+    /// The entry has no configuration yet, or can't prove that the one it has is current; not run.
+    NotCurrent,
     /// The request may or may not have run: its upstream or agent was lost.
     Unknown,
     /// The upstream ran the request and failed.
@@ -52,7 +54,7 @@
 
 impl ResultCode {
     /// Every code, in the order of the numbers.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::Answered,
         Self::BadRequest,
         Self::UnknownCustomer,
@@ -66,6 +68,7 @@
         Self::AlreadyClaimed,
         Self::Leaving,
         Self::Withdrawn,
+        Self::NotCurrent,
         Self::Unknown,
         Self::UpstreamFailed,
         Self::AnswerCut,
@@ -92,6 +95,7 @@
             Self::AlreadyClaimed => 2015,
             Self::Leaving => 2016,
             Self::Withdrawn => 2017,
+            Self::NotCurrent => 2018,
             Self::Unknown => 3001,
             Self::UpstreamFailed => 3002,
             Self::AnswerCut => 3003,
@@ -132,7 +136,8 @@
             | Self::NoUpstream
             | Self::ClaimUnavailable
             | Self::Leaving
-            | Self::Withdrawn => 503,
+            | Self::Withdrawn
+            | Self::NotCurrent => 503,
             Self::DeadlinePassed => 504,
             Self::Unknown | Self::UpstreamFailed | Self::AnswerCut | Self::WrongWeights => 502,
             Self::EditUnknown => 202,
--- a/mustardrill_types/src/id.rs
+++ b/mustardrill_types/src/id.rs
@@ -148,6 +148,16 @@
     FencingNumber,
     u64
 );
+number_type!(
+    /// The number of a model's weights; a newer version's is higher.
+    WeightVersion,
+    u64
+);
+number_type!(
+    /// A state of the platform's store; each change has a higher one.
+    StoreRevision,
+    u64
+);
 number_type!(
     /// The place of a chunk within its manifest, from zero.
     ChunkIndex,
