--- a/mustardrill_agent/src/stock/actor.rs
+++ b/mustardrill_agent/src/stock/actor.rs
@@ -2,18 +2,21 @@
 
 use std::sync::Arc;
 
+use cadence::{Gauged, StatsdClient};
 use kameo::prelude::*;
 use mustardrill_core::manifest::Manifest;
 use mustardrill_core::stock::{StockEffect, StockEvent, StockReducer, StockStatus, VersionId};
 use mustardrill_core::transfer::ChunkSource;
 use mustardrill_runtime::border::{ChunkList, ChunkOrigin, EngineControl, FleetSource};
 use mustardrill_runtime::clock::ProcessClock;
+use mustardrill_runtime::exposition::{MetricHandler, MetricPage};
 use mustardrill_runtime::http::{HttpClient, HttpServer};
 use mustardrill_types::{ChunkIndex, FastMap};
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
 use crate::stock::config::StockConfig;
+use crate::stock::metrics::METRICS;
 use crate::stock::peers::PeerHandler;
 use crate::stock::upload::UploadQueue;
 use crate::stock::{effects, peers, watch};
@@ -44,6 +47,7 @@
     pub(crate) socket: UdpSocket,
     /// The uploads to other agents.
     pub(crate) uploads: UploadQueue,
+    pub(crate) metrics: StatsdClient,
     pub(crate) halt: CancellationToken,
 }
 
@@ -219,11 +223,33 @@
     }
 }
 
+/// How often the gauges are set: as often as they are usually read.
+const SAMPLE_EVERY: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Sets the gauges from the reducer's state.
+async fn sample(actor: ActorRef<StockActor>, context: Arc<StockContext>) {
+    loop {
+        tokio::time::sleep(SAMPLE_EVERY).await;
+        let Ok(StatusReply(status)) = actor.ask(StatusQuery).await else { return };
+        let wanted = status.wanted.map_or(0, |wanted| wanted.version.0);
+        let gauges = [
+            ("weights_wanted", wanted),
+            ("weights_served", u64::from(status.serving)),
+            ("chunks_held", u64::from(status.held)),
+            ("chunks_total", u64::from(status.total)),
+        ];
+        for (name, value) in gauges {
+            let _ = context.metrics.gauge(name, value);
+        }
+    }
+}
+
 /// Starts an agent and returns its handle once it listens.
 pub async fn spawn(config: StockConfig, borders: StockBorders) -> std::io::Result<StockHandle> {
     let halt = CancellationToken::new();
     let socket = UdpSocket::bind(config.listen).await?;
     let reducer = StockReducer::new(config.stock.clone(), rand::random());
+    let page = Arc::new(MetricPage::new(&METRICS));
     let (listen, link_mbps) = (config.listen, config.link_mbps);
     log::info!(
         "start instance={} address={listen} engine={} store={}",
@@ -238,11 +264,17 @@
         client: HttpClient::open(effects::CONNECT_TIMEOUT),
         socket,
         uploads: UploadQueue::new(link_mbps),
+        metrics: page.client(),
         halt: halt.clone(),
     });
     let (lists, draws) = (FastMap::default(), FastMap::default());
     let state = StockActor { reducer, context: context.clone(), lists, draws };
     let actor = StockActor::spawn_with_mailbox(state, mailbox::unbounded());
+    if let Some(address) = context.config.metrics {
+        HttpServer::bind(address, Box::new(MetricHandler(page)), halt.clone()).await?;
+        let sampling = sample(actor.clone(), context.clone());
+        tokio::spawn(halt.clone().run_until_cancelled_owned(sampling));
+    }
     let handler = Box::new(PeerHandler::new(actor.clone(), context.clone()));
     HttpServer::bind(listen, handler, halt.clone()).await?;
     peers::spawn_hearing(actor.clone(), context.clone());
--- a/mustardrill_agent/src/stock/effects.rs
+++ b/mustardrill_agent/src/stock/effects.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cadence::Counted;
 use hyper::StatusCode;
 use kameo::prelude::*;
 use mustardrill_core::direct::FleetChange;
@@ -117,6 +118,8 @@
             outcome = tokio::time::timeout(patience, drawing) => outcome.unwrap_or(DrawOutcome::Failed),
             () = token.cancelled() => return,
         };
+        let name = outcome_name(&outcome);
+        let _ = context.metrics.count(&format!("chunk_draws.{name}"), 1);
         let ChunkDraw { index, source, .. } = order.draw;
         let event = StockEvent::DrawEnded(order.version, index, source, outcome);
         let _ = actor.tell(Event(event)).await;
@@ -147,13 +150,27 @@
     if !context.borders.origin.verifies(list, draw.index, &bytes) {
         return DrawOutcome::Corrupt;
     }
+    let length = bytes.len() as i64;
     if !context.borders.engine.stage(&version.model, draw.index, bytes).await {
         log::warn!("chunk version={version} index={} outcome=not-staged", draw.index);
         return DrawOutcome::Failed;
     }
+    let source = if draw.source == ChunkSource::Origin { "origin" } else { "peer" };
+    let _ = context.metrics.count(&format!("chunk_bytes.{source}"), length);
     DrawOutcome::Verified
 }
 
+/// The outcome as a label of a metric.
+fn outcome_name(outcome: &DrawOutcome) -> &'static str {
+    match outcome {
+        DrawOutcome::Verified => "whole",
+        DrawOutcome::Corrupt => "corrupt",
+        DrawOutcome::Busy(_) => "busy",
+        DrawOutcome::Missing => "missing",
+        DrawOutcome::Failed => "failed",
+    }
+}
+
 async fn chunk_from_peer(context: &StockContext, order: &ChunkOrder) -> Result<Bytes, DrawOutcome> {
     let uri = format!("http://{}{}", order.address, chunk_path(&order.version, order.draw.index));
     let call = request("GET", &uri, Bytes::new());
--- a/mustardrill_agent/src/stock/mod.rs
+++ b/mustardrill_agent/src/stock/mod.rs
@@ -3,9 +3,11 @@
 mod actor;
 mod config;
 mod effects;
+mod metrics;
 mod peers;
 mod upload;
 mod watch;
 
 pub use actor::{StockBorders, StockHandle, spawn};
 pub use config::{StockConfig, read};
+pub use metrics::METRICS;
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use cadence::{Gauged, StatsdClient};
 use kameo::prelude::*;
 use mustardrill_core::direct::{
     CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest, PeerRecord, RefusalPlan,
@@ -11,6 +12,7 @@
 };
 use mustardrill_runtime::border::{CallDialect, FleetSource};
 use mustardrill_runtime::clock::ProcessClock;
+use mustardrill_runtime::exposition::{MetricHandler, MetricPage};
 use mustardrill_runtime::http::HttpServer;
 use mustardrill_types::{FastMap, InstanceId, Moment};
 use tokio::sync::mpsc;
@@ -19,6 +21,7 @@
 use crate::direct::callers::DirectHandler;
 use crate::direct::config::DirectConfig;
 use crate::direct::connections::ConnectionPool;
+use crate::direct::metrics::METRICS;
 use crate::direct::{gossip, watch};
 
 /// The platform, as the entry sees it.
@@ -47,6 +50,7 @@
     pub(crate) config: DirectConfig,
     pub(crate) borders: DirectBorders,
     pub(crate) pool: ConnectionPool,
+    pub(crate) metrics: StatsdClient,
     /// Whether a planned stop has begun.
     pub(crate) leaving: AtomicBool,
     pub(crate) halt: CancellationToken,
@@ -195,15 +199,38 @@
     }
 }
 
+/// How often the gauges are set: as often as they are usually read.
+const SAMPLE_EVERY: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Sets the gauges from the reducer's state.
+async fn sample(actor: ActorRef<DirectActor>, context: Arc<DirectContext>) {
+    loop {
+        tokio::time::sleep(SAMPLE_EVERY).await;
+        let Ok(StatusReply(status)) = actor.ask(StatusQuery).await else { return };
+        let gauges = [
+            ("generation", status.generation.map_or(0, |generation| generation.0)),
+            ("proof_age_ms", status.proof_age.map_or(0, |age| age.0)),
+            ("upstreams", status.upstreams as u64),
+            ("requests_open", status.requests as u64),
+            ("requests_waiting", status.waiting as u64),
+        ];
+        for (name, value) in gauges {
+            let _ = context.metrics.gauge(name, value);
+        }
+    }
+}
+
 /// Starts an entry and returns its handle once it listens.
 pub async fn spawn(config: DirectConfig, borders: DirectBorders) -> std::io::Result<DirectHandle> {
     let halt = CancellationToken::new();
     let stop_callers = halt.child_token();
+    let page = Arc::new(MetricPage::new(&METRICS));
     let context = Arc::new(DirectContext {
         clock: ProcessClock::start(),
         config: config.clone(),
         borders,
         pool: ConnectionPool::default(),
+        metrics: page.client(),
         leaving: AtomicBool::new(false),
         halt: halt.clone(),
     });
@@ -214,6 +241,11 @@
     let ready =
         HttpServer::bind(config.ready_listen, Box::new(handler.clone()), halt.clone()).await?;
     let callers = HttpServer::bind(config.listen, Box::new(handler), stop_callers.clone()).await?;
+    if let Some(address) = config.metrics {
+        HttpServer::bind(address, Box::new(MetricHandler(page)), halt.clone()).await?;
+        let sampling = sample(actor.clone(), context.clone());
+        tokio::spawn(halt.clone().run_until_cancelled_owned(sampling));
+    }
     gossip::spawn(actor.clone(), context.clone()).await?;
     watch::spawn(actor.clone(), context.clone());
     let (address, ready_address) = (callers.address, ready.address);
--- a/mustardrill_entry/src/direct/answer.rs
+++ b/mustardrill_entry/src/direct/answer.rs
@@ -10,6 +10,7 @@
 use mustardrill_runtime::border::CallDialect;
 use mustardrill_runtime::headers::copy_end_to_end;
 use mustardrill_runtime::http::{AnyBody, AnyResponse, CutError, whole_body};
+use mustardrill_types::{Millis, ResultCode};
 use tokio::sync::mpsc;
 
 /// Parts that may wait for a slow caller.
@@ -30,26 +31,30 @@
     Refused(RefusalPlan),
 }
 
-/// The response for the parts of one answer.
+/// The response for the parts of one answer, and the result code that it has so far.
 pub(crate) async fn respond(
     mut parts: mpsc::Receiver<AnswerPart>,
     dialect: &dyn CallDialect,
-) -> AnyResponse {
-    match parts.recv().await {
+) -> (ResultCode, AnyResponse) {
+    let part = parts.recv().await;
+    let code = match &part {
+        Some(AnswerPart::Refused(plan)) => plan.code,
+        Some(_) => ResultCode::Answered,
+        None => ENDED.code,
+    };
+    let response = match part {
         Some(AnswerPart::Whole(status, headers, bytes)) => {
             passed_on(status, &headers, whole_body(bytes))
         }
         Some(AnswerPart::Head(status, headers)) => passed_on(status, &headers, events(parts)),
         Some(AnswerPart::Refused(plan)) => refusal(&plan, dialect),
         _ => refusal(&ENDED, dialect),
-    }
+    };
+    (code, response)
 }
 
 /// What a request is told whose task ended without a word, as the process ends.
-const ENDED: RefusalPlan = RefusalPlan {
-    code: mustardrill_types::ResultCode::Unknown,
-    retry_after: mustardrill_types::Millis(0),
-};
+const ENDED: RefusalPlan = RefusalPlan { code: ResultCode::Unknown, retry_after: Millis(0) };
 
 /// A response that says that there is no answer, whether the request ran, and when to come back.
 pub(crate) fn refusal(plan: &RefusalPlan, dialect: &dyn CallDialect) -> AnyResponse {
--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cadence::{Counted, Timed};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response, StatusCode, http};
@@ -68,6 +69,8 @@
             match verdict {
                 Verdict::Send(plan) => {
                     let outcome = self.attempt(&plan, &mut progress).await;
+                    let name = outcome_name(outcome);
+                    let _ = self.context.metrics.count(&format!("attempts.{name}"), 1);
                     let event = DirectEvent::Ended(self.number, outcome);
                     let _ = self.actor.tell(Event(event)).await;
                     if outcome == AttemptOutcome::Whole {
@@ -146,6 +149,7 @@
         let request = dialect.write_request(&self.head, plan, remaining, progress.cutter.last());
         let request = request.map(|()| Full::new(self.body.clone()));
         let reused = connection.is_reused();
+        let sent = self.context.clock.now();
         let response = tokio::time::timeout(plan.silence.to_std(), connection.send(request)).await;
         let response = match response {
             Ok(Ok(response)) => response,
@@ -171,6 +175,8 @@
         let kind = dialect.read_answer(&self.head, response.status(), response.headers());
         match kind {
             AnswerKind::Answer { success, load, version } => {
+                let took = self.context.clock.now().since(sent).0;
+                let _ = self.context.metrics.time("first_ms", took);
                 self.tell_answering(load, version).await;
                 Ok(GoodAnswer { response, connection, success })
             }
@@ -301,3 +307,15 @@
         AttemptOutcome::Whole
     }
 }
+
+/// The outcome as a label of a metric.
+fn outcome_name(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Whole => "whole",
+        AttemptOutcome::Failed => "failed",
+        AttemptOutcome::Full => "full",
+        AttemptOutcome::Misdirected => "misdirected",
+        AttemptOutcome::NotSent => "not_sent",
+        AttemptOutcome::Lost { .. } => "lost",
+    }
+}
--- a/mustardrill_entry/src/direct/callers.rs
+++ b/mustardrill_entry/src/direct/callers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use cadence::{Counted, Timed};
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -68,7 +69,10 @@
             parts: sender,
         };
         tokio::spawn(task.run(call));
-        let response = respond(parts, dialect).await;
+        let (code, response) = respond(parts, dialect).await;
+        let took = self.context.clock.now().since(arrived).0;
+        let _ = self.context.metrics.count(&format!("requests.{code}"), 1);
+        let _ = self.context.metrics.time("request_ms", took);
         self.mark_leaving(response)
     }
 
--- a/mustardrill_entry/src/direct/mod.rs
+++ b/mustardrill_entry/src/direct/mod.rs
@@ -8,7 +8,9 @@
 mod connections;
 mod events;
 mod gossip;
+mod metrics;
 mod watch;
 
 pub use actor::{DirectBorders, DirectHandle, spawn};
 pub use config::{DirectConfig, read};
+pub use metrics::METRICS;
--- a/mustardrill_runtime/src/lib.rs
+++ b/mustardrill_runtime/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod config;
 pub mod datagram;
+pub mod exposition;
 pub mod headers;
 pub mod http;
 pub mod logging;
--- /dev/null
+++ b/mustardrill_runtime/tests/exposition.rs
@@ -0,0 +1,43 @@
+//! What is counted through cadence is served in the exposition format.
+
+use std::sync::Arc;
+
+use cadence::{Counted, Gauged, Timed};
+use mustardrill_runtime::exposition::{MetricKind, MetricPage, MetricRow};
+
+const ROWS: [MetricRow; 3] = [
+    MetricRow { name: "requests", kind: MetricKind::Counter("code"), help: "Requests, by code." },
+    MetricRow { name: "request_ms", kind: MetricKind::Histogram, help: "Times, in milliseconds." },
+    MetricRow { name: "generation", kind: MetricKind::Gauge, help: "The generation in force." },
+];
+
+#[test]
+fn counts_times_and_gauges_are_served_with_help_and_labels() {
+    let page = Arc::new(MetricPage::new(&ROWS));
+    let client = page.client();
+    client.count("requests.1000", 2).unwrap();
+    client.count("requests.2011", 1).unwrap();
+    client.time("request_ms", 120u64).unwrap();
+    client.gauge("generation", 7u64).unwrap();
+    let text = page.text();
+    for line in [
+        "# HELP mustardrill_requests Requests, by code.",
+        "# TYPE mustardrill_requests counter",
+        "mustardrill_requests{code=\"1000\"} 2",
+        "mustardrill_requests{code=\"2011\"} 1",
+        "mustardrill_request_ms_bucket{le=\"100\"} 0",
+        "mustardrill_request_ms_bucket{le=\"150\"} 1",
+        "mustardrill_request_ms_count 1",
+        "mustardrill_generation 7",
+    ] {
+        assert!(text.lines().any(|found| found == line), "no {line} in\n{text}");
+    }
+}
+
+#[test]
+fn what_is_unknown_or_malformed_changes_nothing() {
+    let page = Arc::new(MetricPage::new(&ROWS));
+    let before = page.text();
+    let _ = page.client().count("no_such_metric", 1);
+    assert_eq!(page.text(), before);
+}
--- a/mustardrill_standins/src/process.rs
+++ b/mustardrill_standins/src/process.rs
@@ -1,9 +1,9 @@
 //! One process of a lab: started from this build, watched, frozen, stopped and ended by its id.
 
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -90,19 +90,22 @@
     start(folder, name, &program, command)
 }
 
-/// Starts a program and reads from its first line where it listens.
+/// How long a program may take until it listens.
+const START_PATIENCE: Duration = Duration::from_secs(20);
+
+/// Starts a program and waits until its log says where it listens.
 fn start(folder: &Path, name: &str, program: &Path, mut command: Command) -> LabProcess {
-    let log = std::fs::File::create(folder.join(format!("{name}.log"))).expect("a log file");
-    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log);
+    let path = folder.join(format!("{name}.log"));
+    let log = std::fs::File::create(&path).expect("a log file");
+    let errors = log.try_clone().expect("a second handle of the log file");
+    command.stdin(Stdio::null()).stdout(log).stderr(errors);
     let mut child = command.spawn().unwrap_or_else(|error| {
         panic!(
             "{}: {error}; build first with `cargo build --workspace --all-targets`",
             program.display()
         )
     });
-    let mut line = String::new();
-    let output = child.stdout.take().expect("the output is piped");
-    BufReader::new(output).read_line(&mut line).expect("the first line is read");
+    let line = ready_line(&path, &mut child);
     let mut addresses = line
         .split_whitespace()
         .map(|word| word.rsplit('=').next().unwrap_or(word))
@@ -110,3 +113,21 @@
     let address = addresses.next().unwrap_or_else(|| panic!("{name} did not start: {line}"));
     LabProcess { name: name.to_owned(), address, second: addresses.next(), child }
 }
+
+/// The line of a log that says where the program listens; the whole log where it has ended.
+fn ready_line(path: &Path, child: &mut Child) -> String {
+    const LOOK_EVERY: Duration = Duration::from_millis(2);
+    let begun = Instant::now();
+    loop {
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
+        if let Some(line) = whole.lines().find(|line| line.starts_with("ready ")) {
+            return line.to_owned();
+        }
+        let has_ended = matches!(child.try_wait(), Ok(Some(_)));
+        if has_ended || begun.elapsed() > START_PATIENCE {
+            return text;
+        }
+        std::thread::sleep(LOOK_EVERY);
+    }
+}
--- a/mustardrill_standins/src/program.rs
+++ b/mustardrill_standins/src/program.rs
@@ -50,7 +50,7 @@
             eprintln!("can't listen at {address}: {error}");
             std::process::exit(1);
         });
-        println!("{}", stand_in.address);
+        println!("ready address={}", stand_in.address);
         let _ = tokio::signal::ctrl_c().await;
     });
 }
