Late chunks have a time of their own; an older version that is not loaded is dropped for one that follows soon

Cause: versions named 4 s apart. Half of the engines loaded the older one late, the newer one was staged 4 to 9 s after its naming; chunks of agents that had gone were drawn one after the other, half a second each.

--- a/mustardrill_agent/src/stock/config.rs
+++ b/mustardrill_agent/src/stock/config.rs
@@ -34,7 +34,7 @@
 
 /// The part of the version bound after which the first engine loads, in percent. A version is
 /// staged everywhere within 0.40 to 0.44 of it on the links that the bound is made for.
-const FIRST_TURN_PERCENT: u64 = 42;
+const FIRST_TURN_PERCENT: u64 = 45;
 
 /// The part of the version bound by which the last engine loads, in percent. Soon after it,
 /// entries send nothing more to engines without the version, so waiting longer gains nothing.
@@ -66,6 +66,7 @@
             turns: TurnSettings {
                 first: Millis(version.0 * FIRST_TURN_PERCENT / 100),
                 last: Millis(version.0 * LAST_TURN_PERCENT / 100),
+                switch: reader.value("weights", "switch", Millis(2_000)),
             },
             tell_every: reader.value("weights", "exchange_every", Millis(35)),
             retry_every: reader.value("weights", "retry_every", Millis(400)),
@@ -79,7 +80,7 @@
     TransferSettings {
         origin_copies: reader.bounded("weights", "origin_copies", default.origin_copies, 1, 4),
         drawers: reader.bounded("weights", "drawers", 40, 1, 1_000),
-        window: reader.bounded("weights", "window", 3, 1, 256),
+        window: reader.bounded("weights", "window", 4, 1, 256),
         origin_window: reader.bounded("weights", "origin_window", default.origin_window, 1, 64),
         partners: reader.bounded("weights", "partners", default.partners, 1, 1_000),
         stall_after: reader.value("weights", "stall_after", Millis(500)),
--- a/mustardrill_agent/src/stock/upload.rs
+++ b/mustardrill_agent/src/stock/upload.rs
@@ -7,7 +7,7 @@
 /// The time of uploads that may wait for the link. One chunk more is then accepted: enough to keep
 /// the link busy, and little enough that an event of an answer, which goes over the same link, is
 /// not held up behind them. With 120 ms of uploads waiting, two of five streams were late.
-const LONGEST_QUEUE: Millis = Millis(30);
+const LONGEST_QUEUE: Millis = Millis(45);
 
 /// Uploads that the link has not carried yet.
 #[derive(Debug)]
--- a/mustardrill_core/src/stock/mod.rs
+++ b/mustardrill_core/src/stock/mod.rs
@@ -13,4 +13,4 @@
     WeightSource,
 };
 pub use reducer::StockReducer;
-pub use turn::{TurnSettings, is_worth_finishing, turn_of};
+pub use turn::{TurnSettings, is_worth_loading, turn_of};
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -17,7 +17,7 @@
     EngineView, HoldingNews, StockEffect, StockEvent, StockSettings, StockStatus, VersionId,
     WeightSource,
 };
-use crate::stock::turn::{is_worth_finishing, turn_of};
+use crate::stock::turn::{is_worth_loading, turn_of};
 use crate::transfer::{ChunkSource, DrawOutcome, TransferPeer, TransferPlan};
 
 /// The version that engines hold before any is named.
@@ -299,7 +299,7 @@
             self.wanted = Some(target);
             return Vec::new();
         }
-        if self.finishes_older(now) {
+        if self.loads_older() {
             return Vec::new();
         }
         let mut effects = Vec::new();
@@ -315,21 +315,19 @@
         effects
     }
 
-    /// Whether the version under way is finished before the newer one is begun.
-    fn finishes_older(&self, now: Moment) -> bool {
+    /// Whether the version under way is loaded before the newer one is begun.
+    fn loads_older(&self) -> bool {
         let (Some(wanted), Some(stage)) = (&self.wanted, &self.stage) else { return false };
-        let plan = match stage {
-            StockStage::Listing { .. } | StockStage::Inspecting(_) => return false,
+        match stage {
+            // What is staged must stay until the engine has taken the order.
             StockStage::Ordered(_, order) => return !order.taken,
-            StockStage::Drawing(plan)
-            | StockStage::Staged(plan, _)
-            | StockStage::Checking(plan) => plan,
-        };
-        let Some(named) = self.versions.named_at(&wanted.model, wanted.version) else {
-            return false;
-        };
-        let held = plan.held().count() * 100 / plan.manifest().chunk_count().max(1);
-        is_worth_finishing(now, named, held, self.settings.turns)
+            StockStage::Staged(..) | StockStage::Checking(_) => {}
+            _ => return false,
+        }
+        let older = self.versions.named_at(&wanted.model, wanted.version);
+        let newer = self.versions.named_after(&wanted.model, wanted.version);
+        let turns = self.settings.turns;
+        older.zip(newer).is_some_and(|(older, newer)| is_worth_loading(older, newer, turns))
     }
 
     /// One step of a stage; the stage that follows, and what is to be done.
@@ -400,6 +398,10 @@
         let served = self.engine.as_ref().and_then(|engine| engine.serving.first());
         let named = self.versions.named_at(&wanted.model, wanted.version);
         let (Some(served), Some(named)) = (served, named) else { return Moment(0) };
+        // A newer one waits for the place of this one.
+        if self.versions.named_after(&wanted.model, wanted.version).is_some() {
+            return Moment(0);
+        }
         let replaced = self.versions.named_after(&wanted.model, served.version).unwrap_or(named);
         let turns = self.settings.turns;
         // All have staged it at about the same time, so each goes by its own.
--- a/mustardrill_core/src/stock/turn.rs
+++ b/mustardrill_core/src/stock/turn.rs
@@ -17,20 +17,19 @@
     /// When the last one should: an engine that has not loaded it yet is about to be left without
     /// requests.
     pub last: Millis,
+    /// What loading costs an engine: the time until it has finished what it runs.
+    pub switch: Millis,
 }
 
-/// The least share of a version's chunks, in percent, with which it is finished although a newer
-/// one was named: with less the newer one is there about as soon.
-const WORTH_FINISHING: u32 = 50;
-
-/// Whether a version of which `held` percent are here is finished although a newer one is named.
+/// Whether a version that is staged but not yet loaded is loaded although a newer one was named.
 ///
-/// Load pattern: versions named a few seconds apart. Going on with the older one delays the newer
-/// one; dropping it leaves the engine without requests from the end of the older one's time until
-/// the newer one has come.
-pub fn is_worth_finishing(now: Moment, named: Moment, held: u32, settings: TurnSettings) -> bool {
-    let newer_there = now + settings.first;
-    newer_there > named + settings.last && held >= WORTH_FINISHING
+/// Load pattern: versions named a few seconds apart. Dropping the older one leaves the engine
+/// without requests from the end of the time of what it serves until the newer one has come.
+/// Loading it costs about as much as a pause of `switch` for what the engine must finish first,
+/// and once more for the newer one.
+pub fn is_worth_loading(older: Moment, newer: Moment, settings: TurnSettings) -> bool {
+    let newer_there = newer + settings.first;
+    newer_there > older + settings.last + settings.switch
 }
 
 /// The moment of `own`'s turn among `peers`, of all turns spread over `span`.
--- a/mustardrill_core/src/transfer.rs
+++ b/mustardrill_core/src/transfer.rs
@@ -105,6 +105,8 @@
     held: ChunkBitmap,
     missing: MissingSet,
     seen: ChunkBitmap,
+    /// When each chunk was first seen at anybody's.
+    seen_at: Vec<Moment>,
     partners: PartnerTable,
     drawers: Vec<InstanceId>,
     successors: Vec<InstanceId>,
@@ -180,6 +182,7 @@
             held: ChunkBitmap::empty(total),
             missing: MissingSet::full(total),
             seen: ChunkBitmap::empty(total),
+            seen_at: vec![Moment(0); total as usize],
             partners: PartnerTable::new(total),
             drawers: Vec::new(),
             successors: Vec::new(),
@@ -349,6 +352,7 @@
     fn note_seen(&mut self, now: Moment, index: ChunkIndex) {
         if self.seen.insert(index) {
             self.novelty = now;
+            self.seen_at[index.0 as usize] = now;
         }
     }
 
@@ -455,15 +459,11 @@
         Some(*free[self.random.random_range(0..free.len())])
     }
 
-    /// A chunk that nobody seen holds, once the drawers have shown nothing new for too long.
+    /// A chunk that nobody seen holds, once its drawer is too late with it.
     ///
     /// For each such time that passes, one more successor draws a chunk, so that a dead or
     /// stalled drawer costs little more than its own draws.
     fn next_orphan(&self, now: Moment) -> Option<ChunkIndex> {
-        let waited = now.since(self.novelty).0 / self.settings.stall_after.0.max(1);
-        if waited == 0 {
-            return None;
-        }
         let is_orphan = |index: &ChunkIndex| {
             self.partners.copies(*index) == 0 && !self.flights.contains_key(index)
         };
@@ -473,10 +473,28 @@
             }
             rank_of(&self.successors, &self.own.id, *index)
         };
-        let is_next = |index: &ChunkIndex| (rank(index) as u64) < waited;
+        let is_next = |index: &ChunkIndex| (rank(index) as u64) < self.drawers_late(now, *index);
         self.missing.chunks.iter().copied().find(|index| is_orphan(index) && is_next(index))
     }
 
+    /// How many of a chunk's drawers had their time and did not show it.
+    ///
+    /// Where the origin's pace is known, each chunk has a time of its own, so that a dead drawer's
+    /// chunks are all drawn at once by their next ones. Waiting for a pause in all that is seen,
+    /// as without it, cost half a second for each such chunk, one after the other. An origin that
+    /// shows nothing to anybody is not asked by more and more.
+    fn drawers_late(&self, now: Moment, index: ChunkIndex) -> u64 {
+        let stall = self.settings.stall_after.0.max(1);
+        let paused = now.since(self.novelty).0 / stall;
+        let pace = self.settings.origin_pace;
+        if pace <= 0.0 {
+            return paused;
+        }
+        let due = self.started + Millis((f64::from(index.0) * pace) as u64);
+        let late = now.since(due).0 / stall;
+        late.min(paused + MOST_LATE_DRAWERS)
+    }
+
     /// Whether this instance is among those of its data centre that draw a chunk from afar; with
     /// each time that passes without anything new, one more is.
     fn may_draw_far(&self, now: Moment, index: ChunkIndex) -> bool {
@@ -484,7 +502,9 @@
         if drawers == 0 {
             return true;
         }
-        let waited = now.since(self.novelty).0 / self.settings.stall_after.0.max(1);
+        // The home may have others to serve first, so it has twice the time of a drawer.
+        let patience = self.settings.stall_after.0.max(1) * 2;
+        let waited = now.since(self.seen_at[index.0 as usize]).0 / patience;
         (self.homes.near_rank(index) as u64) < drawers as u64 + waited
     }
 
@@ -547,6 +567,9 @@
     }
 }
 
+/// The drawers that may be late with one chunk while others still come: each draws it once more.
+const MOST_LATE_DRAWERS: u64 = 3;
+
 /// A chunk is given this many times the usual time of a chunk.
 const PATIENCE_PACES: u64 = 8;
 
