--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -28,6 +28,9 @@
 /// How long a request that was sent once waits for another upstream.
 const REPEAT_WAIT: Millis = Millis(1_000);
 
+/// What must be left of a caller's time when its request is sent: less is not worth a run.
+const LEAST_LEFT: Millis = Millis(100);
+
 /// Upstreams that can't be reached before a request is given up.
 const UNREACHED_LIMIT: usize = 4;
 
@@ -39,7 +42,7 @@
     pub(super) fn start(&mut self, now: Moment, number: RequestNumber) -> Vec<DirectEffect> {
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let service = state.service.clone();
-        let rank = state.rank(now);
+        let rank = state.rank(now >= self.in_time_until(state));
         let first = self.queues.get(&service).and_then(|queue| queue.first());
         if first.is_none_or(|first| rank < first)
             && let Some(upstream) = self.choose(now, state)
@@ -54,10 +57,10 @@
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let until = self.wait_end(now, state);
         let ahead = self.queues.get(&state.service).map_or(0, |queue| queue.ahead(&rank));
-        if !self.is_possible(now, state) {
+        if !self.is_possible(state) {
             return self.refuse(now, number, ResultCode::NoUpstream, NO_UPSTREAM_RETRY);
         }
-        let expected = self.expected_wait(now, state, ahead);
+        let expected = self.expected_wait(state, ahead);
         if now + expected > until {
             let retry_after = self.spread(expected);
             return self.refuse(now, number, ResultCode::Overloaded, retry_after);
@@ -70,24 +73,26 @@
         Vec::new()
     }
 
-    /// Until when a request waits for an upstream.
+    /// Until when a request waits for an upstream: first to be in time, then to be served at all.
     fn wait_end(&self, now: Moment, state: &RequestState) -> Moment {
-        if !state.tried.is_empty() || rank_is_late(state, now) {
-            return (now + REPEAT_WAIT).min(state.deadline);
-        }
+        let longest = if state.tried.is_empty() { self.settings.late_wait } else { REPEAT_WAIT };
+        let since = if state.tried.is_empty() { state.arrived } else { now };
+        (since + longest).min(state.deadline - LEAST_LEFT)
+    }
+
+    /// Until when a request counts as one that can be in time.
+    pub(super) fn in_time_until(&self, state: &RequestState) -> Moment {
         let share = state.objective_span().0 * u64::from(self.settings.wait_percent) / 100;
-        (state.arrived + Millis(share)).min(state.deadline)
+        state.arrived + Millis(share)
     }
 
-    /// Whether any upstream may take the request once it has room.
-    fn is_possible(&self, now: Moment, state: &RequestState) -> bool {
-        let usable = self.upstreams.usable(now, &state.service);
-        usable.iter().any(|upstream| self.fits(now, state, upstream))
+    /// Whether any upstream is expected to take the request: one that loads weights now, too.
+    fn is_possible(&self, state: &RequestState) -> bool {
+        self.upstreams.slots(&state.service) > 0
     }
 
     /// How long a request waits behind `ahead` others, where the profile lets that be told.
-    fn expected_wait(&self, now: Moment, state: &RequestState, ahead: usize) -> Millis {
-        let usable = self.upstreams.usable(now, &state.service).len().max(1);
+    fn expected_wait(&self, state: &RequestState, ahead: usize) -> Millis {
         let Some(profile) = self.profile(&state.service) else {
             let places = self.upstreams.slots(&state.service) as usize * PLAIN_QUEUE;
             return if ahead >= places { Millis(u64::MAX / 4) } else { Millis(0) };
@@ -97,7 +102,8 @@
         let whole = forecast.whole_ms(profile.slots, usual);
         // Others ask for the freed slots as well, so this entry gets its share of them.
         let entries = self.peers().len() + 1;
-        let turn = whole * entries as f64 / f64::from(profile.slots.max(1)) / usable as f64;
+        let slots = self.upstreams.slots(&state.service).max(1);
+        let turn = whole * entries as f64 / f64::from(slots);
         Millis((turn * (ahead + 1) as f64) as u64)
     }
 
@@ -110,6 +116,7 @@
     /// Sends waiting requests while upstreams have room.
     pub(super) fn pump(&mut self, now: Moment, service: &ServiceName) -> Vec<DirectEffect> {
         let mut effects = Vec::new();
+        self.demote_late(now, service);
         while let Some(rank) = self.queues.get(service).and_then(|queue| queue.first()) {
             let Some(state) = self.requests.get(&rank.number) else { break };
             let Some(upstream) = self.choose(now, state) else { break };
@@ -121,6 +128,23 @@
         effects
     }
 
+    /// Puts those that can't be in time any more behind those that can: served first come first
+    /// served, a queue that is a little too long makes every request late.
+    fn demote_late(&mut self, now: Moment, service: &ServiceName) {
+        while let Some(rank) = self.queues.get(service).and_then(|queue| queue.first()) {
+            let Some(state) = self.requests.get(&rank.number) else { break };
+            if rank.late || now < self.in_time_until(state) {
+                break;
+            }
+            let later = WaitRank { late: true, ..rank };
+            let Some(queue) = self.queues.get_mut(service) else { break };
+            queue.replace(&rank, later);
+            if let Some(state) = self.requests.get_mut(&rank.number) {
+                state.stage = RequestStage::Waiting(later);
+            }
+        }
+    }
+
     /// The upstream for a request; nothing where none has room.
     fn choose(&self, now: Moment, state: &RequestState) -> Option<InstanceId> {
         let usable = self.upstreams.usable(now, &state.service);
@@ -129,16 +153,25 @@
             fitting.partition(|upstream| state.tried.contains(&upstream.record.id));
         let candidates = if fresh.is_empty() { tried } else { fresh };
         let patience = self.settings.peer_patience;
+        // The rest of a stream that the caller has a part of is not made to wait again.
+        let late = now >= self.in_time_until(state) && !state.delivered;
         let mut best: Option<(f64, &InstanceId)> = None;
         for upstream in candidates {
             let id = &upstream.record.id;
             let present = self.upstreams.present(now, id, patience);
-            if present >= pressure::limit(upstream.record.slots, self.settings.ahead) {
+            let slots = upstream.record.slots;
+            let limit = if late {
+                pressure::late_limit(slots, self.settings.late_percent)
+            } else {
+                pressure::limit(slots, self.settings.ahead)
+            };
+            if present.requests >= limit || present.reading > self.settings.reading_limit {
                 continue;
             }
             let cost = pressure::cost(&ChoiceInputs {
-                present,
-                slots: upstream.record.slots,
+                present: present.requests,
+                slots,
+                reading: present.reading,
                 far: upstream.record.data_centre != self.settings.data_centre,
                 failing: upstream.failing,
             });
@@ -166,6 +199,13 @@
         self.versions.floor(now, model, self.settings.version_patience)
     }
 
+    /// How long an engine takes to read the request's prompt.
+    fn reading_time(&self, state: &RequestState) -> Millis {
+        let profile = self.profile(&state.service);
+        let read = |profile| EngineForecast::new(profile).read_ms(state.size.prompt);
+        Millis(profile.map_or(0.0, read) as u64)
+    }
+
     fn profile(&self, service: &ServiceName) -> Option<&EngineProfile> {
         self.document.as_ref()?.service(service)?.engine.as_ref()
     }
@@ -209,11 +249,13 @@
             state.attempt,
             now.since(state.arrived),
             state.tried.len() + 1,
-            self.upstreams.present(now, &upstream, self.settings.peer_patience),
+            self.upstreams.present(now, &upstream, self.settings.peer_patience).requests,
             plan.pinned.map_or(0, |version| version.0),
         );
-        self.upstreams.sent(&upstream);
+        let reading = self.reading_time(state);
+        self.upstreams.sent(&upstream, reading);
         if let Some(state) = self.requests.get_mut(&number) {
+            state.reading = reading;
             state.tried.push(upstream.clone());
             state.stage = RequestStage::Sent(upstream);
         }
@@ -228,6 +270,7 @@
     ) {
         let Some(state) = self.requests.get_mut(&number) else { return };
         let RequestStage::Sent(upstream) = &state.stage else { return };
+        self.upstreams.read(upstream, std::mem::take(&mut state.reading));
         if state.pinned.is_none() && state.repeat.is_stream() {
             state.pinned = version;
         }
@@ -245,6 +288,7 @@
         state.stage = RequestStage::Between;
         let service = state.service.clone();
         let attempt = state.attempt.clone();
+        self.upstreams.read(&upstream, std::mem::take(&mut state.reading));
         self.upstreams.left(&upstream);
         self.upstreams.judge(now, &upstream, outcome, self.settings.ejection);
         if outcome != AttemptOutcome::Whole {
@@ -317,11 +361,11 @@
 
     fn again(&mut self, now: Moment, number: RequestNumber) -> Vec<DirectEffect> {
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
-        if !self.is_possible(now, state) {
+        if !self.is_possible(state) {
             let code = ResultCode::NoUpstream;
             return self.refuse(now, number, code, NO_UPSTREAM_RETRY);
         }
-        let rank = state.rank(now);
+        let rank = state.rank(now >= self.in_time_until(state));
         match self.choose(now, state) {
             Some(upstream) => self.send(now, number, upstream),
             None => self.wait(now, number, rank),
@@ -368,7 +412,3 @@
         vec![DirectEffect::Refuse(number, RefusalPlan { code, retry_after })]
     }
 }
-
-fn rank_is_late(state: &RequestState, now: Moment) -> bool {
-    now >= state.objective
-}
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -72,13 +72,22 @@
     pub slots: u32,
 }
 
+/// What one entry has at an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UpstreamLoad {
+    /// Its requests there.
+    pub requests: u32,
+    /// How long the engine takes to read the prompts of those that have no answer yet.
+    pub reading: Millis,
+}
+
 /// What another entry has at upstreams.
 #[derive(Debug, Clone)]
 pub struct PeerLoad {
     /// The entry.
     pub from: InstanceId,
-    /// Its requests at each upstream.
-    pub outstanding: Vec<(InstanceId, u32)>,
+    /// What it has at each upstream.
+    pub outstanding: Vec<(InstanceId, UpstreamLoad)>,
 }
 
 /// Something that happened at or to the entry.
@@ -173,8 +182,14 @@
     pub retry: RetryShare,
     /// Requests beyond its slots that an upstream gets at once, from all entries together.
     pub ahead: u32,
-    /// The share of its objective that a request may wait here, in percent.
+    /// The share of its objective for which a waiting request counts as in time, in percent.
     pub wait_percent: u32,
+    /// Prompts that an engine may have yet to read, in its reading time, when it is given another.
+    pub reading_limit: Millis,
+    /// The share of its slots up to which an upstream is given late requests, in percent.
+    pub late_percent: u32,
+    /// The longest that a request waits here to be served at all.
+    pub late_wait: Millis,
     /// How long an upstream may be silent before its first event and between events.
     pub silence: Millis,
     /// How long an upstream stays listed whose registration ended while the store was away.
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -20,7 +20,7 @@
 
 pub use event::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, LoadReport, PeerLoad,
-    RefusalPlan, RequestNumber, SendPlan, StatusRow,
+    RefusalPlan, RequestNumber, SendPlan, StatusRow, UpstreamLoad,
 };
 pub use fleet::{FleetChange, FleetPage, PeerRecord, ServedWeights, UpstreamRecord};
 pub use forecast::{EngineForecast, WorkSize};
--- a/mustardrill_core/src/direct/pressure.rs
+++ b/mustardrill_core/src/direct/pressure.rs
@@ -5,17 +5,30 @@
 //! so that a slot never idles for the way back and forth, and no more: one that waits inside an
 //! engine can't be moved to another one that becomes free.
 
+use mustardrill_types::Millis;
+
 /// How many an upstream of `slots` slots may have from all entries together.
 pub(crate) fn limit(slots: u32, ahead: u32) -> u32 {
     slots.max(1) + ahead
 }
 
+/// How many an upstream may have for one more that can't be in time any more.
+///
+/// Load pattern: the return of an outage's callers. Given all slots, late requests fill every
+/// engine for the time of a whole answer, those that come meanwhile wait that long and are late as
+/// well, and so on for as long as the load lasts. The slots kept free serve who comes now.
+pub(crate) fn late_limit(slots: u32, percent: u32) -> u32 {
+    (slots * percent / 100).max(1)
+}
+
 /// What makes an upstream a worse choice; the least goes first.
 pub(crate) struct ChoiceInputs {
     /// Requests there, of all entries.
     pub(crate) present: u32,
     /// Its slots.
     pub(crate) slots: u32,
+    /// Prompts that it has yet to read, in its reading time.
+    pub(crate) reading: Millis,
     /// Whether it stands in another data centre.
     pub(crate) far: bool,
     /// The share of its latest answers that failed.
@@ -32,9 +45,15 @@
 /// At 2.0 one that fails half of its answers is asked only when all others are full.
 const FAILURE_PENALTY: f64 = 2.0;
 
+/// Prompts yet to be read that weigh as much as all slots taken.
+///
+/// They delay the first event by their whole time, which an objective of 300 to 400 ms bears once.
+const READING_SCALE_MS: f64 = 400.0;
+
 /// The cost of a choice.
 pub(crate) fn cost(inputs: &ChoiceInputs) -> f64 {
     let busy = f64::from(inputs.present) / f64::from(inputs.slots.max(1));
     let far = if inputs.far { FAR_PENALTY } else { 0.0 };
-    busy + far + inputs.failing * FAILURE_PENALTY
+    let reading = inputs.reading.0 as f64 / READING_SCALE_MS;
+    busy + reading + far + inputs.failing * FAILURE_PENALTY
 }
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 
 use log::{info, warn};
-use mustardrill_types::{FastMap, FastSet, Millis, Moment, ResultCode, ServiceName};
+use mustardrill_types::{FastMap, FastSet, InstanceId, Millis, Moment, ResultCode, ServiceName};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use crate::direct::event::{
-    DirectEffect, DirectEvent, DirectRequest, DirectSettings, RefusalPlan, RequestNumber, StatusRow,
+    DirectEffect, DirectEvent, DirectRequest, DirectSettings, RefusalPlan, RequestNumber,
+    StatusRow, UpstreamLoad,
 };
 use crate::direct::fleet::{FleetChange, FleetPage, PeerRecord};
 use crate::direct::freshness::ProofClock;
@@ -118,10 +119,10 @@
     }
 
     /// What this entry has at each upstream, for the other entries.
-    pub fn outstanding(&self) -> Vec<(mustardrill_types::InstanceId, u32)> {
+    pub fn outstanding(&self) -> Vec<(InstanceId, UpstreamLoad)> {
         let ids = self.upstreams.ids().into_iter();
-        let counted = ids.map(|id| (self.upstreams.get(&id).map_or(0, |it| it.own), id));
-        counted.filter(|(own, _)| *own > 0).map(|(own, id)| (id, own)).collect()
+        let counted = ids.filter_map(|id| Some((self.upstreams.get(&id)?.own, id)));
+        counted.filter(|(own, _)| own.requests > 0).map(|(own, id)| (id, own)).collect()
     }
 
     /// Whether callers should be sent here.
@@ -219,7 +220,10 @@
                     queue.remove(rank);
                 }
             }
-            RequestStage::Sent(upstream) => self.upstreams.left(upstream),
+            RequestStage::Sent(upstream) => {
+                self.upstreams.read(upstream, state.reading);
+                self.upstreams.left(upstream);
+            }
             RequestStage::Between => {}
         }
     }
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -5,6 +5,7 @@
 };
 
 use crate::direct::event::{DirectRequest, RequestNumber};
+use crate::direct::forecast::WorkSize;
 use crate::direct::route::{RepeatRule, RouteRule};
 use crate::direct::waiting::WaitRank;
 
@@ -19,6 +20,9 @@
     pub(crate) customer: Option<CustomerName>,
     pub(crate) service: ServiceName,
     pub(crate) model: Option<ModelName>,
+    pub(crate) size: WorkSize,
+    /// What of its prompt is counted as unread at the upstream where it is.
+    pub(crate) reading: Millis,
     pub(crate) repeat: RepeatRule,
     pub(crate) priority: u8,
     pub(crate) attempts_limit: u32,
@@ -70,6 +74,8 @@
             customer: customer.map(|(name, _)| name),
             service,
             model: request.model,
+            size: request.size,
+            reading: Millis(0),
             repeat: route.repeat,
             priority: priority.unwrap_or(route.priority),
             attempts_limit: route.attempts.max(1),
@@ -85,14 +91,9 @@
         }
     }
 
-    /// Its place among those that wait at `now`.
-    pub(crate) fn rank(&self, now: Moment) -> WaitRank {
-        WaitRank {
-            late: now >= self.objective,
-            priority: self.priority,
-            since: self.arrived,
-            number: self.number,
-        }
+    /// Its place among those that wait, by whether it can still be in time.
+    pub(crate) fn rank(&self, late: bool) -> WaitRank {
+        WaitRank { late, priority: self.priority, since: self.arrived, number: self.number }
     }
 
     /// How long after its arrival an answer is still in time.
--- a/mustardrill_core/src/direct/upstream.rs
+++ b/mustardrill_core/src/direct/upstream.rs
@@ -7,7 +7,7 @@
     FastMap, InstanceId, Millis, ModelName, Moment, ServiceName, WeightVersion,
 };
 
-use crate::direct::event::{AttemptOutcome, LoadReport, PeerLoad};
+use crate::direct::event::{AttemptOutcome, LoadReport, PeerLoad, UpstreamLoad};
 use crate::direct::fleet::{ServedWeights, UpstreamRecord};
 
 /// The share by which one outcome moves the share of failures.
@@ -26,8 +26,8 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamState {
     pub(crate) record: UpstreamRecord,
-    /// Requests of this entry there.
-    pub(crate) own: u32,
+    /// What this entry has there.
+    pub(crate) own: UpstreamLoad,
     /// The share of its latest answers that failed.
     pub(crate) failing: f64,
     /// It takes no requests until then, as it loads weights.
@@ -44,7 +44,7 @@
 pub(crate) struct UpstreamTable {
     states: FastMap<InstanceId, UpstreamState>,
     by_service: FastMap<ServiceName, Vec<InstanceId>>,
-    peers: FastMap<InstanceId, (Moment, FastMap<InstanceId, u32>)>,
+    peers: FastMap<InstanceId, (Moment, FastMap<InstanceId, UpstreamLoad>)>,
 }
 
 impl UpstreamTable {
@@ -140,11 +140,16 @@
         ids.iter().filter_map(|id| self.states.get(id)).map(|it| it.record.slots).sum()
     }
 
-    /// Requests at an upstream, of all entries that were heard lately.
-    pub(crate) fn present(&self, now: Moment, id: &InstanceId, patience: Millis) -> u32 {
-        let own = self.states.get(id).map_or(0, |state| state.own);
-        let heard = self.peers.values().filter(|(at, _)| now.since(*at) < patience);
-        own + heard.filter_map(|(_, loads)| loads.get(id)).sum::<u32>()
+    /// What is at an upstream, of all entries that were heard lately.
+    pub(crate) fn present(&self, now: Moment, id: &InstanceId, patience: Millis) -> UpstreamLoad {
+        let mut load = self.states.get(id).map_or(UpstreamLoad::default(), |state| state.own);
+        for (_, loads) in self.peers.values().filter(|(at, _)| now.since(*at) < patience) {
+            if let Some(other) = loads.get(id) {
+                load.requests += other.requests;
+                load.reading = Millis(load.reading.0 + other.reading.0);
+            }
+        }
+        load
     }
 
     /// Takes another entry's word on its load.
@@ -156,16 +161,25 @@
         self.peers.remove(id);
     }
 
-    pub(crate) fn sent(&mut self, id: &InstanceId) {
+    /// Notes that a request whose prompt takes `reading` was sent to an upstream.
+    pub(crate) fn sent(&mut self, id: &InstanceId, reading: Millis) {
+        if let Some(state) = self.states.get_mut(id) {
+            state.own.requests += 1;
+            state.own.reading = Millis(state.own.reading.0 + reading.0);
+        }
+    }
+
+    /// Notes that an upstream has read a request's prompt, or never will.
+    pub(crate) fn read(&mut self, id: &InstanceId, reading: Millis) {
         if let Some(state) = self.states.get_mut(id) {
-            state.own += 1;
+            state.own.reading = Millis(state.own.reading.0.saturating_sub(reading.0));
         }
     }
 
     /// Notes that a request has left an upstream.
     pub(crate) fn left(&mut self, id: &InstanceId) {
         if let Some(state) = self.states.get_mut(id) {
-            state.own = state.own.saturating_sub(1);
+            state.own.requests = state.own.requests.saturating_sub(1);
         }
     }
 
@@ -215,7 +229,7 @@
     fn new(record: UpstreamRecord) -> Self {
         Self {
             record,
-            own: 0,
+            own: UpstreamLoad::default(),
             failing: 0.0,
             paused_until: Moment(0),
             failed_in_a_row: 0,
--- a/mustardrill_core/src/direct/waiting.rs
+++ b/mustardrill_core/src/direct/waiting.rs
@@ -1,9 +1,9 @@
 //! The order in which requests wait at an entry for an upstream.
 //!
 //! Load pattern: more requests come than slots are free, for a moment or for long. Requests that
-//! can still be in time go before those that are late already, and among the former the more
-//! urgent first, then the one that has waited longest. What can't be started soon is refused at
-//! once by the reducer, so the queue stays as short as the wait that it promises.
+//! can still be in time go before those that are late already, and among equals the more urgent
+//! first, then the one that has waited longest. What can't be started within the longest wait is
+//! refused at once by the reducer, so the queue stays as short as the wait that it promises.
 
 use std::collections::BTreeMap;
 
@@ -41,6 +41,13 @@
         self.ranks.keys().next().copied()
     }
 
+    /// Gives a request another place.
+    pub fn replace(&mut self, rank: &WaitRank, other: WaitRank) {
+        if let Some(until) = self.ranks.remove(rank) {
+            self.ranks.insert(other, until);
+        }
+    }
+
     /// Takes a request out.
     pub fn remove(&mut self, rank: &WaitRank) -> bool {
         self.ranks.remove(rank).is_some()
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -8,7 +8,7 @@
 use kameo::prelude::*;
 use mustardrill_core::direct::{
     CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest, PeerRecord, RefusalPlan,
-    RequestNumber, SendPlan, StatusRow,
+    RequestNumber, SendPlan, StatusRow, UpstreamLoad,
 };
 use mustardrill_runtime::border::{CallDialect, FleetSource};
 use mustardrill_runtime::clock::ProcessClock;
@@ -88,7 +88,7 @@
 #[derive(Debug, Reply)]
 pub(crate) struct GossipReply {
     pub(crate) peers: Vec<PeerRecord>,
-    pub(crate) outstanding: Vec<(InstanceId, u32)>,
+    pub(crate) outstanding: Vec<(InstanceId, UpstreamLoad)>,
 }
 
 /// Asks whether callers should be sent here.
--- a/mustardrill_entry/src/direct/gossip.rs
+++ b/mustardrill_entry/src/direct/gossip.rs
@@ -6,9 +6,9 @@
 
 use kameo::prelude::*;
 use log::warn;
-use mustardrill_core::direct::{DirectEvent, PeerLoad};
+use mustardrill_core::direct::{DirectEvent, PeerLoad, UpstreamLoad};
 use mustardrill_runtime::datagram::{DATAGRAM_LIMIT, Datagram, LoadRow};
-use mustardrill_types::WeightVersion;
+use mustardrill_types::{Millis, WeightVersion};
 use tokio::net::UdpSocket;
 
 use crate::direct::actor::{DirectActor, DirectContext, Event, GossipQuery};
@@ -60,11 +60,15 @@
         });
     }
     let loads = datagram.loads.into_iter();
-    let rows = loads.filter_map(|row| Some((row.upstream.parse().ok()?, row.outstanding)));
+    let rows = loads.filter_map(|row| Some((row.upstream.parse().ok()?, load_of(&row))));
     let load = PeerLoad { from: datagram.from.parse().ok()?, outstanding: rows.collect() };
     Some(DirectEvent::PeerHeard(load))
 }
 
+fn load_of(row: &LoadRow) -> UpstreamLoad {
+    UpstreamLoad { requests: row.outstanding, reading: Millis(u64::from(row.reading_ms)) }
+}
+
 async fn tell(actor: ActorRef<DirectActor>, context: Arc<DirectContext>, socket: Arc<UdpSocket>) {
     let (mut told, mut unchanged) = (Vec::new(), 0);
     loop {
@@ -79,7 +83,11 @@
         let mut datagram = Datagram::new(&context.config.direct.own);
         datagram.loads = told
             .iter()
-            .map(|(id, count)| LoadRow { upstream: id.to_string(), outstanding: *count })
+            .map(|(id, load)| LoadRow {
+                upstream: id.to_string(),
+                outstanding: load.requests,
+                reading_ms: load.reading.0 as u32,
+            })
             .collect();
         let bytes = datagram.to_bytes();
         for peer in &reply.peers {
--- a/mustardrill_runtime/src/datagram.rs
+++ b/mustardrill_runtime/src/datagram.rs
@@ -37,6 +37,9 @@
     /// How many.
     #[prost(uint32, tag = "2")]
     pub outstanding: u32,
+    /// How long the engine takes to read the prompts of those without an answer, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub reading_ms: u32,
 }
 
 /// What an engine serves.
