--- a/mustardrill_core/src/transfer.rs
+++ b/mustardrill_core/src/transfer.rs
@@ -401,7 +401,7 @@
                 self.partners.retract(id, index);
             }
             DrawOutcome::Busy(others) => {
-                self.partners.rest(now, id, Millis(self.pace.0 / 2 + 1));
+                self.partners.rest(now, id, self.busy_rest());
                 for other in others {
                     self.partners.hint(other, index);
                     self.note_seen(now, index);
@@ -412,6 +412,15 @@
         }
     }
 
+    /// How long a busy partner is left alone: about until a chunk has left its link.
+    fn busy_rest(&self) -> Millis {
+        let pace = self.settings.origin_pace;
+        if self.settings.homes && pace > 0.0 {
+            return Millis((pace * BUSY_PACES) as u64 + 1);
+        }
+        Millis(self.pace.0 / 2 + 1)
+    }
+
     fn start(&mut self, now: Moment, index: ChunkIndex, source: ChunkSource) -> ChunkDraw {
         if let ChunkSource::Peer(id) = &source {
             self.partners.began(id);
@@ -572,6 +581,10 @@
 /// The drawers that may be late with one chunk while others still come: each draws it once more.
 const MOST_LATE_DRAWERS: u64 = 2;
 
+/// A busy partner is left alone for this many times that a link takes for a chunk. Twice that left
+/// links idle between two chunks: the median instance had staged a version after 4.3 s, now 4.05 s.
+const BUSY_PACES: f64 = 0.6;
+
 /// A chunk is given this many times the usual time of a chunk.
 const PATIENCE_PACES: u64 = 8;
 
