--- a/mustardrill_agent/src/stock/config.rs
+++ b/mustardrill_agent/src/stock/config.rs
@@ -22,7 +22,7 @@
     pub metrics: Option<SocketAddr>,
     /// Which lines are logged.
     pub log: LevelFilter,
-    /// How long one watch of the store waits.
+    /// How long one watch of the store waits; a store that went silent is noticed a second later.
     pub watch: Millis,
     /// How often the engine is asked for its state.
     pub look_every: Millis,
@@ -53,7 +53,7 @@
         store: reader.required("platform", "store", "IP:PORT", local()),
         metrics: reader.optional("agent", "metrics"),
         log: reader.value("agent", "log", LevelFilter::Info),
-        watch: reader.value("platform", "watch", Millis(15_000)),
+        watch: reader.value("platform", "watch", Millis(4_000)),
         look_every: reader.value("upstream", "look_every", Millis(250)),
         link_mbps: reader.bounded("weights", "link_mbps", 1_000.0, 0.1, 1_000_000.0),
         stock: StockSettings {
--- a/mustardrill_entry/src/direct/connections.rs
+++ b/mustardrill_entry/src/direct/connections.rs
@@ -10,6 +10,7 @@
 use hyper::client::conn::http1;
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
+use mustardrill_runtime::http::{PROBE_EVERY, PROBES};
 use mustardrill_types::{FastMap, InstanceId, Millis, Moment};
 use rustix::net::sockopt;
 use tokio::net::TcpStream;
@@ -26,12 +27,6 @@
 /// was cut off says nothing, and the kernel alone would wait for minutes.
 const UNACKNOWLEDGED_MS: u32 = 1_200;
 
-/// After this silence the kernel asks whether the other side is still there, and again.
-const PROBE_EVERY: Duration = Duration::from_secs(1);
-
-/// Probes without an answer after which a connection is lost.
-const PROBES: u32 = 2;
-
 /// How long an idle connection is used again where the upstream tells no time of its own.
 const IDLE_LIMIT: Millis = Millis(3_000);
 
--- a/mustardrill_runtime/src/http.rs
+++ b/mustardrill_runtime/src/http.rs
@@ -70,6 +70,12 @@
     inner: Client<HttpConnector, Full<Bytes>>,
 }
 
+/// After this silence the kernel asks whether the other side of a connection is still there.
+pub const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// Questions of the kernel without an answer after which a connection is lost.
+pub const PROBES: u32 = 2;
+
 /// What answers requests; one for each listener.
 pub trait HttpHandler: Send + Sync + 'static {
     /// Answers one request that came from `peer`.
@@ -95,6 +101,11 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect_timeout));
+        // A machine that is cut off or has lost power says nothing; without the kernel's questions
+        // a watch that waits would go on waiting after the other side is back.
+        connector.set_keepalive(Some(PROBE_EVERY));
+        connector.set_keepalive_interval(Some(PROBE_EVERY));
+        connector.set_keepalive_retries(Some(PROBES));
         let inner = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(20))
