--- a/mustardrill_core/src/transfer.rs
+++ b/mustardrill_core/src/transfer.rs
@@ -503,7 +503,7 @@
         // Twice the time, as a drawer's turn may come late behind the turns before it: with once,
         // an origin that was a quarter slower than told sent 1.6 copies.
         let late = now.since(due).0 / (stall * 2);
-        late.min(paused + MOST_LATE_DRAWERS)
+        if late == 0 { 0 } else { (late + 1).min(paused + MOST_LATE_DRAWERS) }
     }
 
     /// Whether this instance is among those of its data centre that draw a chunk from afar; with
@@ -578,7 +578,7 @@
     }
 }
 
-/// The drawers that may be late with one chunk while others still come: each draws it once more.
+/// The first in rank that may draw one late chunk while others still come: each draws it anew.
 const MOST_LATE_DRAWERS: u64 = 2;
 
 /// A busy partner is left alone for this many times that a link takes for a chunk. Twice that left
--- /dev/null
+++ b/mustardrill_core/tests/direct.rs
@@ -0,0 +1,429 @@
+//! The reducer of an entry that sends to upstreams itself, event by event.
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use mustardrill_core::direct::{
+    AttemptOutcome, CallerLimits, CustomerRecord, DirectEffect, DirectEvent, DirectReducer,
+    DirectRequest, DirectSettings, EngineProfile, FleetChange, FleetPage, ModelProfile, PeerLoad,
+    RefusalPlan, RepeatRule, RequestNumber, RetryShare, RouteDocument, RouteRule, SendPlan,
+    ServedWeights, ServiceProfile, UpstreamLoad, UpstreamRecord, WorkSize,
+};
+use mustardrill_types::{
+    FastMap, Generation, InstanceId, Millis, Moment, ResultCode, StoreRevision, WeightVersion,
+};
+use proptest::prelude::*;
+
+mod common;
+
+const START: Moment = Moment(100_000);
+
+fn settings() -> DirectSettings {
+    DirectSettings {
+        own: "entry-1".parse().unwrap(),
+        data_centre: "hall-a".parse().unwrap(),
+        proof_limit: Millis(4_500),
+        version_patience: Millis(7_000),
+        retry: RetryShare { ratio: 0.1, allowance: 8, window: Millis(10_000) },
+        ahead: 2,
+        reading_limit: Millis(80),
+        wait_percent: 50,
+        late_percent: 75,
+        late_wait: Millis(1_000),
+        silence: Millis(1_200),
+        lapse_grace: Millis(2_200),
+        peer_patience: Millis(1_500),
+        ejection: Millis(500),
+    }
+}
+
+fn route(name: &str, prefix: &str, service: &str, repeat: RepeatRule) -> RouteRule {
+    RouteRule {
+        name: name.into(),
+        host: "drafts.example".into(),
+        prefix: prefix.into(),
+        split: vec![(service.parse().unwrap(), 1)],
+        repeat,
+        timeout: Millis(6_000),
+        objective: Millis(400),
+        gap: Millis(300),
+        priority: 1,
+        attempts: 2,
+        public: false,
+    }
+}
+
+fn document(generation: u64, keys: &[&str]) -> Arc<RouteDocument> {
+    let routes = vec![
+        route("drafts", "/drafts/", "pool", RepeatRule::StreamResumable),
+        route("once", "/notices/", "desk", RepeatRule::Once),
+        route("status", "/notices/status/", "desk", RepeatRule::Idempotent),
+    ];
+    let engine = EngineProfile {
+        slots: 4,
+        models: vec![ModelProfile { name: "m".parse().unwrap(), load_time: Millis(300) }],
+        stride: 6,
+        step_ms: 7.0,
+        read_per_ms: 30.0,
+        usual_prompt: 960,
+        usual_answer: 120,
+        ..EngineProfile::default()
+    };
+    let mut services = FastMap::default();
+    services.insert(
+        "pool".parse().unwrap(),
+        ServiceProfile { engine: Some(engine), ..ServiceProfile::default() },
+    );
+    services.insert("desk".parse().unwrap(), ServiceProfile::default());
+    let customer = CustomerRecord {
+        name: "comedor".parse().unwrap(),
+        keys: keys.iter().map(|key| (*key).into()).collect(),
+        priority: None,
+    };
+    Arc::new(RouteDocument::new(
+        Generation(generation),
+        routes,
+        services,
+        vec![customer],
+        CallerLimits::default(),
+    ))
+}
+
+fn upstream(id: &str, service: &str, version: u64) -> UpstreamRecord {
+    let port = 1_000 + id.bytes().map(u16::from).sum::<u16>();
+    let serving = if service == "pool" && version > 0 {
+        vec![ServedWeights { model: "m".parse().unwrap(), version: WeightVersion(version) }]
+    } else {
+        Vec::new()
+    };
+    UpstreamRecord {
+        id: id.parse().unwrap(),
+        service: service.parse().unwrap(),
+        address: ([10, 0, 0, 1], port).into(),
+        data_centre: "hall-a".parse().unwrap(),
+        slots: 4,
+        leaving: false,
+        serving,
+    }
+}
+
+fn page(changes: Vec<FleetChange>) -> FleetPage {
+    FleetPage { changes, at: StoreRevision(1), whole: false }
+}
+
+/// An entry with one configuration and these upstreams.
+fn entry(upstreams: &[UpstreamRecord]) -> DirectReducer {
+    let mut reducer = DirectReducer::new(settings(), 7);
+    let mut changes = vec![FleetChange::Configured(document(1, &["key-1"]))];
+    changes.extend(upstreams.iter().cloned().map(FleetChange::Upstream));
+    reducer.reduce(START, DirectEvent::Fleet(page(changes), START));
+    reducer
+}
+
+fn request(number: u64, path: &str, arrived: Moment) -> DirectRequest {
+    DirectRequest {
+        number: RequestNumber(number),
+        attempt: format!("a{number}").into(),
+        host: "Drafts.example:80".into(),
+        path: path.into(),
+        key: Some("key-1".into()),
+        patience: Some(Millis(6_000)),
+        arrived,
+        model: path.starts_with("/drafts/").then(|| "m".parse().unwrap()),
+        size: WorkSize { prompt: 300, answer: 120 },
+        resumes: false,
+    }
+}
+
+fn arrive(reducer: &mut DirectReducer, now: Moment, number: u64, path: &str) -> Vec<DirectEffect> {
+    reducer.reduce(now, DirectEvent::Arrived(request(number, path, now)))
+}
+
+fn sent(effects: &[DirectEffect]) -> Vec<&SendPlan> {
+    let plans = effects.iter().filter_map(|effect| match effect {
+        DirectEffect::Send(_, plan) => Some(plan),
+        _ => None,
+    });
+    plans.collect()
+}
+
+fn refused(effects: &[DirectEffect]) -> Vec<RefusalPlan> {
+    let plans = effects.iter().filter_map(|effect| match effect {
+        DirectEffect::Refuse(_, plan) => Some(*plan),
+        _ => None,
+    });
+    plans.collect()
+}
+
+fn end(
+    reducer: &mut DirectReducer,
+    now: Moment,
+    number: u64,
+    outcome: AttemptOutcome,
+) -> Vec<DirectEffect> {
+    reducer.reduce(now, DirectEvent::Ended(RequestNumber(number), outcome))
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let document = document(1, &[]);
+    let found = |path| document.route("DRAFTS.example:8080", path).map(|route| &*route.name);
+    assert_eq!(found("/notices/status/7"), Some("status"));
+    assert_eq!(found("/notices/statu/7"), Some("once"));
+    assert_eq!(found("/none/"), None);
+    assert!(document.route("other.example", "/notices/").is_none());
+}
+
+#[test]
+fn a_split_gives_each_service_its_share() {
+    let mut rule = route("split", "/", "a", RepeatRule::Idempotent);
+    rule.split = vec![("a".parse().unwrap(), 90), ("b".parse().unwrap(), 10)];
+    let lots = (0..1_000u64).map(|step| (step * u64::from(u32::MAX) / 1_000) as u32);
+    let share = lots.filter(|lot| rule.service_for(*lot).as_str() == "b").count();
+    assert!((95..=105).contains(&share), "{share} of 1,000");
+}
+
+#[test]
+fn without_a_configuration_nothing_is_denied_and_nothing_sent() {
+    let mut reducer = DirectReducer::new(settings(), 7);
+    assert!(!reducer.is_ready(START));
+    let effects = arrive(&mut reducer, START, 1, "/drafts/x");
+    assert_matches!(refused(&effects)[..], [RefusalPlan { code: ResultCode::NotCurrent, .. }]);
+}
+
+#[test]
+fn a_key_counts_only_while_the_configuration_is_proved_newest() {
+    let mut reducer = entry(&[upstream("u1", "pool", 1)]);
+    assert_eq!(sent(&arrive(&mut reducer, START, 1, "/drafts/x")).len(), 1);
+    let stale = START + Millis(4_500);
+    let effects = arrive(&mut reducer, stale, 2, "/drafts/x");
+    assert_matches!(refused(&effects)[..], [RefusalPlan { code: ResultCode::NotCurrent, .. }]);
+    assert!(!reducer.is_ready(stale));
+    // An answer proves only the time at which its call was sent.
+    reducer.reduce(stale, DirectEvent::Fleet(page(Vec::new()), stale - Millis(1_500)));
+    assert_eq!(sent(&arrive(&mut reducer, stale, 3, "/drafts/x")).len(), 1);
+}
+
+#[test]
+fn a_key_taken_away_is_refused_also_while_its_request_waits() {
+    let mut reducer = entry(&[upstream("u1", "pool", 1)]);
+    for number in 1..=6 {
+        assert_eq!(sent(&arrive(&mut reducer, START, number, "/drafts/x")).len(), 1, "{number}");
+        reducer.reduce(START, DirectEvent::Answering(RequestNumber(number), None, None));
+    }
+    assert_eq!(sent(&arrive(&mut reducer, START, 7, "/drafts/x")).len(), 0);
+    let newer = FleetChange::Configured(document(2, &["key-2"]));
+    reducer.reduce(START, DirectEvent::Fleet(page(vec![newer]), START));
+    let effects = end(&mut reducer, START, 1, AttemptOutcome::Whole);
+    assert_eq!(sent(&effects), Vec::<&SendPlan>::new());
+    assert_matches!(refused(&effects)[..], [RefusalPlan { code: ResultCode::UnknownCustomer, .. }]);
+}
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    let mut reducer = entry(&[]);
+    for generation in [5, 3] {
+        let change = FleetChange::Configured(document(generation, &["key-1"]));
+        reducer.reduce(START, DirectEvent::Fleet(page(vec![change]), START));
+    }
+    assert_eq!(reducer.document().unwrap().generation, Generation(5));
+}
+
+#[test]
+fn what_other_entries_have_at_an_engine_counts() {
+    let mut reducer = entry(&[upstream("u1", "pool", 1), upstream("u2", "pool", 1)]);
+    let load = UpstreamLoad { requests: 3, reading: Millis(0) };
+    let from: InstanceId = "entry-2".parse().unwrap();
+    let told = PeerLoad { from, outstanding: vec![("u1".parse().unwrap(), load)] };
+    reducer.reduce(START, DirectEvent::PeerHeard(told));
+    let effects = arrive(&mut reducer, START, 1, "/drafts/x");
+    assert_eq!(sent(&effects)[0].upstream.as_str(), "u2");
+    // A silent entry's load is forgotten: a second one goes to the idle engine again.
+    let later = START + Millis(1_500);
+    let effects = arrive(&mut reducer, later, 2, "/drafts/x");
+    assert_eq!(sent(&effects)[0].upstream.as_str(), "u1");
+}
+
+#[test]
+fn prompts_that_come_together_are_spread_over_time() {
+    let mut reducer = entry(&[upstream("u1", "pool", 1)]);
+    let mut together = 0;
+    for number in 1..=4 {
+        let mut call = request(number, "/drafts/x", START);
+        call.size = WorkSize { prompt: 3_000, answer: 120 };
+        together += sent(&reducer.reduce(START, DirectEvent::Arrived(call))).len();
+    }
+    assert_eq!(together, 1, "one prompt of 100 ms is read at a time");
+    let effects = reducer.reduce(START, DirectEvent::Answering(RequestNumber(1), None, None));
+    assert_eq!(sent(&effects).len(), 0, "the first event alone wakes nobody");
+    let effects = end(&mut reducer, START, 1, AttemptOutcome::Whole);
+    assert_eq!(sent(&effects).len(), 1);
+}
+
+#[test]
+fn a_request_that_may_run_once_is_never_sent_again_and_never_said_not_to_have_run() {
+    let mut reducer = entry(&[upstream("d1", "desk", 0), upstream("d2", "desk", 0)]);
+    arrive(&mut reducer, START, 1, "/notices/x");
+    let effects = end(&mut reducer, START, 1, AttemptOutcome::Lost { delivered: false });
+    assert_eq!(sent(&effects), Vec::<&SendPlan>::new());
+    let code = refused(&effects)[0].code;
+    assert!(!code.is_not_run(), "{code:?}");
+}
+
+#[test]
+fn what_was_not_run_goes_to_another_upstream_and_unreached_ones_cost_no_attempt() {
+    let upstreams = ["d1", "d2", "d3"].map(|id| upstream(id, "desk", 0));
+    let mut reducer = entry(&upstreams);
+    let first = sent(&arrive(&mut reducer, START, 1, "/notices/x"))[0].upstream.clone();
+    let effects = end(&mut reducer, START, 1, AttemptOutcome::NotSent);
+    let second = sent(&effects)[0].upstream.clone();
+    let effects = end(&mut reducer, START, 1, AttemptOutcome::Full);
+    let third = sent(&effects)[0].upstream.clone();
+    assert!(first != second && second != third && first != third);
+    let effects = end(&mut reducer, START, 1, AttemptOutcome::Full);
+    assert_matches!(refused(&effects)[..], [RefusalPlan { code: ResultCode::Overloaded, .. }]);
+}
+
+#[test]
+fn repeats_end_with_the_budget() {
+    let upstreams = ["d1", "d2", "d3"].map(|id| upstream(id, "desk", 0));
+    let mut reducer = entry(&upstreams);
+    let mut repeats = 0;
+    for number in 1..=100 {
+        arrive(&mut reducer, START, number, "/notices/status/x");
+        let effects = end(&mut reducer, START, number, AttemptOutcome::Lost { delivered: false });
+        repeats += sent(&effects).len();
+        reducer.reduce(START, DirectEvent::Gone(RequestNumber(number)));
+    }
+    assert_eq!(repeats, 18, "an allowance of 8 and a tenth of 100 requests");
+}
+
+#[test]
+fn an_upstreams_failure_is_passed_on_when_it_may_not_be_repeated() {
+    let mut reducer = entry(&[upstream("d1", "desk", 0), upstream("d2", "desk", 0)]);
+    arrive(&mut reducer, START, 1, "/notices/x");
+    let effects = end(&mut reducer, START, 1, AttemptOutcome::Failed);
+    assert_matches!(effects[..], [DirectEffect::PassOn(RequestNumber(1))]);
+}
+
+#[test]
+fn a_leaving_upstream_gets_nothing_and_one_that_lapsed_in_an_outage_has_grace() {
+    let mut leaving = upstream("u1", "pool", 1);
+    let mut reducer = entry(&[leaving.clone(), upstream("u2", "pool", 1)]);
+    leaving.leaving = true;
+    reducer.reduce(START, DirectEvent::Fleet(page(vec![FleetChange::Upstream(leaving)]), START));
+    for number in 1..=6 {
+        let effects = arrive(&mut reducer, START, number, "/drafts/x");
+        assert!(sent(&effects).iter().all(|plan| plan.upstream.as_str() == "u2"));
+        reducer.reduce(START, DirectEvent::Answering(RequestNumber(number), None, None));
+    }
+    (1..=6).for_each(|number| drop(end(&mut reducer, START, number, AttemptOutcome::Whole)));
+    reducer.reduce(START, DirectEvent::StoreFailed);
+    let gone = FleetChange::UpstreamGone("u2".parse().unwrap());
+    let back = START + Millis(1_000);
+    reducer.reduce(back, DirectEvent::Fleet(page(vec![gone]), back));
+    assert_eq!(sent(&arrive(&mut reducer, back, 10, "/drafts/x")).len(), 1);
+    let over = back + Millis(2_200);
+    reducer.reduce(over, DirectEvent::Woke);
+    assert_eq!(sent(&arrive(&mut reducer, over, 11, "/drafts/x")).len(), 0);
+}
+
+#[test]
+fn after_its_time_nothing_begins_on_replaced_weights() {
+    let mut reducer = entry(&[upstream("u1", "pool", 1), upstream("u2", "pool", 2)]);
+    let named = FleetChange::VersionNamed("m".parse().unwrap(), WeightVersion(2));
+    reducer.reduce(START, DirectEvent::Fleet(page(vec![named]), START));
+    let later = START + Millis(7_000);
+    reducer.reduce(later, DirectEvent::Fleet(page(Vec::new()), later));
+    for number in 1..=8 {
+        let effects = arrive(&mut reducer, later, number, "/drafts/x");
+        for plan in sent(&effects) {
+            assert_eq!(plan.upstream.as_str(), "u2");
+            assert_eq!(plan.pinned, Some(WeightVersion(2)));
+        }
+        reducer.reduce(later, DirectEvent::Answering(RequestNumber(number), None, None));
+    }
+}
+
+#[test]
+fn a_stream_goes_on_only_under_the_weights_that_it_began_with() {
+    let mut reducer = entry(&[upstream("u1", "pool", 1), upstream("u2", "pool", 2)]);
+    let effects = arrive(&mut reducer, START, 1, "/drafts/x");
+    let first = sent(&effects)[0].upstream.clone();
+    let version = WeightVersion(if first.as_str() == "u1" { 1 } else { 2 });
+    reducer.reduce(START, DirectEvent::Answering(RequestNumber(1), None, Some(version)));
+    let effects = end(&mut reducer, START, 1, AttemptOutcome::Lost { delivered: true });
+    for plan in sent(&effects) {
+        assert_eq!((&plan.upstream, plan.pinned), (&first, Some(version)));
+    }
+}
+
+#[test]
+fn who_can_be_in_time_goes_before_who_is_late() {
+    let mut reducer = entry(&[upstream("u1", "pool", 1)]);
+    for number in 1..=6 {
+        arrive(&mut reducer, START, number, "/drafts/x");
+        reducer.reduce(START, DirectEvent::Answering(RequestNumber(number), None, None));
+    }
+    arrive(&mut reducer, START, 7, "/drafts/x");
+    let later = START + Millis(300);
+    reducer.reduce(later, DirectEvent::Fleet(page(Vec::new()), later));
+    arrive(&mut reducer, later, 8, "/drafts/x");
+    let effects = end(&mut reducer, later, 1, AttemptOutcome::Whole);
+    assert_matches!(effects[..], [DirectEffect::Send(RequestNumber(8), _), ..]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(common::cases(64)))]
+
+    /// Whatever happens: one final word for each request; nothing of "not run" after an attempt
+    /// that may have run; a request that may run once is at one upstream at most after that.
+    #[test]
+    fn verdicts_are_final_and_true(steps in prop::collection::vec((0u8..8, 0u64..12), 1..200)) {
+        let upstreams =
+            [upstream("u1", "pool", 1), upstream("d1", "desk", 0), upstream("d2", "desk", 0)];
+        let mut reducer = entry(&upstreams);
+        let mut next = 1;
+        let (mut ended, mut may_have_run) = (FastMap::default(), FastMap::default());
+        let mut open: FastMap<u64, bool> = FastMap::default();
+        for (place, (kind, pick)) in steps.into_iter().enumerate() {
+            let now = START + Millis(place as u64 * 20);
+            let at = open.keys().copied().nth(pick as usize % open.len().max(1));
+            let effects = match (kind, at) {
+                (0..=2, _) => {
+                    let path = ["/drafts/x", "/notices/x", "/notices/status/x"][kind as usize];
+                    next += 1;
+                    arrive(&mut reducer, now, next, path)
+                }
+                (3, Some(number)) => end(&mut reducer, now, number, AttemptOutcome::Whole),
+                (4, Some(number)) => end(&mut reducer, now, number, AttemptOutcome::Full),
+                (5, Some(number)) => {
+                    may_have_run.insert(number, true);
+                    end(&mut reducer, now, number, AttemptOutcome::Lost { delivered: false })
+                }
+                (6, Some(number)) => end(&mut reducer, now, number, AttemptOutcome::NotSent),
+                _ => reducer.reduce(now, DirectEvent::Woke),
+            };
+            if let (3..=6, Some(number)) = (kind, at) {
+                open.remove(&number);
+            }
+            for effect in effects {
+                match effect {
+                    DirectEffect::Send(number, _) => {
+                        prop_assert!(open.insert(number.0, true).is_none());
+                        prop_assert!(!ended.contains_key(&number.0));
+                    }
+                    DirectEffect::Refuse(number, plan) => {
+                        prop_assert!(ended.insert(number.0, plan.code).is_none());
+                        let ran = may_have_run.contains_key(&number.0);
+                        prop_assert!(!ran || !plan.code.is_not_run(), "{:?}", plan.code);
+                    }
+                    DirectEffect::PassOn(number) => {
+                        prop_assert!(ended.insert(number.0, ResultCode::Answered).is_none());
+                    }
+                    DirectEffect::Wake(_) => {}
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/mustardrill_core/tests/stock.rs
@@ -0,0 +1,348 @@
+//! The reducer of an agent that stocks its engine, event by event.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use mustardrill_core::direct::{
+    CallerLimits, EngineProfile, FleetChange, FleetPage, ModelProfile, OriginProfile,
+    RouteDocument, ServedWeights, ServiceProfile, UpstreamRecord,
+};
+use mustardrill_core::manifest::{ChunkBitmap, Manifest};
+use mustardrill_core::stock::{
+    EngineView, HoldingNews, StockEffect, StockEvent, StockReducer, StockSettings, TurnSettings,
+    VersionId, is_worth_loading, turn_of,
+};
+use mustardrill_core::transfer::{ChunkSource, DrawOutcome, TransferSettings};
+use mustardrill_types::{
+    ByteSize, ChunkIndex, FastMap, Generation, InstanceId, ManifestDigest, Millis, Moment,
+    ServiceName, StoreRevision, WeightVersion,
+};
+
+const START: Moment = Moment(50_000);
+const TOTAL: u32 = 8;
+const TURNS: TurnSettings =
+    TurnSettings { first: Millis(3_600), last: Millis(6_500), switch: Millis(2_000) };
+
+fn settings() -> StockSettings {
+    StockSettings {
+        own: "10.0.0.1".parse().unwrap(),
+        data_centre: "hall-a".parse().unwrap(),
+        service: "pool".parse().unwrap(),
+        engine: SocketAddr::from(([10, 0, 0, 1], 8001)),
+        port: 7701,
+        transfer: TransferSettings { homes: true, far_drawers: 1, ..TransferSettings::default() },
+        turns: TURNS,
+        tell_every: Millis(35),
+        retry_every: Millis(400),
+    }
+}
+
+fn document() -> Arc<RouteDocument> {
+    let engine = EngineProfile {
+        models: vec![ModelProfile { name: "m".parse().unwrap(), load_time: Millis(300) }],
+        chunks: TOTAL,
+        chunk_size: ByteSize(1_000),
+        ..EngineProfile::default()
+    };
+    let origin = OriginProfile {
+        address: SocketAddr::from(([172, 20, 0, 3], 8006)),
+        data_centre: "hall-b".parse().unwrap(),
+        link_mbps: 0.0,
+    };
+    let mut services = FastMap::default();
+    services.insert(
+        "pool".parse().unwrap(),
+        ServiceProfile { engine: Some(engine), ..ServiceProfile::default() },
+    );
+    services.insert(
+        "records".parse().unwrap(),
+        ServiceProfile { origin: Some(origin), ..ServiceProfile::default() },
+    );
+    let limits = CallerLimits::default();
+    Arc::new(RouteDocument::new(Generation(1), Vec::new(), services, Vec::new(), limits))
+}
+
+fn upstream(id: &str, host: u8) -> FleetChange {
+    FleetChange::Upstream(UpstreamRecord {
+        id: id.parse().unwrap(),
+        service: "pool".parse().unwrap(),
+        address: SocketAddr::from(([10, 0, 0, host], 8001)),
+        data_centre: "hall-a".parse().unwrap(),
+        slots: 16,
+        leaving: false,
+        serving: Vec::new(),
+    })
+}
+
+fn fleet(changes: Vec<FleetChange>, whole: bool) -> StockEvent {
+    StockEvent::Fleet(FleetPage { changes, at: StoreRevision(1), whole })
+}
+
+fn engine(version: u64, sequence: u64) -> StockEvent {
+    let model = "m".parse().unwrap();
+    let served = ServedWeights { model, version: WeightVersion(version) };
+    let serving = if version > 0 { vec![served] } else { Vec::new() };
+    StockEvent::EngineSeen(Some(EngineView { busy: false, sequence, serving }))
+}
+
+fn version(number: u64) -> VersionId {
+    VersionId { model: "m".parse().unwrap(), version: WeightVersion(number) }
+}
+
+fn named(number: u64) -> FleetChange {
+    FleetChange::VersionNamed("m".parse().unwrap(), WeightVersion(number))
+}
+
+fn list(number: u64) -> StockEvent {
+    let chunks = (0..TOTAL).map(|index| ManifestDigest([index as u8 + number as u8; 32]));
+    let manifest = Manifest {
+        model: "m".parse().unwrap(),
+        version: number.to_string().parse().unwrap(),
+        size: ByteSize(u64::from(TOTAL)),
+        chunk_size: ByteSize(1),
+        chunks: chunks.collect(),
+    };
+    StockEvent::ListSeen(version(number), Some(Arc::new(manifest)))
+}
+
+fn drawn(effects: &[StockEffect]) -> Vec<(ChunkIndex, ChunkSource)> {
+    let draws = effects.iter().filter_map(|effect| match effect {
+        StockEffect::Draw(_, draw, _) => Some((draw.index, draw.source.clone())),
+        _ => None,
+    });
+    draws.collect()
+}
+
+/// An agent alone in its service, whose engine serves version 1.
+fn agent() -> StockReducer {
+    let mut reducer = StockReducer::new(settings(), 3);
+    let changes = vec![FleetChange::Configured(document()), upstream("i-1", 1)];
+    reducer.reduce(START, fleet(changes, true));
+    reducer.reduce(START, engine(1, 0));
+    reducer
+}
+
+/// Draws everything that the reducer asks for, from `now` on, until nothing more comes.
+fn draw_all(reducer: &mut StockReducer, now: Moment, number: u64, mut effects: Vec<StockEffect>) {
+    for _ in 0..10 * TOTAL {
+        let Some((index, source)) = drawn(&effects).first().cloned() else { return };
+        let mut rest = drawn(&effects).split_off(1);
+        effects.clear();
+        rest.insert(0, (index, source));
+        for (index, source) in rest {
+            let ended =
+                StockEvent::DrawEnded(version(number), index, source, DrawOutcome::Verified);
+            effects.extend(reducer.reduce(now, ended));
+        }
+    }
+}
+
+fn whole() -> ChunkBitmap {
+    ChunkBitmap::full(TOTAL)
+}
+
+#[test]
+fn an_engine_that_serves_what_is_named_is_left_alone() {
+    let mut reducer = agent();
+    assert!(!reducer.is_busy());
+    assert!(reducer.holds(&version(1), ChunkIndex(0)), "what it serves was staged");
+    assert_eq!(reducer.reduce(START, StockEvent::Woke), Vec::new());
+}
+
+#[test]
+fn an_empty_engine_is_filled_and_loads_at_once() {
+    let mut reducer = StockReducer::new(settings(), 3);
+    let changes = vec![FleetChange::Configured(document()), upstream("i-1", 1)];
+    reducer.reduce(START, fleet(changes, true));
+    let effects = reducer.reduce(START, engine(0, 0));
+    assert_matches!(effects[..], [StockEffect::FetchList(..)]);
+    let effects = reducer.reduce(START, list(1));
+    // After a start, what an earlier one staged is looked at first.
+    assert_matches!(effects[..], [StockEffect::ReadBack(_), ..]);
+    let mut found = ChunkBitmap::empty(TOTAL);
+    found.insert(ChunkIndex(2));
+    let effects = reducer.reduce(START, StockEvent::ReadBack(version(1), found));
+    assert!(drawn(&effects).iter().all(|(index, _)| *index != ChunkIndex(2)));
+    draw_all(&mut reducer, START, 1, effects);
+    let effects = reducer.reduce(START, StockEvent::Woke);
+    assert!(effects.contains(&StockEffect::ReadBack(version(1))), "{effects:?}");
+    let effects = reducer.reduce(START, StockEvent::ReadBack(version(1), whole()));
+    assert!(effects.contains(&StockEffect::Order(version(1), 0)), "{effects:?}");
+}
+
+/// Brings an agent to where version 2 is staged.
+fn staged() -> StockReducer {
+    let mut reducer = agent();
+    let effects = reducer.reduce(START, fleet(vec![named(2)], false));
+    assert!(effects.contains(&StockEffect::ReadPeers));
+    reducer.reduce(START, StockEvent::ListSeen(version(2), None));
+    // An agent that has just started looks at what is staged.
+    reducer.reduce(START, list(2));
+    let empty = ChunkBitmap::empty(TOTAL);
+    let effects = reducer.reduce(START, StockEvent::ReadBack(version(2), empty));
+    draw_all(&mut reducer, START, 2, effects);
+    reducer
+}
+
+#[test]
+fn newer_weights_load_at_their_turn_after_they_were_read_back() {
+    let mut reducer = staged();
+    assert_eq!(reducer.reduce(START + Millis(3_000), StockEvent::Woke).len(), 1, "tells only");
+    let turn = START + TURNS.first;
+    let effects = reducer.reduce(turn, StockEvent::Woke);
+    assert!(effects.contains(&StockEffect::ReadBack(version(2))), "{effects:?}");
+    let effects = reducer.reduce(turn, StockEvent::ReadBack(version(2), whole()));
+    let order = effects.iter().position(|it| matches!(it, StockEffect::Order(..))).unwrap();
+    let pause = effects
+        .iter()
+        .position(|effect| matches!(effect, StockEffect::TellEntries { accepting: false, .. }));
+    assert!(pause.unwrap() < order, "entries are told before the engine takes nothing more");
+    reducer.reduce(turn, StockEvent::Ordered(version(2), true));
+    let effects = reducer.reduce(turn + Millis(900), engine(2, 1));
+    assert!(effects.contains(&StockEffect::TellEntries { accepting: true, version: version(2) }));
+    assert!(!reducer.is_busy());
+}
+
+#[test]
+fn a_chunk_that_turned_bad_is_drawn_anew_before_any_order() {
+    let mut reducer = staged();
+    let turn = START + TURNS.first;
+    reducer.reduce(turn, StockEvent::Woke);
+    let mut spoilt = whole();
+    spoilt.remove(ChunkIndex(5));
+    let mut effects = reducer.reduce(turn, StockEvent::ReadBack(version(2), spoilt));
+    assert!(!effects.iter().any(|effect| matches!(effect, StockEffect::Order(..))));
+    for step in 1..60 {
+        effects.extend(reducer.reduce(turn + Millis(step * 100), StockEvent::Woke));
+    }
+    assert!(drawn(&effects).iter().all(|(index, _)| *index == ChunkIndex(5)));
+    assert!(!drawn(&effects).is_empty(), "it is drawn from somewhere");
+}
+
+#[test]
+fn an_order_that_was_not_taken_is_given_again() {
+    let mut reducer = staged();
+    let turn = START + TURNS.first;
+    reducer.reduce(turn, StockEvent::Woke);
+    reducer.reduce(turn, StockEvent::ReadBack(version(2), whole()));
+    reducer.reduce(turn, StockEvent::Ordered(version(2), false));
+    let mut effects = reducer.reduce(turn + Millis(50), engine(1, 3));
+    effects.extend(reducer.reduce(turn + Millis(75), StockEvent::Woke));
+    assert!(effects.contains(&StockEffect::ReadBack(version(2))), "{effects:?}");
+    let effects = reducer.reduce(turn + Millis(80), StockEvent::ReadBack(version(2), whole()));
+    assert!(effects.contains(&StockEffect::Order(version(2), 3)), "{effects:?}");
+}
+
+#[test]
+fn what_is_staged_stays_until_the_engine_has_taken_the_order() {
+    let mut reducer = staged();
+    let turn = START + TURNS.first;
+    reducer.reduce(turn, StockEvent::Woke);
+    reducer.reduce(turn, StockEvent::ReadBack(version(2), whole()));
+    let effects = reducer.reduce(turn, fleet(vec![named(3)], false));
+    assert!(!effects.iter().any(|effect| matches!(effect, StockEffect::FetchList(..))));
+    let effects = reducer.reduce(turn, StockEvent::Ordered(version(2), true));
+    assert!(effects.iter().any(|effect| matches!(effect, StockEffect::FetchList(..))));
+}
+
+#[test]
+fn a_version_that_is_not_loaded_is_dropped_for_one_that_follows_soon() {
+    let soon = START + Millis(4_000);
+    let late = START + Millis(6_000);
+    assert!(!is_worth_loading(START, soon, TURNS));
+    assert!(is_worth_loading(START, late, TURNS));
+    let mut reducer = staged();
+    let effects = reducer.reduce(START + Millis(2_000), fleet(vec![named(3)], false));
+    assert!(effects.contains(&StockEffect::DropList(version(2))), "{effects:?}");
+}
+
+#[test]
+fn turns_are_spread_over_the_whole_span() {
+    let ids: Vec<InstanceId> = (1..=20).map(|at| format!("10.0.0.{at}").parse().unwrap()).collect();
+    let span = (Moment(1_000), Moment(3_000));
+    let mut turns: Vec<_> = ids.iter().map(|own| turn_of(span, b"m:2", &ids, own)).collect();
+    turns.sort_unstable();
+    let expected: Vec<_> = (0..20).map(|place| Moment(1_000 + place * 100)).collect();
+    assert_eq!(turns, expected);
+}
+
+#[test]
+fn whoever_asks_is_told_what_is_staged_here() {
+    let mut reducer = agent();
+    let news = HoldingNews {
+        from: "10.0.0.2".parse().unwrap(),
+        version: version(1),
+        bitmap: ChunkBitmap::empty(TOTAL).to_bytes().into(),
+        queue: 0,
+        asks: true,
+    };
+    let effects = reducer.reduce(START, StockEvent::HoldingSeen(news));
+    let told = StockEffect::TellHolding {
+        version: version(1),
+        to: vec![SocketAddr::from(([10, 0, 0, 2], 7701))],
+        bitmap: whole(),
+        asks: false,
+    };
+    assert_eq!(effects, [told]);
+}
+
+/// A drawer that died costs its chunks one patience, not one patience each.
+#[test]
+fn all_chunks_of_a_dead_drawer_are_drawn_by_the_next_one_at_once() {
+    let mut reducer = StockReducer::new(
+        StockSettings {
+            transfer: TransferSettings {
+                homes: true,
+                far_drawers: 1,
+                origin_window: 8,
+                stall_after: Millis(500),
+                ..TransferSettings::default()
+            },
+            ..settings()
+        },
+        3,
+    );
+    let mut paced = services();
+    let origin = OriginProfile {
+        address: SocketAddr::from(([172, 20, 0, 3], 8006)),
+        data_centre: "hall-b".parse().unwrap(),
+        link_mbps: 0.8,
+    };
+    paced.insert(
+        "records".parse().unwrap(),
+        ServiceProfile { origin: Some(origin), ..ServiceProfile::default() },
+    );
+    let limits = CallerLimits::default();
+    let document =
+        Arc::new(RouteDocument::new(Generation(1), Vec::new(), paced, Vec::new(), limits));
+    // The second agent never shows anything.
+    let changes =
+        vec![FleetChange::Configured(document), upstream("i-1", 1), upstream("i-2", 2), named(2)];
+    reducer.reduce(START, fleet(changes, true));
+    reducer.reduce(START, engine(1, 0));
+    reducer.reduce(START, list(2));
+    let empty = ChunkBitmap::empty(TOTAL);
+    let effects = reducer.reduce(START, StockEvent::ReadBack(version(2), empty));
+    draw_all(&mut reducer, START, 2, effects);
+    let mut all = FastMap::default();
+    // Its own chunks come in their turns; the dead drawer's are late after twice the patience.
+    for step in 0..=56 {
+        let now = START + Millis(step * 25);
+        let effects = reducer.reduce(now, StockEvent::Woke);
+        for (index, source) in drawn(&effects) {
+            all.insert(index, now);
+            let ended = StockEvent::DrawEnded(version(2), index, source, DrawOutcome::Verified);
+            reducer.reduce(now, ended);
+        }
+    }
+    let held = reducer.status().held;
+    assert_eq!(held, TOTAL, "all chunks within 1.4 s, drawn at {all:?}");
+}
+
+/// The services of `document`, to be changed by a test.
+fn services() -> FastMap<ServiceName, ServiceProfile> {
+    let document = document();
+    let services = document.services();
+    services.map(|(name, profile)| (name.clone(), profile.clone())).collect()
+}
--- /dev/null
+++ b/mustardrill_standins/tests/deployment.rs
@@ -0,0 +1,88 @@
+//! The deploy file's templates, rendered with made-up values, are settings that the checker takes.
+
+use std::path::{Path, PathBuf};
+
+use mustardrill_entry::direct::DirectConfig;
+use mustardrill_runtime::settings::{PlatformKind, SettingsReader};
+use mustardrill_types::Millis;
+
+/// Values such as a machine of the platform has.
+const VALUES: [(&str, &str); 16] = [
+    ("node_name", "edge-hall-a-1"),
+    ("zone", "hall-a"),
+    ("service", "pool"),
+    ("ip", "10.1.0.40"),
+    ("app", "10.1.0.40:8001"),
+    ("listen_addresses.front", "10.1.0.40:8005"),
+    ("listen_addresses.ready", "10.1.0.40:8002"),
+    ("internal_port_range.0", "7700"),
+    ("internal_port_range.1", "7715"),
+    ("platform.address", "10.200.1.7:8007"),
+    ("limits.link_mbps", "7.3"),
+    ("bounds.revocation_ms", "5000"),
+    ("bounds.version_ms", "8000"),
+    ("bounds.grace_period_s", "8"),
+    ("bounds.retry_budget_ratio", "0.2"),
+    ("bounds.retry_window_s", "10"),
+];
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap().to_owned()
+}
+
+fn rendered(name: &str) -> SettingsReader {
+    let mut text = std::fs::read_to_string(root().join(name)).unwrap();
+    for (field, value) in VALUES.into_iter().chain([("bounds.retry_allowance", "102")]) {
+        text = text.replace(&format!("{{{{{field}}}}}"), value);
+    }
+    assert!(!text.contains("{{"), "a placeholder without a value in {name}:\n{text}");
+    SettingsReader::read(name, &text).unwrap()
+}
+
+fn entry() -> DirectConfig {
+    let outcome = mustardrill_entry::direct::read(rendered("deploy/entry.ini"));
+    assert_eq!(outcome.warnings, []);
+    outcome.settings.unwrap()
+}
+
+#[test]
+fn the_entrys_template_is_right() {
+    assert_eq!(rendered("deploy/entry.ini").platform("entry"), PlatformKind::Prepared);
+    let config = entry();
+    assert_eq!(config.direct.own.as_str(), "edge-hall-a-1");
+    assert_eq!(config.direct.proof_limit, Millis(4_500), "below the bound of revocation");
+    assert!(config.direct.version_patience < Millis(8_000));
+    assert!(config.linger < config.grace);
+    assert_ne!(config.metrics, None);
+}
+
+#[test]
+fn the_share_of_repeats_of_all_entries_stays_below_the_bound() {
+    let retry = entry().direct.retry;
+    assert!(retry.ratio < 0.2);
+    assert!(retry.allowance * 12 <= 102);
+}
+
+#[test]
+fn the_agents_template_is_right() {
+    assert_eq!(rendered("deploy/agent.ini").platform("agent"), PlatformKind::Prepared);
+    let outcome = mustardrill_agent::stock::read(rendered("deploy/agent.ini"));
+    assert_eq!(outcome.warnings, []);
+    let config = outcome.settings.unwrap();
+    assert_eq!(config.stock.own.as_str(), "10.1.0.40");
+    assert_eq!(config.link_mbps, 7.3);
+    assert!(config.stock.turns.first < config.stock.turns.last);
+}
+
+#[test]
+fn a_wrong_value_is_told_with_file_line_key_and_remedy() {
+    let text = "[entry]\nplatform = prepared\ninstance = e1\ndata_centre = hall-a\n\
+                listen = 10.1.0.40\nready_listen = 10.1.0.40:1\npeer_listen = 10.1.0.40:2\n\
+                [platform]\nstore = 10.0.0.1:1\n[admission]\nwait_percent = 400\n";
+    let reader = SettingsReader::read("entry.ini", text).unwrap();
+    let faults = mustardrill_entry::direct::read(reader).settings.unwrap_err();
+    let told: Vec<_> = faults.iter().map(ToString::to_string).collect();
+    assert!(told[0].starts_with("entry.ini:5: [entry] listen = 10.1.0.40"), "{told:?}");
+    assert!(told[1].starts_with("entry.ini:11: [admission] wait_percent = 400"), "{told:?}");
+    assert!(told[1].contains("0 to 100"), "{told:?}");
+}
