--- a/mustardrill_agent/src/main.rs
+++ b/mustardrill_agent/src/main.rs
@@ -112,6 +112,7 @@
             return ExitCode::FAILURE;
         }
     };
+    println!("ready address={listen}");
     stop.cancelled().await;
     handle.halt();
     ExitCode::SUCCESS
--- a/mustardrill_entry/src/main.rs
+++ b/mustardrill_entry/src/main.rs
@@ -122,6 +122,7 @@
             return ExitCode::FAILURE;
         }
     };
+    println!("ready address={} readiness={}", handle.address, handle.ready_address);
     stop.cancelled().await;
     tokio::select! {
         () = handle.stop() => {}
--- a/mustardrill_standins/src/process.rs
+++ b/mustardrill_standins/src/process.rs
@@ -81,7 +81,7 @@
 }
 
 /// Starts a daemon with these settings.
-pub(crate) fn daemon(folder: &Path, program: &str, name: &str, settings: &str) -> LabProcess {
+pub fn daemon(folder: &Path, program: &str, name: &str, settings: &str) -> LabProcess {
     let program = build_folder().join(program);
     let file = folder.join(format!("{name}.ini"));
     std::fs::write(&file, settings).expect("settings can be written");
--- /dev/null
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -0,0 +1,287 @@
+//! Workers and the origin of the prepared platform, as its pages tell them.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Request, Response, StatusCode};
+use mustardrill_runtime::http::{
+    AnyResponse, CutError, HttpHandler, json_response, query, text_response, whole_body,
+};
+use serde_json::json;
+use sha2::{Digest, Sha256};
+
+/// The chunks of a version.
+pub const CHUNKS: u32 = 12;
+
+/// Events of an answer.
+pub const EVENTS: u64 = 6;
+
+/// The bytes of a chunk.
+pub fn chunk(version: u64, index: u32) -> Bytes {
+    Bytes::from(format!("chunk {index} of version {version} ").repeat(64))
+}
+
+/// What a worker does with the next requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkerFault {
+    /// It answers them.
+    None,
+    /// It breaks off after so many events, in the middle of one.
+    BreakAfter(u64),
+    /// It says that it did not run them.
+    Full,
+    /// It runs them and closes the connection.
+    LoseAnswer,
+    /// It answers with another request's id.
+    Foreign,
+}
+
+/// A worker: a model engine, or a plain service where `model` is empty.
+#[derive(Clone)]
+pub struct Worker {
+    pub id: String,
+    state: Arc<Mutex<WorkerState>>,
+}
+
+struct WorkerState {
+    version: u64,
+    sequence: u64,
+    staged: BTreeMap<u32, Bytes>,
+    /// Whether each load took only whole chunks of its version.
+    loads: Vec<bool>,
+    runs: Vec<String>,
+    fault: WorkerFault,
+    /// Faults that are still to come.
+    faults: u32,
+    pause: Duration,
+}
+
+impl Worker {
+    pub fn new(id: &str, version: u64) -> Self {
+        let staged = (0..CHUNKS).map(|index| (index, chunk(version, index))).collect();
+        let state = WorkerState {
+            version,
+            sequence: 0,
+            staged,
+            loads: Vec::new(),
+            runs: Vec::new(),
+            fault: WorkerFault::None,
+            faults: 0,
+            pause: Duration::from_millis(5),
+        };
+        Self { id: id.into(), state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// A worker that holds nothing and has nothing staged.
+    pub fn empty(id: &str) -> Self {
+        let worker = Self::new(id, 0);
+        worker.state.lock().unwrap().staged.clear();
+        worker
+    }
+
+    pub fn set_fault(&self, fault: WorkerFault, count: u32) {
+        let mut state = self.state.lock().unwrap();
+        state.fault = fault;
+        state.faults = count;
+    }
+
+    pub fn set_pause(&self, pause: Duration) {
+        self.state.lock().unwrap().pause = pause;
+    }
+
+    pub fn version(&self) -> u64 {
+        self.state.lock().unwrap().version
+    }
+
+    pub fn loads(&self) -> Vec<bool> {
+        self.state.lock().unwrap().loads.clone()
+    }
+
+    pub fn runs(&self) -> Vec<String> {
+        self.state.lock().unwrap().runs.clone()
+    }
+
+    /// A staged chunk turns bad.
+    pub fn spoil(&self, index: u32) {
+        self.state.lock().unwrap().staged.insert(index, Bytes::from_static(b"bad"));
+    }
+
+    fn report(&self) -> AnyResponse {
+        let state = self.state.lock().unwrap();
+        let (models, layers) = if state.version > 0 {
+            (
+                json!([{"name": "m0", "version": state.version, "adapters": []}]),
+                json!([{"from": 0, "target": 16, "version": state.version}]),
+            )
+        } else {
+            (json!([]), json!([]))
+        };
+        let body = json!({"phase": "prefill_decode", "models": models, "layers": layers,
+            "busy": false, "sequence": state.sequence, "queued": 0, "active": 0});
+        json_response(StatusCode::OK, &body)
+    }
+
+    fn order(&self, body: &[u8]) -> AnyResponse {
+        let order: serde_json::Value = serde_json::from_slice(body).unwrap();
+        let mut state = self.state.lock().unwrap();
+        if order["precondition"] != state.sequence {
+            return text_response(StatusCode::CONFLICT, "");
+        }
+        let version = order["version"].as_u64().unwrap();
+        let whole = (0..CHUNKS).all(|it| state.staged.get(&it) == Some(&chunk(version, it)));
+        state.loads.push(whole);
+        state.sequence += 1;
+        state.version = version;
+        text_response(StatusCode::ACCEPTED, "")
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> AnyResponse {
+        let uri = request.uri().clone();
+        let index = query(&uri, "sample_count").and_then(|text| text.parse().ok());
+        let path = uri.path().to_owned();
+        let (head, body) = request.into_parts();
+        let Ok(body) = body.collect().await else { return text_response(StatusCode::OK, "") };
+        let body = body.to_bytes();
+        if path == "/v1/report" {
+            return self.report();
+        }
+        if path == "/v1/order" {
+            return self.order(&body);
+        }
+        if path.starts_with("/v1/stage-put/") {
+            self.state.lock().unwrap().staged.insert(index.unwrap(), body);
+            return text_response(StatusCode::OK, "");
+        }
+        if path.starts_with("/v1/stage-get/") {
+            let staged = self.state.lock().unwrap().staged.get(&index.unwrap()).cloned();
+            return match staged {
+                Some(bytes) => Response::new(whole_body(bytes)),
+                None => text_response(StatusCode::NOT_FOUND, ""),
+            };
+        }
+        self.run(&head).await
+    }
+
+    async fn run(&self, head: &hyper::http::request::Parts) -> AnyResponse {
+        let text = |name: &str| head.headers.get(name).map(|it| it.to_str().unwrap().to_owned());
+        if text("x-expected-instance").is_some_and(|expected| expected != self.id) {
+            return text_response(StatusCode::MISDIRECTED_REQUEST, "");
+        }
+        assert_eq!(text("authorization"), None, "the key is not shown");
+        let attempt = text("x-attempt-id").unwrap();
+        let (fault, pause) = {
+            let mut state = self.state.lock().unwrap();
+            let fault = if state.faults > 0 { state.fault } else { WorkerFault::None };
+            state.faults = state.faults.saturating_sub(1);
+            if fault != WorkerFault::Full {
+                state.runs.push(format!("{attempt} {}", text("x-tenant").unwrap_or_default()));
+            }
+            (fault, state.pause)
+        };
+        if fault == WorkerFault::Full {
+            let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "");
+            response.headers_mut().insert("x-not-executed", "1".parse().unwrap());
+            return response;
+        }
+        let first = text("last-event-id").map_or(1, |last| last.parse::<u64>().unwrap() + 1);
+        let model = text("x-model").is_some();
+        let mut response = match (fault, model) {
+            (WorkerFault::LoseAnswer, _) => Response::new(broken()),
+            (_, false) => Response::new(whole_body(format!("done {attempt}"))),
+            (fault, true) => Response::new(events(first, fault, pause)),
+        };
+        let headers = response.headers_mut();
+        let told = if fault == WorkerFault::Foreign { "another" } else { &*attempt };
+        headers.insert("x-attempt-id", told.parse().unwrap());
+        headers.insert("x-server-signature", format!("s-{}", self.id).parse().unwrap());
+        headers.insert("x-instance-load", "1,0,16".parse().unwrap());
+        headers.insert("x-weight-versions", self.version().into());
+        response
+    }
+}
+
+fn broken() -> mustardrill_runtime::http::AnyBody {
+    let frames = stream::once(async { Err::<Frame<Bytes>, _>(CutError) });
+    StreamBody::new(frames).boxed_unsync()
+}
+
+fn events(first: u64, fault: WorkerFault, pause: Duration) -> mustardrill_runtime::http::AnyBody {
+    let frames = stream::unfold(first, move |id| async move {
+        if id > EVENTS {
+            return None;
+        }
+        tokio::time::sleep(pause).await;
+        if fault == WorkerFault::BreakAfter(id - 1) {
+            let half = Frame::data(Bytes::from(format!("id: {id}\ndata: ha")));
+            return Some((Ok(half), u64::MAX - 1));
+        }
+        if id == u64::MAX - 1 {
+            return Some((Err(CutError), EVENTS + 1));
+        }
+        let event = format!("id: {id}\ndata: piece {id}\n\n");
+        Some((Ok(Frame::data(Bytes::from(event))), id + 1))
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
+impl HttpHandler for Worker {
+    fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> BoxFuture<'static, AnyResponse> {
+        let worker = self.clone();
+        Box::pin(async move { worker.answer(request).await })
+    }
+}
+
+/// The origin of weights; it spoils every seventh chunk that it sends.
+#[derive(Clone, Default)]
+pub struct Origin {
+    sent: Arc<AtomicU32>,
+}
+
+impl Origin {
+    /// Chunks sent so far.
+    pub fn sent(&self) -> u32 {
+        self.sent.load(Ordering::SeqCst)
+    }
+
+    fn answer(&self, request: &Request<Incoming>) -> Result<AnyResponse, Infallible> {
+        let uri = request.uri();
+        let version: u64 = query(uri, "version").unwrap().parse().unwrap();
+        let model = uri.path().rsplit('/').next().unwrap();
+        if uri.path().starts_with("/v1/manifest/") {
+            let digest = |index| {
+                let bytes = Sha256::digest(chunk(version, index));
+                bytes.iter().map(|byte| format!("{byte:02x}")).collect::<String>()
+            };
+            let digests: Vec<_> = (0..CHUNKS).map(digest).collect();
+            let body = json!({"model": model, "version": version, "chunk_bytes": 1_600,
+                "layers": 16, "digests": digests});
+            return Ok(json_response(StatusCode::OK, &body));
+        }
+        let index = query(uri, "sample_count").unwrap().parse().unwrap();
+        let number = self.sent.fetch_add(1, Ordering::SeqCst) + 1;
+        let bytes =
+            if number % 7 == 0 { Bytes::from_static(b"bad") } else { chunk(version, index) };
+        Ok(Response::new(whole_body(bytes)))
+    }
+}
+
+impl HttpHandler for Origin {
+    fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> BoxFuture<'static, AnyResponse> {
+        let origin = self.clone();
+        Box::pin(async move {
+            match origin.answer(&request) {
+                Ok(response) => response,
+                Err(never) => match never {},
+            }
+        })
+    }
+}
