--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -401,13 +401,15 @@
             code if state.may_have_run && code.is_not_run() => ResultCode::Unknown,
             code => code,
         };
+        let usable = self.upstreams.usable(now, &state.service);
         info!(
-            "request={} decision=refuse code={code} waited={} attempts={} queue={} usable={} retry_after={retry_after}",
+            "request={} decision=refuse code={code} waited={} attempts={} queue={} usable={} fitting={} retry_after={retry_after}",
             state.attempt,
             now.since(state.arrived),
             state.tried.len(),
             self.queues.get(&state.service).map_or(0, |queue| queue.len()),
-            self.upstreams.usable(now, &state.service).len(),
+            usable.len(),
+            usable.iter().filter(|upstream| self.fits(now, &state, upstream)).count(),
         );
         vec![DirectEffect::Refuse(number, RefusalPlan { code, retry_after })]
     }
--- a/mustardrill_entry/src/cli.rs
+++ b/mustardrill_entry/src/cli.rs
@@ -15,6 +15,8 @@
     CheckSettings(PathBuf),
     /// Print a text and end.
     Print(&'static str),
+    /// Print a request's life from these logs.
+    Explain(Box<str>, Vec<PathBuf>),
     /// Ask an entry's operator port.
     Catalogue(CatalogueCommand, OperatorAccess),
 }
@@ -66,6 +68,10 @@
   mustardrill-entry --settings FILE
   mustardrill-entry check-settings --settings FILE
   mustardrill-entry catalogue COMMAND --operator IP:PORT [--json]
+  mustardrill-entry explain ID FILE...
+
+explain reads the logs of one or more processes and prints the life of the request with that id,
+and what its processes learned in the 8 s before; docs/OPERATIONS.md shows how to read it.
 
 Catalogue commands:
   show              the catalogue as a file that can be edited and applied
@@ -124,6 +130,10 @@
             let settings = settings.ok_or("--settings FILE is missing; see --help")?;
             Ok(EntryCommand::CheckSettings(settings))
         }
+        ["explain", id, files @ ..] if !files.is_empty() => {
+            Ok(EntryCommand::Explain((*id).into(), files.iter().map(PathBuf::from).collect()))
+        }
+        ["explain", ..] => Err("write explain ID FILE...; see --help".into()),
         ["catalogue", rest @ ..] => {
             let command = catalogue_command(rest, edit_id)?;
             let address = operator.ok_or("--operator IP:PORT is missing; see --help")?;
--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -29,6 +29,8 @@
     pub(crate) context: Arc<DirectContext>,
     pub(crate) actor: ActorRef<DirectActor>,
     pub(crate) number: RequestNumber,
+    /// The caller's name for the request, by which log lines are found.
+    pub(crate) attempt: Box<str>,
     pub(crate) head: http::request::Parts,
     pub(crate) body: Bytes,
     pub(crate) parts: mpsc::Sender<AnswerPart>,
@@ -157,7 +159,7 @@
             Ok(Err(SendFailure::Broken(error))) => {
                 log::info!(
                     "request={} instance={} reused={reused} outcome=broken reason=\"{error}\"",
-                    self.number,
+                    self.attempt,
                     plan.upstream
                 );
                 return Err(lost);
@@ -165,7 +167,7 @@
             Err(_) => {
                 log::info!(
                     "request={} instance={} outcome=silent after={}",
-                    self.number,
+                    self.attempt,
                     plan.upstream,
                     plan.silence
                 );
@@ -183,7 +185,7 @@
             AnswerKind::Foreign => {
                 log::warn!(
                     "request={} instance={} outcome=foreign status={}",
-                    self.number,
+                    self.attempt,
                     plan.upstream,
                     response.status()
                 );
@@ -232,8 +234,16 @@
         progress: &mut Progress,
     ) -> AttemptOutcome {
         let (head, body) = answer.response.into_parts();
-        let Ok(body) = Limited::new(body, WHOLE_LIMIT).collect().await else {
-            return AttemptOutcome::Lost { delivered: false };
+        let body = match Limited::new(body, WHOLE_LIMIT).collect().await {
+            Ok(body) => body,
+            Err(error) => {
+                log::info!(
+                    "request={} instance={} outcome=broken part=body reason=\"{error}\"",
+                    self.attempt,
+                    plan.upstream
+                );
+                return AttemptOutcome::Lost { delivered: false };
+            }
         };
         let bytes = body.to_bytes();
         let headers = head.headers.clone();
@@ -260,7 +270,7 @@
             let Ok(frame) = frame else {
                 log::info!(
                     "request={} instance={} outcome=silent last={:?}",
-                    self.number,
+                    self.attempt,
                     plan.upstream,
                     progress.cutter.last()
                 );
@@ -272,7 +282,7 @@
                 Some(Err(error)) => {
                     log::info!(
                         "request={} instance={} outcome=broken last={:?} reason=\"{error}\"",
-                        self.number,
+                        self.attempt,
                         plan.upstream,
                         progress.cutter.last()
                     );
@@ -291,7 +301,7 @@
                 Err(_) => {
                     log::warn!(
                         "request={} instance={} outcome=disordered last={:?}",
-                        self.number,
+                        self.attempt,
                         plan.upstream,
                         progress.cutter.last()
                     );
--- a/mustardrill_entry/src/direct/callers.rs
+++ b/mustardrill_entry/src/direct/callers.rs
@@ -64,6 +64,7 @@
             context: self.context.clone(),
             actor: self.actor.clone(),
             number,
+            attempt: call.attempt.clone(),
             head,
             body: body.to_bytes(),
             parts: sender,
--- a/mustardrill_entry/src/lib.rs
+++ b/mustardrill_entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod direct;
 mod editor;
 mod effects;
+pub mod explain;
 pub mod operator_client;
 mod operators;
 mod status;
--- a/mustardrill_entry/src/main.rs
+++ b/mustardrill_entry/src/main.rs
@@ -1,11 +1,11 @@
 //! `mustardrill-entry`: the entry, and the command line of operators.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use mustardrill_entry::cli::{self, EntryCommand};
 use mustardrill_entry::direct::{self, DirectBorders, DirectConfig};
-use mustardrill_entry::{EntryConfig, config, operator_client};
+use mustardrill_entry::{EntryConfig, config, explain, operator_client};
 use mustardrill_platform::{PlatformDialect, PlatformStore};
 use mustardrill_runtime::http::HttpClient;
 use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
@@ -43,6 +43,7 @@
             Some(config) => run(config),
             None => ExitCode::from(USAGE),
         },
+        EntryCommand::Explain(id, files) => explain_request(&id, &files),
         EntryCommand::Catalogue(command, access) => {
             let output = runtime().block_on(operator_client::run(&command, &access));
             print!("{}", output.text);
@@ -51,6 +52,28 @@
     }
 }
 
+fn explain_request(id: &str, files: &[PathBuf]) -> ExitCode {
+    let mut logs = Vec::new();
+    for file in files {
+        match std::fs::read(file) {
+            Ok(bytes) => logs.push(String::from_utf8_lossy(&bytes).into_owned()),
+            Err(error) => {
+                eprintln!("mustardrill-entry: {}: {error}; name a readable log", file.display());
+                return ExitCode::from(USAGE);
+            }
+        }
+    }
+    let lines = explain::explain(id, logs.iter().map(String::as_str));
+    if lines.is_empty() {
+        eprintln!(
+            "mustardrill-entry: no line names request {id}; it came by another entry, or never"
+        );
+        return ExitCode::FAILURE;
+    }
+    lines.iter().for_each(|line| println!("{line}"));
+    ExitCode::SUCCESS
+}
+
 /// The settings of an entry, by the platform that it runs on.
 enum AnyConfig {
     Own(EntryConfig),
--- a/mustardrill_standins/tests/docs.rs
+++ b/mustardrill_standins/tests/docs.rs
@@ -39,11 +39,25 @@
     }
 }
 
+#[test]
+fn every_metric_of_the_prepared_platform_is_listed() {
+    let page = read("docs/OPERATIONS.md");
+    let rows = mustardrill_entry::direct::METRICS.iter().chain(&mustardrill_agent::stock::METRICS);
+    for row in rows {
+        assert!(page.contains(row.name), "{}", row.name);
+    }
+}
+
 #[test]
 fn every_proof_that_is_named_exists() {
     let page = read("docs/PROOFS.md");
     let mut tests = String::new();
-    for folder in ["mustardrill_core/tests", "mustardrill_standins/tests"] {
+    for folder in [
+        "mustardrill_core/tests",
+        "mustardrill_standins/tests",
+        "mustardrill_standins/tests/prepared",
+        "platform/tests",
+    ] {
         for file in std::fs::read_dir(root().join(folder)).unwrap().flatten() {
             tests.push_str(&std::fs::read_to_string(file.path()).unwrap_or_default());
         }
@@ -56,6 +70,9 @@
         let is_file = folders
             .iter()
             .any(|folder| root().join(format!("mustardrill_{folder}/{file}.rs")).exists());
+        let is_file = is_file
+            || root().join(format!("mustardrill_standins/tests/{file}/main.rs")).exists()
+            || root().join(format!("platform/tests/{file}.rs")).exists();
         let is_test = tests.contains(&format!("fn {file}("));
         assert!(is_file || is_test, "no {name}");
         assert!(test.is_empty() || tests.contains(&format!("fn {test}(")), "no test {name}");
@@ -87,6 +104,8 @@
         "mustardrill_agent/src/config.rs",
         "mustardrill_entry/src/config.rs",
         "mustardrill_runtime/src/config.rs",
+        "mustardrill_agent/src/stock/config.rs",
+        "mustardrill_entry/src/direct/config.rs",
     ] {
         let text = read(source).replace(['\n', ' '], "");
         for call in [
--- /dev/null
+++ b/mustardrill_standins/tests/explain.rs
@@ -0,0 +1,37 @@
+//! A request's life is found in the logs of several processes.
+
+use mustardrill_entry::explain::explain;
+
+const ENTRY: &str = "\
+time=2026-10-05T23:22:38.000Z level=info process=entry-1 membership instance=i-2 outcome=gone
+time=2026-10-05T23:22:39.900Z level=info process=entry-1 membership instance=i-1 outcome=listed
+time=2026-10-05T23:22:40.007Z level=info process=entry-1 request=a1 decision=send instance=i-1 waited=3ms
+time=2026-10-05T23:22:40.008Z level=info process=entry-1 request=a2 decision=send instance=i-1 waited=0ms
+time=2026-10-05T23:22:41.300Z level=info process=entry-1 request=a1 instance=i-1 outcome=silent after=1200ms
+ready address=127.0.0.1:1
+time=2026-10-05T23:22:41.301Z level=info process=entry-1 request=a1 decision=refuse code=3001 waited=1294ms
+time=2026-10-05T23:22:50.000Z level=info process=entry-1 config generation=7 before=6 outcome=applied
+";
+const OTHER: &str = "\
+time=2026-10-05T23:22:39.000Z level=info process=entry-2 membership instance=i-1 outcome=listed
+";
+
+#[test]
+fn the_lines_of_a_request_and_what_decided_it_come_in_order() {
+    let lines = explain("a1", [OTHER, ENTRY]);
+    let told: Vec<_> = lines.iter().map(|line| line.split("process=").nth(1).unwrap()).collect();
+    assert_eq!(
+        told,
+        [
+            "entry-1 membership instance=i-1 outcome=listed",
+            "entry-1 request=a1 decision=send instance=i-1 waited=3ms",
+            "entry-1 request=a1 instance=i-1 outcome=silent after=1200ms",
+            "entry-1 request=a1 decision=refuse code=3001 waited=1294ms",
+        ]
+    );
+}
+
+#[test]
+fn an_unknown_request_has_no_lines() {
+    assert!(explain("a9", [ENTRY, OTHER]).is_empty());
+}
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -268,8 +268,11 @@
         }
         let index = query(uri, "sample_count").unwrap().parse().unwrap();
         let number = self.sent.fetch_add(1, Ordering::SeqCst) + 1;
-        let bytes =
-            if number % 7 == 0 { Bytes::from_static(b"bad") } else { chunk(version, index) };
+        let bytes = if number.is_multiple_of(7) {
+            Bytes::from_static(b"bad")
+        } else {
+            chunk(version, index)
+        };
         Ok(Response::new(whole_body(bytes)))
     }
 }
