Changes gather at the store for 150 ms; callers wait only for what is expected

Cloud calls were the largest price on the grown sites; callers were held in dark times that nobody could end.

--- a/mustardrill_agent/src/stock/actor.rs
+++ b/mustardrill_agent/src/stock/actor.rs
@@ -1,5 +1,6 @@
 //! The actor that owns the reducer of an agent that stocks its engine.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cadence::{Gauged, StatsdClient};
@@ -11,8 +12,9 @@
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::exposition::{MetricHandler, MetricPage};
 use mustardrill_runtime::http::{HttpClient, HttpServer};
-use mustardrill_types::{ChunkIndex, FastMap};
+use mustardrill_types::{ChunkIndex, FastMap, Moment};
 use tokio::net::UdpSocket;
+use tokio::sync::Mutex;
 use tokio_util::sync::CancellationToken;
 
 use crate::stock::config::StockConfig;
@@ -48,6 +50,8 @@
     /// The uploads to other agents.
     pub(crate) uploads: UploadQueue,
     pub(crate) metrics: StatsdClient,
+    /// Where the entries listen, and when that was read.
+    pub(crate) entries: Mutex<Option<(Moment, Vec<SocketAddr>)>>,
     pub(crate) halt: CancellationToken,
 }
 
@@ -265,6 +269,7 @@
         socket,
         uploads: UploadQueue::new(link_mbps),
         metrics: page.client(),
+        entries: Mutex::new(None),
         halt: halt.clone(),
     });
     let (lists, draws) = (FastMap::default(), FastMap::default());
--- a/mustardrill_agent/src/stock/effects.rs
+++ b/mustardrill_agent/src/stock/effects.rs
@@ -12,10 +12,10 @@
 use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_core::stock::{StockEvent, VersionId, WeightSource};
 use mustardrill_core::transfer::{ChunkDraw, ChunkSource, DrawOutcome};
-use mustardrill_runtime::border::{ChunkList, FleetPart, OrderAnswer};
+use mustardrill_runtime::border::{ChunkList, FleetPart, OrderAnswer, StoreError};
 use mustardrill_runtime::datagram::{Datagram, EngineRow};
 use mustardrill_runtime::http::{CallError, request};
-use mustardrill_types::ChunkIndex;
+use mustardrill_types::{ChunkIndex, Millis};
 use tokio_util::sync::CancellationToken;
 
 use crate::stock::actor::{Event, ListFetched, StockActor, StockContext};
@@ -30,6 +30,9 @@
 /// How long another agent may take for a list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long the entries' addresses are good. Loading takes two words to them within some seconds.
+const ENTRIES_AGE: Millis = Millis(6_000);
+
 /// A chunk to be drawn.
 pub(crate) struct ChunkOrder {
     pub(crate) version: VersionId,
@@ -231,19 +234,14 @@
 pub(crate) fn tell_entries(context: Arc<StockContext>, accepting: bool, version: VersionId) {
     const TELL_AGAIN: Duration = Duration::from_millis(60);
     tokio::spawn(async move {
-        let page = match context.borders.source.read_part(FleetPart::Entries).await {
-            Ok(page) => page,
+        let entries = match entries(&context).await {
+            Ok(entries) => entries,
             Err(error) => {
                 // The entries learn of it from the registry and from answers.
                 log::warn!("entries outcome=untold reason=\"{error}\"");
                 return;
             }
         };
-        let entries = page.changes.iter().filter_map(|change| match change {
-            FleetChange::Peer(peer) => Some(peer.address),
-            _ => None,
-        });
-        let entries: Vec<_> = entries.collect();
         let mut datagram = Datagram::new(&context.config.stock.own);
         let address = context.config.stock.engine;
         datagram.engine = Some(EngineRow::new(address, accepting, &version.model, version.version));
@@ -252,3 +250,23 @@
         peers::send(context, datagram, entries);
     });
 }
+
+/// Where the entries listen, read at most every `ENTRIES_AGE`: one that is new learns from the
+/// registry what it was not told.
+async fn entries(context: &StockContext) -> Result<Vec<SocketAddr>, StoreError> {
+    let now = context.clock.now();
+    let mut known = context.entries.lock().await;
+    if let Some((read, entries)) = known.as_ref()
+        && now.since(*read) < ENTRIES_AGE
+    {
+        return Ok(entries.clone());
+    }
+    let page = context.borders.source.read_part(FleetPart::Entries).await?;
+    let addresses = page.changes.iter().filter_map(|change| match change {
+        FleetChange::Peer(peer) => Some(peer.address),
+        _ => None,
+    });
+    let entries: Vec<_> = addresses.collect();
+    *known = Some((now, entries.clone()));
+    Ok(entries)
+}
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -57,7 +57,7 @@
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let until = self.wait_end(now, state);
         let ahead = self.queues.get(&state.service).map_or(0, |queue| queue.ahead(&rank));
-        if !self.is_possible(state) {
+        if !self.is_possible(now, state) {
             return self.refuse(now, number, ResultCode::NoUpstream, NO_UPSTREAM_RETRY);
         }
         let expected = self.expected_wait(state, ahead);
@@ -86,9 +86,12 @@
         state.arrived + Millis(share)
     }
 
-    /// Whether any upstream is expected to take the request: one that loads weights now, too.
-    fn is_possible(&self, state: &RequestState) -> bool {
-        self.upstreams.slots(&state.service) > 0
+    /// Whether an upstream is expected to take the request soon: one that may run it, or one whose
+    /// engine loads weights right now. Waiting for anything else would most often be in vain.
+    fn is_possible(&self, now: Moment, state: &RequestState) -> bool {
+        let usable = self.upstreams.usable(now, &state.service);
+        usable.iter().any(|upstream| self.fits(now, state, upstream))
+            || self.upstreams.is_loading(now, &state.service)
     }
 
     /// How long a request waits behind `ahead` others, where the profile lets that be told.
@@ -361,7 +364,7 @@
 
     fn again(&mut self, now: Moment, number: RequestNumber) -> Vec<DirectEffect> {
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
-        if !self.is_possible(state) {
+        if !self.is_possible(now, state) {
             let code = ResultCode::NoUpstream;
             return self.refuse(now, number, code, NO_UPSTREAM_RETRY);
         }
--- a/mustardrill_core/src/direct/upstream.rs
+++ b/mustardrill_core/src/direct/upstream.rs
@@ -134,6 +134,13 @@
         if sound.is_empty() { open } else { sound }
     }
 
+    /// Whether an upstream of a service loads weights now.
+    pub(crate) fn is_loading(&self, now: Moment, service: &ServiceName) -> bool {
+        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let states = ids.iter().filter_map(|id| self.states.get(id));
+        states.into_iter().any(|state| state.paused_until > now && !state.record.leaving)
+    }
+
     /// The slots of all upstreams of a service that are listed.
     pub(crate) fn slots(&self, service: &ServiceName) -> u32 {
         let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
--- a/mustardrill_entry/src/direct/watch.rs
+++ b/mustardrill_entry/src/direct/watch.rs
@@ -15,6 +15,11 @@
 /// that comes back must not be met by all entries at once.
 const RETRY_PAUSE: Millis = Millis(150);
 
+/// How long changes gather at the store after one was read. Each answered watch is a billed call,
+/// and a fleet of 45 engines that load weights changes about fifty times a second. The tightest
+/// bound on a change, of configurations and leaving upstreams, is 2 s.
+const GATHER_PAUSE: Millis = Millis(150);
+
 /// How long a registration outlives its entry.
 const LEASE_SPAN: Millis = Millis(10_000);
 
@@ -36,7 +41,11 @@
         match read(&context, revision).await {
             Ok(page) => {
                 revision = Some(page.at);
+                let changed = !page.changes.is_empty();
                 let _ = actor.tell(Event(DirectEvent::Fleet(page, sent))).await;
+                if changed {
+                    tokio::time::sleep(GATHER_PAUSE.to_std()).await;
+                }
             }
             Err(StoreError::HistoryGone) => {
                 info!("store outcome=read-anew reason=history-gone revision={revision:?}");
