--- a/mustardrill_agent/src/stock/actor.rs
+++ b/mustardrill_agent/src/stock/actor.rs
@@ -135,9 +135,7 @@
             StockEffect::Order(version, sequence) => {
                 effects::order(context, actor, version, sequence);
             }
-            StockEffect::TellEntries { accepting, version } => {
-                effects::tell_entries(context, accepting, version);
-            }
+            StockEffect::TellEntries(model, word) => effects::tell_entries(context, model, word),
             StockEffect::DropList(version) => {
                 self.lists.remove(&version);
             }
--- a/mustardrill_agent/src/stock/effects.rs
+++ b/mustardrill_agent/src/stock/effects.rs
@@ -8,14 +8,14 @@
 use cadence::Counted;
 use hyper::StatusCode;
 use kameo::prelude::*;
-use mustardrill_core::direct::FleetChange;
+use mustardrill_core::direct::{EngineWord, FleetChange};
 use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_core::stock::{StockEvent, VersionId, WeightSource};
 use mustardrill_core::transfer::{ChunkDraw, ChunkSource, DrawOutcome};
 use mustardrill_runtime::border::{ChunkList, FleetPart, OrderAnswer, StoreError};
 use mustardrill_runtime::datagram::{Datagram, EngineRow};
 use mustardrill_runtime::http::{CallError, request};
-use mustardrill_types::{ChunkIndex, Millis};
+use mustardrill_types::{ChunkIndex, Millis, ModelName};
 use tokio_util::sync::CancellationToken;
 
 use crate::stock::actor::{Event, ListFetched, StockActor, StockContext};
@@ -230,8 +230,8 @@
     });
 }
 
-/// Tells all entries what the engine takes and serves; twice, as datagrams get lost.
-pub(crate) fn tell_entries(context: Arc<StockContext>, accepting: bool, version: VersionId) {
+/// Tells all entries a word of the engine; twice, as datagrams get lost.
+pub(crate) fn tell_entries(context: Arc<StockContext>, model: ModelName, word: EngineWord) {
     const TELL_AGAIN: Duration = Duration::from_millis(60);
     tokio::spawn(async move {
         let entries = match entries(&context).await {
@@ -244,7 +244,7 @@
         };
         let mut datagram = Datagram::new(&context.config.stock.own);
         let address = context.config.stock.engine;
-        datagram.engine = Some(EngineRow::new(address, accepting, &version.model, version.version));
+        datagram.engine = Some(EngineRow::new(address, &model, word));
         peers::send(context.clone(), datagram.clone(), entries.clone());
         tokio::time::sleep(TELL_AGAIN).await;
         peers::send(context, datagram, entries);
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -87,7 +87,7 @@
     }
 
     /// Whether an upstream is expected to take the request soon: one that may run it, or one whose
-    /// engine loads weights right now. Waiting for anything else would most often be in vain.
+    /// engine loads weights or is about to. Waiting for anything else would most often be in vain.
     fn is_possible(&self, now: Moment, state: &RequestState) -> bool {
         let usable = self.upstreams.usable(now, &state.service);
         usable.iter().any(|upstream| self.fits(now, state, upstream))
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -107,21 +107,33 @@
     StoreFailed,
     /// Another entry told its load.
     PeerHeard(PeerLoad),
-    /// An agent tells what its engine serves, or that it takes no work while it loads.
+    /// An agent tells of its engine and a model.
     EngineHeard {
         /// Where the engine listens.
         address: SocketAddr,
-        /// Whether it takes requests.
-        accepting: bool,
-        /// The weights that it holds whole.
+        /// The model.
         model: ModelName,
-        /// Their version; zero for none.
-        version: WeightVersion,
+        /// What is told.
+        word: EngineWord,
     },
     /// The moment came for which `DirectEffect::Wake` asked.
     Woke,
 }
 
+/// What an agent tells of its engine.
+#[derive(Debug, derive_more::Display, Clone, Copy, PartialEq, Eq)]
+pub enum EngineWord {
+    /// Newer weights will be there soon; it serves on meanwhile what it has.
+    #[display("coming")]
+    Coming,
+    /// It takes no requests while it loads weights.
+    #[display("pausing")]
+    Pausing,
+    /// It takes requests and serves this version.
+    #[display("serving:{_0}")]
+    Serving(WeightVersion),
+}
+
 /// Something that the entry does.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DirectEffect {
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -19,8 +19,8 @@
 mod waiting;
 
 pub use event::{
-    AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, LoadReport, PeerLoad,
-    RefusalPlan, RequestNumber, SendPlan, StatusRow, UpstreamLoad,
+    AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, EngineWord,
+    LoadReport, PeerLoad, RefusalPlan, RequestNumber, SendPlan, StatusRow, UpstreamLoad,
 };
 pub use fleet::{FleetChange, FleetPage, PeerRecord, ServedWeights, UpstreamRecord};
 pub use forecast::{EngineForecast, WorkSize};
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -8,8 +8,8 @@
 use rand::{Rng, SeedableRng};
 
 use crate::direct::event::{
-    DirectEffect, DirectEvent, DirectRequest, DirectSettings, RefusalPlan, RequestNumber,
-    StatusRow, UpstreamLoad,
+    DirectEffect, DirectEvent, DirectRequest, DirectSettings, EngineWord, RefusalPlan,
+    RequestNumber, StatusRow, UpstreamLoad,
 };
 use crate::direct::fleet::{FleetChange, FleetPage, PeerRecord};
 use crate::direct::freshness::ProofClock;
@@ -25,6 +25,10 @@
 /// Loading takes less; an agent that dies meanwhile must not keep its engine idle.
 const PAUSE_LIMIT: Millis = Millis(5_000);
 
+/// How long an agent's word counts that its engine will have newer weights soon: about what the
+/// last third of a copy, reading it back and loading it take.
+const COMING_LIMIT: Millis = Millis(2_500);
+
 /// When a caller may come back to an entry that has no proof of its configuration.
 ///
 /// Another entry may have one, and the balancer gives each new connection to another.
@@ -90,16 +94,17 @@
                 self.upstreams.hear(now, load);
                 self.pump_all(now)
             }
-            DirectEvent::EngineHeard { address, accepting, model, version } => {
+            DirectEvent::EngineHeard { address, model, word } => {
                 let Some(state) = self.upstreams.by_address(address) else { return Vec::new() };
-                state.paused_until = if accepting { Moment(0) } else { now + PAUSE_LIMIT };
-                if accepting && version.0 > 0 {
-                    state.serves(&model, version);
+                match word {
+                    EngineWord::Coming => state.expected_until = now + COMING_LIMIT,
+                    EngineWord::Pausing => state.paused_until = now + PAUSE_LIMIT,
+                    EngineWord::Serving(version) => {
+                        state.paused_until = Moment(0);
+                        state.serves(&model, version);
+                    }
                 }
-                info!(
-                    "engine instance={} accepting={accepting} model={model} version={version} source=agent",
-                    state.record.id
-                );
+                info!("engine instance={} model={model} word={word} source=agent", state.record.id);
                 self.pump_all(now)
             }
             DirectEvent::Woke => self.woke(now),
--- a/mustardrill_core/src/direct/upstream.rs
+++ b/mustardrill_core/src/direct/upstream.rs
@@ -32,6 +32,8 @@
     pub(crate) failing: f64,
     /// It takes no requests until then, as it loads weights.
     pub(crate) paused_until: Moment,
+    /// Newer weights are expected there until then.
+    pub(crate) expected_until: Moment,
     failed_in_a_row: u32,
     ejections: u32,
     ejected_until: Moment,
@@ -134,11 +136,12 @@
         if sound.is_empty() { open } else { sound }
     }
 
-    /// Whether an upstream of a service loads weights now.
+    /// Whether an upstream of a service loads weights, or is about to.
     pub(crate) fn is_loading(&self, now: Moment, service: &ServiceName) -> bool {
         let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let states = ids.iter().filter_map(|id| self.states.get(id));
-        states.into_iter().any(|state| state.paused_until > now && !state.record.leaving)
+        let is_awaited = |it: &UpstreamState| it.paused_until.max(it.expected_until) > now;
+        states.into_iter().any(|state| is_awaited(state) && !state.record.leaving)
     }
 
     /// The slots of all upstreams of a service that are listed.
@@ -239,6 +242,7 @@
             own: UpstreamLoad::default(),
             failing: 0.0,
             paused_until: Moment(0),
+            expected_until: Moment(0),
             failed_in_a_row: 0,
             ejections: 0,
             ejected_until: Moment(0),
--- a/mustardrill_core/src/stock/event.rs
+++ b/mustardrill_core/src/stock/event.rs
@@ -7,7 +7,7 @@
     ChunkIndex, DataCentre, InstanceId, Millis, ModelName, ServiceName, WeightVersion,
 };
 
-use crate::direct::{FleetPage, ServedWeights};
+use crate::direct::{EngineWord, FleetPage, ServedWeights};
 use crate::manifest::{ChunkBitmap, Manifest};
 use crate::stock::turn::TurnSettings;
 use crate::transfer::{ChunkDraw, ChunkSource, DrawOutcome, TransferSettings};
@@ -106,13 +106,8 @@
     ReadBack(VersionId),
     /// Order the engine to load what is staged, where it has taken so many orders.
     Order(VersionId, u64),
-    /// Tell the entries whether the engine takes requests and what it serves.
-    TellEntries {
-        /// Whether it takes requests.
-        accepting: bool,
-        /// What it serves; version zero for nothing.
-        version: VersionId,
-    },
+    /// Tell the entries of the engine.
+    TellEntries(ModelName, EngineWord),
     /// Forget the list of a version that is not wanted any more.
     DropList(VersionId),
 }
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::direct::{
-    FleetChange, FleetPage, OriginProfile, RouteDocument, UpstreamRecord, VersionTable,
+    EngineWord, FleetChange, FleetPage, OriginProfile, RouteDocument, UpstreamRecord, VersionTable,
 };
 use crate::manifest::{ChunkBitmap, Manifest};
 use crate::rendezvous;
@@ -29,6 +29,9 @@
 /// How long until a list is asked for again: about what the first in rank take to fetch it.
 const LIST_RETRY: Millis = Millis(150);
 
+/// The share of a version's chunks, in percent, from which on it is called coming.
+const COMING_SHARE: u32 = 67;
+
 /// How long an order may take before it is looked at again.
 const ORDER_PATIENCE: Millis = Millis(4_000);
 
@@ -75,6 +78,8 @@
     told: Moment,
     told_far: Moment,
     told_count: u32,
+    /// The version of which the entries were told that it is coming.
+    announced: Option<VersionId>,
     /// Whether the staged copy may be of the version wanted, after a restart.
     inspect: bool,
     random: SmallRng,
@@ -96,6 +101,7 @@
             told: Moment(0),
             told_far: Moment(0),
             told_count: 0,
+            announced: None,
             inspect: true,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -241,7 +247,8 @@
         {
             let version = version_of(now_served);
             info!("engine serving={version} sequence={} outcome=changed", view.sequence);
-            effects.push(StockEffect::TellEntries { accepting: true, version });
+            let word = EngineWord::Serving(version.version);
+            effects.push(StockEffect::TellEntries(version.model, word));
         }
         self.engine = Some(view);
         effects
@@ -298,7 +305,8 @@
             self.stage = None;
             self.inspect = false;
             info!("weights version={target} outcome=served");
-            return vec![StockEffect::TellEntries { accepting: true, version: target }];
+            let word = EngineWord::Serving(target.version);
+            return vec![StockEffect::TellEntries(target.model, word)];
         }
         if serves {
             self.wanted = Some(target);
@@ -380,6 +388,11 @@
         let late = plan.overdue(now).into_iter();
         let mut effects: Vec<_> =
             late.map(|(index, source)| StockEffect::CancelDraw(index, source)).collect();
+        let share = plan.held().count() * 100 / plan.manifest().chunk_count().max(1);
+        if share >= COMING_SHARE && self.announced.as_ref() != Some(wanted) {
+            self.announced = Some(wanted.clone());
+            effects.push(StockEffect::TellEntries(wanted.model.clone(), EngineWord::Coming));
+        }
         let origin = self.origin();
         for draw in plan.next_draws(now) {
             let address = match &draw.source {
@@ -580,9 +593,8 @@
         let sequence = engine.sequence;
         info!("order version={version} sequence={sequence} decision=load");
         self.stage = Some(StockStage::Ordered(plan, OrderState { since: now, taken: false }));
-        let none = VersionId { model: version.model.clone(), version: WeightVersion(0) };
         vec![
-            StockEffect::TellEntries { accepting: false, version: none },
+            StockEffect::TellEntries(version.model.clone(), EngineWord::Pausing),
             StockEffect::Order(version.clone(), sequence),
         ]
     }
--- a/mustardrill_core/tests/stock.rs
+++ b/mustardrill_core/tests/stock.rs
@@ -5,7 +5,7 @@
 
 use assert_matches::assert_matches;
 use mustardrill_core::direct::{
-    CallerLimits, EngineProfile, FleetChange, FleetPage, ModelProfile, OriginProfile,
+    CallerLimits, EngineProfile, EngineWord, FleetChange, FleetPage, ModelProfile, OriginProfile,
     RouteDocument, ServedWeights, ServiceProfile, UpstreamRecord,
 };
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
@@ -196,11 +196,12 @@
     let order = effects.iter().position(|it| matches!(it, StockEffect::Order(..))).unwrap();
     let pause = effects
         .iter()
-        .position(|effect| matches!(effect, StockEffect::TellEntries { accepting: false, .. }));
+        .position(|effect| matches!(effect, StockEffect::TellEntries(_, EngineWord::Pausing)));
     assert!(pause.unwrap() < order, "entries are told before the engine takes nothing more");
     reducer.reduce(turn, StockEvent::Ordered(version(2), true));
     let effects = reducer.reduce(turn + Millis(900), engine(2, 1));
-    assert!(effects.contains(&StockEffect::TellEntries { accepting: true, version: version(2) }));
+    let word = EngineWord::Serving(WeightVersion(2));
+    assert!(effects.contains(&StockEffect::TellEntries("m".parse().unwrap(), word)));
     assert!(!reducer.is_busy());
 }
 
--- a/mustardrill_entry/src/direct/gossip.rs
+++ b/mustardrill_entry/src/direct/gossip.rs
@@ -8,7 +8,7 @@
 use log::warn;
 use mustardrill_core::direct::{DirectEvent, PeerLoad, UpstreamLoad};
 use mustardrill_runtime::datagram::{DATAGRAM_LIMIT, Datagram, LoadRow};
-use mustardrill_types::{Millis, WeightVersion};
+use mustardrill_types::Millis;
 use tokio::net::UdpSocket;
 
 use crate::direct::actor::{DirectActor, DirectContext, Event, GossipQuery};
@@ -54,9 +54,8 @@
     if let Some(engine) = datagram.engine {
         return Some(DirectEvent::EngineHeard {
             address: engine.address.parse::<SocketAddr>().ok()?,
-            accepting: engine.accepting,
             model: engine.model.parse().ok()?,
-            version: WeightVersion(engine.version),
+            word: engine.word(),
         });
     }
     let loads = datagram.loads.into_iter();
--- a/mustardrill_runtime/src/datagram.rs
+++ b/mustardrill_runtime/src/datagram.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use mustardrill_core::direct::EngineWord;
 use mustardrill_types::{InstanceId, ModelName, WeightVersion};
 use prost::Message;
 
@@ -48,13 +49,13 @@
     /// Where it listens.
     #[prost(string, tag = "1")]
     pub address: String,
-    /// Whether it takes requests.
+    /// Whether newer weights will be there soon.
     #[prost(bool, tag = "2")]
-    pub accepting: bool,
+    pub coming: bool,
     /// The model.
     #[prost(string, tag = "3")]
     pub model: String,
-    /// The version held whole; zero for none.
+    /// The version that it serves; zero where it takes no requests.
     #[prost(uint64, tag = "4")]
     pub version: u64,
 }
@@ -100,13 +101,21 @@
 
 impl EngineRow {
     /// What an agent tells of the engine at `address`.
-    pub fn new(
-        address: SocketAddr,
-        accepting: bool,
-        model: &ModelName,
-        version: WeightVersion,
-    ) -> Self {
+    pub fn new(address: SocketAddr, model: &ModelName, word: EngineWord) -> Self {
         let (address, model) = (address.to_string(), model.to_string());
-        Self { address, accepting, model, version: version.0 }
+        let version = match word {
+            EngineWord::Serving(version) => version.0,
+            EngineWord::Coming | EngineWord::Pausing => 0,
+        };
+        Self { address, coming: word == EngineWord::Coming, model, version }
+    }
+
+    /// The word that it carries.
+    pub fn word(&self) -> EngineWord {
+        match (self.coming, self.version) {
+            (true, _) => EngineWord::Coming,
+            (false, 0) => EngineWord::Pausing,
+            (false, version) => EngineWord::Serving(WeightVersion(version)),
+        }
     }
 }
