--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -29,6 +29,9 @@
 /// How long until a list is asked for again: about what the first in rank take to fetch it.
 const LIST_RETRY: Millis = Millis(150);
 
+/// The pause between two tries is doubled this often at most: to 600 ms.
+const LONGEST_LIST_BACKOFF: u32 = 2;
+
 /// The share of a version's chunks, in percent, from which on it is called coming.
 const COMING_SHARE: u32 = 67;
 
@@ -353,7 +356,7 @@
         match stage {
             StockStage::Listing { next_try, tries } if next_try <= now => {
                 let sources = self.list_sources(wanted, tries);
-                let next_try = now + LIST_RETRY;
+                let next_try = now + self.list_pause(tries);
                 let stage = StockStage::Listing { next_try, tries: tries + 1 };
                 (Some(stage), vec![StockEffect::FetchList(wanted.clone(), sources)])
             }
@@ -430,6 +433,12 @@
         turn_of((first, last), subject.as_bytes(), &ids, &self.settings.own)
     }
 
+    /// How long until a list is asked for again: longer each time, and not by all at once.
+    fn list_pause(&mut self, tries: u32) -> Millis {
+        let pause = LIST_RETRY.0 << tries.min(LONGEST_LIST_BACKOFF);
+        Millis(pause + self.random.random_range(0..=pause / 2))
+    }
+
     /// Whom to ask for a list: the first in rank ask the origin, the others ask them first.
     fn list_sources(&mut self, wanted: &VersionId, tries: u32) -> Vec<WeightSource> {
         let origin = self.origin().map(WeightSource::Origin);
@@ -444,7 +453,9 @@
             let any = &ids[self.random.random_range(0..ids.len())];
             peers.push(WeightSource::Peer(any.clone()));
         }
-        if place < LIST_DRAWERS || tries > 1 {
+        // Each try lets a few more ask the origin. All at once, a fleet of 76 that lost power took
+        // all of its connections again and again, and nobody got an answer for 15 s.
+        if place < LIST_DRAWERS * (tries as usize + 1) {
             return origin.into_iter().chain(peers).collect();
         }
         peers
--- a/mustardrill_core/tests/stock.rs
+++ b/mustardrill_core/tests/stock.rs
@@ -11,7 +11,7 @@
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
 use mustardrill_core::stock::{
     EngineView, HoldingNews, StockEffect, StockEvent, StockReducer, StockSettings, TurnSettings,
-    VersionId, is_worth_loading, turn_of,
+    VersionId, WeightSource, is_worth_loading, turn_of,
 };
 use mustardrill_core::transfer::{ChunkSource, DrawOutcome, TransferSettings};
 use mustardrill_types::{
@@ -347,3 +347,28 @@
     let services = document.services();
     services.map(|(name, profile)| (name.clone(), profile.clone())).collect()
 }
+
+/// An origin takes a few dozen connections from the whole fleet.
+#[test]
+fn a_fleet_that_starts_at_once_asks_the_origin_by_few() {
+    const FLEET: u8 = 76;
+    let members = (1..=FLEET).map(|host| upstream(&format!("i-{host}"), host));
+    let mut changes = vec![FleetChange::Configured(document())];
+    changes.extend(members);
+    let mut asking = 0;
+    for host in 1..=FLEET {
+        let own = format!("10.0.0.{host}").parse().unwrap();
+        let mut reducer = StockReducer::new(StockSettings { own, ..settings() }, u64::from(host));
+        reducer.reduce(START, fleet(changes.clone(), true));
+        let mut effects = reducer.reduce(START, engine(0, 0));
+        for step in 1..=18 {
+            effects.extend(reducer.reduce(START + Millis(step * 50), StockEvent::Woke));
+        }
+        let asks = |effect: &StockEffect| {
+            let StockEffect::FetchList(_, sources) = effect else { return false };
+            sources.iter().any(|source| matches!(source, WeightSource::Origin(_)))
+        };
+        asking += usize::from(effects.iter().any(asks));
+    }
+    assert!((2..=12).contains(&asking), "{asking} of {FLEET} asked the origin within 0.9 s");
+}
--- a/mustardrill_runtime/src/http.rs
+++ b/mustardrill_runtime/src/http.rs
@@ -98,6 +98,12 @@
 impl HttpClient {
     /// A client whose connections are made within `connect_timeout`.
     pub fn open(connect_timeout: Duration) -> Self {
+        Self::open_idle(connect_timeout, Duration::from_secs(20))
+    }
+
+    /// A client whose connections are closed after being idle for `idle`, for a server that takes
+    /// few connections from all callers together.
+    pub fn open_idle(connect_timeout: Duration, idle: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect_timeout));
@@ -108,7 +114,7 @@
         connector.set_keepalive_retries(Some(PROBES));
         let inner = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(20))
+            .pool_idle_timeout(idle)
             // A request is never sent twice by the library: only the reducers decide on retries.
             .retry_canceled_requests(false)
             .build(connector);
