--- a/mustardrill_core/src/stock/mod.rs
+++ b/mustardrill_core/src/stock/mod.rs
@@ -5,7 +5,9 @@
 //! load it. Nothing here does I/O or reads a clock.
 
 mod event;
+mod order;
 mod reducer;
+mod sources;
 mod turn;
 
 pub use event::{
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -1,6 +1,6 @@
 //! One reducer over all events of an agent that stocks its engine.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use log::{debug, info, warn};
@@ -9,38 +9,26 @@
 use rand::{Rng, SeedableRng};
 
 use crate::direct::{
-    EngineWord, FleetChange, FleetPage, OriginProfile, RouteDocument, UpstreamRecord, VersionTable,
+    EngineWord, FleetChange, FleetPage, RouteDocument, UpstreamRecord, VersionTable,
 };
 use crate::manifest::{ChunkBitmap, Manifest};
-use crate::rendezvous;
 use crate::stock::event::{
     EngineView, HoldingNews, StockEffect, StockEvent, StockSettings, StockStatus, VersionId,
-    WeightSource,
 };
-use crate::stock::turn::{is_worth_loading, turn_of};
 use crate::transfer::{ChunkSource, DrawOutcome, TransferPeer, TransferPlan};
 
 /// The version that engines hold before any is named.
 const FIRST_VERSION: WeightVersion = WeightVersion(1);
 
-/// How many agents ask the origin for a list first; the others ask them.
-const LIST_DRAWERS: usize = 2;
-
-/// How long until a list is asked for again: about what the first in rank take to fetch it.
-const LIST_RETRY: Millis = Millis(150);
-
-/// The pause between two tries is doubled this often at most: to 600 ms.
-const LONGEST_LIST_BACKOFF: u32 = 2;
-
 /// The share of a version's chunks, in percent, from which on it is called coming.
 const COMING_SHARE: u32 = 67;
 
 /// How long an order may take before it is looked at again.
-const ORDER_PATIENCE: Millis = Millis(4_000);
+pub(super) const ORDER_PATIENCE: Millis = Millis(4_000);
 
 /// Where the wanted version stands.
 #[derive(Debug)]
-enum StockStage {
+pub(super) enum StockStage {
     /// Its list of chunks is awaited.
     Listing { next_try: Moment, tries: u32 },
     /// An earlier staged copy is looked at.
@@ -57,27 +45,27 @@
 
 /// An order that was given.
 #[derive(Debug, Clone, Copy)]
-struct OrderState {
-    since: Moment,
+pub(super) struct OrderState {
+    pub(super) since: Moment,
     /// Whether the engine has taken it; what is staged may be replaced from then on.
-    taken: bool,
+    pub(super) taken: bool,
 }
 
 /// The state of one agent.
 #[derive(Debug)]
 pub struct StockReducer {
-    settings: StockSettings,
-    document: Option<Arc<RouteDocument>>,
+    pub(super) settings: StockSettings,
+    pub(super) document: Option<Arc<RouteDocument>>,
     /// The upstreams of this service by the address of their machine.
     peers: FastMap<InstanceId, TransferPeer>,
     /// Registrations, to find the peer that one ends.
     registered: FastMap<InstanceId, InstanceId>,
-    versions: VersionTable,
-    engine: Option<EngineView>,
-    wanted: Option<VersionId>,
-    stage: Option<StockStage>,
+    pub(super) versions: VersionTable,
+    pub(super) engine: Option<EngineView>,
+    pub(super) wanted: Option<VersionId>,
+    pub(super) stage: Option<StockStage>,
     /// The version whose chunks are staged whole.
-    staged: Option<(VersionId, u32)>,
+    pub(super) staged: Option<(VersionId, u32)>,
     told: Moment,
     told_far: Moment,
     told_count: u32,
@@ -85,7 +73,7 @@
     announced: Option<VersionId>,
     /// Whether the staged copy may be of the version wanted, after a restart.
     inspect: bool,
-    random: SmallRng,
+    pub(super) random: SmallRng,
 }
 
 impl StockReducer {
@@ -225,7 +213,7 @@
     }
 
     /// All agents of the service, this one included.
-    fn transfer_peers(&self) -> Vec<TransferPeer> {
+    pub(super) fn transfer_peers(&self) -> Vec<TransferPeer> {
         let mut peers: Vec<_> = self.peers.values().cloned().collect();
         if !self.peers.contains_key(&self.settings.own) {
             let id = self.settings.own.clone();
@@ -331,21 +319,6 @@
         effects
     }
 
-    /// Whether the version under way is loaded before the newer one is begun.
-    fn loads_older(&self) -> bool {
-        let (Some(wanted), Some(stage)) = (&self.wanted, &self.stage) else { return false };
-        match stage {
-            // What is staged must stay until the engine has taken the order.
-            StockStage::Ordered(_, order) => return !order.taken,
-            StockStage::Staged(..) | StockStage::Checking(_) => {}
-            _ => return false,
-        }
-        let older = self.versions.named_at(&wanted.model, wanted.version);
-        let newer = self.versions.named_after(&wanted.model, wanted.version);
-        let turns = self.settings.turns;
-        older.zip(newer).is_some_and(|(older, newer)| is_worth_loading(older, newer, turns))
-    }
-
     /// One step of a stage; the stage that follows, and what is to be done.
     fn step(
         &mut self,
@@ -414,76 +387,6 @@
         (Some(StockStage::Drawing(plan)), effects)
     }
 
-    /// When this engine's turn to load comes; at once for one that serves nothing.
-    fn turn(&self, wanted: &VersionId, staged: Moment) -> Moment {
-        let served = self.engine.as_ref().and_then(|engine| engine.serving.first());
-        let named = self.versions.named_at(&wanted.model, wanted.version);
-        let (Some(served), Some(named)) = (served, named) else { return Moment(0) };
-        // A newer one waits for the place of this one.
-        if self.versions.named_after(&wanted.model, wanted.version).is_some() {
-            return Moment(0);
-        }
-        let replaced = self.versions.named_after(&wanted.model, served.version).unwrap_or(named);
-        let turns = self.settings.turns;
-        // All have staged it at about the same time, so each goes by its own.
-        let first = (named + turns.first).max(staged);
-        let last = (named + turns.last).min(replaced + turns.last);
-        let ids: Vec<_> = self.transfer_peers().into_iter().map(|peer| peer.id).collect();
-        let subject = wanted.to_string();
-        turn_of((first, last), subject.as_bytes(), &ids, &self.settings.own)
-    }
-
-    /// How long until a list is asked for again: longer each time, and not by all at once.
-    fn list_pause(&mut self, tries: u32) -> Millis {
-        let pause = LIST_RETRY.0 << tries.min(LONGEST_LIST_BACKOFF);
-        Millis(pause + self.random.random_range(0..=pause / 2))
-    }
-
-    /// Whom to ask for a list: the first in rank ask the origin, the others ask them first.
-    fn list_sources(&mut self, wanted: &VersionId, tries: u32) -> Vec<WeightSource> {
-        let origin = self.origin().map(WeightSource::Origin);
-        let ids: Vec<_> = self.transfer_peers().into_iter().map(|peer| peer.id).collect();
-        let subject = wanted.to_string();
-        let ranked = rendezvous::ranked(subject.as_bytes(), &ids, |id| id.as_str());
-        let place = ranked.iter().position(|id| **id == self.settings.own).unwrap_or(0);
-        let others = ranked.iter().filter(|id| ***id != self.settings.own);
-        let mut peers: Vec<_> =
-            others.take(LIST_DRAWERS).map(|id| WeightSource::Peer((*id).clone())).collect();
-        if !ids.is_empty() && tries > 0 {
-            let any = &ids[self.random.random_range(0..ids.len())];
-            peers.push(WeightSource::Peer(any.clone()));
-        }
-        // Each try lets a few more ask the origin. All at once, a fleet of 76 that lost power took
-        // all of its connections again and again, and nobody got an answer for 15 s.
-        if place < LIST_DRAWERS * (tries as usize + 1) {
-            return origin.into_iter().chain(peers).collect();
-        }
-        peers
-    }
-
-    fn origin(&self) -> Option<SocketAddr> {
-        Some(self.origin_profile()?.address)
-    }
-
-    fn origin_profile(&self) -> Option<&OriginProfile> {
-        let document = self.document.as_ref()?;
-        document.services().find_map(|(_, profile)| profile.origin.as_ref())
-    }
-
-    /// How long the origin's link takes for a chunk, in milliseconds; zero where not told.
-    fn origin_pace(&self) -> f64 {
-        const BITS_PER_MS: f64 = 1_000.0;
-        let Some(mbps) = self.origin_profile().map(|origin| origin.link_mbps) else { return 0.0 };
-        let document = self.document.as_ref();
-        let service = document.and_then(|document| document.service(&self.settings.service));
-        let bytes = service.and_then(|service| Some(service.engine.as_ref()?.chunk_size.0));
-        if mbps > 0.0 { bytes.unwrap_or(0) as f64 * 8.0 / (mbps * BITS_PER_MS) } else { 0.0 }
-    }
-
-    fn address(&self, id: &InstanceId) -> Option<SocketAddr> {
-        Some(SocketAddr::new(id.as_str().parse().ok()?, self.settings.port))
-    }
-
     fn list_seen(
         &mut self,
         now: Moment,
@@ -557,74 +460,6 @@
         }
     }
 
-    fn read_back(
-        &mut self,
-        now: Moment,
-        version: &VersionId,
-        whole: &ChunkBitmap,
-    ) -> Vec<StockEffect> {
-        if self.wanted.as_ref() != Some(version) {
-            return Vec::new();
-        }
-        match self.stage.take() {
-            Some(StockStage::Inspecting(mut plan)) => {
-                whole.held().into_iter().for_each(|index| plan.found(now, index));
-                info!("weights version={version} outcome=inspected whole={}", whole.count());
-                self.staged = None;
-                self.stage = Some(StockStage::Drawing(plan));
-                Vec::new()
-            }
-            Some(StockStage::Checking(plan)) => self.checked(now, version, whole, plan),
-            other => {
-                self.stage = other;
-                Vec::new()
-            }
-        }
-    }
-
-    fn checked(
-        &mut self,
-        now: Moment,
-        version: &VersionId,
-        whole: &ChunkBitmap,
-        mut plan: Box<TransferPlan>,
-    ) -> Vec<StockEffect> {
-        let bad: Vec<_> = whole.added_in(plan.held());
-        if !bad.is_empty() {
-            warn!("weights version={version} outcome=spoilt chunks={}", bad.len());
-            bad.into_iter().for_each(|index| plan.lost(index));
-            self.staged = None;
-            self.stage = Some(StockStage::Drawing(plan));
-            return Vec::new();
-        }
-        let Some(engine) = &self.engine else {
-            self.stage = Some(StockStage::Staged(plan, now));
-            return Vec::new();
-        };
-        let sequence = engine.sequence;
-        info!("order version={version} sequence={sequence} decision=load");
-        self.stage = Some(StockStage::Ordered(plan, OrderState { since: now, taken: false }));
-        vec![
-            StockEffect::TellEntries(version.model.clone(), EngineWord::Pausing),
-            StockEffect::Order(version.clone(), sequence),
-        ]
-    }
-
-    fn ordered(&mut self, now: Moment, version: &VersionId, taken: bool) -> Vec<StockEffect> {
-        info!("order version={version} taken={taken}");
-        if self.wanted.as_ref() != Some(version) {
-            return Vec::new();
-        }
-        if let Some(StockStage::Ordered(_, order)) = &mut self.stage {
-            order.taken = taken;
-            if !taken {
-                // The engine took another order or restarted: look at it again, then order anew.
-                order.since = now - ORDER_PATIENCE;
-            }
-        }
-        Vec::new()
-    }
-
     /// Tells partners what is held, where that has changed or they may have missed it.
     fn tell(&mut self, now: Moment, wanted: &VersionId) -> Vec<StockEffect> {
         const REPEAT_TELLS: u64 = 5;
--- /dev/null
+++ b/mustardrill_core/src/stock/sources.rs
@@ -0,0 +1,73 @@
+//! Where an agent asks for lists of chunks and for chunks.
+
+use std::net::SocketAddr;
+
+use mustardrill_types::{InstanceId, Millis};
+use rand::Rng;
+
+use crate::direct::OriginProfile;
+use crate::rendezvous;
+use crate::stock::event::{VersionId, WeightSource};
+use crate::stock::reducer::StockReducer;
+
+/// How many agents ask the origin for a list first; the others ask them.
+const LIST_DRAWERS: usize = 2;
+
+/// How long until a list is asked for again: about what the first in rank take to fetch it.
+const LIST_RETRY: Millis = Millis(150);
+
+/// The pause between two tries is doubled this often at most: to 600 ms.
+const LONGEST_LIST_BACKOFF: u32 = 2;
+
+impl StockReducer {
+    /// How long until a list is asked for again: longer each time, and not by all at once.
+    pub(super) fn list_pause(&mut self, tries: u32) -> Millis {
+        let pause = LIST_RETRY.0 << tries.min(LONGEST_LIST_BACKOFF);
+        Millis(pause + self.random.random_range(0..=pause / 2))
+    }
+
+    /// Whom to ask for a list: the first in rank ask the origin, the others ask them first.
+    pub(super) fn list_sources(&mut self, wanted: &VersionId, tries: u32) -> Vec<WeightSource> {
+        let origin = self.origin().map(WeightSource::Origin);
+        let ids: Vec<_> = self.transfer_peers().into_iter().map(|peer| peer.id).collect();
+        let subject = wanted.to_string();
+        let ranked = rendezvous::ranked(subject.as_bytes(), &ids, |id| id.as_str());
+        let place = ranked.iter().position(|id| **id == self.settings.own).unwrap_or(0);
+        let others = ranked.iter().filter(|id| ***id != self.settings.own);
+        let mut peers: Vec<_> =
+            others.take(LIST_DRAWERS).map(|id| WeightSource::Peer((*id).clone())).collect();
+        if !ids.is_empty() && tries > 0 {
+            let any = &ids[self.random.random_range(0..ids.len())];
+            peers.push(WeightSource::Peer(any.clone()));
+        }
+        // Each try lets a few more ask the origin. All at once, a fleet of 76 that lost power took
+        // all of its connections again and again, and nobody got an answer for 15 s.
+        if place < LIST_DRAWERS * (tries as usize + 1) {
+            return origin.into_iter().chain(peers).collect();
+        }
+        peers
+    }
+
+    pub(super) fn origin(&self) -> Option<SocketAddr> {
+        Some(self.origin_profile()?.address)
+    }
+
+    pub(super) fn origin_profile(&self) -> Option<&OriginProfile> {
+        let document = self.document.as_ref()?;
+        document.services().find_map(|(_, profile)| profile.origin.as_ref())
+    }
+
+    /// How long the origin's link takes for a chunk, in milliseconds; zero where not told.
+    pub(super) fn origin_pace(&self) -> f64 {
+        const BITS_PER_MS: f64 = 1_000.0;
+        let Some(mbps) = self.origin_profile().map(|origin| origin.link_mbps) else { return 0.0 };
+        let document = self.document.as_ref();
+        let service = document.and_then(|document| document.service(&self.settings.service));
+        let bytes = service.and_then(|service| Some(service.engine.as_ref()?.chunk_size.0));
+        if mbps > 0.0 { bytes.unwrap_or(0) as f64 * 8.0 / (mbps * BITS_PER_MS) } else { 0.0 }
+    }
+
+    pub(super) fn address(&self, id: &InstanceId) -> Option<SocketAddr> {
+        Some(SocketAddr::new(id.as_str().parse().ok()?, self.settings.port))
+    }
+}
--- a/mustardrill_core/src/transfer.rs
+++ b/mustardrill_core/src/transfer/mod.rs
@@ -3,19 +3,23 @@
 //! A few drawers, agreed by rendezvous hashing, draw each chunk from the origin; everybody else
 //! draws from peers, rarest first (the idea is `BitTorrent`'s). Nothing here does I/O.
 
+mod choice;
+mod missing;
+
 use std::sync::Arc;
 
 use derive_more::Display;
 use mustardrill_types::{
     ChunkIndex, DataCentre, FastMap, InstanceId, ManifestDigest, Millis, Moment,
 };
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 
 use crate::homes::HomeTable;
 use crate::manifest::{ChunkBitmap, Manifest};
 use crate::partner::PartnerTable;
 use crate::rendezvous;
+use crate::transfer::missing::MissingSet;
 
 /// How a version is drawn; `docs/SETTINGS.md` gives the section and defaults.
 #[derive(Debug, Clone)]
@@ -140,13 +144,6 @@
     started: Moment,
 }
 
-/// The chunks still missing, with removal and random choice at constant cost.
-#[derive(Debug)]
-struct MissingSet {
-    chunks: Vec<ChunkIndex>,
-    places: Vec<u32>,
-}
-
 impl Default for TransferSettings {
     fn default() -> Self {
         Self {
@@ -437,150 +434,8 @@
     fn patience(&self) -> Millis {
         Millis(self.settings.chunk_patience.0.max(self.pace.0 * PATIENCE_PACES))
     }
-
-    fn origin_flights(&self) -> usize {
-        self.flights.values().filter(|flight| flight.source == ChunkSource::Origin).count()
-    }
-
-    fn next_origin_chunk(&mut self, now: Moment) -> Option<ChunkIndex> {
-        if now < self.origin_rest {
-            return None;
-        }
-        self.next_own_chunk(now).or_else(|| self.next_orphan(now))
-    }
-
-    /// The next chunk that this instance draws as one of the drawers.
-    fn next_own_chunk(&mut self, now: Moment) -> Option<ChunkIndex> {
-        let copies = self.settings.origin_copies as u16;
-        let (held, partners) = (&self.held, &self.partners);
-        // What a peer shows already needs no further copy, unless the setting wants more.
-        self.own_draws.retain(|index| !held.contains(*index) && partners.copies(*index) < copies);
-        let free: Vec<_> =
-            self.own_draws.iter().filter(|it| !self.flights.contains_key(it)).take(64).collect();
-        if free.is_empty() {
-            return None;
-        }
-        let pace = self.settings.origin_pace;
-        if pace > 0.0 {
-            let reached = now.since(self.started).0 as f64 / pace;
-            return free.into_iter().copied().find(|index| f64::from(index.0) <= reached);
-        }
-        Some(*free[self.random.random_range(0..free.len())])
-    }
-
-    /// A chunk that nobody seen holds, once its drawer is too late with it.
-    ///
-    /// For each such time that passes, one more successor draws a chunk, so that a dead or
-    /// stalled drawer costs little more than its own draws.
-    fn next_orphan(&self, now: Moment) -> Option<ChunkIndex> {
-        let is_orphan = |index: &ChunkIndex| {
-            self.partners.copies(*index) == 0 && !self.flights.contains_key(index)
-        };
-        let rank = |index: &ChunkIndex| {
-            if self.settings.homes {
-                return self.homes.origin_rank(*index);
-            }
-            rank_of(&self.successors, &self.own.id, *index)
-        };
-        let is_next = |index: &ChunkIndex| (rank(index) as u64) < self.drawers_late(now, *index);
-        self.missing.chunks.iter().copied().find(|index| is_orphan(index) && is_next(index))
-    }
-
-    /// How many of a chunk's drawers had their time and did not show it.
-    ///
-    /// Where the origin's pace is known, each chunk has a time of its own, so that a dead drawer's
-    /// chunks are all drawn at once by their next ones. Waiting for a pause in all that is seen,
-    /// as without it, cost half a second for each such chunk, one after the other. An origin that
-    /// shows nothing to anybody is not asked by more and more.
-    fn drawers_late(&self, now: Moment, index: ChunkIndex) -> u64 {
-        let stall = self.settings.stall_after.0.max(1);
-        let paused = now.since(self.novelty).0 / stall;
-        let pace = self.settings.origin_pace;
-        if pace <= 0.0 {
-            return paused;
-        }
-        let due = self.started + Millis((f64::from(index.0) * pace) as u64);
-        // Twice the time, as a drawer's turn may come late behind the turns before it: with once,
-        // an origin that was a quarter slower than told sent 1.6 copies.
-        let late = now.since(due).0 / (stall * 2);
-        if late == 0 { 0 } else { (late + 1).min(paused + MOST_LATE_DRAWERS) }
-    }
-
-    /// Whether this instance is among those of its data centre that draw a chunk from afar; with
-    /// each time that passes without anything new, one more is.
-    fn may_draw_far(&self, now: Moment, index: ChunkIndex) -> bool {
-        let drawers = self.settings.far_drawers;
-        if drawers == 0 {
-            return true;
-        }
-        // The home may have others to serve first, so it has twice the time of a drawer.
-        let patience = self.settings.stall_after.0.max(1) * 2;
-        let waited = now.since(self.seen_at[index.0 as usize]).0 / patience;
-        (self.homes.near_rank(index) as u64) < drawers as u64 + waited
-    }
-
-    /// The instance of this data centre that the others here ask first for a chunk.
-    fn home(&self, index: ChunkIndex) -> Option<&InstanceId> {
-        if !self.settings.homes {
-            return None;
-        }
-        self.homes.near_home(index)
-    }
-
-    fn next_peer_chunk(&mut self, now: Moment) -> Option<(ChunkIndex, InstanceId)> {
-        let count = self.missing.chunks.len();
-        let mut best: Option<(u16, ChunkIndex, InstanceId)> = None;
-        // A short list is read whole; a long one is sampled, so that the cost stays flat.
-        let sampled = count > self.settings.sample;
-        for turn in 0..self.settings.sample.min(count) {
-            let place = if sampled { self.random.random_range(0..count) } else { turn };
-            let index = self.missing.chunks[place];
-            let mut copies = self.partners.copies(index);
-            // The others here wait for what this instance is the home of.
-            if copies > 0 && self.settings.homes && self.homes.near_rank(index) == 0 {
-                copies = 1;
-            }
-            let is_rarer = best.as_ref().is_none_or(|(least, _, _)| copies < *least);
-            if copies == 0 || !is_rarer || self.flights.contains_key(&index) {
-                continue;
-            }
-            let far = self.may_draw_far(now, index);
-            let home = self.home(index).filter(|id| self.partners.is_usable(now, id, index));
-            let holder = home
-                .cloned()
-                .or_else(|| self.partners.best_holder(now, index, far, &mut self.random));
-            if let Some(id) = holder {
-                best = Some((copies, index, id));
-            }
-        }
-        best.map(|(_, index, id)| (index, id))
-    }
 }
 
-impl MissingSet {
-    fn full(total: u32) -> Self {
-        Self { chunks: (0..total).map(ChunkIndex).collect(), places: (0..total).collect() }
-    }
-
-    /// Adds a chunk that is not in the set.
-    fn add(&mut self, index: ChunkIndex) {
-        self.places[index.0 as usize] = self.chunks.len() as u32;
-        self.chunks.push(index);
-    }
-
-    /// Removes a chunk that is in the set; the last one takes its place.
-    fn remove(&mut self, index: ChunkIndex) {
-        let place = self.places[index.0 as usize] as usize;
-        self.chunks.swap_remove(place);
-        if let Some(moved) = self.chunks.get(place) {
-            self.places[moved.0 as usize] = place as u32;
-        }
-    }
-}
-
-/// The first in rank that may draw one late chunk while others still come: each draws it anew.
-const MOST_LATE_DRAWERS: u64 = 2;
-
 /// A busy partner is left alone for this many times that a link takes for a chunk. Twice that left
 /// links idle between two chunks: the median instance had staged a version after 4.3 s, now 4.05 s.
 const BUSY_PACES: f64 = 0.6;
--- a/mustardrill_runtime/src/exposition.rs
+++ b/mustardrill_runtime/src/exposition.rs
@@ -64,6 +64,13 @@
 /// Answers with the metrics as text.
 pub struct MetricHandler(pub Arc<MetricPage>);
 
+impl MetricRow {
+    /// A metric.
+    pub const fn new(name: &'static str, kind: MetricKind, help: &'static str) -> Self {
+        Self { name, kind, help }
+    }
+}
+
 impl MetricPage {
     /// A page with these metrics, all at zero.
     pub fn new(rows: &[MetricRow]) -> Self {
