--- a/mustardrill_runtime/src/http.rs
+++ b/mustardrill_runtime/src/http.rs
@@ -209,6 +209,16 @@
         .expect("method and address are well formed")
 }
 
+/// A request whose body, where its method has one, is JSON.
+pub fn json_request(method: &str, uri: &str, body: impl Into<Bytes>) -> Request<Full<Bytes>> {
+    let mut request = request(method, uri, body);
+    if method == "POST" {
+        let json = hyper::header::HeaderValue::from_static("application/json");
+        request.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    }
+    request
+}
+
 /// The value of a query parameter.
 pub fn query<'a>(uri: &'a hyper::Uri, name: &str) -> Option<&'a str> {
     let pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
