--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -234,17 +234,19 @@
     }
 
     fn fleet_seen(&mut self, now: Moment, page: FleetPage, sent: Moment) -> Vec<DirectEffect> {
-        if std::mem::take(&mut self.store_away) {
+        let was_away = std::mem::take(&mut self.store_away);
+        if was_away {
             self.store_back = now;
             info!("dependency=store outcome=regained proof_age={}", age_text(&self.proof, now));
         }
+        let named_since = self.named_since(now, was_away);
         let grace = self.store_back + self.settings.lapse_grace;
         let grace = (self.store_back.0 > 0 && now < grace).then_some(grace);
         if page.whole {
             self.forget_missing(&page, grace);
         }
         for change in page.changes {
-            self.apply(now, change, grace);
+            self.apply(named_since, change, grace);
         }
         self.proof.prove(sent);
         self.pump_all(now)
@@ -265,7 +267,19 @@
         }
     }
 
-    fn apply(&mut self, now: Moment, change: FleetChange, grace: Option<Moment>) {
+    /// Since when a version that is seen first now may have been named.
+    ///
+    /// Counted from its sighting, an entry that started or came back into touch long after the
+    /// naming would send to engines with the older version for the whole patience once more.
+    fn named_since(&self, now: Moment, was_away: bool) -> Moment {
+        match self.proof.age(now) {
+            None => Moment(0),
+            Some(age) if was_away => now - age,
+            Some(_) => now,
+        }
+    }
+
+    fn apply(&mut self, named_since: Moment, change: FleetChange, grace: Option<Moment>) {
         match change {
             FleetChange::Configured(document) => {
                 let current = self.document.as_ref().map(|document| document.generation);
@@ -283,7 +297,7 @@
             FleetChange::Upstream(record) => self.upstreams.register(record),
             FleetChange::UpstreamGone(id) => self.upstreams.lapse(&id, grace),
             FleetChange::VersionNamed(model, version) => {
-                if self.versions.name(now, &model, version) {
+                if self.versions.name(named_since, &model, version) {
                     info!("weights model={model} version={version} outcome=named");
                 }
             }
--- a/mustardrill_core/src/direct/upstream.rs
+++ b/mustardrill_core/src/direct/upstream.rs
@@ -75,10 +75,21 @@
             record.address,
             versions(&record.serving)
         );
+        self.replace_at(record.address);
         self.by_service.entry(record.service.clone()).or_default().push(record.id.clone());
         self.states.insert(record.id.clone(), UpstreamState::new(record));
     }
 
+    /// Forgets who was at an address before. A restart has another name, and the old one stays
+    /// registered for some seconds: after a restart of all, every second request went to one.
+    fn replace_at(&mut self, address: SocketAddr) {
+        let before = self.states.values().find(|state| state.record.address == address);
+        if let Some(id) = before.map(|state| state.record.id.clone()) {
+            info!("membership instance={id} outcome=gone reason=replaced");
+            self.remove(&id);
+        }
+    }
+
     /// Forgets an upstream whose registration ended, or keeps it until `grace` ends.
     pub(crate) fn lapse(&mut self, id: &InstanceId, grace: Option<Moment>) {
         let Some(state) = self.states.get_mut(id) else { return };
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -345,6 +345,36 @@
     }
 }
 
+#[test]
+fn an_entry_that_starts_or_comes_back_gives_replaced_weights_no_second_patience() {
+    let named = FleetChange::VersionNamed("m".parse().unwrap(), WeightVersion(2));
+    let old = upstream("u1", "pool", 1);
+    let mut changes = vec![FleetChange::Configured(document(1, &["key-1"])), named.clone()];
+    changes.push(FleetChange::Upstream(old.clone()));
+    let mut started = DirectReducer::new(settings(), 7);
+    started.reduce(START, DirectEvent::Fleet(page(changes), START));
+    assert_eq!(sent(&arrive(&mut started, START, 1, "/drafts/x")).len(), 0);
+    // Away for eight seconds: it may have been named at their beginning.
+    let mut away = entry(&[old]);
+    away.reduce(START + Millis(1_500), DirectEvent::StoreFailed);
+    let back = START + Millis(8_000);
+    away.reduce(back, DirectEvent::Fleet(page(vec![named]), back));
+    assert_eq!(sent(&arrive(&mut away, back, 1, "/drafts/x")).len(), 0);
+}
+
+#[test]
+fn a_restarted_upstream_replaces_the_one_at_its_address() {
+    let old = upstream("u1", "pool", 1);
+    let mut reducer = entry(std::slice::from_ref(&old));
+    let new = UpstreamRecord { id: "u9".parse().unwrap(), ..old };
+    reducer.reduce(START, DirectEvent::Fleet(page(vec![FleetChange::Upstream(new)]), START));
+    for number in 1..=4 {
+        let effects = arrive(&mut reducer, START, number, "/drafts/x");
+        assert!(sent(&effects).iter().all(|plan| plan.upstream.as_str() == "u9"));
+        reducer.reduce(START, DirectEvent::Answering(RequestNumber(number), None, None));
+    }
+}
+
 #[test]
 fn a_stream_goes_on_only_under_the_weights_that_it_began_with() {
     let mut reducer = entry(&[upstream("u1", "pool", 1), upstream("u2", "pool", 2)]);
