--- a/mustardrill_runtime/src/http.rs
+++ b/mustardrill_runtime/src/http.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use futures_util::future::BoxFuture;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -136,6 +136,33 @@
         })
     }
 
+    /// Sends a request and reads an answer of at most `limit` bytes, however long that takes, as
+    /// long as something comes within each `patience`.
+    ///
+    /// For answers that are large and asked for by a whole fleet at once: with one timeout for the
+    /// whole, what has come is thrown away and asked for again, and the link never gets free.
+    pub async fn call_steadily(
+        &self,
+        request: Request<Full<Bytes>>,
+        patience: Duration,
+        limit: usize,
+    ) -> Result<WholeAnswer, CallError> {
+        let head = tokio::time::timeout(patience, self.stream(request)).await;
+        let (head, mut body) = head.unwrap_or(Err(CallError::Timeout))?.into_parts();
+        let mut bytes = BytesMut::new();
+        loop {
+            let frame = tokio::time::timeout(patience, body.frame()).await;
+            let Some(frame) = frame.map_err(|_| CallError::Timeout)? else { break };
+            let frame = frame.map_err(|_| CallError::BadBody)?;
+            bytes.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data));
+            if bytes.len() > limit {
+                return Err(CallError::BadBody);
+            }
+        }
+        let (status, headers) = (head.status, head.headers);
+        Ok(WholeAnswer { status, headers, body: bytes.freeze() })
+    }
+
     /// Sends a request and reads an answer of at most `limit` bytes, all within `timeout`.
     pub async fn call(
         &self,
