A waiting request goes where its route has moved

Found by reading: the upstream was chosen before the configuration was looked at again, so a request that waited could be sent to the service that its route had just left. What agents tell of holdings is a module of its own.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -224,6 +224,10 @@
         }
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let Some(target) = self.upstreams.get(&upstream) else { return Vec::new() };
+        // Its route has moved to another service while it waited.
+        if target.record.service != state.service {
+            return self.start(now, number);
+        }
         if state.deadline <= now {
             return self.refuse(now, number, ResultCode::DeadlinePassed, Millis(0));
         }
--- a/mustardrill_core/src/stock/mod.rs
+++ b/mustardrill_core/src/stock/mod.rs
@@ -5,6 +5,7 @@
 //! load it. Nothing here does I/O or reads a clock.
 
 mod event;
+mod holding;
 mod order;
 mod reducer;
 mod sources;
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -11,9 +11,9 @@
 use crate::direct::{
     EngineWord, FleetChange, FleetPage, RouteDocument, UpstreamRecord, VersionTable,
 };
-use crate::manifest::{ChunkBitmap, Manifest};
+use crate::manifest::Manifest;
 use crate::stock::event::{
-    EngineView, HoldingNews, StockEffect, StockEvent, StockSettings, StockStatus, VersionId,
+    EngineView, StockEffect, StockEvent, StockSettings, StockStatus, VersionId,
 };
 use crate::transfer::{ChunkSource, DrawOutcome, TransferPeer, TransferPlan};
 
@@ -57,7 +57,7 @@
     pub(super) settings: StockSettings,
     pub(super) document: Option<Arc<RouteDocument>>,
     /// The upstreams of this service by the address of their machine.
-    peers: FastMap<InstanceId, TransferPeer>,
+    pub(super) peers: FastMap<InstanceId, TransferPeer>,
     /// Registrations, to find the peer that one ends.
     registered: FastMap<InstanceId, InstanceId>,
     pub(super) versions: VersionTable,
@@ -66,9 +66,9 @@
     pub(super) stage: Option<StockStage>,
     /// The version whose chunks are staged whole.
     pub(super) staged: Option<(VersionId, u32)>,
-    told: Moment,
-    told_far: Moment,
-    told_count: u32,
+    pub(super) told: Moment,
+    pub(super) told_far: Moment,
+    pub(super) told_count: u32,
     /// The version of which the entries were told that it is coming.
     announced: Option<VersionId>,
     /// Whether the staged copy may be of the version wanted, after a restart.
@@ -152,7 +152,7 @@
         }
     }
 
-    fn plan_mut(&mut self) -> Option<&mut TransferPlan> {
+    pub(super) fn plan_mut(&mut self) -> Option<&mut TransferPlan> {
         match self.stage.as_mut()? {
             StockStage::Listing { .. } => None,
             StockStage::Inspecting(plan)
@@ -418,28 +418,6 @@
         Vec::new()
     }
 
-    fn holding_seen(&mut self, now: Moment, news: &HoldingNews) -> Vec<StockEffect> {
-        let mut effects = Vec::new();
-        if self.wanted.as_ref() == Some(&news.version)
-            && let Some(plan) = self.plan_mut()
-        {
-            let total = plan.manifest().chunk_count();
-            let bitmap = ChunkBitmap::from_bytes(&news.bitmap, total);
-            plan.heard(now, &news.from, bitmap, news.queue);
-        }
-        // One that draws, too, tells at its own pace; one that has all tells when asked.
-        let whole = self.staged.as_ref().filter(|(staged, _)| *staged == news.version);
-        if let (Some((_, total)), true, Some(to)) = (whole, news.asks, self.address(&news.from)) {
-            effects.push(StockEffect::TellHolding {
-                version: news.version.clone(),
-                to: vec![to],
-                bitmap: ChunkBitmap::full(*total),
-                asks: false,
-            });
-        }
-        effects
-    }
-
     fn draw_ended(
         &mut self,
         now: Moment,
@@ -459,36 +437,6 @@
             plan.finished(now, index, source, outcome);
         }
     }
-
-    /// Tells partners what is held, where that has changed or they may have missed it.
-    fn tell(&mut self, now: Moment, wanted: &VersionId) -> Vec<StockEffect> {
-        const REPEAT_TELLS: u64 = 5;
-        const FAR_TELLS: u64 = 3;
-        let Some(StockStage::Drawing(plan) | StockStage::Staged(plan, _)) = &self.stage else {
-            return Vec::new();
-        };
-        let every = self.settings.tell_every.0;
-        let changed = plan.held().count() != self.told_count;
-        // Only some instances of a data centre draw from others, and those bytes are billed.
-        let far = now.since(self.told_far).0 >= every * FAR_TELLS;
-        let due = if changed { every } else { every * FAR_TELLS * REPEAT_TELLS };
-        if now.since(self.told).0 < due {
-            return Vec::new();
-        }
-        let near = |id: &&InstanceId| {
-            let peer = self.peers.get(*id);
-            far || peer.is_none_or(|peer| peer.data_centre == self.settings.data_centre)
-        };
-        let partners = plan.partners().ids().filter(near);
-        let to: Vec<_> = partners.filter_map(|id| self.address(id)).collect();
-        let (bitmap, asks) = (plan.held().clone(), !plan.is_complete());
-        self.told = now;
-        self.told_count = bitmap.count();
-        if far {
-            self.told_far = now;
-        }
-        vec![StockEffect::TellHolding { version: wanted.clone(), to, bitmap, asks }]
-    }
 }
 
 fn version_of(served: &crate::direct::ServedWeights) -> VersionId {
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -219,6 +219,30 @@
     assert_matches!(refused(&effects)[..], [RefusalPlan { code: ResultCode::UnknownCustomer, .. }]);
 }
 
+#[test]
+fn a_waiting_request_goes_where_its_route_has_moved() {
+    let mut reducer = entry(&[upstream("u1", "pool", 1), upstream("d1", "desk", 0)]);
+    for number in 1..=6 {
+        arrive(&mut reducer, START, number, "/drafts/x");
+        reducer.reduce(START, DirectEvent::Answering(RequestNumber(number), None, None));
+    }
+    arrive(&mut reducer, START, 7, "/drafts/x");
+    let moved = vec![route("drafts", "/drafts/", "desk", RepeatRule::Idempotent)];
+    let customer = CustomerRecord {
+        name: "comedor".parse().unwrap(),
+        keys: vec!["key-1".into()],
+        priority: None,
+    };
+    let limits = CallerLimits::default();
+    let document =
+        RouteDocument::new(Generation(2), moved, FastMap::default(), vec![customer], limits);
+    let change = FleetChange::Configured(Arc::new(document));
+    let mut effects = reducer.reduce(START, DirectEvent::Fleet(page(vec![change]), START));
+    effects.extend(end(&mut reducer, START, 1, AttemptOutcome::Whole));
+    let plans = sent(&effects);
+    assert_eq!(plans.iter().map(|plan| plan.upstream.as_str()).collect::<Vec<_>>(), ["d1"]);
+}
+
 #[test]
 fn an_older_configuration_never_replaces_a_newer_one() {
     let mut reducer = entry(&[]);
