--- a/mustardrill_core/src/direct/pressure.rs
+++ b/mustardrill_core/src/direct/pressure.rs
@@ -38,7 +38,7 @@
 /// A far upstream is asked where a near one has this much more of its slots taken.
 ///
 /// Bytes between data centres are billed; a sixteenth of the slots is one request of an engine.
-const FAR_PENALTY: f64 = 0.06;
+const FAR_PENALTY: f64 = 0.15;
 
 /// A failing upstream counts as this much busier for each whole share of failures.
 ///
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -165,6 +165,9 @@
 
     fn fleet_seen(&mut self, now: Moment, page: FleetPage) -> Vec<StockEffect> {
         let mut effects = Vec::new();
+        // What an agent finds at its start was named nobody knows when.
+        let is_start = page.whole && self.document.is_none();
+        let named_since = if is_start { Moment(0) } else { now };
         if page.whole {
             self.peers.clear();
             self.registered.clear();
@@ -179,7 +182,7 @@
                     }
                 }
                 FleetChange::VersionNamed(model, version) => {
-                    if self.versions.name(now, &model, version) {
+                    if self.versions.name(named_since, &model, version) {
                         info!("weights model={model} version={version} outcome=named");
                         // Who else needs it was read long ago.
                         if !page.whole {
--- a/mustardrill_core/tests/stock.rs
+++ b/mustardrill_core/tests/stock.rs
@@ -372,3 +372,21 @@
     }
     assert!((2..=12).contains(&asking), "{asking} of {FLEET} asked the origin within 0.9 s");
 }
+
+/// An agent that starts finds a version named: nobody knows since when, so entries that start as
+/// well send nothing to engines without it, and a turn would be waited for in vain.
+#[test]
+fn an_agent_that_starts_loads_what_was_named_before_without_a_turn() {
+    let mut reducer = StockReducer::new(settings(), 3);
+    let changes = vec![FleetChange::Configured(document()), upstream("i-1", 1), named(2)];
+    reducer.reduce(START, fleet(changes, true));
+    reducer.reduce(START, engine(1, 0));
+    reducer.reduce(START, list(2));
+    let empty = ChunkBitmap::empty(TOTAL);
+    let effects = reducer.reduce(START, StockEvent::ReadBack(version(2), empty));
+    draw_all(&mut reducer, START, 2, effects);
+    let soon = START + Millis(100);
+    reducer.reduce(soon, StockEvent::Woke);
+    let effects = reducer.reduce(soon, StockEvent::ReadBack(version(2), whole()));
+    assert!(effects.contains(&StockEffect::Order(version(2), 0)), "{effects:?}");
+}
