A setting that did nothing goes; the upstreams of a service are looked up in one place

Found by reading the change again: [weights] retry_every of the stocking agent was documented and read by nobody since lists have a pause of their own. Three copies of the same look-up are one. No behaviour changes.

--- a/mustardrill_agent/src/stock/config.rs
+++ b/mustardrill_agent/src/stock/config.rs
@@ -69,7 +69,6 @@
                 switch: reader.value("weights", "switch", Millis(2_000)),
             },
             tell_every: reader.value("weights", "exchange_every", Millis(35)),
-            retry_every: reader.value("weights", "retry_every", Millis(400)),
         },
     };
     reader.finish(config)
--- a/mustardrill_core/src/direct/upstream.rs
+++ b/mustardrill_core/src/direct/upstream.rs
@@ -136,10 +136,15 @@
         self.states.values_mut().find(|state| state.record.address == address)
     }
 
+    /// The upstreams of a service that are listed.
+    fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &UpstreamState> {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.states.get(id))
+    }
+
     /// The upstreams of a service that take requests now.
     pub(crate) fn usable(&self, now: Moment, service: &ServiceName) -> Vec<&UpstreamState> {
-        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let listed = ids.iter().filter_map(|id| self.states.get(id));
+        let listed = self.of_service(service);
         let open: Vec<_> =
             listed.filter(|it| !it.record.leaving && it.paused_until <= now).collect();
         let sound: Vec<_> = open.iter().copied().filter(|it| it.ejected_until <= now).collect();
@@ -149,16 +154,13 @@
 
     /// Whether an upstream of a service loads weights, or is about to.
     pub(crate) fn is_loading(&self, now: Moment, service: &ServiceName) -> bool {
-        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        let states = ids.iter().filter_map(|id| self.states.get(id));
         let is_awaited = |it: &UpstreamState| it.paused_until.max(it.expected_until) > now;
-        states.into_iter().any(|state| is_awaited(state) && !state.record.leaving)
+        self.of_service(service).any(|state| is_awaited(state) && !state.record.leaving)
     }
 
     /// The slots of all upstreams of a service that are listed.
     pub(crate) fn slots(&self, service: &ServiceName) -> u32 {
-        let ids = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        ids.iter().filter_map(|id| self.states.get(id)).map(|it| it.record.slots).sum()
+        self.of_service(service).map(|it| it.record.slots).sum()
     }
 
     /// What is at an upstream, of all entries that were heard lately.
--- a/mustardrill_core/src/stock/event.rs
+++ b/mustardrill_core/src/stock/event.rs
@@ -131,8 +131,6 @@
     pub turns: TurnSettings,
     /// How often holdings are told while chunks are drawn.
     pub tell_every: Millis,
-    /// How often a failed list, read back or order is tried again.
-    pub retry_every: Millis,
 }
 
 /// Where the stocking stands, for operators.
--- a/mustardrill_core/tests/stock.rs
+++ b/mustardrill_core/tests/stock.rs
@@ -34,7 +34,6 @@
         transfer: TransferSettings { homes: true, far_drawers: 1, ..TransferSettings::default() },
         turns: TURNS,
         tell_every: Millis(35),
-        retry_every: Millis(400),
     }
 }
 
