Agents fetch a list of chunks for those who ask for it

Ruled out: the origin (no list call failed then), the links (no chunk was drawn). An agent now fetches the list of what its engine serves when it is asked, once in half a second. The test failed first.

--- a/mustardrill_agent/src/stock/peers.rs
+++ b/mustardrill_agent/src/stock/peers.rs
@@ -76,11 +76,13 @@
 }
 
 async fn give_list(actor: &ActorRef<StockActor>, version: VersionId) -> AnyResponse {
-    let list = actor.ask(ListQuery(version)).await.ok().and_then(|reply| reply.0);
-    match list {
-        Some(list) => Response::new(whole_body(list.published.clone())),
-        None => text_response(StatusCode::NOT_FOUND, "not here\n"),
+    let list = actor.ask(ListQuery(version.clone())).await.ok().and_then(|reply| reply.0);
+    if let Some(list) = list {
+        return Response::new(whole_body(list.published.clone()));
     }
+    // Whoever asks does so again in a moment, when the list may be here.
+    let _ = actor.tell(Event(StockEvent::ListWanted(version))).await;
+    text_response(StatusCode::NOT_FOUND, "not here\n")
 }
 
 async fn give_chunk(
--- a/mustardrill_core/src/stock/event.rs
+++ b/mustardrill_core/src/stock/event.rs
@@ -57,6 +57,8 @@
     EngineSeen(Option<EngineView>),
     /// A list of chunks came; nothing where it could not be had.
     ListSeen(VersionId, Option<Arc<Manifest>>),
+    /// Another agent asked for a list of chunks that is not here.
+    ListWanted(VersionId),
     /// Another agent told what it holds.
     HoldingSeen(HoldingNews),
     /// A draw ended; a verified chunk is staged.
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -69,6 +69,8 @@
     pub(super) told: Moment,
     pub(super) told_far: Moment,
     pub(super) told_count: u32,
+    /// When a list was last fetched for others.
+    pub(super) list_lent: Moment,
     /// The version of which the entries were told that it is coming.
     announced: Option<VersionId>,
     /// Whether the staged copy may be of the version wanted, after a restart.
@@ -92,6 +94,7 @@
             told: Moment(0),
             told_far: Moment(0),
             told_count: 0,
+            list_lent: Moment(0),
             announced: None,
             inspect: true,
             random: SmallRng::seed_from_u64(seed),
@@ -104,6 +107,7 @@
             StockEvent::Fleet(page) => self.fleet_seen(now, page),
             StockEvent::EngineSeen(view) => self.engine_seen(view),
             StockEvent::ListSeen(version, list) => self.list_seen(now, version, list),
+            StockEvent::ListWanted(version) => self.list_wanted(now, &version),
             StockEvent::HoldingSeen(news) => self.holding_seen(now, &news),
             StockEvent::DrawEnded(version, index, source, outcome) => {
                 self.draw_ended(now, &version, index, &source, &outcome);
@@ -442,7 +446,7 @@
     }
 }
 
-fn version_of(served: &crate::direct::ServedWeights) -> VersionId {
+pub(super) fn version_of(served: &crate::direct::ServedWeights) -> VersionId {
     VersionId { model: served.model.clone(), version: served.version }
 }
 
--- a/mustardrill_core/src/stock/sources.rs
+++ b/mustardrill_core/src/stock/sources.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddr;
 
-use mustardrill_types::{InstanceId, Millis};
+use mustardrill_types::{InstanceId, Millis, Moment};
 use rand::Rng;
 
 use crate::direct::OriginProfile;
 use crate::rendezvous;
-use crate::stock::event::{VersionId, WeightSource};
-use crate::stock::reducer::StockReducer;
+use crate::stock::event::{StockEffect, VersionId, WeightSource};
+use crate::stock::reducer::{StockReducer, version_of};
 
 /// How many agents ask the origin for a list first; the others ask them.
 const LIST_DRAWERS: usize = 2;
@@ -16,6 +16,10 @@
 /// How long until a list is asked for again: about what the first in rank take to fetch it.
 const LIST_RETRY: Millis = Millis(150);
 
+/// How long until a list is fetched for others again, should the first try have failed: an origin
+/// that is busy or cut off is not asked by each of their questions.
+const LEND_PAUSE: Millis = Millis(500);
+
 /// The pause between two tries is doubled this often at most: to 600 ms.
 const LONGEST_LIST_BACKOFF: u32 = 2;
 
@@ -48,6 +52,23 @@
         peers
     }
 
+    /// Fetches the list of what the engine serves for agents that ask here for it.
+    ///
+    /// Load pattern: engines are added long after a version was named. Whoever is asked first has
+    /// loaded it without a list, and the newcomers are far down in rank: 31 engines added to 45
+    /// waited up to 12 s until their own turn to ask the origin came.
+    pub(super) fn list_wanted(&mut self, now: Moment, version: &VersionId) -> Vec<StockEffect> {
+        let mut serving = self.engine.iter().flat_map(|engine| &engine.serving);
+        let serves = serving.any(|served| version_of(served) == *version);
+        let lent_lately = self.list_lent.0 > 0 && now.since(self.list_lent) < LEND_PAUSE;
+        if !serves || lent_lately {
+            return Vec::new();
+        }
+        let Some(origin) = self.origin() else { return Vec::new() };
+        self.list_lent = now;
+        vec![StockEffect::FetchList(version.clone(), vec![WeightSource::Origin(origin)])]
+    }
+
     pub(super) fn origin(&self) -> Option<SocketAddr> {
         Some(self.origin_profile()?.address)
     }
--- a/mustardrill_core/tests/stock.rs
+++ b/mustardrill_core/tests/stock.rs
@@ -389,3 +389,22 @@
     let effects = reducer.reduce(soon, StockEvent::ReadBack(version(2), whole()));
     assert!(effects.contains(&StockEffect::Order(version(2), 0)), "{effects:?}");
 }
+
+/// Engines that are added long after a version was named ask agents that loaded it without a list.
+#[test]
+fn a_list_of_what_is_served_is_fetched_once_for_those_who_ask() {
+    let mut reducer = agent();
+    let fetches = |effects: &[StockEffect]| {
+        let is_fetch = |effect: &&StockEffect| matches!(effect, StockEffect::FetchList(..));
+        effects.iter().filter(is_fetch).count()
+    };
+    let wanted = |number| StockEvent::ListWanted(version(number));
+    assert_eq!(fetches(&reducer.reduce(START, wanted(2))), 0, "it does not serve that");
+    let effects = reducer.reduce(START, wanted(1));
+    assert_matches!(&effects[..], [StockEffect::FetchList(_, sources)]
+        if matches!(sources[..], [WeightSource::Origin(_)]));
+    assert_eq!(fetches(&reducer.reduce(START + Millis(40), wanted(1))), 0, "one is under way");
+    reducer.reduce(START + Millis(50), StockEvent::ListSeen(version(1), None));
+    assert_eq!(fetches(&reducer.reduce(START + Millis(600), wanted(1))), 1, "it had failed");
+    assert!(!reducer.is_busy(), "the agent itself needs nothing");
+}
