--- a/mustardrill_core/src/transfer/choice.rs
+++ b/mustardrill_core/src/transfer/choice.rs
@@ -8,9 +8,9 @@
 /// The first in rank that may draw one late chunk while others still come: each draws it anew.
 const MOST_LATE_DRAWERS: u64 = 2;
 
-/// Chunks that are asked of the origin before their turn, so that its link never waits for the next
-/// question.
-const ORIGIN_LEAD: f64 = 4.0;
+/// How long before its turn a chunk is asked of the origin, so that its link never waits for the
+/// next question: some calls' way there and back.
+const ORIGIN_LEAD: Millis = Millis(200);
 
 /// An origin may be this many times slower than told before its drawers count as late. More would
 /// hide a dead drawer, whose chunks make all look slower, for longer.
@@ -41,8 +41,7 @@
         }
         let pace = self.settings.origin_pace;
         if pace > 0.0 {
-            let reached = now.since(self.started).0 as f64 / pace;
-            let open = reached + ORIGIN_LEAD;
+            let open = (now.since(self.started).0 + ORIGIN_LEAD.0) as f64 / pace;
             return free.into_iter().copied().find(|index| f64::from(index.0) <= open);
         }
         Some(*free[self.random.random_range(0..free.len())])
