Entries hand weights on to agents

Cause: a new version's time goes into the engines' links (7.3 Mbit/s, a copy up and a copy down in the time that there is, beside the answers) and into the origin's, which dozens of agents asked. Entries' links carry 40 to 1,000 Mbit/s and were idle. Now agents ask an entry of their data centre for each chunk, it has it from the entry near the origin that draws it; verified at each step, kept once for all that ask; the old way is what remains without entries. Engines load from 30 % of the bound on instead of 45 %, as weights are there earlier.

Tests: core relays, runtime chunk_calls and uploads, processes with the entry frozen and killed.

--- a/mustardrill_agent/src/config.rs
+++ b/mustardrill_agent/src/config.rs
@@ -103,6 +103,8 @@
         far_drawers: default.far_drawers,
         homes: default.homes,
         origin_pace: default.origin_pace,
+        relay_window: default.relay_window,
+        relays_first: default.relays_first,
     }
 }
 
--- a/mustardrill_agent/src/effects.rs
+++ b/mustardrill_agent/src/effects.rs
@@ -111,7 +111,9 @@
         for source in sources {
             let fetched = match &source {
                 ChunkSource::Origin => self.manifest_from_origin(&model, &version).await,
-                ChunkSource::Peer(id) => self.manifest_from_peer(id, digest).await,
+                ChunkSource::Peer(id) | ChunkSource::Relay(id) => {
+                    self.manifest_from_peer(id, digest).await
+                }
             };
             let opened = fetched.and_then(|bytes| {
                 let manifest = Manifest::open(&bytes, digest).map_err(|error| error.to_string())?;
@@ -155,7 +157,9 @@
     async fn draw(self, digest: ManifestDigest, draw: ChunkDraw, held: ChunkBitmap) {
         let outcome = match &draw.source {
             ChunkSource::Origin => self.draw_from_origin(digest, &draw).await,
-            ChunkSource::Peer(id) => self.draw_from_peer(digest, &draw, id, held).await,
+            ChunkSource::Peer(id) | ChunkSource::Relay(id) => {
+                self.draw_from_peer(digest, &draw, id, held).await
+            }
         };
         if outcome == DrawOutcome::Corrupt {
             let _ = self.context.metrics.count("chunks_corrupt", 1);
--- a/mustardrill_agent/src/stock/actor.rs
+++ b/mustardrill_agent/src/stock/actor.rs
@@ -1,10 +1,10 @@
 //! The actor that owns the reducer of an agent that stocks its engine.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cadence::{Gauged, StatsdClient};
 use kameo::prelude::*;
+use mustardrill_core::direct::PeerRecord;
 use mustardrill_core::manifest::Manifest;
 use mustardrill_core::stock::{StockEffect, StockEvent, StockReducer, StockStatus, VersionId};
 use mustardrill_core::transfer::ChunkSource;
@@ -12,6 +12,7 @@
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::exposition::{MetricHandler, MetricPage};
 use mustardrill_runtime::http::{HttpClient, HttpServer};
+use mustardrill_runtime::upload::UploadQueue;
 use mustardrill_types::{ChunkIndex, FastMap, Moment};
 use tokio::net::UdpSocket;
 use tokio::sync::Mutex;
@@ -20,7 +21,6 @@
 use crate::stock::config::StockConfig;
 use crate::stock::metrics::METRICS;
 use crate::stock::peers::PeerHandler;
-use crate::stock::upload::UploadQueue;
 use crate::stock::{effects, peers, watch};
 
 /// The platform, as the agent sees it.
@@ -51,7 +51,7 @@
     pub(crate) uploads: UploadQueue,
     pub(crate) metrics: StatsdClient,
     /// Where the entries listen, and when that was read.
-    pub(crate) entries: Mutex<Option<(Moment, Vec<SocketAddr>)>>,
+    pub(crate) entries: Mutex<Option<(Moment, Vec<PeerRecord>)>>,
     pub(crate) halt: CancellationToken,
 }
 
--- a/mustardrill_agent/src/stock/config.rs
+++ b/mustardrill_agent/src/stock/config.rs
@@ -33,8 +33,9 @@
 }
 
 /// The part of the version bound after which the first engine loads, in percent. A version is
-/// staged everywhere within 0.40 to 0.44 of it on the links that the bound is made for.
-const FIRST_TURN_PERCENT: u64 = 45;
+/// staged everywhere within 0.35 to 0.36 of it on the links that the bound is made for; where it
+/// is sooner, waiting a little gives callers a choice of engines for longer.
+const FIRST_TURN_PERCENT: u64 = 30;
 
 /// The part of the version bound by which the last engine loads, in percent. Soon after it,
 /// entries send nothing more to engines without the version, so waiting longer gains nothing.
@@ -88,6 +89,9 @@
         sample: default.sample,
         far_drawers: reader.bounded("weights", "far_drawers", 1, 0, 1_000),
         homes: reader.value("weights", "homes", true),
+        relay_window: reader.bounded("weights", "entry_window", 3, 0, 64),
+        // Set for each version.
+        relays_first: default.relays_first,
         // Set by the origin's rate in the configuration.
         origin_pace: default.origin_pace,
     }
--- a/mustardrill_agent/src/stock/effects.rs
+++ b/mustardrill_agent/src/stock/effects.rs
@@ -8,18 +8,19 @@
 use cadence::Counted;
 use hyper::StatusCode;
 use kameo::prelude::*;
-use mustardrill_core::direct::{EngineWord, FleetChange};
+use mustardrill_core::direct::{EngineWord, FleetChange, PeerRecord};
 use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_core::stock::{StockEvent, VersionId, WeightSource};
 use mustardrill_core::transfer::{ChunkDraw, ChunkSource, DrawOutcome};
 use mustardrill_runtime::border::{ChunkList, FleetPart, OrderAnswer, StoreError};
+use mustardrill_runtime::chunk_call::ChunkCall;
 use mustardrill_runtime::datagram::{Datagram, EngineRow};
 use mustardrill_runtime::http::{CallError, request};
 use mustardrill_types::{ChunkIndex, Millis, ModelName};
 use tokio_util::sync::CancellationToken;
 
 use crate::stock::actor::{Event, ListFetched, StockActor, StockContext};
-use crate::stock::peers::{self, chunk_path, list_path};
+use crate::stock::peers;
 
 /// How long a connection to another agent may take to be made.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -40,9 +41,15 @@
     pub(crate) address: SocketAddr,
 }
 
-/// Reads who else serves the same models.
+/// Reads who else serves the same models, and which entries there are.
 pub(crate) fn read_peers(context: Arc<StockContext>, actor: ActorRef<StockActor>) {
     tokio::spawn(async move {
+        match entries(&context).await {
+            Ok(entries) => {
+                let _ = actor.tell(Event(StockEvent::RelaysSeen(entries))).await;
+            }
+            Err(error) => log::warn!("entries outcome=kept reason=\"{error}\""),
+        }
         match context.borders.source.read_part(FleetPart::Upstreams).await {
             Ok(page) => {
                 let _ = actor.tell(Event(StockEvent::Fleet(page))).await;
@@ -91,15 +98,10 @@
             origin.list(*address, &version.model, version.version).await?
         }
         WeightSource::Peer(peer) => {
-            let uri = format!("http://{peer}:{}{}", context.config.stock.port, list_path(version));
-            let call =
-                context.client.call(request("GET", &uri, Bytes::new()), LIST_TIMEOUT, PEER_LIMIT);
-            let answer = call.await.map_err(|error| error.to_string())?;
-            if answer.status != StatusCode::OK {
-                return Err(format!("status {}", answer.status).into());
-            }
-            origin.read_list(answer.body)?
+            let address = format!("{peer}:{}", context.config.stock.port);
+            list_at(context, version, &address).await?
         }
+        WeightSource::Relay(address) => list_at(context, version, &address.to_string()).await?,
     };
     if list.model != version.model || list.version != version.version {
         return Err(format!("the list is of {}:{}", list.model, list.version).into());
@@ -107,6 +109,21 @@
     Ok(list)
 }
 
+/// A list from another agent or an entry.
+async fn list_at(
+    context: &StockContext,
+    version: &VersionId,
+    address: &str,
+) -> Result<ChunkList, Box<str>> {
+    let uri = format!("http://{address}{}", ChunkCall::List(version.clone()));
+    let call = context.client.call(request("GET", &uri, Bytes::new()), LIST_TIMEOUT, PEER_LIMIT);
+    let answer = call.await.map_err(|error| error.to_string())?;
+    if answer.status != StatusCode::OK {
+        return Err(format!("status {}", answer.status).into());
+    }
+    context.borders.origin.read_list(answer.body)
+}
+
 /// Draws a chunk, verifies it and stages it.
 pub(crate) fn draw(
     context: Arc<StockContext>,
@@ -145,7 +162,7 @@
                 DrawOutcome::Failed
             })
         }
-        ChunkSource::Peer(_) => chunk_from_peer(context, order).await,
+        ChunkSource::Peer(_) | ChunkSource::Relay(_) => chunk_from_peer(context, order).await,
     };
     let bytes = match bytes {
         Ok(bytes) => bytes,
@@ -159,7 +176,11 @@
         log::warn!("chunk version={version} index={} outcome=not-staged", draw.index);
         return DrawOutcome::Failed;
     }
-    let source = if draw.source == ChunkSource::Origin { "origin" } else { "peer" };
+    let source = match &draw.source {
+        ChunkSource::Origin => "origin",
+        ChunkSource::Relay(_) => "entry",
+        ChunkSource::Peer(_) => "peer",
+    };
     let _ = context.metrics.count(&format!("chunk_bytes.{source}"), length);
     DrawOutcome::Verified
 }
@@ -176,7 +197,11 @@
 }
 
 async fn chunk_from_peer(context: &StockContext, order: &ChunkOrder) -> Result<Bytes, DrawOutcome> {
-    let uri = format!("http://{}{}", order.address, chunk_path(&order.version, order.draw.index));
+    let uri = format!(
+        "http://{}{}",
+        order.address,
+        ChunkCall::Chunk(order.version.clone(), order.draw.index)
+    );
     let call = request("GET", &uri, Bytes::new());
     let answer = context.client.call(call, order.draw.patience.to_std(), PEER_LIMIT).await;
     match answer {
@@ -246,6 +271,7 @@
         let mut datagram = Datagram::new(&context.config.stock.own);
         let address = context.config.stock.engine;
         datagram.engine = Some(EngineRow::new(address, &model, word));
+        let entries: Vec<_> = entries.iter().map(|entry| entry.address).collect();
         peers::send(context.clone(), datagram.clone(), entries.clone());
         tokio::time::sleep(TELL_AGAIN).await;
         peers::send(context, datagram, entries);
@@ -254,7 +280,7 @@
 
 /// Where the entries listen, read at most every `ENTRIES_AGE`: one that is new learns from the
 /// registry what it was not told.
-async fn entries(context: &StockContext) -> Result<Vec<SocketAddr>, StoreError> {
+async fn entries(context: &StockContext) -> Result<Vec<PeerRecord>, StoreError> {
     let now = context.clock.now();
     let mut known = context.entries.lock().await;
     if let Some((read, entries)) = known.as_ref()
@@ -263,11 +289,11 @@
         return Ok(entries.clone());
     }
     let page = context.borders.source.read_part(FleetPart::Entries).await?;
-    let addresses = page.changes.iter().filter_map(|change| match change {
-        FleetChange::Peer(peer) => Some(peer.address),
+    let peers = page.changes.into_iter().filter_map(|change| match change {
+        FleetChange::Peer(peer) => Some(peer),
         _ => None,
     });
-    let entries: Vec<_> = addresses.collect();
+    let entries: Vec<_> = peers.collect();
     *known = Some((now, entries.clone()));
     Ok(entries)
 }
--- a/mustardrill_agent/src/stock/mod.rs
+++ b/mustardrill_agent/src/stock/mod.rs
@@ -5,7 +5,6 @@
 mod effects;
 mod metrics;
 mod peers;
-mod upload;
 mod watch;
 
 pub use actor::{StockBorders, StockHandle, spawn};
--- a/mustardrill_agent/src/stock/peers.rs
+++ b/mustardrill_agent/src/stock/peers.rs
@@ -6,41 +6,31 @@
 
 use futures_util::future::BoxFuture;
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode};
 use kameo::prelude::*;
 use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_core::stock::{HoldingNews, StockEvent, VersionId};
+use mustardrill_runtime::chunk_call::ChunkCall;
 use mustardrill_runtime::datagram::{DATAGRAM_LIMIT, Datagram, HoldingRow};
 use mustardrill_runtime::http::{AnyResponse, HttpHandler, text_response, whole_body};
-use mustardrill_types::{ChunkIndex, WeightVersion};
+use mustardrill_types::{ChunkIndex, Millis, WeightVersion};
 
 use crate::stock::actor::{Event, HoldsQuery, ListQuery, StockActor, StockContext};
 
+/// The time of uploads that may wait for the link. One chunk more is then accepted: enough to keep
+/// the link busy, and little enough that an event of an answer, which goes over the same link, is
+/// not held up behind them. With 120 ms of uploads waiting, two of five streams were late.
+const LONGEST_QUEUE: Millis = Millis(45);
+
 /// The size by which uploads are counted before they are read, in bytes.
 const USUAL_CHUNK: usize = 24_576;
 
-/// Where a list of chunks is found at an agent.
-pub(crate) fn list_path(version: &VersionId) -> String {
-    format!("/v1/lists/{}/{}", version.model, version.version)
-}
-
-/// Where a chunk is found at an agent.
-pub(crate) fn chunk_path(version: &VersionId, index: ChunkIndex) -> String {
-    format!("/v1/chunks/{}/{}/{index}", version.model, version.version)
-}
-
 /// Answers other agents.
 pub(crate) struct PeerHandler {
     actor: ActorRef<StockActor>,
     context: Arc<StockContext>,
 }
 
-/// What another agent asks for.
-enum PeerCall {
-    List(VersionId),
-    Chunk(VersionId, ChunkIndex),
-}
-
 impl PeerHandler {
     pub(crate) fn new(actor: ActorRef<StockActor>, context: Arc<StockContext>) -> Self {
         Self { actor, context }
@@ -51,30 +41,18 @@
     fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> BoxFuture<'static, AnyResponse> {
         let (actor, context) = (self.actor.clone(), self.context.clone());
         Box::pin(async move {
-            match read_call(request.uri()) {
-                Some(PeerCall::List(version)) => give_list(&actor, version).await,
-                Some(PeerCall::Chunk(version, index)) => {
+            match ChunkCall::read(request.uri()) {
+                Some(ChunkCall::List(version)) => give_list(&actor, version).await,
+                Some(ChunkCall::Chunk(version, index)) => {
                     give_chunk(&actor, &context, version, index).await
                 }
-                None => text_response(StatusCode::NOT_FOUND, "unknown path\n"),
+                // Agents draw nothing for others.
+                _ => text_response(StatusCode::NOT_FOUND, "unknown path\n"),
             }
         })
     }
 }
 
-fn read_call(uri: &Uri) -> Option<PeerCall> {
-    let mut words = uri.path().strip_prefix("/v1/")?.split('/');
-    let kind = words.next()?;
-    let model = words.next()?.parse().ok()?;
-    let version = words.next()?.parse::<WeightVersion>().ok()?;
-    let version = VersionId { model, version };
-    match kind {
-        "lists" => Some(PeerCall::List(version)),
-        "chunks" => Some(PeerCall::Chunk(version, words.next()?.parse().ok()?)),
-        _ => None,
-    }
-}
-
 async fn give_list(actor: &ActorRef<StockActor>, version: VersionId) -> AnyResponse {
     let list = actor.ask(ListQuery(version.clone())).await.ok().and_then(|reply| reply.0);
     if let Some(list) = list {
@@ -95,7 +73,7 @@
     if !actor.ask(HoldsQuery(version, index)).await.unwrap_or(false) {
         return text_response(StatusCode::NOT_FOUND, "not here\n");
     }
-    if !context.uploads.accept(context.clock.now(), USUAL_CHUNK) {
+    if context.uploads.accept(context.clock.now(), USUAL_CHUNK, LONGEST_QUEUE).is_none() {
         return text_response(StatusCode::SERVICE_UNAVAILABLE, "busy\n");
     }
     let bytes = context.borders.engine.staged(&model, index).await;
--- a/mustardrill_core/examples/burst.rs
+++ b/mustardrill_core/examples/burst.rs
@@ -253,7 +253,7 @@
                     let time = self.receive(agent, self.origin_free);
                     self.push(time, Event::Arrived { agent, holder: None, index });
                 }
-                ChunkSource::Peer(id) => {
+                ChunkSource::Peer(id) | ChunkSource::Relay(id) => {
                     let holder = self.places[&id];
                     let time = self.now + MESSAGE_MS;
                     self.push(time, Event::Asked { agent, holder, index });
--- a/mustardrill_core/src/direct/fleet.rs
+++ b/mustardrill_core/src/direct/fleet.rs
@@ -42,8 +42,12 @@
 pub struct PeerRecord {
     /// Its instance.
     pub id: InstanceId,
-    /// Where it takes datagrams.
+    /// Where it takes datagrams, and calls for chunks.
     pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// What its link carries, in Mbit/s.
+    pub link_mbps: u32,
 }
 
 /// Something that changed in the store.
--- a/mustardrill_core/src/direct/route.rs
+++ b/mustardrill_core/src/direct/route.rs
@@ -194,6 +194,11 @@
         self.services.get(name)
     }
 
+    /// Where weights come from.
+    pub fn origin(&self) -> Option<&OriginProfile> {
+        self.services.values().find_map(|profile| profile.origin.as_ref())
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &ServiceProfile)> {
         self.services.iter()
--- a/mustardrill_core/src/lib.rs
+++ b/mustardrill_core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod partner;
 pub mod placement;
 pub mod refusal;
+pub mod relays;
 pub mod rendezvous;
 pub mod routing;
 pub mod rule;
--- a/mustardrill_core/src/stock/event.rs
+++ b/mustardrill_core/src/stock/event.rs
@@ -7,7 +7,7 @@
     ChunkIndex, DataCentre, InstanceId, Millis, ModelName, ServiceName, WeightVersion,
 };
 
-use crate::direct::{EngineWord, FleetPage, ServedWeights};
+use crate::direct::{EngineWord, FleetPage, PeerRecord, ServedWeights};
 use crate::manifest::{ChunkBitmap, Manifest};
 use crate::stock::turn::TurnSettings;
 use crate::transfer::{ChunkDraw, ChunkSource, DrawOutcome, TransferSettings};
@@ -28,6 +28,9 @@
     /// The origin.
     #[display("origin")]
     Origin(SocketAddr),
+    /// An entry.
+    #[display("entry {_0}")]
+    Relay(SocketAddr),
     /// Another agent.
     #[display("{_0}")]
     Peer(InstanceId),
@@ -53,6 +56,8 @@
 pub enum StockEvent {
     /// The store answered.
     Fleet(FleetPage),
+    /// The entries were read anew; these are all that there are.
+    RelaysSeen(Vec<PeerRecord>),
     /// The engine told its state, or did not answer.
     EngineSeen(Option<EngineView>),
     /// A list of chunks came; nothing where it could not be had.
--- a/mustardrill_core/src/stock/holding.rs
+++ b/mustardrill_core/src/stock/holding.rs
@@ -1,6 +1,6 @@
 //! What agents tell each other of the chunks that they hold.
 
-use mustardrill_types::{InstanceId, Moment};
+use mustardrill_types::Moment;
 
 use crate::manifest::ChunkBitmap;
 use crate::stock::event::{HoldingNews, StockEffect, VersionId};
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -12,6 +12,7 @@
     EngineWord, FleetChange, FleetPage, RouteDocument, UpstreamRecord, VersionTable,
 };
 use crate::manifest::Manifest;
+use crate::relays::RelayTable;
 use crate::stock::event::{
     EngineView, StockEffect, StockEvent, StockSettings, StockStatus, VersionId,
 };
@@ -58,6 +59,8 @@
     pub(super) document: Option<Arc<RouteDocument>>,
     /// The upstreams of this service by the address of their machine.
     pub(super) peers: FastMap<InstanceId, TransferPeer>,
+    /// The entries, which hand chunks on.
+    pub(super) relays: RelayTable,
     /// Registrations, to find the peer that one ends.
     registered: FastMap<InstanceId, InstanceId>,
     pub(super) versions: VersionTable,
@@ -85,6 +88,7 @@
             settings,
             document: None,
             peers: FastMap::default(),
+            relays: RelayTable::default(),
             registered: FastMap::default(),
             versions: VersionTable::default(),
             engine: None,
@@ -104,6 +108,11 @@
     pub fn reduce(&mut self, now: Moment, event: StockEvent) -> Vec<StockEffect> {
         let mut effects = match event {
             StockEvent::Fleet(page) => self.fleet_seen(now, page),
+            StockEvent::RelaysSeen(relays) => {
+                self.relays.set(relays);
+                self.tell_plan();
+                Vec::new()
+            }
             StockEvent::EngineSeen(view) => self.engine_seen(view),
             StockEvent::ListSeen(version, list) => self.list_seen(now, version, list),
             StockEvent::ListWanted(version) => self.list_wanted(now, &version),
@@ -174,6 +183,7 @@
         if page.whole {
             self.peers.clear();
             self.registered.clear();
+            self.relays.set(Vec::new());
         }
         for change in page.changes {
             match change {
@@ -193,14 +203,21 @@
                         }
                     }
                 }
-                FleetChange::Peer(_) | FleetChange::PeerGone(_) => {}
+                FleetChange::Peer(relay) => self.relays.add(relay),
+                FleetChange::PeerGone(id) => self.relays.remove(&id),
             }
         }
-        let peers = self.transfer_peers();
+        self.tell_plan();
+        effects
+    }
+
+    /// Tells a transfer under way who there is.
+    fn tell_plan(&mut self) {
+        let (peers, relays) = (self.transfer_peers(), self.relays.all().to_vec());
         if let Some(plan) = self.plan_mut() {
             plan.set_peers(&peers);
+            plan.set_relays(relays);
         }
-        effects
     }
 
     fn register(&mut self, record: &UpstreamRecord) {
@@ -336,7 +353,7 @@
     ) -> (Option<StockStage>, Vec<StockEffect>) {
         match stage {
             StockStage::Listing { next_try, tries } if next_try <= now => {
-                let sources = self.list_sources(wanted, tries);
+                let sources = self.list_sources(now, wanted, tries);
                 let next_try = now + self.list_pause(tries);
                 let stage = StockStage::Listing { next_try, tries: tries + 1 };
                 (Some(stage), vec![StockEffect::FetchList(wanted.clone(), sources)])
@@ -362,8 +379,8 @@
         if plan.is_complete() {
             let counts = plan.counts();
             info!(
-                "weights version={wanted} outcome=staged origin_bytes={} peer_bytes={} corrupt={}",
-                counts.origin_bytes, counts.peer_bytes, counts.corrupt_chunks
+                "weights version={wanted} outcome=staged origin_bytes={} entry_bytes={} peer_bytes={} corrupt={}",
+                counts.origin_bytes, counts.relay_bytes, counts.peer_bytes, counts.corrupt_chunks
             );
             let total = plan.manifest().chunk_count();
             self.staged = Some((wanted.clone(), total));
@@ -381,6 +398,7 @@
         for draw in plan.next_draws(now) {
             let address = match &draw.source {
                 ChunkSource::Origin => origin,
+                ChunkSource::Relay(id) => self.relays.get(id).map(|relay| relay.address),
                 ChunkSource::Peer(id) => self.address(id),
             };
             match address {
@@ -414,8 +432,11 @@
         let mut transfer = self.settings.transfer.clone();
         transfer.origin_pace = self.origin_pace();
         transfer.drawers = self.origin_drawers();
+        let named = self.versions.named_at(&version.model, version.version);
+        transfer.relays_first = named.is_some_and(|named| named > Moment(0));
         let mut plan = TransferPlan::new(now, own, list, transfer, self.random.random());
         plan.set_peers(&peers);
+        plan.set_relays(self.relays.all().to_vec());
         self.told = Moment(0);
         if std::mem::take(&mut self.inspect) {
             self.stage = Some(StockStage::Inspecting(Box::new(plan)));
--- a/mustardrill_core/src/stock/sources.rs
+++ b/mustardrill_core/src/stock/sources.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 
 use crate::direct::OriginProfile;
+use crate::relays::RelayItem;
 use crate::rendezvous;
 use crate::stock::event::{StockEffect, VersionId, WeightSource};
 use crate::stock::reducer::{StockReducer, version_of};
@@ -16,6 +17,9 @@
 /// How long until a list is asked for again: about what the first in rank take to fetch it.
 const LIST_RETRY: Millis = Millis(150);
 
+/// How often the list is asked of entries before agents and the origin are.
+const RELAY_TRIES: u32 = 2;
+
 /// How long until a list is fetched for others again, should the first try have failed: an origin
 /// that is busy or cut off is not asked by each of their questions.
 const LEND_PAUSE: Millis = Millis(500);
@@ -35,7 +39,18 @@
     }
 
     /// Whom to ask for a list: the first in rank ask the origin, the others ask them first.
-    pub(super) fn list_sources(&mut self, wanted: &VersionId, tries: u32) -> Vec<WeightSource> {
+    pub(super) fn list_sources(
+        &mut self,
+        now: Moment,
+        wanted: &VersionId,
+        tries: u32,
+    ) -> Vec<WeightSource> {
+        let centre = &self.settings.data_centre;
+        let relay = self.relays.nearest(now, &wanted.to_string(), RelayItem::List, centre);
+        if let (Some(relay), true) = (relay, tries < RELAY_TRIES) {
+            return vec![WeightSource::Relay(relay.address)];
+        }
+        let tries = tries.saturating_sub(RELAY_TRIES);
         let origin = self.origin().map(WeightSource::Origin);
         let ids: Vec<_> = self.transfer_peers().into_iter().map(|peer| peer.id).collect();
         let subject = wanted.to_string();
@@ -78,8 +93,7 @@
     }
 
     pub(super) fn origin_profile(&self) -> Option<&OriginProfile> {
-        let document = self.document.as_ref()?;
-        document.services().find_map(|(_, profile)| profile.origin.as_ref())
+        self.document.as_ref()?.origin()
     }
 
     /// How many agents draw from the origin at most, by the connections that it takes.
--- a/mustardrill_core/src/transfer/choice.rs
+++ b/mustardrill_core/src/transfer/choice.rs
@@ -3,7 +3,7 @@
 use mustardrill_types::{ChunkIndex, InstanceId, Millis, Moment};
 use rand::Rng;
 
-use crate::transfer::{ChunkSource, TransferPlan, rank_of};
+use crate::transfer::{ChunkSource, Flight, TransferPlan, rank_of};
 
 /// The first in rank that may draw one late chunk while others still come: each draws it anew.
 const MOST_LATE_DRAWERS: u64 = 2;
@@ -21,6 +21,11 @@
         self.flights.values().filter(|flight| flight.source == ChunkSource::Origin).count()
     }
 
+    pub(super) fn peer_flights(&self) -> usize {
+        let is_peer = |flight: &&Flight| matches!(flight.source, ChunkSource::Peer(_));
+        self.flights.values().filter(is_peer).count()
+    }
+
     pub(super) fn next_origin_chunk(&mut self, now: Moment) -> Option<ChunkIndex> {
         if now < self.origin_rest {
             return None;
--- a/mustardrill_core/src/transfer/mod.rs
+++ b/mustardrill_core/src/transfer/mod.rs
@@ -5,6 +5,7 @@
 
 mod choice;
 mod missing;
+mod relayed;
 
 use std::sync::Arc;
 
@@ -18,8 +19,10 @@
 use crate::homes::HomeTable;
 use crate::manifest::{ChunkBitmap, Manifest};
 use crate::partner::PartnerTable;
+use crate::relays::RelayTable;
 use crate::rendezvous;
 use crate::transfer::missing::MissingSet;
+use crate::transfer::relayed::RelayDuty;
 
 /// How a version is drawn; `docs/SETTINGS.md` gives the section and defaults.
 #[derive(Debug, Clone)]
@@ -51,6 +54,11 @@
     /// How long the origin's link takes for a chunk, in milliseconds; zero: its drawers don't wait
     /// for their turns. With turns the first chunks come one after the other, not all at last.
     pub origin_pace: f64,
+    /// Chunks in flight from entries that hand them on at once; zero: entries are not asked.
+    pub relay_window: usize,
+    /// Whether entries are asked before peers. They are where a version has just been named, as
+    /// all want the same chunks then; one that comes later finds them at its peers.
+    pub relays_first: bool,
 }
 
 /// Where a chunk comes from.
@@ -59,6 +67,9 @@
     /// The origin, or the weight store where the origin is down.
     #[display("origin")]
     Origin,
+    /// An entry that hands chunks on.
+    #[display("entry {_0}")]
+    Relay(InstanceId),
     /// Another instance.
     #[display("{_0}")]
     Peer(InstanceId),
@@ -115,6 +126,7 @@
     drawers: Vec<InstanceId>,
     successors: Vec<InstanceId>,
     homes: HomeTable,
+    relays: RelayTable,
     own_draws: Vec<ChunkIndex>,
     flights: FastMap<ChunkIndex, Flight>,
     pace: Millis,
@@ -130,6 +142,8 @@
 pub struct TransferCounts {
     /// Bytes drawn from the origin.
     pub origin_bytes: u64,
+    /// Bytes drawn from entries.
+    pub relay_bytes: u64,
     /// Bytes drawn from peers.
     pub peer_bytes: u64,
     /// Corrupt chunks that came, from whomever.
@@ -159,6 +173,8 @@
             far_drawers: 0,
             homes: false,
             origin_pace: 0.0,
+            relay_window: 0,
+            relays_first: false,
         }
     }
 }
@@ -184,6 +200,7 @@
             drawers: Vec::new(),
             successors: Vec::new(),
             homes: HomeTable::default(),
+            relays: RelayTable::default(),
             own_draws: Vec::new(),
             flights: FastMap::default(),
             pace: Millis(settings.chunk_patience.0 / PATIENCE_PACES),
@@ -272,6 +289,7 @@
         match source {
             _ if *outcome == DrawOutcome::Verified => self.keep(now, index, source, flight),
             ChunkSource::Origin => self.origin_failed(now, outcome),
+            ChunkSource::Relay(id) => self.relay_failed(now, id, outcome),
             ChunkSource::Peer(id) => self.peer_failed(now, index, id, outcome),
         }
         awaited
@@ -294,14 +312,21 @@
     /// The draws to start now.
     pub fn next_draws(&mut self, now: Moment) -> Vec<ChunkDraw> {
         let mut draws = Vec::new();
-        while self.origin_flights() < self.settings.origin_window {
-            let Some(index) = self.next_origin_chunk(now) else { break };
-            draws.push(self.start(now, index, ChunkSource::Origin));
+        let duty = self.relay_duty(now);
+        if duty == RelayDuty::None {
+            while self.origin_flights() < self.settings.origin_window {
+                let Some(index) = self.next_origin_chunk(now) else { break };
+                draws.push(self.start(now, index, ChunkSource::Origin));
+            }
         }
-        while self.flights.len() - self.origin_flights() < self.settings.window {
+        while duty != RelayDuty::All && self.peer_flights() < self.settings.window {
             let Some((index, id)) = self.next_peer_chunk(now) else { break };
             draws.push(self.start(now, index, ChunkSource::Peer(id)));
         }
+        while self.relay_flights() < self.settings.relay_window {
+            let Some((index, id)) = self.next_relay_chunk(now, duty) else { break };
+            draws.push(self.start(now, index, ChunkSource::Relay(id)));
+        }
         draws
     }
 
@@ -363,6 +388,7 @@
         let (start, end) = self.manifest.range(index);
         match source {
             ChunkSource::Origin => self.counts.origin_bytes += end - start,
+            ChunkSource::Relay(_) => self.counts.relay_bytes += end - start,
             ChunkSource::Peer(_) => self.counts.peer_bytes += end - start,
         }
         if let Some(flight) = flight {
--- a/mustardrill_core/tests/stock.rs
+++ b/mustardrill_core/tests/stock.rs
@@ -480,7 +480,9 @@
         for (index, source) in drawn(effects) {
             match source {
                 ChunkSource::Origin => self.asked.push_back((place, index)),
-                ChunkSource::Peer(_) => self.ended(now, place, index, source),
+                ChunkSource::Peer(_) | ChunkSource::Relay(_) => {
+                    self.ended(now, place, index, source)
+                }
             }
         }
     }
--- a/mustardrill_core/tests/transfers.rs
+++ b/mustardrill_core/tests/transfers.rs
@@ -149,7 +149,7 @@
             ChunkSource::Origin if self.origin_stalled_until > self.now => return,
             ChunkSource::Origin if self.origin_corrupt_until > self.now => DrawOutcome::Corrupt,
             ChunkSource::Origin => DrawOutcome::Verified,
-            ChunkSource::Peer(id) => {
+            ChunkSource::Peer(id) | ChunkSource::Relay(id) => {
                 let place = self.peers.iter().position(|peer| peer.id == *id).unwrap();
                 let is_silent =
                     self.stalled_until.get(&place).is_some_and(|until| *until > self.now);
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -7,10 +7,10 @@
 use cadence::{Gauged, StatsdClient};
 use kameo::prelude::*;
 use mustardrill_core::direct::{
-    CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest, PeerRecord, RefusalPlan,
-    RequestNumber, SendPlan, StatusRow, UpstreamLoad,
+    CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest, OriginProfile,
+    PeerRecord, RefusalPlan, RequestNumber, SendPlan, StatusRow, UpstreamLoad,
 };
-use mustardrill_runtime::border::{CallDialect, FleetSource};
+use mustardrill_runtime::border::{CallDialect, ChunkOrigin, FleetSource};
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::exposition::{MetricHandler, MetricPage};
 use mustardrill_runtime::http::HttpServer;
@@ -22,6 +22,7 @@
 use crate::direct::config::DirectConfig;
 use crate::direct::connections::ConnectionPool;
 use crate::direct::metrics::METRICS;
+use crate::direct::relay::ChunkRelay;
 use crate::direct::{gossip, watch};
 
 /// The platform, as the entry sees it.
@@ -30,6 +31,8 @@
     pub source: Box<dyn FleetSource>,
     /// How callers and upstreams write.
     pub dialect: Box<dyn CallDialect>,
+    /// Where weights come from.
+    pub origin: Box<dyn ChunkOrigin>,
 }
 
 /// A running entry.
@@ -91,6 +94,16 @@
     pub(crate) outstanding: Vec<(InstanceId, UpstreamLoad)>,
 }
 
+/// Asks for what is needed to hand weights on.
+pub(crate) struct RelayQuery;
+
+/// The answer to `RelayQuery`.
+#[derive(Debug, Reply)]
+pub(crate) struct RelayReply {
+    pub(crate) peers: Vec<PeerRecord>,
+    pub(crate) origin: Option<OriginProfile>,
+}
+
 /// Asks whether callers should be sent here.
 pub(crate) struct ReadyQuery;
 
@@ -173,6 +186,18 @@
     }
 }
 
+impl Message<RelayQuery> for DirectActor {
+    type Reply = RelayReply;
+
+    async fn handle(&mut self, _: RelayQuery, _: &mut Context<Self, RelayReply>) -> RelayReply {
+        let document = self.reducer.document();
+        RelayReply {
+            peers: self.reducer.peers().to_vec(),
+            origin: document.and_then(|document| document.origin().cloned()),
+        }
+    }
+}
+
 impl Message<ReadyQuery> for DirectActor {
     type Reply = bool;
 
@@ -247,6 +272,8 @@
         tokio::spawn(halt.clone().run_until_cancelled_owned(sampling));
     }
     gossip::spawn(actor.clone(), context.clone()).await?;
+    let relay = ChunkRelay::new(actor.clone(), context.clone());
+    HttpServer::bind(config.peer_listen, Box::new(relay), halt.clone()).await?;
     watch::spawn(actor.clone(), context.clone());
     let (address, ready_address) = (callers.address, ready.address);
     log::info!("start instance={} address={address} store={}", config.direct.own, config.store);
--- a/mustardrill_entry/src/direct/config.rs
+++ b/mustardrill_entry/src/direct/config.rs
@@ -6,7 +6,7 @@
 use mustardrill_core::direct::{DirectSettings, RetryShare};
 use mustardrill_runtime::config::{local, name};
 use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
-use mustardrill_types::Millis;
+use mustardrill_types::{ByteSize, Millis};
 
 /// All settings of such an entry.
 #[derive(Debug, Clone)]
@@ -29,6 +29,10 @@
     pub grace: Millis,
     /// How long a stopping entry still takes new work, until the balancer sends it none.
     pub linger: Millis,
+    /// What the machine's link carries, in Mbit/s.
+    pub link_mbps: f64,
+    /// How much of the weights that it hands on an entry keeps.
+    pub relay_memory: ByteSize,
     /// What the reducer is told.
     pub direct: DirectSettings,
 }
@@ -65,6 +69,8 @@
         watch: reader.value("platform", "watch", Millis(1_500)),
         grace: reader.value("bounds", "grace", Millis(8_000)),
         linger: reader.value("entry", "linger", Millis(2_600)),
+        link_mbps: reader.bounded("weights", "link_mbps", 1_000.0, 0.1, 1_000_000.0),
+        relay_memory: reader.value("weights", "relay_memory", ByteSize(16 << 20)),
         direct: DirectSettings {
             own: name(&mut reader, "entry", "instance"),
             data_centre: name(&mut reader, "entry", "data_centre"),
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -3,7 +3,7 @@
 use mustardrill_runtime::exposition::{MetricKind, MetricRow};
 
 /// Every metric and what it counts.
-pub const METRICS: [MetricRow; 9] = [
+pub const METRICS: [MetricRow; 10] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -20,6 +20,11 @@
         MetricKind::Histogram,
         "Milliseconds from sending to an answer's first part.",
     ),
+    MetricRow::new(
+        "relay_bytes",
+        MetricKind::Counter("kind"),
+        "Bytes of weights drawn from the origin and given to others.",
+    ),
     MetricRow::new("generation", MetricKind::Gauge, "The configuration in force; zero for none."),
     MetricRow::new(
         "proof_age_ms",
--- a/mustardrill_entry/src/direct/mod.rs
+++ b/mustardrill_entry/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod events;
 mod gossip;
 mod metrics;
+mod relay;
 mod watch;
 
 pub use actor::{DirectBorders, DirectHandle, spawn};
--- a/mustardrill_entry/src/direct/watch.rs
+++ b/mustardrill_entry/src/direct/watch.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 
 use crate::direct::actor::{DirectActor, DirectContext, Event};
+use crate::direct::config::DirectConfig;
 
 /// The least pause after a call that failed. Refused calls are billed like others, and a store
 /// that comes back must not be met by all entries at once.
@@ -73,9 +74,18 @@
     }
 }
 
+/// The entry as the others and the agents know it.
+pub(crate) fn own_record(config: &DirectConfig) -> PeerRecord {
+    PeerRecord {
+        id: config.direct.own.clone(),
+        address: config.peer_listen,
+        data_centre: config.direct.data_centre.clone(),
+        link_mbps: config.link_mbps as u32,
+    }
+}
+
 async fn register(context: Arc<DirectContext>) {
-    let peer =
-        PeerRecord { id: context.config.direct.own.clone(), address: context.config.peer_listen };
+    let peer = own_record(&context.config);
     let source = &context.borders.source;
     loop {
         let lease = match source.announce(&peer, LEASE_SPAN).await {
--- a/mustardrill_entry/src/main.rs
+++ b/mustardrill_entry/src/main.rs
@@ -6,7 +6,7 @@
 use mustardrill_entry::cli::{self, EntryCommand};
 use mustardrill_entry::direct::{self, DirectBorders, DirectConfig};
 use mustardrill_entry::{EntryConfig, config, explain, operator_client};
-use mustardrill_platform::{PlatformDialect, PlatformStore};
+use mustardrill_platform::{PlatformDialect, PlatformOrigin, PlatformStore};
 use mustardrill_runtime::http::HttpClient;
 use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
 use mustardrill_runtime::{logging, signal};
@@ -15,6 +15,9 @@
 /// Wrong command line or settings.
 const USAGE: u8 = 2;
 
+/// How long a connection to the origin of weights stays open unused. It takes few of them.
+const ORIGIN_IDLE: std::time::Duration = std::time::Duration::from_millis(200);
+
 /// How long a connection to the store may take to be made.
 const STORE_CONNECT: std::time::Duration = std::time::Duration::from_millis(500);
 
@@ -134,6 +137,7 @@
     let borders = DirectBorders {
         source: Box::new(PlatformStore::open(client, config.store)),
         dialect: Box::new(PlatformDialect),
+        origin: Box::new(PlatformOrigin::open(HttpClient::open_idle(STORE_CONNECT, ORIGIN_IDLE))),
     };
     let listen = config.listen;
     let handle = match direct::spawn(config, borders).await {
--- a/mustardrill_runtime/src/lib.rs
+++ b/mustardrill_runtime/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod agents;
 pub mod border;
+pub mod chunk_call;
 pub mod clock;
 pub mod config;
 pub mod datagram;
@@ -15,4 +16,5 @@
 pub mod platform;
 pub mod settings;
 pub mod signal;
+pub mod upload;
 pub mod wire;
--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -282,6 +282,27 @@
         .await;
 }
 
+/// Entries hand weights on; without any, or with one that stands still, agents do so themselves.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_weights_come_though_no_entry_hands_them_on() {
+    let engines = vec![Worker::new("i-1", 1), Worker::new("i-2", 1), Worker::new("i-3", 1)];
+    let mut fleet = Fleet::start(8, engines).await;
+    let all = async |fleet: &Fleet, version| {
+        fleet.engines.iter().all(|engine| engine.version() == version)
+    };
+    fleet.entry.freeze();
+    fleet.store.write("op/version/m0", &json!({"model": "m0", "version": 2}));
+    fleet.until("all have version 2", async || all(&fleet, 2).await).await;
+    fleet.entry.kill();
+    let before = fleet.origin.sent();
+    fleet.store.write("op/version/m0", &json!({"model": "m0", "version": 3}));
+    fleet.until("all have version 3", async || all(&fleet, 3).await).await;
+    let loads: Vec<_> = fleet.engines.iter().flat_map(Worker::loads).collect();
+    assert!(loads.iter().all(|whole| *whole), "a load took a chunk that was not whole: {loads:?}");
+    let drawn = fleet.origin.sent() - before;
+    assert!(drawn <= CHUNKS * 3 / 2, "{drawn} chunks of {CHUNKS} from the origin");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_taken_away_is_refused_and_without_the_store_every_key_in_the_end() {
     let fleet = Fleet::start(5, vec![Worker::new("i-1", 1)]).await;
