Agents that start learn of the fleet from an entry near by

Agents now ask an entry, and the store only where none answers in 1.5 s. Tested between processes (only the entry reads everything; it failed first, also for an empty list of entries that was kept for 6 s), and the digest against the page that it is made of.

--- a/mustardrill_agent/src/stock/effects.rs
+++ b/mustardrill_agent/src/stock/effects.rs
@@ -13,9 +13,9 @@
 use mustardrill_core::stock::{StockEvent, VersionId, WeightSource};
 use mustardrill_core::transfer::{ChunkDraw, ChunkSource, DrawOutcome};
 use mustardrill_runtime::border::{ChunkList, FleetPart, OrderAnswer, StoreError};
-use mustardrill_runtime::chunk_call::ChunkCall;
 use mustardrill_runtime::datagram::{Datagram, EngineRow};
 use mustardrill_runtime::http::{CallError, request};
+use mustardrill_runtime::peer_call::PeerCall;
 use mustardrill_types::{ChunkIndex, Millis, ModelName};
 use tokio_util::sync::CancellationToken;
 
@@ -115,7 +115,7 @@
     version: &VersionId,
     address: &str,
 ) -> Result<ChunkList, Box<str>> {
-    let uri = format!("http://{address}{}", ChunkCall::List(version.clone()));
+    let uri = format!("http://{address}{}", PeerCall::List(version.clone()));
     let call = context.client.call(request("GET", &uri, Bytes::new()), LIST_TIMEOUT, PEER_LIMIT);
     let answer = call.await.map_err(|error| error.to_string())?;
     if answer.status != StatusCode::OK {
@@ -200,7 +200,7 @@
     let uri = format!(
         "http://{}{}",
         order.address,
-        ChunkCall::Chunk(order.version.clone(), order.draw.index)
+        PeerCall::Chunk(order.version.clone(), order.draw.index)
     );
     let call = request("GET", &uri, Bytes::new());
     let answer = context.client.call(call, order.draw.patience.to_std(), PEER_LIMIT).await;
@@ -280,7 +280,7 @@
 
 /// Where the entries listen, read at most every `ENTRIES_AGE`: one that is new learns from the
 /// registry what it was not told.
-async fn entries(context: &StockContext) -> Result<Vec<PeerRecord>, StoreError> {
+pub(crate) async fn entries(context: &StockContext) -> Result<Vec<PeerRecord>, StoreError> {
     let now = context.clock.now();
     let mut known = context.entries.lock().await;
     if let Some((read, entries)) = known.as_ref()
@@ -294,6 +294,9 @@
         _ => None,
     });
     let entries: Vec<_> = peers.collect();
-    *known = Some((now, entries.clone()));
+    // Where all start at once, none may have registered yet.
+    if !entries.is_empty() {
+        *known = Some((now, entries.clone()));
+    }
     Ok(entries)
 }
--- a/mustardrill_agent/src/stock/mod.rs
+++ b/mustardrill_agent/src/stock/mod.rs
@@ -3,6 +3,7 @@
 mod actor;
 mod config;
 mod effects;
+mod fleet;
 mod metrics;
 mod peers;
 mod watch;
--- a/mustardrill_agent/src/stock/peers.rs
+++ b/mustardrill_agent/src/stock/peers.rs
@@ -10,9 +10,9 @@
 use kameo::prelude::*;
 use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_core::stock::{HoldingNews, StockEvent, VersionId};
-use mustardrill_runtime::chunk_call::ChunkCall;
 use mustardrill_runtime::datagram::{DATAGRAM_LIMIT, Datagram, HoldingRow};
 use mustardrill_runtime::http::{AnyResponse, HttpHandler, text_response, whole_body};
+use mustardrill_runtime::peer_call::PeerCall;
 use mustardrill_types::{ChunkIndex, Millis, WeightVersion};
 
 use crate::stock::actor::{Event, HoldsQuery, ListQuery, StockActor, StockContext};
@@ -41,9 +41,9 @@
     fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> BoxFuture<'static, AnyResponse> {
         let (actor, context) = (self.actor.clone(), self.context.clone());
         Box::pin(async move {
-            match ChunkCall::read(request.uri()) {
-                Some(ChunkCall::List(version)) => give_list(&actor, version).await,
-                Some(ChunkCall::Chunk(version, index)) => {
+            match PeerCall::read(request.uri()) {
+                Some(PeerCall::List(version)) => give_list(&actor, version).await,
+                Some(PeerCall::Chunk(version, index)) => {
                     give_chunk(&actor, &context, version, index).await
                 }
                 // Agents draw nothing for others.
--- a/mustardrill_agent/src/stock/watch.rs
+++ b/mustardrill_agent/src/stock/watch.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 
 use crate::stock::actor::{BusyQuery, Event, StockActor, StockContext};
+use crate::stock::fleet;
 
 /// The least pause after a call that failed.
 const RETRY_PAUSE: Millis = Millis(200);
@@ -34,11 +35,18 @@
 async fn follow(actor: ActorRef<StockActor>, context: Arc<StockContext>) {
     let source = &context.borders.source;
     let (mut revision, mut scope) = (None, FleetScope::Operator);
+    let mut begun = false;
     loop {
         let read = match revision {
             Some(revision) => source.read_changes(scope, revision, context.config.watch).await,
-            None => source.read_all().await,
+            // What an entry tells may be older than the history that the store keeps.
+            None if begun => source.read_all().await,
+            None => match fleet::read(&context).await {
+                Some(page) => Ok(page),
+                None => source.read_all().await,
+            },
         };
+        begun |= read.is_ok();
         match read {
             Ok(page) => {
                 revision = Some(page.at);
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -7,8 +7,8 @@
 use cadence::{Gauged, StatsdClient};
 use kameo::prelude::*;
 use mustardrill_core::direct::{
-    CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest, OriginProfile,
-    PeerRecord, RefusalPlan, RequestNumber, SendPlan, StatusRow, UpstreamLoad,
+    CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest, FleetChange, FleetPage,
+    OriginProfile, PeerRecord, RefusalPlan, RequestNumber, SendPlan, StatusRow, UpstreamLoad,
 };
 use mustardrill_runtime::border::{CallDialect, ChunkOrigin, FleetSource};
 use mustardrill_runtime::clock::ProcessClock;
@@ -23,6 +23,7 @@
 use crate::direct::connections::ConnectionPool;
 use crate::direct::metrics::METRICS;
 use crate::direct::relay::ChunkRelay;
+use crate::direct::watch::own_record;
 use crate::direct::{gossip, watch};
 
 /// The platform, as the entry sees it.
@@ -104,6 +105,13 @@
     pub(crate) origin: Option<OriginProfile>,
 }
 
+/// Asks for what agents that start need of the fleet.
+pub(crate) struct FleetQuery;
+
+/// The answer to `FleetQuery`.
+#[derive(Debug, Reply)]
+pub(crate) struct FleetReply(pub(crate) FleetPage);
+
 /// Asks whether callers should be sent here.
 pub(crate) struct ReadyQuery;
 
@@ -198,6 +206,16 @@
     }
 }
 
+impl Message<FleetQuery> for DirectActor {
+    type Reply = FleetReply;
+
+    async fn handle(&mut self, _: FleetQuery, _: &mut Context<Self, FleetReply>) -> FleetReply {
+        let mut page = self.reducer.fleet();
+        page.changes.push(FleetChange::Peer(own_record(&self.context.config)));
+        FleetReply(page)
+    }
+}
+
 impl Message<ReadyQuery> for DirectActor {
     type Reply = bool;
 
--- a/mustardrill_entry/src/direct/relay.rs
+++ b/mustardrill_entry/src/direct/relay.rs
@@ -17,14 +17,15 @@
 use mustardrill_core::relays::{RelayItem, RelayTable};
 use mustardrill_core::stock::VersionId;
 use mustardrill_runtime::border::ChunkList;
-use mustardrill_runtime::chunk_call::ChunkCall;
+use mustardrill_runtime::fleet_digest::FleetDigest;
 use mustardrill_runtime::http::{AnyResponse, HttpClient, HttpHandler, request};
 use mustardrill_runtime::http::{text_response, whole_body};
+use mustardrill_runtime::peer_call::PeerCall;
 use mustardrill_runtime::upload::UploadQueue;
-use mustardrill_types::{ByteSize, FastMap, Millis};
+use mustardrill_types::{ByteSize, FastMap, Millis, ServiceName};
 use tokio::sync::Semaphore;
 
-use crate::direct::actor::{DirectActor, DirectContext, RelayQuery};
+use crate::direct::actor::{DirectActor, DirectContext, FleetQuery, RelayQuery};
 use crate::direct::watch::own_record;
 
 /// How long a connection to another entry may take to be made.
@@ -92,12 +93,13 @@
         }
     }
 
-    async fn answer(&self, call: ChunkCall) -> AnyResponse {
+    async fn answer(&self, call: PeerCall) -> AnyResponse {
         let (key, drawn) = match call {
-            ChunkCall::List(version) => ((version, RelayItem::List), false),
-            ChunkCall::Chunk(version, index) => ((version, RelayItem::Chunk(index)), false),
-            ChunkCall::DrawnList(version) => ((version, RelayItem::List), true),
-            ChunkCall::DrawnChunk(version, index) => ((version, RelayItem::Chunk(index)), true),
+            PeerCall::Fleet(service) => return self.tell_fleet(&service).await,
+            PeerCall::List(version) => ((version, RelayItem::List), false),
+            PeerCall::Chunk(version, index) => ((version, RelayItem::Chunk(index)), false),
+            PeerCall::DrawnList(version) => ((version, RelayItem::List), true),
+            PeerCall::DrawnChunk(version, index) => ((version, RelayItem::Chunk(index)), true),
         };
         match self.item(key, drawn).await {
             Some(bytes) => {
@@ -113,6 +115,15 @@
         }
     }
 
+    /// What agents of a service need of the fleet.
+    async fn tell_fleet(&self, service: &ServiceName) -> AnyResponse {
+        let page = self.actor.ask(FleetQuery).await.ok();
+        match page.and_then(|reply| FleetDigest::of(&reply.0, service)) {
+            Some(digest) => Response::new(whole_body(digest.to_bytes())),
+            None => text_response(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n"),
+        }
+    }
+
     /// An item that is kept, is being fetched, or is fetched now.
     fn item(&self, key: ItemKey, drawn: bool) -> ItemFetch {
         let mut state = self.state.lock().expect("no holder panics");
@@ -212,8 +223,8 @@
         relay: &PeerRecord,
     ) -> Result<Bytes, Box<str>> {
         let call = match item {
-            RelayItem::List => ChunkCall::DrawnList(version.clone()),
-            RelayItem::Chunk(index) => ChunkCall::DrawnChunk(version.clone(), *index),
+            RelayItem::List => PeerCall::DrawnList(version.clone()),
+            RelayItem::Chunk(index) => PeerCall::DrawnChunk(version.clone(), *index),
         };
         let uri = format!("http://{}{call}", relay.address);
         let call = self.client.call(request("GET", &uri, Bytes::new()), HAND_TIMEOUT, ITEM_LIMIT);
@@ -294,7 +305,7 @@
     fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> BoxFuture<'static, AnyResponse> {
         let relay = self.clone();
         Box::pin(async move {
-            match ChunkCall::read(request.uri()) {
+            match PeerCall::read(request.uri()) {
                 Some(call) => relay.answer(call).await,
                 None => text_response(StatusCode::NOT_FOUND, "unknown path\n"),
             }
--- a/mustardrill_runtime/src/lib.rs
+++ b/mustardrill_runtime/src/lib.rs
@@ -3,16 +3,17 @@
 
 pub mod agents;
 pub mod border;
-pub mod chunk_call;
 pub mod clock;
 pub mod config;
 pub mod datagram;
 pub mod exposition;
+pub mod fleet_digest;
 pub mod headers;
 pub mod http;
 pub mod logging;
 pub mod metrics;
 pub mod origin;
+pub mod peer_call;
 pub mod platform;
 pub mod settings;
 pub mod signal;
--- a/mustardrill_runtime/src/chunk_call.rs
+++ b/mustardrill_runtime/src/peer_call.rs
@@ -1,13 +1,13 @@
-//! The calls for lists of chunks and chunks between agents and entries, as paths.
+//! The calls between agents and entries, as paths.
 
 use derive_more::Display;
 use hyper::Uri;
 use mustardrill_core::stock::VersionId;
-use mustardrill_types::{ChunkIndex, WeightVersion};
+use mustardrill_types::{ChunkIndex, ServiceName, WeightVersion};
 
 /// What is asked for.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
-pub enum ChunkCall {
+pub enum PeerCall {
     /// A version's list of chunks.
     #[display("/v1/lists/{}/{}", _0.model, _0.version)]
     List(VersionId),
@@ -20,13 +20,19 @@
     /// A chunk, from the origin where it is not at hand.
     #[display("/v1/drawn-chunks/{}/{}/{_1}", _0.model, _0.version)]
     DrawnChunk(VersionId, ChunkIndex),
+    /// What an agent of a service needs of the fleet.
+    #[display("/v1/fleet/{_0}")]
+    Fleet(ServiceName),
 }
 
-impl ChunkCall {
+impl PeerCall {
     /// Reads a call from its path; nothing where it is none.
     pub fn read(uri: &Uri) -> Option<Self> {
         let mut words = uri.path().strip_prefix("/v1/")?.split('/');
         let kind = words.next()?;
+        if kind == "fleet" {
+            return Some(Self::Fleet(words.next()?.parse().ok()?));
+        }
         let model = words.next()?.parse().ok()?;
         let version = words.next()?.parse::<WeightVersion>().ok()?;
         let version = VersionId { model, version };
--- /dev/null
+++ b/mustardrill_runtime/tests/fleet_digests.rs
@@ -0,0 +1,89 @@
+//! What an entry tells an agent that starts is what the agent would have read itself.
+
+use std::sync::Arc;
+
+use mustardrill_core::direct::{
+    CallerLimits, EngineProfile, FleetChange, FleetPage, ModelProfile, OriginProfile, PeerRecord,
+    RouteDocument, ServedWeights, ServiceProfile, UpstreamRecord,
+};
+use mustardrill_runtime::fleet_digest::FleetDigest;
+use mustardrill_types::{
+    ByteSize, FastMap, Generation, Millis, ServiceName, StoreRevision, WeightVersion,
+};
+
+fn document() -> Arc<RouteDocument> {
+    let engine = EngineProfile {
+        models: vec![ModelProfile { name: "m".parse().unwrap(), load_time: Millis(300) }],
+        chunks: 96,
+        chunk_size: ByteSize(24_576),
+        slots: 16,
+        ..EngineProfile::default()
+    };
+    let origin = OriginProfile {
+        address: "10.2.0.1:8000".parse().unwrap(),
+        data_centre: "hall-b".parse().unwrap(),
+        link_mbps: 4.38,
+        connections: 48,
+    };
+    let mut services = FastMap::default();
+    let pool = ServiceProfile { engine: Some(engine), ..ServiceProfile::default() };
+    let records = ServiceProfile { origin: Some(origin), ..ServiceProfile::default() };
+    services.insert("pool".parse().unwrap(), pool);
+    services.insert("records".parse().unwrap(), records);
+    let limits = CallerLimits::default();
+    Arc::new(RouteDocument::new(Generation(9), Vec::new(), services, Vec::new(), limits))
+}
+
+fn upstream(id: &str, service: &str) -> UpstreamRecord {
+    let served = ServedWeights { model: "m".parse().unwrap(), version: WeightVersion(2) };
+    UpstreamRecord {
+        id: id.parse().unwrap(),
+        service: service.parse().unwrap(),
+        address: "10.1.0.5:8001".parse().unwrap(),
+        data_centre: "hall-a".parse().unwrap(),
+        slots: 0,
+        leaving: true,
+        serving: vec![served],
+    }
+}
+
+#[test]
+fn a_digest_is_read_as_the_page_that_it_was_made_of() {
+    let service: ServiceName = "pool".parse().unwrap();
+    let entry = PeerRecord {
+        id: "edge-1".parse().unwrap(),
+        address: "10.1.0.9:7700".parse().unwrap(),
+        data_centre: "hall-a".parse().unwrap(),
+        link_mbps: 200,
+    };
+    let changes = vec![
+        FleetChange::Configured(document()),
+        FleetChange::VersionNamed("m".parse().unwrap(), WeightVersion(3)),
+        FleetChange::Upstream(upstream("i-1", "pool")),
+        FleetChange::Upstream(upstream("i-desk", "desk")),
+        FleetChange::Peer(entry.clone()),
+    ];
+    let page = FleetPage { changes, at: StoreRevision(77), whole: true };
+    let bytes = FleetDigest::of(&page, &service).unwrap().to_bytes();
+    let page = FleetDigest::read(&bytes).unwrap().into_page(&service).unwrap();
+    assert!(page.whole);
+    assert_eq!(page.at, StoreRevision(77));
+    let [configured, named, listed, peer] = &page.changes[..] else { panic!("{page:?}") };
+    let FleetChange::Configured(read) = configured else { panic!("{configured:?}") };
+    assert_eq!(read.generation, Generation(9));
+    let engine = read.service(&service).unwrap().engine.as_ref().unwrap();
+    assert_eq!((engine.chunks, engine.chunk_size), (96, ByteSize(24_576)));
+    assert_eq!(engine.models[0].load_time, Millis(300));
+    let origin = read.origin().unwrap();
+    assert_eq!((origin.connections, origin.link_mbps), (48, 4.38));
+    assert!(matches!(named, FleetChange::VersionNamed(_, WeightVersion(3))));
+    assert!(matches!(listed, FleetChange::Upstream(record) if *record == upstream("i-1", "pool")));
+    assert!(matches!(peer, FleetChange::Peer(record) if *record == entry));
+}
+
+#[test]
+fn an_entry_without_a_configuration_tells_nothing() {
+    let page = FleetPage::default();
+    assert!(FleetDigest::of(&page, &"pool".parse().unwrap()).is_none());
+    assert!(FleetDigest::read(b"\xff\xff\xff").is_none());
+}
--- a/mustardrill_runtime/tests/chunk_calls.rs
+++ b/mustardrill_runtime/tests/peer_calls.rs
@@ -1,27 +1,28 @@
 //! What agents and entries ask each other for is read as it was written.
 
 use mustardrill_core::stock::VersionId;
-use mustardrill_runtime::chunk_call::ChunkCall;
+use mustardrill_runtime::peer_call::PeerCall;
 use mustardrill_types::{ChunkIndex, WeightVersion};
 
 #[test]
 fn a_call_is_read_as_it_was_written() {
     let version = VersionId { model: "m".parse().unwrap(), version: WeightVersion(3) };
     let calls = [
-        ChunkCall::List(version.clone()),
-        ChunkCall::Chunk(version.clone(), ChunkIndex(7)),
-        ChunkCall::DrawnList(version.clone()),
-        ChunkCall::DrawnChunk(version, ChunkIndex(0)),
+        PeerCall::List(version.clone()),
+        PeerCall::Chunk(version.clone(), ChunkIndex(7)),
+        PeerCall::DrawnList(version.clone()),
+        PeerCall::DrawnChunk(version, ChunkIndex(0)),
+        PeerCall::Fleet("pool".parse().unwrap()),
     ];
     for call in calls {
         let uri = format!("http://10.0.0.1:7700{call}").parse().unwrap();
-        assert_eq!(ChunkCall::read(&uri), Some(call));
+        assert_eq!(PeerCall::read(&uri), Some(call));
     }
 }
 
 #[test]
 fn other_paths_are_no_calls() {
     for path in ["/", "/v1/chunks/m/3", "/v1/chunks/m/x/1", "/v1/lists/m", "/v2/lists/m/3"] {
-        assert_eq!(ChunkCall::read(&path.parse().unwrap()), None, "{path}");
+        assert_eq!(PeerCall::read(&path.parse().unwrap()), None, "{path}");
     }
 }
--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -282,6 +282,16 @@
         .await;
 }
 
+/// Agents need some lines of a configuration that may be large.
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_that_start_learn_of_the_fleet_from_an_entry() {
+    let engines = vec![Worker::empty("i-1"), Worker::empty("i-2"), Worker::empty("i-3")];
+    let fleet = Fleet::start(9, engines).await;
+    let all = async || fleet.engines.iter().all(|engine| engine.version() == 1);
+    fleet.until("all engines are filled", async || all().await).await;
+    assert_eq!(fleet.store.whole_reads(), 1, "only the entry reads everything\n{}", fleet.logs());
+}
+
 /// Entries hand weights on; without any, or with one that stands still, agents do so themselves.
 #[tokio::test(flavor = "multi_thread")]
 async fn new_weights_come_though_no_entry_hands_them_on() {
--- a/mustardrill_standins/tests/prepared/store.rs
+++ b/mustardrill_standins/tests/prepared/store.rs
@@ -41,6 +41,8 @@
     history: Vec<(u64, String, Option<String>)>,
     /// Changes up to this one are forgotten.
     compacted: u64,
+    /// How often everything was read.
+    whole_reads: u32,
 }
 
 impl Store {
@@ -51,6 +53,7 @@
             items: BTreeMap::new(),
             history: Vec::new(),
             compacted: 0,
+            whole_reads: 0,
         };
         Self { state: Arc::new(Mutex::new(state)), changed: Arc::new(Notify::new()) }
     }
@@ -95,8 +98,13 @@
         self.state.lock().unwrap().mode
     }
 
+    pub fn whole_reads(&self) -> u32 {
+        self.state.lock().unwrap().whole_reads
+    }
+
     fn range(&self, prefix: &str) -> Value {
-        let state = self.state.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
+        state.whole_reads += u32::from(prefix.is_empty());
         let found = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
         let entries: Vec<_> = found
             .map(|(key, (value, revision))| json!({"key": key, "value": value, "revision": revision}))
