The test with a lying peer begins once the agents know of the liar

It failed once (0 chunks drawn from the liar, in 1.3 s instead of 4): the test waited until an entry had heard of the liar, while agents read the list of instances at times of their own. Shown by letting agents read it every 8 s: the same failure each time. Its assertions are unchanged.

--- a/mustardrill_standins/tests/liars.rs
+++ b/mustardrill_standins/tests/liars.rs
@@ -181,6 +181,8 @@
     let v2 = lab.publish(MODEL, "v2", SIZE, CHUNK, 2).await;
     let liar = add_liar(&lab, &[&v1]).await;
     assert!(lab.wait_fleet(0, 5, LONG).await);
+    // The entry knows of the liar; agents read the list, which lags by 100 ms, every 100 ms.
+    tokio::time::sleep(Duration::from_secs(1)).await;
     // Four replicas: the liar is one of those that are to serve, and so a peer.
     assert_eq!(lab.apply(0, &model_file("v2", 1, 4)).await.0, 200);
     assert!(lab.wait_serving(&v2, 3, LONG).await.is_some(), "v2 was never served");
