A seeded fault soak on the prepared platform

Two entries, three agents and their workers as processes; frozen, killed, stopped and started again in overlapping series, links of the store and of workers cut, silenced, muted and slowed, the store silent, busy and without history, answers lost, cut and foreign, chunks spoilt, versions named, a key taken away. Judged from what callers and workers saw: whole and own answers, once at most, a true 'not run', the right customer, no load that is not whole, no run with a key that was taken away, recovery within 12 s. The fleet of the tests beside it is a module of its own.

--- /dev/null
+++ b/mustardrill_standins/tests/prepared/fleet.rs
@@ -0,0 +1,216 @@
+//! A fleet of processes on the stand-ins of the platform.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use mustardrill_runtime::http::{HttpClient, WholeAnswer, request};
+use mustardrill_standins::StandIn;
+use mustardrill_standins::process::{LabProcess, daemon};
+use serde_json::{Value, json};
+
+use crate::store::Store;
+use crate::worker::{CHUNKS, EVENTS, Origin, Worker};
+
+/// One entry, two engines with their agents and two plain workers.
+pub struct Fleet {
+    pub store: Store,
+    pub origin: Origin,
+    pub engines: Vec<Worker>,
+    pub desks: Vec<Worker>,
+    pub entry: LabProcess,
+    pub agents: Vec<LabProcess>,
+    pub folder: PathBuf,
+    pub client: HttpClient,
+    /// Where things listen; dropped with the fleet.
+    pub listening: Vec<StandIn>,
+    pub origin_address: SocketAddr,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// An address of this machine alone for each machine of a fleet, and another for each test.
+pub fn machine(test: u8, number: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 10, test, number))
+}
+
+pub async fn listen(
+    address: IpAddr,
+    handler: Box<dyn mustardrill_runtime::http::HttpHandler>,
+) -> StandIn {
+    StandIn::spawn(SocketAddr::new(address, 0), handler).await.unwrap()
+}
+
+const AGENT_PORT: u16 = 17_701;
+
+impl Fleet {
+    pub async fn start(test: u8, engines: Vec<Worker>) -> Self {
+        let folder = std::env::temp_dir()
+            .join(format!("mustardrill-prepared-{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let (store, origin) = (Store::new(), Origin::default());
+        let store_at = listen(machine(test, 1), Box::new(store.clone())).await;
+        let origin_at = listen(machine(test, 2), Box::new(origin.clone())).await;
+        let (store_address, origin_address) = (store_at.address, origin_at.address);
+        let mut listening = vec![store_at, origin_at];
+        let desks = vec![Worker::new("i-desk-1", 0), Worker::new("i-desk-2", 0)];
+        let settings = entry_settings("entry-1", machine(test, 3), store_address);
+        let entry = daemon(&folder, "mustardrill-entry", "entry", &settings);
+        let mut agents = Vec::new();
+        for (place, engine) in engines.iter().enumerate() {
+            let ip = machine(test, 10 + place as u8);
+            let at = listen(ip, Box::new(engine.clone())).await;
+            register(&store, engine, at.address, "pool");
+            let name = format!("agent-{place}");
+            let settings = agent_settings(&name, ip, at.address, store_address);
+            listening.push(at);
+            agents.push(daemon(&folder, "mustardrill-agent", &name, &settings));
+        }
+        for (place, desk) in desks.iter().enumerate() {
+            let at = listen(machine(test, 30 + place as u8), Box::new(desk.clone())).await;
+            register(&store, desk, at.address, "desk");
+            listening.push(at);
+        }
+        store.write("op/config", &configuration(1, origin_address, &["key-1", "key-2"]));
+        let client = HttpClient::open(Duration::from_secs(1));
+        let fleet = Self {
+            store,
+            origin,
+            engines,
+            desks,
+            entry,
+            agents,
+            folder,
+            client,
+            listening,
+            origin_address,
+        };
+        fleet.until("the entry is ready", async || fleet.ready().await).await;
+        fleet
+    }
+
+    pub async fn ready(&self) -> bool {
+        let uri = format!("http://{}/v1/readiness", self.entry.second.unwrap());
+        let call = self.client.call(request("GET", &uri, ""), Duration::from_secs(1), 1_000);
+        call.await.is_ok_and(|answer| answer.status == StatusCode::OK)
+    }
+
+    /// Waits until something holds; how long it took.
+    pub async fn until(&self, what: &str, holds: impl AsyncFn() -> bool) -> Duration {
+        let begun = Instant::now();
+        while !holds().await {
+            assert!(begun.elapsed() < Duration::from_secs(20), "{what}\n{}", self.logs());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        begun.elapsed()
+    }
+
+    pub fn logs(&self) -> String {
+        let names = std::fs::read_dir(&self.folder).unwrap().flatten();
+        let logs = names.filter(|file| file.path().extension().is_some_and(|it| it == "log"));
+        logs.map(|file| std::fs::read_to_string(file.path()).unwrap_or_default()).collect()
+    }
+
+    pub async fn call(&self, attempt: &str, path: &str, key: &str) -> WholeAnswer {
+        let call = caller_request(self.entry.address, attempt, path, key);
+        self.client.call(call, Duration::from_secs(10), 1_000_000).await.unwrap_or_else(|error| {
+            panic!("{error}\n{}", self.logs());
+        })
+    }
+    /// How often a request was run, by all workers together.
+    pub fn runs(&self, attempt: &str) -> usize {
+        let workers = self.engines.iter().chain(&self.desks);
+        let runs = workers.flat_map(Worker::runs);
+        runs.filter(|run| run.split(' ').next() == Some(attempt)).count()
+    }
+}
+
+/// A caller's request.
+pub fn caller_request(
+    entry: SocketAddr,
+    attempt: &str,
+    path: &str,
+    key: &str,
+) -> Request<Full<Bytes>> {
+    let uri = format!("http://{}{path}", entry);
+    let method = if path.starts_with("/status/") { "GET" } else { "POST" };
+    let mut call = request(method, &uri, Bytes::from_static(b""));
+    let headers = call.headers_mut();
+    headers.insert("host", "drafts.example".parse().unwrap());
+    headers.insert("x-attempt-id", attempt.parse().unwrap());
+    headers.insert("x-deadline-ms", "6000".parse().unwrap());
+    headers.insert("x-tenant", "forged".parse().unwrap());
+    if path.starts_with("/drafts/") {
+        headers.insert("x-model", "m0".parse().unwrap());
+        headers.insert("x-token-usage", "300,36".parse().unwrap());
+    }
+    if !key.is_empty() {
+        headers.insert("authorization", format!("Token {key}").parse().unwrap());
+    }
+    call
+}
+
+/// The settings of an entry, which hears others at port 17700.
+pub fn entry_settings(name: &str, ip: IpAddr, store: SocketAddr) -> String {
+    format!(
+        "[entry]\nplatform = prepared\ninstance = {name}\ndata_centre = hall-a\n\
+         listen = {ip}:0\nready_listen = {ip}:0\npeer_listen = {ip}:17700\n\
+         linger = 500ms\n[platform]\nstore = {store}\n\
+         [bounds]\nrevocation = 3s\nversion = 3s\ngrace = 4s\n"
+    )
+}
+
+/// The settings of an agent beside the engine at `engine`.
+pub fn agent_settings(name: &str, ip: IpAddr, engine: SocketAddr, store: SocketAddr) -> String {
+    format!(
+        "[agent]\nplatform = prepared\ninstance = {name}\ndata_centre = hall-a\n\
+         service = pool\nlisten = {ip}:{AGENT_PORT}\n[upstream]\naddress = {engine}\n\
+         look_every = 50ms\n[platform]\nstore = {store}\n[bounds]\nversion = 3s\n"
+    )
+}
+
+/// Writes a worker's registration.
+pub fn register(store: &Store, worker: &Worker, address: SocketAddr, service: &str) {
+    let models = if service == "pool" && worker.version() > 0 {
+        json!([{"name": "m0", "version": worker.version(), "adapters": []}])
+    } else {
+        json!([])
+    };
+    let entry = json!({"service": service, "address": address, "zone": "hall-a", "version": "v1",
+        "slots": 16, "state": "ready", "cold_remaining_ms": 0, "models": models, "sequence": 1});
+    store.write(&format!("servers/{}", worker.id), &entry);
+}
+
+pub fn configuration(version: u64, origin: SocketAddr, keys: &[&str]) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({"name": name, "host": "drafts.example", "prefix": prefix, "kind": kind,
+            "timeout_ms": 6000, "target_latency_ms": 400, "priority": 1, "service": service,
+            "max_attempts": 2, "public": false, "stream_resumption": true, "target_gap_ms": 300})
+    };
+    json!({"version": version,
+        "routes": [route("drafts", "/drafts/", "streaming", "pool"),
+            route("notices", "/notices/", "non_idempotent", "desk"),
+            route("status", "/status/", "idempotent", "desk")],
+        "services": [
+            {"name": "pool", "max_connections": 64, "engine_profile": {"slots": 16, "stride": 6,
+                "step_ms": 6.7, "read_per_s": 30600.0, "usual": {"prompt": 300, "answer": 36},
+                "models": [{"name": "m0", "warmup_s": 0.1}], "layers": 16, "chunks": CHUNKS,
+                "chunk_bytes": 1600}},
+            {"name": "records", "origin": origin, "zone": "hall-a", "link_mbps": 50.0},
+            {"name": "desk", "max_connections": 64}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "comedor", "api_keys": keys}]})
+}
+
+/// The stream of a draft.
+pub fn whole_stream() -> String {
+    (1..=EVENTS).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
+}
--- /dev/null
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -0,0 +1,469 @@
+//! A seeded soak: real processes under faults from outside, and promises checked from what callers
+//! and workers see, not from our logs.
+//!
+//! `SOAK_SEED` plays one seed, `SOAK_SEEDS` so many from there on, each for `SOAK_SECONDS`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use mustardrill_runtime::http::HttpClient;
+use mustardrill_standins::StandIn;
+use mustardrill_standins::link::{LabLink, LinkState};
+use mustardrill_standins::process::{LabProcess, daemon};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+use tokio::task::{JoinHandle, block_in_place};
+
+use crate::fleet::{
+    agent_settings, caller_request, configuration, entry_settings, listen, machine, register,
+    whole_stream,
+};
+use crate::store::{Store, StoreMode};
+use crate::worker::{Origin, Worker, WorkerFault};
+
+/// Seeds that CI plays: those that ever failed, with the cause, and two more.
+const SEEDS: [u64; 2] = [1, 2];
+
+/// How long a seed's faults last where nothing else is asked.
+const SECONDS: u64 = 5;
+
+/// How long after a key was taken away a request with it may still run: the bound in the settings.
+const REVOCATION: Duration = Duration::from_secs(3);
+
+/// Within this time after the last fault all is as it should be.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+const CALLERS: u64 = 6;
+const ENTRIES: u8 = 2;
+const ENGINES: u8 = 3;
+const DESKS: u8 = 2;
+
+/// A process that is killed, stopped and started again.
+struct Managed {
+    program: &'static str,
+    name: String,
+    settings: String,
+    starts: u32,
+    process: Option<LabProcess>,
+}
+
+/// What ends a fault.
+#[derive(Debug, Clone, Copy)]
+enum Remedy {
+    Thaw(usize),
+    Restart(usize),
+    OpenStoreLink(usize),
+    OpenDeskLink(usize),
+    SoundStore,
+}
+
+/// What a caller saw of one request.
+struct Outcome {
+    attempt: String,
+    path: &'static str,
+    key: &'static str,
+    sent: Instant,
+    /// The status and body; nothing where the connection ended.
+    answer: Option<(u16, String)>,
+}
+
+struct Soak {
+    seed: u64,
+    random: StdRng,
+    folder: PathBuf,
+    store: Store,
+    /// One for each entry, and one for all agents.
+    store_links: Vec<LabLink>,
+    desk_links: Vec<LabLink>,
+    engines: Vec<Worker>,
+    desks: Vec<Worker>,
+    /// The entries first, then the agents.
+    processes: Vec<Managed>,
+    addresses: Arc<Mutex<Vec<SocketAddr>>>,
+    remedies: Vec<(Instant, Remedy)>,
+    version: u64,
+    generation: u64,
+    origin_address: SocketAddr,
+    revoked: Option<Instant>,
+    faults: Vec<String>,
+    _listening: Vec<StandIn>,
+}
+
+impl Managed {
+    fn start(&mut self, folder: &std::path::Path) {
+        self.starts += 1;
+        let name = format!("{}-{}", self.name, self.starts);
+        self.process = Some(block_in_place(|| daemon(folder, self.program, &name, &self.settings)));
+    }
+}
+
+impl Soak {
+    async fn start(seed: u64) -> Self {
+        let test = 40 + (seed % 200) as u8;
+        let folder =
+            std::env::temp_dir().join(format!("mustardrill-soak-{seed}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let store = Store::new();
+        let store_at = listen(machine(test, 1), Box::new(store.clone())).await;
+        let origin_at = listen(machine(test, 2), Box::new(Origin::default())).await;
+        let origin_address = origin_at.address;
+        let link = |to| LabLink::spawn(to).unwrap();
+        let store_links: Vec<_> = (0..=ENTRIES).map(|_| link(store_at.address)).collect();
+        let mut listening = vec![store_at, origin_at];
+        let mut processes = Vec::new();
+        for place in 0..ENTRIES {
+            let name = format!("entry-{place}");
+            let store = store_links[usize::from(place)].address;
+            let settings = entry_settings(&name, machine(test, 3 + place), store);
+            let program = "mustardrill-entry";
+            processes.push(Managed { program, name, settings, starts: 0, process: None });
+        }
+        let engines: Vec<_> =
+            (0..ENGINES).map(|place| Worker::new(&format!("i-{place}"), 1)).collect();
+        for (place, engine) in engines.iter().enumerate() {
+            let ip = machine(test, 10 + place as u8);
+            let at = listen(ip, Box::new(engine.clone())).await;
+            register(&store, engine, at.address, "pool");
+            let name = format!("agent-{place}");
+            let link = store_links[usize::from(ENTRIES)].address;
+            let settings = agent_settings(&name, ip, at.address, link);
+            let program = "mustardrill-agent";
+            processes.push(Managed { program, name, settings, starts: 0, process: None });
+            listening.push(at);
+        }
+        let desks: Vec<_> = (0..DESKS).map(|at| Worker::new(&format!("i-desk-{at}"), 0)).collect();
+        let mut desk_links = Vec::new();
+        for (place, desk) in desks.iter().enumerate() {
+            let at = listen(machine(test, 30 + place as u8), Box::new(desk.clone())).await;
+            let link = link(at.address);
+            register(&store, desk, link.address, "desk");
+            desk_links.push(link);
+            listening.push(at);
+        }
+        store.write("op/config", &configuration(1, origin_address, &["key-1", "key-2"]));
+        processes.iter_mut().for_each(|process| process.start(&folder));
+        let mut soak = Self {
+            seed,
+            random: StdRng::seed_from_u64(seed),
+            folder,
+            store,
+            store_links,
+            desk_links,
+            engines,
+            desks,
+            processes,
+            addresses: Arc::default(),
+            remedies: Vec::new(),
+            version: 1,
+            generation: 1,
+            origin_address,
+            revoked: None,
+            faults: Vec::new(),
+            _listening: listening,
+        };
+        soak.publish_addresses();
+        soak
+    }
+
+    fn publish_addresses(&mut self) {
+        let entries = self.processes.iter().take(usize::from(ENTRIES));
+        let running = entries.filter_map(|it| Some(it.process.as_ref()?.address));
+        *self.addresses.lock().unwrap() = running.collect();
+    }
+
+    /// Brings a fault about, and notes when it ends.
+    fn disturb(&mut self) {
+        let ends = Instant::now() + Duration::from_millis(self.random.random_range(150..1_500));
+        let place = self.random.random_range(0..self.processes.len());
+        let kind = self.random.random_range(0..11);
+        let running = self.processes[place].process.is_some();
+        let state = match self.random.random_range(0..4) {
+            0 => LinkState::Cut,
+            1 => LinkState::Silent,
+            2 => LinkState::Mute,
+            _ => LinkState::Slow(40),
+        };
+        let remedy = match kind {
+            0 | 1 if running => {
+                self.processes[place].process.as_ref().unwrap().freeze();
+                Some(Remedy::Thaw(place))
+            }
+            2 if running => {
+                self.processes[place].process.take().unwrap().kill();
+                Some(Remedy::Restart(place))
+            }
+            3 if running => {
+                // It is started again while it may still be finishing, as its place is taken.
+                self.processes[place].process.as_ref().unwrap().terminate();
+                Some(Remedy::Restart(place))
+            }
+            4 => {
+                let link = self.random.random_range(0..self.store_links.len());
+                self.store_links[link].set(state);
+                Some(Remedy::OpenStoreLink(link))
+            }
+            5 => {
+                let link = self.random.random_range(0..self.desk_links.len());
+                self.desk_links[link].set(state);
+                Some(Remedy::OpenDeskLink(link))
+            }
+            6 => {
+                let silent = self.random.random();
+                self.store.set_mode(if silent { StoreMode::Silent } else { StoreMode::Busy });
+                Some(Remedy::SoundStore)
+            }
+            7 => {
+                self.store.compact();
+                None
+            }
+            8 => {
+                self.version += 1;
+                let named = json!({"model": "m0", "version": self.version});
+                self.store.write("op/version/m0", &named);
+                None
+            }
+            9 => {
+                let engine = self.random.random_range(0..self.engines.len());
+                self.engines[engine].spoil(self.random.random_range(0..12));
+                None
+            }
+            _ => {
+                self.spoil_answers();
+                None
+            }
+        };
+        self.faults.push(format!("{kind} at {place} {state:?} {remedy:?}"));
+        self.remedies.extend(remedy.map(|remedy| (ends, remedy)));
+    }
+
+    fn spoil_answers(&mut self) {
+        let workers: Vec<_> = self.engines.iter().chain(&self.desks).collect();
+        let worker = workers[self.random.random_range(0..workers.len())];
+        let fault = match self.random.random_range(0..4) {
+            0 => WorkerFault::BreakAfter(self.random.random_range(0..5)),
+            1 => WorkerFault::Full,
+            2 => WorkerFault::LoseAnswer,
+            _ => WorkerFault::Foreign,
+        };
+        worker.set_fault(fault, self.random.random_range(1..6));
+    }
+
+    fn remedy(&mut self, all: bool) {
+        let now = Instant::now();
+        let (due, later): (Vec<_>, _) =
+            std::mem::take(&mut self.remedies).into_iter().partition(|(at, _)| all || *at <= now);
+        self.remedies = later;
+        for (_, remedy) in due {
+            match remedy {
+                Remedy::Thaw(place) => {
+                    if let Some(process) = &self.processes[place].process {
+                        process.thaw();
+                    }
+                }
+                Remedy::Restart(place) => {
+                    if let Some(mut process) = self.processes[place].process.take() {
+                        process.thaw();
+                        process.kill();
+                    }
+                    self.processes[place].start(&self.folder.clone());
+                    self.publish_addresses();
+                }
+                Remedy::OpenStoreLink(link) => self.store_links[link].set(LinkState::Open),
+                Remedy::OpenDeskLink(link) => self.desk_links[link].set(LinkState::Open),
+                Remedy::SoundStore => self.store.set_mode(StoreMode::Sound),
+            }
+        }
+    }
+
+    /// Takes a key away for good; the store's word is the confirmation.
+    fn revoke(&mut self) {
+        self.generation += 1;
+        let newer = configuration(self.generation, self.origin_address, &["key-1"]);
+        self.store.write("op/config", &newer);
+        self.revoked = Some(Instant::now());
+    }
+
+    fn callers(&self, stop: Instant) -> Vec<JoinHandle<Vec<Outcome>>> {
+        let caller = |number: u64| {
+            let random = StdRng::seed_from_u64(self.seed * 1_000 + number);
+            tokio::spawn(call_until(stop, self.addresses.clone(), random, number))
+        };
+        (0..CALLERS).map(caller).collect()
+    }
+
+    fn runs(&self) -> Vec<(String, Instant)> {
+        self.engines.iter().chain(&self.desks).flat_map(Worker::timed_runs).collect()
+    }
+
+    fn check(&self, outcomes: &[Outcome]) -> Vec<String> {
+        let mut broken = Vec::new();
+        let runs = self.runs();
+        for outcome in outcomes {
+            let own = runs.iter().filter(|(run, _)| run.starts_with(&*outcome.attempt));
+            let own: Vec<_> = own.collect();
+            let note = |what: &str| format!("{what}: {} {}", outcome.attempt, outcome.path);
+            if own.iter().any(|(run, _)| !run.ends_with(" comedor")) {
+                broken.push(note("another customer was told"));
+            }
+            if outcome.path == "/notices/x" && own.len() > 1 {
+                broken.push(note("ran twice"));
+            }
+            if let Some(revoked) = self.revoked
+                && outcome.key == "key-2"
+                && outcome.sent > revoked + REVOCATION
+                && !own.is_empty()
+            {
+                broken.push(note("ran with a key that was taken away"));
+            }
+            let Some((status, body)) = &outcome.answer else { continue };
+            let expected = if outcome.path == "/drafts/x" {
+                whole_stream()
+            } else {
+                format!("done {}", outcome.attempt)
+            };
+            if *status == 200 && *body != expected {
+                broken.push(note("not the whole answer to this request"));
+            }
+            if matches!(status, 408 | 421 | 429 | 503) && !own.is_empty() {
+                broken.push(note("said not to have run, and ran"));
+            }
+        }
+        let loads = self.engines.iter().flat_map(Worker::loads);
+        if loads.into_iter().any(|whole| !whole) {
+            broken.push("weights were loaded that were not whole".into());
+        }
+        broken
+    }
+
+    /// Whether each entry serves, and each engine has the newest weights.
+    async fn is_recovered(&self, client: &HttpClient, number: u32) -> bool {
+        let newest = self.engines.iter().all(|engine| engine.version() == self.version);
+        let entries = self.addresses.lock().unwrap().clone();
+        let mut serving = entries.len() == usize::from(ENTRIES);
+        for (place, entry) in entries.into_iter().enumerate() {
+            let attempt = format!("probe-{place}-{number}");
+            let call = caller_request(entry, &attempt, "/drafts/x", "key-1");
+            let answer = client.call(call, Duration::from_secs(2), 1_000_000).await;
+            serving &= answer.is_ok_and(|answer| answer.body == whole_stream());
+        }
+        newest && serving
+    }
+}
+
+async fn call_until(
+    stop: Instant,
+    addresses: Arc<Mutex<Vec<SocketAddr>>>,
+    mut random: StdRng,
+    number: u64,
+) -> Vec<Outcome> {
+    // Connections stay open until their entry is gone.
+    let client = HttpClient::open(Duration::from_millis(500));
+    let mut outcomes = Vec::new();
+    for turn in 0.. {
+        if Instant::now() >= stop {
+            break;
+        }
+        let known = addresses.lock().unwrap().clone();
+        if known.is_empty() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        }
+        let entry = known[random.random_range(0..known.len())];
+        let path = ["/drafts/x", "/notices/x", "/status/x"][random.random_range(0..3)];
+        let key = if random.random_range(0..4) == 0 { "key-2" } else { "key-1" };
+        let attempt = format!("c{number}-{turn}.");
+        let sent = Instant::now();
+        let call = caller_request(entry, &attempt, path, key);
+        let answer = client.call(call, Duration::from_secs(7), 1_000_000).await.ok();
+        let answer = answer.map(|answer| {
+            (answer.status.as_u16(), String::from_utf8_lossy(&answer.body).into_owned())
+        });
+        outcomes.push(Outcome { attempt, path, key, sent, answer });
+        tokio::time::sleep(Duration::from_millis(random.random_range(1..25))).await;
+    }
+    outcomes
+}
+
+/// Plays one seed; the broken promises, and what it saw.
+async fn play(seed: u64, span: Duration) -> (Vec<String>, String) {
+    const TICK: Duration = Duration::from_millis(25);
+    let mut soak = Soak::start(seed).await;
+    let client = HttpClient::open(Duration::from_millis(500));
+    let begun = Instant::now();
+    // The calls go on through the recovery, where the bound for keys is over.
+    let callers = soak.callers(begun + span + REVOCATION);
+    let (mut next, revoke_at) = (begun + Duration::from_millis(500), begun + span / 2);
+    while begun.elapsed() < span {
+        if Instant::now() >= next {
+            soak.disturb();
+            next = Instant::now() + Duration::from_millis(soak.random.random_range(50..600));
+        }
+        if soak.revoked.is_none() && Instant::now() >= revoke_at {
+            soak.revoke();
+        }
+        soak.remedy(false);
+        tokio::time::sleep(TICK).await;
+    }
+    soak.remedy(true);
+    let mut broken = Vec::new();
+    let calm = Instant::now();
+    for number in 0.. {
+        if soak.is_recovered(&client, number).await {
+            break;
+        }
+        if calm.elapsed() > RECOVERY {
+            broken.push(format!("not recovered after {RECOVERY:?}"));
+            break;
+        }
+        tokio::time::sleep(TICK).await;
+    }
+    let recovered = calm.elapsed();
+    let mut outcomes = Vec::new();
+    for caller in callers {
+        outcomes.extend(caller.await.unwrap());
+    }
+    broken.extend(soak.check(&outcomes));
+    let count = |wanted: u16| {
+        let answers = outcomes.iter().filter_map(|outcome| outcome.answer.as_ref());
+        answers.filter(|(status, _)| *status == wanted).count()
+    };
+    let summary = format!(
+        "seed {seed}: {} faults, {} requests, 200: {}, 503: {}, 502: {}, 401: {}, recovered in {} ms",
+        soak.faults.len(),
+        outcomes.len(),
+        count(200),
+        count(503),
+        count(502),
+        count(401),
+        recovered.as_millis(),
+    );
+    if broken.is_empty() {
+        let _ = std::fs::remove_dir_all(&soak.folder);
+    } else {
+        broken.push(format!("logs in {}; faults: {:?}", soak.folder.display(), soak.faults));
+    }
+    (broken, summary)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_seeded_soak_keeps_the_promises() {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let span = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(SECONDS));
+    let seeds: Vec<u64> = match number("SOAK_SEED") {
+        Some(first) => (first..first + number("SOAK_SEEDS").unwrap_or(1)).collect(),
+        None => SEEDS.to_vec(),
+    };
+    let mut failed = Vec::new();
+    for seed in seeds {
+        let (broken, summary) = play(seed, span).await;
+        println!("{summary}");
+        if !broken.is_empty() {
+            println!("seed {seed} FAILED: {broken:#?}");
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds that failed: {failed:?}");
+}
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -58,7 +58,7 @@
     staged: BTreeMap<u32, Bytes>,
     /// Whether each load took only whole chunks of its version.
     loads: Vec<bool>,
-    runs: Vec<String>,
+    runs: Vec<(String, Instant)>,
     fault: WorkerFault,
     /// Faults that are still to come.
     faults: u32,
@@ -107,6 +107,11 @@
     }
 
     pub fn runs(&self) -> Vec<String> {
+        self.timed_runs().into_iter().map(|(run, _)| run).collect()
+    }
+
+    /// The runs, each with the moment at which it began.
+    pub fn timed_runs(&self) -> Vec<(String, Instant)> {
         self.state.lock().unwrap().runs.clone()
     }
 
@@ -183,7 +188,8 @@
             let fault = if state.faults > 0 { state.fault } else { WorkerFault::None };
             state.faults = state.faults.saturating_sub(1);
             if fault != WorkerFault::Full {
-                state.runs.push(format!("{attempt} {}", text("x-tenant").unwrap_or_default()));
+                let run = format!("{attempt} {}", text("x-tenant").unwrap_or_default());
+                state.runs.push((run, Instant::now()));
             }
             (fault, state.pause)
         };
@@ -196,6 +202,7 @@
         let model = text("x-model").is_some();
         let mut response = match (fault, model) {
             (WorkerFault::LoseAnswer, _) => Response::new(broken()),
+            (WorkerFault::Foreign, false) => Response::new(whole_body("done another")),
             (_, false) => Response::new(whole_body(format!("done {attempt}"))),
             (fault, true) => Response::new(events(first, fault, pause)),
         };
