--- a/mustardrill_agent/src/stock/peers.rs
+++ b/mustardrill_agent/src/stock/peers.rs
@@ -126,8 +126,8 @@
     loop {
         match context.socket.recv_from(&mut buffer).await {
             Ok((length, _)) => {
-                if let Some(news) = Datagram::read(&buffer[..length]).and_then(news_of) {
-                    let _ = actor.tell(Event(StockEvent::HoldingSeen(news))).await;
+                if let Some(event) = Datagram::read(&buffer[..length]).and_then(event_of) {
+                    let _ = actor.tell(Event(event)).await;
                 }
             }
             Err(error) => {
@@ -139,6 +139,14 @@
     }
 }
 
+fn event_of(datagram: Datagram) -> Option<StockEvent> {
+    if let Some(named) = datagram.named {
+        let version = WeightVersion(named.version);
+        return Some(StockEvent::VersionHeard(named.model.parse().ok()?, version));
+    }
+    news_of(datagram).map(StockEvent::HoldingSeen)
+}
+
 fn news_of(datagram: Datagram) -> Option<HoldingNews> {
     let row = datagram.holding?;
     let version = VersionId { model: row.model.parse().ok()?, version: WeightVersion(row.version) };
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -1,6 +1,6 @@
 //! What an entry that sends to upstreams itself sees, and what it does about it, as data.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use mustardrill_types::{
     CustomerName, DataCentre, Generation, InstanceId, Millis, ModelName, Moment, ResultCode,
@@ -143,6 +143,8 @@
     Refuse(RequestNumber, RefusalPlan),
     /// Give the caller the upstream's failure that is at hand.
     PassOn(RequestNumber),
+    /// Tell the agents on these machines that a version was named.
+    TellAgents(ModelName, WeightVersion, Vec<IpAddr>),
     /// Send `DirectEvent::Woke` at that moment.
     Wake(Moment),
 }
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -1,5 +1,6 @@
 //! One reducer over all events of an entry that sends to upstreams itself.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use log::{info, warn};
@@ -267,11 +268,33 @@
         if page.whole {
             self.forget_missing(&page, grace);
         }
+        let mut effects = Vec::new();
         for change in page.changes {
+            // What is found at a start was named long ago; agents find it as well.
+            if let (FleetChange::VersionNamed(model, version), false) = (&change, page.whole) {
+                let machines = self.near_machines();
+                effects.push(DirectEffect::TellAgents(model.clone(), *version, machines));
+            }
             self.apply(named_since, change, grace);
         }
         self.proof.prove(sent);
-        self.pump_all(now)
+        effects.extend(self.pump_all(now));
+        effects
+    }
+
+    /// The machines of this data centre's engines, beside which agents run.
+    ///
+    /// An agent that the store turns away, or whose watch hangs, would hear of a version too late
+    /// to have it before the engine's older one may no longer be used.
+    fn near_machines(&self) -> Vec<IpAddr> {
+        let ids = self.upstreams.ids();
+        let records = ids.iter().filter_map(|id| Some(&self.upstreams.get(id)?.record));
+        let near = records.filter(|it| it.data_centre == self.settings.data_centre);
+        let is_engine = |service| {
+            let profile = self.document.as_ref().and_then(|document| document.service(service));
+            profile.is_some_and(|profile| profile.engine.is_some())
+        };
+        near.filter(|it| is_engine(&it.service)).map(|it| it.address.ip()).collect()
     }
 
     fn forget_missing(&mut self, page: &FleetPage, grace: Option<Moment>) {
--- a/mustardrill_core/src/stock/event.rs
+++ b/mustardrill_core/src/stock/event.rs
@@ -56,6 +56,8 @@
 pub enum StockEvent {
     /// The store answered.
     Fleet(FleetPage),
+    /// An entry told that a version was named.
+    VersionHeard(ModelName, WeightVersion),
     /// The entries were read anew; these are all that there are.
     RelaysSeen(Vec<PeerRecord>),
     /// The engine told its state, or did not answer.
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use log::{debug, info, warn};
-use mustardrill_types::{ChunkIndex, FastMap, InstanceId, Millis, Moment, WeightVersion};
+use mustardrill_types::{
+    ChunkIndex, FastMap, InstanceId, Millis, ModelName, Moment, WeightVersion,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -108,6 +110,7 @@
     pub fn reduce(&mut self, now: Moment, event: StockEvent) -> Vec<StockEffect> {
         let mut effects = match event {
             StockEvent::Fleet(page) => self.fleet_seen(now, page),
+            StockEvent::VersionHeard(model, version) => self.named(now, &model, version),
             StockEvent::RelaysSeen(relays) => {
                 self.relays.set(relays);
                 self.tell_plan();
@@ -195,12 +198,9 @@
                     }
                 }
                 FleetChange::VersionNamed(model, version) => {
-                    if self.versions.name(named_since, &model, version) {
-                        info!("weights model={model} version={version} outcome=named");
-                        // Who else needs it was read long ago.
-                        if !page.whole {
-                            effects.push(StockEffect::ReadPeers);
-                        }
+                    let read_peers = self.named(named_since, &model, version);
+                    if !page.whole {
+                        effects.extend(read_peers);
                     }
                 }
                 FleetChange::Peer(relay) => self.relays.add(relay),
@@ -211,6 +211,20 @@
         effects
     }
 
+    /// Notes a version; who else needs it was read long ago, so that is read anew.
+    fn named(
+        &mut self,
+        since: Moment,
+        model: &ModelName,
+        version: WeightVersion,
+    ) -> Vec<StockEffect> {
+        if !self.versions.name(since, model, version) {
+            return Vec::new();
+        }
+        info!("weights model={model} version={version} outcome=named");
+        vec![StockEffect::ReadPeers]
+    }
+
     /// Tells a transfer under way who there is.
     fn tell_plan(&mut self) {
         let (peers, relays) = (self.transfer_peers(), self.relays.all().to_vec());
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -483,7 +483,7 @@
                     DirectEffect::PassOn(number) => {
                         prop_assert!(ended.insert(number.0, ResultCode::Answered).is_none());
                     }
-                    DirectEffect::Wake(_) => {}
+                    DirectEffect::Wake(_) | DirectEffect::TellAgents(..) => {}
                 }
             }
         }
@@ -541,3 +541,24 @@
         assert_eq!(later.contains(&"d1".to_string()), tried, "{outcome:?} {later:?}");
     }
 }
+
+#[test]
+fn agents_near_by_are_told_of_a_version_when_it_is_named() {
+    let far =
+        UpstreamRecord { data_centre: "hall-b".parse().unwrap(), ..upstream("u3", "pool", 1) };
+    let near = UpstreamRecord { address: ([10, 0, 0, 7], 80).into(), ..upstream("u1", "pool", 1) };
+    let mut reducer = entry(&[near, far, upstream("d1", "desk", 0)]);
+    let named = || vec![FleetChange::VersionNamed("m".parse().unwrap(), WeightVersion(2))];
+    let told = |effects: &[DirectEffect]| -> Vec<Vec<std::net::IpAddr>> {
+        let words = effects.iter().filter_map(|effect| match effect {
+            DirectEffect::TellAgents(_, WeightVersion(2), machines) => Some(machines.clone()),
+            _ => None,
+        });
+        words.collect()
+    };
+    let whole = FleetPage { whole: true, ..page(named()) };
+    let mut other = entry(&[upstream("u1", "pool", 1)]);
+    assert_eq!(told(&other.reduce(START, DirectEvent::Fleet(whole, START))).len(), 0);
+    let effects = reducer.reduce(START, DirectEvent::Fleet(page(named()), START));
+    assert_eq!(told(&effects), [vec![std::net::IpAddr::from([10, 0, 0, 7])]]);
+}
--- a/mustardrill_core/tests/stock.rs
+++ b/mustardrill_core/tests/stock.rs
@@ -524,3 +524,18 @@
         }
     }
 }
+
+/// An agent that the store turns away hears of a version from an entry; the store's own word, when
+/// it comes, changes nothing.
+#[test]
+fn a_version_that_an_entry_tells_of_is_stocked_at_once() {
+    let mut reducer = agent();
+    let model: mustardrill_types::ModelName = "m".parse().unwrap();
+    let heard = StockEvent::VersionHeard(model, WeightVersion(2));
+    let effects = reducer.reduce(START, heard.clone());
+    assert!(effects.contains(&StockEffect::ReadPeers), "{effects:?}");
+    assert!(effects.iter().any(|effect| matches!(effect, StockEffect::FetchList(..))));
+    assert_eq!(reducer.reduce(START, heard), Vec::new());
+    let effects = reducer.reduce(START + Millis(900), fleet(vec![named(2)], false));
+    assert!(!effects.contains(&StockEffect::ReadPeers), "{effects:?}");
+}
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -15,6 +15,7 @@
 use mustardrill_runtime::exposition::{MetricHandler, MetricPage};
 use mustardrill_runtime::http::HttpServer;
 use mustardrill_types::{FastMap, InstanceId, Moment};
+use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
@@ -55,6 +56,8 @@
     pub(crate) borders: DirectBorders,
     pub(crate) pool: ConnectionPool,
     pub(crate) metrics: StatsdClient,
+    /// For datagrams to and from other entries and agents.
+    pub(crate) socket: UdpSocket,
     /// Whether a planned stop has begun.
     pub(crate) leaving: AtomicBool,
     pub(crate) halt: CancellationToken,
@@ -137,6 +140,9 @@
                 DirectEffect::Send(number, plan) => self.tell(number, Verdict::Send(plan)),
                 DirectEffect::PassOn(number) => self.tell(number, Verdict::PassOn),
                 DirectEffect::Refuse(number, plan) => self.tell(number, Verdict::Refuse(plan)),
+                DirectEffect::TellAgents(model, version, machines) => {
+                    gossip::tell_agents(self.context.clone(), &model, version, machines);
+                }
                 DirectEffect::Wake(at) => wake(now, at, actor.clone()),
             }
         }
@@ -274,6 +280,7 @@
         borders,
         pool: ConnectionPool::default(),
         metrics: page.client(),
+        socket: UdpSocket::bind(config.peer_listen).await?,
         leaving: AtomicBool::new(false),
         halt: halt.clone(),
     });
@@ -289,7 +296,7 @@
         let sampling = sample(actor.clone(), context.clone());
         tokio::spawn(halt.clone().run_until_cancelled_owned(sampling));
     }
-    gossip::spawn(actor.clone(), context.clone()).await?;
+    gossip::spawn(actor.clone(), context.clone());
     let relay = ChunkRelay::new(actor.clone(), context.clone());
     HttpServer::bind(config.peer_listen, Box::new(relay), halt.clone()).await?;
     watch::spawn(actor.clone(), context.clone());
--- a/mustardrill_entry/src/direct/config.rs
+++ b/mustardrill_entry/src/direct/config.rs
@@ -17,6 +17,8 @@
     pub ready_listen: SocketAddr,
     /// Where it takes datagrams of other entries and of agents.
     pub peer_listen: SocketAddr,
+    /// The port at which agents take datagrams; nothing where they are told nothing.
+    pub agent_port: Option<u16>,
     /// The platform's store.
     pub store: SocketAddr,
     /// Where metrics are served, if anywhere.
@@ -63,6 +65,7 @@
         listen: reader.required("entry", "listen", "IP:PORT", local()),
         ready_listen: reader.required("entry", "ready_listen", "IP:PORT", local()),
         peer_listen: reader.required("entry", "peer_listen", "IP:PORT", local()),
+        agent_port: reader.optional("entry", "agent_port"),
         store: reader.required("platform", "store", "IP:PORT", local()),
         metrics: reader.optional("entry", "metrics"),
         log: reader.value("entry", "log", LevelFilter::Info),
--- a/mustardrill_entry/src/direct/gossip.rs
+++ b/mustardrill_entry/src/direct/gossip.rs
@@ -1,15 +1,14 @@
 //! Tells the other entries what this one has at upstreams, and hears them and the agents.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use kameo::prelude::*;
 use log::warn;
 use mustardrill_core::direct::{DirectEvent, PeerLoad, UpstreamLoad};
-use mustardrill_runtime::datagram::{DATAGRAM_LIMIT, Datagram, LoadRow};
-use mustardrill_types::Millis;
-use tokio::net::UdpSocket;
+use mustardrill_runtime::datagram::{DATAGRAM_LIMIT, Datagram, LoadRow, VersionRow};
+use mustardrill_types::{Millis, ModelName, WeightVersion};
 
 use crate::direct::actor::{DirectActor, DirectContext, Event, GossipQuery};
 
@@ -20,23 +19,47 @@
 /// Unchanged load is told anew after this many times, so that silence means absence.
 const TELL_UNCHANGED: u32 = 10;
 
+/// When a word to agents is told once more, as datagrams get lost.
+const TELL_AGAIN: Duration = Duration::from_millis(60);
+
 /// Starts to listen and to tell.
-pub(crate) async fn spawn(
-    actor: ActorRef<DirectActor>,
-    context: Arc<DirectContext>,
-) -> std::io::Result<()> {
-    let socket = Arc::new(UdpSocket::bind(context.config.peer_listen).await?);
+pub(crate) fn spawn(actor: ActorRef<DirectActor>, context: Arc<DirectContext>) {
     let halt = context.halt.clone();
-    let hearing = hear(actor.clone(), socket.clone());
+    let hearing = hear(actor.clone(), context.clone());
     tokio::spawn(halt.clone().run_until_cancelled_owned(hearing));
-    tokio::spawn(halt.run_until_cancelled_owned(tell(actor, context, socket)));
-    Ok(())
+    tokio::spawn(halt.run_until_cancelled_owned(tell(actor, context)));
+}
+
+/// Tells the agents on these machines that a version was named.
+pub(crate) fn tell_agents(
+    context: Arc<DirectContext>,
+    model: &ModelName,
+    version: WeightVersion,
+    machines: Vec<IpAddr>,
+) {
+    let Some(port) = context.config.agent_port else { return };
+    let mut datagram = Datagram::new(&context.config.direct.own);
+    datagram.named = Some(VersionRow { model: model.to_string(), version: version.0 });
+    tokio::spawn(async move {
+        let bytes = datagram.to_bytes();
+        for round in 0..2 {
+            if round > 0 {
+                tokio::time::sleep(TELL_AGAIN).await;
+            }
+            for machine in &machines {
+                let to = SocketAddr::new(*machine, port);
+                if let Err(error) = context.socket.send_to(&bytes, to).await {
+                    log::debug!("datagram to={to} outcome=unsent reason=\"{error}\"");
+                }
+            }
+        }
+    });
 }
 
-async fn hear(actor: ActorRef<DirectActor>, socket: Arc<UdpSocket>) {
+async fn hear(actor: ActorRef<DirectActor>, context: Arc<DirectContext>) {
     let mut buffer = vec![0; DATAGRAM_LIMIT];
     loop {
-        let length = match socket.recv_from(&mut buffer).await {
+        let length = match context.socket.recv_from(&mut buffer).await {
             Ok((length, _)) => length,
             Err(error) => {
                 // An earlier datagram met a closed port: its receiver is gone.
@@ -68,7 +91,7 @@
     UpstreamLoad { requests: row.outstanding, reading: Millis(u64::from(row.reading_ms)) }
 }
 
-async fn tell(actor: ActorRef<DirectActor>, context: Arc<DirectContext>, socket: Arc<UdpSocket>) {
+async fn tell(actor: ActorRef<DirectActor>, context: Arc<DirectContext>) {
     let (mut told, mut unchanged) = (Vec::new(), 0);
     loop {
         tokio::time::sleep(TELL_EVERY).await;
@@ -90,7 +113,7 @@
             .collect();
         let bytes = datagram.to_bytes();
         for peer in &reply.peers {
-            if let Err(error) = socket.send_to(&bytes, peer.address).await {
+            if let Err(error) = context.socket.send_to(&bytes, peer.address).await {
                 log::debug!("datagram to={} outcome=unsent reason=\"{error}\"", peer.id);
             }
         }
--- a/mustardrill_runtime/src/datagram.rs
+++ b/mustardrill_runtime/src/datagram.rs
@@ -27,6 +27,20 @@
     /// What an agent holds of a version.
     #[prost(message, optional, tag = "4")]
     pub holding: Option<HoldingRow>,
+    /// A version that was named, as an entry tells agents.
+    #[prost(message, optional, tag = "5")]
+    pub named: Option<VersionRow>,
+}
+
+/// A version of a model.
+#[derive(Clone, PartialEq, Message)]
+pub struct VersionRow {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
 }
 
 /// An entry's requests at one upstream.
--- a/mustardrill_standins/tests/docs.rs
+++ b/mustardrill_standins/tests/docs.rs
@@ -66,7 +66,8 @@
     let named = promises.split('`').skip(1).step_by(2).filter(|name| !name.contains('/'));
     for name in named {
         let (file, test) = name.split_once("::").unwrap_or((name, ""));
-        let folders = ["core/tests", "core/examples", "standins/tests", "standins/examples"];
+        let folders =
+            ["core/tests", "core/examples", "runtime/tests", "standins/tests", "standins/examples"];
         let is_file = folders
             .iter()
             .any(|folder| root().join(format!("mustardrill_{folder}/{file}.rs")).exists());
