--- a/mustardrill_agent/src/main.rs
+++ b/mustardrill_agent/src/main.rs
@@ -15,9 +15,6 @@
 /// Wrong command line or settings.
 const USAGE: u8 = 2;
 
-/// How long a connection to the origin stays open unused. It takes few of them from a whole fleet.
-const ORIGIN_IDLE: std::time::Duration = std::time::Duration::from_millis(200);
-
 /// How long a connection to the store, the origin or the engine may take to be made.
 const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(500);
 
@@ -103,7 +100,7 @@
     let borders = StockBorders {
         source: Box::new(PlatformStore::open(client.clone(), config.store)),
         engine: Box::new(PlatformEngine::open(client, config.stock.engine)),
-        origin: Box::new(PlatformOrigin::open(HttpClient::open_idle(CONNECT_TIMEOUT, ORIGIN_IDLE))),
+        origin: Box::new(PlatformOrigin::open(CONNECT_TIMEOUT)),
     };
     let listen = config.listen;
     let handle = match stock::spawn(config, borders).await {
--- a/mustardrill_core/src/transfer/relayed.rs
+++ b/mustardrill_core/src/transfer/relayed.rs
@@ -14,6 +14,10 @@
 /// bounds are made for it takes 80 to 140 ms.
 const SLOW_PACE: Millis = Millis(250);
 
+/// With each time of so many stalls that passes, one more instance asks far entries for a chunk
+/// that none here shows.
+const STALLS_A_HOME: u64 = 4;
+
 /// What is asked of entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RelayDuty {
@@ -97,7 +101,3 @@
         self.relays.nearest(now, &version, item, &self.own.data_centre)
     }
 }
-
-/// With each time of so many stalls that passes, one more instance asks far entries for a chunk
-/// that none here shows.
-const STALLS_A_HOME: u64 = 4;
--- a/mustardrill_entry/src/main.rs
+++ b/mustardrill_entry/src/main.rs
@@ -15,9 +15,6 @@
 /// Wrong command line or settings.
 const USAGE: u8 = 2;
 
-/// How long a connection to the origin of weights stays open unused. It takes few of them.
-const ORIGIN_IDLE: std::time::Duration = std::time::Duration::from_millis(200);
-
 /// How long a connection to the store may take to be made.
 const STORE_CONNECT: std::time::Duration = std::time::Duration::from_millis(500);
 
@@ -137,7 +134,7 @@
     let borders = DirectBorders {
         source: Box::new(PlatformStore::open(client, config.store)),
         dialect: Box::new(PlatformDialect),
-        origin: Box::new(PlatformOrigin::open(HttpClient::open_idle(STORE_CONNECT, ORIGIN_IDLE))),
+        origin: Box::new(PlatformOrigin::open(STORE_CONNECT)),
     };
     let listen = config.listen;
     let handle = match direct::spawn(config, borders).await {
