--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -135,6 +135,8 @@
             listening.push(at);
         }
         let desks: Vec<_> = (0..DESKS).map(|at| Worker::new(&format!("i-desk-{at}"), 0)).collect();
+        // Long enough that a fault of a link or an entry finds calls under way.
+        desks.iter().for_each(|desk| desk.set_pause(Duration::from_millis(20)));
         let mut desk_links = Vec::new();
         for (place, desk) in desks.iter().enumerate() {
             let at = listen(machine(test, 30 + place as u8), Box::new(desk.clone())).await;
@@ -401,6 +403,10 @@
             soak.disturb();
             next = Instant::now() + Duration::from_millis(soak.random.random_range(50..600));
         }
+        // Answers go wrong all the while; about four times a second another worker's.
+        if soak.random.random_range(0..10) == 0 {
+            soak.spoil_answers();
+        }
         if soak.revoked.is_none() && Instant::now() >= revoke_at {
             soak.revoke();
         }
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -198,6 +198,9 @@
             response.headers_mut().insert("x-not-executed", "1".parse().unwrap());
             return response;
         }
+        if text("x-model").is_none() {
+            tokio::time::sleep(pause).await;
+        }
         let first = text("last-event-id").map_or(1, |last| last.parse::<u64>().unwrap() + 1);
         let model = text("x-model").is_some();
         let mut response = match (fault, model) {
