What is believed of an upstream belongs to one start of it; foreign registrations name nobody

Cause: an upstream may start again under the id that it had, and registrations may come from another writer. Nothing read the start, so counts, weights and orders of before stayed in force; an unknown state counted as ready; an unreadable value left the old belief; a registration for a service that nobody configured took its address from a working upstream; one that moved to another service made send and start call each other without end; an agent's peer was forgotten when the registration of its earlier start ended. Ruled out: telling restarts by the count of orders alone (it may stand where it stood).

--- a/mustardrill_agent/src/stock/watch.rs
+++ b/mustardrill_agent/src/stock/watch.rs
@@ -91,5 +91,6 @@
 }
 
 fn view(state: EngineState) -> EngineView {
-    EngineView { busy: state.busy, sequence: state.sequence, serving: state.serving }
+    let EngineState { start, busy, sequence, serving, .. } = state;
+    EngineView { start, busy, sequence, serving }
 }
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -260,11 +260,12 @@
             plan.pinned.map_or(0, |version| version.0),
         );
         let reading = self.reading_time(state);
-        self.upstreams.sent(&upstream, reading);
+        let start = target.start();
+        self.upstreams.sent(&start, reading);
         if let Some(state) = self.requests.get_mut(&number) {
             state.reading = reading;
-            state.tried.push(upstream.clone());
-            state.stage = RequestStage::Sent(upstream);
+            state.tried.push(upstream);
+            state.stage = RequestStage::Sent(start);
         }
         vec![DirectEffect::Send(number, plan)]
     }
@@ -300,7 +301,7 @@
         self.upstreams.left(&upstream);
         self.upstreams.judge(now, &upstream, outcome, self.settings.ejection);
         if outcome != AttemptOutcome::Whole {
-            info!("request={attempt} instance={upstream} outcome={outcome:?}");
+            info!("request={attempt} instance={} outcome={outcome:?}", upstream.id);
         }
         let mut effects = self.go_on(now, number, outcome);
         effects.extend(self.pump(now, &service));
--- a/mustardrill_core/src/direct/fleet.rs
+++ b/mustardrill_core/src/direct/fleet.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use mustardrill_types::{
-    DataCentre, InstanceId, ModelName, ServiceName, StoreRevision, WeightVersion,
+    DataCentre, InstanceId, ModelName, ServiceName, StartStamp, StoreRevision, WeightVersion,
 };
 
 use crate::direct::route::RouteDocument;
@@ -12,8 +12,10 @@
 /// An upstream as it registered itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamRecord {
-    /// This start of the upstream; a restart has another.
+    /// Its name. A restart may keep it.
     pub id: InstanceId,
+    /// Which start of it this is.
+    pub start: StartStamp,
     /// Its service.
     pub service: ServiceName,
     /// Where it listens.
@@ -59,6 +61,8 @@
     Upstream(UpstreamRecord),
     /// An upstream's registration ended.
     UpstreamGone(InstanceId),
+    /// What stands in an upstream's place is no registration: it names nobody to send to.
+    UpstreamVoid(InstanceId),
     /// New weights were named.
     VersionNamed(ModelName, WeightVersion),
     /// An entry registered.
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -340,7 +340,12 @@
                     self.document = Some(document);
                 }
             }
-            FleetChange::Upstream(record) => self.upstreams.register(record),
+            FleetChange::Upstream(record) => {
+                let document = self.document.as_ref();
+                let is_served = document.is_none_or(|it| it.service(&record.service).is_some());
+                self.upstreams.register(record, is_served);
+            }
+            FleetChange::UpstreamVoid(id) => self.upstreams.void(&id),
             FleetChange::UpstreamGone(id) => self.upstreams.lapse(&id, grace),
             FleetChange::VersionNamed(model, version) => {
                 if self.versions.name(named_since, &model, version) {
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -7,6 +7,7 @@
 use crate::direct::event::{DirectRequest, RequestNumber};
 use crate::direct::forecast::WorkSize;
 use crate::direct::route::{RepeatRule, RouteRule};
+use crate::direct::upstream::UpstreamStart;
 use crate::direct::waiting::WaitRank;
 
 /// One request in progress.
@@ -49,7 +50,7 @@
     /// It waits for an upstream.
     Waiting(WaitRank),
     /// It is at an upstream.
-    Sent(InstanceId),
+    Sent(UpstreamStart),
     /// It is between two attempts.
     Between,
 }
--- a/mustardrill_core/src/direct/upstream.rs
+++ b/mustardrill_core/src/direct/upstream.rs
@@ -4,7 +4,7 @@
 
 use log::info;
 use mustardrill_types::{
-    FastMap, InstanceId, Millis, ModelName, Moment, ServiceName, WeightVersion,
+    FastMap, InstanceId, Millis, ModelName, Moment, ServiceName, StartStamp, WeightVersion,
 };
 
 use crate::direct::event::{AttemptOutcome, LoadReport, PeerLoad, UpstreamLoad};
@@ -33,6 +33,14 @@
 /// leaving them alone sends their share to the others, whose queues grow in turn.
 const ALIVE_FOR: Millis = Millis(1_000);
 
+/// One start of an upstream. What was sent to it is not counted at a later start, which knows
+/// nothing of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct UpstreamStart {
+    pub(crate) id: InstanceId,
+    pub(crate) start: StartStamp,
+}
+
 /// One upstream.
 #[derive(Debug)]
 pub(crate) struct UpstreamState {
@@ -63,8 +71,22 @@
 }
 
 impl UpstreamTable {
-    /// Takes a registration over.
-    pub(crate) fn register(&mut self, record: UpstreamRecord) {
+    /// Takes a registration over. One of an earlier start that comes late changes nothing, one of
+    /// a later start replaces all that is believed of the earlier one.
+    ///
+    /// `is_served` tells whether the configuration names its service: one that it does not name may
+    /// come from another writer and takes nobody's address.
+    pub(crate) fn register(&mut self, record: UpstreamRecord, is_served: bool) {
+        if let Some(known) = self.states.get(&record.id).map(|state| &state.record) {
+            if record.start < known.start {
+                info!("membership instance={} start={} outcome=kept", record.id, record.start);
+                return;
+            }
+            if record.start > known.start || record.service != known.service {
+                info!("membership instance={} start={} outcome=anew", record.id, record.start);
+                self.remove(&record.id);
+            }
+        }
         if let Some(state) = self.states.get_mut(&record.id) {
             if state.record != record {
                 info!(
@@ -88,7 +110,9 @@
             record.address,
             versions(&record.serving)
         );
-        self.replace_at(record.address);
+        if is_served {
+            self.replace_at(record.address);
+        }
         self.by_service.entry(record.service.clone()).or_default().push(record.id.clone());
         self.states.insert(record.id.clone(), UpstreamState::new(record));
     }
@@ -114,6 +138,12 @@
         self.remove(id);
     }
 
+    /// Forgets an upstream in whose place something else stands than a registration.
+    pub(crate) fn void(&mut self, id: &InstanceId) {
+        info!("membership instance={id} outcome=gone reason=no-registration");
+        self.remove(id);
+    }
+
     /// Forgets those whose grace has ended.
     pub(crate) fn forget_lapsed(&mut self, now: Moment) {
         let is_over = |state: &UpstreamState| state.lapsed_until.is_some_and(|until| until <= now);
@@ -145,6 +175,12 @@
         self.states.get(id)
     }
 
+    /// The state of that very start of an upstream.
+    fn of_start(&mut self, start: &UpstreamStart) -> Option<&mut UpstreamState> {
+        let state = self.states.get_mut(&start.id)?;
+        (state.record.start == start.start).then_some(state)
+    }
+
     pub(crate) fn by_address(&mut self, address: SocketAddr) -> Option<&mut UpstreamState> {
         self.states.values_mut().find(|state| state.record.address == address)
     }
@@ -198,23 +234,23 @@
     }
 
     /// Notes that a request whose prompt takes `reading` was sent to an upstream.
-    pub(crate) fn sent(&mut self, id: &InstanceId, reading: Millis) {
-        if let Some(state) = self.states.get_mut(id) {
+    pub(crate) fn sent(&mut self, start: &UpstreamStart, reading: Millis) {
+        if let Some(state) = self.of_start(start) {
             state.own.requests += 1;
             state.own.reading = Millis(state.own.reading.0 + reading.0);
         }
     }
 
     /// Notes that an upstream has read a request's prompt, or never will.
-    pub(crate) fn read(&mut self, id: &InstanceId, reading: Millis) {
-        if let Some(state) = self.states.get_mut(id) {
+    pub(crate) fn read(&mut self, start: &UpstreamStart, reading: Millis) {
+        if let Some(state) = self.of_start(start) {
             state.own.reading = Millis(state.own.reading.0.saturating_sub(reading.0));
         }
     }
 
     /// Notes that a request has left an upstream.
-    pub(crate) fn left(&mut self, id: &InstanceId) {
-        if let Some(state) = self.states.get_mut(id) {
+    pub(crate) fn left(&mut self, start: &UpstreamStart) {
+        if let Some(state) = self.of_start(start) {
             state.own.requests = state.own.requests.saturating_sub(1);
         }
     }
@@ -223,12 +259,12 @@
     pub(crate) fn answering(
         &mut self,
         now: Moment,
-        id: &InstanceId,
+        start: &UpstreamStart,
         load: Option<LoadReport>,
         model: Option<&ModelName>,
         version: Option<WeightVersion>,
     ) {
-        let Some(state) = self.states.get_mut(id) else { return };
+        let Some(state) = self.of_start(start) else { return };
         state.answered = now;
         if let Some(load) = load {
             state.record.slots = load.slots;
@@ -242,11 +278,11 @@
     pub(crate) fn judge(
         &mut self,
         now: Moment,
-        id: &InstanceId,
+        start: &UpstreamStart,
         outcome: AttemptOutcome,
         first: Millis,
     ) {
-        let Some(state) = self.states.get_mut(id) else { return };
+        let Some(state) = self.of_start(start) else { return };
         match outcome {
             AttemptOutcome::Whole => state.succeeded(now),
             AttemptOutcome::Full | AttemptOutcome::Misdirected => state.answered = now,
@@ -272,6 +308,11 @@
 }
 
 impl UpstreamState {
+    /// The start that is believed to run.
+    pub(crate) fn start(&self) -> UpstreamStart {
+        UpstreamStart { id: self.record.id.clone(), start: self.record.start }
+    }
+
     fn new(record: UpstreamRecord) -> Self {
         Self {
             record,
--- a/mustardrill_core/src/stock/event.rs
+++ b/mustardrill_core/src/stock/event.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use mustardrill_types::{
-    ChunkIndex, DataCentre, InstanceId, Millis, ModelName, ServiceName, WeightVersion,
+    ChunkIndex, DataCentre, InstanceId, Millis, ModelName, ServiceName, StartStamp, WeightVersion,
 };
 
 use crate::direct::{EngineWord, FleetPage, PeerRecord, ServedWeights};
@@ -81,6 +81,8 @@
 /// What the engine tells of itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EngineView {
+    /// Which start of it this is.
+    pub start: StartStamp,
     /// Whether an order is in progress.
     pub busy: bool,
     /// Orders that it has taken since its start.
@@ -89,6 +91,13 @@
     pub serving: Vec<ServedWeights>,
 }
 
+impl EngineView {
+    /// Whether the engine has started anew since it told `earlier`.
+    pub fn is_restart_of(&self, earlier: &Self) -> bool {
+        self.start != earlier.start || self.sequence < earlier.sequence
+    }
+}
+
 /// Something that an agent does.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StockEffect {
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -67,6 +67,8 @@
     registered: FastMap<InstanceId, InstanceId>,
     pub(super) versions: VersionTable,
     pub(super) engine: Option<EngineView>,
+    /// What the engine told last; kept while it does not answer, to tell a restart by.
+    last_view: Option<EngineView>,
     pub(super) wanted: Option<VersionId>,
     pub(super) stage: Option<StockStage>,
     /// The version whose chunks are staged whole.
@@ -94,6 +96,7 @@
             registered: FastMap::default(),
             versions: VersionTable::default(),
             engine: None,
+            last_view: None,
             wanted: None,
             stage: None,
             staged: None,
@@ -192,11 +195,7 @@
             match change {
                 FleetChange::Configured(document) => self.document = Some(document),
                 FleetChange::Upstream(record) => self.register(&record),
-                FleetChange::UpstreamGone(id) => {
-                    if let Some(peer) = self.registered.remove(&id) {
-                        self.peers.remove(&peer);
-                    }
-                }
+                FleetChange::UpstreamGone(id) | FleetChange::UpstreamVoid(id) => self.forget(&id),
                 FleetChange::VersionNamed(model, version) => {
                     let read_peers = self.named(named_since, &model, version);
                     if !page.whole {
@@ -249,6 +248,15 @@
         self.peers.insert(id.clone(), TransferPeer { id, data_centre });
     }
 
+    /// Forgets the peer whose registration ended, unless its machine has a newer one: a restart
+    /// registers at once, and the registration of before ends some seconds later.
+    fn forget(&mut self, id: &InstanceId) {
+        let Some(peer) = self.registered.remove(id) else { return };
+        if !self.registered.values().any(|other| *other == peer) {
+            self.peers.remove(&peer);
+        }
+    }
+
     /// All agents of the service, this one included.
     pub(super) fn transfer_peers(&self) -> Vec<TransferPeer> {
         let mut peers: Vec<_> = self.peers.values().cloned().collect();
@@ -264,11 +272,16 @@
         let before = self.engine.take();
         let Some(view) = view else { return Vec::new() };
         let mut effects = Vec::new();
-        let restarted = before.as_ref().is_none_or(|before| view.sequence < before.sequence)
-            || view.serving.is_empty();
-        if restarted && self.stage.is_none() {
+        let is_restart = self.last_view.as_ref().is_some_and(|last| view.is_restart_of(last));
+        self.last_view = Some(view.clone());
+        let is_known = before.is_some() && !is_restart && !view.serving.is_empty();
+        if !is_known && self.stage.is_none() {
             self.inspect = true;
         }
+        if is_restart {
+            info!("engine start={} sequence={} outcome=restarted", view.start, view.sequence);
+            self.order_anew();
+        }
         let served = before.map(|before| before.serving).unwrap_or_default();
         if served != view.serving
             && let Some(now_served) = view.serving.first()
@@ -282,6 +295,15 @@
         effects
     }
 
+    /// Gives up waiting for an order that an earlier start of the engine took: the present one
+    /// holds nothing and knows of no order.
+    fn order_anew(&mut self) {
+        self.stage = match self.stage.take() {
+            Some(StockStage::Ordered(plan, order)) => Some(StockStage::Staged(plan, order.since)),
+            other => other,
+        };
+    }
+
     /// Where nothing was drawn since the agent's start, what the engine serves is what was staged.
     /// Whoever draws from here verifies it.
     fn assume_staged(&mut self) {
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -1,10 +1,15 @@
 //! What several tests of the core share.
 #![allow(dead_code, reason = "each test uses a part of it")]
 
+use std::net::SocketAddr;
+
 use mustardrill_core::catalogue::{EntryDraft, read_drafts};
+use mustardrill_core::direct::{DirectSettings, RetryShare};
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::edit::{EditChange, EditRequest, FleetFacts, VersionFact, apply_edit};
-use mustardrill_types::{ByteSize, EditId, FastMap};
+use mustardrill_core::stock::{StockSettings, TurnSettings};
+use mustardrill_core::transfer::TransferSettings;
+use mustardrill_types::{ByteSize, EditId, FastMap, Millis};
 
 /// The digest of version v1.
 pub const V1: &str = "1111111111111111111111111111111111111111111111111111111111111111";
@@ -61,3 +66,41 @@
         in_use: [("drafts".parse().unwrap(), 5)].into_iter().collect(),
     }
 }
+
+/// When the engines of these tests load.
+pub const TURNS: TurnSettings =
+    TurnSettings { first: Millis(3_600), last: Millis(6_500), switch: Millis(2_000) };
+
+/// How the entry of these tests decides.
+pub fn direct_settings() -> DirectSettings {
+    DirectSettings {
+        own: "entry-1".parse().unwrap(),
+        data_centre: "hall-a".parse().unwrap(),
+        proof_limit: Millis(4_500),
+        version_patience: Millis(7_000),
+        retry: RetryShare { ratio: 0.1, allowance: 8, window: Millis(10_000) },
+        ahead: 2,
+        reading_limit: Millis(80),
+        wait_percent: 50,
+        late_percent: 75,
+        late_wait: Millis(1_000),
+        silence: Millis(1_200),
+        lapse_grace: Millis(2_200),
+        peer_patience: Millis(1_500),
+        ejection: Millis(500),
+    }
+}
+
+/// How the agent of these tests decides.
+pub fn stock_settings() -> StockSettings {
+    StockSettings {
+        own: "10.0.0.1".parse().unwrap(),
+        data_centre: "hall-a".parse().unwrap(),
+        service: "pool".parse().unwrap(),
+        engine: SocketAddr::from(([10, 0, 0, 1], 8001)),
+        port: 7701,
+        transfer: TransferSettings { homes: true, far_drawers: 1, ..TransferSettings::default() },
+        turns: TURNS,
+        tell_every: Millis(35),
+    }
+}
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -5,12 +5,13 @@
 use assert_matches::assert_matches;
 use mustardrill_core::direct::{
     AttemptOutcome, CallerLimits, CustomerRecord, DirectEffect, DirectEvent, DirectReducer,
-    DirectRequest, DirectSettings, EngineProfile, FleetChange, FleetPage, ModelProfile, PeerLoad,
-    RefusalPlan, RepeatRule, RequestNumber, RetryShare, RouteDocument, RouteRule, SendPlan,
-    ServedWeights, ServiceProfile, UpstreamLoad, UpstreamRecord, WorkSize,
+    DirectRequest, EngineProfile, FleetChange, FleetPage, ModelProfile, PeerLoad, RefusalPlan,
+    RepeatRule, RequestNumber, RouteDocument, RouteRule, SendPlan, ServedWeights, ServiceProfile,
+    UpstreamLoad, UpstreamRecord, WorkSize,
 };
 use mustardrill_types::{
-    FastMap, Generation, InstanceId, Millis, Moment, ResultCode, StoreRevision, WeightVersion,
+    FastMap, Generation, InstanceId, Millis, Moment, ResultCode, StartStamp, StoreRevision,
+    WeightVersion,
 };
 use proptest::prelude::*;
 
@@ -18,25 +19,6 @@
 
 const START: Moment = Moment(100_000);
 
-fn settings() -> DirectSettings {
-    DirectSettings {
-        own: "entry-1".parse().unwrap(),
-        data_centre: "hall-a".parse().unwrap(),
-        proof_limit: Millis(4_500),
-        version_patience: Millis(7_000),
-        retry: RetryShare { ratio: 0.1, allowance: 8, window: Millis(10_000) },
-        ahead: 2,
-        reading_limit: Millis(80),
-        wait_percent: 50,
-        late_percent: 75,
-        late_wait: Millis(1_000),
-        silence: Millis(1_200),
-        lapse_grace: Millis(2_200),
-        peer_patience: Millis(1_500),
-        ejection: Millis(500),
-    }
-}
-
 fn route(name: &str, prefix: &str, service: &str, repeat: RepeatRule) -> RouteRule {
     RouteRule {
         name: name.into(),
@@ -98,6 +80,7 @@
     };
     UpstreamRecord {
         id: id.parse().unwrap(),
+        start: StartStamp(1),
         service: service.parse().unwrap(),
         address: ([10, 0, 0, 1], port).into(),
         data_centre: "hall-a".parse().unwrap(),
@@ -113,7 +96,7 @@
 
 /// An entry with one configuration and these upstreams.
 fn entry(upstreams: &[UpstreamRecord]) -> DirectReducer {
-    let mut reducer = DirectReducer::new(settings(), 7);
+    let mut reducer = DirectReducer::new(common::direct_settings(), 7);
     let mut changes = vec![FleetChange::Configured(document(1, &["key-1"]))];
     changes.extend(upstreams.iter().cloned().map(FleetChange::Upstream));
     reducer.reduce(START, DirectEvent::Fleet(page(changes), START));
@@ -185,7 +168,7 @@
 
 #[test]
 fn without_a_configuration_nothing_is_denied_and_nothing_sent() {
-    let mut reducer = DirectReducer::new(settings(), 7);
+    let mut reducer = DirectReducer::new(common::direct_settings(), 7);
     assert!(!reducer.is_ready(START));
     let effects = arrive(&mut reducer, START, 1, "/drafts/x");
     assert_matches!(refused(&effects)[..], [RefusalPlan { code: ResultCode::NotCurrent, .. }]);
@@ -375,7 +358,7 @@
     let old = upstream("u1", "pool", 1);
     let mut changes = vec![FleetChange::Configured(document(1, &["key-1"])), named.clone()];
     changes.push(FleetChange::Upstream(old.clone()));
-    let mut started = DirectReducer::new(settings(), 7);
+    let mut started = DirectReducer::new(common::direct_settings(), 7);
     started.reduce(START, DirectEvent::Fleet(page(changes), START));
     assert_eq!(sent(&arrive(&mut started, START, 1, "/drafts/x")).len(), 0);
     // A call failed and the next one came through: it may have been named at the beginning.
--- /dev/null
+++ b/mustardrill_core/tests/rebirth.rs
@@ -0,0 +1,302 @@
+//! Upstreams that start again under the id that they had, and registrations of other writers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use mustardrill_core::direct::{
+    AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
+    EngineProfile, FleetChange, FleetPage, ModelProfile, RepeatRule, RequestNumber, RouteDocument,
+    RouteRule, ServedWeights, ServiceProfile, UpstreamRecord, WorkSize,
+};
+use mustardrill_core::manifest::{ChunkBitmap, Manifest};
+use mustardrill_core::stock::{
+    EngineView, StockEffect, StockEvent, StockReducer, VersionId, WeightSource,
+};
+use mustardrill_core::transfer::DrawOutcome;
+use mustardrill_types::{
+    ByteSize, FastMap, Generation, ManifestDigest, Millis, Moment, StartStamp, StoreRevision,
+    WeightVersion,
+};
+use proptest::prelude::*;
+
+mod common;
+
+const START: Moment = Moment(100_000);
+
+fn document() -> Arc<RouteDocument> {
+    let engine = EngineProfile {
+        slots: 4,
+        models: vec![ModelProfile { name: "m".parse().unwrap(), load_time: Millis(300) }],
+        stride: 6,
+        step_ms: 7.0,
+        read_per_ms: 30.0,
+        usual_prompt: 960,
+        usual_answer: 120,
+        chunks: 2,
+        chunk_size: ByteSize(1_000),
+        ..EngineProfile::default()
+    };
+    let route = RouteRule {
+        name: "drafts".into(),
+        host: "drafts.example".into(),
+        prefix: "/drafts/".into(),
+        split: vec![("pool".parse().unwrap(), 1)],
+        repeat: RepeatRule::StreamResumable,
+        timeout: Millis(6_000),
+        objective: Millis(400),
+        gap: Millis(300),
+        priority: 1,
+        attempts: 2,
+        public: true,
+    };
+    let mut services = FastMap::default();
+    let pool = ServiceProfile { engine: Some(engine), ..ServiceProfile::default() };
+    services.insert("pool".parse().unwrap(), pool);
+    let limits = CallerLimits::default();
+    Arc::new(RouteDocument::new(Generation(1), vec![route], services, Vec::new(), limits))
+}
+
+fn record(id: &str, start: u64, version: u64) -> UpstreamRecord {
+    let served = ServedWeights { model: "m".parse().unwrap(), version: WeightVersion(version) };
+    UpstreamRecord {
+        id: id.parse().unwrap(),
+        start: StartStamp(start),
+        service: "pool".parse().unwrap(),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_001)),
+        data_centre: "hall-a".parse().unwrap(),
+        slots: 4,
+        leaving: false,
+        serving: if version > 0 { vec![served] } else { Vec::new() },
+    }
+}
+
+fn page(changes: Vec<FleetChange>) -> FleetPage {
+    FleetPage { changes, at: StoreRevision(1), whole: false }
+}
+
+fn told(reducer: &mut DirectReducer, now: Moment, change: FleetChange) -> Vec<DirectEffect> {
+    reducer.reduce(now, DirectEvent::Fleet(page(vec![change]), now))
+}
+
+/// An entry that knows the configuration and one upstream.
+fn entry(record: UpstreamRecord) -> DirectReducer {
+    let mut reducer = DirectReducer::new(common::direct_settings(), 7);
+    let changes = vec![FleetChange::Configured(document()), FleetChange::Upstream(record)];
+    reducer.reduce(START, DirectEvent::Fleet(page(changes), START));
+    reducer
+}
+
+fn arrive(reducer: &mut DirectReducer, now: Moment, number: u64) -> Vec<DirectEffect> {
+    let request = DirectRequest {
+        number: RequestNumber(number),
+        attempt: format!("a{number}").into(),
+        host: "drafts.example".into(),
+        path: "/drafts/x".into(),
+        key: None,
+        patience: Some(Millis(6_000)),
+        arrived: now,
+        model: Some("m".parse().unwrap()),
+        size: WorkSize { prompt: 300, answer: 120 },
+        resumes: false,
+    };
+    reducer.reduce(now, DirectEvent::Arrived(request))
+}
+
+fn is_sent(effects: &[DirectEffect]) -> bool {
+    effects.iter().any(|effect| matches!(effect, DirectEffect::Send(..)))
+}
+
+#[test]
+fn a_restart_under_its_old_id_serves_nothing_of_before() {
+    let mut reducer = entry(record("u1", 10, 1));
+    assert!(is_sent(&arrive(&mut reducer, START, 1)));
+    told(&mut reducer, START + Millis(10), FleetChange::Upstream(record("u1", 20, 0)));
+    assert!(!is_sent(&arrive(&mut reducer, START + Millis(20), 2)), "it holds no weights now");
+}
+
+#[test]
+fn an_earlier_start_that_is_told_late_replaces_nothing() {
+    let mut reducer = entry(record("u1", 20, 1));
+    told(&mut reducer, START + Millis(10), FleetChange::Upstream(record("u1", 10, 0)));
+    assert!(is_sent(&arrive(&mut reducer, START + Millis(20), 1)));
+}
+
+#[test]
+fn what_an_earlier_start_was_sent_is_not_counted_at_the_later_one() {
+    let mut reducer = entry(record("u1", 10, 1));
+    for number in 0..4 {
+        arrive(&mut reducer, START, number);
+    }
+    told(&mut reducer, START + Millis(10), FleetChange::Upstream(record("u1", 20, 1)));
+    assert!(reducer.outstanding().is_empty());
+    assert!(is_sent(&arrive(&mut reducer, START + Millis(20), 9)));
+    // Requests of before fail now. They neither free places of the later start nor speak ill of it.
+    for number in 0..4 {
+        let lost = AttemptOutcome::Lost { delivered: false };
+        reducer.reduce(START + Millis(30), DirectEvent::Ended(RequestNumber(number), lost));
+        reducer.reduce(START + Millis(30), DirectEvent::Gone(RequestNumber(number)));
+    }
+    let (_, load) = reducer.outstanding()[0];
+    assert_eq!(load.requests, 1);
+    assert!(is_sent(&arrive(&mut reducer, START + Millis(40), 10)), "it was not ejected");
+}
+
+#[test]
+fn what_stands_in_a_registrations_place_names_nobody_to_send_to() {
+    let mut reducer = entry(record("u1", 10, 1));
+    let void = FleetChange::UpstreamVoid("u1".parse().unwrap());
+    told(&mut reducer, START, void);
+    assert!(!is_sent(&arrive(&mut reducer, START, 1)));
+    told(&mut reducer, START, FleetChange::Upstream(record("u1", 10, 1)));
+    assert!(is_sent(&arrive(&mut reducer, START, 2)), "its own next word lists it again");
+}
+
+#[test]
+fn a_registration_for_a_service_that_nobody_configured_takes_no_address() {
+    let mut reducer = entry(record("u1", 10, 1));
+    let foreign = UpstreamRecord { service: "nobody".parse().unwrap(), ..record("x", 10, 1) };
+    told(&mut reducer, START, FleetChange::Upstream(foreign));
+    assert!(is_sent(&arrive(&mut reducer, START, 1)));
+}
+
+#[test]
+fn a_registration_that_moves_to_another_service_is_not_sent_to_for_the_first_one() {
+    let mut reducer = entry(record("u1", 10, 1));
+    let moved = UpstreamRecord { service: "other".parse().unwrap(), ..record("u1", 10, 1) };
+    told(&mut reducer, START, FleetChange::Upstream(moved));
+    assert!(!is_sent(&arrive(&mut reducer, START, 1)));
+}
+
+/// An agent whose engine has taken the order to load version 2.
+fn agent_after_its_order() -> (StockReducer, Moment) {
+    let mut reducer = StockReducer::new(common::stock_settings(), 3);
+    let changes = vec![FleetChange::Configured(document())];
+    let whole = FleetPage { changes, at: StoreRevision(1), whole: true };
+    reducer.reduce(START, StockEvent::Fleet(whole));
+    reducer.reduce(START, engine(5, 1, 0));
+    let model: mustardrill_types::ModelName = "m".parse().unwrap();
+    let named = FleetChange::VersionNamed(model.clone(), WeightVersion(2));
+    reducer.reduce(START, StockEvent::Fleet(page(vec![named])));
+    let mut effects = reducer.reduce(START, StockEvent::ListSeen(version(), Some(list())));
+    let mut now = START;
+    for _ in 0..200 {
+        now = now + Millis(100);
+        let mut next = Vec::new();
+        for effect in std::mem::take(&mut effects) {
+            let event = match effect {
+                StockEffect::Draw(version, draw, _) => {
+                    StockEvent::DrawEnded(version, draw.index, draw.source, DrawOutcome::Verified)
+                }
+                StockEffect::ReadBack(version) => {
+                    StockEvent::ReadBack(version, ChunkBitmap::full(2))
+                }
+                StockEffect::Order(version, _) => {
+                    reducer.reduce(now, StockEvent::Ordered(version, true));
+                    return (reducer, now);
+                }
+                _ => continue,
+            };
+            next.extend(reducer.reduce(now, event));
+        }
+        next.extend(reducer.reduce(now, StockEvent::Woke));
+        effects = next;
+    }
+    panic!("no order was given");
+}
+
+fn version() -> VersionId {
+    VersionId { model: "m".parse().unwrap(), version: WeightVersion(2) }
+}
+
+fn list() -> Arc<Manifest> {
+    Arc::new(Manifest {
+        model: "m".parse().unwrap(),
+        version: "2".parse().unwrap(),
+        size: ByteSize(2),
+        chunk_size: ByteSize(1),
+        chunks: (0..2).map(|index| ManifestDigest([index; 32])).collect(),
+    })
+}
+
+fn engine(start: u64, version: u64, sequence: u64) -> StockEvent {
+    let served = ServedWeights { model: "m".parse().unwrap(), version: WeightVersion(version) };
+    let serving = if version > 0 { vec![served] } else { Vec::new() };
+    let start = StartStamp(start);
+    StockEvent::EngineSeen(Some(EngineView { start, busy: false, sequence, serving }))
+}
+
+#[test]
+fn an_engine_that_starts_again_while_it_loads_is_ordered_again_at_once() {
+    let (mut reducer, now) = agent_after_its_order();
+    reducer.reduce(now + Millis(50), StockEvent::EngineSeen(None));
+    // Its count of orders stands as before: only its start tells that it knows of none.
+    let effects = reducer.reduce(now + Millis(100), engine(9, 0, 0));
+    assert!(
+        effects.iter().any(|effect| matches!(effect, StockEffect::ReadBack(_))),
+        "the staged chunks are looked at for a new order: {effects:?}"
+    );
+}
+
+#[test]
+fn a_peer_stays_whose_earlier_registration_ends_after_its_restart() {
+    let mut reducer = StockReducer::new(common::stock_settings(), 3);
+    let peer = |id| UpstreamRecord {
+        address: SocketAddr::from(([10, 0, 0, 7], 8_001)),
+        ..record(id, 1, 1)
+    };
+    let changes = vec![
+        FleetChange::Configured(document()),
+        FleetChange::Upstream(peer("old")),
+        FleetChange::Upstream(peer("new")),
+        FleetChange::UpstreamGone("old".parse().unwrap()),
+    ];
+    reducer.reduce(START, StockEvent::Fleet(page(changes)));
+    reducer.reduce(START, engine(5, 1, 0));
+    let named = FleetChange::VersionNamed("m".parse().unwrap(), WeightVersion(2));
+    let effects = reducer.reduce(START, StockEvent::Fleet(page(vec![named])));
+    let sources = effects.iter().find_map(|effect| match effect {
+        StockEffect::FetchList(_, sources) => Some(sources.clone()),
+        _ => None,
+    });
+    let sources = sources.expect("a list is asked for");
+    assert!(sources.contains(&WeightSource::Peer("10.0.0.7".parse().unwrap())), "{sources:?}");
+}
+
+/// One thing that happens to an upstream's registration.
+fn history() -> impl Strategy<Value = Vec<(u64, u64, bool)>> {
+    prop::collection::vec((1..6u64, 0..3u64, any::<bool>()), 1..30)
+}
+
+proptest! {
+    #[test]
+    fn whatever_comes_in_whatever_order_the_latest_start_is_believed(history in history()) {
+        let mut reducer = entry(record("u1", 0, 1));
+        let mut latest = (0, 1);
+        for (start, version, is_void) in history {
+            let change = if is_void {
+                latest = (0, 0);
+                FleetChange::UpstreamVoid("u1".parse().unwrap())
+            } else {
+                if start >= latest.0 {
+                    latest = (start, version);
+                }
+                FleetChange::Upstream(record("u1", start, version))
+            };
+            told(&mut reducer, START, change);
+        }
+        let sent = is_sent(&arrive(&mut reducer, START, 1));
+        prop_assert_eq!(sent, latest.1 > 0);
+    }
+}
+
+#[test]
+fn a_lost_answer_of_an_earlier_start_still_ends_its_request() {
+    let mut reducer = entry(record("u1", 10, 1));
+    arrive(&mut reducer, START, 1);
+    told(&mut reducer, START + Millis(10), FleetChange::Upstream(record("u1", 20, 0)));
+    let lost = AttemptOutcome::Lost { delivered: false };
+    let ended = DirectEvent::Ended(RequestNumber(1), lost);
+    let effects = reducer.reduce(START + Millis(20), ended);
+    assert_matches!(effects.first(), Some(DirectEffect::Refuse(RequestNumber(1), _)));
+}
--- a/mustardrill_core/tests/stock.rs
+++ b/mustardrill_core/tests/stock.rs
@@ -11,33 +11,19 @@
 };
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
 use mustardrill_core::stock::{
-    EngineView, HoldingNews, StockEffect, StockEvent, StockReducer, StockSettings, TurnSettings,
-    VersionId, WeightSource, is_worth_loading, turn_of,
+    EngineView, HoldingNews, StockEffect, StockEvent, StockReducer, StockSettings, VersionId,
+    WeightSource, is_worth_loading, turn_of,
 };
 use mustardrill_core::transfer::{ChunkSource, DrawOutcome, TransferSettings};
 use mustardrill_types::{
     ByteSize, ChunkIndex, FastMap, Generation, InstanceId, ManifestDigest, Millis, Moment,
-    ServiceName, StoreRevision, WeightVersion,
+    ServiceName, StartStamp, StoreRevision, WeightVersion,
 };
 
+mod common;
+
 const START: Moment = Moment(50_000);
 const TOTAL: u32 = 8;
-const TURNS: TurnSettings =
-    TurnSettings { first: Millis(3_600), last: Millis(6_500), switch: Millis(2_000) };
-
-fn settings() -> StockSettings {
-    StockSettings {
-        own: "10.0.0.1".parse().unwrap(),
-        data_centre: "hall-a".parse().unwrap(),
-        service: "pool".parse().unwrap(),
-        engine: SocketAddr::from(([10, 0, 0, 1], 8001)),
-        port: 7701,
-        transfer: TransferSettings { homes: true, far_drawers: 1, ..TransferSettings::default() },
-        turns: TURNS,
-        tell_every: Millis(35),
-    }
-}
-
 fn document() -> Arc<RouteDocument> {
     let engine = EngineProfile {
         models: vec![ModelProfile { name: "m".parse().unwrap(), load_time: Millis(300) }],
@@ -67,6 +53,7 @@
 fn upstream(id: &str, host: u8) -> FleetChange {
     FleetChange::Upstream(UpstreamRecord {
         id: id.parse().unwrap(),
+        start: StartStamp(1),
         service: "pool".parse().unwrap(),
         address: SocketAddr::from(([10, 0, 0, host], 8001)),
         data_centre: "hall-a".parse().unwrap(),
@@ -84,7 +71,12 @@
     let model = "m".parse().unwrap();
     let served = ServedWeights { model, version: WeightVersion(version) };
     let serving = if version > 0 { vec![served] } else { Vec::new() };
-    StockEvent::EngineSeen(Some(EngineView { busy: false, sequence, serving }))
+    StockEvent::EngineSeen(Some(EngineView {
+        busy: false,
+        sequence,
+        serving,
+        ..EngineView::default()
+    }))
 }
 
 fn version(number: u64) -> VersionId {
@@ -117,7 +109,7 @@
 
 /// An agent alone in its service, whose engine serves version 1.
 fn agent() -> StockReducer {
-    let mut reducer = StockReducer::new(settings(), 3);
+    let mut reducer = StockReducer::new(common::stock_settings(), 3);
     let changes = vec![FleetChange::Configured(document()), upstream("i-1", 1)];
     reducer.reduce(START, fleet(changes, true));
     reducer.reduce(START, engine(1, 0));
@@ -153,7 +145,7 @@
 
 #[test]
 fn an_empty_engine_is_filled_and_loads_at_once() {
-    let mut reducer = StockReducer::new(settings(), 3);
+    let mut reducer = StockReducer::new(common::stock_settings(), 3);
     let changes = vec![FleetChange::Configured(document()), upstream("i-1", 1)];
     reducer.reduce(START, fleet(changes, true));
     let effects = reducer.reduce(START, engine(0, 0));
@@ -190,7 +182,7 @@
 fn newer_weights_load_at_their_turn_after_they_were_read_back() {
     let mut reducer = staged();
     assert_eq!(reducer.reduce(START + Millis(3_000), StockEvent::Woke).len(), 1, "tells only");
-    let turn = START + TURNS.first;
+    let turn = START + common::TURNS.first;
     let effects = reducer.reduce(turn, StockEvent::Woke);
     assert!(effects.contains(&StockEffect::ReadBack(version(2))), "{effects:?}");
     let effects = reducer.reduce(turn, StockEvent::ReadBack(version(2), whole()));
@@ -209,7 +201,7 @@
 #[test]
 fn a_chunk_that_turned_bad_is_drawn_anew_before_any_order() {
     let mut reducer = staged();
-    let turn = START + TURNS.first;
+    let turn = START + common::TURNS.first;
     reducer.reduce(turn, StockEvent::Woke);
     let mut spoilt = whole();
     spoilt.remove(ChunkIndex(5));
@@ -225,7 +217,7 @@
 #[test]
 fn an_order_that_was_not_taken_is_given_again() {
     let mut reducer = staged();
-    let turn = START + TURNS.first;
+    let turn = START + common::TURNS.first;
     reducer.reduce(turn, StockEvent::Woke);
     reducer.reduce(turn, StockEvent::ReadBack(version(2), whole()));
     reducer.reduce(turn, StockEvent::Ordered(version(2), false));
@@ -239,7 +231,7 @@
 #[test]
 fn what_is_staged_stays_until_the_engine_has_taken_the_order() {
     let mut reducer = staged();
-    let turn = START + TURNS.first;
+    let turn = START + common::TURNS.first;
     reducer.reduce(turn, StockEvent::Woke);
     reducer.reduce(turn, StockEvent::ReadBack(version(2), whole()));
     let effects = reducer.reduce(turn, fleet(vec![named(3)], false));
@@ -252,8 +244,8 @@
 fn a_version_that_is_not_loaded_is_dropped_for_one_that_follows_soon() {
     let soon = START + Millis(4_000);
     let late = START + Millis(6_000);
-    assert!(!is_worth_loading(START, soon, TURNS));
-    assert!(is_worth_loading(START, late, TURNS));
+    assert!(!is_worth_loading(START, soon, common::TURNS));
+    assert!(is_worth_loading(START, late, common::TURNS));
     let mut reducer = staged();
     let effects = reducer.reduce(START + Millis(2_000), fleet(vec![named(3)], false));
     assert!(effects.contains(&StockEffect::DropList(version(2))), "{effects:?}");
@@ -301,7 +293,7 @@
                 stall_after: Millis(500),
                 ..TransferSettings::default()
             },
-            ..settings()
+            ..common::stock_settings()
         },
         3,
     );
@@ -361,7 +353,8 @@
     let mut asking = 0;
     for host in 1..=FLEET {
         let own = format!("10.0.0.{host}").parse().unwrap();
-        let mut reducer = StockReducer::new(StockSettings { own, ..settings() }, u64::from(host));
+        let mut reducer =
+            StockReducer::new(StockSettings { own, ..common::stock_settings() }, u64::from(host));
         reducer.reduce(START, fleet(changes.clone(), true));
         let mut effects = reducer.reduce(START, engine(0, 0));
         for step in 1..=18 {
@@ -380,7 +373,7 @@
 /// well send nothing to engines without it, and a turn would be waited for in vain.
 #[test]
 fn an_agent_that_starts_loads_what_was_named_before_without_a_turn() {
-    let mut reducer = StockReducer::new(settings(), 3);
+    let mut reducer = StockReducer::new(common::stock_settings(), 3);
     let changes = vec![FleetChange::Configured(document()), upstream("i-1", 1), named(2)];
     reducer.reduce(START, fleet(changes, true));
     reducer.reduce(START, engine(1, 0));
@@ -461,9 +454,9 @@
                 chunk_patience: Millis(10_000),
                 // As many as each agent is the home of, so that all are asked for in their turns.
                 origin_window: 2,
-                ..settings().transfer
+                ..common::stock_settings().transfer
             };
-            let settings = StockSettings { own: own.clone(), transfer, ..settings() };
+            let settings = StockSettings { own: own.clone(), transfer, ..common::stock_settings() };
             let mut reducer = StockReducer::new(settings, u64::from(host));
             reducer.reduce(START, fleet(changes.to_vec(), true));
             reducer.reduce(START, engine(1, 0));
--- a/mustardrill_runtime/src/border.rs
+++ b/mustardrill_runtime/src/border.rs
@@ -12,7 +12,7 @@
     DirectRequest, FleetPage, LoadReport, PeerRecord, RequestNumber, SendPlan, ServedWeights,
 };
 use mustardrill_types::{
-    ChunkIndex, Millis, ModelName, Moment, ResultCode, StoreRevision, WeightVersion,
+    ChunkIndex, Millis, ModelName, Moment, ResultCode, StartStamp, StoreRevision, WeightVersion,
 };
 
 /// Why the platform's store did not do what it was asked.
@@ -143,6 +143,8 @@
 /// What an engine says of itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EngineState {
+    /// Which start of it this is.
+    pub start: StartStamp,
     /// Whether an order is in progress.
     pub busy: bool,
     /// How many orders it has taken since its start.
--- a/mustardrill_runtime/src/fleet_digest.rs
+++ b/mustardrill_runtime/src/fleet_digest.rs
@@ -11,7 +11,7 @@
     RouteDocument, ServedWeights, ServiceProfile, UpstreamRecord,
 };
 use mustardrill_types::{
-    ByteSize, FastMap, Generation, Millis, ServiceName, StoreRevision, WeightVersion,
+    ByteSize, FastMap, Generation, Millis, ServiceName, StartStamp, StoreRevision, WeightVersion,
 };
 use prost::Message;
 
@@ -86,7 +86,7 @@
 /// An upstream.
 #[derive(Clone, PartialEq, Message)]
 pub struct UpstreamDigest {
-    /// This start of it.
+    /// Its name.
     #[prost(string, tag = "1")]
     pub id: String,
     /// Where it listens.
@@ -101,6 +101,9 @@
     /// The weights that it holds whole.
     #[prost(message, repeated, tag = "5")]
     pub serving: Vec<ModelDigest>,
+    /// Which start of it this is, in Unix milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub start: u64,
 }
 
 /// An entry.
@@ -244,6 +247,7 @@
         data_centre: record.data_centre.to_string(),
         leaving: record.leaving,
         serving: serving.collect(),
+        start: record.start.0,
     }
 }
 
@@ -255,6 +259,7 @@
     }
     Some(UpstreamRecord {
         id: digest.id.parse().ok()?,
+        start: StartStamp(digest.start),
         service: service.clone(),
         address: digest.address.parse().ok()?,
         data_centre: digest.data_centre.parse().ok()?,
--- a/mustardrill_runtime/tests/fleet_digests.rs
+++ b/mustardrill_runtime/tests/fleet_digests.rs
@@ -8,7 +8,7 @@
 };
 use mustardrill_runtime::fleet_digest::FleetDigest;
 use mustardrill_types::{
-    ByteSize, FastMap, Generation, Millis, ServiceName, StoreRevision, WeightVersion,
+    ByteSize, FastMap, Generation, Millis, ServiceName, StartStamp, StoreRevision, WeightVersion,
 };
 
 fn document() -> Arc<RouteDocument> {
@@ -38,6 +38,7 @@
     let served = ServedWeights { model: "m".parse().unwrap(), version: WeightVersion(2) };
     UpstreamRecord {
         id: id.parse().unwrap(),
+        start: StartStamp(1),
         service: service.parse().unwrap(),
         address: "10.1.0.5:8001".parse().unwrap(),
         data_centre: "hall-a".parse().unwrap(),
--- a/mustardrill_types/src/id.rs
+++ b/mustardrill_types/src/id.rs
@@ -153,6 +153,14 @@
     WeightVersion,
     u64
 );
+number_type!(
+    /// When an upstream started, in Unix milliseconds by its own clock; zero where it does not say.
+    ///
+    /// An upstream may start again under the id that it had. The later start knows nothing of the
+    /// earlier one, so what is believed of an upstream belongs to one start of it.
+    StartStamp,
+    u64
+);
 number_type!(
     /// A state of the platform's store; each change has a higher one.
     StoreRevision,
