Entries wait for the one that draws an item, and ask an origin that is away once in each rest

Ruled out: the origin's limit of connections (68 refusals after its return, all of the first second). Now an entry that draws says so after 0.3 s and is asked again; one that can't have it now is rested from for 0.15 s, not left; one call in 0.2 s finds out whether the origin is back.

--- a/mustardrill_agent/src/stock/effects.rs
+++ b/mustardrill_agent/src/stock/effects.rs
@@ -14,7 +14,7 @@
 use mustardrill_core::transfer::{ChunkDraw, ChunkSource, DrawOutcome};
 use mustardrill_runtime::border::{ChunkList, FleetPart, OrderAnswer, StoreError};
 use mustardrill_runtime::datagram::{Datagram, EngineRow};
-use mustardrill_runtime::http::{CallError, request};
+use mustardrill_runtime::http::request;
 use mustardrill_runtime::peer_call::PeerCall;
 use mustardrill_types::{ChunkIndex, Millis, ModelName};
 use tokio_util::sync::CancellationToken;
@@ -28,6 +28,10 @@
 /// The largest chunk or list taken from another agent.
 const PEER_LIMIT: usize = 4 << 20;
 
+/// How often a chunk is asked for that an entry says to be drawing, each time for some 300 ms. More
+/// would outlast the least patience of a draw, whose end speaks ill of the entry.
+const PENDING_ASKS: usize = 3;
+
 /// How long another agent may take for a list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -202,19 +206,22 @@
         order.address,
         PeerCall::Chunk(order.version.clone(), order.draw.index)
     );
-    let call = request("GET", &uri, Bytes::new());
-    let answer = context.client.call(call, order.draw.patience.to_std(), PEER_LIMIT).await;
-    match answer {
-        Ok(answer) if answer.status == StatusCode::OK => Ok(answer.body),
-        Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
-            Err(DrawOutcome::Busy(Vec::new()))
-        }
-        Ok(_) => Err(DrawOutcome::Missing),
-        Err(CallError::BadBody | CallError::NoAnswer { .. } | CallError::Timeout) => {
-            Err(DrawOutcome::Failed)
+    for _ in 0..PENDING_ASKS {
+        let call = request("GET", &uri, Bytes::new());
+        let answer = context.client.call(call, order.draw.patience.to_std(), PEER_LIMIT).await;
+        let answer = answer.map_err(|error| {
+            log::debug!("chunk call={uri} outcome=failed reason=\"{error}\"");
+            DrawOutcome::Failed
+        })?;
+        match answer.status {
+            StatusCode::OK => return Ok(answer.body),
+            // It is being drawn.
+            StatusCode::ACCEPTED => {}
+            StatusCode::SERVICE_UNAVAILABLE => return Err(DrawOutcome::Busy(Vec::new())),
+            _ => return Err(DrawOutcome::Missing),
         }
-        Err(CallError::NotSent { .. }) => Err(DrawOutcome::Failed),
     }
+    Err(DrawOutcome::Busy(Vec::new()))
 }
 
 /// Reads all staged chunks back and says which are whole.
--- a/mustardrill_core/src/relays.rs
+++ b/mustardrill_core/src/relays.rs
@@ -36,6 +36,46 @@
     Chunk(ChunkIndex),
 }
 
+/// Whether the origin may be asked by one entry, after it could not be reached.
+///
+/// Load pattern: the origin is away for some seconds while a version is drawn. Each chunk that
+/// anybody waits for failed within a millisecond and was asked for anew: 13 entries made 300 to
+/// 850 calls a second in vain, whose logs and connections took processor time from callers. Now
+/// one call in each rest finds out for all.
+#[derive(Debug, Default)]
+pub struct OriginGate {
+    closed_until: Option<Moment>,
+}
+
+/// How long an origin that can't be reached is left alone: it is found again within this after
+/// its return, which is a tenth of what a copy takes over its link.
+const ORIGIN_REST: Millis = Millis(200);
+
+impl OriginGate {
+    /// Whether a call may go out now. After a failure one may in each rest, the others not until
+    /// it has come back with an answer.
+    pub fn pass(&mut self, now: Moment) -> bool {
+        match self.closed_until {
+            None => true,
+            Some(until) if now < until => false,
+            Some(_) => {
+                self.closed_until = Some(now + ORIGIN_REST);
+                true
+            }
+        }
+    }
+
+    /// Notes that the origin could not be reached.
+    pub fn failed(&mut self, now: Moment) {
+        self.closed_until = Some(now + ORIGIN_REST);
+    }
+
+    /// Notes that it answered.
+    pub fn answered(&mut self) {
+        self.closed_until = None;
+    }
+}
+
 impl RelayTable {
     /// Takes the entries that there are; what is known of failures stays.
     pub fn set(&mut self, relays: Vec<PeerRecord>) {
--- a/mustardrill_core/src/transfer/mod.rs
+++ b/mustardrill_core/src/transfer/mod.rs
@@ -47,6 +47,8 @@
     pace: Millis,
     novelty: Moment,
     origin_rest: Moment,
+    /// Entries are asked for nothing until then.
+    relay_rest: Moment,
     started: Moment,
     random: SmallRng,
     counts: TransferCounts,
@@ -85,6 +87,7 @@
             pace: Millis(settings.chunk_patience.0 / PATIENCE_PACES),
             novelty: now,
             origin_rest: now,
+            relay_rest: now,
             started: now,
             random: SmallRng::seed_from_u64(seed),
             counts: TransferCounts::default(),
--- a/mustardrill_core/src/transfer/relayed.rs
+++ b/mustardrill_core/src/transfer/relayed.rs
@@ -14,6 +14,13 @@
 /// bounds are made for it takes 80 to 140 ms.
 const SLOW_PACE: Millis = Millis(250);
 
+/// How long entries are left alone of which one says that the origin can't be had.
+///
+/// Load pattern: the origin is away. Counted as failed, the entries were left one after the other,
+/// until each agent asked the origin itself; on its return all of them drew the same chunks from
+/// it, and the first engine had them after 8 s. The rest is about what entries take to notice.
+const RELAY_REST: Millis = Millis(150);
+
 /// With each time of so many stalls that passes, one more instance asks far entries for a chunk
 /// that none here shows.
 const STALLS_A_HOME: u64 = 4;
@@ -72,6 +79,9 @@
         now: Moment,
         duty: RelayDuty,
     ) -> Option<(ChunkIndex, InstanceId)> {
+        if now < self.relay_rest {
+            return None;
+        }
         let waited = now.since(self.started);
         if duty == RelayDuty::None || (duty != RelayDuty::All && waited < PEERS_FIRST) {
             return None;
@@ -90,10 +100,15 @@
     }
 
     pub(super) fn relay_failed(&mut self, now: Moment, id: &InstanceId, outcome: &DrawOutcome) {
-        if *outcome == DrawOutcome::Corrupt {
-            self.counts.corrupt_chunks += 1;
+        match outcome {
+            // It is well; nobody has the chunk yet.
+            DrawOutcome::Busy(_) => self.relay_rest = now + RELAY_REST,
+            DrawOutcome::Corrupt => {
+                self.counts.corrupt_chunks += 1;
+                self.relays.failed(now, id);
+            }
+            _ => self.relays.failed(now, id),
         }
-        self.relays.failed(now, id);
     }
 
     fn nearest_relay(&self, now: Moment, item: RelayItem) -> Option<&PeerRecord> {
--- a/mustardrill_core/tests/relays.rs
+++ b/mustardrill_core/tests/relays.rs
@@ -5,7 +5,7 @@
 
 use mustardrill_core::direct::PeerRecord;
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
-use mustardrill_core::relays::{RelayItem, RelayTable};
+use mustardrill_core::relays::{OriginGate, RelayItem, RelayTable};
 use mustardrill_core::transfer::{
     ChunkDraw, ChunkSource, DrawOutcome, TransferPeer, TransferPlan, TransferSettings,
 };
@@ -194,6 +194,36 @@
     assert!(of_relays(&draws).is_empty());
 }
 
+/// Asked for by each agent itself, the origin would send every chunk many times on its return.
+#[test]
+fn entries_that_wait_for_the_origin_are_asked_again_and_the_origin_is_not() {
+    let mut plan = plan("10.0.0.1", settings(true), &[relay("e-1", "hall-a", 100)]);
+    let mut asked = 0;
+    for step in 0..60 {
+        let now = START + Millis(step * 100);
+        for draw in plan.next_draws(now) {
+            assert!(matches!(draw.source, ChunkSource::Relay(_)), "{draw:?}");
+            asked += 1;
+            plan.finished(now, draw.index, &draw.source, &DrawOutcome::Busy(Vec::new()));
+        }
+    }
+    assert!((30..=100).contains(&asked), "{asked} questions in 6 s");
+    let now = START + Millis(6_200);
+    let draws = plan.next_draws(now);
+    assert_eq!(of_relays(&draws), [0, 1, 2], "and at once when they have it");
+}
+
+#[test]
+fn one_call_in_each_rest_finds_out_whether_the_origin_is_back() {
+    let mut gate = OriginGate::default();
+    assert!(gate.pass(START) && gate.pass(START), "all may ask one that answers");
+    gate.failed(START);
+    let calls = (1..=50).filter(|step| gate.pass(START + Millis(step * 20))).count();
+    assert_eq!(calls, 5, "in 1 s");
+    gate.answered();
+    assert!((0..10).all(|_| gate.pass(START + Millis(1_001))), "all may ask at once");
+}
+
 /// Requests wait behind the chunks that are before a link.
 #[test]
 fn a_link_that_has_narrowed_gets_one_chunk_at_a_time() {
--- a/mustardrill_entry/src/direct/relay.rs
+++ b/mustardrill_entry/src/direct/relay.rs
@@ -12,9 +12,9 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use kameo::prelude::*;
-use log::info;
+use log::{info, warn};
 use mustardrill_core::direct::{OriginProfile, PeerRecord};
-use mustardrill_core::relays::{RelayItem, RelayTable};
+use mustardrill_core::relays::{OriginGate, RelayItem, RelayTable};
 use mustardrill_core::stock::VersionId;
 use mustardrill_runtime::border::ChunkList;
 use mustardrill_runtime::fleet_digest::FleetDigest;
@@ -31,12 +31,20 @@
 /// How long a connection to another entry may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How long another entry may take to hand an item on, which it may have to draw first: some
-/// chunks' time on the origin's link. Agents wait longer, so that this entry tries others.
+/// How long a call waits for an item that is being drawn before it is told so: whoever asks can
+/// tell an entry that draws from one that is gone within a fraction of a second.
+const HOLD_TIME: Duration = Duration::from_millis(300);
+
+/// How long another entry may take for an answer of any kind: `HOLD_TIME` and a chunk's time on a
+/// link that is shared.
 const HAND_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// The entries that are asked to draw an item before this one does so itself.
-const DRAWERS_ASKED: usize = 2;
+/// How long an entry that draws an item is waited for. Drawing it a second time instead slows the
+/// first: after an origin's return four copies went over its link in 8 s, in place of one in 2 s.
+const LONGEST_HAND: Duration = Duration::from_millis(4_000);
+
+/// The entries that are asked to draw an item: some may have lost their way to the origin.
+const DRAWERS_ASKED: usize = 3;
 
 /// Chunks drawn from the origin at once by one entry: enough to keep its link busy, and few enough
 /// that the list of the next version doesn't wait long behind them. With 12 chunks in flight over
@@ -55,8 +63,26 @@
 /// What is handed on, of which version.
 type ItemKey = (VersionId, RelayItem);
 
-/// The bytes of an item that is drawn or kept; nothing where it could not be had.
-type ItemFetch = Shared<BoxFuture<'static, Option<Bytes>>>;
+/// The bytes of an item that is drawn or kept.
+type ItemFetch = Shared<BoxFuture<'static, Result<Bytes, ItemMiss>>>;
+
+/// Why an item can't be handed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ItemMiss {
+    /// This entry does not know the origin yet; another one may.
+    Unconfigured,
+    /// Whoever draws it can't have it now; asking others would be in vain.
+    NotNow,
+}
+
+/// Why another entry did not hand an item on.
+#[derive(Debug)]
+enum HandError {
+    /// It can't have it now.
+    NotNow,
+    /// It does not answer, or not as it should.
+    Failed(Box<str>),
+}
 
 /// Answers calls for lists and chunks.
 #[derive(Clone)]
@@ -73,6 +99,7 @@
 #[derive(Debug, Default)]
 struct RelayState {
     table: RelayTable,
+    gate: OriginGate,
     fetches: FastMap<ItemKey, ItemFetch>,
     /// The items that are whole, the oldest first.
     whole: VecDeque<(ItemKey, usize)>,
@@ -101,20 +128,30 @@
             PeerCall::DrawnList(version) => ((version, RelayItem::List), true),
             PeerCall::DrawnChunk(version, index) => ((version, RelayItem::Chunk(index)), true),
         };
-        match self.item(key, drawn).await {
-            Some(bytes) => {
-                let now = self.context.clock.now();
-                let Some(wait) = self.uploads.accept(now, bytes.len(), LONGEST_QUEUE) else {
-                    return text_response(StatusCode::SERVICE_UNAVAILABLE, "busy\n");
-                };
-                tokio::time::sleep(wait.to_std()).await;
-                let _ = self.context.metrics.count("relay_bytes.given", bytes.len() as i64);
-                Response::new(whole_body(bytes))
+        match tokio::time::timeout(HOLD_TIME, self.item(key, drawn)).await {
+            Ok(Ok(bytes)) => self.hand(bytes).await,
+            Ok(Err(ItemMiss::Unconfigured)) => {
+                text_response(StatusCode::NOT_FOUND, "no configuration yet\n")
             }
-            None => text_response(StatusCode::SERVICE_UNAVAILABLE, "not to be had now\n"),
+            Ok(Err(ItemMiss::NotNow)) => {
+                text_response(StatusCode::SERVICE_UNAVAILABLE, "not to be had now\n")
+            }
+            Err(_) => text_response(StatusCode::ACCEPTED, "being drawn\n"),
         }
     }
 
+    /// Gives the bytes once the link has room for them.
+    async fn hand(&self, bytes: Bytes) -> AnyResponse {
+        let now = self.context.clock.now();
+        let Some(wait) = self.uploads.accept(now, bytes.len(), LONGEST_QUEUE) else {
+            tokio::time::sleep(HOLD_TIME).await;
+            return text_response(StatusCode::ACCEPTED, "others go first\n");
+        };
+        tokio::time::sleep(wait.to_std()).await;
+        let _ = self.context.metrics.count("relay_bytes.given", bytes.len() as i64);
+        Response::new(whole_body(bytes))
+    }
+
     /// What agents of a service need of the fleet.
     async fn tell_fleet(&self, service: &ServiceName) -> AnyResponse {
         let page = self.actor.ask(FleetQuery).await.ok();
@@ -138,57 +175,59 @@
             let bytes = relay.fetch(&wanted, drawn).await;
             relay.state.lock().expect("no holder panics").ended(
                 wanted,
-                bytes.as_ref().map(Bytes::len),
+                bytes.as_ref().ok().map(Bytes::len),
                 relay.context.config.relay_memory,
             );
             bytes
         });
-        let fetch = task.map(|ended| ended.ok().flatten()).boxed().shared();
+        let fetch = task.map(|ended| ended.unwrap_or(Err(ItemMiss::NotNow))).boxed().shared();
         state.fetches.insert(key, fetch.clone());
         fetch
     }
 
-    async fn fetch(&self, key: &ItemKey, drawn: bool) -> Option<Bytes> {
-        let reply = self.actor.ask(RelayQuery).await.ok()?;
-        let origin = reply.origin?;
+    async fn fetch(&self, key: &ItemKey, drawn: bool) -> Result<Bytes, ItemMiss> {
+        let reply = self.actor.ask(RelayQuery).await.map_err(|_| ItemMiss::Unconfigured)?;
+        let origin = reply.origin.ok_or(ItemMiss::Unconfigured)?;
         let list = match key.1 {
             RelayItem::List => None,
             RelayItem::Chunk(_) => Some(self.list(&key.0).await?),
         };
-        if !drawn {
-            for relay in self.drawers(key, &origin, reply.peers) {
-                if relay.id == self.context.config.direct.own {
-                    break;
-                }
-                match self.ask_relay(key, list.as_deref(), &relay).await {
-                    Ok(bytes) => return Some(bytes),
-                    Err(reason) => self.note_failure(key, &relay, &reason),
+        let mut is_mine = true;
+        let drawers = if drawn { Vec::new() } else { self.drawers(key, &origin, reply.peers) };
+        for relay in drawers {
+            is_mine = relay.id == self.context.config.direct.own;
+            if is_mine {
+                break;
+            }
+            match self.ask_relay(key, list.as_deref(), &relay).await {
+                Ok(bytes) => return Ok(bytes),
+                Err(HandError::NotNow) => {}
+                Err(HandError::Failed(reason)) => {
+                    self.note_failure(key, &relay, &reason);
+                    is_mine = true;
                 }
             }
         }
-        match self.ask_origin(key, list.as_deref(), &origin).await {
-            Ok(bytes) => Some(bytes),
-            Err(reason) => {
-                info!(
-                    "relay version={} item={:?} source=origin outcome=failed reason=\"{reason}\"",
-                    key.0, key.1
-                );
-                None
-            }
+        if !is_mine {
+            return Err(ItemMiss::NotNow);
         }
+        self.ask_origin(key, list.as_deref(), &origin).await
     }
 
     /// The list by which chunks are verified.
-    async fn list(&self, version: &VersionId) -> Option<Arc<ChunkList>> {
+    async fn list(&self, version: &VersionId) -> Result<Arc<ChunkList>, ItemMiss> {
         if let Some(list) = self.state.lock().expect("no holder panics").lists.get(version) {
-            return Some(list.clone());
+            return Ok(list.clone());
         }
         let published = self.item((version.clone(), RelayItem::List), false).await?;
-        let list = self.context.borders.origin.read_list(published).ok()?;
+        let list = self.context.borders.origin.read_list(published).map_err(|reason| {
+            warn!("list version={version} outcome=unreadable reason=\"{reason}\"");
+            ItemMiss::NotNow
+        })?;
         let list = Arc::new(list);
         let mut state = self.state.lock().expect("no holder panics");
         state.lists.insert(version.clone(), list.clone());
-        Some(list)
+        Ok(list)
     }
 
     /// Who draws an item, the first in rank first, this entry among them.
@@ -216,30 +255,68 @@
         self.state.lock().expect("no holder panics").table.failed(now, &relay.id);
     }
 
+    /// Asks another entry for an item, for as long as that entry says that it draws it.
     async fn ask_relay(
         &self,
         (version, item): &ItemKey,
         list: Option<&ChunkList>,
         relay: &PeerRecord,
-    ) -> Result<Bytes, Box<str>> {
+    ) -> Result<Bytes, HandError> {
         let call = match item {
             RelayItem::List => PeerCall::DrawnList(version.clone()),
             RelayItem::Chunk(index) => PeerCall::DrawnChunk(version.clone(), *index),
         };
         let uri = format!("http://{}{call}", relay.address);
-        let call = self.client.call(request("GET", &uri, Bytes::new()), HAND_TIMEOUT, ITEM_LIMIT);
-        let answer = call.await.map_err(|error| error.to_string())?;
-        if answer.status != StatusCode::OK {
-            return Err(format!("status {}", answer.status).into());
+        let failed = |reason: String| HandError::Failed(reason.into());
+        let until = tokio::time::Instant::now() + LONGEST_HAND;
+        while tokio::time::Instant::now() < until {
+            let call = request("GET", &uri, Bytes::new());
+            let answer = self.client.call(call, HAND_TIMEOUT, ITEM_LIMIT).await;
+            let answer = answer.map_err(|error| failed(error.to_string()))?;
+            match answer.status {
+                StatusCode::OK => {
+                    return self.verified(*item, list, answer.body).map_err(HandError::Failed);
+                }
+                StatusCode::ACCEPTED => {}
+                StatusCode::SERVICE_UNAVAILABLE => return Err(HandError::NotNow),
+                status => return Err(failed(format!("status {status}"))),
+            }
         }
-        self.verified(*item, list, answer.body)
+        Err(HandError::NotNow)
     }
 
     async fn ask_origin(
         &self,
-        (version, item): &ItemKey,
+        key: &ItemKey,
         list: Option<&ChunkList>,
         origin: &OriginProfile,
+    ) -> Result<Bytes, ItemMiss> {
+        let now = self.context.clock.now();
+        if !self.state.lock().expect("no holder panics").gate.pass(now) {
+            return Err(ItemMiss::NotNow);
+        }
+        let drawn = self.draw(key, origin).await;
+        let now = self.context.clock.now();
+        let gate = &mut self.state.lock().expect("no holder panics").gate;
+        match &drawn {
+            Ok(_) => gate.answered(),
+            Err(_) => gate.failed(now),
+        }
+        // What comes spoilt was sent by an origin that is there.
+        drawn.and_then(|bytes| self.verified(key.1, list, bytes)).map_err(|reason| {
+            info!(
+                "relay version={} item={:?} source=origin outcome=failed reason=\"{reason}\"",
+                key.0, key.1
+            );
+            ItemMiss::NotNow
+        })
+    }
+
+    /// Draws an item from the origin.
+    async fn draw(
+        &self,
+        (version, item): &ItemKey,
+        origin: &OriginProfile,
     ) -> Result<Bytes, Box<str>> {
         let source = &self.context.borders.origin;
         let VersionId { model, version } = version;
@@ -251,7 +328,7 @@
             }
         };
         let _ = self.context.metrics.count("relay_bytes.drawn", bytes.len() as i64);
-        self.verified(*item, list, bytes)
+        Ok(bytes)
     }
 
     /// Hands nothing on that is not what the origin published.
