--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -54,6 +54,16 @@
     pub(super) taken: bool,
 }
 
+/// The list of a version that follows the one under way, or the tries to get it.
+#[derive(Debug)]
+pub(super) struct FollowingList {
+    pub(super) version: VersionId,
+    /// The list, and since when it is here.
+    pub(super) list: Option<(Arc<Manifest>, Moment)>,
+    next_try: Moment,
+    tries: u32,
+}
+
 /// The state of one agent.
 #[derive(Debug)]
 pub struct StockReducer {
@@ -76,6 +86,8 @@
     pub(super) told: Moment,
     /// The chunks that others awaited from here when they were told last.
     pub(super) told_awaited: usize,
+    /// The list of a version that is to follow the one under way.
+    pub(super) following: Option<FollowingList>,
     /// When a list was last fetched for others.
     pub(super) list_lent: Moment,
     /// The version of which the entries were told that it is coming.
@@ -102,6 +114,7 @@
             staged: None,
             told: Moment(0),
             told_awaited: 0,
+            following: None,
             list_lent: Moment(0),
             announced: None,
             inspect: true,
@@ -362,8 +375,8 @@
             self.wanted = Some(target);
             return Vec::new();
         }
-        if self.loads_older() {
-            return Vec::new();
+        if self.keeps_older(&target) {
+            return self.ask_following(now, target);
         }
         let flights = self.plan().map(TransferPlan::flights).unwrap_or_default().into_iter();
         let cancel = |(index, source)| StockEffect::CancelDraw(index, source);
@@ -377,6 +390,28 @@
             self.inspect
         );
         self.stage = Some(StockStage::Listing { next_try: now, tries: 0 });
+        let following = self.following.take().filter(|following| following.version == target);
+        if let Some((list, _)) = following.and_then(|following| following.list) {
+            effects.extend(self.begin(now, target, list));
+        }
+        effects
+    }
+
+    /// Asks for the list of the version that follows the one under way, until it is here.
+    fn ask_following(&mut self, now: Moment, target: VersionId) -> Vec<StockEffect> {
+        let same = self.following.take().filter(|following| following.version == target);
+        let mut following = same.unwrap_or_else(|| {
+            info!("weights version={target} decision=await-list");
+            FollowingList { version: target.clone(), list: None, next_try: now, tries: 0 }
+        });
+        let mut effects = Vec::new();
+        if following.list.is_none() && following.next_try <= now {
+            let sources = self.list_sources(now, &target, following.tries);
+            following.next_try = now + self.list_pause(following.tries);
+            following.tries += 1;
+            effects.push(StockEffect::FetchList(target, sources));
+        }
+        self.following = Some(following);
         effects
     }
 
@@ -455,11 +490,22 @@
         version: VersionId,
         list: Option<Arc<Manifest>>,
     ) -> Vec<StockEffect> {
+        let Some(list) = list else { return Vec::new() };
+        if let Some(following) = &mut self.following
+            && following.version == version
+        {
+            following.list.get_or_insert((list, now));
+            return Vec::new();
+        }
         let Some(StockStage::Listing { .. }) = &self.stage else { return Vec::new() };
         if self.wanted.as_ref() != Some(&version) {
             return Vec::new();
         }
-        let Some(list) = list else { return Vec::new() };
+        self.begin(now, version, list)
+    }
+
+    /// Begins to draw the chunks of a list.
+    fn begin(&mut self, now: Moment, version: VersionId, list: Arc<Manifest>) -> Vec<StockEffect> {
         let peers = self.transfer_peers();
         let own = TransferPeer {
             id: self.settings.own.clone(),
--- a/mustardrill_core/src/stock/turn.rs
+++ b/mustardrill_core/src/stock/turn.rs
@@ -26,9 +26,10 @@
 /// Load pattern: versions named a few seconds apart. Dropping the older one leaves the engine
 /// without requests from the end of the time of what it serves until the newer one has come.
 /// Loading it costs about as much as a pause of `switch` for what the engine must finish first,
-/// and once more for the newer one.
-pub fn is_worth_loading(older: Moment, newer: Moment, settings: TurnSettings) -> bool {
-    let newer_there = newer + settings.first;
+/// and once more for the newer one. `older` is when the older one was named, `listed` when the
+/// newer one's list came: from then on its chunks can be drawn.
+pub fn is_worth_loading(older: Moment, listed: Moment, settings: TurnSettings) -> bool {
+    let newer_there = listed + settings.first;
     newer_there > older + settings.last + settings.switch
 }
 
