Trial: each engine loads at its turn what is the newest that can be there by then

Hypothesis: dropped at the naming of the next, an older version leaves most engines to load the newer one within 0.2 s of each other; loaded by those whose turn is before the newer one can be staged, the loads are spread.

--- a/mustardrill_core/src/stock/mod.rs
+++ b/mustardrill_core/src/stock/mod.rs
@@ -16,4 +16,4 @@
     WeightSource,
 };
 pub use reducer::StockReducer;
-pub use turn::{TurnSettings, is_worth_loading, turn_of};
+pub use turn::{TurnSettings, TurnSpan};
--- a/mustardrill_core/src/stock/turn.rs
+++ b/mustardrill_core/src/stock/turn.rs
@@ -17,32 +17,42 @@
     /// When the last one should: an engine that has not loaded it yet is about to be left without
     /// requests.
     pub last: Millis,
-    /// What loading costs an engine: the time until it has finished what it runs.
-    pub switch: Millis,
 }
 
-/// Whether a version that is staged but not yet loaded is loaded although a newer one was named.
-///
-/// Load pattern: versions named a few seconds apart. Dropping the older one leaves the engine
-/// without requests from the end of the time of what it serves until the newer one has come.
-/// Loading it costs about as much as a pause of `switch` for what the engine must finish first,
-/// and once more for the newer one. `older` is when the older one was named, `listed` when the
-/// newer one's list came: from then on its chunks can be drawn.
-pub fn is_worth_loading(older: Moment, listed: Moment, settings: TurnSettings) -> bool {
-    let newer_there = listed + settings.first;
-    newer_there > older + settings.last + settings.switch
+impl TurnSettings {
+    /// The turns of engines whose version was replaced at `replaced`.
+    pub fn span(&self, replaced: Moment) -> TurnSpan {
+        TurnSpan { first: replaced + self.first, last: replaced + self.last }
+    }
+
+    /// Whether a version whose list came at `listed` can be staged by `turn`.
+    pub fn is_there_by(&self, listed: Moment, turn: Moment) -> bool {
+        listed + self.first <= turn
+    }
 }
 
-/// The moment of `own`'s turn among `peers`, of all turns spread over `span`.
-pub fn turn_of(
-    span: (Moment, Moment),
-    subject: &[u8],
-    peers: &[InstanceId],
-    own: &InstanceId,
-) -> Moment {
-    let ranked = rendezvous::ranked(subject, peers, |id| id.as_str());
-    let place = ranked.iter().position(|id| *id == own).unwrap_or(0) as u64;
-    let count = ranked.len().max(1) as u64;
-    let (first, last) = span;
-    first + Millis(last.since(first).0 * place / count)
+/// The time over which engines load one after the other.
+#[derive(Debug, Clone, Copy)]
+pub struct TurnSpan {
+    /// The first one's turn.
+    pub first: Moment,
+    /// No turn is later.
+    pub last: Moment,
+}
+
+impl TurnSpan {
+    /// The turn of `own` among `peers`, all turns spread evenly over the span. Where `subject` is
+    /// the model, an engine has the same place for each version, so its loads lie as far apart as
+    /// the namings.
+    pub fn turn(&self, subject: &[u8], peers: &[InstanceId], own: &InstanceId) -> Moment {
+        let ranked = rendezvous::ranked(subject, peers, |id| id.as_str());
+        let place = ranked.iter().position(|id| *id == own).unwrap_or(0) as u64;
+        let count = ranked.len().max(1) as u64;
+        self.first + Millis(self.last.since(self.first).0 * place / count)
+    }
+
+    /// What is left of the span from `moment` on.
+    pub fn from(&self, moment: Moment) -> Self {
+        Self { first: self.first.max(moment), last: self.last.max(moment) }
+    }
 }
--- a/mustardrill_entry/src/direct/relay.rs
+++ b/mustardrill_entry/src/direct/relay.rs
@@ -348,10 +348,12 @@
 }
 
 impl RelayState {
-    /// Lets go of older versions of a model: whoever has a newer one's list has given them up.
+    /// Lets go of what is older than the version before `version`, which some engines still load.
     fn forget_before(&mut self, version: &VersionId) {
-        let is_older =
-            |other: &VersionId| other.model == version.model && other.version < version.version;
+        let older = self.fetches.keys().map(|(other, _)| other);
+        let older = older.filter(|it| it.model == version.model && it.version < version.version);
+        let Some(before) = older.map(|it| it.version).max() else { return };
+        let is_older = |other: &VersionId| other.model == version.model && other.version < before;
         self.fetches.retain(|(other, _), _| !is_older(other));
         self.lists.retain(|other, _| !is_older(other));
         self.whole.retain(|((other, _), _)| !is_older(other));
