Engines that serve the newer of two replaced versions load after the others

Hypothesis: with versions 4 s apart, engines that loaded the first one share their turns with those that dropped it and have less time; going after them, loads overlap less. An engine has the same place for each version.

--- a/mustardrill_agent/src/stock/config.rs
+++ b/mustardrill_agent/src/stock/config.rs
@@ -67,6 +67,7 @@
             turns: TurnSettings {
                 first: Millis(version.0 * FIRST_TURN_PERCENT / 100),
                 last: Millis(version.0 * LAST_TURN_PERCENT / 100),
+                switch: reader.value("weights", "switch", Millis(2_000)),
             },
             tell_every: reader.value("weights", "exchange_every", Millis(35)),
         },
--- a/mustardrill_core/src/stock/turn.rs
+++ b/mustardrill_core/src/stock/turn.rs
@@ -17,6 +17,8 @@
     /// When the last one should: an engine that has not loaded it yet is about to be left without
     /// requests.
     pub last: Millis,
+    /// How long an engine takes no requests for a load, with what it finishes first.
+    pub switch: Millis,
 }
 
 impl TurnSettings {
@@ -25,9 +27,10 @@
         TurnSpan { first: replaced + self.first, last: replaced + self.last }
     }
 
-    /// Whether a version whose list came at `listed` can be staged by `turn`.
-    pub fn is_there_by(&self, listed: Moment, turn: Moment) -> bool {
-        listed + self.first <= turn
+    /// When engines serve again that had to give up the version before `named`'s; long ago for
+    /// one that was named nobody knows when.
+    pub fn done(&self, named: Moment) -> Moment {
+        if named == Moment(0) { named } else { named + self.last + self.switch }
     }
 }
 
