Revert: entries don't take turns at an engine that has just begun to take requests

Hypothesis: the prompts of entries that go first, of which a later one can't have heard, are reckoned with, so that an engine back from loading isn't sent 12 at once.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -14,7 +14,6 @@
 use crate::direct::route::EngineProfile;
 use crate::direct::upstream::UpstreamState;
 use crate::direct::waiting::WaitRank;
-use crate::rendezvous;
 
 /// When a caller may come back where no upstream is listed.
 const NO_UPSTREAM_RETRY: Millis = Millis(500);
@@ -164,19 +163,18 @@
             let id = &upstream.record.id;
             let present = self.upstreams.present(now, id, patience);
             let slots = upstream.record.slots;
-            let reading = Millis(present.reading.0 + self.unheard_reading(now, upstream).0);
             let limit = if late {
                 pressure::late_limit(slots, self.settings.late_percent)
             } else {
                 pressure::limit(slots, self.settings.ahead)
             };
-            if present.requests >= limit || reading > self.settings.reading_limit {
+            if present.requests >= limit || present.reading > self.settings.reading_limit {
                 continue;
             }
             let cost = pressure::cost(&ChoiceInputs {
                 present: present.requests,
                 slots,
-                reading,
+                reading: present.reading,
                 far: upstream.record.data_centre != self.settings.data_centre,
                 failing: upstream.failing,
             });
@@ -187,20 +185,6 @@
         best.map(|(_, id)| id.clone())
     }
 
-    /// What other entries may have sent to an upstream that has just begun to take requests.
-    fn unheard_reading(&self, now: Moment, upstream: &UpstreamState) -> Millis {
-        let since = now.since(upstream.open_since);
-        let Some(profile) = self.profile(&upstream.record.service) else { return Millis(0) };
-        let prompt = Millis(EngineForecast::new(profile).read_ms(profile.usual_prompt) as u64);
-        if since.0 >= prompt.0 * self.peers().len() as u64 {
-            return Millis(0);
-        }
-        let subject = upstream.record.id.as_str().as_bytes();
-        let own = rendezvous::weight(subject, self.settings.own.as_str());
-        let others = self.peers().iter().map(|peer| rendezvous::weight(subject, peer.id.as_str()));
-        pressure::unheard_reading(others.filter(|weight| *weight > own).count(), prompt, since)
-    }
-
     /// Whether an upstream holds weights that the request may be run with.
     fn fits(&self, now: Moment, state: &RequestState, upstream: &UpstreamState) -> bool {
         let Some(model) = &state.model else { return true };
--- a/mustardrill_core/src/direct/pressure.rs
+++ b/mustardrill_core/src/direct/pressure.rs
@@ -21,16 +21,6 @@
     (slots * percent / 100).max(1)
 }
 
-/// The prompts, in their reading time, that an entry reckons with at an upstream which began to take
-/// requests `since` ago: those of the entries that go before it, of which it can't have heard.
-///
-/// Load pattern: an engine has loaded new weights, and every entry has requests waiting. All sent
-/// at the same moment, 12 prompts were read in one go and their first events came after 490 ms;
-/// one after the other they come when the engine has read them.
-pub(crate) fn unheard_reading(place: usize, prompt: Millis, since: Millis) -> Millis {
-    Millis((prompt.0 * place as u64).saturating_sub(since.0))
-}
-
 /// What makes an upstream a worse choice; the least goes first.
 pub(crate) struct ChoiceInputs {
     /// Requests there, of all entries.
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -108,7 +108,10 @@
                 match word {
                     EngineWord::Coming => state.expected_until = now + COMING_LIMIT,
                     EngineWord::Pausing => state.paused_until = now + PAUSE_LIMIT,
-                    EngineWord::Serving(version) => state.opened(now, &model, version),
+                    EngineWord::Serving(version) => {
+                        state.paused_until = Moment(0);
+                        state.serves(&model, version);
+                    }
                 }
                 info!("engine instance={} model={model} word={word} source=agent", state.record.id);
                 self.pump_all(now)
--- a/mustardrill_core/src/direct/upstream.rs
+++ b/mustardrill_core/src/direct/upstream.rs
@@ -53,8 +53,6 @@
     pub(crate) paused_until: Moment,
     /// Newer weights are expected there until then.
     pub(crate) expected_until: Moment,
-    /// When it began to take requests after a time in which it took none.
-    pub(crate) open_since: Moment,
     /// When it last answered anything.
     answered: Moment,
     failed_in_a_row: u32,
@@ -327,7 +325,6 @@
             failing: 0.0,
             paused_until: Moment(0),
             expected_until: Moment(0),
-            open_since: Moment(0),
             answered: Moment(0),
             failed_in_a_row: 0,
             ejections: 0,
@@ -336,15 +333,6 @@
         }
     }
 
-    /// Notes that it takes requests again, now with a version of a model.
-    pub(crate) fn opened(&mut self, now: Moment, model: &ModelName, version: WeightVersion) {
-        if self.paused_until > now {
-            self.open_since = now;
-        }
-        self.paused_until = Moment(0);
-        self.serves(model, version);
-    }
-
     /// Notes that it holds a version of a model.
     pub(crate) fn serves(&mut self, model: &ModelName, version: WeightVersion) {
         let served = self.record.serving.iter_mut().find(|served| served.model == *model);
