Agents draw while their engine starts

Cause (logs of added machines): an agent runs 1.0 s before its engine answers, and began to draw only then; 3.4 s from its start to the load. An engine that turns out to have run for longer is inspected as before. A chunk that can't be staged speaks no ill of its giver.

--- a/mustardrill_agent/src/stock/actor.rs
+++ b/mustardrill_agent/src/stock/actor.rs
@@ -21,6 +21,7 @@
 use crate::stock::config::StockConfig;
 use crate::stock::metrics::METRICS;
 use crate::stock::peers::PeerHandler;
+use crate::stock::shelf::ChunkShelf;
 use crate::stock::{effects, peers, watch};
 
 /// The platform, as the agent sees it.
@@ -50,6 +51,7 @@
     /// The uploads to other agents.
     pub(crate) uploads: UploadQueue,
     pub(crate) metrics: StatsdClient,
+    pub(crate) shelf: ChunkShelf,
     /// Where the entries listen, and when that was read.
     pub(crate) entries: Mutex<Option<(Moment, Vec<PeerRecord>)>>,
     pub(crate) halt: CancellationToken,
@@ -267,6 +269,7 @@
         socket,
         uploads: UploadQueue::new(link_mbps),
         metrics: page.client(),
+        shelf: ChunkShelf::new(),
         entries: Mutex::new(None),
         halt: halt.clone(),
     });
--- a/mustardrill_agent/src/stock/effects.rs
+++ b/mustardrill_agent/src/stock/effects.rs
@@ -176,9 +176,11 @@
         return DrawOutcome::Corrupt;
     }
     let length = bytes.len() as i64;
-    if !context.borders.engine.stage(&version.model, draw.index, bytes).await {
+    let is_kept = context.shelf.keep(version, draw.index, &bytes);
+    if !is_kept && !context.borders.engine.stage(&version.model, draw.index, bytes).await {
         log::warn!("chunk version={version} index={} outcome=not-staged", draw.index);
-        return DrawOutcome::Failed;
+        // No fault of whoever gave it.
+        return DrawOutcome::Busy(Vec::new());
     }
     let source = match &draw.source {
         ChunkSource::Origin => "origin",
--- a/mustardrill_agent/src/stock/mod.rs
+++ b/mustardrill_agent/src/stock/mod.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod metrics;
 mod peers;
+mod shelf;
 mod watch;
 
 pub use actor::{StockBorders, StockHandle, spawn};
--- a/mustardrill_agent/src/stock/watch.rs
+++ b/mustardrill_agent/src/stock/watch.rs
@@ -13,6 +13,7 @@
 
 use crate::stock::actor::{BusyQuery, Event, StockActor, StockContext};
 use crate::stock::fleet;
+use crate::stock::shelf::ShelfContent;
 
 /// The least pause after a call that failed.
 const RETRY_PAUSE: Millis = Millis(200);
@@ -72,6 +73,9 @@
 async fn look(actor: ActorRef<StockActor>, context: Arc<StockContext>) {
     loop {
         let state = context.borders.engine.state().await.map(view);
+        if state.is_some() {
+            stage_kept(&context).await;
+        }
         let _ = actor.tell(Event(StockEvent::EngineSeen(state))).await;
         let asked = context.clock.now();
         loop {
@@ -90,6 +94,20 @@
     }
 }
 
+/// Stages what came before the engine first answered. The staged chunks are read back before any
+/// order, so one that could not be staged is drawn again.
+async fn stage_kept(context: &StockContext) {
+    let Some(ShelfContent { version: Some(version), chunks }) = context.shelf.close() else {
+        return;
+    };
+    info!("weights version={version} decision=stage-kept chunks={}", chunks.len());
+    for (index, bytes) in chunks {
+        if !context.borders.engine.stage(&version.model, index, bytes).await {
+            warn!("chunk version={version} index={index} outcome=not-staged");
+        }
+    }
+}
+
 fn view(state: EngineState) -> EngineView {
     let EngineState { start, busy, sequence, serving, .. } = state;
     EngineView { start, busy, sequence, serving }
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -77,6 +77,8 @@
     registered: FastMap<InstanceId, InstanceId>,
     pub(super) versions: VersionTable,
     pub(super) engine: Option<EngineView>,
+    /// Whether the engine was asked for its state at all.
+    looked: bool,
     /// What the engine told last; kept while it does not answer, to tell a restart by.
     last_view: Option<EngineView>,
     pub(super) wanted: Option<VersionId>,
@@ -108,6 +110,7 @@
             registered: FastMap::default(),
             versions: VersionTable::default(),
             engine: None,
+            looked: false,
             last_view: None,
             wanted: None,
             stage: None,
@@ -132,7 +135,7 @@
                 self.tell_plan();
                 Vec::new()
             }
-            StockEvent::EngineSeen(view) => self.engine_seen(view),
+            StockEvent::EngineSeen(view) => self.engine_seen(now, view),
             StockEvent::ListSeen(version, list) => self.list_seen(now, version, list),
             StockEvent::ListWanted(version) => self.list_wanted(now, &version),
             StockEvent::HoldingSeen(news) => self.holding_seen(now, &news),
@@ -281,10 +284,14 @@
         peers
     }
 
-    fn engine_seen(&mut self, view: Option<EngineView>) -> Vec<StockEffect> {
+    fn engine_seen(&mut self, now: Moment, view: Option<EngineView>) -> Vec<StockEffect> {
         let before = self.engine.take();
+        self.looked = true;
         let Some(view) = view else { return Vec::new() };
         let mut effects = Vec::new();
+        if self.last_view.is_none() && self.stage.is_some() {
+            self.first_answer(now, &view);
+        }
         let is_restart = self.last_view.as_ref().is_some_and(|last| view.is_restart_of(last));
         self.last_view = Some(view.clone());
         let is_known = before.is_some() && !is_restart && !view.serving.is_empty();
@@ -308,6 +315,16 @@
         effects
     }
 
+    /// Takes over what was drawn before the engine answered for the first time. One that has run
+    /// for longer may have more staged already, or needs none of it.
+    fn first_answer(&mut self, now: Moment, view: &EngineView) {
+        let is_new = view.serving.is_empty() && view.sequence == 0;
+        if !is_new {
+            self.stage = Some(StockStage::Listing { next_try: now, tries: 0 });
+        }
+        self.inspect = !is_new;
+    }
+
     /// Gives up waiting for an order that an earlier start of the engine took: the present one
     /// holds nothing and knows of no order.
     fn order_anew(&mut self) {
@@ -357,10 +374,15 @@
 
     /// Begins with a version that is wanted newly, or ends where the engine serves it.
     fn retarget(&mut self, now: Moment) -> Vec<StockEffect> {
-        let (Some(target), Some(engine)) = (self.target(), &self.engine) else {
+        let Some(target) = self.target() else { return Vec::new() };
+        // An engine that has never answered is starting: its weights are drawn meanwhile.
+        let is_starting = self.looked && self.last_view.is_none();
+        if self.engine.is_none() && !is_starting {
             return Vec::new();
-        };
-        let serves = engine.serving.iter().any(|served| version_of(served) == target);
+        }
+        let serving = self.engine.as_ref().map_or(&[][..], |engine| &engine.serving);
+        let serves = serving.iter().any(|served| version_of(served) == target);
+        let served = serving.first().map_or("none".into(), |served| version_of(served).to_string());
         if self.wanted.as_ref() == Some(&target) && self.stage.is_some() {
             if !serves {
                 return Vec::new();
@@ -384,11 +406,7 @@
         if let Some(old) = self.wanted.replace(target.clone()).filter(|old| *old != target) {
             effects.push(StockEffect::DropList(old));
         }
-        info!(
-            "weights version={target} decision=stock serving={} inspect={}",
-            engine.serving.first().map_or("none".into(), |served| version_of(served).to_string()),
-            self.inspect
-        );
+        info!("weights version={target} decision=stock serving={served} inspect={}", self.inspect);
         self.stage = Some(StockStage::Listing { next_try: now, tries: 0 });
         let following = self.following.take().filter(|following| following.version == target);
         if let Some((list, _)) = following.and_then(|following| following.list) {
@@ -430,7 +448,10 @@
                 (Some(stage), vec![StockEffect::FetchList(wanted.clone(), sources)])
             }
             StockStage::Drawing(plan) => self.draw(now, wanted, plan),
-            StockStage::Staged(plan, staged) if self.turn(wanted, staged) <= now => {
+            // Read back from an engine that is away, all chunks would count as lost.
+            StockStage::Staged(plan, staged)
+                if self.engine.is_some() && self.turn(wanted, staged) <= now =>
+            {
                 (Some(StockStage::Checking(plan)), vec![StockEffect::ReadBack(wanted.clone())])
             }
             StockStage::Ordered(plan, order) if now.since(order.since) > ORDER_PATIENCE => {
@@ -520,7 +541,7 @@
         plan.set_peers(&peers);
         plan.set_relays(self.relays.all().to_vec());
         self.told = Moment(0);
-        if std::mem::take(&mut self.inspect) {
+        if self.engine.is_some() && std::mem::take(&mut self.inspect) {
             self.stage = Some(StockStage::Inspecting(Box::new(plan)));
             return vec![StockEffect::ReadBack(version)];
         }
--- a/mustardrill_core/tests/rebirth.rs
+++ b/mustardrill_core/tests/rebirth.rs
@@ -6,8 +6,8 @@
 use assert_matches::assert_matches;
 use mustardrill_core::direct::{
     AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
-    EngineProfile, FleetChange, FleetPage, ModelProfile, RepeatRule, RequestNumber, RouteDocument,
-    RouteRule, ServedWeights, ServiceProfile, UpstreamRecord, WorkSize,
+    EngineProfile, FleetChange, FleetPage, ModelProfile, OriginProfile, RepeatRule, RequestNumber,
+    RouteDocument, RouteRule, ServedWeights, ServiceProfile, UpstreamRecord, WorkSize,
 };
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
 use mustardrill_core::stock::{
@@ -53,6 +53,14 @@
     let mut services = FastMap::default();
     let pool = ServiceProfile { engine: Some(engine), ..ServiceProfile::default() };
     services.insert("pool".parse().unwrap(), pool);
+    let origin = OriginProfile {
+        address: SocketAddr::from(([172, 20, 0, 3], 8006)),
+        data_centre: "hall-b".parse().unwrap(),
+        link_mbps: 0.0,
+        connections: 0,
+    };
+    let records = ServiceProfile { origin: Some(origin), ..ServiceProfile::default() };
+    services.insert("records".parse().unwrap(), records);
     let limits = CallerLimits::default();
     Arc::new(RouteDocument::new(Generation(1), vec![route], services, Vec::new(), limits))
 }
@@ -238,6 +246,50 @@
     );
 }
 
+/// An agent that has just started, beside an engine that does not answer yet, with version 1 drawn.
+fn agent_before_its_engine() -> StockReducer {
+    let mut reducer = StockReducer::new(common::stock_settings(), 3);
+    reducer.reduce(START, StockEvent::EngineSeen(None));
+    let changes = vec![FleetChange::Configured(document())];
+    let whole = FleetPage { changes, at: StoreRevision(1), whole: true };
+    reducer.reduce(START, StockEvent::Fleet(whole));
+    let first = VersionId { version: WeightVersion(1), ..version() };
+    let mut effects = reducer.reduce(START, StockEvent::ListSeen(first, Some(list())));
+    for step in 1..100 {
+        let now = START + Millis(step * 10);
+        for effect in std::mem::take(&mut effects) {
+            let StockEffect::Draw(version, draw, _) = effect else { continue };
+            let ended =
+                StockEvent::DrawEnded(version, draw.index, draw.source, DrawOutcome::Verified);
+            effects.extend(reducer.reduce(now, ended));
+        }
+        let woke = reducer.reduce(now, StockEvent::Woke);
+        assert!(!woke.iter().any(|it| matches!(it, StockEffect::ReadBack(_))), "{woke:?}");
+        effects.extend(woke);
+    }
+    assert_eq!(reducer.status().held, 2, "chunks are drawn before the engine answers");
+    reducer
+}
+
+/// An added engine answers a second after its agent has started: half of a copy's time.
+#[test]
+fn an_agent_draws_while_its_engine_starts() {
+    let mut reducer = agent_before_its_engine();
+    let effects = reducer.reduce(START + Millis(1_000), engine(5, 0, 0));
+    assert!(
+        effects.iter().any(|it| matches!(it, StockEffect::ReadBack(_))),
+        "the staged chunks are looked at for the order: {effects:?}"
+    );
+}
+
+#[test]
+fn an_engine_that_turns_out_to_have_run_for_longer_is_looked_at_first() {
+    let mut reducer = agent_before_its_engine();
+    let effects = reducer.reduce(START + Millis(1_000), engine(5, 1, 3));
+    assert!(!effects.iter().any(|it| matches!(it, StockEffect::ReadBack(_))), "{effects:?}");
+    assert!(reducer.status().serving, "it serves what was drawn for it");
+}
+
 #[test]
 fn a_peer_stays_whose_earlier_registration_ends_after_its_restart() {
     let mut reducer = StockReducer::new(common::stock_settings(), 3);
