Entries take a place that another one freed one after the other

Who ended a request takes its place at once; what is left, the others take in an order per engine, 15 ms apart.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::direct::route::EngineProfile;
 use crate::direct::upstream::UpstreamState;
 use crate::direct::waiting::WaitRank;
+use crate::rendezvous;
 
 /// When a caller may come back where no upstream is listed.
 const NO_UPSTREAM_RETRY: Millis = Millis(500);
@@ -128,6 +129,10 @@
             }
             effects.extend(self.send(now, rank.number, upstream));
         }
+        if self.queues.get(service).is_some_and(|queue| !queue.is_empty()) {
+            let open = self.next_place(now, service);
+            self.place_at = self.place_at.into_iter().chain(open).min();
+        }
         effects
     }
 
@@ -171,6 +176,9 @@
             if present.requests >= limit || present.reading > self.settings.reading_limit {
                 continue;
             }
+            if now < self.place_open(upstream, limit - present.requests) {
+                continue;
+            }
             let cost = pressure::cost(&ChoiceInputs {
                 present: present.requests,
                 slots,
@@ -185,6 +193,22 @@
         best.map(|(_, id)| id.clone())
     }
 
+    /// From when on this entry may take one of `room` free places of an upstream.
+    fn place_open(&self, upstream: &UpstreamState, room: u32) -> Moment {
+        let subject = upstream.record.id.as_str().as_bytes();
+        let own = rendezvous::weight(subject, self.settings.own.as_str());
+        let others = self.peers().iter().map(|peer| rendezvous::weight(subject, peer.id.as_str()));
+        let before = others.filter(|weight| *weight > own).count();
+        pressure::place_open(upstream.freed, room, before)
+    }
+
+    /// When a place that another entry freed becomes this entry's to take, for what waits.
+    fn next_place(&self, now: Moment, service: &ServiceName) -> Option<Moment> {
+        let usable = self.upstreams.usable(now, service);
+        let opens = usable.iter().map(|upstream| self.place_open(upstream, 1));
+        opens.filter(|open| *open > now).min()
+    }
+
     /// Whether an upstream holds weights that the request may be run with.
     fn fits(&self, now: Moment, state: &RequestState, upstream: &UpstreamState) -> bool {
         let Some(model) = &state.model else { return true };
--- a/mustardrill_core/src/direct/pressure.rs
+++ b/mustardrill_core/src/direct/pressure.rs
@@ -5,7 +5,7 @@
 //! so that a slot never idles for the way back and forth, and no more: one that waits inside an
 //! engine can't be moved to another one that becomes free.
 
-use mustardrill_types::Millis;
+use mustardrill_types::{Millis, Moment};
 
 /// How many an upstream of `slots` slots may have from all entries together.
 pub(crate) fn limit(slots: u32, ahead: u32) -> u32 {
@@ -21,6 +21,23 @@
     (slots * percent / 100).max(1)
 }
 
+/// How long an entry leaves a place that another one's request has freed to each entry that goes
+/// before it: the time until it hears that somebody took it, which is the pause between two looks
+/// at the load and the way between data centres.
+const PLACE_STEP: Millis = Millis(15);
+
+/// From when on an entry may take a place that was heard to be free at `freed`, where `room` places
+/// are free and `before` entries go first.
+///
+/// Load pattern: more requests than slots, waiting at all entries. A slot that became free was
+/// taken by five of six entries at once, so that engines had 21 requests for 16 slots and a request
+/// that was sent to be in time waited there for up to 300 ms. Who ended a request takes its place
+/// at once and tells the others; what it leaves, they take one after the other.
+pub(crate) fn place_open(freed: Moment, room: u32, before: usize) -> Moment {
+    let contended = (before + 1).saturating_sub(room as usize);
+    freed + Millis(PLACE_STEP.0 * contended as u64)
+}
+
 /// What makes an upstream a worse choice; the least goes first.
 pub(crate) struct ChoiceInputs {
     /// Requests there, of all entries.
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -59,6 +59,8 @@
     store_away: bool,
     /// When the store answered again after it was away.
     store_back: Moment,
+    /// When the next place opens that waiting requests may take.
+    pub(super) place_at: Option<Moment>,
     /// The moment of the last wish to be woken that has not come yet.
     wake: Option<Moment>,
 }
@@ -80,6 +82,7 @@
             revision: StoreRevision::default(),
             store_away: false,
             store_back: Moment(0),
+            place_at: None,
             wake: None,
         }
     }
@@ -391,7 +394,8 @@
         let lapse = (self.store_back.0 > 0)
             .then_some(self.store_back + self.settings.lapse_grace)
             .filter(|moment| *moment >= now);
-        let next = overdue.into_iter().chain(lapse).min()?;
+        let place = self.place_at.take();
+        let next = overdue.into_iter().chain(lapse).chain(place).min()?;
         if self.wake.is_some_and(|wake| wake <= next) {
             return None;
         }
--- a/mustardrill_core/src/direct/upstream.rs
+++ b/mustardrill_core/src/direct/upstream.rs
@@ -53,6 +53,8 @@
     pub(crate) paused_until: Moment,
     /// Newer weights are expected there until then.
     pub(crate) expected_until: Moment,
+    /// When another entry last told that it has fewer requests there.
+    pub(crate) freed: Moment,
     /// When it last answered anything.
     answered: Moment,
     failed_in_a_row: u32,
@@ -228,10 +230,16 @@
     pub(crate) fn hear(&mut self, now: Moment, load: PeerLoad) {
         let (heard, loads) = self.peers.entry(load.from).or_default();
         *heard = now;
-        if load.news.whole {
-            loads.clear();
-        }
+        let before = if load.news.whole { std::mem::take(loads) } else { loads.clone() };
         loads.extend(load.news.rows);
+        let requests = |loads: &FastMap<InstanceId, UpstreamLoad>, id| {
+            loads.get(id).map_or(0, |load: &UpstreamLoad| load.requests)
+        };
+        for id in before.keys().filter(|id| requests(loads, id) < requests(&before, id)) {
+            if let Some(state) = self.states.get_mut(id) {
+                state.freed = now;
+            }
+        }
     }
 
     pub(crate) fn forget_peer(&mut self, id: &InstanceId) {
@@ -325,6 +333,7 @@
             failing: 0.0,
             paused_until: Moment(0),
             expected_until: Moment(0),
+            freed: Moment(0),
             answered: Moment(0),
             failed_in_a_row: 0,
             ejections: 0,
--- /dev/null
+++ b/mustardrill_core/tests/contention.rs
@@ -0,0 +1,195 @@
+//! Several entries with requests waiting for the same slots, replayed with the delay of their words.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use mustardrill_core::direct::{
+    AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
+    DirectSettings, EngineProfile, FleetChange, FleetPage, LoadTeller, ModelProfile, PeerLoad,
+    PeerRecord, RepeatRule, RequestNumber, RouteDocument, RouteRule, ServedWeights, ServiceProfile,
+    UpstreamRecord, WorkSize,
+};
+use mustardrill_types::{
+    FastMap, Generation, InstanceId, Millis, Moment, StartStamp, StoreRevision, WeightVersion,
+};
+
+mod common;
+
+const START: Moment = Moment(100_000);
+const ENTRIES: u64 = 6;
+const SLOTS: u32 = 16;
+/// What an engine at full load takes for a request: one ends about every 100 ms.
+const RUN: Millis = Millis(1_600);
+/// The way of a datagram.
+const WAY: Millis = Millis(3);
+
+fn document() -> Arc<RouteDocument> {
+    let engine = EngineProfile {
+        slots: SLOTS,
+        models: vec![ModelProfile { name: "m".parse().unwrap(), load_time: Millis(300) }],
+        stride: 5,
+        step_ms: 8.9,
+        read_per_ms: 1_000.0,
+        usual_prompt: 960,
+        usual_answer: 100,
+        ..EngineProfile::default()
+    };
+    let route = RouteRule {
+        name: "drafts".into(),
+        host: "drafts.example".into(),
+        prefix: "/".into(),
+        split: vec![("pool".parse().unwrap(), 1)],
+        repeat: RepeatRule::StreamResumable,
+        timeout: Millis(6_000),
+        objective: Millis(400),
+        gap: Millis(400),
+        priority: 1,
+        attempts: 2,
+        public: true,
+    };
+    let mut services = FastMap::default();
+    let pool = ServiceProfile { engine: Some(engine), ..ServiceProfile::default() };
+    services.insert("pool".parse().unwrap(), pool);
+    let limits = CallerLimits::default();
+    Arc::new(RouteDocument::new(Generation(1), vec![route], services, Vec::new(), limits))
+}
+
+fn name(place: u64) -> InstanceId {
+    format!("entry-{place}").parse().unwrap()
+}
+
+fn entry(place: u64) -> DirectReducer {
+    let settings = DirectSettings {
+        own: name(place),
+        ahead: 1,
+        wait_percent: 25,
+        ..common::direct_settings()
+    };
+    let mut reducer = DirectReducer::new(settings, place);
+    let peer = |place| {
+        FleetChange::Peer(PeerRecord {
+            id: name(place),
+            address: ([10, 0, 1, place as u8], 7700).into(),
+            data_centre: "hall-a".parse().unwrap(),
+            link_mbps: 1_000,
+        })
+    };
+    let served = ServedWeights { model: "m".parse().unwrap(), version: WeightVersion(1) };
+    let engine = UpstreamRecord {
+        id: "u1".parse().unwrap(),
+        start: StartStamp(1),
+        service: "pool".parse().unwrap(),
+        address: ([10, 0, 0, 1], 8_000).into(),
+        data_centre: "hall-a".parse().unwrap(),
+        slots: SLOTS,
+        leaving: false,
+        serving: vec![served],
+    };
+    let mut changes = vec![FleetChange::Configured(document()), FleetChange::Upstream(engine)];
+    changes.extend((0..ENTRIES).map(peer));
+    let page = FleetPage { changes, at: StoreRevision(1), whole: false };
+    reducer.reduce(START, DirectEvent::Fleet(page, START));
+    reducer
+}
+
+fn request(number: u64, now: Moment) -> DirectRequest {
+    DirectRequest {
+        number: RequestNumber(number),
+        attempt: format!("a{number}").into(),
+        host: "drafts.example".into(),
+        path: "/x".into(),
+        key: None,
+        patience: Some(Millis(6_000)),
+        arrived: now,
+        model: Some("m".parse().unwrap()),
+        size: WorkSize { prompt: 100, answer: 100 },
+        resumes: false,
+    }
+}
+
+/// Something under way, at the millisecond at which it arrives.
+enum Arrival {
+    Word(usize, PeerLoad),
+    End(usize, RequestNumber),
+    Wake(usize),
+}
+
+/// Plays 4 s with a request every 13 ms, which is more than seven times what one engine can run:
+/// those of the first 1.5 s at one entry, the others at all others.
+/// Returns the most requests that the engine had, and how many it ran.
+fn play() -> (u32, u32) {
+    let mut entries: Vec<_> = (0..ENTRIES).map(entry).collect();
+    let mut tellers: Vec<_> = (0..ENTRIES).map(|_| LoadTeller::default()).collect();
+    let mut arrivals: BTreeMap<u64, Vec<Arrival>> = BTreeMap::new();
+    let (mut there, mut most, mut ended, mut number) = (0, 0, 0, 0);
+    let mut free_at = vec![START; SLOTS as usize];
+    for step in 0..4_000 {
+        let now = START + Millis(step);
+        let mut due = arrivals.remove(&now.0).unwrap_or_default();
+        if step % 13 == 0 {
+            number += 1;
+        }
+        for (place, entry) in entries.iter_mut().enumerate() {
+            let mut effects = Vec::new();
+            for arrival in due.extract_if(.., |arrival| arrival.place() == place) {
+                effects.extend(match arrival {
+                    Arrival::Word(_, load) => entry.reduce(now, DirectEvent::PeerHeard(load)),
+                    Arrival::Wake(_) => entry.reduce(now, DirectEvent::Woke),
+                    Arrival::End(_, number) => {
+                        there -= 1;
+                        ended += 1;
+                        entry.reduce(now, DirectEvent::Ended(number, AttemptOutcome::Whole))
+                    }
+                });
+            }
+            let asked = if step < 1_500 { 0 } else { 1 + number % (ENTRIES - 1) };
+            if step % 13 == 0 && asked == place as u64 {
+                effects.extend(entry.reduce(now, DirectEvent::Arrived(request(number, now))));
+            }
+            for effect in effects {
+                match effect {
+                    DirectEffect::Send(number, _) => {
+                        there += 1;
+                        most = most.max(there);
+                        let slot = free_at.iter_mut().min().unwrap();
+                        *slot = (*slot).max(now) + RUN;
+                        arrivals.entry(slot.0).or_default().push(Arrival::End(place, number));
+                        entry.reduce(now, DirectEvent::Answering(number, None, None));
+                    }
+                    DirectEffect::Wake(at) => {
+                        let at = at.0.max(now.0 + 1);
+                        arrivals.entry(at).or_default().push(Arrival::Wake(place));
+                    }
+                    _ => {}
+                }
+            }
+            if step % 10 == 0
+                && let Some(news) = tellers[place].next(now, entry.outstanding())
+            {
+                let load = PeerLoad { from: name(place as u64), news };
+                let to = (0..ENTRIES as usize).filter(|other| *other != place);
+                let words = to.map(|other| Arrival::Word(other, load.clone()));
+                arrivals.entry(now.0 + WAY.0).or_default().extend(words);
+            }
+        }
+    }
+    (most, ended)
+}
+
+impl Arrival {
+    fn place(&self) -> usize {
+        match self {
+            Self::Word(place, _) | Self::End(place, _) | Self::Wake(place) => *place,
+        }
+    }
+}
+
+/// Taken by all entries at the same moment, the places of one engine were 21 at the most for 16
+/// slots, and requests that were sent to be in time waited there.
+#[test]
+fn a_freed_place_is_taken_once() {
+    let (most, ended) = play();
+    assert!(most <= SLOTS + 3, "{most} requests at once for {SLOTS} slots and one ahead");
+    let bound = (4_000 / RUN.0) as u32 * SLOTS;
+    assert!(ended >= bound * 9 / 10, "{ended} of {bound} that the slots can run");
+}
