--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -5,17 +5,12 @@
 use rand::Rng;
 
 use crate::direct::event::{
-    AttemptOutcome, DirectEffect, LoadReport, PeerLoad, RefusalPlan, RequestNumber, SendPlan,
-    UpstreamLoad,
+    AttemptOutcome, DirectEffect, LoadReport, RefusalPlan, RequestNumber, SendPlan,
 };
 use crate::direct::forecast::{EngineForecast, WorkSize};
-use crate::direct::pressure::{self, ChoiceInputs};
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::{RequestStage, RequestState};
-use crate::direct::route::EngineProfile;
-use crate::direct::upstream::UpstreamState;
 use crate::direct::waiting::WaitRank;
-use crate::rendezvous;
 
 /// When a caller may come back where no upstream is listed.
 const NO_UPSTREAM_RETRY: Millis = Millis(500);
@@ -154,126 +149,6 @@
         }
     }
 
-    /// The upstream for a request; nothing where none has room. One that has waited takes its turn
-    /// among the entries that have others waiting.
-    fn choose(&self, now: Moment, state: &RequestState, waited: bool) -> Option<InstanceId> {
-        let usable = self.upstreams.usable(now, &state.service);
-        let fitting = usable.into_iter().filter(|upstream| self.fits(now, state, upstream));
-        let (tried, fresh): (Vec<_>, Vec<_>) =
-            fitting.partition(|upstream| state.tried.contains(&upstream.record.id));
-        let candidates = if fresh.is_empty() { tried } else { fresh };
-        let patience = self.settings.peer_patience;
-        // The rest of a stream that the caller has a part of is not made to wait again.
-        let late = now >= self.in_time_until(state) && !state.delivered;
-        let mut best: Option<(f64, &InstanceId)> = None;
-        for upstream in candidates {
-            let id = &upstream.record.id;
-            let present = self.upstreams.present(now, id, patience);
-            let slots = upstream.record.slots;
-            let limit = if late {
-                pressure::late_limit(slots, self.settings.late_percent)
-            } else {
-                pressure::limit(slots, self.settings.ahead)
-            };
-            if present.requests >= limit || present.reading > self.settings.reading_limit {
-                continue;
-            }
-            let room = self.room(present, limit, upstream);
-            if waited && now < self.place_open(upstream, room) {
-                continue;
-            }
-            let cost = pressure::cost(&ChoiceInputs {
-                present: present.requests,
-                slots,
-                reading: present.reading,
-                far: upstream.record.data_centre != self.settings.data_centre,
-                failing: upstream.failing,
-            });
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, id));
-            }
-        }
-        best.map(|(_, id)| id.clone())
-    }
-
-    /// Takes another entry's word on its load, and notes where that makes room.
-    pub(super) fn load_heard(&mut self, now: Moment, load: PeerLoad) {
-        let named: Vec<_> = load.news.rows.iter().map(|(id, _)| id.clone()).collect();
-        let full: Vec<_> = named.into_iter().filter(|id| !self.has_room(now, id)).collect();
-        self.upstreams.hear(now, load);
-        for id in full {
-            if self.has_room(now, &id) {
-                self.upstreams.freed(now, &id);
-            }
-        }
-    }
-
-    /// Whether an upstream may be sent another request that can be in time.
-    fn has_room(&self, now: Moment, id: &InstanceId) -> bool {
-        let Some(upstream) = self.upstreams.get(id) else { return false };
-        let present = self.upstreams.present(now, id, self.settings.peer_patience);
-        present.requests < pressure::limit(upstream.record.slots, self.settings.ahead)
-            && present.reading <= self.settings.reading_limit
-    }
-
-    /// How many requests of usual size an upstream may be sent now, by its slots and by what it has
-    /// yet to read.
-    fn room(&self, present: UpstreamLoad, limit: u32, upstream: &UpstreamState) -> u32 {
-        let places = limit - present.requests;
-        let Some(profile) = self.profile(&upstream.record.service) else { return places };
-        let usual = EngineForecast::new(profile).read_ms(profile.usual_prompt).max(1.0);
-        let unread = self.settings.reading_limit.0.saturating_sub(present.reading.0);
-        places.min(1 + (unread as f64 / usual) as u32)
-    }
-
-    /// From when on this entry may take one of `room` free places of an upstream.
-    fn place_open(&self, upstream: &UpstreamState, room: u32) -> Moment {
-        let subject = upstream.record.id.as_str().as_bytes();
-        let own = rendezvous::weight(subject, self.settings.own.as_str());
-        let others = self.peers().iter().map(|peer| rendezvous::weight(subject, peer.id.as_str()));
-        let mut before = others.filter(|weight| *weight > own).count();
-        if upstream.own.reading > Millis(0) {
-            // The others come first at one that still reads a prompt of this entry.
-            before += self.peers().len();
-        }
-        pressure::place_open(upstream.freed, room, before)
-    }
-
-    /// When a place that another entry freed becomes this entry's to take, for what waits.
-    fn next_place(&self, now: Moment, service: &ServiceName) -> Option<Moment> {
-        let usable = self.upstreams.usable(now, service);
-        let opens = usable.iter().map(|upstream| self.place_open(upstream, 1));
-        opens.filter(|open| *open > now).min()
-    }
-
-    /// Whether an upstream holds weights that the request may be run with.
-    fn fits(&self, now: Moment, state: &RequestState, upstream: &UpstreamState) -> bool {
-        let Some(model) = &state.model else { return true };
-        if self.profile(&state.service).is_none() {
-            return true;
-        }
-        let Some(version) = upstream.version_of(model) else { return false };
-        let floor = self.floor(now, state);
-        floor.is_none_or(|floor| version >= floor)
-            && state.pinned.is_none_or(|pinned| version == pinned)
-    }
-
-    fn floor(&self, now: Moment, state: &RequestState) -> Option<WeightVersion> {
-        let model = state.model.as_ref()?;
-        self.versions.floor(now, model, self.settings.version_patience)
-    }
-
-    /// How long an engine takes to read the request's prompt.
-    fn reading_time(&self, state: &RequestState) -> Millis {
-        let profile = self.profile(&state.service);
-        let read = |profile| EngineForecast::new(profile).read_ms(state.size.prompt);
-        Millis(profile.map_or(0.0, read) as u64)
-    }
-
-    fn profile(&self, service: &ServiceName) -> Option<&EngineProfile> {
-        self.document.as_ref()?.service(service)?.engine.as_ref()
-    }
-
     fn send(
         &mut self,
         now: Moment,
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod forecast;
 mod freshness;
+mod placing;
 mod pressure;
 mod reducer;
 mod request;
--- a/mustardrill_core/src/stock/mod.rs
+++ b/mustardrill_core/src/stock/mod.rs
@@ -4,7 +4,9 @@
 //! what is drawn from where, when the staged copy is read back, and when the engine is ordered to
 //! load it. Nothing here does I/O or reads a clock.
 
+mod engine;
 mod event;
+mod following;
 mod holding;
 mod order;
 mod reducer;
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -18,6 +18,7 @@
 use crate::stock::event::{
     EngineView, StockEffect, StockEvent, StockSettings, StockStatus, VersionId,
 };
+use crate::stock::following::FollowingList;
 use crate::transfer::{ChunkSource, DrawOutcome, TransferPeer, TransferPlan};
 
 /// The version that engines hold before any is named.
@@ -54,16 +55,6 @@
     pub(super) taken: bool,
 }
 
-/// The list of a version that follows the one under way, or the tries to get it.
-#[derive(Debug)]
-pub(super) struct FollowingList {
-    pub(super) version: VersionId,
-    /// The list, and since when it is here.
-    pub(super) list: Option<(Arc<Manifest>, Moment)>,
-    next_try: Moment,
-    tries: u32,
-}
-
 /// The state of one agent.
 #[derive(Debug)]
 pub struct StockReducer {
@@ -78,9 +69,9 @@
     pub(super) versions: VersionTable,
     pub(super) engine: Option<EngineView>,
     /// Whether the engine was asked for its state at all.
-    looked: bool,
+    pub(super) looked: bool,
     /// What the engine told last; kept while it does not answer, to tell a restart by.
-    last_view: Option<EngineView>,
+    pub(super) last_view: Option<EngineView>,
     pub(super) wanted: Option<VersionId>,
     pub(super) stage: Option<StockStage>,
     /// The version whose chunks are staged whole.
@@ -95,7 +86,7 @@
     /// The version of which the entries were told that it is coming.
     announced: Option<VersionId>,
     /// Whether the staged copy may be of the version wanted, after a restart.
-    inspect: bool,
+    pub(super) inspect: bool,
     pub(super) random: SmallRng,
 }
 
@@ -284,67 +275,7 @@
         peers
     }
 
-    fn engine_seen(&mut self, now: Moment, view: Option<EngineView>) -> Vec<StockEffect> {
-        let before = self.engine.take();
-        self.looked = true;
-        let Some(view) = view else { return Vec::new() };
-        let mut effects = Vec::new();
-        if self.last_view.is_none() && self.stage.is_some() {
-            self.first_answer(now, &view);
-        }
-        let is_restart = self.last_view.as_ref().is_some_and(|last| view.is_restart_of(last));
-        self.last_view = Some(view.clone());
-        let is_known = before.is_some() && !is_restart && !view.serving.is_empty();
-        if !is_known && self.stage.is_none() {
-            self.inspect = true;
-        }
-        if is_restart {
-            info!("engine start={} sequence={} outcome=restarted", view.start, view.sequence);
-            self.order_anew();
-        }
-        let served = before.map(|before| before.serving).unwrap_or_default();
-        if served != view.serving
-            && let Some(now_served) = view.serving.first()
-        {
-            let version = version_of(now_served);
-            info!("engine serving={version} sequence={} outcome=changed", view.sequence);
-            let word = EngineWord::Serving(version.version);
-            effects.push(StockEffect::TellEntries(version.model, word));
-        }
-        self.engine = Some(view);
-        effects
-    }
-
-    /// Takes over what was drawn before the engine answered for the first time. One that has run
-    /// for longer may have more staged already, or needs none of it.
-    fn first_answer(&mut self, now: Moment, view: &EngineView) {
-        let is_new = view.serving.is_empty() && view.sequence == 0;
-        if !is_new {
-            self.stage = Some(StockStage::Listing { next_try: now, tries: 0 });
-        }
-        self.inspect = !is_new;
-    }
-
-    /// Gives up waiting for an order that an earlier start of the engine took: the present one
-    /// holds nothing and knows of no order.
-    fn order_anew(&mut self) {
-        self.stage = match self.stage.take() {
-            Some(StockStage::Ordered(plan, order)) => Some(StockStage::Staged(plan, order.since)),
-            other => other,
-        };
-    }
-
-    /// Where nothing was drawn since the agent's start, what the engine serves is what was staged.
-    /// Whoever draws from here verifies it.
-    fn assume_staged(&mut self) {
-        if self.staged.is_some() || self.stage.is_some() {
-            return;
-        }
-        let served = self.engine.as_ref().and_then(|engine| engine.serving.first());
-        self.staged = served.map(version_of).zip(self.total_chunks());
-    }
-
-    fn total_chunks(&self) -> Option<u32> {
+    pub(super) fn total_chunks(&self) -> Option<u32> {
         let document = self.document.as_ref()?;
         let engine = document.service(&self.settings.service)?.engine.as_ref()?;
         Some(engine.chunks)
@@ -415,24 +346,6 @@
         effects
     }
 
-    /// Asks for the list of the version that follows the one under way, until it is here.
-    fn ask_following(&mut self, now: Moment, target: VersionId) -> Vec<StockEffect> {
-        let same = self.following.take().filter(|following| following.version == target);
-        let mut following = same.unwrap_or_else(|| {
-            info!("weights version={target} decision=await-list");
-            FollowingList { version: target.clone(), list: None, next_try: now, tries: 0 }
-        });
-        let mut effects = Vec::new();
-        if following.list.is_none() && following.next_try <= now {
-            let sources = self.list_sources(now, &target, following.tries);
-            following.next_try = now + self.list_pause(following.tries);
-            following.tries += 1;
-            effects.push(StockEffect::FetchList(target, sources));
-        }
-        self.following = Some(following);
-        effects
-    }
-
     /// One step of a stage; the stage that follows, and what is to be done.
     fn step(
         &mut self,
--- a/mustardrill_core/src/transfer/data.rs
+++ b/mustardrill_core/src/transfer/data.rs
@@ -72,7 +72,8 @@
     Verified,
     /// The chunk came with another digest.
     Corrupt,
-    /// The peer is at its upload budget and names others that hold the chunk.
+    /// The source is well but can't give the chunk now: it is at its upload budget and may name
+    /// others that hold the chunk, or it still waits for the chunk itself.
     Busy(Vec<InstanceId>),
     /// The source lacks the chunk.
     Missing,
