Agents tell entries of a load also while the store is away

Entries went on sending to engines that took nothing, two attempts each within 16 ms, and refused 59 callers in 2 s. Ruled out: limits of slots and waits; the engines were believed empty.

--- a/mustardrill_agent/src/stock/actor.rs
+++ b/mustardrill_agent/src/stock/actor.rs
@@ -4,16 +4,17 @@
 
 use cadence::{Gauged, StatsdClient};
 use kameo::prelude::*;
-use mustardrill_core::direct::PeerRecord;
 use mustardrill_core::manifest::Manifest;
-use mustardrill_core::stock::{StockEffect, StockEvent, StockReducer, StockStatus, VersionId};
+use mustardrill_core::stock::{
+    EntryBook, StockEffect, StockEvent, StockReducer, StockStatus, VersionId,
+};
 use mustardrill_core::transfer::ChunkSource;
 use mustardrill_runtime::border::{ChunkList, ChunkOrigin, EngineControl, FleetSource};
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::exposition::{MetricHandler, MetricPage};
 use mustardrill_runtime::http::{HttpClient, HttpServer};
 use mustardrill_runtime::upload::UploadQueue;
-use mustardrill_types::{ChunkIndex, FastMap, Moment};
+use mustardrill_types::{ChunkIndex, FastMap};
 use tokio::net::UdpSocket;
 use tokio::sync::Mutex;
 use tokio_util::sync::CancellationToken;
@@ -52,8 +53,8 @@
     pub(crate) uploads: UploadQueue,
     pub(crate) metrics: StatsdClient,
     pub(crate) shelf: ChunkShelf,
-    /// Where the entries listen, and when that was read.
-    pub(crate) entries: Mutex<Option<(Moment, Vec<PeerRecord>)>>,
+    /// Where the entries listen.
+    pub(crate) entries: Mutex<EntryBook>,
     pub(crate) halt: CancellationToken,
 }
 
@@ -276,7 +277,7 @@
         uploads: UploadQueue::new(link_mbps * UPLOAD_SHARE),
         metrics: page.client(),
         shelf: ChunkShelf::new(),
-        entries: Mutex::new(None),
+        entries: Mutex::default(),
         halt: halt.clone(),
     });
     let (lists, draws) = (FastMap::default(), FastMap::default());
--- a/mustardrill_agent/src/stock/effects.rs
+++ b/mustardrill_agent/src/stock/effects.rs
@@ -16,7 +16,7 @@
 use mustardrill_runtime::datagram::{Datagram, EngineRow};
 use mustardrill_runtime::http::request;
 use mustardrill_runtime::peer_call::PeerCall;
-use mustardrill_types::{ChunkIndex, Millis, ModelName};
+use mustardrill_types::{ChunkIndex, ModelName};
 use tokio_util::sync::CancellationToken;
 
 use crate::stock::actor::{Event, ListFetched, StockActor, StockContext};
@@ -35,9 +35,6 @@
 /// How long another agent may take for a list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// How long the entries' addresses are good. Loading takes two words to them within some seconds.
-const ENTRIES_AGE: Millis = Millis(6_000);
-
 /// A chunk to be drawn.
 pub(crate) struct ChunkOrder {
     pub(crate) version: VersionId,
@@ -269,43 +266,39 @@
 pub(crate) fn tell_entries(context: Arc<StockContext>, model: ModelName, word: EngineWord) {
     const TELL_AGAIN: Duration = Duration::from_millis(60);
     tokio::spawn(async move {
-        let entries = match entries(&context).await {
-            Ok(entries) => entries,
-            Err(error) => {
-                // The entries learn of it from the registry and from answers.
-                log::warn!("entries outcome=untold reason=\"{error}\"");
-                return;
-            }
-        };
         let mut datagram = Datagram::new(&context.config.stock.own);
         let address = context.config.stock.engine;
         datagram.engine = Some(EngineRow::new(address, &model, word));
-        let entries: Vec<_> = entries.iter().map(|entry| entry.address).collect();
-        peers::send(context.clone(), datagram.clone(), entries.clone());
+        let addresses =
+            |entries: &[PeerRecord]| entries.iter().map(|entry| entry.address).collect::<Vec<_>>();
+        // Who is known is told at once: reading them anew may take as long as the store is away.
+        let known = addresses(context.entries.lock().await.known());
+        peers::send(context.clone(), datagram.clone(), known.clone());
+        let fresh = entries(&context).await.map(|entries| addresses(&entries));
+        let fresh = fresh.unwrap_or_else(|error| {
+            log::warn!("entries outcome=known-ones-told count={} reason=\"{error}\"", known.len());
+            known
+        });
         tokio::time::sleep(TELL_AGAIN).await;
-        peers::send(context, datagram, entries);
+        peers::send(context, datagram, fresh);
     });
 }
 
-/// Where the entries listen, read at most every `ENTRIES_AGE`: one that is new learns from the
-/// registry what it was not told.
+/// The entries, read from the store where they were not read lately. The book is not held
+/// meanwhile, so that a word to those that are known does not wait for the store.
 pub(crate) async fn entries(context: &StockContext) -> Result<Vec<PeerRecord>, StoreError> {
     let now = context.clock.now();
-    let mut known = context.entries.lock().await;
-    if let Some((read, entries)) = known.as_ref()
-        && now.since(*read) < ENTRIES_AGE
-    {
-        return Ok(entries.clone());
+    let book = context.entries.lock().await;
+    if !book.is_due(now) {
+        return Ok(book.known().to_vec());
     }
+    drop(book);
     let page = context.borders.source.read_part(FleetPart::Entries).await?;
     let peers = page.changes.into_iter().filter_map(|change| match change {
         FleetChange::Peer(peer) => Some(peer),
         _ => None,
     });
     let entries: Vec<_> = peers.collect();
-    // Where all start at once, none may have registered yet.
-    if !entries.is_empty() {
-        *known = Some((now, entries.clone()));
-    }
+    context.entries.lock().await.note(now, entries.clone());
     Ok(entries)
 }
--- a/mustardrill_core/src/stock/mod.rs
+++ b/mustardrill_core/src/stock/mod.rs
@@ -5,6 +5,7 @@
 //! load it. Nothing here does I/O or reads a clock.
 
 mod engine;
+mod entries;
 mod event;
 mod following;
 mod holding;
@@ -13,6 +14,7 @@
 mod sources;
 mod turn;
 
+pub use entries::EntryBook;
 pub use event::{
     EngineView, HoldingNews, StockEffect, StockEvent, StockSettings, StockStatus, VersionId,
     WeightSource,
--- a/mustardrill_core/tests/stock.rs
+++ b/mustardrill_core/tests/stock.rs
@@ -7,12 +7,12 @@
 use assert_matches::assert_matches;
 use mustardrill_core::direct::{
     CallerLimits, EngineProfile, EngineWord, FleetChange, FleetPage, ModelProfile, OriginProfile,
-    RouteDocument, ServedWeights, ServiceProfile, UpstreamRecord,
+    PeerRecord, RouteDocument, ServedWeights, ServiceProfile, UpstreamRecord,
 };
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
 use mustardrill_core::stock::{
-    EngineView, HoldingNews, StockEffect, StockEvent, StockReducer, StockSettings, TurnSpan,
-    VersionId, WeightSource,
+    EngineView, EntryBook, HoldingNews, StockEffect, StockEvent, StockReducer, StockSettings,
+    TurnSpan, VersionId, WeightSource,
 };
 use mustardrill_core::transfer::{ChunkSource, DrawOutcome, TransferSettings};
 use mustardrill_types::{
@@ -602,3 +602,23 @@
     let effects = reducer.reduce(START + Millis(900), fleet(vec![named(2)], false));
     assert!(!effects.contains(&StockEffect::ReadPeers), "{effects:?}");
 }
+
+/// Entries that were not told of a load went on sending to an engine that took nothing.
+#[test]
+fn the_entries_that_are_known_are_told_however_long_the_store_is_away() {
+    let mut book = EntryBook::default();
+    assert!(book.is_due(START) && book.known().is_empty());
+    let entry = PeerRecord {
+        id: "edge-1".parse().unwrap(),
+        address: SocketAddr::from(([10, 0, 1, 1], 7700)),
+        data_centre: "hall-a".parse().unwrap(),
+        link_mbps: 1_000,
+    };
+    book.note(START, vec![entry.clone()]);
+    assert!(!book.is_due(START + Millis(5_000)));
+    let later = START + Millis(30_000);
+    assert!(book.is_due(later), "one that has come since is to be found");
+    assert_eq!(book.known(), std::slice::from_ref(&entry), "nothing better is known");
+    book.note(later, Vec::new());
+    assert_eq!(book.known(), [entry], "none is registered where all have just restarted");
+}
