Whether an upstream has room is worked out in one place; tests share a request and an order

choose() and has_room() each compared slots and unread prompts and then asked room() for the number; room() now answers both, none being zero. Behaviour is the same. direct.rs, rebirth.rs and contention.rs made the same request, three tests of stock.rs the same course up to an order: one maker each, the assertions stay.

--- a/mustardrill_core/src/direct/placing.rs
+++ b/mustardrill_core/src/direct/placing.rs
@@ -38,11 +38,8 @@
             } else {
                 pressure::limit(slots, self.settings.ahead)
             };
-            if present.requests >= limit || present.reading > self.settings.reading_limit {
-                continue;
-            }
             let room = self.room(present, limit, upstream);
-            if waited && now < self.place_open(upstream, room) {
+            if room == 0 || (waited && now < self.place_open(upstream, room)) {
                 continue;
             }
             let cost = pressure::cost(&ChoiceInputs {
@@ -75,14 +72,17 @@
     fn has_room(&self, now: Moment, id: &InstanceId) -> bool {
         let Some(upstream) = self.upstreams.get(id) else { return false };
         let present = self.upstreams.present(now, id, self.settings.peer_patience);
-        present.requests < pressure::limit(upstream.record.slots, self.settings.ahead)
-            && present.reading <= self.settings.reading_limit
+        let limit = pressure::limit(upstream.record.slots, self.settings.ahead);
+        self.room(present, limit, upstream) > 0
     }
 
     /// How many requests of usual size an upstream may be sent now, by its slots and by what it has
     /// yet to read.
     fn room(&self, present: UpstreamLoad, limit: u32, upstream: &UpstreamState) -> u32 {
-        let places = limit - present.requests;
+        let places = limit.saturating_sub(present.requests);
+        if present.reading > self.settings.reading_limit {
+            return 0;
+        }
         let Some(profile) = self.profile(&upstream.record.service) else { return places };
         let usual = EngineForecast::new(profile).read_ms(profile.usual_prompt).max(1.0);
         let unread = self.settings.reading_limit.0.saturating_sub(present.reading.0);
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -4,12 +4,14 @@
 use std::net::SocketAddr;
 
 use mustardrill_core::catalogue::{EntryDraft, read_drafts};
-use mustardrill_core::direct::{DirectSettings, RetryShare};
+use mustardrill_core::direct::{
+    DirectRequest, DirectSettings, RequestNumber, RetryShare, WorkSize,
+};
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::edit::{EditChange, EditRequest, FleetFacts, VersionFact, apply_edit};
 use mustardrill_core::stock::{StockSettings, TurnSettings};
 use mustardrill_core::transfer::TransferSettings;
-use mustardrill_types::{ByteSize, EditId, FastMap, Millis};
+use mustardrill_types::{ByteSize, EditId, FastMap, Millis, Moment};
 
 /// The digest of version v1.
 pub const V1: &str = "1111111111111111111111111111111111111111111111111111111111111111";
@@ -104,3 +106,19 @@
         tell_every: Millis(35),
     }
 }
+
+/// A request of so much work for the model `m`, as it comes to a public route.
+pub fn direct_request(number: u64, path: &str, size: WorkSize, arrived: Moment) -> DirectRequest {
+    DirectRequest {
+        number: RequestNumber(number),
+        attempt: format!("a{number}").into(),
+        host: "drafts.example".into(),
+        path: path.into(),
+        key: None,
+        patience: Some(Millis(6_000)),
+        arrived,
+        model: Some("m".parse().unwrap()),
+        size,
+        resumes: false,
+    }
+}
--- a/mustardrill_core/tests/contention.rs
+++ b/mustardrill_core/tests/contention.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use mustardrill_core::direct::{
-    AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
-    DirectSettings, EngineProfile, FleetChange, FleetPage, LoadTeller, ModelProfile, PeerLoad,
-    PeerRecord, RepeatRule, RequestNumber, RouteDocument, RouteRule, ServedWeights, ServiceProfile,
+    AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectSettings,
+    EngineProfile, FleetChange, FleetPage, LoadTeller, ModelProfile, PeerLoad, PeerRecord,
+    RepeatRule, RequestNumber, RouteDocument, RouteRule, ServedWeights, ServiceProfile,
     UpstreamRecord, WorkSize,
 };
 use mustardrill_types::{
@@ -20,6 +20,7 @@
 const SLOTS: u32 = 16;
 /// What an engine at full load takes for a request: one ends about every 100 ms.
 const RUN: Millis = Millis(1_600);
+const SIZE: WorkSize = WorkSize { prompt: 100, answer: 100 };
 /// The way of a datagram.
 const WAY: Millis = Millis(3);
 
@@ -92,21 +93,6 @@
     reducer
 }
 
-fn request(number: u64, now: Moment) -> DirectRequest {
-    DirectRequest {
-        number: RequestNumber(number),
-        attempt: format!("a{number}").into(),
-        host: "drafts.example".into(),
-        path: "/x".into(),
-        key: None,
-        patience: Some(Millis(6_000)),
-        arrived: now,
-        model: Some("m".parse().unwrap()),
-        size: WorkSize { prompt: 100, answer: 100 },
-        resumes: false,
-    }
-}
-
 /// Something under way, at the millisecond at which it arrives.
 enum Arrival {
     Word(usize, PeerLoad),
@@ -144,7 +130,10 @@
             }
             let asked = if step < 1_500 { 0 } else { 1 + number % (ENTRIES - 1) };
             if step % 13 == 0 && asked == place as u64 {
-                effects.extend(entry.reduce(now, DirectEvent::Arrived(request(number, now))));
+                effects.extend(entry.reduce(
+                    now,
+                    DirectEvent::Arrived(common::direct_request(number, "/x", SIZE, now)),
+                ));
             }
             for effect in effects {
                 match effect {
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -105,16 +105,10 @@
 
 fn request(number: u64, path: &str, arrived: Moment) -> DirectRequest {
     DirectRequest {
-        number: RequestNumber(number),
-        attempt: format!("a{number}").into(),
         host: "Drafts.example:80".into(),
-        path: path.into(),
         key: Some("key-1".into()),
-        patience: Some(Millis(6_000)),
-        arrived,
         model: path.starts_with("/drafts/").then(|| "m".parse().unwrap()),
-        size: WorkSize { prompt: 300, answer: 120 },
-        resumes: false,
+        ..common::direct_request(number, path, WorkSize { prompt: 300, answer: 120 }, arrived)
     }
 }
 
--- a/mustardrill_core/tests/rebirth.rs
+++ b/mustardrill_core/tests/rebirth.rs
@@ -5,9 +5,9 @@
 
 use assert_matches::assert_matches;
 use mustardrill_core::direct::{
-    AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
-    EngineProfile, FleetChange, FleetPage, ModelProfile, OriginProfile, RepeatRule, RequestNumber,
-    RouteDocument, RouteRule, ServedWeights, ServiceProfile, UpstreamRecord, WorkSize,
+    AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, EngineProfile,
+    FleetChange, FleetPage, ModelProfile, OriginProfile, RepeatRule, RequestNumber, RouteDocument,
+    RouteRule, ServedWeights, ServiceProfile, UpstreamRecord, WorkSize,
 };
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
 use mustardrill_core::stock::{
@@ -96,18 +96,8 @@
 }
 
 fn arrive(reducer: &mut DirectReducer, now: Moment, number: u64) -> Vec<DirectEffect> {
-    let request = DirectRequest {
-        number: RequestNumber(number),
-        attempt: format!("a{number}").into(),
-        host: "drafts.example".into(),
-        path: "/drafts/x".into(),
-        key: None,
-        patience: Some(Millis(6_000)),
-        arrived: now,
-        model: Some("m".parse().unwrap()),
-        size: WorkSize { prompt: 300, answer: 120 },
-        resumes: false,
-    };
+    let request =
+        common::direct_request(number, "/drafts/x", WorkSize { prompt: 300, answer: 120 }, now);
     reducer.reduce(now, DirectEvent::Arrived(request))
 }
 
--- a/mustardrill_core/tests/stock.rs
+++ b/mustardrill_core/tests/stock.rs
@@ -178,6 +178,16 @@
     reducer
 }
 
+/// One whose turn has come and whose staged chunks were found whole, so that it has given the order,
+/// and the moment of that turn.
+fn ordered() -> (StockReducer, Moment) {
+    let mut reducer = staged();
+    let turn = START + common::TURNS.first;
+    reducer.reduce(turn, StockEvent::Woke);
+    reducer.reduce(turn, StockEvent::ReadBack(version(2), whole()));
+    (reducer, turn)
+}
+
 #[test]
 fn newer_weights_load_at_their_turn_after_they_were_read_back() {
     let mut reducer = staged();
@@ -216,10 +226,7 @@
 
 #[test]
 fn an_order_that_was_not_taken_is_given_again() {
-    let mut reducer = staged();
-    let turn = START + common::TURNS.first;
-    reducer.reduce(turn, StockEvent::Woke);
-    reducer.reduce(turn, StockEvent::ReadBack(version(2), whole()));
+    let (mut reducer, turn) = ordered();
     reducer.reduce(turn, StockEvent::Ordered(version(2), false));
     let mut effects = reducer.reduce(turn + Millis(50), engine(1, 3));
     effects.extend(reducer.reduce(turn + Millis(75), StockEvent::Woke));
@@ -230,10 +237,7 @@
 
 #[test]
 fn what_is_staged_stays_until_the_engine_has_taken_the_order() {
-    let mut reducer = staged();
-    let turn = START + common::TURNS.first;
-    reducer.reduce(turn, StockEvent::Woke);
-    reducer.reduce(turn, StockEvent::ReadBack(version(2), whole()));
+    let (mut reducer, turn) = ordered();
     let mut effects = reducer.reduce(turn, fleet(vec![named(3)], false));
     effects.extend(reducer.reduce(turn, list(3)));
     assert!(drawn(&effects).is_empty(), "a chunk would replace a staged one: {effects:?}");
@@ -267,10 +271,7 @@
 /// serves version 2, which went at the same time as they did.
 #[test]
 fn engines_with_the_newer_of_two_replaced_versions_load_after_the_others() {
-    let mut reducer = staged();
-    let turn = START + common::TURNS.first;
-    reducer.reduce(turn, StockEvent::Woke);
-    reducer.reduce(turn, StockEvent::ReadBack(version(2), whole()));
+    let (mut reducer, turn) = ordered();
     reducer.reduce(turn, StockEvent::Ordered(version(2), true));
     reducer.reduce(turn + Millis(900), engine(2, 1));
     let second = START + Millis(4_000);
