--- a/mustardrill_standins/src/engine.rs
+++ b/mustardrill_standins/src/engine.rs
@@ -70,6 +70,8 @@
     /// Every accepted order: fencing number and digest.
     orders: Vec<(u64, String)>,
     refused_orders: u64,
+    /// Orders that came in whole, whatever became of them.
+    received_orders: u64,
 }
 
 #[derive(Deserialize)]
@@ -129,6 +131,7 @@
         let Ok(order) = serde_json::from_slice::<LoadBody>(body) else {
             return text_response(StatusCode::BAD_REQUEST, "not a load order\n");
         };
+        self.loaded().received_orders += 1;
         if !self.admits_fence(order.fence) {
             return text_response(StatusCode::CONFLICT, "an old fencing number\n");
         }
@@ -254,7 +257,7 @@
                 let serving: Vec<_> = loaded.serving.iter().collect();
                 let (fence, refused) = (loaded.fence, loaded.refused_orders);
                 let load = self.lagging_load();
-                let state = serde_json::json!({ "serving": serving, "fence": fence, "refused_orders": refused, "load": load, "orders": loaded.orders });
+                let state = serde_json::json!({ "serving": serving, "fence": fence, "refused_orders": refused, "load": load, "orders": loaded.orders, "received_orders": loaded.received_orders });
                 json_response(StatusCode::OK, &state)
             }
             "/admin/runs" => json_response(StatusCode::OK, &self.runs()),
--- a/mustardrill_standins/src/lab.rs
+++ b/mustardrill_standins/src/lab.rs
@@ -277,14 +277,25 @@
         links
     }
 
+    /// What an engine tells of itself; nothing where it does not answer.
+    async fn engine_state(&self, engine: &LabUpstream) -> serde_json::Value {
+        let answer = self.call("GET", engine.upstream.address, "/v1/state", Bytes::new()).await;
+        serde_json::from_slice(&answer.body).unwrap_or_default()
+    }
+
     /// The load orders that an engine accepted, fencing number and digest, and how many it refused.
     pub async fn orders(&self, engine: &LabUpstream) -> (Vec<(u64, String)>, u64) {
-        let answer = self.call("GET", engine.upstream.address, "/v1/state", Bytes::new()).await;
-        let state: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let state = self.engine_state(engine).await;
         let orders = serde_json::from_value(state["orders"].clone()).unwrap_or_default();
         (orders, state["refused_orders"].as_u64().unwrap_or_default())
     }
 
+    /// How many load orders have come to an engine whole, whatever became of them.
+    pub async fn received_orders(&self, engine: &LabUpstream) -> u64 {
+        let state = self.engine_state(engine).await;
+        state["received_orders"].as_u64().unwrap_or_default()
+    }
+
     /// What an upstream ran, in order.
     pub async fn runs(&self, upstream: &LabUpstream) -> Vec<String> {
         let answer = self.call("GET", upstream.upstream.address, "/admin/runs", Bytes::new()).await;
--- a/mustardrill_standins/src/scenario.rs
+++ b/mustardrill_standins/src/scenario.rs
@@ -44,7 +44,9 @@
     let (first, link) = lab.replace_agent(0).await;
     accept(&lab, "v3", Some(2)).await;
     assert!(lab.wait_serving(&digests[2], 1, LONG).await.is_some(), "v3 is never served");
+    let received = lab.received_orders(&lab.engines[0]).await;
     link.as_ref().expect("the lab has links").set(LinkState::Open);
+    wait_for_arrival(&lab, received).await;
     first.thaw();
     let served_for = watch_engine(&lab, &digests[1], &digests[2]).await;
     let (orders, refused) = lab.orders(&lab.engines[0]).await;
@@ -72,6 +74,19 @@
     tokio::time::timeout(LONG, held).await.expect("an order is given");
 }
 
+/// Waits until one more order than `before` has come to the engine.
+///
+/// The agent that gave the held order drops its connection as soon as it goes on, as the time of
+/// its call is over. Let go at the same moment on a busy machine, it took the order with it.
+async fn wait_for_arrival(lab: &Lab, before: u64) {
+    let arrived = async {
+        while lab.received_orders(&lab.engines[0]).await <= before {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(LONG, arrived).await.expect("the held order arrives");
+}
+
 /// Watches the engine until the late order was refused, or until what it loaded gave way again.
 ///
 /// The engine's list of orders tells that, as it stays; what it serves meanwhile may be missed.
