Sight: an entry's log names a request by its content and tells an ended upstream from a broken connection

Lines of sending and of losing now carry a digest of path, caller and content, and a broken attempt asks with one new connection whether the upstream still listens: refused means ended (attempts.crashed counts these). No decision changes.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -188,12 +188,13 @@
             priority: state.priority,
         };
         info!(
-            "request={} decision=send instance={upstream} waited={} attempt={} present={} pinned={}",
+            "request={} decision=send instance={upstream} waited={} attempt={} present={} pinned={} digest={}",
             state.attempt,
             now.since(state.arrived),
             state.tried.len() + 1,
             self.upstreams.present(&upstream).requests,
             plan.pinned.map_or(0, |version| version.0),
+            state.digest,
         );
         let reading = self.reading_time(state);
         let start = target.start();
@@ -232,12 +233,12 @@
         let RequestStage::Sent(upstream) = state.stage.clone() else { return Vec::new() };
         state.stage = RequestStage::Between;
         let service = state.service.clone();
-        let attempt = state.attempt.clone();
+        let (attempt, digest) = (state.attempt.clone(), state.digest);
         self.upstreams.read(&upstream, std::mem::take(&mut state.reading));
         self.upstreams.left(&upstream);
         self.upstreams.judge(now, &upstream, outcome, self.settings.ejection);
         if outcome != AttemptOutcome::Whole {
-            info!("request={attempt} instance={} outcome={outcome:?}", upstream.id);
+            info!("request={attempt} instance={} outcome={outcome:?} digest={digest}", upstream.id);
         }
         let mut effects = self.go_on(now, number, outcome);
         effects.extend(self.pump(now, &service));
@@ -278,7 +279,7 @@
                 }
                 self.refuse(now, number, ResultCode::NoUpstream, NO_UPSTREAM_RETRY)
             }
-            AttemptOutcome::Lost { delivered } => {
+            AttemptOutcome::Lost { delivered, .. } => {
                 state.may_have_run = true;
                 state.delivered |= delivered;
                 if state.is_repeatable() && self.may_repeat(now, number) {
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -3,8 +3,8 @@
 use std::net::{IpAddr, SocketAddr};
 
 use mustardrill_types::{
-    CustomerName, DataCentre, Generation, InstanceId, Millis, ModelName, Moment, ResultCode,
-    WeightVersion,
+    CustomerName, DataCentre, Generation, InstanceId, Millis, ModelName, Moment, RequestDigest,
+    ResultCode, WeightVersion,
 };
 
 use crate::direct::fleet::FleetPage;
@@ -28,6 +28,8 @@
     pub host: Box<str>,
     /// Its path without a query.
     pub path: Box<str>,
+    /// Its method, path, query and body, whoever sends it.
+    pub content: RequestDigest,
     /// The key that the caller showed.
     pub key: Option<Box<str>>,
     /// How long the caller waits; nothing where it did not say.
@@ -59,6 +61,8 @@
     Lost {
         /// Whether the caller has events of it already.
         delivered: bool,
+        /// Whether the upstream has ended, and not only the connection.
+        crashed: bool,
     },
 }
 
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -1,7 +1,7 @@
 //! A request in progress at an entry.
 
 use mustardrill_types::{
-    CustomerName, InstanceId, Millis, ModelName, Moment, ServiceName, WeightVersion,
+    CustomerName, InstanceId, Millis, ModelName, Moment, RequestDigest, ServiceName, WeightVersion,
 };
 
 use crate::direct::event::{DirectRequest, RequestNumber};
@@ -15,6 +15,8 @@
 pub(crate) struct RequestState {
     pub(crate) number: RequestNumber,
     pub(crate) attempt: Box<str>,
+    /// The same for each sending of this request by its caller.
+    pub(crate) digest: RequestDigest,
     pub(crate) host: Box<str>,
     pub(crate) path: Box<str>,
     pub(crate) key: Option<Box<str>>,
@@ -66,13 +68,18 @@
     ) -> Self {
         let patience = request.patience.unwrap_or(route.timeout).min(route.timeout);
         let priority = customer.as_ref().and_then(|(_, priority)| *priority);
+        let customer = customer.map(|(name, _)| name);
+        let caller = customer.as_ref().map_or("", CustomerName::as_str);
+        let content = request.content.0.to_be_bytes();
+        let digest = RequestDigest::of(&[route.host.as_bytes(), caller.as_bytes(), &content]);
         Self {
             number: request.number,
             attempt: request.attempt,
+            digest,
             host: request.host,
             path: request.path,
             key: request.key,
-            customer: customer.map(|(name, _)| name),
+            customer,
             service,
             model: request.model,
             size: request.size,
--- a/mustardrill_core/tests/budgets.rs
+++ b/mustardrill_core/tests/budgets.rs
@@ -41,7 +41,7 @@
     for number in numbers {
         let request = common::desk_request(number, now);
         reducer.reduce(now, DirectEvent::Arrived(request));
-        let lost = AttemptOutcome::Lost { delivered: false };
+        let lost = AttemptOutcome::Lost { delivered: false, crashed: false };
         let effects = reducer.reduce(now, DirectEvent::Ended(RequestNumber(number), lost));
         let is_send = |effect: &&DirectEffect| matches!(effect, DirectEffect::Send(..));
         repeats += effects.iter().filter(is_send).count();
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use mustardrill_core::stock::{StockSettings, TurnSettings};
 use mustardrill_core::transfer::TransferSettings;
 use mustardrill_types::{
-    ByteSize, EditId, FastMap, Generation, InstanceId, Millis, Moment, StartStamp,
+    ByteSize, EditId, FastMap, Generation, InstanceId, Millis, Moment, RequestDigest, StartStamp,
 };
 
 /// The digest of version v1.
@@ -119,6 +119,7 @@
         attempt: format!("a{number}").into(),
         host: "drafts.example".into(),
         path: path.into(),
+        content: RequestDigest::of(&[path.as_bytes()]),
         key: None,
         patience: Some(Millis(6_000)),
         arrived,
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -332,7 +332,8 @@
 fn a_request_that_may_run_once_is_never_sent_again_and_never_said_not_to_have_run() {
     let mut reducer = entry(&[upstream("d1", "desk", 0), upstream("d2", "desk", 0)]);
     arrive(&mut reducer, START, 1, "/notices/x");
-    let effects = end(&mut reducer, START, 1, AttemptOutcome::Lost { delivered: false });
+    let effects =
+        end(&mut reducer, START, 1, AttemptOutcome::Lost { delivered: false, crashed: false });
     assert_eq!(sent(&effects), Vec::<&SendPlan>::new());
     let code = refused(&effects)[0].code;
     assert!(!code.is_not_run(), "{code:?}");
@@ -393,7 +394,12 @@
     let mut repeats = 0;
     for number in 1..=100 {
         arrive(&mut reducer, START, number, "/notices/status/x");
-        let effects = end(&mut reducer, START, number, AttemptOutcome::Lost { delivered: false });
+        let effects = end(
+            &mut reducer,
+            START,
+            number,
+            AttemptOutcome::Lost { delivered: false, crashed: false },
+        );
         repeats += sent(&effects).len();
         reducer.reduce(START, DirectEvent::Gone(RequestNumber(number)));
     }
@@ -532,7 +538,8 @@
     let first = sent(&effects)[0].upstream.clone();
     let version = WeightVersion(if first.as_str() == "u1" { 1 } else { 2 });
     reducer.reduce(START, DirectEvent::Answering(RequestNumber(1), None, Some(version)));
-    let effects = end(&mut reducer, START, 1, AttemptOutcome::Lost { delivered: true });
+    let effects =
+        end(&mut reducer, START, 1, AttemptOutcome::Lost { delivered: true, crashed: false });
     for plan in sent(&effects) {
         assert_eq!((&plan.upstream, plan.pinned), (&first, Some(version)));
     }
@@ -579,7 +586,7 @@
                 (4, Some(number)) => end(&mut reducer, now, number, AttemptOutcome::Full),
                 (5, Some(number)) => {
                     may_have_run.insert(number, true);
-                    end(&mut reducer, now, number, AttemptOutcome::Lost { delivered: false })
+                    end(&mut reducer, now, number, AttemptOutcome::Lost { delivered: false, crashed: false })
                 }
                 (6, Some(number)) => end(&mut reducer, now, number, AttemptOutcome::NotSent),
                 _ => reducer.reduce(now, DirectEvent::Woke),
@@ -640,7 +647,7 @@
 /// after; what loses requests is left alone for longer.
 #[test]
 fn what_could_not_be_reached_is_tried_again_within_two_seconds() {
-    let lost = AttemptOutcome::Lost { delivered: false };
+    let lost = AttemptOutcome::Lost { delivered: false, crashed: false };
     for (outcome, tried) in [(AttemptOutcome::NotSent, true), (lost, false)] {
         let mut reducer = entry(&[upstream("d1", "desk", 0)]);
         let mut now = START;
--- a/mustardrill_core/tests/rebirth.rs
+++ b/mustardrill_core/tests/rebirth.rs
@@ -109,7 +109,7 @@
     assert!(is_sent(&arrive(&mut reducer, START + Millis(20), 9)));
     // Requests of before fail now. They neither free places of the later start nor speak ill of it.
     for number in 0..4 {
-        let lost = AttemptOutcome::Lost { delivered: false };
+        let lost = AttemptOutcome::Lost { delivered: false, crashed: false };
         reducer.reduce(START + Millis(30), DirectEvent::Ended(RequestNumber(number), lost));
         reducer.reduce(START + Millis(30), DirectEvent::Gone(RequestNumber(number)));
     }
@@ -315,7 +315,7 @@
     let mut reducer = entry(record("u1", 10, 1));
     arrive(&mut reducer, START, 1);
     told(&mut reducer, START + Millis(10), FleetChange::Upstream(record("u1", 20, 0)));
-    let lost = AttemptOutcome::Lost { delivered: false };
+    let lost = AttemptOutcome::Lost { delivered: false, crashed: false };
     let ended = DirectEvent::Ended(RequestNumber(1), lost);
     let effects = reducer.reduce(START + Millis(20), ended);
     assert_matches!(effects.first(), Some(DirectEffect::Refuse(RequestNumber(1), _)));
--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -18,7 +18,7 @@
 
 use crate::direct::actor::{Begin, DirectActor, DirectContext, Event, Verdict};
 use crate::direct::answer::AnswerPart;
-use crate::direct::connections::{SendFailure, UpstreamConnection};
+use crate::direct::connections::{self, SendFailure, UpstreamConnection};
 use crate::direct::events::EventCutter;
 
 /// The largest answer that is read whole before it is passed on.
@@ -105,7 +105,7 @@
         let tried = self.try_upstream(plan, progress, &mut sent);
         match tokio::time::timeout(left.to_std(), tried).await {
             Ok(outcome) => outcome,
-            Err(_) if sent => AttemptOutcome::Lost { delivered: progress.began },
+            Err(_) if sent => lost(progress.began),
             Err(_) => AttemptOutcome::NotSent,
         }
     }
@@ -133,7 +133,7 @@
         }
         if progress.began {
             // The failure of another upstream can't be told after events of a first one.
-            return AttemptOutcome::Lost { delivered: true };
+            return lost(true);
         }
         self.whole(plan, answer, progress).await
     }
@@ -145,7 +145,7 @@
         mut connection: UpstreamConnection,
         progress: &Progress,
     ) -> Result<GoodAnswer, AttemptOutcome> {
-        let lost = AttemptOutcome::Lost { delivered: progress.began };
+        let lost = lost(progress.began);
         let remaining = plan.deadline.since(self.context.clock.now());
         let dialect = &self.context.borders.dialect;
         let request = dialect.write_request(&self.head, plan, remaining, progress.cutter.last());
@@ -162,7 +162,7 @@
                     self.attempt,
                     plan.upstream
                 );
-                return Err(lost);
+                return Err(self.broken(plan, progress.began).await);
             }
             Err(_) => {
                 log::info!(
@@ -242,7 +242,7 @@
                     self.attempt,
                     plan.upstream
                 );
-                return AttemptOutcome::Lost { delivered: false };
+                return self.broken(plan, false).await;
             }
         };
         let bytes = body.to_bytes();
@@ -257,6 +257,13 @@
         AttemptOutcome::Whole
     }
 
+    /// What became of an attempt whose connection broke: an upstream that takes no other one has
+    /// ended, perhaps by this very request.
+    async fn broken(&self, plan: &SendPlan, delivered: bool) -> AttemptOutcome {
+        let crashed = connections::has_ended(plan.address).await;
+        AttemptOutcome::Lost { delivered, crashed }
+    }
+
     /// Passes events on as they come.
     async fn stream(
         &self,
@@ -274,7 +281,7 @@
                     plan.upstream,
                     progress.cutter.last()
                 );
-                return AttemptOutcome::Lost { delivered: progress.began };
+                return lost(progress.began);
             };
             let data = match frame {
                 None => break,
@@ -286,7 +293,7 @@
                         plan.upstream,
                         progress.cutter.last()
                     );
-                    return AttemptOutcome::Lost { delivered: progress.began };
+                    return self.broken(plan, progress.began).await;
                 }
             };
             match progress.cutter.push(&data) {
@@ -305,12 +312,12 @@
                         plan.upstream,
                         progress.cutter.last()
                     );
-                    return AttemptOutcome::Lost { delivered: progress.began };
+                    return lost(progress.began);
                 }
             }
         }
         if !progress.cutter.is_whole() || !progress.began {
-            return AttemptOutcome::Lost { delivered: progress.began };
+            return self.broken(plan, progress.began).await;
         }
         self.pass(AnswerPart::End).await;
         self.keep(plan, answer.connection, &head.headers).await;
@@ -318,6 +325,11 @@
     }
 }
 
+/// An attempt that ended without a word on whether its upstream is still there.
+fn lost(delivered: bool) -> AttemptOutcome {
+    AttemptOutcome::Lost { delivered, crashed: false }
+}
+
 /// The outcome as a label of a metric.
 fn outcome_name(outcome: AttemptOutcome) -> &'static str {
     match outcome {
@@ -326,6 +338,7 @@
         AttemptOutcome::Full => "full",
         AttemptOutcome::Misdirected => "misdirected",
         AttemptOutcome::NotSent => "not_sent",
+        AttemptOutcome::Lost { crashed: true, .. } => "crashed",
         AttemptOutcome::Lost { .. } => "lost",
     }
 }
--- a/mustardrill_entry/src/direct/callers.rs
+++ b/mustardrill_entry/src/direct/callers.rs
@@ -8,11 +8,11 @@
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::{Request, StatusCode};
+use hyper::{Request, StatusCode, http};
 use kameo::prelude::*;
 use mustardrill_core::direct::{RefusalPlan, RequestNumber};
 use mustardrill_runtime::http::{AnyResponse, HttpHandler, text_response};
-use mustardrill_types::{Millis, ResultCode};
+use mustardrill_types::{Millis, RequestDigest, ResultCode};
 use tokio::sync::mpsc;
 
 use crate::direct::actor::{DirectActor, DirectContext, LimitsQuery, ReadyQuery};
@@ -42,7 +42,7 @@
         let arrived = self.context.clock.now();
         let number = RequestNumber(self.next.fetch_add(1, Ordering::Relaxed));
         let (head, body) = request.into_parts();
-        let call = match dialect.read_request(number, arrived, &head) {
+        let mut call = match dialect.read_request(number, arrived, &head) {
             Ok(call) => call,
             Err(reason) => {
                 log::info!("request={number} decision=refuse reason=\"{reason}\"");
@@ -59,6 +59,8 @@
             );
             return bad_request(dialect);
         };
+        let body = body.to_bytes();
+        call.content = content_digest(&head, &body);
         let (sender, parts) = mpsc::channel(PART_BUFFER);
         let task = RequestTask {
             context: self.context.clone(),
@@ -66,7 +68,7 @@
             number,
             attempt: call.attempt.clone(),
             head,
-            body: body.to_bytes(),
+            body,
             parts: sender,
         };
         tokio::spawn(task.run(call));
@@ -94,6 +96,11 @@
     }
 }
 
+fn content_digest(head: &http::request::Parts, body: &[u8]) -> RequestDigest {
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    RequestDigest::of(&[head.method.as_str().as_bytes(), path.as_bytes(), body])
+}
+
 fn bad_request(dialect: &dyn mustardrill_runtime::border::CallDialect) -> AnyResponse {
     refusal(&RefusalPlan { code: ResultCode::BadRequest, retry_after: Millis(0) }, dialect)
 }
--- a/mustardrill_types/src/id.rs
+++ b/mustardrill_types/src/id.rs
@@ -187,6 +187,12 @@
     "request key"
 );
 
+random_type!(
+    /// What a caller asks for; a request that comes again has the same one, at every entry.
+    RequestDigest,
+    "request digest"
+);
+
 /// The digest of a version's manifest; it pins every byte of the version.
 #[derive(
     Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -224,13 +230,29 @@
 impl RequestKey {
     /// The key for what `customer` called `text`; two customers' keys never meet.
     pub fn of(customer: &CustomerName, text: &str) -> Self {
-        let hash = blake3::hash(format!("{}\n{text}", customer.as_str()).as_bytes());
-        let mut half = [0; 16];
-        half.copy_from_slice(&hash.as_bytes()[..16]);
-        Self(u128::from_be_bytes(half))
+        Self(first_half(blake3::hash(format!("{}\n{text}", customer.as_str()).as_bytes())))
     }
 }
 
+impl RequestDigest {
+    /// The digest of what a request is made of.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            // The length keeps the end of one part from passing for the beginning of the next.
+            hasher.update(&(part.len() as u64).to_be_bytes());
+            hasher.update(part);
+        }
+        Self(first_half(hasher.finalize()))
+    }
+}
+
+fn first_half(hash: blake3::Hash) -> u128 {
+    let mut half = [0; 16];
+    half.copy_from_slice(&hash.as_bytes()[..16]);
+    u128::from_be_bytes(half)
+}
+
 fn check_name(text: &str, kind: &'static str) -> Result<Box<str>, ParseIdError> {
     const RULE: &str = "1 to 64 letters, digits, dots, hyphens or underscores";
     let allowed = |letter: char| letter.is_ascii_alphanumeric() || "._-".contains(letter);
--- a/mustardrill_types/src/lib.rs
+++ b/mustardrill_types/src/lib.rs
@@ -10,8 +10,8 @@
 pub use code::ResultCode;
 pub use id::{
     AttemptId, ChunkIndex, CustomerName, DataCentre, EditId, FencingNumber, Generation, InstanceId,
-    ManifestDigest, ModelName, RegionName, RequestKey, ServiceName, StartStamp, StoreRevision,
-    VersionName, WeightVersion,
+    ManifestDigest, ModelName, RegionName, RequestDigest, RequestKey, ServiceName, StartStamp,
+    StoreRevision, VersionName, WeightVersion,
 };
 pub use map::{FastMap, FastSet};
 pub use time::{Millis, Moment};
