A request that crashes each engine that runs it is sent on without end: a test that fails

Stand-ins get an engine that ends under a given request (its address refuses, its connections break) and starts again under another id.

--- a/mustardrill_standins/src/link.rs
+++ b/mustardrill_standins/src/link.rs
@@ -6,7 +6,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -25,6 +25,9 @@
     Slow(u64),
 }
 
+/// Connections that wait to be taken.
+const BACKLOG: u32 = 1_024;
+
 /// What is held back on its way to the process.
 type HeldBytes = Arc<Mutex<Vec<u8>>>;
 
@@ -47,10 +50,17 @@
 impl LabLink {
     /// Starts a link to `target`; within a tokio runtime only.
     pub fn spawn(target: SocketAddr) -> std::io::Result<Self> {
-        let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        listener.set_nonblocking(true)?;
+        Self::spawn_at((Ipv4Addr::LOCALHOST, 0).into(), target)
+    }
+
+    /// Starts a link to `target` that listens at `address`, as a process does that starts again.
+    pub fn spawn_at(address: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
+        // Also where connections of an earlier start are still being closed.
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let listener = socket.listen(BACKLOG)?;
         let address = listener.local_addr()?;
-        let listener = TcpListener::from_std(listener)?;
         let (state, seen) = watch::channel(LinkState::Open);
         let stop = CancellationToken::new();
         let held = HeldBytes::default();
--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -1,5 +1,6 @@
 //! The daemons as processes on a stand-in of the prepared platform, seen by callers and workers.
 
+mod crash;
 mod fleet;
 mod soak;
 mod store;
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -18,6 +18,7 @@
 };
 use serde_json::json;
 use sha2::{Digest, Sha256};
+use tokio::sync::mpsc;
 
 /// The chunks of a version.
 pub const CHUNKS: u32 = 12;
@@ -71,6 +72,18 @@
     /// Faults that are still to come.
     faults: u32,
     pause: Duration,
+    crash: Option<CrashTrigger>,
+}
+
+/// Requests under which a worker crashes, and whom it tells.
+#[derive(Debug, Clone)]
+pub struct CrashTrigger {
+    /// The path of those requests.
+    pub path: &'static str,
+    /// How long a run of one lasts.
+    pub after: Duration,
+    /// Gets the crashed worker's id.
+    pub crashed: mpsc::UnboundedSender<String>,
 }
 
 impl Worker {
@@ -87,6 +100,7 @@
             fault: WorkerFault::None,
             faults: 0,
             pause: Duration::from_millis(5),
+            crash: None,
         };
         Self { id: id.into(), state: Arc::new(Mutex::new(state)) }
     }
@@ -108,6 +122,10 @@
         self.state.lock().unwrap().pause = pause;
     }
 
+    pub fn set_crash(&self, crash: CrashTrigger) {
+        self.state.lock().unwrap().crash = Some(crash);
+    }
+
     pub fn version(&self) -> u64 {
         self.state.lock().unwrap().version
     }
@@ -210,6 +228,14 @@
                 let run = format!("{attempt} {}", text("x-tenant").unwrap_or_default());
                 state.runs.push((run, Instant::now()));
             }
+            if let Some(crash) = state.crash.clone().filter(|it| it.path == head.uri.path()) {
+                let id = self.id.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(crash.after).await;
+                    // A fleet that is gone needs no word.
+                    let _ = crash.crashed.send(id);
+                });
+            }
             (fault, state.pause)
         };
         if fault == WorkerFault::Full {
