A request under which three upstreams ended is run no more

Callers of other requests lost their answers each time that it came: every entry sent it on anew under each of its attempt ids. Cause: a request was known by its attempt id alone, and the end of an upstream was nobody's fault. Ruled out by the log lines of before: repeats that overrun the engines (they ended with free slots), and engines that end by themselves (each had the same digest). Now the digest of path, caller and content stands for the request at every entry; entries tell each other which digests an upstream had when it ended, five times within 3 s, and after three it is refused at once with 3005 (502, has-run) for ten minutes. Not yet told apart: requests that were only there.

--- /dev/null
+++ b/mustardrill_core/src/direct/crash_words.rs
@@ -0,0 +1,62 @@
+//! What entries tell each other of requests under which upstreams ended, and how often.
+//!
+//! Load pattern: a link loses a part of what is sent, or an entry is cut off for a second. A word that
+//! is lost costs an engine, and one that is told to 340 entries costs 340 datagrams, so each is told
+//! a few times with growing pauses.
+
+use std::collections::VecDeque;
+
+use mustardrill_types::{Millis, Moment, RequestDigest};
+
+use crate::quarantine::CrashedRun;
+
+/// When a word is told, counted from the event.
+const ROUNDS: [Millis; 5] = [Millis(0), Millis(60), Millis(250), Millis(1_000), Millis(3_000)];
+
+/// Words that wait to be told again; what exceeds this was told least lately.
+const WORDS_LIMIT: usize = 1_024;
+
+/// One word.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CrashWord {
+    /// An upstream ended while it had the request.
+    Crashed(CrashedRun),
+    /// The request was answered whole, so that no crash is to be put down to it.
+    Sound(RequestDigest),
+}
+
+/// Remembers what is yet to be told.
+#[derive(Debug, Default)]
+pub(crate) struct CrashTeller {
+    pending: VecDeque<PendingWord>,
+}
+
+#[derive(Debug)]
+struct PendingWord {
+    word: CrashWord,
+    since: Moment,
+    round: usize,
+}
+
+impl CrashTeller {
+    /// Takes a word that is to be told from `now` on.
+    pub(crate) fn push(&mut self, now: Moment, word: CrashWord) {
+        if self.pending.len() >= WORDS_LIMIT {
+            self.pending.pop_front();
+        }
+        self.pending.push_back(PendingWord { word, since: now, round: 0 });
+    }
+
+    /// The words that are to be told at `now`.
+    pub(crate) fn due(&mut self, now: Moment) -> Vec<CrashWord> {
+        let mut due = Vec::new();
+        for pending in &mut self.pending {
+            if pending.since + ROUNDS[pending.round] <= now {
+                pending.round += 1;
+                due.push(pending.word.clone());
+            }
+        }
+        self.pending.retain(|pending| pending.round < ROUNDS.len());
+        due
+    }
+}
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -201,6 +201,7 @@
         self.upstreams.sent(&start, reading);
         if let Some(state) = self.requests.get_mut(&number) {
             state.reading = reading;
+            state.sent = now;
             state.tried.push(upstream);
             state.stage = RequestStage::Sent(start);
         }
@@ -237,10 +238,18 @@
         self.upstreams.read(&upstream, std::mem::take(&mut state.reading));
         self.upstreams.left(&upstream);
         self.upstreams.judge(now, &upstream, outcome, self.settings.ejection);
+        let mut effects = match outcome {
+            AttemptOutcome::Whole => {
+                self.run_succeeded(now, digest);
+                Vec::new()
+            }
+            AttemptOutcome::Lost { crashed: true, .. } => self.run_crashed(now, number, &upstream),
+            _ => Vec::new(),
+        };
         if outcome != AttemptOutcome::Whole {
             info!("request={attempt} instance={} outcome={outcome:?} digest={digest}", upstream.id);
         }
-        let mut effects = self.go_on(now, number, outcome);
+        effects.extend(self.go_on(now, number, outcome));
         effects.extend(self.pump(now, &service));
         effects
     }
@@ -282,6 +291,9 @@
             AttemptOutcome::Lost { delivered, .. } => {
                 state.may_have_run = true;
                 state.delivered |= delivered;
+                if let Some(left) = self.quarantine.remaining(now, state.digest) {
+                    return self.refuse(now, number, ResultCode::Quarantined, left);
+                }
                 if state.is_repeatable() && self.may_repeat(now, number) {
                     return self.again(now, number);
                 }
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -7,6 +7,7 @@
     ResultCode, WeightVersion,
 };
 
+use crate::direct::crash_words::CrashWord;
 use crate::direct::fleet::FleetPage;
 use crate::direct::forecast::WorkSize;
 use crate::direct::route::RepeatRule;
@@ -112,6 +113,8 @@
     StoreFailed,
     /// Another entry told its load.
     PeerHeard(PeerLoad),
+    /// Another entry told of a request under which an upstream ended.
+    CrashHeard(CrashWord),
     /// An agent tells of its engine and a model.
     EngineHeard {
         /// Where the engine listens.
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod census;
+mod crash_words;
 mod dispatch;
 mod event;
 mod fleet;
@@ -21,11 +22,13 @@
 mod route;
 mod spending;
 mod store_view;
+mod suspicion;
 mod telling;
 mod upstream;
 mod version;
 mod waiting;
 
+pub use crash_words::CrashWord;
 pub use event::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, EngineWord,
     LoadReport, PeerLoad, RefusalPlan, RequestNumber, SendPlan, StatusRow, UpstreamLoad,
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -8,6 +8,7 @@
 use rand::rngs::SmallRng;
 
 use crate::direct::census::EntryCensus;
+use crate::direct::crash_words::CrashTeller;
 use crate::direct::event::{
     DirectEffect, DirectEvent, DirectSettings, EngineWord, RequestNumber, StatusRow,
 };
@@ -21,6 +22,7 @@
 use crate::direct::upstream::UpstreamTable;
 use crate::direct::version::VersionTable;
 use crate::direct::waiting::WaitQueue;
+use crate::quarantine::QuarantineTable;
 
 /// How long an agent's word counts that its engine takes no requests.
 ///
@@ -55,6 +57,10 @@
     pub(super) store_back: Moment,
     /// Requests that wait for a configuration that may be used.
     pub(super) held: HeldRequests,
+    /// Requests under which upstreams ended.
+    pub(super) quarantine: QuarantineTable,
+    /// What the other entries are told of them.
+    pub(super) crash_words: CrashTeller,
     /// When the next place opens that waiting requests may take.
     pub(super) place_at: Option<Moment>,
     /// The moment of the last wish to be woken that has not come yet.
@@ -81,6 +87,8 @@
             store_away: false,
             store_back: Moment(0),
             held: HeldRequests::default(),
+            quarantine: QuarantineTable::default(),
+            crash_words: CrashTeller::default(),
             place_at: None,
             wake: None,
         }
@@ -104,6 +112,7 @@
                 self.load_heard(now, load);
                 self.pump_all(now)
             }
+            DirectEvent::CrashHeard(word) => self.crash_heard(now, word),
             DirectEvent::EngineHeard { address, model, word } => {
                 let Some(state) = self.upstreams.by_address(address) else { return Vec::new() };
                 match word {
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -30,6 +30,8 @@
     pub(crate) priority: u8,
     pub(crate) attempts_limit: u32,
     pub(crate) arrived: Moment,
+    /// When it was sent to an upstream last.
+    pub(crate) sent: Moment,
     /// Until then an answer, or a stream's first event, has its full value.
     pub(crate) objective: Moment,
     pub(crate) deadline: Moment,
@@ -88,6 +90,7 @@
             priority: priority.unwrap_or(route.priority),
             attempts_limit: route.attempts.max(1),
             arrived: request.arrived,
+            sent: request.arrived,
             objective: request.arrived + route.objective,
             deadline: request.arrived + patience,
             stage: RequestStage::Between,
--- a/mustardrill_core/src/lib.rs
+++ b/mustardrill_core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod pace;
 pub mod partner;
 pub mod placement;
+pub mod quarantine;
 pub mod refusal;
 pub mod relays;
 pub mod rendezvous;
--- a/mustardrill_entry/src/callers.rs
+++ b/mustardrill_entry/src/callers.rs
@@ -258,11 +258,10 @@
 
 /// An answer that says what became of the request, and when it is worth coming back.
 fn rejection(code: ResultCode, message: &str, retry_after: Millis) -> AnyResponse {
-    let run = if code.is_not_run() { "not-run" } else { "unknown" };
     let body = serde_json::json!({
         "code": code.number(),
         "name": format!("{code:?}"),
-        "run": run,
+        "run": code.run_label(),
         "message": message,
         "retry_after_ms": retry_after.0,
     });
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -7,8 +7,9 @@
 use cadence::{Gauged, StatsdClient};
 use kameo::prelude::*;
 use mustardrill_core::direct::{
-    CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest, FleetChange, FleetPage,
-    LoadRows, OriginProfile, PeerRecord, RefusalPlan, RequestNumber, SendPlan, StatusRow, WaitRows,
+    CallerLimits, CrashWord, DirectEffect, DirectEvent, DirectReducer, DirectRequest, FleetChange,
+    FleetPage, LoadRows, OriginProfile, PeerRecord, RefusalPlan, RequestNumber, SendPlan,
+    StatusRow, WaitRows,
 };
 use mustardrill_runtime::border::{CallDialect, ChunkOrigin, FleetSource};
 use mustardrill_runtime::clock::ProcessClock;
@@ -97,6 +98,7 @@
     pub(crate) peers: Vec<PeerRecord>,
     pub(crate) outstanding: LoadRows,
     pub(crate) waiting: WaitRows,
+    pub(crate) crash_words: Vec<CrashWord>,
 }
 
 /// Asks for what is needed to hand weights on.
@@ -198,6 +200,7 @@
             peers: self.reducer.peers().to_vec(),
             outstanding: self.reducer.outstanding(),
             waiting: self.reducer.waiting(),
+            crash_words: self.reducer.crash_words(self.context.clock.now()),
         }
     }
 }
--- a/mustardrill_entry/src/direct/answer.rs
+++ b/mustardrill_entry/src/direct/answer.rs
@@ -59,8 +59,11 @@
 /// A response that says that there is no answer, whether the request ran, and when to come back.
 pub(crate) fn refusal(plan: &RefusalPlan, dialect: &dyn CallDialect) -> AnyResponse {
     let (status, headers) = dialect.write_refusal(plan.code, plan.retry_after);
-    let run = if plan.code.is_not_run() { "not-run" } else { "unknown" };
-    let body = serde_json::json!({ "code": plan.code.number(), "name": format!("{:?}", plan.code), "run": run });
+    let body = serde_json::json!({
+        "code": plan.code.number(),
+        "name": format!("{:?}", plan.code),
+        "run": plan.code.run_label(),
+    });
     let mut response = Response::new(whole_body(body.to_string()));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/mustardrill_entry/src/direct/gossip.rs
+++ b/mustardrill_entry/src/direct/gossip.rs
@@ -6,9 +6,13 @@
 
 use kameo::prelude::*;
 use log::warn;
-use mustardrill_core::direct::{DirectEvent, LoadNews, LoadTeller, PeerLoad, UpstreamLoad};
-use mustardrill_runtime::datagram::{DATAGRAM_LIMIT, Datagram, LoadRow, VersionRow, WaitRow};
-use mustardrill_types::{Millis, ModelName, WeightVersion};
+use mustardrill_core::direct::{
+    DirectEvent, LoadNews, LoadTeller, PeerLoad, PeerRecord, UpstreamLoad,
+};
+use mustardrill_runtime::datagram::{
+    CrashRow, DATAGRAM_LIMIT, Datagram, LoadRow, VersionRow, WaitRow,
+};
+use mustardrill_types::{Millis, ModelName, Moment, WeightVersion};
 
 use crate::direct::actor::{DirectActor, DirectContext, Event, GossipQuery};
 
@@ -18,6 +22,9 @@
 /// The upstreams of one datagram. A row takes 20 to 25 bytes, so that these pass every link whole.
 const ROWS_LIMIT: usize = 50;
 
+/// The crashes of one datagram: a row takes 50 bytes, or 90 with the longest names.
+const CRASHES_LIMIT: usize = 14;
+
 /// How long nothing is heard after an error.
 const HEAR_PAUSE: Duration = Duration::from_millis(50);
 
@@ -70,9 +77,19 @@
                 continue;
             }
         };
-        let Some(event) = Datagram::read(&buffer[..length]).and_then(event_of) else { continue };
-        let _ = actor.tell(Event(event)).await;
+        let Some(datagram) = Datagram::read(&buffer[..length]) else { continue };
+        for event in events_of(context.clock.now(), datagram) {
+            let _ = actor.tell(Event(event)).await;
+        }
+    }
+}
+
+fn events_of(now: Moment, datagram: Datagram) -> Vec<DirectEvent> {
+    if datagram.crashes.is_empty() {
+        return event_of(datagram).into_iter().collect();
     }
+    let words = datagram.crashes.iter().filter_map(|row| row.word(now));
+    words.map(DirectEvent::CrashHeard).collect()
 }
 
 fn event_of(datagram: Datagram) -> Option<DirectEvent> {
@@ -103,14 +120,22 @@
         tokio::time::sleep(LOOK_EVERY).await;
         let Ok(reply) = actor.ask(GossipQuery).await else { return };
         let now = context.clock.now();
+        for words in reply.crash_words.chunks(CRASHES_LIMIT) {
+            let mut datagram = Datagram::new(&context.config.direct.own);
+            datagram.crashes = words.iter().map(|word| CrashRow::new(now, word)).collect();
+            send(&context, &reply.peers, &datagram.to_bytes()).await;
+        }
         let Some(news) = teller.next(now, reply.outstanding, reply.waiting) else { continue };
         for part in news.parts(ROWS_LIMIT) {
-            let bytes = load_datagram(&context, &part).to_bytes();
-            for peer in &reply.peers {
-                if let Err(error) = context.socket.send_to(&bytes, peer.address).await {
-                    log::debug!("datagram to={} outcome=unsent reason=\"{error}\"", peer.id);
-                }
-            }
+            send(&context, &reply.peers, &load_datagram(&context, &part).to_bytes()).await;
+        }
+    }
+}
+
+async fn send(context: &DirectContext, peers: &[PeerRecord], bytes: &[u8]) {
+    for peer in peers {
+        if let Err(error) = context.socket.send_to(bytes, peer.address).await {
+            log::debug!("datagram to={} outcome=unsent reason=\"{error}\"", peer.id);
         }
     }
 }
--- a/mustardrill_types/src/code.rs
+++ b/mustardrill_types/src/code.rs
@@ -42,6 +42,8 @@
     AnswerCut,
     /// The answer was made from other weights than those pinned; dropped.
     WrongWeights,
+    /// Upstreams ended each time that they ran this request; for a while it is run no more.
+    Quarantined,
     /// The edit was accepted.
     EditAccepted,
     /// The edit was refused and will not take effect.
@@ -54,7 +56,7 @@
 
 impl ResultCode {
     /// Every code, in the order of the numbers.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::Answered,
         Self::BadRequest,
         Self::UnknownCustomer,
@@ -73,6 +75,7 @@
         Self::UpstreamFailed,
         Self::AnswerCut,
         Self::WrongWeights,
+        Self::Quarantined,
         Self::EditAccepted,
         Self::EditRefused,
         Self::EditUnknown,
@@ -100,6 +103,7 @@
             Self::UpstreamFailed => 3002,
             Self::AnswerCut => 3003,
             Self::WrongWeights => 3004,
+            Self::Quarantined => 3005,
             Self::EditAccepted => 4000,
             Self::EditRefused => 4001,
             Self::EditUnknown => 4002,
@@ -117,6 +121,15 @@
         (2000..3000).contains(&self.number())
     }
 
+    /// What callers are told of whether the request was run.
+    pub fn run_label(self) -> &'static str {
+        match self {
+            Self::Quarantined => "has-run",
+            code if code.is_not_run() => "not-run",
+            _ => "unknown",
+        }
+    }
+
     /// Whether another upstream may be tried after this refusal.
     pub fn is_retryable(self) -> bool {
         matches!(self, Self::Overloaded | Self::NoUpstream | Self::Leaving)
@@ -139,7 +152,11 @@
             | Self::Withdrawn
             | Self::NotCurrent => 503,
             Self::DeadlinePassed => 504,
-            Self::Unknown | Self::UpstreamFailed | Self::AnswerCut | Self::WrongWeights => 502,
+            Self::Unknown
+            | Self::UpstreamFailed
+            | Self::AnswerCut
+            | Self::WrongWeights
+            | Self::Quarantined => 502,
             Self::EditUnknown => 202,
         }
     }
