A crash is put down to the request that was there each time, in turn

Callers of a request that was only beside the cause, or that many asked for at once when engines ended for a reason of their own, were refused for ten minutes. Cause: three crashes in which a digest occurs say nothing of the others that were there, of the same outage seen at many engines, or of an answer in between. Now crashes of runs that overlap count as one in turn; a crash is explained by another request that was there and weighs as much; a whole answer clears what was before it, also against words told again; and a verdict waits 60 ms for the other entries' words on the same crash, with it the request itself (not sent meanwhile).

--- a/mustardrill_core/src/direct/admit.rs
+++ b/mustardrill_core/src/direct/admit.rs
@@ -57,10 +57,12 @@
         window.earn(now, &self.settings.retry);
         let customer = customer.map(|customer| (customer.name.clone(), customer.priority));
         let state = RequestState::new(request, route, service, customer);
-        let quarantined = self.quarantine.remaining(now, state.digest);
         self.requests.insert(number, state);
-        if let Some(left) = quarantined {
-            return self.refuse(now, number, ResultCode::Quarantined, left);
+        if let Some(refusal) = self.refuse_quarantined(now, number) {
+            return refusal;
+        }
+        if self.await_verdict(now, number) {
+            return Vec::new();
         }
         self.start(now, number)
     }
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -238,18 +238,15 @@
         self.upstreams.read(&upstream, std::mem::take(&mut state.reading));
         self.upstreams.left(&upstream);
         self.upstreams.judge(now, &upstream, outcome, self.settings.ejection);
-        let mut effects = match outcome {
-            AttemptOutcome::Whole => {
-                self.run_succeeded(now, digest);
-                Vec::new()
-            }
+        match outcome {
+            AttemptOutcome::Whole => self.run_succeeded(now, digest),
             AttemptOutcome::Lost { crashed: true, .. } => self.run_crashed(now, number, &upstream),
-            _ => Vec::new(),
-        };
+            _ => {}
+        }
         if outcome != AttemptOutcome::Whole {
             info!("request={attempt} instance={} outcome={outcome:?} digest={digest}", upstream.id);
         }
-        effects.extend(self.go_on(now, number, outcome));
+        let mut effects = self.go_on(now, number, outcome);
         effects.extend(self.pump(now, &service));
         effects
     }
@@ -291,17 +288,26 @@
             AttemptOutcome::Lost { delivered, .. } => {
                 state.may_have_run = true;
                 state.delivered |= delivered;
-                if let Some(left) = self.quarantine.remaining(now, state.digest) {
-                    return self.refuse(now, number, ResultCode::Quarantined, left);
+                if let Some(refusal) = self.refuse_quarantined(now, number) {
+                    return refusal;
                 }
-                if state.is_repeatable() && self.may_repeat(now, number) {
-                    return self.again(now, number);
+                if self.await_verdict(now, number) {
+                    return Vec::new();
                 }
-                self.refuse(now, number, ResultCode::Unknown, Millis(0))
+                self.repeat_lost(now, number)
             }
         }
     }
 
+    /// Sends a request whose last attempt was lost once more, or gives it up.
+    pub(super) fn repeat_lost(&mut self, now: Moment, number: RequestNumber) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.get(&number) else { return Vec::new() };
+        if state.is_repeatable() && self.may_repeat(now, number) {
+            return self.again(now, number);
+        }
+        self.refuse(now, number, ResultCode::Unknown, Millis(0))
+    }
+
     /// Whether the request may be sent once more: by its route's attempts, its deadline and the
     /// budget of its service.
     fn may_repeat(&mut self, now: Moment, number: RequestNumber) -> bool {
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -59,6 +59,8 @@
     pub(super) held: HeldRequests,
     /// Requests under which upstreams ended.
     pub(super) quarantine: QuarantineTable,
+    /// Requests that wait for the verdict on them.
+    pub(super) undecided: Vec<RequestNumber>,
     /// What the other entries are told of them.
     pub(super) crash_words: CrashTeller,
     /// When the next place opens that waiting requests may take.
@@ -88,6 +90,7 @@
             store_back: Moment(0),
             held: HeldRequests::default(),
             quarantine: QuarantineTable::default(),
+            undecided: Vec::new(),
             crash_words: CrashTeller::default(),
             place_at: None,
             wake: None,
@@ -112,7 +115,10 @@
                 self.load_heard(now, load);
                 self.pump_all(now)
             }
-            DirectEvent::CrashHeard(word) => self.crash_heard(now, word),
+            DirectEvent::CrashHeard(word) => {
+                self.crash_heard(now, word);
+                Vec::new()
+            }
             DirectEvent::EngineHeard { address, model, word } => {
                 let Some(state) = self.upstreams.by_address(address) else { return Vec::new() };
                 match word {
@@ -125,6 +131,7 @@
             }
             DirectEvent::Woke => self.woke(now),
         };
+        effects.extend(self.decide_suspects(now));
         effects.extend(self.next_wake(now));
         effects
     }
@@ -229,7 +236,9 @@
             .filter(|moment| *moment >= now);
         let place = self.place_at.take();
         let held = self.held.next_overdue();
-        let next = overdue.into_iter().chain(lapse).chain(place).chain(held).min()?;
+        let verdict = self.quarantine.next_verdict();
+        let moments = overdue.into_iter().chain(lapse).chain(place).chain(held).chain(verdict);
+        let next = moments.min()?;
         if self.wake.is_some_and(|wake| wake <= next) {
             return None;
         }
--- a/mustardrill_core/src/direct/suspicion.rs
+++ b/mustardrill_core/src/direct/suspicion.rs
@@ -17,13 +17,13 @@
         now: Moment,
         number: RequestNumber,
         upstream: &UpstreamStart,
-    ) -> Vec<DirectEffect> {
-        let Some(state) = self.requests.get(&number) else { return Vec::new() };
+    ) {
+        let Some(state) = self.requests.get(&number) else { return };
         // One that leaves ends as it said; what it had was too long for it.
         let listed = self.upstreams.get(&upstream.id);
         let is_awaited = listed.is_some_and(|it| it.start() == *upstream && !it.record.leaving);
         if !is_awaited {
-            return Vec::new();
+            return;
         }
         let run = CrashedRun {
             digest: state.digest,
@@ -33,26 +33,25 @@
             ended: now,
         };
         self.crash_words.push(now, CrashWord::Crashed(run.clone()));
-        self.suspect(now, run)
+        self.suspect(now, run);
     }
 
     /// Notes that a request was answered whole: it is none that upstreams end under.
     pub(super) fn run_succeeded(&mut self, now: Moment, digest: RequestDigest) {
-        if self.quarantine.succeeded(digest) {
+        if self.quarantine.succeeded(now, digest) {
             info!("quarantine digest={digest} outcome=sound");
             self.crash_words.push(now, CrashWord::Sound(digest));
         }
     }
 
     /// Takes what another entry tells.
-    pub(super) fn crash_heard(&mut self, now: Moment, word: CrashWord) -> Vec<DirectEffect> {
+    pub(super) fn crash_heard(&mut self, now: Moment, word: CrashWord) {
         match word {
             CrashWord::Crashed(run) => self.suspect(now, run),
             CrashWord::Sound(digest) => {
-                if self.quarantine.succeeded(digest) {
+                if self.quarantine.succeeded(now, digest) {
                     info!("quarantine digest={digest} outcome=sound source=entry");
                 }
-                Vec::new()
             }
         }
     }
@@ -62,18 +61,28 @@
         self.crash_words.due(now)
     }
 
-    fn suspect(&mut self, now: Moment, run: CrashedRun) -> Vec<DirectEffect> {
-        let digest = run.digest;
-        let (upstream, took) = (run.upstream.clone(), run.ended.since(run.sent));
-        if !self.quarantine.crashed(now, run) {
-            return Vec::new();
+    fn suspect(&mut self, now: Moment, run: CrashedRun) {
+        let (digest, took) = (run.digest, run.ended.since(run.sent));
+        let upstream = run.upstream.clone();
+        if self.quarantine.crashed(now, run) {
+            info!("quarantine digest={digest} instance={upstream} ran={took} outcome=suspected");
         }
-        info!("quarantine digest={digest} instance={upstream} ran={took} outcome=suspected");
-        if !self.quarantine.judge(now, digest) {
+    }
+
+    /// Decides on the suspects, where that is due, and goes on with what waited for it.
+    pub(super) fn decide_suspects(&mut self, now: Moment) -> Vec<DirectEffect> {
+        if self.quarantine.next_verdict().is_none_or(|due| due > now) {
             return Vec::new();
         }
-        warn!("quarantine digest={digest} outcome=begun");
-        self.refuse_waiting(now, digest)
+        let mut effects = Vec::new();
+        for digest in self.quarantine.verdicts(now) {
+            warn!("quarantine digest={digest} outcome=begun");
+            effects.extend(self.refuse_waiting(now, digest));
+        }
+        for number in std::mem::take(&mut self.undecided) {
+            effects.extend(self.resume(now, number));
+        }
+        effects
     }
 
     /// Refuses the requests that wait to be run once more; those at upstreams may yet be answered,
@@ -83,8 +92,44 @@
         let same = self.requests.values().filter(|it| it.digest == digest && waits(it));
         let mut waiting: Vec<_> = same.map(|state| state.number).collect();
         waiting.sort_unstable();
-        let retry_after = self.quarantine.remaining(now, digest).unwrap_or_default();
-        let refuse = |number| self.refuse(now, number, ResultCode::Quarantined, retry_after);
-        waiting.into_iter().flat_map(refuse).collect()
+        let refuse = |number| self.refuse_quarantined(now, number);
+        waiting.into_iter().filter_map(refuse).flatten().collect()
+    }
+
+    /// Refuses a request that is run no more; nothing where it may run.
+    pub(super) fn refuse_quarantined(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+    ) -> Option<Vec<DirectEffect>> {
+        let digest = self.requests.get(&number)?.digest;
+        let retry_after = self.quarantine.remaining(now, digest)?;
+        Some(self.refuse(now, number, ResultCode::Quarantined, retry_after))
+    }
+
+    /// Lets a request wait for the verdict on it; says whether there is one to wait for.
+    pub(super) fn await_verdict(&mut self, now: Moment, number: RequestNumber) -> bool {
+        let Some(state) = self.requests.get(&number) else { return false };
+        let is_open = self.quarantine.is_open(now, state.digest);
+        if is_open {
+            info!("request={} decision=hold reason=verdict digest={}", state.attempt, state.digest);
+            self.undecided.push(number);
+        }
+        is_open
+    }
+
+    /// Goes on with a request that waited for the verdict on it.
+    fn resume(&mut self, now: Moment, number: RequestNumber) -> Vec<DirectEffect> {
+        if let Some(refusal) = self.refuse_quarantined(now, number) {
+            return refusal;
+        }
+        if self.await_verdict(now, number) {
+            return Vec::new();
+        }
+        match self.requests.get(&number) {
+            Some(state) if state.may_have_run => self.repeat_lost(now, number),
+            Some(_) => self.start(now, number),
+            None => Vec::new(),
+        }
     }
 }
--- a/mustardrill_core/src/quarantine.rs
+++ b/mustardrill_core/src/quarantine.rs
@@ -3,13 +3,30 @@
 //! Load pattern: a request ends each upstream that begins to run it, and comes again, from its
 //! caller and through every entry. Sent on each time it takes the whole service away, and with each
 //! upstream the other requests there. Entries therefore tell each other which requests an upstream
-//! had when it ended, and one that was there each time is run no more.
+//! had when it ended, and the one that was there each time is run no more.
+//!
+//! Others were there too. One that was answered whole since is cleared. A crash is put down to
+//! those that were at most crashes, one after the other: many that run at once see many upstreams
+//! end when a machine hall loses power, while the cause ends the next upstream after the last.
+
+use std::cmp::Reverse;
 
 use mustardrill_types::{FastMap, InstanceId, Millis, Moment, RequestDigest, StartStamp};
 
 /// Upstreams that ended under a request before it is held to be the cause.
 const LEAST_CRASHES: usize = 3;
 
+/// How many of these must have begun after the one before had ended.
+const LEAST_IN_TURN: usize = 2;
+
+/// Crashes in turn after which a request is held to be a cause though another one was there each
+/// time: two that always run together can't be told apart, and the upstreams are worth more.
+const MOST_IN_TURN: usize = 5;
+
+/// How long a verdict waits for the words of other entries on the same crash: what they had there
+/// may be the cause.
+const SETTLE_SPAN: Millis = Millis(60);
+
 /// For how long a request is run no more. After that it is tried again, as the software or the
 /// weights may have been mended; the first upstream that ends under it ends the trial.
 pub const QUARANTINE_SPAN: Millis = Millis(600_000);
@@ -44,36 +61,84 @@
 /// The requests under which upstreams ended, and those of them that are run no more.
 #[derive(Debug, Default)]
 pub struct QuarantineTable {
-    suspects: FastMap<RequestDigest, Vec<CrashedRun>>,
+    suspects: FastMap<RequestDigest, SuspectRecord>,
     /// Until when requests are run no more; kept for as long again, for a trial that fails.
     terms: FastMap<RequestDigest, Moment>,
+    /// When the next verdicts are due.
+    due: Option<Moment>,
+}
+
+/// What is held against a request.
+#[derive(Debug, Default)]
+struct SuspectRecord {
+    runs: Vec<CrashedRun>,
+    /// When it was answered whole; crashes until then don't count.
+    cleared: Moment,
+}
+
+/// How much speaks against a request: its crashes in turn, and all of its crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct SuspicionWeight {
+    in_turn: usize,
+    crashes: usize,
 }
 
 impl QuarantineTable {
     /// Notes a run that ended with its upstream; says whether it was not known yet.
     pub fn crashed(&mut self, now: Moment, run: CrashedRun) -> bool {
-        self.forget(now);
-        let runs = self.suspects.entry(run.digest).or_default();
-        if runs.iter().any(|known| known.upstream == run.upstream && known.start == run.start) {
+        if self.suspects.get(&run.digest).is_some_and(|known| known.knows(&run)) {
             return false;
         }
-        runs.push(run);
-        if runs.len() > RUNS_LIMIT {
-            runs.remove(0);
+        self.forget(now);
+        let record = self.suspects.entry(run.digest).or_default();
+        record.runs.push(run);
+        if record.runs.len() > RUNS_LIMIT {
+            record.runs.remove(0);
         }
+        self.due.get_or_insert(now + SETTLE_SPAN);
         true
     }
 
     /// Notes that a request was answered whole; says whether anything was held against it.
-    pub fn succeeded(&mut self, digest: RequestDigest) -> bool {
-        let was_suspected = self.suspects.remove(&digest).is_some();
-        self.terms.remove(&digest).is_some() || was_suspected
+    pub fn succeeded(&mut self, now: Moment, digest: RequestDigest) -> bool {
+        let was_quarantined = self.terms.remove(&digest).is_some();
+        let Some(record) = self.suspects.get_mut(&digest) else { return was_quarantined };
+        let was_suspected = record.counted().next().is_some();
+        record.cleared = now;
+        // What ended beside it is now the others' alone.
+        self.due = Some(now);
+        was_suspected || was_quarantined
     }
 
-    /// Decides on a request under which an upstream has ended; says whether its quarantine begins.
-    pub fn judge(&mut self, now: Moment, digest: RequestDigest) -> bool {
-        let is_guilty = self.suspects.get(&digest).is_some_and(|runs| runs.len() >= LEAST_CRASHES);
-        is_guilty && self.begin(now, digest)
+    /// When verdicts are due.
+    pub fn next_verdict(&self) -> Option<Moment> {
+        self.due
+    }
+
+    /// Whether a request may be put in quarantine once all words on its last crash have come.
+    pub fn is_open(&self, now: Moment, digest: RequestDigest) -> bool {
+        let record = self.suspects.get(&digest);
+        record.is_some_and(|record| record.settles() > now && record.is_charged())
+    }
+
+    /// The requests whose quarantine begins now. Empty before the verdicts are due.
+    pub fn verdicts(&mut self, now: Moment) -> Vec<RequestDigest> {
+        if self.due.is_none_or(|due| due > now) {
+            return Vec::new();
+        }
+        let settles = self.suspects.values().map(SuspectRecord::settles);
+        self.due = settles.filter(|settles| *settles > now).min();
+        let settled = self.suspects.iter().filter(|(_, record)| record.settles() <= now);
+        let mut open: Vec<_> = settled.map(|(digest, _)| *digest).collect();
+        // The heaviest first: what they explain is not held against the others.
+        open.sort_by_cached_key(|digest| (Reverse(self.weight(*digest)), *digest));
+        let mut begun = Vec::new();
+        for digest in open {
+            if self.is_cause(now, digest) && self.begin(now, digest) {
+                begun.push(digest);
+            }
+        }
+        begun
     }
 
     /// Begins a request's quarantine; says whether it was not in it.
@@ -81,11 +146,11 @@
         if self.remaining(now, digest).is_some() {
             return false;
         }
-        let soonest = self.terms.iter().min_by_key(|(_, until)| **until);
-        if let (Some(soonest), true) =
-            (soonest.map(|(digest, _)| *digest), self.terms.len() >= QUARANTINE_LIMIT)
-        {
-            self.terms.remove(&soonest);
+        if self.terms.len() >= QUARANTINE_LIMIT {
+            let soonest = self.terms.iter().min_by_key(|(_, until)| **until);
+            if let Some(soonest) = soonest.map(|(digest, _)| *digest) {
+                self.terms.remove(&soonest);
+            }
         }
         self.terms.insert(digest, now + QUARANTINE_SPAN);
         true
@@ -97,16 +162,96 @@
         (until > now).then(|| until.since(now))
     }
 
+    fn is_cause(&self, now: Moment, digest: RequestDigest) -> bool {
+        let Some(record) = self.suspects.get(&digest) else { return false };
+        let on_trial = self.terms.get(&digest).filter(|until| **until <= now);
+        if on_trial.is_some_and(|until| record.counted().any(|run| run.ended > *until)) {
+            return true;
+        }
+        if !record.is_charged() {
+            return false;
+        }
+        let weight = record.weight();
+        let unexplained = record.counted().filter(|run| !self.is_explained(now, run, weight));
+        let left = SuspicionWeight::of(unexplained);
+        let is_alone = left.crashes >= LEAST_CRASHES && left.in_turn >= LEAST_IN_TURN;
+        is_alone || weight.in_turn >= MOST_IN_TURN
+    }
+
+    /// Whether another request that was there is as likely the cause.
+    fn is_explained(&self, now: Moment, run: &CrashedRun, weight: SuspicionWeight) -> bool {
+        self.suspects.iter().any(|(digest, other)| {
+            let was_there = || other.counted().any(|it| it.is_same_end(run));
+            let is_heavier = || other.weight() >= weight || self.remaining(now, *digest).is_some();
+            *digest != run.digest && was_there() && is_heavier()
+        })
+    }
+
+    fn weight(&self, digest: RequestDigest) -> Option<SuspicionWeight> {
+        self.suspects.get(&digest).map(SuspectRecord::weight)
+    }
+
     /// Forgets what is long ago, and the oldest suspects where there are too many.
     fn forget(&mut self, now: Moment) {
-        let last = |runs: &[CrashedRun]| runs.iter().map(|run| run.ended).max();
-        self.suspects
-            .retain(|_, runs| last(runs).is_some_and(|last| now.since(last) < SUSPICION_SPAN));
+        self.suspects.retain(|_, record| now.since(record.last()) < SUSPICION_SPAN);
         self.terms.retain(|_, until| now.since(*until) < QUARANTINE_SPAN);
         while self.suspects.len() >= SUSPECTS_LIMIT {
-            let oldest = self.suspects.iter().min_by_key(|(_, runs)| last(runs));
+            let oldest = self.suspects.iter().min_by_key(|(_, record)| record.last());
             let Some(oldest) = oldest.map(|(digest, _)| *digest) else { break };
             self.suspects.remove(&oldest);
         }
     }
 }
+
+impl SuspectRecord {
+    fn knows(&self, run: &CrashedRun) -> bool {
+        self.runs.iter().any(|known| known.is_same_end(run))
+    }
+
+    /// The crashes since it was answered whole.
+    fn counted(&self) -> impl Iterator<Item = &CrashedRun> {
+        self.runs.iter().filter(|run| run.ended > self.cleared)
+    }
+
+    fn weight(&self) -> SuspicionWeight {
+        SuspicionWeight::of(self.counted())
+    }
+
+    /// Whether enough upstreams ended under it, whoever else was there.
+    fn is_charged(&self) -> bool {
+        let weight = self.weight();
+        weight.crashes >= LEAST_CRASHES && weight.in_turn >= LEAST_IN_TURN
+    }
+
+    fn last(&self) -> Moment {
+        self.runs.iter().map(|run| run.ended).max().unwrap_or_default()
+    }
+
+    /// When all words on its last crash have come.
+    fn settles(&self) -> Moment {
+        self.last() + SETTLE_SPAN
+    }
+}
+
+impl SuspicionWeight {
+    fn of<'a>(runs: impl Iterator<Item = &'a CrashedRun>) -> Self {
+        let mut spans: Vec<_> = runs.map(|run| (run.ended, run.sent)).collect();
+        // Ended first, taken first: the most that don't overlap, in whatever order they were told.
+        spans.sort_unstable();
+        let (mut in_turn, mut free_from) = (0, Moment(0));
+        for (ended, sent) in &spans {
+            if *sent >= free_from {
+                in_turn += 1;
+                free_from = *ended;
+            }
+        }
+        Self { in_turn, crashes: spans.len() }
+    }
+}
+
+impl CrashedRun {
+    /// Whether both ended with the same start of the same upstream.
+    fn is_same_end(&self, other: &Self) -> bool {
+        self.upstream == other.upstream && self.start == other.start
+    }
+}
