Quarantine for 1 to 340 entries, with half of the words lost, in any order, bounded: tests

With half of all words lost 3 to 6 engines end whether 1, 4, 36 or 340 entries share them (the bound: three that teach it and three more). Verdicts are the same in whatever order words come (64 cases).

--- a/mustardrill_core/src/quarantine.rs
+++ b/mustardrill_core/src/quarantine.rs
@@ -162,6 +162,11 @@
         (until > now).then(|| until.since(now))
     }
 
+    /// How many requests are suspected.
+    pub fn suspects(&self) -> usize {
+        self.suspects.len()
+    }
+
     fn is_cause(&self, now: Moment, digest: RequestDigest) -> bool {
         let Some(record) = self.suspects.get(&digest) else { return false };
         let on_trial = self.terms.get(&digest).filter(|until| **until <= now);
--- a/mustardrill_core/tests/quarantine.rs
+++ b/mustardrill_core/tests/quarantine.rs
@@ -7,10 +7,13 @@
     DirectRequest, FleetChange, FleetPage, RepeatRule, RequestNumber, RouteDocument,
     ServiceProfile, UpstreamRecord,
 };
-use mustardrill_core::quarantine::CrashedRun;
+use mustardrill_core::quarantine::{CrashedRun, QUARANTINE_SPAN, QuarantineTable};
 use mustardrill_types::{
     FastMap, Generation, Millis, Moment, RequestDigest, ResultCode, StartStamp, StoreRevision,
 };
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 mod common;
 
@@ -149,3 +152,147 @@
     hear(&mut reducer, third, "/hot", "v3", third - Millis(100));
     assert!(is_run(&mut reducer, third + SETTLED, 2, "/hot"));
 }
+
+/// A crash told by another entry.
+fn crash(path: &str, upstream: usize, sent: u64, ended: u64) -> CrashedRun {
+    CrashedRun {
+        digest: RequestDigest::of(&[path.as_bytes()]),
+        upstream: format!("v{upstream}").parse().unwrap(),
+        start: StartStamp(1),
+        sent: START + Millis(sent),
+        ended: START + Millis(ended),
+    }
+}
+
+#[test]
+fn two_that_are_always_there_together_are_both_run_no_more_in_the_end() {
+    let mut table = QuarantineTable::default();
+    let mut begun = Vec::new();
+    for turn in 0..5 {
+        let (sent, ended) = (turn * 400, turn * 400 + 100);
+        let now = START + Millis(ended);
+        table.crashed(now, crash("/one", turn as usize, sent, ended));
+        table.crashed(now, crash("/other", turn as usize, sent, ended));
+        begun = table.verdicts(now + SETTLED);
+        assert_eq!(begun.is_empty(), turn < 4, "turn {turn}");
+    }
+    assert!(!begun.is_empty());
+}
+
+#[test]
+fn after_its_term_one_crash_ends_a_requests_trial() {
+    let mut table = QuarantineTable::default();
+    for turn in 0..3 {
+        let ended = turn * 400 + 100;
+        table.crashed(START + Millis(ended), crash("/cause", turn as usize, turn * 400, ended));
+    }
+    let digest = RequestDigest::of(&[b"/cause"]);
+    let begun = START + Millis(1_000);
+    assert_eq!(table.verdicts(begun), [digest]);
+    assert_eq!(table.remaining(begun, digest), Some(QUARANTINE_SPAN));
+    let trial = begun + QUARANTINE_SPAN;
+    assert_eq!(table.remaining(trial, digest), None);
+    let sent = trial.since(START).0;
+    table.crashed(trial + Millis(100), crash("/cause", 7, sent, sent + 100));
+    assert_eq!(table.verdicts(trial + Millis(100) + SETTLED), [digest]);
+}
+
+#[test]
+fn an_answer_ends_a_quarantine() {
+    let mut table = QuarantineTable::default();
+    let digest = RequestDigest::of(&[b"/sound"]);
+    assert!(table.begin(START, digest));
+    assert!(table.succeeded(START + Millis(10), digest));
+    assert_eq!(table.remaining(START + Millis(10), digest), None);
+}
+
+/// Whoever sends ever new requests that end engines must not fill an entry's memory.
+#[test]
+fn what_is_remembered_of_suspects_is_bounded() {
+    let mut table = QuarantineTable::default();
+    for number in 0..20_000u64 {
+        let run = crash(&format!("/{number}"), number as usize, number, number + 1);
+        table.crashed(START + Millis(number + 1), run);
+    }
+    assert!(table.suspects() <= 1_024, "{}", table.suspects());
+}
+
+/// Entries that tell each other, over links that lose half of what is sent.
+fn spread(entries: usize, seed: u64) -> usize {
+    const ENGINES: u64 = 60;
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut fleet: Vec<_> = (0..entries).map(|_| entry(ENGINES as u16)).collect();
+    let mut crashed = 0;
+    for step in 0..600u64 {
+        let now = START + Millis(1_000 + step * 10);
+        if step.is_multiple_of(10) {
+            // It comes again, by any entry, and ends the engine that gets it.
+            let place = random.random_range(0..entries);
+            let number = step + 1;
+            if is_run(&mut fleet[place], now, number, "/cause") {
+                crashed += 1;
+                let lost = AttemptOutcome::Lost { delivered: false, crashed: true };
+                end(&mut fleet[place], now + Millis(5), number, lost);
+                fleet[place].reduce(now + Millis(5), DirectEvent::Gone(RequestNumber(number)));
+            }
+        }
+        let told: Vec<_> = fleet.iter_mut().map(|it| it.crash_words(now + Millis(6))).collect();
+        for (from, words) in told.into_iter().enumerate().filter(|(_, words)| !words.is_empty()) {
+            for to in (0..entries).filter(|to| *to != from) {
+                if random.random() {
+                    for word in words.clone() {
+                        fleet[to].reduce(now + Millis(8), DirectEvent::CrashHeard(word));
+                    }
+                }
+            }
+        }
+    }
+    crashed
+}
+
+/// Few entries soon send it three times each; of many each one may see it but once, and must learn
+/// of the others' crashes though half of the words on them are lost.
+#[test]
+fn few_and_many_entries_learn_of_a_cause_though_words_are_lost() {
+    for entries in [1, 4, 36, 340] {
+        let crashed = spread(entries, entries as u64);
+        // Three teach it, and three more may reach engines.
+        assert!((3..=6).contains(&crashed), "{crashed} with {entries} entries");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(common::cases(64)))]
+
+    /// Entries hear of crashes in different orders, and must come to the same verdicts.
+    #[test]
+    fn the_order_of_words_does_not_matter(
+        runs in prop::collection::vec((0..4usize, 0..6usize, 0..2_000u64, 1..500u64), 1..20),
+        seed in any::<u64>(),
+    ) {
+        let runs: Vec<_> = runs
+            .iter()
+            .map(|(path, upstream, sent, took)| crash(&path.to_string(), *upstream, *sent, sent + took))
+            .collect();
+        // One engine ends once, so that of a request at it one crash is known.
+        let mut known = FastMap::default();
+        let runs: Vec<_> = runs
+            .into_iter()
+            .filter(|run| known.insert((run.digest, run.upstream.clone()), ()).is_none())
+            .collect();
+        let mut shuffled = runs.clone();
+        let mut random = StdRng::seed_from_u64(seed);
+        (1..shuffled.len()).for_each(|last| shuffled.swap(last, random.random_range(0..=last)));
+        let now = START + Millis(3_000);
+        let verdicts = |runs: Vec<CrashedRun>| {
+            let mut table = QuarantineTable::default();
+            runs.into_iter().for_each(|run| {
+                table.crashed(now, run);
+            });
+            let mut begun = table.verdicts(now + SETTLED);
+            begun.sort_unstable();
+            begun
+        };
+        prop_assert_eq!(verdicts(runs), verdicts(shuffled));
+    }
+}
