Entries that start learn from the store what is run no more

After a restart of all entries a request in quarantine ended engines anew, three for each entry: the words on its crashes were told before they listened. Two entries of all, by rendezvous, now keep each quarantine in the platform's store under a lease of its term, with backoff until it is taken; who reads everything at its start finds it. Nothing is polled: two calls for each quarantine and keeper.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -238,15 +238,16 @@
         self.upstreams.read(&upstream, std::mem::take(&mut state.reading));
         self.upstreams.left(&upstream);
         self.upstreams.judge(now, &upstream, outcome, self.settings.ejection);
+        let mut effects = Vec::new();
         match outcome {
-            AttemptOutcome::Whole => self.run_succeeded(now, digest),
+            AttemptOutcome::Whole => effects.extend(self.run_succeeded(now, digest)),
             AttemptOutcome::Lost { crashed: true, .. } => self.run_crashed(now, number, &upstream),
             _ => {}
         }
         if outcome != AttemptOutcome::Whole {
             info!("request={attempt} instance={} outcome={outcome:?} digest={digest}", upstream.id);
         }
-        let mut effects = self.go_on(now, number, outcome);
+        effects.extend(self.go_on(now, number, outcome));
         effects.extend(self.pump(now, &service));
         effects
     }
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -153,6 +153,10 @@
     PassOn(RequestNumber),
     /// Tell the agents on these machines that a version was named.
     TellAgents(ModelName, WeightVersion, Vec<IpAddr>),
+    /// Keep in the store for so long that a request is run no more.
+    KeepQuarantine(RequestDigest, Millis),
+    /// Take that back.
+    EndQuarantine(RequestDigest),
     /// Send `DirectEvent::Woke` at that moment.
     Wake(Moment),
 }
--- a/mustardrill_core/src/direct/fleet.rs
+++ b/mustardrill_core/src/direct/fleet.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use mustardrill_types::{
-    DataCentre, InstanceId, ModelName, ServiceName, StartStamp, StoreRevision, WeightVersion,
+    DataCentre, InstanceId, ModelName, RequestDigest, ServiceName, StartStamp, StoreRevision,
+    WeightVersion,
 };
 
 use crate::direct::route::RouteDocument;
@@ -69,6 +70,8 @@
     Peer(PeerRecord),
     /// An entry's registration ended.
     PeerGone(InstanceId),
+    /// A request is run no more for a while.
+    Quarantined(RequestDigest),
 }
 
 /// Changes in the order of the store.
--- a/mustardrill_core/src/direct/store_view.rs
+++ b/mustardrill_core/src/direct/store_view.rs
@@ -132,6 +132,11 @@
                     info!("weights model={model} version={version} outcome=named");
                 }
             }
+            FleetChange::Quarantined(digest) => {
+                if self.quarantine.begin(now, digest) {
+                    info!("quarantine digest={digest} outcome=begun source=store");
+                }
+            }
             FleetChange::Peer(record) => {
                 if record.id != self.settings.own {
                     self.peers.retain(|peer| peer.id != record.id);
--- a/mustardrill_core/src/direct/suspicion.rs
+++ b/mustardrill_core/src/direct/suspicion.rs
@@ -8,7 +8,8 @@
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::{RequestStage, RequestState};
 use crate::direct::upstream::UpstreamStart;
-use crate::quarantine::CrashedRun;
+use crate::quarantine::{CrashedRun, QUARANTINE_SPAN};
+use crate::rendezvous;
 
 impl DirectReducer {
     /// Notes that an upstream ended while it had a request of this entry, and tells the others.
@@ -37,11 +38,28 @@
     }
 
     /// Notes that a request was answered whole: it is none that upstreams end under.
-    pub(super) fn run_succeeded(&mut self, now: Moment, digest: RequestDigest) {
+    pub(super) fn run_succeeded(
+        &mut self,
+        now: Moment,
+        digest: RequestDigest,
+    ) -> Option<DirectEffect> {
+        let was_quarantined = self.quarantine.remaining(now, digest).is_some();
         if self.quarantine.succeeded(now, digest) {
             info!("quarantine digest={digest} outcome=sound");
             self.crash_words.push(now, CrashWord::Sound(digest));
         }
+        was_quarantined.then_some(DirectEffect::EndQuarantine(digest))
+    }
+
+    /// Whether this entry writes a quarantine to the store. All come to the verdict; two write it,
+    /// as one of them may be killed or cut off from the store.
+    fn keeps_record(&self, digest: RequestDigest) -> bool {
+        const KEEPERS: usize = 2;
+        let others = self.peers().iter().map(|peer| &peer.id);
+        let entries: Vec<_> = others.chain([&self.settings.own]).collect();
+        let subject = digest.0.to_be_bytes();
+        let ranked = rendezvous::ranked(&subject, &entries, |id| id.as_str());
+        ranked.into_iter().take(KEEPERS).any(|id| **id == self.settings.own)
     }
 
     /// Takes what another entry tells.
@@ -77,6 +95,9 @@
         let mut effects = Vec::new();
         for digest in self.quarantine.verdicts(now) {
             warn!("quarantine digest={digest} outcome=begun");
+            if self.keeps_record(digest) {
+                effects.push(DirectEffect::KeepQuarantine(digest, QUARANTINE_SPAN));
+            }
             effects.extend(self.refuse_waiting(now, digest));
         }
         for number in std::mem::take(&mut self.undecided) {
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -211,6 +211,8 @@
                 }
                 FleetChange::Peer(relay) => self.relays.add(relay),
                 FleetChange::PeerGone(id) => self.relays.remove(&id),
+                // Agents run no requests.
+                FleetChange::Quarantined(_) => {}
             }
         }
         self.tell_plan();
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -608,7 +608,10 @@
                     DirectEffect::PassOn(number) => {
                         prop_assert!(ended.insert(number.0, ResultCode::Answered).is_none());
                     }
-                    DirectEffect::Wake(_) | DirectEffect::TellAgents(..) => {}
+                    DirectEffect::Wake(_)
+                    | DirectEffect::TellAgents(..)
+                    | DirectEffect::KeepQuarantine(..)
+                    | DirectEffect::EndQuarantine(_) => {}
                 }
             }
         }
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -24,9 +24,10 @@
 use crate::direct::config::DirectConfig;
 use crate::direct::connections::ConnectionPool;
 use crate::direct::metrics::METRICS;
+use crate::direct::records::RecordChange;
 use crate::direct::relay::ChunkRelay;
 use crate::direct::watch::own_record;
-use crate::direct::{gossip, watch};
+use crate::direct::{gossip, records, watch};
 
 /// The platform, as the entry sees it.
 pub struct DirectBorders {
@@ -146,6 +147,12 @@
                 DirectEffect::TellAgents(model, version, machines) => {
                     gossip::tell_agents(self.context.clone(), &model, version, machines);
                 }
+                DirectEffect::KeepQuarantine(digest, span) => {
+                    records::spawn(self.context.clone(), digest, RecordChange::Keep(span));
+                }
+                DirectEffect::EndQuarantine(digest) => {
+                    records::spawn(self.context.clone(), digest, RecordChange::End);
+                }
                 DirectEffect::Wake(at) => wake(now, at, actor.clone()),
             }
         }
--- a/mustardrill_entry/src/direct/mod.rs
+++ b/mustardrill_entry/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod events;
 mod gossip;
 mod metrics;
+mod records;
 mod relay;
 mod watch;
 
--- a/mustardrill_runtime/src/border.rs
+++ b/mustardrill_runtime/src/border.rs
@@ -12,7 +12,8 @@
     DirectRequest, FleetPage, LoadReport, PeerRecord, RequestNumber, SendPlan, ServedWeights,
 };
 use mustardrill_types::{
-    ChunkIndex, Millis, ModelName, Moment, ResultCode, StartStamp, StoreRevision, WeightVersion,
+    ChunkIndex, Millis, ModelName, Moment, RequestDigest, ResultCode, StartStamp, StoreRevision,
+    WeightVersion,
 };
 
 /// Why the platform's store did not do what it was asked.
@@ -84,6 +85,16 @@
 
     /// Ends a lease, and with it the registration.
     fn withdraw(&self, lease: LeaseNumber) -> BoxFuture<'_, Result<(), StoreError>>;
+
+    /// Keeps for `span` that a request is run no more, for entries that start.
+    fn keep_quarantine(
+        &self,
+        digest: RequestDigest,
+        span: Millis,
+    ) -> BoxFuture<'_, Result<(), StoreError>>;
+
+    /// Takes that back.
+    fn end_quarantine(&self, digest: RequestDigest) -> BoxFuture<'_, Result<(), StoreError>>;
 }
 
 /// What an upstream's answer turned out to be, from its head.
--- a/mustardrill_standins/tests/prepared/crash.rs
+++ b/mustardrill_standins/tests/prepared/crash.rs
@@ -224,3 +224,26 @@
         assert_eq!(other.body, whole_stream(), "{}", fleet.logs());
     }
 }
+
+/// Entries that start have heard none of the words on the crashes of before. After a restart of all,
+/// each of them lets the request end engines anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_later_knows_what_is_run_no_more() {
+    let mut fleet = CrashFleet::start(21, 2, 6).await;
+    for round in 0..4 {
+        fleet.call(round, &format!("crash-{round}"), CRASHING).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let crashes = fleet.crashes();
+    fleet.entries.iter_mut().for_each(LabProcess::kill);
+    fleet.entries.clear();
+    for place in 2..4 {
+        fleet.start_entry(21, place).await;
+    }
+    for round in 0..4 {
+        let answer = fleet.call(round, &format!("again-{round}"), CRASHING).await;
+        let body = String::from_utf8_lossy(&answer.body);
+        assert!(body.contains("\"Quarantined\""), "{body}\n{}", fleet.logs());
+    }
+    assert_eq!(fleet.crashes(), crashes);
+}
