An upstream that has ended is left alone at once, by all entries

A test of the core chose u0 and u1 before, u1 alone now; where all have ended one is tried all the same.

--- a/mustardrill_core/src/direct/suspicion.rs
+++ b/mustardrill_core/src/direct/suspicion.rs
@@ -82,6 +82,8 @@
     fn suspect(&mut self, now: Moment, run: CrashedRun) {
         let (digest, took) = (run.digest, run.ended.since(run.sent));
         let upstream = run.upstream.clone();
+        let start = UpstreamStart { id: run.upstream.clone(), start: run.start };
+        self.upstreams.ended(&start, run.ended);
         if self.quarantine.crashed(now, run) {
             info!("quarantine digest={digest} instance={upstream} ran={took} outcome=suspected");
         }
--- a/mustardrill_core/src/direct/upstream.rs
+++ b/mustardrill_core/src/direct/upstream.rs
@@ -76,6 +76,8 @@
     failed_in_a_row: u32,
     ejections: u32,
     ejected_until: Moment,
+    /// It has ended, and is asked by nobody until then, or until it answers all the same.
+    ended_until: Moment,
     /// It turned a request away, and is given nothing until then.
     pub(crate) rests_until: Moment,
     /// Rests since it last took a request.
@@ -219,9 +221,11 @@
         let listed = self.of_service(service);
         let open: Vec<_> =
             listed.filter(|it| !it.record.leaving && it.paused_until <= now).collect();
-        let sound: Vec<_> = open.iter().copied().filter(|it| it.ejected_until <= now).collect();
+        let running: Vec<_> = open.iter().copied().filter(|it| it.ended_until <= now).collect();
+        let sound: Vec<_> = running.iter().copied().filter(|it| it.ejected_until <= now).collect();
         // Where all are left alone, trying one is better than refusing everybody.
-        if sound.is_empty() { open } else { sound }
+        let tiers = [sound, running];
+        tiers.into_iter().find(|tier| !tier.is_empty()).unwrap_or(open)
     }
 
     /// Whether an upstream of a service loads weights, or is about to.
@@ -275,6 +279,16 @@
         }
     }
 
+    /// Notes that an upstream ended at a moment, unless it has answered since.
+    ///
+    /// It goes on being listed for seconds, and looks like the emptiest of all: whatever came was
+    /// sent there until each request's attempts were spent.
+    pub(crate) fn ended(&mut self, start: &UpstreamStart, at: Moment) {
+        if let Some(state) = self.of_start(start).filter(|state| state.answered <= at) {
+            state.ended_until = at + LONGEST_EJECTION;
+        }
+    }
+
     /// Takes what an answer's beginning tells.
     pub(crate) fn answering(
         &mut self,
@@ -285,7 +299,7 @@
         version: Option<WeightVersion>,
     ) {
         let Some(state) = self.of_start(start) else { return };
-        state.answered = now;
+        state.answered(now);
         state.rests = 0;
         if let Some(load) = load {
             state.record.slots = load.slots;
@@ -308,7 +322,7 @@
             AttemptOutcome::Whole => state.succeeded(now),
             AttemptOutcome::Full | AttemptOutcome::Misdirected => state.turned_away(now),
             AttemptOutcome::Failed => {
-                state.answered = now;
+                state.answered(now);
                 state.failing += FAILURE_SHARE * (1.0 - state.failing);
             }
             // No answer failed, so what is remembered of its answers stays.
@@ -347,6 +361,7 @@
             failed_in_a_row: 0,
             ejections: 0,
             ejected_until: Moment(0),
+            ended_until: Moment(0),
             rests_until: Moment(0),
             rests: 0,
             lapsed_until: None,
@@ -385,7 +400,7 @@
 
     /// Notes that it turned a request away. Those that were sent before it said so count as one.
     fn turned_away(&mut self, now: Moment) {
-        self.answered = now;
+        self.answered(now);
         if self.rests_until > now {
             return;
         }
@@ -393,8 +408,14 @@
         self.rests += 1;
     }
 
-    fn succeeded(&mut self, now: Moment) {
+    /// Notes a sign that it runs.
+    fn answered(&mut self, now: Moment) {
         self.answered = now;
+        self.ended_until = Moment(0);
+    }
+
+    fn succeeded(&mut self, now: Moment) {
+        self.answered(now);
         self.failing -= FAILURE_SHARE * self.failing;
         self.failed_in_a_row = 0;
         self.ejections = 0;
--- a/mustardrill_core/tests/quarantine.rs
+++ b/mustardrill_core/tests/quarantine.rs
@@ -9,7 +9,8 @@
 };
 use mustardrill_core::quarantine::{CrashedRun, QUARANTINE_SPAN, QuarantineTable};
 use mustardrill_types::{
-    FastMap, Generation, Millis, Moment, RequestDigest, ResultCode, StartStamp, StoreRevision,
+    FastMap, FastSet, Generation, Millis, Moment, RequestDigest, ResultCode, StartStamp,
+    StoreRevision,
 };
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -153,6 +154,28 @@
     assert!(is_run(&mut reducer, third + SETTLED, 2, "/hot"));
 }
 
+/// An engine had ended, and for a second it still counted as one that only turns connections away:
+/// other requests were sent to it, one after the other, until their attempts were spent.
+#[test]
+fn an_upstream_that_has_ended_is_left_alone_by_all_at_once() {
+    let mut reducer = entry(2);
+    for number in 1..=2 {
+        assert!(is_run(&mut reducer, START, number, "/x"));
+        end(&mut reducer, START, number, AttemptOutcome::Whole);
+    }
+    let heard = START + Millis(10);
+    hear(&mut reducer, heard, "/cause", "u0", START);
+    let mut chosen = FastSet::default();
+    for number in 10..14 {
+        let effects = arrive(&mut reducer, heard, number, &format!("/{number}"));
+        chosen.extend(effects.iter().filter_map(|effect| match effect {
+            DirectEffect::Send(_, plan) => Some(plan.upstream.to_string()),
+            _ => None,
+        }));
+    }
+    assert_eq!(chosen.into_iter().collect::<Vec<_>>(), ["u1"]);
+}
+
 /// A crash told by another entry.
 fn crash(path: &str, upstream: usize, sent: u64, ended: u64) -> CrashedRun {
     CrashedRun {
