--- a/mustardrill_agent/src/actor.rs
+++ b/mustardrill_agent/src/actor.rs
@@ -1,8 +1,8 @@
 //! The actor that owns the agent's reducer: events come in, effects go out.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cadence::{Counted, Gauged};
@@ -13,6 +13,7 @@
 use mustardrill_core::document::{CatalogueDocument, RequestClass};
 use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_core::ownership::LeaseId;
+use mustardrill_core::quarantine::CrashWord;
 use mustardrill_core::refusal::AttemptRefusal;
 use mustardrill_runtime::agents::AgentPool;
 use mustardrill_runtime::clock::{ProcessClock, spawn_ticks};
@@ -30,6 +31,7 @@
 use crate::config::AgentConfig;
 use crate::context::AgentContext;
 use crate::effects;
+use crate::ends::StartCounter;
 use crate::link::{LinkPace, UploadGate};
 use crate::server;
 use crate::status::StatusHandler;
@@ -117,6 +119,9 @@
 /// Asks for the sum of demand, and over how many entries it is.
 pub(crate) struct DemandQuery;
 
+/// Asks for what was heard of crashes lately.
+pub(crate) struct CrashQuery;
+
 /// Asks for the lease, to give it back.
 pub(crate) struct LeaseQuery;
 
@@ -244,6 +249,18 @@
     }
 }
 
+impl Message<CrashQuery> for AgentActor {
+    type Reply = Vec<CrashWord>;
+
+    async fn handle(
+        &mut self,
+        _: CrashQuery,
+        _: &mut Context<Self, Vec<CrashWord>>,
+    ) -> Vec<CrashWord> {
+        self.reducer.crashes(self.context.clock.now())
+    }
+}
+
 impl Message<LeaseQuery> for AgentActor {
     type Reply = Option<u64>;
 
@@ -338,9 +355,12 @@
     let client = HttpClient::open(CONNECT);
     let owner = &config.agent.owner;
     let (platform, timeout) = (&config.platform, config.platform.timeout);
+    let clock = ProcessClock::start();
+    let starts = StartCounter::new(clock.wall_s() * 1_000);
     Ok(AgentContext {
         own: config.agent.own.id.clone(),
-        clock: ProcessClock::start(),
+        clock,
+        starts: Mutex::new(starts),
         store,
         origin: Box::new(HttpOrigin::open(client.clone(), &platform.origins)),
         key_value: Box::new(HttpKeyValue::open(client.clone(), &platform.key_value, timeout)),
--- a/mustardrill_agent/src/context.rs
+++ b/mustardrill_agent/src/context.rs
@@ -1,7 +1,7 @@
 //! What the tasks of one agent share.
 
-use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex};
 
 use cadence::StatsdClient;
 use mustardrill_runtime::agents::AgentPool;
@@ -11,6 +11,7 @@
 use mustardrill_types::InstanceId;
 use tokio_util::sync::CancellationToken;
 
+use crate::ends::StartCounter;
 use crate::link::{LinkPace, UploadGate};
 use crate::store::ChunkStore;
 use crate::upstream::Upstream;
@@ -30,6 +31,7 @@
     pub(crate) key_value: Box<dyn KeyValue>,
     pub(crate) instances: Box<dyn InstanceList>,
     pub(crate) upstream: Box<dyn Upstream>,
+    pub(crate) starts: Mutex<StartCounter>,
     pub(crate) peers: AgentPool,
     pub(crate) uploads: UploadGate,
     pub(crate) downloads: LinkPace,
--- a/mustardrill_agent/src/execute.rs
+++ b/mustardrill_agent/src/execute.rs
@@ -15,7 +15,7 @@
 use mustardrill_proto::execute_frame::Part;
 use mustardrill_runtime::http::CallError;
 use mustardrill_runtime::wire::{attempt_bytes, attempt_of, digest_bytes, digest_of};
-use mustardrill_types::{AttemptId, ManifestDigest, Millis, ResultCode};
+use mustardrill_types::{AttemptId, ManifestDigest, Millis, ResultCode, StartStamp};
 use tokio::sync::{mpsc, oneshot};
 use tonic::Status;
 
@@ -65,6 +65,8 @@
     NotRun(AttemptRefusal),
     /// It may have run; the stream ends with an error.
     Broken(Box<str>),
+    /// The upstream ended while it had the attempt.
+    UpstreamEnded(StartStamp),
     /// It was answered from other weights than those pinned.
     WrongWeights,
     /// The entry is gone.
@@ -129,10 +131,13 @@
     async fn answer(&self, request: proto::ExecuteRequest) -> Result<(), RunError> {
         let resume_from = request.resume_from;
         let sent = self.upstream_request(request)?;
-        let answer = self.context.upstream.run(sent).await.map_err(|error| match error {
-            CallError::NotSent { .. } => RunError::not_run(ResultCode::NoUpstream, Millis(100)),
-            other => RunError::Broken(other.to_string().into()),
-        })?;
+        let answer = match self.context.upstream.run(sent).await {
+            Ok(answer) => answer,
+            Err(CallError::NotSent { .. }) => {
+                return Err(RunError::not_run(ResultCode::NoUpstream, Millis(100)));
+            }
+            Err(other) => return Err(self.broken(other).await),
+        };
         if self.pinned.is_some() && answer.status().as_u16() == WEIGHTS_REFUSED {
             let serving = named_weights(answer.headers()).into_iter().collect();
             return Err(RunError::NotRun(AttemptRefusal::other_weights(Millis(1), serving)));
@@ -185,7 +190,10 @@
         let mut hasher = blake3::Hasher::new();
         let mut length = resume_from;
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| RunError::Broken(error.to_string().into()))?;
+            let frame = match frame {
+                Ok(frame) => frame,
+                Err(error) => return Err(self.broken(error).await),
+            };
             let Ok(data) = frame.into_data() else { continue };
             hasher.update(&data);
             length += data.len() as u64;
@@ -195,6 +203,16 @@
         self.send(Part::End(proto::ExecuteEnd { length, digest })).await
     }
 
+    /// Tells an upstream that has ended, perhaps by this very attempt, from a broken connection.
+    async fn broken(&self, error: impl std::fmt::Display) -> RunError {
+        if !self.context.upstream.has_ended().await {
+            return RunError::Broken(error.to_string().into());
+        }
+        let now = self.context.clock.now();
+        let mut starts = self.context.starts.lock().expect("no holder panics");
+        RunError::UpstreamEnded(starts.ended(now))
+    }
+
     async fn send(&self, part: Part) -> Result<(), RunError> {
         let attempt = attempt_bytes(self.attempt);
         let frame = proto::ExecuteFrame { attempt, part: Some(part) };
@@ -216,6 +234,13 @@
                 info!("request attempt={} decision=break reason=\"{reason}\"", self.attempt);
                 let _ = self.frames.send(Err(Status::aborted(reason))).await;
             }
+            RunError::UpstreamEnded(start) => {
+                info!(
+                    "request attempt={} decision=break reason=upstream-ended start={start}",
+                    self.attempt
+                );
+                let _ = self.send(Part::Ended(proto::UpstreamEnd { start: start.0 })).await;
+            }
             RunError::EntryGone => {
                 info!("request attempt={} decision=cancel reason=entry-gone", self.attempt);
             }
--- a/mustardrill_agent/src/lib.rs
+++ b/mustardrill_agent/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 mod context;
 mod effects;
+mod ends;
 mod execute;
 mod link;
 mod server;
--- a/mustardrill_agent/src/server.rs
+++ b/mustardrill_agent/src/server.rs
@@ -13,8 +13,8 @@
 use mustardrill_proto::agent_server::{Agent, AgentServer};
 use mustardrill_runtime::agents::{MESSAGE_LIMIT, STREAM_WINDOW};
 use mustardrill_runtime::wire::{
-    attempt_of, catalogue_of, claim_message, demand_message, demand_row, digest_bytes, digest_of,
-    key_of,
+    attempt_of, catalogue_of, claim_message, crash_message, crash_word, demand_message, demand_row,
+    digest_bytes, digest_of, key_of,
 };
 use mustardrill_types::{ByteSize, ChunkIndex, ManifestDigest};
 use tokio::net::TcpListener;
@@ -24,7 +24,8 @@
 use tonic::{Request, Response, Status};
 
 use crate::actor::{
-    AgentActor, AskClaim, DemandQuery, Event, HoldingAnswer, HoldingQuery, StatusQuery, count_sent,
+    AgentActor, AskClaim, CrashQuery, DemandQuery, Event, HoldingAnswer, HoldingQuery, StatusQuery,
+    count_sent,
 };
 use crate::context::AgentContext;
 use crate::execute;
@@ -81,7 +82,17 @@
         }
     }
 
-    /// Takes what a caller says it holds; it costs nothing, as the caller asked anyway.
+    /// Notes what an entry tells of crashes; returns what was heard lately.
+    async fn trade_crashes(&self, sent: &[proto::CrashRow]) -> Vec<proto::CrashRow> {
+        let now = self.context.clock.now();
+        let words: Vec<_> = sent.iter().filter_map(|row| crash_word(now, row)).collect();
+        if !words.is_empty() {
+            let _ = self.actor.tell(Event(AgentEvent::CrashesHeard(words))).await;
+        }
+        let heard = self.actor.ask(CrashQuery).await.unwrap_or_default();
+        heard.iter().map(|word| crash_message(now, word)).collect()
+    }
+
     /// Notes what customers asked of an entry; returns the sum over all entries heard of.
     async fn trade_demand(&self, sent: &proto::SyncRequest) -> (Vec<DemandRow>, u32) {
         if let Ok(entry) = sent.entry.parse() {
@@ -91,6 +102,7 @@
         self.actor.ask(DemandQuery).await.unwrap_or_default()
     }
 
+    /// Takes what a caller says it holds; it costs nothing, as the caller asked anyway.
     async fn note_holding(
         &self,
         digest: ManifestDigest,
@@ -126,6 +138,7 @@
         if let Some(document) = catalogue_of(&sent.catalogue, &sent.entry) {
             let _ = self.actor.tell(Event(AgentEvent::CatalogueSeen(Arc::new(document)))).await;
         }
+        let crashes = self.trade_crashes(&sent.crashes).await;
         let (demand, entries) =
             if sent.with_demand { self.trade_demand(&sent).await } else { Default::default() };
         let asked = self.actor.ask(StatusQuery).await;
@@ -154,6 +167,7 @@
             catalogue: newer_catalogue(&status.document, sent.generation),
             demand: demand.iter().map(demand_message).collect(),
             entries,
+            crashes,
         }))
     }
 
--- a/mustardrill_agent/src/upstream.rs
+++ b/mustardrill_agent/src/upstream.rs
@@ -1,5 +1,6 @@
 //! The upstream beside the agent: a model engine or a plain service, behind a trait.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +11,7 @@
 use mustardrill_core::agent::{EngineReport, LoadOrder};
 use mustardrill_core::manifest::Manifest;
 use mustardrill_core::ownership::OwnerSettings;
-use mustardrill_runtime::http::{CallError, HttpClient, request};
+use mustardrill_runtime::http::{CallError, HttpClient, has_ended, request};
 use mustardrill_types::ManifestDigest;
 use serde::{Deserialize, Serialize};
 
@@ -39,6 +40,9 @@
     /// Asks what the engine serves.
     fn report(&self) -> BoxFuture<'_, Option<EngineReport>>;
 
+    /// Whether it has ended, and not only a connection to it.
+    fn has_ended(&self) -> BoxFuture<'_, bool>;
+
     /// Runs a request.
     fn run(
         &self,
@@ -51,6 +55,8 @@
 pub(crate) struct HttpUpstream {
     client: HttpClient,
     base: Box<str>,
+    /// Nothing where the upstream is named otherwise than by its address.
+    address: Option<SocketAddr>,
     load_timeout: Duration,
 }
 
@@ -75,7 +81,8 @@
     pub(crate) fn open(client: HttpClient, address: &str, owner: &OwnerSettings) -> Self {
         // An order is given up before the next holder of the lease may give one.
         let load_timeout = owner.longest_order.to_std();
-        Self { client, base: format!("http://{address}").into(), load_timeout }
+        let base = format!("http://{address}").into();
+        Self { client, base, address: address.parse().ok(), load_timeout }
     }
 }
 
@@ -121,6 +128,15 @@
         })
     }
 
+    fn has_ended(&self) -> BoxFuture<'_, bool> {
+        Box::pin(async move {
+            match self.address {
+                Some(address) => has_ended(address).await,
+                None => false,
+            }
+        })
+    }
+
     fn run(
         &self,
         request: Request<Full<Bytes>>,
--- a/mustardrill_core/src/agent/reducer.rs
+++ b/mustardrill_core/src/agent/reducer.rs
@@ -14,12 +14,14 @@
 use crate::agent::event::{AgentEffect, AgentEvent, AgentSettings, WeightsProgress};
 use crate::agent::weights::WeightsTable;
 use crate::claim::{ClaimBatch, ClaimEffect};
+use crate::crash_board::CrashBoard;
 use crate::demand::DemandBoard;
 use crate::document::{CatalogueDocument, RequestClass};
 use crate::edit::adopt;
 use crate::manifest::ChunkBitmap;
 use crate::membership::MemberTable;
 use crate::ownership::{OwnerAnswer, OwnerLease};
+use crate::quarantine::CrashWord;
 use crate::refusal::AttemptRefusal;
 
 /// Everything that an agent knows; it holds no bytes of weights or requests.
@@ -32,6 +34,7 @@
     queue: AdmissionQueue,
     attempts: FastMap<AttemptId, AttemptState>,
     demand: DemandBoard,
+    crashes: CrashBoard,
     claims: ClaimBatch,
     /// The wall clock that came with the last claim.
     wall: Option<(Moment, u64)>,
@@ -66,6 +69,7 @@
             queue: AdmissionQueue::new(settings.admission.clone()),
             attempts: FastMap::default(),
             demand: DemandBoard::default(),
+            crashes: CrashBoard::default(),
             claims: ClaimBatch::new(settings.claim.clone()),
             wall: None,
             leaving: false,
@@ -119,6 +123,10 @@
                 self.demand.note(now, entry, rows);
                 Vec::new()
             }
+            AgentEvent::CrashesHeard(words) => {
+                words.into_iter().for_each(|word| self.crashes.hear(now, word));
+                Vec::new()
+            }
             AgentEvent::ClaimAsked(key, attempt, wall_s) => {
                 self.wall = Some((now, wall_s));
                 claim_effects(self.claims.claim(now, wall_s, key, attempt))
@@ -150,6 +158,11 @@
         &self.demand
     }
 
+    /// What entries told lately of requests under which upstreams ended.
+    pub fn crashes(&self, now: Moment) -> Vec<CrashWord> {
+        self.crashes.read(now)
+    }
+
     /// The generation in force here.
     pub fn generation(&self) -> Generation {
         self.document.generation
--- a/mustardrill_core/src/direct/crash_words.rs
+++ b/mustardrill_core/src/direct/crash_words.rs
@@ -6,9 +6,9 @@
 
 use std::collections::VecDeque;
 
-use mustardrill_types::{Millis, Moment, RequestDigest};
+use mustardrill_types::{Millis, Moment};
 
-use crate::quarantine::CrashedRun;
+use crate::quarantine::CrashWord;
 
 /// When a word is told, counted from the event.
 const ROUNDS: [Millis; 5] = [Millis(0), Millis(60), Millis(250), Millis(1_000), Millis(3_000)];
@@ -16,15 +16,6 @@
 /// Words that wait to be told again; what exceeds this was told least lately.
 const WORDS_LIMIT: usize = 1_024;
 
-/// One word.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum CrashWord {
-    /// An upstream ended while it had the request.
-    Crashed(CrashedRun),
-    /// The request was answered whole, so that no crash is to be put down to it.
-    Sound(RequestDigest),
-}
-
 /// Remembers what is yet to be told.
 #[derive(Debug, Default)]
 pub(crate) struct CrashTeller {
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -7,12 +7,12 @@
     ResultCode, WeightVersion,
 };
 
-use crate::direct::crash_words::CrashWord;
 use crate::direct::fleet::FleetPage;
 use crate::direct::forecast::WorkSize;
 use crate::direct::route::RepeatRule;
 use crate::direct::spending::RetryShare;
 use crate::direct::telling::LoadNews;
+use crate::quarantine::CrashWord;
 
 /// The number of a request within one entry.
 #[derive(Debug, derive_more::Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -28,7 +28,6 @@
 mod version;
 mod waiting;
 
-pub use crash_words::CrashWord;
 pub use event::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, EngineWord,
     LoadReport, PeerLoad, RefusalPlan, RequestNumber, SendPlan, StatusRow, UpstreamLoad,
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -33,6 +33,10 @@
 /// last third of a copy, reading it back and loading it take.
 const COMING_LIMIT: Millis = Millis(2_500);
 
+/// How long the words of other entries on a crash take: they look every 10 ms, and a lost word is
+/// told again within 60 ms.
+const SETTLE_SPAN: Millis = Millis(80);
+
 /// The state of one entry.
 #[derive(Debug)]
 pub struct DirectReducer {
@@ -89,7 +93,7 @@
             store_away: false,
             store_back: Moment(0),
             held: HeldRequests::default(),
-            quarantine: QuarantineTable::default(),
+            quarantine: QuarantineTable::new(SETTLE_SPAN),
             undecided: Vec::new(),
             crash_words: CrashTeller::default(),
             place_at: None,
--- a/mustardrill_core/src/direct/store_view.rs
+++ b/mustardrill_core/src/direct/store_view.rs
@@ -9,6 +9,7 @@
 use crate::direct::fleet::{FleetChange, FleetPage};
 use crate::direct::freshness::ProofClock;
 use crate::direct::reducer::DirectReducer;
+use crate::quarantine::QUARANTINE_SPAN;
 
 /// An entry that was without the store for less than this may have missed a naming that the
 /// platform counts as heard: single calls fail also where neither the store nor a link is down.
@@ -133,7 +134,7 @@
                 }
             }
             FleetChange::Quarantined(digest) => {
-                if self.quarantine.begin(now, digest) {
+                if self.quarantine.begin(now, digest, QUARANTINE_SPAN) {
                     info!("quarantine digest={digest} outcome=begun source=store");
                 }
             }
--- a/mustardrill_core/src/direct/suspicion.rs
+++ b/mustardrill_core/src/direct/suspicion.rs
@@ -3,12 +3,11 @@
 use log::{info, warn};
 use mustardrill_types::{Moment, RequestDigest, ResultCode};
 
-use crate::direct::crash_words::CrashWord;
 use crate::direct::event::{DirectEffect, RequestNumber};
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::{RequestStage, RequestState};
 use crate::direct::upstream::UpstreamStart;
-use crate::quarantine::{CrashedRun, QUARANTINE_SPAN};
+use crate::quarantine::{CrashWord, CrashedRun, QUARANTINE_SPAN};
 use crate::rendezvous;
 
 impl DirectReducer {
@@ -44,9 +43,9 @@
         digest: RequestDigest,
     ) -> Option<DirectEffect> {
         let was_quarantined = self.quarantine.remaining(now, digest).is_some();
-        if self.quarantine.succeeded(now, digest) {
+        if self.quarantine.succeeded(now, digest, now) {
             info!("quarantine digest={digest} outcome=sound");
-            self.crash_words.push(now, CrashWord::Sound(digest));
+            self.crash_words.push(now, CrashWord::Sound(digest, now));
         }
         was_quarantined.then_some(DirectEffect::EndQuarantine(digest))
     }
@@ -66,11 +65,16 @@
     pub(super) fn crash_heard(&mut self, now: Moment, word: CrashWord) {
         match word {
             CrashWord::Crashed(run) => self.suspect(now, run),
-            CrashWord::Sound(digest) => {
-                if self.quarantine.succeeded(now, digest) {
+            CrashWord::Sound(digest, at) => {
+                if self.quarantine.succeeded(now, digest, at) {
                     info!("quarantine digest={digest} outcome=sound source=entry");
                 }
             }
+            CrashWord::Quarantined(digest, left) => {
+                if self.quarantine.begin(now, digest, left) {
+                    info!("quarantine digest={digest} outcome=begun source=entry");
+                }
+            }
         }
     }
 
--- a/mustardrill_core/src/entry/dispatch.rs
+++ b/mustardrill_core/src/entry/dispatch.rs
@@ -57,6 +57,7 @@
         let state = self.requests.get_mut(id).expect("the request was looked up");
         state.attempts += 1;
         state.tried.push(instance.clone());
+        state.sent = now;
         state.stage = RequestStage::Sent(attempt, instance.clone());
         state.pinned = pinned;
         info!(
@@ -137,7 +138,9 @@
         self.routing.ended(now, &instance, is_healthy);
         match end {
             AttemptEnd::Whole => {
-                self.finish(id);
+                if let Some(state) = self.finish(id) {
+                    self.run_succeeded(now, state.digest);
+                }
                 Vec::new()
             }
             AttemptEnd::Refused(refusal) => self.refused(now, id, &instance, refusal),
@@ -146,6 +149,7 @@
                 self.retry(now, id, ResultCode::NoUpstream, NO_UPSTREAM_RETRY, None)
             }
             AttemptEnd::Lost => self.lost(now, id, ResultCode::Unknown),
+            AttemptEnd::UpstreamEnded(start) => self.upstream_ended(now, id, &instance, *start),
             AttemptEnd::WrongWeights => self.lost(now, id, ResultCode::WrongWeights),
         }
     }
@@ -178,7 +182,12 @@
     }
 
     /// Goes on after an attempt that may have run.
-    fn lost(&mut self, now: Moment, id: RequestId, code: ResultCode) -> Vec<EntryEffect> {
+    pub(super) fn lost(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        code: ResultCode,
+    ) -> Vec<EntryEffect> {
         let Some(state) = self.requests.get_mut(id) else { return Vec::new() };
         state.may_have_run = true;
         if !state.is_idempotent() {
--- a/mustardrill_core/src/entry/event.rs
+++ b/mustardrill_core/src/entry/event.rs
@@ -4,7 +4,7 @@
 
 use mustardrill_types::{
     AttemptId, CustomerName, DataCentre, Generation, InstanceId, ManifestDigest, Millis, ModelName,
-    Moment, RequestKey, ResultCode,
+    Moment, RequestDigest, RequestKey, ResultCode, StartStamp,
 };
 
 use crate::agent::WeightsProgress;
@@ -14,6 +14,7 @@
 use crate::document::{CatalogueDocument, RequestClass};
 use crate::keeper::ClaimKeeper;
 use crate::membership::{InstanceRecord, MemberSettings};
+use crate::quarantine::CrashWord;
 use crate::refusal::AttemptRefusal;
 use crate::routing::{RoutingSettings, UpstreamReport};
 
@@ -38,6 +39,8 @@
     pub deadline: Moment,
     /// What requests with a common prefix share.
     pub affinity: Option<Box<str>>,
+    /// The same for each sending of this request by its customer, whatever its key.
+    pub digest: RequestDigest,
 }
 
 /// How an attempt ended.
@@ -49,6 +52,8 @@
     NotSent,
     /// The agent or its upstream was lost after the attempt was sent.
     Lost,
+    /// This start of the upstream ended while it had the attempt.
+    UpstreamEnded(StartStamp),
     /// The answer was made from other weights than those pinned.
     WrongWeights,
     /// The whole answer came.
@@ -97,6 +102,8 @@
     pub demand: Vec<DemandRow>,
     /// How many entries these are.
     pub entries: u32,
+    /// What the agent heard of requests under which upstreams ended.
+    pub crashes: Vec<CrashWord>,
 }
 
 /// Something that an entry does.
@@ -131,6 +138,8 @@
         with_catalogue: bool,
         /// Whether to tell what customers ask for, and to ask for the sum.
         with_demand: bool,
+        /// What to tell of requests under which upstreams ended.
+        crashes: Vec<CrashWord>,
     },
 }
 
--- a/mustardrill_core/src/entry/mod.rs
+++ b/mustardrill_core/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod event;
 mod reducer;
 mod request;
+mod suspicion;
 
 pub use event::{
     AgentSync, AttemptEnd, ClaimOrder, EntryEffect, EntryEvent, EntrySettings, IncomingRequest,
--- a/mustardrill_core/src/entry/reducer.rs
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -13,6 +13,7 @@
 use crate::agent::WeightsProgress;
 use crate::budget::RetryBudget;
 use crate::claim::ClaimOutcome;
+use crate::crash_board::CrashBoard;
 use crate::demand::DemandRow;
 use crate::document::{CatalogueDocument, CatalogueEntry};
 use crate::edit::adopt;
@@ -23,6 +24,7 @@
 use crate::keeper::{self, ClaimKeeper};
 use crate::limit::{LimitTable, RoundDemand};
 use crate::membership::{InstanceRecord, MemberTable};
+use crate::quarantine::QuarantineTable;
 use crate::rendezvous;
 use crate::routing::RoutingTable;
 
@@ -51,6 +53,11 @@
     pub(super) next_round: Moment,
     /// The number of the round of demand.
     round: u64,
+    /// Requests under which upstreams ended, and what is passed on of them.
+    pub(super) quarantine: QuarantineTable,
+    pub(super) crashes: CrashBoard,
+    /// Requests that wait for the verdict on them.
+    pub(super) undecided: Vec<RequestId>,
     pub(super) leaving: bool,
     pub(super) random: SmallRng,
 }
@@ -82,6 +89,10 @@
             demand: Vec::new(),
             next_round: Moment(0),
             round: 1,
+            // A word goes to an agent with one heartbeat, and on with the next of each entry.
+            quarantine: QuarantineTable::new(Millis(settings.sync_every.0 * 5 / 2)),
+            crashes: CrashBoard::default(),
+            undecided: Vec::new(),
             leaving: false,
             random: SmallRng::seed_from_u64(seed),
             settings,
@@ -172,13 +183,23 @@
             }
         };
         self.budget.earn();
-        let key = incoming.key;
         self.requests.insert(id, RequestState::new(incoming, entry.class));
-        let Some(key) = key else { return self.send(now, id) };
-        let attempt = AttemptId(self.random.random());
-        if let Some(state) = self.requests.get_mut(id) {
-            state.claimant = Some(attempt);
+        if let Some(refusal) = self.reject_quarantined(now, id) {
+            return refusal;
         }
+        if self.await_verdict(now, id) {
+            return Vec::new();
+        }
+        self.begin(now, id)
+    }
+
+    /// Asks for the claim of a request that was admitted, or sends one that needs none.
+    pub(super) fn begin(&mut self, now: Moment, id: RequestId) -> Vec<EntryEffect> {
+        let Some(state) = self.requests.get_mut(id) else { return Vec::new() };
+        let Some(key) = state.key else { return self.send(now, id) };
+        let attempt = AttemptId(self.random.random());
+        state.stage = RequestStage::Claiming;
+        state.claimant = Some(attempt);
         self.requests.bind(attempt, id);
         vec![EntryEffect::AskClaim(self.claim_order(now, key, attempt))]
     }
@@ -216,6 +237,7 @@
                 vec![EntryEffect::Cancel(attempt)]
             }
             RequestStage::Claiming => self.release_claim(now, &state).into_iter().collect(),
+            RequestStage::Judged => Vec::new(),
         }
     }
 
@@ -243,7 +265,9 @@
         self.requests.unbind(attempt);
         info!("claim request={id} attempt={attempt} decision={outcome:?}");
         match outcome {
-            ClaimOutcome::Granted => self.send(now, id),
+            ClaimOutcome::Granted => {
+                self.reject_quarantined(now, id).unwrap_or_else(|| self.send(now, id))
+            }
             ClaimOutcome::Taken => {
                 // The key is another sending's: nothing of ours is to be taken back.
                 self.forget_claim(id);
@@ -309,6 +333,8 @@
         view.pending = false;
         // An agent that was replaced begins anew, whatever its forerunner had.
         view.generation = sync.generation;
+        self.crashes_heard(now, sync.crashes);
+        let Some(view) = self.agents.get_mut(&sync.id) else { return Vec::new() };
         view.progress = sync.progress;
         self.share_limits(&sync.demand, sync.entries);
         self.members.answered(&sync.id);
@@ -384,14 +410,15 @@
             let with_catalogue = view.generation < self.document.generation;
             // More often than once a round there is nothing new to tell.
             let with_demand = std::mem::replace(&mut view.told_round, self.round) != self.round;
-            effects.push(EntryEffect::Sync { id, address, with_catalogue, with_demand });
+            let crashes = self.crashes.read(now);
+            effects.push(EntryEffect::Sync { id, address, with_catalogue, with_demand, crashes });
         }
         effects
     }
 
     fn tick(&mut self, now: Moment) -> Vec<EntryEffect> {
         self.count_demand(now);
-        let mut effects = Vec::new();
+        let mut effects = self.decide_suspects(now);
         for id in self.requests.overdue(now) {
             effects.extend(self.overdue(now, id));
         }
--- a/mustardrill_core/src/entry/request.rs
+++ b/mustardrill_core/src/entry/request.rs
@@ -1,7 +1,8 @@
 //! The requests that an entry has in progress and their attempts.
 
 use mustardrill_types::{
-    AttemptId, CustomerName, FastMap, InstanceId, ManifestDigest, ModelName, Moment, RequestKey,
+    AttemptId, CustomerName, FastMap, InstanceId, ManifestDigest, ModelName, Moment, RequestDigest,
+    RequestKey,
 };
 
 use crate::document::RequestClass;
@@ -14,7 +15,10 @@
     pub(crate) target: ModelName,
     pub(crate) class: RequestClass,
     pub(crate) key: Option<RequestKey>,
+    pub(crate) digest: RequestDigest,
     pub(crate) deadline: Moment,
+    /// When it was sent to an agent last.
+    pub(crate) sent: Moment,
     pub(crate) affinity: Option<Box<str>>,
     pub(crate) stage: RequestStage,
     /// Attempts so far.
@@ -38,6 +42,8 @@
     Claiming,
     /// An attempt is under way.
     Sent(AttemptId, InstanceId),
+    /// A verdict is awaited on whether upstreams end under it.
+    Judged,
 }
 
 /// The requests of one entry, by request and by attempt.
@@ -54,7 +60,9 @@
             target: incoming.target,
             class,
             key: incoming.key,
+            digest: incoming.digest,
             deadline: incoming.deadline,
+            sent: Moment(0),
             affinity: incoming.affinity,
             stage: RequestStage::Claiming,
             attempts: 0,
--- /dev/null
+++ b/mustardrill_core/src/entry/suspicion.rs
@@ -0,0 +1,131 @@
+//! What an entry makes of requests under which upstreams end.
+
+use log::{info, warn};
+use mustardrill_types::{InstanceId, Moment, RequestDigest, ResultCode, StartStamp};
+
+use crate::entry::event::{EntryEffect, RequestId};
+use crate::entry::reducer::EntryReducer;
+use crate::entry::request::RequestStage;
+use crate::quarantine::{CrashWord, CrashedRun, QUARANTINE_SPAN};
+
+impl EntryReducer {
+    /// Goes on after an attempt whose upstream ended.
+    pub(super) fn upstream_ended(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        instance: &InstanceId,
+        start: StartStamp,
+    ) -> Vec<EntryEffect> {
+        let Some(state) = self.requests.get_mut(id) else { return Vec::new() };
+        state.may_have_run = true;
+        let run = CrashedRun {
+            digest: state.digest,
+            upstream: instance.clone(),
+            start,
+            sent: state.sent,
+            ended: now,
+        };
+        self.crashes.hear(now, CrashWord::Crashed(run.clone()));
+        self.suspect(now, run);
+        if let Some(refusal) = self.reject_quarantined(now, id) {
+            return refusal;
+        }
+        if self.await_verdict(now, id) {
+            return Vec::new();
+        }
+        self.lost(now, id, ResultCode::Unknown)
+    }
+
+    /// Notes that a request was answered whole: it is none that upstreams end under.
+    pub(super) fn run_succeeded(&mut self, now: Moment, digest: RequestDigest) {
+        if self.quarantine.succeeded(now, digest, now) {
+            info!("quarantine digest={digest} outcome=sound");
+            self.crashes.hear(now, CrashWord::Sound(digest, now));
+        }
+    }
+
+    /// Takes what an agent passes on.
+    pub(super) fn crashes_heard(&mut self, now: Moment, words: Vec<CrashWord>) {
+        for word in words {
+            match word {
+                CrashWord::Crashed(run) => self.suspect(now, run),
+                CrashWord::Sound(digest, at) => {
+                    if self.quarantine.succeeded(now, digest, at) {
+                        info!("quarantine digest={digest} outcome=sound source=agent");
+                    }
+                }
+                CrashWord::Quarantined(digest, left) => {
+                    if self.quarantine.begin(now, digest, left) {
+                        info!("quarantine digest={digest} outcome=begun source=agent");
+                        self.crashes.hear(now, CrashWord::Quarantined(digest, left));
+                    }
+                }
+            }
+        }
+    }
+
+    fn suspect(&mut self, now: Moment, run: CrashedRun) {
+        let (digest, took) = (run.digest, run.ended.since(run.sent));
+        let upstream = run.upstream.clone();
+        if self.quarantine.crashed(now, run) {
+            info!("quarantine digest={digest} instance={upstream} ran={took} outcome=suspected");
+        }
+    }
+
+    /// Rejects a request that is run no more; nothing where it may run.
+    pub(super) fn reject_quarantined(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+    ) -> Option<Vec<EntryEffect>> {
+        let digest = self.requests.get(id)?.digest;
+        let left = self.quarantine.remaining(now, digest)?;
+        let mut effects = Vec::new();
+        // This sending was not run, so its key may be used again.
+        let state = self.requests.get(id).filter(|state| !state.may_have_run);
+        effects.extend(state.and_then(|state| self.release_claim(now, state)));
+        effects.extend(self.reject(now, id, ResultCode::Quarantined, left));
+        Some(effects)
+    }
+
+    /// Lets a request wait for the verdict on it; says whether there is one to wait for.
+    pub(super) fn await_verdict(&mut self, now: Moment, id: RequestId) -> bool {
+        let Some(state) = self.requests.get_mut(id) else { return false };
+        let is_open = self.quarantine.is_open(now, state.digest);
+        if is_open {
+            info!("request={id} decision=hold reason=verdict digest={}", state.digest);
+            state.stage = RequestStage::Judged;
+            self.undecided.push(id);
+        }
+        is_open
+    }
+
+    /// Decides on the suspects, where that is due, and goes on with what waited for it.
+    pub(super) fn decide_suspects(&mut self, now: Moment) -> Vec<EntryEffect> {
+        if self.quarantine.next_verdict().is_none_or(|due| due > now) {
+            return Vec::new();
+        }
+        for digest in self.quarantine.verdicts(now) {
+            warn!("quarantine digest={digest} outcome=begun");
+            self.crashes.hear(now, CrashWord::Quarantined(digest, QUARANTINE_SPAN));
+        }
+        let undecided = std::mem::take(&mut self.undecided);
+        undecided.into_iter().flat_map(|id| self.resume(now, id)).collect()
+    }
+
+    /// Goes on with a request that waited for the verdict on it.
+    fn resume(&mut self, now: Moment, id: RequestId) -> Vec<EntryEffect> {
+        if let Some(refusal) = self.reject_quarantined(now, id) {
+            return refusal;
+        }
+        if self.await_verdict(now, id) {
+            return Vec::new();
+        }
+        match self.requests.get(id) {
+            Some(state) if state.may_have_run => self.lost(now, id, ResultCode::Unknown),
+            Some(_) => self.begin(now, id),
+            None => Vec::new(),
+        }
+    }
+}
--- a/mustardrill_core/src/quarantine.rs
+++ b/mustardrill_core/src/quarantine.rs
@@ -23,10 +23,6 @@
 /// time: two that always run together can't be told apart, and the upstreams are worth more.
 const MOST_IN_TURN: usize = 5;
 
-/// How long a verdict waits for the words of other entries on the same crash: what they had there
-/// may be the cause.
-const SETTLE_SPAN: Millis = Millis(60);
-
 /// For how long a request is run no more. After that it is tried again, as the software or the
 /// weights may have been mended; the first upstream that ends under it ends the trial.
 pub const QUARANTINE_SPAN: Millis = Millis(600_000);
@@ -58,9 +54,23 @@
     pub ended: Moment,
 }
 
+/// What processes tell each other of requests under which upstreams ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CrashWord {
+    /// An upstream ended while it had the request.
+    Crashed(CrashedRun),
+    /// The request was answered whole at that moment, so that no crash before is put down to it.
+    Sound(RequestDigest, Moment),
+    /// The request is run no more for so long.
+    Quarantined(RequestDigest, Millis),
+}
+
 /// The requests under which upstreams ended, and those of them that are run no more.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct QuarantineTable {
+    /// How long a verdict waits for the words of other entries on the same crash: what they had
+    /// there may be the cause.
+    settle: Millis,
     suspects: FastMap<RequestDigest, SuspectRecord>,
     /// Until when requests are run no more; kept for as long again, for a trial that fails.
     terms: FastMap<RequestDigest, Moment>,
@@ -84,6 +94,11 @@
 }
 
 impl QuarantineTable {
+    /// An empty table, where words of other entries take up to `settle`.
+    pub fn new(settle: Millis) -> Self {
+        Self { settle, suspects: FastMap::default(), terms: FastMap::default(), due: None }
+    }
+
     /// Notes a run that ended with its upstream; says whether it was not known yet.
     pub fn crashed(&mut self, now: Moment, run: CrashedRun) -> bool {
         if self.suspects.get(&run.digest).is_some_and(|known| known.knows(&run)) {
@@ -95,16 +110,17 @@
         if record.runs.len() > RUNS_LIMIT {
             record.runs.remove(0);
         }
-        self.due.get_or_insert(now + SETTLE_SPAN);
+        self.due.get_or_insert(now + self.settle);
         true
     }
 
-    /// Notes that a request was answered whole; says whether anything was held against it.
-    pub fn succeeded(&mut self, now: Moment, digest: RequestDigest) -> bool {
+    /// Notes that a request was answered whole at a moment; says whether anything was held against it.
+    pub fn succeeded(&mut self, now: Moment, digest: RequestDigest, at: Moment) -> bool {
         let was_quarantined = self.terms.remove(&digest).is_some();
         let Some(record) = self.suspects.get_mut(&digest) else { return was_quarantined };
-        let was_suspected = record.counted().next().is_some();
-        record.cleared = now;
+        let before = record.counted().count();
+        record.cleared = record.cleared.max(at);
+        let was_suspected = record.counted().count() < before;
         // What ended beside it is now the others' alone.
         self.due = Some(now);
         was_suspected || was_quarantined
@@ -118,7 +134,7 @@
     /// Whether a request may be put in quarantine once all words on its last crash have come.
     pub fn is_open(&self, now: Moment, digest: RequestDigest) -> bool {
         let record = self.suspects.get(&digest);
-        record.is_some_and(|record| record.settles() > now && record.is_charged())
+        record.is_some_and(|record| self.settles(record) > now && record.is_charged())
     }
 
     /// The requests whose quarantine begins now. Empty before the verdicts are due.
@@ -126,23 +142,23 @@
         if self.due.is_none_or(|due| due > now) {
             return Vec::new();
         }
-        let settles = self.suspects.values().map(SuspectRecord::settles);
+        let settles = self.suspects.values().map(|record| self.settles(record));
         self.due = settles.filter(|settles| *settles > now).min();
-        let settled = self.suspects.iter().filter(|(_, record)| record.settles() <= now);
+        let settled = self.suspects.iter().filter(|(_, it)| self.settles(it) <= now);
         let mut open: Vec<_> = settled.map(|(digest, _)| *digest).collect();
         // The heaviest first: what they explain is not held against the others.
         open.sort_by_cached_key(|digest| (Reverse(self.weight(*digest)), *digest));
         let mut begun = Vec::new();
         for digest in open {
-            if self.is_cause(now, digest) && self.begin(now, digest) {
+            if self.is_cause(now, digest) && self.begin(now, digest, QUARANTINE_SPAN) {
                 begun.push(digest);
             }
         }
         begun
     }
 
-    /// Begins a request's quarantine; says whether it was not in it.
-    pub fn begin(&mut self, now: Moment, digest: RequestDigest) -> bool {
+    /// Begins a request's quarantine of `span`; says whether it was not in it.
+    pub fn begin(&mut self, now: Moment, digest: RequestDigest, span: Millis) -> bool {
         if self.remaining(now, digest).is_some() {
             return false;
         }
@@ -152,7 +168,7 @@
                 self.terms.remove(&soonest);
             }
         }
-        self.terms.insert(digest, now + QUARANTINE_SPAN);
+        self.terms.insert(digest, now + span);
         true
     }
 
@@ -192,6 +208,11 @@
         })
     }
 
+    /// When all words on a suspect's last crash have come.
+    fn settles(&self, record: &SuspectRecord) -> Moment {
+        record.last() + self.settle
+    }
+
     fn weight(&self, digest: RequestDigest) -> Option<SuspicionWeight> {
         self.suspects.get(&digest).map(SuspectRecord::weight)
     }
@@ -208,6 +229,20 @@
     }
 }
 
+impl CrashWord {
+    /// Whether both tell the same, apart from their times, which differ a little on each way.
+    pub fn is_same(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Crashed(one), Self::Crashed(other)) => {
+                one.digest == other.digest && one.is_same_end(other)
+            }
+            (Self::Sound(one, _), Self::Sound(other, _)) => one == other,
+            (Self::Quarantined(one, _), Self::Quarantined(other, _)) => one == other,
+            _ => false,
+        }
+    }
+}
+
 impl SuspectRecord {
     fn knows(&self, run: &CrashedRun) -> bool {
         self.runs.iter().any(|known| known.is_same_end(run))
@@ -231,11 +266,6 @@
     fn last(&self) -> Moment {
         self.runs.iter().map(|run| run.ended).max().unwrap_or_default()
     }
-
-    /// When all words on its last crash have come.
-    fn settles(&self) -> Moment {
-        self.last() + SETTLE_SPAN
-    }
 }
 
 impl SuspicionWeight {
--- a/mustardrill_core/tests/limits.rs
+++ b/mustardrill_core/tests/limits.rs
@@ -12,7 +12,7 @@
 };
 use mustardrill_core::membership::{InstanceRecord, MemberSettings};
 use mustardrill_core::routing::{RoutingSettings, UpstreamReport};
-use mustardrill_types::{Generation, Millis, Moment, ResultCode};
+use mustardrill_types::{Generation, Millis, Moment, RequestDigest, ResultCode};
 
 const LIMIT: u32 = 100;
 
@@ -71,6 +71,7 @@
                 progress: Vec::new(),
                 demand: vec![DemandRow { key, asked }],
                 entries: heard,
+                crashes: Vec::new(),
             }),
         );
     }
@@ -89,6 +90,7 @@
                 key: None,
                 deadline: now + Millis(60_000),
                 affinity: None,
+                digest: RequestDigest(u128::from(self.next)),
             };
             let effects = self.reducer.reduce(now, EntryEvent::RequestArrived(incoming));
             let is_over = |effect: &EntryEffect| matches!(effect, EntryEffect::Reject { code, .. } if *code == ResultCode::OverLimit);
--- a/mustardrill_core/tests/quarantine.rs
+++ b/mustardrill_core/tests/quarantine.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
+use mustardrill_core::crash_board::CrashBoard;
 use mustardrill_core::direct::{
-    AttemptOutcome, CallerLimits, CrashWord, DirectEffect, DirectEvent, DirectReducer,
-    DirectRequest, FleetChange, FleetPage, RepeatRule, RequestNumber, RouteDocument,
-    ServiceProfile, UpstreamRecord,
+    AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
+    FleetChange, FleetPage, RepeatRule, RequestNumber, RouteDocument, ServiceProfile,
+    UpstreamRecord,
 };
-use mustardrill_core::quarantine::{CrashedRun, QUARANTINE_SPAN, QuarantineTable};
+use mustardrill_core::quarantine::{CrashWord, CrashedRun, QUARANTINE_SPAN, QuarantineTable};
 use mustardrill_types::{
     FastMap, FastSet, Generation, Millis, Moment, RequestDigest, ResultCode, StartStamp,
     StoreRevision,
@@ -189,7 +190,7 @@
 
 #[test]
 fn two_that_are_always_there_together_are_both_run_no_more_in_the_end() {
-    let mut table = QuarantineTable::default();
+    let mut table = QuarantineTable::new(SETTLED);
     let mut begun = Vec::new();
     for turn in 0..5 {
         let (sent, ended) = (turn * 400, turn * 400 + 100);
@@ -204,13 +205,13 @@
 
 #[test]
 fn after_its_term_one_crash_ends_a_requests_trial() {
-    let mut table = QuarantineTable::default();
+    let mut table = QuarantineTable::new(SETTLED);
     for turn in 0..3 {
         let ended = turn * 400 + 100;
         table.crashed(START + Millis(ended), crash("/cause", turn as usize, turn * 400, ended));
     }
     let digest = RequestDigest::of(&[b"/cause"]);
-    let begun = START + Millis(1_000);
+    let begun = START + Millis(900) + SETTLED;
     assert_eq!(table.verdicts(begun), [digest]);
     assert_eq!(table.remaining(begun, digest), Some(QUARANTINE_SPAN));
     let trial = begun + QUARANTINE_SPAN;
@@ -222,17 +223,18 @@
 
 #[test]
 fn an_answer_ends_a_quarantine() {
-    let mut table = QuarantineTable::default();
+    let mut table = QuarantineTable::new(SETTLED);
     let digest = RequestDigest::of(&[b"/sound"]);
-    assert!(table.begin(START, digest));
-    assert!(table.succeeded(START + Millis(10), digest));
+    assert!(table.begin(START, digest, QUARANTINE_SPAN));
+    let answered = START + Millis(10);
+    assert!(table.succeeded(answered, digest, answered));
     assert_eq!(table.remaining(START + Millis(10), digest), None);
 }
 
 /// Whoever sends ever new requests that end engines must not fill an entry's memory.
 #[test]
 fn what_is_remembered_of_suspects_is_bounded() {
-    let mut table = QuarantineTable::default();
+    let mut table = QuarantineTable::new(SETTLED);
     for number in 0..20_000u64 {
         let run = crash(&format!("/{number}"), number as usize, number, number + 1);
         table.crashed(START + Millis(number + 1), run);
@@ -240,6 +242,26 @@
     assert!(table.suspects() <= 1_024, "{}", table.suspects());
 }
 
+/// An agent that started again has heard nothing; entries tell it anew with each heartbeat.
+#[test]
+fn an_agent_passes_words_on_for_some_heartbeats_and_quarantines_to_their_end() {
+    let mut board = CrashBoard::default();
+    let run = crash("/cause", 1, 0, 100);
+    let term = CrashWord::Quarantined(run.digest, Millis(60_000));
+    board.hear(START, CrashWord::Crashed(run.clone()));
+    board.hear(START + Millis(500), CrashWord::Crashed(run.clone()));
+    board.hear(START, term);
+    assert_eq!(board.read(START + Millis(500)).len(), 2);
+    let late = START + Millis(40_000);
+    assert_eq!(board.read(late), [CrashWord::Quarantined(run.digest, Millis(20_000))]);
+    board.hear(late, CrashWord::Sound(run.digest, late));
+    assert_eq!(board.read(late), [CrashWord::Sound(run.digest, late)]);
+    for number in 0..5_000 {
+        board.hear(late, CrashWord::Crashed(crash(&number.to_string(), number, 0, 1)));
+    }
+    assert!(board.read(late).len() <= 512);
+}
+
 /// Entries that tell each other, over links that lose half of what is sent.
 fn spread(entries: usize, seed: u64) -> usize {
     const ENGINES: u64 = 60;
@@ -308,7 +330,7 @@
         (1..shuffled.len()).for_each(|last| shuffled.swap(last, random.random_range(0..=last)));
         let now = START + Millis(3_000);
         let verdicts = |runs: Vec<CrashedRun>| {
-            let mut table = QuarantineTable::default();
+            let mut table = QuarantineTable::new(SETTLED);
             runs.into_iter().for_each(|run| {
                 table.crashed(now, run);
             });
--- a/mustardrill_core/tests/requests.rs
+++ b/mustardrill_core/tests/requests.rs
@@ -25,7 +25,7 @@
 use mustardrill_core::routing::{RoutingSettings, UpstreamReport};
 use mustardrill_core::transfer::{TransferPeer, TransferSettings};
 use mustardrill_types::{
-    AttemptId, ByteSize, ManifestDigest, Millis, Moment, RequestKey, ResultCode,
+    AttemptId, ByteSize, ManifestDigest, Millis, Moment, RequestDigest, RequestKey, ResultCode,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -350,6 +350,7 @@
             key: sending.key.map(|key| RequestKey(u128::from(key))),
             deadline: Moment(self.now + sending.timeout),
             affinity: None,
+            digest: RequestDigest(place as u128),
         };
         self.enter(sending.entry, EntryEvent::RequestArrived(incoming));
     }
@@ -639,6 +640,7 @@
             progress: Vec::new(),
             demand: Vec::new(),
             entries: 0,
+            crashes: Vec::new(),
         };
         self.enter(entry, EntryEvent::Synced(sync));
     }
--- a/mustardrill_entry/src/actor.rs
+++ b/mustardrill_entry/src/actor.rs
@@ -130,13 +130,14 @@
             EntryEffect::ReleaseClaim(order) => {
                 effects::release_claim(self.context.clone(), order);
             }
-            EntryEffect::Sync { id, address, with_catalogue, with_demand } => {
+            EntryEffect::Sync { id, address, with_catalogue, with_demand, crashes } => {
                 let call = effects::SyncCall {
                     id,
                     address,
                     document: self.reducer.document().clone(),
                     with_catalogue,
                     demand: with_demand.then(|| self.reducer.demand().to_vec()),
+                    crashes,
                 };
                 effects::sync(self.context.clone(), actor.clone(), call);
             }
--- a/mustardrill_entry/src/attempt.rs
+++ b/mustardrill_entry/src/attempt.rs
@@ -12,7 +12,7 @@
 use mustardrill_proto as proto;
 use mustardrill_proto::execute_frame::Part;
 use mustardrill_runtime::wire::{attempt_bytes, digest_bytes, digest_of};
-use mustardrill_types::{Millis, Moment, ResultCode};
+use mustardrill_types::{Millis, Moment, ResultCode, StartStamp};
 use tokio::sync::mpsc;
 use tonic::Status;
 
@@ -121,6 +121,10 @@
                 finish(&mut frames).await;
                 return Err(Broken(refused(&refusal)));
             }
+            Some(Part::Ended(end)) => {
+                finish(&mut frames).await;
+                return Err(Broken(AttemptEnd::UpstreamEnded(StartStamp(end.start))));
+            }
             None => {}
         }
     }
--- a/mustardrill_entry/src/callers.rs
+++ b/mustardrill_entry/src/callers.rs
@@ -19,7 +19,9 @@
 use mustardrill_runtime::http::{
     AnyBody, AnyResponse, CutError, HttpHandler, json_response, text_response,
 };
-use mustardrill_types::{CustomerName, Millis, ModelName, Moment, RequestKey, ResultCode};
+use mustardrill_types::{
+    CustomerName, Millis, ModelName, Moment, RequestDigest, RequestKey, ResultCode,
+};
 use tokio::sync::mpsc;
 
 use crate::actor::{Begin, EntryActor, Event};
@@ -112,6 +114,12 @@
         })?;
         let body = body.to_bytes();
         let affinity = self.affinity(&call, &head.headers, &body);
+        let digest = RequestDigest::of(&[
+            call.customer.as_str().as_bytes(),
+            head.method.as_str().as_bytes(),
+            head.uri.path_and_query().map_or("", |path| path.as_str()).as_bytes(),
+            &body,
+        ]);
         let (sender, parts) = mpsc::channel(PART_BUFFER);
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
         let io = RequestIo {
@@ -133,6 +141,7 @@
             key: call.key,
             deadline: call.deadline,
             affinity,
+            digest,
         };
         let (actor, context) = (self.actor.clone(), self.context.clone());
         let guard = CallerGuard { actor, context, id, arrived, code: None };
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -7,10 +7,10 @@
 use cadence::{Gauged, StatsdClient};
 use kameo::prelude::*;
 use mustardrill_core::direct::{
-    CallerLimits, CrashWord, DirectEffect, DirectEvent, DirectReducer, DirectRequest, FleetChange,
-    FleetPage, LoadRows, OriginProfile, PeerRecord, RefusalPlan, RequestNumber, SendPlan,
-    StatusRow, WaitRows,
+    CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest, FleetChange, FleetPage,
+    LoadRows, OriginProfile, PeerRecord, RefusalPlan, RequestNumber, SendPlan, StatusRow, WaitRows,
 };
+use mustardrill_core::quarantine::CrashWord;
 use mustardrill_runtime::border::{CallDialect, ChunkOrigin, FleetSource};
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::exposition::{MetricHandler, MetricPage};
--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -13,12 +13,13 @@
     AttemptOutcome, DirectEvent, DirectRequest, LoadReport, RequestNumber, SendPlan,
 };
 use mustardrill_runtime::border::AnswerKind;
+use mustardrill_runtime::http::has_ended;
 use mustardrill_types::WeightVersion;
 use tokio::sync::mpsc;
 
 use crate::direct::actor::{Begin, DirectActor, DirectContext, Event, Verdict};
 use crate::direct::answer::AnswerPart;
-use crate::direct::connections::{self, SendFailure, UpstreamConnection};
+use crate::direct::connections::{SendFailure, UpstreamConnection};
 use crate::direct::events::EventCutter;
 
 /// The largest answer that is read whole before it is passed on.
@@ -260,7 +261,7 @@
     /// What became of an attempt whose connection broke: an upstream that takes no other one has
     /// ended, perhaps by this very request.
     async fn broken(&self, plan: &SendPlan, delivered: bool) -> AttemptOutcome {
-        let crashed = connections::has_ended(plan.address).await;
+        let crashed = has_ended(plan.address).await;
         AttemptOutcome::Lost { delivered, crashed }
     }
 
--- a/mustardrill_entry/src/direct/connections.rs
+++ b/mustardrill_entry/src/direct/connections.rs
@@ -1,6 +1,5 @@
 //! Connections to upstreams, each with one request at a time.
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -176,14 +175,6 @@
     Ok(UpstreamConnection { sender, _driver: AbortOnDropHandle::new(driver), reused: false })
 }
 
-/// Whether nothing listens at an upstream's address any more: its machine refuses a connection.
-///
-/// One whose machine does not answer, or that takes the connection, is not said to have ended.
-pub(crate) async fn has_ended(address: SocketAddr) -> bool {
-    let tried = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(tried, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
-}
-
 /// Lets the kernel end a connection whose other side is gone without a word.
 fn watch_for_silence(stream: &TcpStream) -> std::io::Result<()> {
     sockopt::set_socket_keepalive(stream, true)?;
--- a/mustardrill_entry/src/direct/gossip.rs
+++ b/mustardrill_entry/src/direct/gossip.rs
@@ -9,9 +9,8 @@
 use mustardrill_core::direct::{
     DirectEvent, LoadNews, LoadTeller, PeerLoad, PeerRecord, UpstreamLoad,
 };
-use mustardrill_runtime::datagram::{
-    CrashRow, DATAGRAM_LIMIT, Datagram, LoadRow, VersionRow, WaitRow,
-};
+use mustardrill_runtime::datagram::{DATAGRAM_LIMIT, Datagram, LoadRow, VersionRow, WaitRow};
+use mustardrill_runtime::wire::{crash_message, crash_word};
 use mustardrill_types::{Millis, ModelName, Moment, WeightVersion};
 
 use crate::direct::actor::{DirectActor, DirectContext, Event, GossipQuery};
@@ -88,7 +87,7 @@
     if datagram.crashes.is_empty() {
         return event_of(datagram).into_iter().collect();
     }
-    let words = datagram.crashes.iter().filter_map(|row| row.word(now));
+    let words = datagram.crashes.iter().filter_map(|row| crash_word(now, row));
     words.map(DirectEvent::CrashHeard).collect()
 }
 
@@ -122,7 +121,7 @@
         let now = context.clock.now();
         for words in reply.crash_words.chunks(CRASHES_LIMIT) {
             let mut datagram = Datagram::new(&context.config.direct.own);
-            datagram.crashes = words.iter().map(|word| CrashRow::new(now, word)).collect();
+            datagram.crashes = words.iter().map(|word| crash_message(now, word)).collect();
             send(&context, &reply.peers, &datagram.to_bytes()).await;
         }
         let Some(news) = teller.next(now, reply.outstanding, reply.waiting) else { continue };
--- a/mustardrill_entry/src/effects.rs
+++ b/mustardrill_entry/src/effects.rs
@@ -10,12 +10,14 @@
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::entry::{AgentSync, AttemptEnd, ClaimOrder, EntryEvent, SendOrder};
 use mustardrill_core::keeper::ClaimKeeper;
+use mustardrill_core::quarantine::CrashWord;
 use mustardrill_core::routing::UpstreamReport;
 use mustardrill_proto as proto;
 use mustardrill_runtime::wire::{
-    attempt_bytes, catalogue_of, claim_of, demand_message, demand_row, digest_of, key_bytes,
+    attempt_bytes, catalogue_of, claim_of, crash_message, crash_word, demand_message, demand_row,
+    digest_of, key_bytes,
 };
-use mustardrill_types::{Generation, InstanceId, Millis};
+use mustardrill_types::{Generation, InstanceId, Millis, Moment};
 
 use crate::actor::{AttemptTokens, EntryActor, Event};
 use crate::attempt::{self, RequestIo};
@@ -114,6 +116,8 @@
     pub(crate) with_catalogue: bool,
     /// What customers asked for, where it is to be told.
     pub(crate) demand: Option<Vec<DemandRow>>,
+    /// What to tell of requests under which upstreams ended.
+    pub(crate) crashes: Vec<CrashWord>,
 }
 
 /// Sends a heartbeat.
@@ -126,19 +130,22 @@
         if let Some(document) = catalogue_of(&reply.catalogue, call.id.as_str()) {
             let _ = actor.tell(Event(EntryEvent::CatalogueSeen(Arc::new(document)))).await;
         }
-        let _ = actor.tell(Event(EntryEvent::Synced(sync_of(call.id, &reply)))).await;
+        let synced = sync_of(context.clock.now(), call.id, &reply);
+        let _ = actor.tell(Event(EntryEvent::Synced(synced))).await;
     });
 }
 
 async fn call_sync(context: &EntryContext, call: &SyncCall) -> Option<proto::SyncReply> {
     let mut client = context.agents.client(&call.address)?;
     let catalogue = if call.with_catalogue { call.document.encode().into() } else { Bytes::new() };
+    let sent_at = context.clock.now();
     let request = proto::SyncRequest {
         entry: context.own.to_string(),
         generation: call.document.generation.0,
         catalogue,
         demand: call.demand.iter().flatten().map(demand_message).collect(),
         with_demand: call.demand.is_some(),
+        crashes: call.crashes.iter().map(|word| crash_message(sent_at, word)).collect(),
     };
     let sent = tokio::time::timeout(SYNC_TIMEOUT.to_std(), client.sync(request));
     let reply = sent.await.ok()?.ok()?.into_inner();
@@ -150,7 +157,7 @@
     Some(reply)
 }
 
-fn sync_of(id: InstanceId, reply: &proto::SyncReply) -> AgentSync {
+fn sync_of(now: Moment, id: InstanceId, reply: &proto::SyncReply) -> AgentSync {
     AgentSync {
         id,
         generation: Generation(reply.generation),
@@ -163,6 +170,7 @@
         progress: reply.progress.iter().filter_map(progress_of).collect(),
         demand: reply.demand.iter().filter_map(demand_row).collect(),
         entries: reply.entries,
+        crashes: reply.crashes.iter().filter_map(|row| crash_word(now, row)).collect(),
     }
 }
 
--- a/mustardrill_proto/src/generated.rs
+++ b/mustardrill_proto/src/generated.rs
@@ -43,7 +43,7 @@
 pub struct ExecuteFrame {
     #[prost(bytes = "bytes", tag = "1")]
     pub attempt: ::prost::bytes::Bytes,
-    #[prost(oneof = "execute_frame::Part", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "execute_frame::Part", tags = "2, 3, 4, 5, 6")]
     pub part: ::core::option::Option<execute_frame::Part>,
 }
 /// Nested message and enum types in `ExecuteFrame`.
@@ -58,8 +58,41 @@
         End(super::ExecuteEnd),
         #[prost(message, tag = "5")]
         Refusal(super::Refusal),
+        #[prost(message, tag = "6")]
+        Ended(super::UpstreamEnd),
     }
 }
+/// The upstream ended while it had the attempt.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UpstreamEnd {
+    /// which start of it, as the agent counts them
+    #[prost(uint64, tag = "1")]
+    pub start: u64,
+}
+/// What is told of a request under which an upstream ended. Processes share no clock, so that ages are told.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashRow {
+    #[prost(enumeration = "CrashKind", tag = "1")]
+    pub kind: i32,
+    /// of the request
+    #[prost(bytes = "bytes", tag = "2")]
+    pub digest: ::prost::bytes::Bytes,
+    /// of a crash
+    #[prost(string, tag = "3")]
+    pub upstream: ::prost::alloc::string::String,
+    /// of a crash: which start of the upstream
+    #[prost(uint64, tag = "4")]
+    pub start: u64,
+    /// of a crash: since the request was sent to it
+    #[prost(uint64, tag = "5")]
+    pub sent_ago_ms: u64,
+    /// since the upstream ended, or the answer
+    #[prost(uint64, tag = "6")]
+    pub ended_ago_ms: u64,
+    /// of a quarantine
+    #[prost(uint64, tag = "7")]
+    pub left_ms: u64,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ExecuteHead {
     #[prost(uint32, tag = "1")]
@@ -104,6 +137,8 @@
     /// whether demand is told, and the sum asked for: once a round
     #[prost(bool, tag = "5")]
     pub with_demand: bool,
+    #[prost(message, repeated, tag = "6")]
+    pub crashes: ::prost::alloc::vec::Vec<CrashRow>,
 }
 /// How much a customer asked of an entry of the catalogue lately.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -142,6 +177,9 @@
     /// how many these are
     #[prost(uint32, tag = "11")]
     pub entries: u32,
+    /// what the agent heard lately
+    #[prost(message, repeated, tag = "12")]
+    pub crashes: ::prost::alloc::vec::Vec<CrashRow>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Progress {
@@ -260,6 +298,38 @@
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
+pub enum CrashKind {
+    /// the upstream ended while it had the request
+    Crashed = 0,
+    /// the request was answered whole
+    Sound = 1,
+    /// the request is run no more
+    Quarantined = 2,
+}
+impl CrashKind {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Crashed => "CRASHED",
+            Self::Sound => "SOUND",
+            Self::Quarantined => "QUARANTINED",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "CRASHED" => Some(Self::Crashed),
+            "SOUND" => Some(Self::Sound),
+            "QUARANTINED" => Some(Self::Quarantined),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
 pub enum ClaimOutcome {
     /// can't be agreed now, or the release is noted
     Unavailable = 0,
--- a/mustardrill_runtime/src/datagram.rs
+++ b/mustardrill_runtime/src/datagram.rs
@@ -5,11 +5,9 @@
 
 use std::net::SocketAddr;
 
-use mustardrill_core::direct::{CrashWord, EngineWord};
-use mustardrill_core::quarantine::CrashedRun;
-use mustardrill_types::{
-    InstanceId, Millis, ModelName, Moment, RequestDigest, StartStamp, WeightVersion,
-};
+use mustardrill_core::direct::EngineWord;
+use mustardrill_proto::CrashRow;
+use mustardrill_types::{InstanceId, ModelName, WeightVersion};
 use prost::Message;
 
 /// The largest datagram that is sent: what passes every link whole.
@@ -39,31 +37,11 @@
     /// What waits in an entry, of all services.
     #[prost(message, repeated, tag = "7")]
     pub waiting: Vec<WaitRow>,
-    /// Requests under which upstreams ended, or that were answered whole after all.
+    /// What is told of requests under which upstreams ended.
     #[prost(message, repeated, tag = "8")]
     pub crashes: Vec<CrashRow>,
 }
 
-/// A request under which an upstream ended; one without an upstream was answered whole.
-#[derive(Clone, PartialEq, Message)]
-pub struct CrashRow {
-    /// The request's digest, 16 bytes.
-    #[prost(bytes = "vec", tag = "1")]
-    pub digest: Vec<u8>,
-    /// The upstream.
-    #[prost(string, tag = "2")]
-    pub upstream: String,
-    /// Which start of it, in Unix milliseconds.
-    #[prost(uint64, tag = "3")]
-    pub start: u64,
-    /// How long ago the request was sent to it, in milliseconds.
-    #[prost(uint64, tag = "4")]
-    pub sent_ago_ms: u64,
-    /// How long ago it ended, in milliseconds.
-    #[prost(uint64, tag = "5")]
-    pub ended_ago_ms: u64,
-}
-
 /// The requests that wait in an entry for a service.
 #[derive(Clone, PartialEq, Message)]
 pub struct WaitRow {
@@ -156,39 +134,6 @@
     }
 }
 
-impl CrashRow {
-    /// A word, told at `now`; processes share no clock, so that ages are told.
-    pub fn new(now: Moment, word: &CrashWord) -> Self {
-        match word {
-            CrashWord::Crashed(run) => Self {
-                digest: run.digest.0.to_be_bytes().to_vec(),
-                upstream: run.upstream.to_string(),
-                start: run.start.0,
-                sent_ago_ms: now.since(run.sent).0,
-                ended_ago_ms: now.since(run.ended).0,
-            },
-            CrashWord::Sound(digest) => {
-                Self { digest: digest.0.to_be_bytes().to_vec(), ..Self::default() }
-            }
-        }
-    }
-
-    /// The word that it carries, heard at `now`; nothing where it is malformed.
-    pub fn word(&self, now: Moment) -> Option<CrashWord> {
-        let digest = RequestDigest(u128::from_be_bytes(self.digest.as_slice().try_into().ok()?));
-        if self.upstream.is_empty() {
-            return Some(CrashWord::Sound(digest));
-        }
-        Some(CrashWord::Crashed(CrashedRun {
-            digest,
-            upstream: self.upstream.parse().ok()?,
-            start: StartStamp(self.start),
-            sent: now - Millis(self.sent_ago_ms),
-            ended: now - Millis(self.ended_ago_ms),
-        }))
-    }
-}
-
 impl EngineRow {
     /// What an agent tells of the engine at `address`.
     pub fn new(address: SocketAddr, model: &ModelName, word: EngineWord) -> Self {
--- a/mustardrill_runtime/src/http.rs
+++ b/mustardrill_runtime/src/http.rs
@@ -205,6 +205,15 @@
     }
 }
 
+/// Whether nothing listens at an address any more: its machine refuses a connection.
+///
+/// One whose machine does not answer, or that takes the connection, is not said to have ended.
+pub async fn has_ended(address: SocketAddr) -> bool {
+    const TIMEOUT: Duration = Duration::from_millis(150);
+    let tried = tokio::time::timeout(TIMEOUT, tokio::net::TcpStream::connect(address)).await;
+    matches!(tried, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
 /// A body that is known whole.
 pub fn whole_body(bytes: impl Into<Bytes>) -> AnyBody {
     Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed_unsync()
--- a/mustardrill_standins/examples/slopes.rs
+++ b/mustardrill_standins/examples/slopes.rs
@@ -27,7 +27,8 @@
 use mustardrill_core::transfer::{TransferPeer, TransferSettings};
 use mustardrill_proto as proto;
 use mustardrill_types::{
-    AttemptId, ByteSize, Generation, InstanceId, ManifestDigest, Millis, Moment, RequestKey,
+    AttemptId, ByteSize, Generation, InstanceId, ManifestDigest, Millis, Moment, RequestDigest,
+    RequestKey,
 };
 use prost::Message;
 use rand::rngs::{SmallRng, StdRng};
@@ -121,6 +122,7 @@
         progress: Vec::new(),
         demand: Vec::new(),
         entries: 1,
+        crashes: Vec::new(),
     }
 }
 
@@ -133,6 +135,7 @@
         key: None,
         deadline: Moment(u64::MAX / 2),
         affinity: None,
+        digest: RequestDigest(u128::from(number)),
     }
 }
 
@@ -347,6 +350,7 @@
             catalogue: Default::default(),
             demand: demand.clone(),
             with_demand: true,
+            crashes: Vec::new(),
         };
         let reply = proto::SyncReply {
             instance: "worker-123".into(),
--- a/mustardrill_standins/src/engine.rs
+++ b/mustardrill_standins/src/engine.rs
@@ -24,9 +24,15 @@
 
 use crate::fault::FaultPanel;
 
+/// A prompt under which an engine ends, as there may be one that its software can't bear.
+pub const CRASH_PROMPT: &str = "end this engine";
+
 /// The classes of priority that an engine tells apart.
 const PRIORITIES: usize = 3;
 
+/// What a process that crashes exits with.
+const CRASH_STATUS: i32 = 70;
+
 /// How an engine behaves.
 #[derive(Debug, Clone)]
 pub struct EngineOptions {
@@ -185,6 +191,10 @@
         let resume = text("x-resume-from").and_then(|text| text.parse().ok()).unwrap_or(0);
         let prompt = String::from_utf8_lossy(&prompt).into_owned();
         self.runs.lock().expect("nobody panics under this lock").push(prompt.clone());
+        if prompt == CRASH_PROMPT {
+            tokio::time::sleep(self.options.piece_time).await;
+            std::process::exit(CRASH_STATUS);
+        }
         let answer = answer_text(&serving, &prompt, self.options.pieces);
         let priority = text("x-priority").and_then(|text| text.parse().ok()).unwrap_or(0);
         let mut response = Response::new(self.stream(answer, resume, priority));
