The soak knows engines that end, under a request or for a reason of their own

Callers send a request that ends each engine that begins to run it, one call in forty; besides, some or all engines end at once and start again 0.4 s later.

--- a/mustardrill_standins/tests/prepared/crash.rs
+++ b/mustardrill_standins/tests/prepared/crash.rs
@@ -20,16 +20,16 @@
 use crate::worker::{CrashTrigger, Worker};
 
 /// The path of requests under which engines crash.
-const CRASHING: &str = "/drafts/crashing";
+pub const CRASHING: &str = "/drafts/crashing";
 
 /// How long a machine has no engine after a crash.
-const RESTART: Duration = Duration::from_millis(400);
+pub const RESTART: Duration = Duration::from_millis(400);
 
 /// Crashes that must be seen before a request can be held to be their cause.
-const LESSONS: usize = 3;
+pub const LESSONS: usize = 3;
 
 /// How often a request may reach engines after that.
-const MORE_REACHES: usize = 3;
+pub const MORE_REACHES: usize = 3;
 
 /// One machine, on which an engine starts again after each crash, under another id.
 struct Machine {
@@ -145,7 +145,8 @@
     let engine = Worker::new(id, 1);
     engine.set_pause(Duration::from_millis(15));
     let after = Duration::from_millis(40);
-    engine.set_crash(CrashTrigger { path: CRASHING, after, crashed: crashed.clone() });
+    let crashed = crashed.clone();
+    engine.set_crash(CrashTrigger { path: CRASHING, after, silent: false, crashed });
     engine
 }
 
--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -15,14 +15,16 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
+use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, block_in_place};
 
+use crate::crash::{CRASHING, LESSONS, MORE_REACHES, RESTART};
 use crate::fleet::{
     agent_settings, caller_request, configuration, entry_settings, listen, machine, register,
     whole_stream,
 };
 use crate::store::{Store, StoreMode};
-use crate::worker::{Origin, Worker, WorkerFault};
+use crate::worker::{CrashTrigger, Origin, Worker, WorkerFault};
 
 /// Seeds that CI plays: those that ever failed, with the cause, and two more.
 /// 220: a version was named while the store was silent; agents, whose calls hung for 13 s, heard of it
@@ -38,6 +40,9 @@
 /// Within this time after the last fault all is as it should be.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// How long an entry must have been without trouble before it is held to what others told it.
+const IN_TOUCH: Duration = Duration::from_secs(3);
+
 const CALLERS: u64 = 6;
 const ENTRIES: u8 = 2;
 const ENGINES: u8 = 3;
@@ -60,6 +65,17 @@
     OpenStoreLink(usize),
     OpenDeskLink(usize),
     SoundStore,
+    StartEngine(usize),
+}
+
+/// A time in which an entry may not know what the others do.
+struct Trouble {
+    /// The entry; nothing for all of them.
+    entry: Option<usize>,
+    /// Whether the store is away: that concerns only entries that started since the others learned.
+    of_store: bool,
+    from: Instant,
+    until: Instant,
 }
 
 /// What a caller saw of one request.
@@ -70,6 +86,8 @@
     sent: Instant,
     /// The status and body; nothing where the connection ended.
     answer: Option<(u16, String)>,
+    /// Where the entry listens.
+    entry: SocketAddr,
 }
 
 struct Soak {
@@ -81,11 +99,20 @@
     store_links: Vec<LabLink>,
     desk_links: Vec<LabLink>,
     engines: Vec<Worker>,
+    /// Where engines listen; without a link an engine has ended.
+    engine_links: Vec<(SocketAddr, Option<LabLink>)>,
+    engine_servers: Vec<SocketAddr>,
+    crashes: mpsc::UnboundedReceiver<String>,
     desks: Vec<Worker>,
     /// The entries first, then the agents.
     processes: Vec<Managed>,
     addresses: Arc<Mutex<Vec<SocketAddr>>>,
     remedies: Vec<(Instant, Remedy)>,
+    troubles: Vec<Trouble>,
+    /// When entries were started again.
+    starts: Vec<(usize, Instant)>,
+    /// Which entry listens, or listened, at an address.
+    listeners: Vec<(SocketAddr, usize)>,
     version: u64,
     generation: u64,
     origin_address: SocketAddr,
@@ -125,13 +152,20 @@
         }
         let engines: Vec<_> =
             (0..ENGINES).map(|place| Worker::new(&format!("i-{place}"), 1)).collect();
+        let (crashed, crashes) = mpsc::unbounded_channel();
+        let (mut engine_links, mut engine_servers) = (Vec::new(), Vec::new());
         for (place, engine) in engines.iter().enumerate() {
+            let (after, crashed) = (Duration::from_millis(10), crashed.clone());
+            engine.set_crash(CrashTrigger { path: CRASHING, after, silent: true, crashed });
             let ip = machine(test, 10 + place as u8);
             let at = listen(ip, Box::new(engine.clone())).await;
-            register(&store, engine, at.address, "pool");
+            let engine_link = LabLink::spawn_at(SocketAddr::new(ip, 0), at.address).unwrap();
+            register(&store, engine, engine_link.address, "pool");
             let name = format!("agent-{place}");
             let link = store_links[usize::from(ENTRIES)].address;
-            let settings = agent_settings(&name, ip, at.address, link);
+            let settings = agent_settings(&name, ip, engine_link.address, link);
+            engine_servers.push(at.address);
+            engine_links.push((engine_link.address, Some(engine_link)));
             let program = "mustardrill-agent";
             processes.push(Managed { program, name, settings, starts: 0, process: None });
             listening.push(at);
@@ -157,10 +191,16 @@
             store_links,
             desk_links,
             engines,
+            engine_links,
+            engine_servers,
+            crashes,
             desks,
             processes,
             addresses: Arc::default(),
             remedies: Vec::new(),
+            troubles: Vec::new(),
+            starts: Vec::new(),
+            listeners: Vec::new(),
             version: 1,
             generation: 1,
             origin_address,
@@ -174,15 +214,19 @@
 
     fn publish_addresses(&mut self) {
         let entries = self.processes.iter().take(usize::from(ENTRIES));
-        let running = entries.filter_map(|it| Some(it.process.as_ref()?.address));
-        *self.addresses.lock().unwrap() = running.collect();
+        let running = entries.map(|it| it.process.as_ref().map(|process| process.address));
+        let running: Vec<_> = running.collect();
+        for (entry, address) in running.iter().enumerate() {
+            self.listeners.extend(address.map(|address| (address, entry)));
+        }
+        *self.addresses.lock().unwrap() = running.into_iter().flatten().collect();
     }
 
     /// Brings a fault about, and notes when it ends.
     fn disturb(&mut self) {
         let ends = Instant::now() + Duration::from_millis(self.random.random_range(150..1_500));
         let place = self.random.random_range(0..self.processes.len());
-        let kind = self.random.random_range(0..11);
+        let kind = self.random.random_range(0..12);
         let running = self.processes[place].process.is_some();
         let state = match self.random.random_range(0..4) {
             0 => LinkState::Cut,
@@ -229,6 +273,12 @@
                 self.store.write("op/version/m0", &named);
                 None
             }
+            11 => {
+                // Engines end for a reason of their own, also several at once.
+                let count = self.random.random_range(1..=self.engines.len());
+                (0..count).for_each(|engine| self.end_engine(engine));
+                None
+            }
             9 => {
                 let engine = self.random.random_range(0..self.engines.len());
                 self.engines[engine].spoil(self.random.random_range(0..12));
@@ -239,10 +289,74 @@
                 None
             }
         };
+        self.note_trouble(kind, place, remedy, ends);
         self.faults.push(format!("{kind} at {place} {state:?} {remedy:?}"));
         self.remedies.extend(remedy.map(|remedy| (ends, remedy)));
     }
 
+    /// Notes whose words may be lost until some time after a fault.
+    fn note_trouble(&mut self, kind: u32, place: usize, remedy: Option<Remedy>, ends: Instant) {
+        let entries = usize::from(ENTRIES);
+        let (entry, of_store) = match (kind, remedy) {
+            (0..=3, Some(_)) if place < entries => (Some(place), false),
+            (4, Some(Remedy::OpenStoreLink(link))) if link < entries => (Some(link), true),
+            (6, _) => (None, true),
+            _ => return,
+        };
+        // A remedy comes with the next turn, and a process takes a while to start.
+        let until = ends + Duration::from_millis(500) + IN_TOUCH;
+        self.troubles.push(Trouble { entry, of_store, from: Instant::now(), until });
+    }
+
+    /// Ends an engine, which starts again a little later.
+    fn end_engine(&mut self, place: usize) {
+        if self.engine_links[place].1.take().is_some() {
+            let starts = Instant::now() + RESTART;
+            self.remedies.push((starts, Remedy::StartEngine(place)));
+        }
+    }
+
+    /// Ends the engines that have crashed under a request.
+    fn end_crashed(&mut self) {
+        while let Ok(id) = self.crashes.try_recv() {
+            let place = self.engines.iter().position(|engine| engine.id == id).unwrap();
+            self.end_engine(place);
+        }
+    }
+
+    fn start_engine(&mut self, place: usize) {
+        let engine = &self.engines[place];
+        engine.start_again();
+        let (address, link) = &mut self.engine_links[place];
+        *link = Some(LabLink::spawn_at(*address, self.engine_servers[place]).unwrap());
+        register(&self.store, engine, *address, "pool");
+    }
+
+    /// Runs of the request that ends engines after it was known to, from entries in touch.
+    fn late_reaches(&self, outcomes: &[Outcome]) -> usize {
+        let mut runs: Vec<_> = self.engines.iter().flat_map(Worker::crash_runs).collect();
+        runs.sort_by_key(|(_, at)| *at);
+        let Some((_, third)) = runs.get(LESSONS - 1) else { return 0 };
+        let known = *third + IN_TOUCH;
+        let is_late = |(attempt, at): &&(String, Instant)| {
+            let outcome = outcomes.iter().find(|outcome| outcome.attempt == *attempt);
+            let entry = outcome.and_then(|outcome| {
+                self.listeners.iter().find(|(at, _)| *at == outcome.entry).map(|(_, entry)| *entry)
+            });
+            let has_started = self
+                .starts
+                .iter()
+                .any(|(started, when)| Some(*started) == entry && *third <= *when && *when <= *at);
+            let is_out_of_touch = |trouble: &Trouble| {
+                let concerns = trouble.entry.is_none() || trouble.entry == entry;
+                let matters = concerns && (has_started || !trouble.of_store);
+                matters && trouble.from <= *at && *at <= trouble.until
+            };
+            *at > known && !self.troubles.iter().any(is_out_of_touch)
+        };
+        runs.iter().filter(is_late).count()
+    }
+
     fn spoil_answers(&mut self) {
         let workers: Vec<_> = self.engines.iter().chain(&self.desks).collect();
         let worker = workers[self.random.random_range(0..workers.len())];
@@ -273,11 +387,15 @@
                         process.kill();
                     }
                     self.processes[place].start(&self.folder.clone());
+                    if place < usize::from(ENTRIES) {
+                        self.starts.push((place, Instant::now()));
+                    }
                     self.publish_addresses();
                 }
                 Remedy::OpenStoreLink(link) => self.store_links[link].set(LinkState::Open),
                 Remedy::OpenDeskLink(link) => self.desk_links[link].set(LinkState::Open),
                 Remedy::SoundStore => self.store.set_mode(StoreMode::Sound),
+                Remedy::StartEngine(place) => self.start_engine(place),
             }
         }
     }
@@ -323,6 +441,15 @@
                 broken.push(note("ran with a key that was taken away"));
             }
             let Some((status, body)) = &outcome.answer else { continue };
+            if outcome.path == CRASHING {
+                if *status == 200 {
+                    broken.push(note("an engine that ended is said to have answered"));
+                }
+                continue;
+            }
+            if body.contains("Quarantined") {
+                broken.push(note("blamed for engines that ended for another reason"));
+            }
             let expected = if outcome.path == "/drafts/x" {
                 whole_stream()
             } else {
@@ -335,6 +462,10 @@
                 broken.push(note("said not to have run, and ran"));
             }
         }
+        let late = self.late_reaches(outcomes);
+        if late > MORE_REACHES {
+            broken.push(format!("a request that ends engines reached them {late} times more"));
+        }
         if self.engines.iter().any(|engine| engine.bad_loads() > 0) {
             broken.push("weights were loaded that were not whole".into());
         }
@@ -375,7 +506,10 @@
             continue;
         }
         let entry = known[random.random_range(0..known.len())];
-        let path = ["/drafts/x", "/notices/x", "/status/x"][random.random_range(0..3)];
+        let path = match random.random_range(0..40) {
+            0 => CRASHING,
+            lot => ["/drafts/x", "/notices/x", "/status/x"][lot % 3],
+        };
         let key = if random.random_range(0..4) == 0 { "key-2" } else { "key-1" };
         let attempt = format!("c{number}-{turn}.");
         let sent = Instant::now();
@@ -384,7 +518,7 @@
         let answer = answer.map(|answer| {
             (answer.status.as_u16(), String::from_utf8_lossy(&answer.body).into_owned())
         });
-        outcomes.push(Outcome { attempt, path, key, sent, answer });
+        outcomes.push(Outcome { attempt, path, key, sent, answer, entry });
         tokio::time::sleep(Duration::from_millis(random.random_range(1..25))).await;
     }
     outcomes
@@ -411,6 +545,7 @@
         if soak.revoked.is_none() && Instant::now() >= revoke_at {
             soak.revoke();
         }
+        soak.end_crashed();
         soak.remedy(false);
         tokio::time::sleep(TICK).await;
     }
@@ -421,6 +556,8 @@
         if soak.is_recovered(&client, number).await {
             break;
         }
+        soak.end_crashed();
+        soak.remedy(false);
         if calm.elapsed() > RECOVERY {
             broken.push(format!("not recovered after {RECOVERY:?}"));
             break;
@@ -428,6 +565,12 @@
         tokio::time::sleep(TICK).await;
     }
     let recovered = calm.elapsed();
+    // Engines go on ending and starting while there are callers.
+    while callers.iter().any(|caller| !caller.is_finished()) {
+        soak.end_crashed();
+        soak.remedy(false);
+        tokio::time::sleep(TICK).await;
+    }
     let mut outcomes = Vec::new();
     for caller in callers {
         outcomes.extend(caller.await.unwrap());
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -30,6 +30,9 @@
 /// can look at a chunk at the very moment at which it is loaded.
 const SPOILT_LATE: Duration = Duration::from_secs(3);
 
+/// When workers start first, in Unix milliseconds.
+const FIRST_START: u64 = 1_700_000_000_000;
+
 /// The bytes of a chunk.
 pub fn chunk(version: u64, index: u32) -> Bytes {
     Bytes::from(format!("chunk {index} of version {version} ").repeat(64))
@@ -73,6 +76,8 @@
     faults: u32,
     pause: Duration,
     crash: Option<CrashTrigger>,
+    crash_runs: Vec<(String, Instant)>,
+    born: u64,
 }
 
 /// Requests under which a worker crashes, and whom it tells.
@@ -82,6 +87,8 @@
     pub path: &'static str,
     /// How long a run of one lasts.
     pub after: Duration,
+    /// Whether nothing of an answer comes before.
+    pub silent: bool,
     /// Gets the crashed worker's id.
     pub crashed: mpsc::UnboundedSender<String>,
 }
@@ -101,6 +108,8 @@
             faults: 0,
             pause: Duration::from_millis(5),
             crash: None,
+            crash_runs: Vec::new(),
+            born: FIRST_START,
         };
         Self { id: id.into(), state: Arc::new(Mutex::new(state)) }
     }
@@ -166,7 +175,7 @@
             (json!([]), json!([]))
         };
         let body = json!({"phase": "prefill_decode", "models": models, "layers": layers,
-            "busy": false, "sequence": state.sequence, "queued": 0, "active": 0});
+            "born": state.born, "busy": false, "sequence": state.sequence, "queued": 0, "active": 0});
         json_response(StatusCode::OK, &body)
     }
 
@@ -220,7 +229,7 @@
         }
         assert_eq!(text("authorization"), None, "the key is not shown");
         let attempt = text("x-attempt-id").unwrap();
-        let (fault, pause) = {
+        let (fault, pause, crash) = {
             let mut state = self.state.lock().unwrap();
             let fault = if state.faults > 0 { state.fault } else { WorkerFault::None };
             state.faults = state.faults.saturating_sub(1);
@@ -228,16 +237,19 @@
                 let run = format!("{attempt} {}", text("x-tenant").unwrap_or_default());
                 state.runs.push((run, Instant::now()));
             }
-            if let Some(crash) = state.crash.clone().filter(|it| it.path == head.uri.path()) {
-                let id = self.id.clone();
-                tokio::spawn(async move {
-                    tokio::time::sleep(crash.after).await;
-                    // A fleet that is gone needs no word.
-                    let _ = crash.crashed.send(id);
-                });
+            let crash = state.crash.clone().filter(|it| it.path == head.uri.path());
+            if crash.is_some() {
+                state.crash_runs.push((attempt.clone(), Instant::now()));
             }
-            (fault, state.pause)
+            (fault, state.pause, crash)
         };
+        if let Some(crash) = crash {
+            let silent = crash.silent;
+            tokio::spawn(self.clone().end_after(crash));
+            if silent {
+                std::future::pending::<()>().await;
+            }
+        }
         if fault == WorkerFault::Full {
             let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "");
             response.headers_mut().insert("x-not-executed", "1".parse().unwrap());
@@ -264,6 +276,32 @@
     }
 }
 
+impl Worker {
+    /// Tells after a while that the worker has crashed.
+    async fn end_after(self, crash: CrashTrigger) {
+        tokio::time::sleep(crash.after).await;
+        // A fleet that is gone needs no word.
+        let _ = crash.crashed.send(self.id);
+    }
+
+    /// The runs under which it crashed, each with the moment at which it began.
+    pub fn crash_runs(&self) -> Vec<(String, Instant)> {
+        self.state.lock().unwrap().crash_runs.clone()
+    }
+
+    /// It starts again, with the weights that it had.
+    pub fn start_again(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.born += 1;
+        state.sequence = 0;
+    }
+
+    /// Which start of it this is.
+    pub fn born(&self) -> u64 {
+        self.state.lock().unwrap().born
+    }
+}
+
 fn broken() -> mustardrill_runtime::http::AnyBody {
     let frames = stream::once(async { Err::<Frame<Bytes>, _>(CutError) });
     StreamBody::new(frames).boxed_unsync()
