--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -370,13 +370,14 @@
         };
         let usable = self.upstreams.usable(now, &state.service);
         info!(
-            "request={} decision=refuse code={code} waited={} attempts={} queue={} usable={} fitting={} retry_after={retry_after}",
+            "request={} decision=refuse code={code} waited={} attempts={} queue={} usable={} fitting={} retry_after={retry_after} digest={}",
             state.attempt,
             now.since(state.arrived),
             state.tried.len(),
             self.queues.get(&state.service).map_or(0, |queue| queue.len()),
             usable.len(),
             usable.iter().filter(|upstream| self.fits(now, &state, upstream)).count(),
+            state.digest,
         );
         vec![DirectEffect::Refuse(number, RefusalPlan { code, retry_after })]
     }
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -239,4 +239,6 @@
     pub requests: usize,
     /// Requests that wait for an upstream.
     pub waiting: usize,
+    /// Requests that are run no more for a while, as upstreams end under them.
+    pub quarantined: usize,
 }
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -188,6 +188,7 @@
             upstreams: self.upstreams.len(),
             requests: self.requests.len(),
             waiting: self.queues.values().map(WaitQueue::len).sum(),
+            quarantined: self.quarantine.quarantined(now),
         }
     }
 
--- a/mustardrill_core/src/entry/dispatch.rs
+++ b/mustardrill_core/src/entry/dispatch.rs
@@ -231,7 +231,10 @@
             effects.extend(self.release_claim(now, &state));
         }
         let code = if state.delivered > 0 { ResultCode::AnswerCut } else { code };
-        info!("request={id} decision=reject code={code} attempts={}", state.attempts);
+        info!(
+            "request={id} decision=reject code={code} attempts={} digest={}",
+            state.attempts, state.digest
+        );
         effects.push(EntryEffect::Reject { id, code, retry_after });
         effects
     }
--- a/mustardrill_core/src/quarantine.rs
+++ b/mustardrill_core/src/quarantine.rs
@@ -178,6 +178,11 @@
         (until > now).then(|| until.since(now))
     }
 
+    /// How many requests are run no more.
+    pub fn quarantined(&self, now: Moment) -> usize {
+        self.terms.values().filter(|until| **until > now).count()
+    }
+
     /// How many requests are suspected.
     pub fn suspects(&self) -> usize {
         self.suspects.len()
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -274,6 +274,7 @@
             ("upstreams", status.upstreams as u64),
             ("requests_open", status.requests as u64),
             ("requests_waiting", status.waiting as u64),
+            ("requests_quarantined", status.quarantined as u64),
         ];
         for (name, value) in gauges {
             let _ = context.metrics.gauge(name, value);
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -3,7 +3,7 @@
 use mustardrill_runtime::exposition::{MetricKind, MetricRow};
 
 /// Every metric and what it counts.
-pub const METRICS: [MetricRow; 10] = [
+pub const METRICS: [MetricRow; 11] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -34,4 +34,9 @@
     MetricRow::new("upstreams", MetricKind::Gauge, "Upstreams listed."),
     MetricRow::new("requests_open", MetricKind::Gauge, "Requests in progress."),
     MetricRow::new("requests_waiting", MetricKind::Gauge, "Requests that wait for an upstream."),
+    MetricRow::new(
+        "requests_quarantined",
+        MetricKind::Gauge,
+        "Requests that are run no more for a while, as upstreams ended under them.",
+    ),
 ];
--- a/mustardrill_entry/src/explain.rs
+++ b/mustardrill_entry/src/explain.rs
@@ -20,9 +20,10 @@
     text: &'a str,
 }
 
-/// The lines that touch the request `id`, and those that changed before it what the processes
-/// concerned believed of its upstreams, the configuration, the weights or the store; in the order
-/// of time. Empty where no line names the request.
+/// The lines that touch the request `id`, those that changed before it what the processes
+/// concerned believed of its upstreams, the configuration, the weights or the store, and those of
+/// any process that hold upstreams' ends against its content; in the order of time. Empty where no
+/// line names the request.
 pub fn explain<'a>(id: &str, logs: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
     let texts = logs.into_iter().flat_map(str::lines);
     let lines: Vec<_> = texts.filter_map(LogLine::read).collect();
@@ -34,7 +35,11 @@
     };
     let processes: BTreeSet<_> = own.iter().map(|line| line.process).collect();
     let upstreams: BTreeSet<_> = own.iter().filter_map(|line| line.field("instance")).collect();
+    let digest = own.iter().find_map(|line| line.field("digest"));
     let decides = |line: &&LogLine<'_>| {
+        if line.message.starts_with("quarantine ") {
+            return digest.is_some() && line.field("digest") == digest && line.at <= last;
+        }
         if line.field("request").is_some() {
             return line.field("request") == Some(id);
         }
--- a/mustardrill_runtime/src/http.rs
+++ b/mustardrill_runtime/src/http.rs
@@ -209,7 +209,8 @@
 ///
 /// One whose machine does not answer, or that takes the connection, is not said to have ended.
 pub async fn has_ended(address: SocketAddr) -> bool {
-    const TIMEOUT: Duration = Duration::from_millis(150);
+    // Whoever lost an answer waits for this; a refusal takes as long as the way there and back.
+    const TIMEOUT: Duration = Duration::from_millis(50);
     let tried = tokio::time::timeout(TIMEOUT, tokio::net::TcpStream::connect(address)).await;
     matches!(tried, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
 }
--- a/mustardrill_standins/tests/explain.rs
+++ b/mustardrill_standins/tests/explain.rs
@@ -31,6 +31,29 @@
     );
 }
 
+/// A caller asks why it was refused at once; the reason lies in what other entries saw long before.
+#[test]
+fn what_was_held_against_a_requests_content_is_found_at_all_entries() {
+    let here = "\
+time=2026-10-05T23:22:40.000Z level=info process=entry-1 quarantine digest=d1 instance=i-1 ran=40ms outcome=suspected
+time=2026-10-05T23:22:40.100Z level=info process=entry-1 quarantine digest=d2 instance=i-1 ran=40ms outcome=suspected
+time=2026-10-05T23:23:40.000Z level=info process=entry-1 request=b1 decision=refuse code=3005 waited=0ms digest=d1
+";
+    let there = "\
+time=2026-10-05T23:22:41.000Z level=warn process=entry-2 quarantine digest=d1 outcome=begun
+";
+    let lines = explain("b1", [there, here]);
+    let told: Vec<_> = lines.iter().map(|line| line.split("process=").nth(1).unwrap()).collect();
+    assert_eq!(
+        told,
+        [
+            "entry-1 quarantine digest=d1 instance=i-1 ran=40ms outcome=suspected",
+            "entry-2 quarantine digest=d1 outcome=begun",
+            "entry-1 request=b1 decision=refuse code=3005 waited=0ms digest=d1",
+        ]
+    );
+}
+
 #[test]
 fn an_unknown_request_has_no_lines() {
     assert!(explain("a9", [ENTRY, OTHER]).is_empty());
