A verdict of one entry is taken over by all

Entries count what they have heard, and when: a word that came late may make two crashes in turn look like one. Such an entry went on sending what the others refused, and what waited there for room was sent although the quarantine had been heard of. The test refused none of those that waited before, all now.

--- a/mustardrill_core/src/direct/crash_words.rs
+++ b/mustardrill_core/src/direct/crash_words.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use mustardrill_types::{Millis, Moment};
+use mustardrill_types::{Millis, Moment, RequestDigest};
 
 use crate::quarantine::CrashWord;
 
@@ -38,6 +38,12 @@
         self.pending.push_back(PendingWord { word, since: now, round: 0 });
     }
 
+    /// Whether this entry tells of a crash under a request.
+    pub(crate) fn tells_crash_of(&self, digest: RequestDigest) -> bool {
+        let mut words = self.pending.iter().map(|pending| &pending.word);
+        words.any(|word| matches!(word, CrashWord::Crashed(run) if run.digest == digest))
+    }
+
     /// The words that are to be told at `now`.
     pub(crate) fn due(&mut self, now: Moment) -> Vec<CrashWord> {
         let mut due = Vec::new();
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -119,10 +119,7 @@
                 self.load_heard(now, load);
                 self.pump_all(now)
             }
-            DirectEvent::CrashHeard(word) => {
-                self.crash_heard(now, word);
-                Vec::new()
-            }
+            DirectEvent::CrashHeard(word) => self.crash_heard(now, word),
             DirectEvent::EngineHeard { address, model, word } => {
                 let Some(state) = self.upstreams.by_address(address) else { return Vec::new() };
                 match word {
--- a/mustardrill_core/src/direct/store_view.rs
+++ b/mustardrill_core/src/direct/store_view.rs
@@ -9,7 +9,6 @@
 use crate::direct::fleet::{FleetChange, FleetPage};
 use crate::direct::freshness::ProofClock;
 use crate::direct::reducer::DirectReducer;
-use crate::quarantine::QUARANTINE_SPAN;
 
 /// An entry that was without the store for less than this may have missed a naming that the
 /// platform counts as heard: single calls fail also where neither the store nor a link is down.
@@ -43,6 +42,9 @@
                 let machines = self.near_machines();
                 effects.push(DirectEffect::TellAgents(model.clone(), *version, machines));
             }
+            if let FleetChange::Quarantined(digest) = &change {
+                effects.extend(self.quarantine_seen(now, *digest));
+            }
             self.apply(now, named_since, change, grace);
         }
         self.proof.prove(sent);
@@ -133,11 +135,8 @@
                     info!("weights model={model} version={version} outcome=named");
                 }
             }
-            FleetChange::Quarantined(digest) => {
-                if self.quarantine.begin(now, digest, QUARANTINE_SPAN) {
-                    info!("quarantine digest={digest} outcome=begun source=store");
-                }
-            }
+            // Its effects are those of the page.
+            FleetChange::Quarantined(_) => {}
             FleetChange::Peer(record) => {
                 if record.id != self.settings.own {
                     self.peers.retain(|peer| peer.id != record.id);
--- a/mustardrill_core/src/direct/suspicion.rs
+++ b/mustardrill_core/src/direct/suspicion.rs
@@ -1,7 +1,7 @@
 //! What an entry makes of requests under which upstreams end.
 
 use log::{info, warn};
-use mustardrill_types::{Moment, RequestDigest, ResultCode};
+use mustardrill_types::{Millis, Moment, RequestDigest, ResultCode};
 
 use crate::direct::event::{DirectEffect, RequestNumber};
 use crate::direct::reducer::DirectReducer;
@@ -62,7 +62,7 @@
     }
 
     /// Takes what another entry tells.
-    pub(super) fn crash_heard(&mut self, now: Moment, word: CrashWord) {
+    pub(super) fn crash_heard(&mut self, now: Moment, word: CrashWord) -> Vec<DirectEffect> {
         match word {
             CrashWord::Crashed(run) => self.suspect(now, run),
             CrashWord::Sound(digest, at) => {
@@ -73,9 +73,37 @@
             CrashWord::Quarantined(digest, left) => {
                 if self.quarantine.begin(now, digest, left) {
                     info!("quarantine digest={digest} outcome=begun source=entry");
+                    return self.quarantine_begun(now, digest, left);
                 }
             }
         }
+        Vec::new()
+    }
+
+    /// Takes what the store keeps of another entry's verdict.
+    pub(super) fn quarantine_seen(
+        &mut self,
+        now: Moment,
+        digest: RequestDigest,
+    ) -> Vec<DirectEffect> {
+        if !self.quarantine.begin(now, digest, QUARANTINE_SPAN) {
+            return Vec::new();
+        }
+        info!("quarantine digest={digest} outcome=begun source=store");
+        self.refuse_waiting(now, digest)
+    }
+
+    fn quarantine_begun(
+        &mut self,
+        now: Moment,
+        digest: RequestDigest,
+        left: Millis,
+    ) -> Vec<DirectEffect> {
+        let mut effects = self.refuse_waiting(now, digest);
+        if self.keeps_record(digest) {
+            effects.push(DirectEffect::KeepQuarantine(digest, left));
+        }
+        effects
     }
 
     /// What is to be told to the other entries at `now`.
@@ -101,10 +129,12 @@
         let mut effects = Vec::new();
         for digest in self.quarantine.verdicts(now) {
             warn!("quarantine digest={digest} outcome=begun");
-            if self.keeps_record(digest) {
-                effects.push(DirectEffect::KeepQuarantine(digest, QUARANTINE_SPAN));
+            // Others may have heard less, or too late to tell which run came after which.
+            if self.crash_words.tells_crash_of(digest) {
+                let word = CrashWord::Quarantined(digest, QUARANTINE_SPAN);
+                self.crash_words.push(now, word);
             }
-            effects.extend(self.refuse_waiting(now, digest));
+            effects.extend(self.quarantine_begun(now, digest, QUARANTINE_SPAN));
         }
         for number in std::mem::take(&mut self.undecided) {
             effects.extend(self.resume(now, number));
--- a/mustardrill_core/tests/quarantine.rs
+++ b/mustardrill_core/tests/quarantine.rs
@@ -177,6 +177,37 @@
     assert_eq!(chosen.into_iter().collect::<Vec<_>>(), ["u1"]);
 }
 
+/// Each entry counts what it has heard; one that has heard less went on sending what the others
+/// refused, and what waited there was sent once an engine had room.
+#[test]
+fn a_verdict_of_one_entry_is_taken_over_by_all() {
+    let mut reducer = entry(1);
+    let limit = 1 + common::direct_settings().ahead + 4;
+    let mut waiting = Vec::new();
+    for number in 1..=u64::from(limit) {
+        let effects = arrive(&mut reducer, START, number, "/cause");
+        if effects.iter().all(|effect| !matches!(effect, DirectEffect::Send(..))) {
+            waiting.push(number);
+        }
+    }
+    assert!(!waiting.is_empty());
+    let word = CrashWord::Quarantined(digest_of("/cause"), Millis(60_000));
+    let heard = START + Millis(10);
+    let effects = reducer.reduce(heard, DirectEvent::CrashHeard(word));
+    let refused: Vec<_> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            DirectEffect::Refuse(number, plan) if plan.code == ResultCode::Quarantined => {
+                Some(number.0)
+            }
+            _ => None,
+        })
+        .collect();
+    assert_eq!(refused, waiting);
+    assert!(effects.iter().any(|effect| matches!(effect, DirectEffect::KeepQuarantine(..))));
+    assert!(!is_run(&mut reducer, heard, 100, "/cause"));
+}
+
 /// A crash told by another entry.
 fn crash(path: &str, upstream: usize, sent: u64, ended: u64) -> CrashedRun {
     CrashedRun {
