Load patterns played on the entries' reducers against modelled engines, with each mechanism and without

Discrete events, seeded, one thread: the reducers of E entries, their words with delay and loss, engines that read prompts between the tokens of others, callers that come back and leave. A checked file for a pattern, one command for the worth of each mechanism over N seeds (the same callers with and without), JSON, an SVG plot, progress.

--- a/mustardrill_runtime/src/settings.rs
+++ b/mustardrill_runtime/src/settings.rs
@@ -147,6 +147,12 @@
         found.flat_map(|found| found.keys.iter().cloned()).collect()
     }
 
+    /// The sections whose names begin so, in the file's order.
+    pub fn sections(&self, prefix: &str) -> Vec<Box<str>> {
+        let names = self.file.sections.iter().map(|section| section.name.clone());
+        names.filter(|name| name.starts_with(prefix)).collect()
+    }
+
     /// Adds a fault that the caller found.
     pub fn fault(&mut self, line: usize, message: impl Into<Box<str>>) {
         let file = self.file.name.clone();
--- /dev/null
+++ b/mustardrill_standins/examples/experiment.rs
@@ -0,0 +1,280 @@
+//! Plays a load pattern with each mechanism of the entries and without it.
+//!
+//! `cargo run --release -p mustardrill_standins --example experiment -- PATTERN.ini [--seeds N]
+//! [--settings ENTRY.ini] [--only NAME]... [--json FILE] [--plot FILE.svg]`
+
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+use mustardrill_core::direct::DirectSettings;
+use mustardrill_entry::direct;
+use mustardrill_runtime::settings::{SettingsOutcome, SettingsReader};
+use mustardrill_standins::experiment::{LoadPattern, PlayReport, SecondCount, play};
+use mustardrill_types::Millis;
+use plotters::prelude::*;
+use serde::Serialize;
+
+const HELP: &str = "\
+experiment: plays a load pattern on the entries' reducers, with each mechanism and without it
+
+Usage:
+  experiment PATTERN.ini [OPTIONS]
+
+Options:
+  --seeds N            plays of each variant, by other callers (5)
+  --settings ENTRY.ini the settings of an entry (docs/SETTINGS.md); those of a plain one otherwise
+  --only NAME          this mechanism alone; may be given several times
+  --json FILE          write all figures
+  --plot FILE.svg      draw the seconds of the first play with all mechanisms
+  -h, --help           this text
+";
+
+/// The settings of a plain entry.
+const PLAIN_ENTRY: &str = "\
+[entry]
+platform = prepared
+instance = entry-0
+data_centre = hall
+listen = 127.0.0.1:0
+ready_listen = 127.0.0.1:0
+peer_listen = 127.0.0.1:0
+[platform]
+store = 127.0.0.1:1
+";
+
+/// Longer than all prompts that an engine may have to read.
+const NO_LIMIT: Millis = Millis(1_000_000);
+
+/// A mechanism, and how the settings switch it off.
+struct MechanismSwitch {
+    name: &'static str,
+    off: fn(&mut DirectSettings),
+}
+
+const MECHANISMS: [MechanismSwitch; 8] = [
+    MechanismSwitch { name: "waiting", off: |it| it.late_wait = Millis(0) },
+    MechanismSwitch { name: "one-ahead", off: |it| it.ahead = 0 },
+    MechanismSwitch { name: "reading-limit", off: |it| it.reading_limit = NO_LIMIT },
+    MechanismSwitch { name: "late-share", off: |it| it.late_percent = 100 },
+    MechanismSwitch { name: "in-time-share", off: |it| it.wait_percent = 100 },
+    MechanismSwitch { name: "ejection", off: |it| it.ejection = Millis(0) },
+    MechanismSwitch { name: "others-load", off: |it| it.peer_patience = Millis(0) },
+    MechanismSwitch {
+        name: "repeats",
+        off: |it| (it.retry.ratio, it.retry.allowance) = (0.0, 0.0),
+    },
+];
+
+struct Options {
+    pattern: PathBuf,
+    seeds: u64,
+    settings: Option<PathBuf>,
+    only: Vec<String>,
+    json: Option<PathBuf>,
+    plot: Option<PathBuf>,
+}
+
+/// The plays of one variant.
+#[derive(Serialize)]
+struct VariantResult {
+    /// The mechanism that is off; nothing with all of them.
+    without: Option<&'static str>,
+    plays: Vec<PlayReport>,
+}
+
+/// A mean over plays, and how far single ones lie from it.
+struct MeanSpread {
+    mean: f64,
+    spread: f64,
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run() -> Result<(), Box<dyn Error>> {
+    let Some(options) = read_options()? else {
+        print!("{HELP}");
+        return Ok(());
+    };
+    let pattern = checked(LoadPattern::read(open(&options.pattern)?))?;
+    let reader = match &options.settings {
+        Some(path) => open(path)?,
+        None => SettingsReader::read("plain entry", PLAIN_ENTRY).map_err(|it| it.to_string())?,
+    };
+    let settings = checked(direct::read(reader))?.direct;
+    let chosen: Vec<_> = MECHANISMS.iter().filter(|it| options.chooses(it.name)).collect();
+    if let Some(unknown) = options.only.iter().find(|name| !is_mechanism(name)) {
+        let known: Vec<_> = MECHANISMS.iter().map(|it| it.name).collect();
+        return Err(format!("--only {unknown}: write one of {}", known.join(", ")).into());
+    }
+    let plays = (chosen.len() as u64 + 1) * options.seeds;
+    let mut played = 0;
+    let mut variant = |without, settings: &DirectSettings| {
+        let seeds = 1..=options.seeds;
+        let plays = seeds.map(|seed| {
+            played += 1;
+            eprint!("\rplay {played} of {plays}");
+            play(&pattern, settings, seed)
+        });
+        VariantResult { without, plays: plays.collect() }
+    };
+    let mut results = vec![variant(None, &settings)];
+    for mechanism in chosen {
+        let mut settings = settings.clone();
+        (mechanism.off)(&mut settings);
+        results.push(variant(Some(mechanism.name), &settings));
+    }
+    eprintln!();
+    print_table(&results);
+    if let Some(path) = &options.json {
+        std::fs::write(path, serde_json::to_vec_pretty(&results)?)?;
+    }
+    if let Some(path) = &options.plot {
+        draw(path, &results[0].plays[0].seconds)?;
+    }
+    Ok(())
+}
+
+impl Options {
+    fn chooses(&self, name: &str) -> bool {
+        self.only.is_empty() || self.only.iter().any(|only| only == name)
+    }
+}
+
+fn is_mechanism(name: &str) -> bool {
+    MECHANISMS.iter().any(|it| it.name == name)
+}
+
+fn read_options() -> Result<Option<Options>, Box<dyn Error>> {
+    let mut pattern = None;
+    let (mut seeds, mut settings, mut only) = (5, None, Vec::new());
+    let (mut json, mut plot) = (None, None);
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("seeds") => seeds = parser.value()?.parse()?,
+            Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
+            Long("only") => only.push(parser.value()?.string()?),
+            Long("json") => json = Some(PathBuf::from(parser.value()?)),
+            Long("plot") => plot = Some(PathBuf::from(parser.value()?)),
+            Short('h') | Long("help") => return Ok(None),
+            Value(path) if pattern.is_none() => pattern = Some(PathBuf::from(path)),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if seeds == 0 {
+        return Err("--seeds 0: write 1 or more".into());
+    }
+    let pattern = pattern.ok_or("name a pattern, such as deploy/patterns/burst.ini; see --help")?;
+    Ok(Some(Options { pattern, seeds, settings, only, json, plot }))
+}
+
+fn open(path: &Path) -> Result<SettingsReader, Box<dyn Error>> {
+    SettingsReader::open(path).map_err(|fault| fault.to_string().into())
+}
+
+fn checked<T>(outcome: SettingsOutcome<T>) -> Result<T, Box<dyn Error>> {
+    outcome.warnings.iter().for_each(|warning| eprintln!("{warning}"));
+    outcome.settings.map_err(|faults| {
+        let lines: Vec<_> = faults.iter().map(ToString::to_string).collect();
+        lines.join("\n").into()
+    })
+}
+
+fn print_table(results: &[VariantResult]) {
+    println!(
+        "{:<16} {:>16} {:>9} {:>6} {:>8} {:>7} {:>9} {:>8} {:>6}",
+        "without",
+        "in time/possible",
+        "worth it",
+        "late",
+        "refused",
+        "failed",
+        "fairness",
+        "repeats",
+        "ended"
+    );
+    let base: Vec<_> = results[0].plays.iter().map(PlayReport::goodput).collect();
+    for result in results {
+        let of = |value: fn(&PlayReport) -> f64| MeanSpread::of(result.plays.iter().map(value));
+        let share = |part: fn(&PlayReport) -> u32| {
+            let shares = result
+                .plays
+                .iter()
+                .map(|it| f64::from(part(it)) / f64::from(it.total().asked.max(1)));
+            MeanSpread::of(shares).mean
+        };
+        let goodput = of(PlayReport::goodput);
+        // The callers of a seed are the same, so that plays are compared one by one.
+        let worth = result.plays.iter().zip(&base).map(|(it, base)| base - it.goodput());
+        let worth = MeanSpread::of(worth);
+        let worth = result.without.map_or(String::new(), |_| worth.to_string());
+        println!(
+            "{:<16} {:>16} {:>9} {:>6.3} {:>8.3} {:>7.3} {:>9.2} {:>8.0} {:>6.1}",
+            result.without.unwrap_or("-"),
+            goodput.to_string(),
+            worth,
+            share(|it| it.total().late),
+            share(|it| it.total().refused),
+            share(|it| it.total().failed),
+            of(PlayReport::fairness).mean,
+            of(|it| f64::from(it.repeats)).mean,
+            of(|it| f64::from(it.engines_ended)).mean,
+        );
+    }
+}
+
+impl MeanSpread {
+    fn of(values: impl Iterator<Item = f64>) -> Self {
+        let values: Vec<_> = values.collect();
+        let count = values.len().max(1) as f64;
+        let mean = values.iter().sum::<f64>() / count;
+        let squares = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>();
+        Self { mean, spread: (squares / count).sqrt() }
+    }
+}
+
+impl std::fmt::Display for MeanSpread {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let text = format!("{:.3}±{:.3}", self.mean, self.spread);
+        formatter.pad(&text)
+    }
+}
+
+/// Draws what became of the callers of each second, and the bound.
+fn draw(path: &Path, seconds: &[SecondCount]) -> Result<(), Box<dyn Error>> {
+    let most = seconds.iter().map(|it| it.count.asked).max().unwrap_or(1);
+    let area = SVGBackend::new(path, (900, 400)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(48)
+        .build_cartesian_2d(0.0..seconds.len() as f64, 0.0..f64::from(most) * 1.1)?;
+    chart.configure_mesh().x_desc("second").y_desc("requests").draw()?;
+    type SecondValue = fn(&SecondCount) -> f64;
+    let lines: [(&str, RGBColor, SecondValue); 5] = [
+        ("asked", BLACK, |it| f64::from(it.count.asked)),
+        ("possible in time", BLUE, |it| it.bound),
+        ("in time", RGBColor(76, 159, 112), |it| f64::from(it.count.in_time)),
+        ("late", RGBColor(224, 177, 60), |it| f64::from(it.count.late)),
+        ("refused or failed", RED, |it| f64::from(it.count.refused + it.count.failed)),
+    ];
+    for (name, colour, value) in lines {
+        let points = seconds.iter().enumerate().map(|(second, it)| (second as f64, value(it)));
+        let legend = move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour);
+        chart.draw_series(LineSeries::new(points, &colour))?.label(name).legend(legend);
+    }
+    chart.configure_series_labels().border_style(BLACK).background_style(WHITE).draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/mustardrill_standins/src/experiment/mod.rs
@@ -0,0 +1,17 @@
+//! Plays load patterns on the entries' real reducers against modelled engines, in seconds.
+//!
+//! Discrete events, seeded, one thread, no processes: entries tell each other their load over ways
+//! that delay and lose words, engines read prompts between the tokens of others, callers come back
+//! after refusals and leave at their deadlines. Only the engines and the callers are models.
+
+mod call;
+mod engine;
+mod fleet;
+mod pattern;
+mod play;
+mod report;
+
+pub use engine::{EngineEvent, EngineModel, EngineRun, RunId};
+pub use pattern::{CallerKind, DisturbanceKind, LoadPattern, PatternDisturbance};
+pub use play::play;
+pub use report::{KindCount, PlayReport, SecondCount};
--- /dev/null
+++ b/mustardrill_standins/src/experiment/play.rs
@@ -0,0 +1,558 @@
+//! One play of a pattern: the events, in the order of time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use mustardrill_core::direct::{
+    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, DirectRequest, DirectSettings,
+    EngineForecast, FleetChange, FleetPage, LoadTeller, PeerLoad, RefusalPlan, RequestNumber,
+    SendPlan, WorkSize,
+};
+use mustardrill_core::quarantine::CrashWord;
+use mustardrill_types::{
+    FastMap, InstanceId, Millis, Moment, RequestDigest, StoreRevision, WeightVersion,
+};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
+use crate::experiment::call::{CallEnd, CallState};
+use crate::experiment::engine::{EngineEvent, EngineModel, EngineRun, RunId};
+use crate::experiment::fleet::{HOST, engine_record, entry_id, first_page, path_of};
+use crate::experiment::pattern::{DisturbanceKind, LoadPattern, MODEL};
+use crate::experiment::report::{PlayReport, SecondCount};
+
+/// When a play begins on the entries' clocks.
+const START: Moment = Moment(1_000_000);
+
+/// How often an entry looks at its load.
+const LOOK_EVERY: Millis = Millis(10);
+
+/// How long a machine has no engine after one has ended under a request.
+const RESTART: Millis = Millis(3_000);
+
+/// How long a play goes on after the last caller came.
+const TAIL: Millis = Millis(8_000);
+
+/// Sendings of one call that are told apart by their numbers.
+const SENDINGS: u64 = 16;
+
+/// Plays a pattern. The callers are the same for each `seed`, whatever the settings.
+pub fn play(pattern: &LoadPattern, settings: &DirectSettings, seed: u64) -> PlayReport {
+    let mut play = PatternPlay::new(pattern, settings, seed);
+    play.run();
+    play.into_report()
+}
+
+/// Something that happens at a moment.
+#[derive(Debug)]
+enum Happening {
+    Comes { kind: usize },
+    Asks { call: usize },
+    Leaves { call: usize },
+    Reaches { engine: usize, run: EngineRun },
+    PassEnds { engine: usize, start: u64 },
+    Told { id: RunId, news: AttemptNews },
+    Looks { entry: usize },
+    Heard { entry: usize, load: PeerLoad },
+    CrashHeard { entry: usize, word: CrashWord },
+    Wakes { entry: usize },
+    Begins { place: usize },
+    Ends { place: usize },
+    Starts { engine: usize },
+    Registered { engine: usize },
+}
+
+/// What an entry learns of an attempt.
+#[derive(Debug, Clone, Copy)]
+enum AttemptNews {
+    Event,
+    Whole,
+    Full,
+    NotSent,
+    Crashed,
+}
+
+struct EntryState {
+    reducer: DirectReducer,
+    teller: LoadTeller,
+}
+
+struct EngineState {
+    model: EngineModel,
+    start: u64,
+    is_up: bool,
+}
+
+struct PatternPlay<'a> {
+    pattern: &'a LoadPattern,
+    /// Microseconds since the start.
+    now: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    happenings: FastMap<u64, Happening>,
+    next: u64,
+    /// Decides on callers alone, so that they are the same under other settings.
+    callers: StdRng,
+    random: StdRng,
+    entries: Vec<EntryState>,
+    engines: Vec<EngineState>,
+    /// The engines that each disturbance concerns.
+    concerned: Vec<Vec<usize>>,
+    calls: Vec<CallState>,
+    report: PlayReport,
+}
+
+impl<'a> PatternPlay<'a> {
+    fn new(pattern: &'a LoadPattern, settings: &DirectSettings, seed: u64) -> Self {
+        let entry = |place: usize| {
+            let settings = DirectSettings { own: entry_id(place), ..settings.clone() };
+            let mut reducer = DirectReducer::new(settings, seed.wrapping_add(place as u64));
+            reducer.reduce(START, DirectEvent::Fleet(first_page(pattern), START));
+            EntryState { reducer, teller: LoadTeller::default() }
+        };
+        let engine = |_| EngineState {
+            model: EngineModel::new(&pattern.profile, pattern.chunk),
+            start: 1,
+            is_up: true,
+        };
+        let mut play = Self {
+            pattern,
+            now: 0,
+            queue: BinaryHeap::new(),
+            happenings: FastMap::default(),
+            next: 0,
+            callers: StdRng::seed_from_u64(seed),
+            random: StdRng::seed_from_u64(!seed),
+            entries: (0..pattern.entries as usize).map(entry).collect(),
+            engines: (0..pattern.engines).map(engine).collect(),
+            concerned: vec![Vec::new(); pattern.disturbances.len()],
+            calls: Vec::new(),
+            report: PlayReport::default(),
+        };
+        play.prepare();
+        play
+    }
+
+    fn prepare(&mut self) {
+        for kind in 0..self.pattern.kinds.len() {
+            self.schedule_caller(kind);
+        }
+        for entry in 0..self.entries.len() {
+            // Spread, as processes don't look in step.
+            let first = entry as u64 % LOOK_EVERY.0;
+            self.schedule(Millis(first), Happening::Looks { entry });
+        }
+        for (place, disturbance) in self.pattern.disturbances.iter().enumerate() {
+            self.schedule(disturbance.at, Happening::Begins { place });
+            let ends = Millis(disturbance.at.0 + disturbance.span.0);
+            self.schedule(ends, Happening::Ends { place });
+        }
+    }
+
+    fn run(&mut self) {
+        let end = (self.pattern.span.0 + TAIL.0) * 1_000;
+        while let Some(Reverse((at, number))) = self.queue.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            if let Some(happening) = self.happenings.remove(&number) {
+                self.happen(happening);
+            }
+        }
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Comes { kind } => self.comes(kind),
+            Happening::Asks { call } => self.asks(call),
+            Happening::Leaves { call } => self.leaves(call),
+            Happening::Reaches { engine, run } => self.reaches(engine, run),
+            Happening::PassEnds { engine, start } => self.pass_ends(engine, start),
+            Happening::Told { id, news } => self.told(id, news),
+            Happening::Looks { entry } => self.looks(entry),
+            Happening::Heard { entry, load } => self.reduce(entry, DirectEvent::PeerHeard(load)),
+            Happening::CrashHeard { entry, word } => {
+                self.reduce(entry, DirectEvent::CrashHeard(word));
+            }
+            Happening::Wakes { entry } => self.reduce(entry, DirectEvent::Woke),
+            Happening::Begins { place } => self.begins(place),
+            Happening::Ends { place } => self.ends(place),
+            Happening::Starts { engine } => self.starts(engine),
+            Happening::Registered { engine } => self.registered(engine),
+        }
+    }
+
+    fn moment(&self) -> Moment {
+        START + Millis(self.now / 1_000)
+    }
+
+    fn schedule(&mut self, after: Millis, happening: Happening) {
+        self.schedule_us(after.0 * 1_000, happening);
+    }
+
+    fn schedule_us(&mut self, after: u64, happening: Happening) {
+        self.next += 1;
+        self.happenings.insert(self.next, happening);
+        self.queue.push(Reverse((self.now + after, self.next)));
+    }
+
+    /// The next caller of a kind, after a pause as between independent callers.
+    fn schedule_caller(&mut self, kind: usize) {
+        let factor = self.pattern.rate_factor(Millis(self.now / 1_000));
+        let rate = self.pattern.kinds[kind].rate * factor;
+        if rate <= 0.0 {
+            return;
+        }
+        let lot: f64 = self.callers.random_range(f64::MIN_POSITIVE..1.0);
+        let pause = -lot.ln() / rate * 1e6;
+        if self.now + (pause as u64) < self.pattern.span.0 * 1_000 {
+            self.schedule_us(pause as u64, Happening::Comes { kind });
+        }
+    }
+
+    fn comes(&mut self, kind: usize) {
+        let caller = &self.pattern.kinds[kind];
+        let prompt = caller.prompt / 2 + self.callers.random_range(0..=caller.prompt);
+        let size = WorkSize { prompt, answer: caller.answer };
+        let call = self.calls.len();
+        self.calls.push(CallState {
+            kind,
+            came: self.moment(),
+            deadline: self.moment() + caller.deadline,
+            size,
+            entry: self.callers.random_range(0..self.entries.len()),
+            returns: caller.returns,
+            attempt: 0,
+            engine: None,
+            answer_left: caller.answer,
+            last_event: None,
+            is_late: false,
+            end: None,
+        });
+        self.schedule(caller.deadline, Happening::Leaves { call });
+        self.schedule(self.pattern.way, Happening::Asks { call });
+        self.schedule_caller(kind);
+    }
+
+    fn asks(&mut self, call: usize) {
+        let state = &self.calls[call];
+        if state.end.is_some() {
+            return;
+        }
+        let kind = &self.pattern.kinds[state.kind];
+        // A request that ends engines comes again and again; the others differ.
+        let content = if kind.ends_engines { state.kind as u64 } else { !(call as u64) };
+        let request = DirectRequest {
+            number: self.number(call),
+            attempt: call.to_string().into(),
+            host: HOST.into(),
+            path: path_of(state.kind),
+            content: RequestDigest::of(&[&content.to_be_bytes()]),
+            key: None,
+            patience: Some(state.deadline.since(self.moment())),
+            arrived: self.moment(),
+            model: MODEL.parse().ok(),
+            size: state.size,
+            resumes: false,
+        };
+        self.reduce(state.entry, DirectEvent::Arrived(request));
+    }
+
+    /// The number of a call's sending.
+    fn number(&self, call: usize) -> RequestNumber {
+        let state = &self.calls[call];
+        let sending = self.pattern.kinds[state.kind].returns - state.returns;
+        RequestNumber(call as u64 * SENDINGS + u64::from(sending) % SENDINGS)
+    }
+
+    fn leaves(&mut self, call: usize) {
+        if self.calls[call].end.is_some() {
+            return;
+        }
+        self.finish(call, CallEnd::Failed);
+        let number = self.number(call);
+        let state = &self.calls[call];
+        let id = RunId { call, attempt: state.attempt };
+        if let Some((engine, _)) = &state.engine {
+            self.engines[*engine].model.drop_run(id);
+        }
+        let entry = self.calls[call].entry;
+        self.reduce(entry, DirectEvent::Gone(number));
+    }
+
+    fn finish(&mut self, call: usize, end: CallEnd) {
+        self.calls[call].end = Some(end);
+    }
+
+    fn reduce(&mut self, entry: usize, event: DirectEvent) {
+        let now = self.moment();
+        for effect in self.entries[entry].reducer.reduce(now, event) {
+            match effect {
+                DirectEffect::Send(number, plan) => self.send(number, &plan),
+                DirectEffect::Refuse(number, plan) => self.refused(number, plan),
+                DirectEffect::Wake(at) => {
+                    let pause = at.since(now).0.max(1);
+                    self.schedule(Millis(pause), Happening::Wakes { entry });
+                }
+                DirectEffect::PassOn(_)
+                | DirectEffect::TellAgents(..)
+                | DirectEffect::KeepQuarantine(..)
+                | DirectEffect::EndQuarantine(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, number: RequestNumber, plan: &SendPlan) {
+        let call = (number.0 / SENDINGS) as usize;
+        let Some(engine) = self.place_of(&plan.upstream) else { return };
+        let state = &mut self.calls[call];
+        state.attempt += 1;
+        state.engine = Some((engine, plan.upstream.clone()));
+        self.report.repeats += u32::from(state.attempt > 1);
+        let written = state.size.answer - state.answer_left;
+        let run = EngineRun {
+            id: RunId { call, attempt: state.attempt },
+            // What was written before is read again.
+            prompt_left: state.size.prompt + written,
+            answer_left: state.answer_left,
+            ends_engine: self.pattern.kinds[state.kind].ends_engines,
+        };
+        self.schedule(self.pattern.way, Happening::Reaches { engine, run });
+    }
+
+    fn place_of(&self, upstream: &InstanceId) -> Option<usize> {
+        upstream.as_str().rsplit('-').next()?.parse().ok()
+    }
+
+    fn reaches(&mut self, engine: usize, run: EngineRun) {
+        let id = run.id;
+        if !self.is_awaited(id) {
+            return;
+        }
+        let state = &mut self.engines[engine];
+        if !state.is_up {
+            return self.tell(id, AttemptNews::NotSent);
+        }
+        if !state.model.take(run) {
+            self.report.turned_away += 1;
+            return self.tell(id, AttemptNews::Full);
+        }
+        if !state.model.is_busy {
+            self.begin_pass(engine);
+        }
+    }
+
+    fn is_awaited(&self, id: RunId) -> bool {
+        let state = &self.calls[id.call];
+        state.end.is_none() && state.attempt == id.attempt
+    }
+
+    fn begin_pass(&mut self, engine: usize) {
+        let state = &mut self.engines[engine];
+        let start = state.start;
+        if let Some(span_ms) = state.model.begin_pass() {
+            self.schedule_us((span_ms * 1e3) as u64, Happening::PassEnds { engine, start });
+        }
+    }
+
+    fn pass_ends(&mut self, engine: usize, start: u64) {
+        let state = &mut self.engines[engine];
+        if !state.is_up || state.start != start {
+            return;
+        }
+        for event in state.model.end_pass() {
+            match event {
+                EngineEvent::Event(id) => self.tell(id, AttemptNews::Event),
+                EngineEvent::Whole(id) => self.tell(id, AttemptNews::Whole),
+                EngineEvent::Ended => {
+                    self.report.engines_ended += 1;
+                    self.end_engine(engine);
+                    return self.schedule(RESTART, Happening::Starts { engine });
+                }
+            }
+        }
+        self.begin_pass(engine);
+    }
+
+    fn end_engine(&mut self, engine: usize) {
+        let state = &mut self.engines[engine];
+        state.is_up = false;
+        state.start += 1;
+        for id in state.model.take_all() {
+            self.tell(id, AttemptNews::Crashed);
+        }
+    }
+
+    fn starts(&mut self, engine: usize) {
+        self.engines[engine].is_up = true;
+        self.schedule(self.pattern.way, Happening::Registered { engine });
+    }
+
+    fn registered(&mut self, engine: usize) {
+        let record = engine_record(self.pattern, engine, self.engines[engine].start);
+        let now = self.moment();
+        for entry in 0..self.entries.len() {
+            let changes = vec![FleetChange::Upstream(record.clone())];
+            let page = FleetPage { changes, at: StoreRevision(1), whole: false };
+            self.reduce(entry, DirectEvent::Fleet(page, now));
+        }
+    }
+
+    /// Lets an entry learn of an attempt, a way later.
+    fn tell(&mut self, id: RunId, news: AttemptNews) {
+        self.schedule(self.pattern.way, Happening::Told { id, news });
+    }
+
+    fn told(&mut self, id: RunId, news: AttemptNews) {
+        if !self.is_awaited(id) {
+            return;
+        }
+        let number = self.number(id.call);
+        let entry = self.calls[id.call].entry;
+        let outcome = match news {
+            AttemptNews::Event => {
+                let answering = DirectEvent::Answering(number, None, Some(WeightVersion(1)));
+                self.reduce(entry, answering);
+                return self.event_came(id.call);
+            }
+            AttemptNews::Whole => {
+                self.event_came(id.call);
+                let late = self.calls[id.call].is_late;
+                self.finish(id.call, if late { CallEnd::Late } else { CallEnd::InTime });
+                AttemptOutcome::Whole
+            }
+            AttemptNews::Full => AttemptOutcome::Full,
+            AttemptNews::NotSent => AttemptOutcome::NotSent,
+            AttemptNews::Crashed => {
+                let delivered = self.calls[id.call].last_event.is_some();
+                AttemptOutcome::Lost { delivered, crashed: true }
+            }
+        };
+        self.calls[id.call].engine = None;
+        self.reduce(entry, DirectEvent::Ended(number, outcome));
+    }
+
+    fn event_came(&mut self, call: usize) {
+        let seen = self.moment() + self.pattern.way;
+        let stride = self.pattern.profile.stride;
+        let state = &mut self.calls[call];
+        let kind = &self.pattern.kinds[state.kind];
+        let (since, limit) = match state.last_event {
+            None => (state.came, kind.objective),
+            Some(last) => (last, kind.gap),
+        };
+        state.is_late |= seen.since(since) > limit;
+        state.last_event = Some(seen);
+        state.answer_left = state.answer_left.saturating_sub(stride).max(1);
+    }
+
+    fn refused(&mut self, number: RequestNumber, plan: RefusalPlan) {
+        let call = (number.0 / SENDINGS) as usize;
+        let now = self.moment();
+        let state = &mut self.calls[call];
+        if state.end.is_some() {
+            return;
+        }
+        state.engine = None;
+        let left = state.deadline.since(now);
+        if state.last_event.is_some() || state.returns == 0 || left == Millis(0) {
+            let not_run = plan.code.is_not_run() && state.last_event.is_none();
+            let end = if not_run { CallEnd::Refused } else { CallEnd::Failed };
+            return self.finish(call, end);
+        }
+        state.returns -= 1;
+        // Callers wait no longer than a third of the time that they have left.
+        let pause = plan.retry_after.min(Millis(left.0 / 3)).0 + 2 * self.pattern.way.0;
+        state.entry = self.random.random_range(0..self.entries.len());
+        self.schedule(Millis(pause), Happening::Asks { call });
+    }
+
+    fn looks(&mut self, entry: usize) {
+        let now = self.moment();
+        let state = &mut self.entries[entry];
+        let (outstanding, waiting) = (state.reducer.outstanding(), state.reducer.waiting());
+        let news = state.teller.next(now, outstanding, waiting);
+        let words = state.reducer.crash_words(now);
+        for other in (0..self.entries.len()).filter(|other| *other != entry) {
+            if let Some(news) = news.clone().filter(|_| self.arrives()) {
+                let load = PeerLoad { from: entry_id(entry), news };
+                self.schedule(self.pattern.way, Happening::Heard { entry: other, load });
+            }
+            for word in words.clone() {
+                if self.arrives() {
+                    let heard = Happening::CrashHeard { entry: other, word };
+                    self.schedule(self.pattern.way, heard);
+                }
+            }
+        }
+        self.schedule(LOOK_EVERY, Happening::Looks { entry });
+    }
+
+    fn arrives(&mut self) -> bool {
+        self.pattern.word_loss == 0.0 || self.random.random::<f64>() >= self.pattern.word_loss
+    }
+
+    fn begins(&mut self, place: usize) {
+        let disturbance = &self.pattern.disturbances[place];
+        let mut engines: Vec<_> = (0..self.engines.len()).collect();
+        engines.shuffle(&mut self.random);
+        let count = (disturbance.share * engines.len() as f64).round() as usize;
+        engines.truncate(count);
+        for engine in &engines {
+            match disturbance.kind {
+                DisturbanceKind::Burst => {}
+                DisturbanceKind::Slow => self.engines[*engine].model.pace = disturbance.factor,
+                DisturbanceKind::Crash => self.end_engine(*engine),
+            }
+        }
+        self.concerned[place] = engines;
+    }
+
+    fn ends(&mut self, place: usize) {
+        let kind = self.pattern.disturbances[place].kind;
+        for engine in std::mem::take(&mut self.concerned[place]) {
+            match kind {
+                DisturbanceKind::Burst => {}
+                DisturbanceKind::Slow => self.engines[engine].model.pace = 1.0,
+                DisturbanceKind::Crash => self.starts(engine),
+            }
+        }
+    }
+
+    fn into_report(mut self) -> PlayReport {
+        let seconds = self.pattern.span.0.div_ceil(1_000) as usize;
+        self.report.seconds = vec![SecondCount::default(); seconds];
+        for call in &self.calls {
+            let kind = &self.pattern.kinds[call.kind];
+            // Those that end engines are owed nothing.
+            if kind.ends_engines {
+                continue;
+            }
+            let second = (call.came.since(START).0 / 1_000) as usize;
+            let by_kind = self.report.kinds.entry(kind.name.clone()).or_default();
+            for count in [by_kind, &mut self.report.seconds[second].count] {
+                count.asked += 1;
+                let field = match call.end.unwrap_or(CallEnd::Failed) {
+                    CallEnd::InTime => &mut count.in_time,
+                    CallEnd::Late => &mut count.late,
+                    CallEnd::Refused => &mut count.refused,
+                    CallEnd::Failed => &mut count.failed,
+                };
+                *field += 1;
+            }
+        }
+        let usual = WorkSize {
+            prompt: self.pattern.profile.usual_prompt,
+            answer: self.pattern.profile.usual_answer,
+        };
+        let slots = self.pattern.profile.slots;
+        let whole_ms = EngineForecast::new(&self.pattern.profile).whole_ms(slots, usual);
+        for (place, second) in self.report.seconds.iter_mut().enumerate() {
+            let engines = self.pattern.engines_at(Millis(place as u64 * 1_000));
+            let capacity = engines * f64::from(slots) * 1_000.0 / whole_ms.max(1.0);
+            second.bound = capacity.min(f64::from(second.count.asked));
+        }
+        self.report
+    }
+}
--- a/mustardrill_standins/src/lib.rs
+++ b/mustardrill_standins/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs, unsafe_code, clippy::unwrap_used)]
 
 pub mod engine;
+pub mod experiment;
 pub mod fault;
 pub mod instances;
 pub mod key_value;
