Read again: the play of a pattern in files by job, a lab's callers in a file of their own

The play of a pattern was 559 lines: what callers do and what it came to stand by themselves. No decision changes.

--- a/mustardrill_standins/src/engine.rs
+++ b/mustardrill_standins/src/engine.rs
@@ -82,13 +82,13 @@
 
 #[derive(Deserialize)]
 struct LoadBody {
-    model: String,
-    version: String,
-    digest: String,
+    model: Box<str>,
+    version: Box<str>,
+    digest: Box<str>,
     fence: u64,
     size: u64,
     chunk_size: u64,
-    source: String,
+    source: Box<str>,
 }
 
 impl Default for EngineOptions {
@@ -346,7 +346,7 @@
     };
     let made = Manifest::describe(model, version, ByteSize(order.chunk_size), bytes);
     let digest = made.digest().to_string();
-    if digest == order.digest { digest } else { "wrong-bytes".into() }
+    if *digest == *order.digest { digest } else { "wrong-bytes".into() }
 }
 
 fn name_weights(response: &mut AnyResponse, digest: &str) {
--- a/mustardrill_standins/src/experiment/mod.rs
+++ b/mustardrill_standins/src/experiment/mod.rs
@@ -4,7 +4,9 @@
 //! that delay and lose words, engines read prompts between the tokens of others, callers come back
 //! after refusals and leave at their deadlines. Only the engines and the callers are models.
 
+mod account;
 mod call;
+mod callers;
 mod engine;
 mod fleet;
 mod pattern;
--- a/mustardrill_standins/src/experiment/play.rs
+++ b/mustardrill_standins/src/experiment/play.rs
@@ -4,26 +4,24 @@
 use std::collections::BinaryHeap;
 
 use mustardrill_core::direct::{
-    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, DirectRequest, DirectSettings,
-    EngineForecast, FleetChange, FleetPage, LoadTeller, PeerLoad, RefusalPlan, RequestNumber,
-    SendPlan, WorkSize,
+    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, DirectSettings, FleetChange,
+    FleetPage, LoadTeller, PeerLoad, RequestNumber, SendPlan,
 };
 use mustardrill_core::quarantine::CrashWord;
-use mustardrill_types::{
-    FastMap, InstanceId, Millis, Moment, RequestDigest, StoreRevision, WeightVersion,
-};
+use mustardrill_types::{FastMap, InstanceId, Millis, Moment, StoreRevision, WeightVersion};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
 use crate::experiment::call::{CallEnd, CallState};
+use crate::experiment::callers::call_of;
 use crate::experiment::engine::{EngineEvent, EngineModel, EngineRun, RunId};
-use crate::experiment::fleet::{HOST, engine_record, entry_id, first_page, path_of};
-use crate::experiment::pattern::{DisturbanceKind, LoadPattern, MODEL};
-use crate::experiment::report::{PlayReport, SecondCount};
+use crate::experiment::fleet::{engine_record, entry_id, first_page};
+use crate::experiment::pattern::{DisturbanceKind, LoadPattern};
+use crate::experiment::report::PlayReport;
 
 /// When a play begins on the entries' clocks.
-const START: Moment = Moment(1_000_000);
+pub(super) const START: Moment = Moment(1_000_000);
 
 /// How often an entry looks at its load.
 const LOOK_EVERY: Millis = Millis(10);
@@ -34,9 +32,6 @@
 /// How long a play goes on after the last caller came.
 const TAIL: Millis = Millis(8_000);
 
-/// Sendings of one call that are told apart by their numbers.
-const SENDINGS: u64 = 16;
-
 /// Plays a pattern. The callers are the same for each `seed`, whatever the settings.
 pub fn play(pattern: &LoadPattern, settings: &DirectSettings, seed: u64) -> PlayReport {
     let mut play = PatternPlay::new(pattern, settings, seed);
@@ -46,7 +41,7 @@
 
 /// Something that happens at a moment.
 #[derive(Debug)]
-enum Happening {
+pub(super) enum Happening {
     Comes { kind: usize },
     Asks { call: usize },
     Leaves { call: usize },
@@ -65,7 +60,7 @@
 
 /// What an entry learns of an attempt.
 #[derive(Debug, Clone, Copy)]
-enum AttemptNews {
+pub(super) enum AttemptNews {
     Event,
     Whole,
     Full,
@@ -73,33 +68,33 @@
     Crashed,
 }
 
-struct EntryState {
+pub(super) struct EntryState {
     reducer: DirectReducer,
     teller: LoadTeller,
 }
 
-struct EngineState {
-    model: EngineModel,
+pub(super) struct EngineState {
+    pub(super) model: EngineModel,
     start: u64,
     is_up: bool,
 }
 
-struct PatternPlay<'a> {
-    pattern: &'a LoadPattern,
+pub(super) struct PatternPlay<'a> {
+    pub(super) pattern: &'a LoadPattern,
     /// Microseconds since the start.
-    now: u64,
+    pub(super) now: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     happenings: FastMap<u64, Happening>,
     next: u64,
     /// Decides on callers alone, so that they are the same under other settings.
-    callers: StdRng,
-    random: StdRng,
-    entries: Vec<EntryState>,
-    engines: Vec<EngineState>,
+    pub(super) callers: StdRng,
+    pub(super) random: StdRng,
+    pub(super) entries: Vec<EntryState>,
+    pub(super) engines: Vec<EngineState>,
     /// The engines that each disturbance concerns.
     concerned: Vec<Vec<usize>>,
-    calls: Vec<CallState>,
-    report: PlayReport,
+    pub(super) calls: Vec<CallState>,
+    pub(super) report: PlayReport,
 }
 
 impl<'a> PatternPlay<'a> {
@@ -183,109 +178,21 @@
         }
     }
 
-    fn moment(&self) -> Moment {
+    pub(super) fn moment(&self) -> Moment {
         START + Millis(self.now / 1_000)
     }
 
-    fn schedule(&mut self, after: Millis, happening: Happening) {
+    pub(super) fn schedule(&mut self, after: Millis, happening: Happening) {
         self.schedule_us(after.0 * 1_000, happening);
     }
 
-    fn schedule_us(&mut self, after: u64, happening: Happening) {
+    pub(super) fn schedule_us(&mut self, after: u64, happening: Happening) {
         self.next += 1;
         self.happenings.insert(self.next, happening);
         self.queue.push(Reverse((self.now + after, self.next)));
     }
 
-    /// The next caller of a kind, after a pause as between independent callers.
-    fn schedule_caller(&mut self, kind: usize) {
-        let factor = self.pattern.rate_factor(Millis(self.now / 1_000));
-        let rate = self.pattern.kinds[kind].rate * factor;
-        if rate <= 0.0 {
-            return;
-        }
-        let lot: f64 = self.callers.random_range(f64::MIN_POSITIVE..1.0);
-        let pause = -lot.ln() / rate * 1e6;
-        if self.now + (pause as u64) < self.pattern.span.0 * 1_000 {
-            self.schedule_us(pause as u64, Happening::Comes { kind });
-        }
-    }
-
-    fn comes(&mut self, kind: usize) {
-        let caller = &self.pattern.kinds[kind];
-        let prompt = caller.prompt / 2 + self.callers.random_range(0..=caller.prompt);
-        let size = WorkSize { prompt, answer: caller.answer };
-        let call = self.calls.len();
-        self.calls.push(CallState {
-            kind,
-            came: self.moment(),
-            deadline: self.moment() + caller.deadline,
-            size,
-            entry: self.callers.random_range(0..self.entries.len()),
-            returns: caller.returns,
-            attempt: 0,
-            engine: None,
-            answer_left: caller.answer,
-            last_event: None,
-            is_late: false,
-            end: None,
-        });
-        self.schedule(caller.deadline, Happening::Leaves { call });
-        self.schedule(self.pattern.way, Happening::Asks { call });
-        self.schedule_caller(kind);
-    }
-
-    fn asks(&mut self, call: usize) {
-        let state = &self.calls[call];
-        if state.end.is_some() {
-            return;
-        }
-        let kind = &self.pattern.kinds[state.kind];
-        // A request that ends engines comes again and again; the others differ.
-        let content = if kind.ends_engines { state.kind as u64 } else { !(call as u64) };
-        let request = DirectRequest {
-            number: self.number(call),
-            attempt: call.to_string().into(),
-            host: HOST.into(),
-            path: path_of(state.kind),
-            content: RequestDigest::of(&[&content.to_be_bytes()]),
-            key: None,
-            patience: Some(state.deadline.since(self.moment())),
-            arrived: self.moment(),
-            model: MODEL.parse().ok(),
-            size: state.size,
-            resumes: false,
-        };
-        self.reduce(state.entry, DirectEvent::Arrived(request));
-    }
-
-    /// The number of a call's sending.
-    fn number(&self, call: usize) -> RequestNumber {
-        let state = &self.calls[call];
-        let sending = self.pattern.kinds[state.kind].returns - state.returns;
-        RequestNumber(call as u64 * SENDINGS + u64::from(sending) % SENDINGS)
-    }
-
-    fn leaves(&mut self, call: usize) {
-        if self.calls[call].end.is_some() {
-            return;
-        }
-        self.finish(call, CallEnd::Failed);
-        let number = self.number(call);
-        let state = &self.calls[call];
-        let id = RunId { call, attempt: state.attempt };
-        if let Some((engine, _)) = &state.engine {
-            self.engines[*engine].model.drop_run(id);
-        }
-        let entry = self.calls[call].entry;
-        self.reduce(entry, DirectEvent::Gone(number));
-    }
-
-    fn finish(&mut self, call: usize, end: CallEnd) {
-        self.calls[call].end = Some(end);
-    }
-
-    fn reduce(&mut self, entry: usize, event: DirectEvent) {
+    pub(super) fn reduce(&mut self, entry: usize, event: DirectEvent) {
         let now = self.moment();
         for effect in self.entries[entry].reducer.reduce(now, event) {
             match effect {
@@ -304,7 +211,7 @@
     }
 
     fn send(&mut self, number: RequestNumber, plan: &SendPlan) {
-        let call = (number.0 / SENDINGS) as usize;
+        let call = call_of(number);
         let Some(engine) = self.place_of(&plan.upstream) else { return };
         let state = &mut self.calls[call];
         state.attempt += 1;
@@ -433,41 +340,6 @@
         self.reduce(entry, DirectEvent::Ended(number, outcome));
     }
 
-    fn event_came(&mut self, call: usize) {
-        let seen = self.moment() + self.pattern.way;
-        let stride = self.pattern.profile.stride;
-        let state = &mut self.calls[call];
-        let kind = &self.pattern.kinds[state.kind];
-        let (since, limit) = match state.last_event {
-            None => (state.came, kind.objective),
-            Some(last) => (last, kind.gap),
-        };
-        state.is_late |= seen.since(since) > limit;
-        state.last_event = Some(seen);
-        state.answer_left = state.answer_left.saturating_sub(stride).max(1);
-    }
-
-    fn refused(&mut self, number: RequestNumber, plan: RefusalPlan) {
-        let call = (number.0 / SENDINGS) as usize;
-        let now = self.moment();
-        let state = &mut self.calls[call];
-        if state.end.is_some() {
-            return;
-        }
-        state.engine = None;
-        let left = state.deadline.since(now);
-        if state.last_event.is_some() || state.returns == 0 || left == Millis(0) {
-            let not_run = plan.code.is_not_run() && state.last_event.is_none();
-            let end = if not_run { CallEnd::Refused } else { CallEnd::Failed };
-            return self.finish(call, end);
-        }
-        state.returns -= 1;
-        // Callers wait no longer than a third of the time that they have left.
-        let pause = plan.retry_after.min(Millis(left.0 / 3)).0 + 2 * self.pattern.way.0;
-        state.entry = self.random.random_range(0..self.entries.len());
-        self.schedule(Millis(pause), Happening::Asks { call });
-    }
-
     fn looks(&mut self, entry: usize) {
         let now = self.moment();
         let state = &mut self.entries[entry];
@@ -519,40 +391,4 @@
             }
         }
     }
-
-    fn into_report(mut self) -> PlayReport {
-        let seconds = self.pattern.span.0.div_ceil(1_000) as usize;
-        self.report.seconds = vec![SecondCount::default(); seconds];
-        for call in &self.calls {
-            let kind = &self.pattern.kinds[call.kind];
-            // Those that end engines are owed nothing.
-            if kind.ends_engines {
-                continue;
-            }
-            let second = (call.came.since(START).0 / 1_000) as usize;
-            let by_kind = self.report.kinds.entry(kind.name.clone()).or_default();
-            for count in [by_kind, &mut self.report.seconds[second].count] {
-                count.asked += 1;
-                let field = match call.end.unwrap_or(CallEnd::Failed) {
-                    CallEnd::InTime => &mut count.in_time,
-                    CallEnd::Late => &mut count.late,
-                    CallEnd::Refused => &mut count.refused,
-                    CallEnd::Failed => &mut count.failed,
-                };
-                *field += 1;
-            }
-        }
-        let usual = WorkSize {
-            prompt: self.pattern.profile.usual_prompt,
-            answer: self.pattern.profile.usual_answer,
-        };
-        let slots = self.pattern.profile.slots;
-        let whole_ms = EngineForecast::new(&self.pattern.profile).whole_ms(slots, usual);
-        for (place, second) in self.report.seconds.iter_mut().enumerate() {
-            let engines = self.pattern.engines_at(Millis(place as u64 * 1_000));
-            let capacity = engines * f64::from(slots) * 1_000.0 / whole_ms.max(1.0);
-            second.bound = capacity.min(f64::from(second.count.asked));
-        }
-        self.report
-    }
 }
--- a/mustardrill_standins/src/lab.rs
+++ b/mustardrill_standins/src/lab.rs
@@ -12,20 +12,12 @@
 use mustardrill_runtime::http::{HttpClient, WholeAnswer, request};
 use mustardrill_runtime::platform::InstanceListing;
 
+pub use crate::access::{CUSTOMER_TOKEN, OPERATOR_TOKEN, SECOND_OPERATOR_TOKEN, caller_request};
 use crate::lab_settings::LabSettings;
 use crate::link::{LabLink, LinkState};
 pub use crate::process::LabProcess;
 use crate::process::{build_folder, daemon, stand_in};
 
-/// The token of the operator `ana` in a lab.
-pub const OPERATOR_TOKEN: &str = "lab-operator-ana";
-
-/// The token of the second operator, `beto`.
-pub const SECOND_OPERATOR_TOKEN: &str = "lab-operator-beto";
-
-/// The token of the customer `comedor` in a lab.
-pub const CUSTOMER_TOKEN: &str = "lab-customer-comedor";
-
 /// The size of a lab.
 #[derive(Debug, Clone)]
 pub struct LabOptions {
@@ -490,15 +482,3 @@
         leaving: false,
     }
 }
-
-/// A caller's request to an entry, as the customer `comedor`.
-pub fn caller_request(
-    entry: SocketAddr,
-    path: &str,
-    body: &str,
-) -> hyper::Request<http_body_util::Full<Bytes>> {
-    let mut sent = request("POST", &format!("http://{entry}{path}"), body.to_owned());
-    let value = format!("Bearer {CUSTOMER_TOKEN}").parse().expect("a token makes a header");
-    sent.headers_mut().insert("authorization", value);
-    sent
-}
--- a/mustardrill_standins/src/lib.rs
+++ b/mustardrill_standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! programs under `examples/` start them as processes; tests start them within their own.
 #![deny(missing_docs, unsafe_code, clippy::unwrap_used)]
 
+pub mod access;
 pub mod engine;
 pub mod experiment;
 pub mod fault;
