A quarantine that an answer has ended is told on no more

A verdict is told five times within 3 s, on the own interface with each heartbeat. Who had come to it, or heard of it, went on telling it after a whole answer had cleared the request, and put it in quarantine anew at all entries, also at the one that had the answer. Now a heard or own answer withdraws what is yet to be told. Two tests, one for each interface, failed before: the verdict was among the words 5 s later, and in the next heartbeat.

--- a/mustardrill_core/src/crash_board.rs
+++ b/mustardrill_core/src/crash_board.rs
@@ -31,9 +31,7 @@
         self.terms.retain(|_, until| *until > now);
         match &word {
             CrashWord::Quarantined(digest, left) => return self.note_term(now, *digest, *left),
-            CrashWord::Sound(digest, _) => {
-                self.terms.remove(digest);
-            }
+            CrashWord::Sound(digest, _) => self.end_term(*digest),
             CrashWord::Crashed(_) => {}
         }
         let is_known = self.words.iter().any(|(_, known)| known.is_same(&word));
@@ -42,6 +40,11 @@
         }
     }
 
+    /// Passes a quarantine on no more.
+    pub fn end_term(&mut self, digest: RequestDigest) {
+        self.terms.remove(&digest);
+    }
+
     /// What is passed on at `now`.
     pub fn read(&self, now: Moment) -> Vec<CrashWord> {
         let fresh = self.words.iter().filter(|(heard, _)| now.since(*heard) < PASS_SPAN);
--- a/mustardrill_core/src/direct/crash_words.rs
+++ b/mustardrill_core/src/direct/crash_words.rs
@@ -38,6 +38,13 @@
         self.pending.push_back(PendingWord { word, since: now, round: 0 });
     }
 
+    /// Tells a verdict no more that has been overturned.
+    pub(crate) fn withdraw_verdict(&mut self, digest: RequestDigest) {
+        self.pending.retain(
+            |pending| !matches!(pending.word, CrashWord::Quarantined(told, _) if told == digest),
+        );
+    }
+
     /// Whether this entry tells of a crash under a request.
     pub(crate) fn tells_crash_of(&self, digest: RequestDigest) -> bool {
         let mut words = self.pending.iter().map(|pending| &pending.word);
--- a/mustardrill_core/src/direct/suspicion.rs
+++ b/mustardrill_core/src/direct/suspicion.rs
@@ -43,6 +43,7 @@
         digest: RequestDigest,
     ) -> Option<DirectEffect> {
         let was_quarantined = self.quarantine.remaining(now, digest).is_some();
+        self.crash_words.withdraw_verdict(digest);
         if self.quarantine.succeeded(now, digest, now) {
             info!("quarantine digest={digest} outcome=sound");
             self.crash_words.push(now, CrashWord::Sound(digest, now));
@@ -66,6 +67,7 @@
         match word {
             CrashWord::Crashed(run) => self.suspect(now, run),
             CrashWord::Sound(digest, at) => {
+                self.crash_words.withdraw_verdict(digest);
                 if self.quarantine.succeeded(now, digest, at) {
                     info!("quarantine digest={digest} outcome=sound source=entry");
                 }
--- a/mustardrill_core/src/entry/suspicion.rs
+++ b/mustardrill_core/src/entry/suspicion.rs
@@ -51,6 +51,7 @@
             match word {
                 CrashWord::Crashed(run) => self.suspect(now, run),
                 CrashWord::Sound(digest, at) => {
+                    self.crashes.end_term(digest);
                     if self.quarantine.succeeded(now, digest, at) {
                         info!("quarantine digest={digest} outcome=sound source=agent");
                     }
--- a/mustardrill_core/tests/limits.rs
+++ b/mustardrill_core/tests/limits.rs
@@ -11,6 +11,7 @@
     AgentSync, EntryEffect, EntryEvent, EntryReducer, EntrySettings, IncomingRequest, RequestId,
 };
 use mustardrill_core::membership::{InstanceRecord, MemberSettings};
+use mustardrill_core::quarantine::CrashWord;
 use mustardrill_core::routing::{RoutingSettings, UpstreamReport};
 use mustardrill_types::{Generation, Millis, Moment, RequestDigest, ResultCode};
 
@@ -59,6 +60,11 @@
 
     /// An agent tells the sum over `heard` entries, this one included.
     fn hear(&mut self, asked: u32, heard: u32) {
+        self.hear_all(asked, heard, Vec::new());
+    }
+
+    /// An agent also passes on what it heard of crashes.
+    fn hear_all(&mut self, asked: u32, heard: u32, crashes: Vec<CrashWord>) {
         let key = ("comedor".parse().unwrap(), "desk".parse().unwrap());
         let report =
             UpstreamReport { outstanding: 0, capacity: 1_000, serving: vec![], leaving: false };
@@ -71,7 +77,7 @@
                 progress: Vec::new(),
                 demand: vec![DemandRow { key, asked }],
                 entries: heard,
-                crashes: Vec::new(),
+                crashes,
             }),
         );
     }
@@ -142,3 +148,25 @@
     let got = admitted(34, 1, u64::from(LIMIT), 0);
     assert!(got <= LIMIT / 10, "{got} of {LIMIT}, though nothing is known of 33 others");
 }
+
+/// A request was held to end upstreams, and then was answered whole. Entries that had heard of the
+/// first told it on with each heartbeat, also to those that had heard of the second.
+#[test]
+fn a_quarantine_that_has_ended_is_told_on_no_more() {
+    let mut side = Side::new(2);
+    let digest = RequestDigest(7);
+    let told = |side: &mut Side| {
+        side.now += 700;
+        let effects = side.reducer.reduce(Moment(side.now), EntryEvent::Tick);
+        let sync = effects.into_iter().find_map(|effect| match effect {
+            EntryEffect::Sync { crashes, .. } => Some(crashes),
+            _ => None,
+        });
+        side.hear(0, 0);
+        sync.expect("a heartbeat is due")
+    };
+    side.hear_all(0, 0, vec![CrashWord::Quarantined(digest, Millis(60_000))]);
+    assert!(matches!(told(&mut side)[..], [CrashWord::Quarantined(..)]));
+    side.hear_all(0, 0, vec![CrashWord::Sound(digest, Moment(side.now))]);
+    assert_eq!(told(&mut side), []);
+}
--- a/mustardrill_core/tests/quarantine.rs
+++ b/mustardrill_core/tests/quarantine.rs
@@ -208,6 +208,31 @@
     assert!(!is_run(&mut reducer, heard, 100, "/cause"));
 }
 
+/// An entry came to a verdict, and heard of a whole answer before it had told the verdict for the
+/// last time: the request was put in quarantine anew at all entries.
+#[test]
+fn a_verdict_is_told_no_more_once_a_whole_answer_was_heard_of() {
+    let mut reducer = entry(8);
+    let mut now = START;
+    for number in 1..=3 {
+        now = now + Millis(300);
+        assert!(is_run(&mut reducer, now, number, "/sound"));
+        now = now + Millis(100);
+        let crashed = AttemptOutcome::Lost { delivered: false, crashed: true };
+        end(&mut reducer, now, number, crashed);
+        reducer.reduce(now, DirectEvent::Gone(RequestNumber(number)));
+    }
+    now = now + SETTLED;
+    assert!(!is_run(&mut reducer, now, 10, "/sound"));
+    let is_verdict = |word: &CrashWord| matches!(word, CrashWord::Quarantined(..));
+    assert!(reducer.crash_words(now).iter().any(is_verdict));
+    let sound = CrashWord::Sound(digest_of("/sound"), now);
+    reducer.reduce(now + Millis(10), DirectEvent::CrashHeard(sound));
+    let later = reducer.crash_words(now + Millis(5_000));
+    assert!(!later.iter().any(is_verdict), "{later:?}");
+    assert!(is_run(&mut reducer, now + Millis(5_000), 11, "/sound"));
+}
+
 /// A crash told by another entry.
 fn crash(path: &str, upstream: usize, sent: u64, ended: u64) -> CrashedRun {
     CrashedRun {
