A reading limit that stands for none leaves an engine room

The count of prompts that fit was added up past its type: a panic in a debug build, a room of zero otherwise. The test panicked before.

--- a/mustardrill_core/src/direct/placing.rs
+++ b/mustardrill_core/src/direct/placing.rs
@@ -87,7 +87,7 @@
         let Some(profile) = self.profile(&upstream.record.service) else { return places };
         let usual = EngineForecast::new(profile).read_ms(profile.usual_prompt).max(1.0);
         let unread = self.settings.reading_limit.0.saturating_sub(present.reading.0);
-        places.min(1 + (unread as f64 / usual) as u32)
+        places.min(((unread as f64 / usual) as u32).saturating_add(1))
     }
 
     /// From when on this entry may take one of `room` free places of an upstream.
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -5,9 +5,9 @@
 use assert_matches::assert_matches;
 use mustardrill_core::direct::{
     AttemptOutcome, CallerLimits, CustomerRecord, DirectEffect, DirectEvent, DirectReducer,
-    DirectRequest, FleetChange, FleetPage, GatherPause, LoadNews, PeerLoad, RefusalPlan,
-    RepeatRule, RequestNumber, RouteDocument, RouteRule, SendPlan, ServedWeights, ServiceProfile,
-    UpstreamLoad, UpstreamRecord, WorkSize, proved_at,
+    DirectRequest, DirectSettings, FleetChange, FleetPage, GatherPause, LoadNews, PeerLoad,
+    RefusalPlan, RepeatRule, RequestNumber, RouteDocument, RouteRule, SendPlan, ServedWeights,
+    ServiceProfile, UpstreamLoad, UpstreamRecord, WorkSize, proved_at,
 };
 use mustardrill_types::{
     FastMap, Generation, InstanceId, Millis, Moment, ResultCode, StartStamp, StoreRevision,
@@ -690,3 +690,19 @@
     let effects = reducer.reduce(START, DirectEvent::Fleet(page(named()), START));
     assert_eq!(told(&effects), [vec![std::net::IpAddr::from([10, 0, 0, 7])]]);
 }
+
+/// With a limit so large that it stands for none, the room of an engine wrapped around to zero, and
+/// nothing was sent to any.
+#[test]
+fn a_reading_limit_that_stands_for_none_leaves_room() {
+    let settings =
+        DirectSettings { reading_limit: Millis(u64::MAX / 4), ..common::direct_settings() };
+    let mut reducer = DirectReducer::new(settings, 7);
+    let changes = vec![
+        FleetChange::Configured(document(1, &["key-1"])),
+        FleetChange::Upstream(upstream("u1", "pool", 1)),
+    ];
+    reducer.reduce(START, DirectEvent::Fleet(page(changes), START));
+    let effects = arrive(&mut reducer, START, 1, "/drafts/x");
+    assert_eq!(sent(&effects).len(), 1, "{effects:?}");
+}
