--- a/mustardrill_core/tests/quarantine.rs
+++ b/mustardrill_core/tests/quarantine.rs
@@ -1,17 +1,13 @@
 //! Which requests are run no more, as upstreams end under them, and which are only there.
 
-use std::sync::Arc;
-
 use mustardrill_core::crash_board::CrashBoard;
 use mustardrill_core::direct::{
-    AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
-    FleetChange, FleetPage, RepeatRule, RequestNumber, RouteDocument, ServiceProfile,
-    UpstreamRecord,
+    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, DirectRequest, FleetPage,
+    RequestNumber,
 };
 use mustardrill_core::quarantine::{CrashWord, CrashedRun, QUARANTINE_SPAN, QuarantineTable};
 use mustardrill_types::{
-    FastMap, FastSet, Generation, Millis, Moment, RequestDigest, ResultCode, StartStamp,
-    StoreRevision,
+    FastMap, FastSet, Millis, Moment, RequestDigest, ResultCode, StartStamp, StoreRevision,
 };
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -24,29 +20,10 @@
 /// Longer than it takes until the words of all entries on one crash have come.
 const SETTLED: Millis = Millis(500);
 
-fn upstream(place: u16) -> UpstreamRecord {
-    UpstreamRecord {
-        id: format!("u{place}").parse().unwrap(),
-        start: StartStamp(1),
-        service: "desk".parse().unwrap(),
-        address: ([10, 0, 0, 1], 1_000 + place).into(),
-        data_centre: "hall-a".parse().unwrap(),
-        slots: 4,
-        leaving: false,
-        serving: Vec::new(),
-    }
-}
-
 /// An entry with a plain service whose requests may be repeated.
 fn entry(upstreams: u16) -> DirectReducer {
     let mut reducer = DirectReducer::new(common::direct_settings(), 7);
-    let route = common::public_route("status", "/", "desk", RepeatRule::Idempotent);
-    let mut services = FastMap::default();
-    services.insert("desk".parse().unwrap(), ServiceProfile::default());
-    let limits = CallerLimits::default();
-    let document = RouteDocument::new(Generation(1), vec![route], services, Vec::new(), limits);
-    let mut changes = vec![FleetChange::Configured(Arc::new(document))];
-    changes.extend((0..upstreams).map(|place| FleetChange::Upstream(upstream(place))));
+    let changes = common::desk_fleet(upstreams);
     let page = FleetPage { changes, at: StoreRevision(1), whole: false };
     reducer.reduce(START, DirectEvent::Fleet(page, START));
     reducer
@@ -165,7 +142,7 @@
         end(&mut reducer, START, number, AttemptOutcome::Whole);
     }
     let heard = START + Millis(10);
-    hear(&mut reducer, heard, "/cause", "u0", START);
+    hear(&mut reducer, heard, "/cause", "desk-0", START);
     let mut chosen = FastSet::default();
     for number in 10..14 {
         let effects = arrive(&mut reducer, heard, number, &format!("/{number}"));
@@ -174,7 +151,7 @@
             _ => None,
         }));
     }
-    assert_eq!(chosen.into_iter().collect::<Vec<_>>(), ["u1"]);
+    assert_eq!(chosen.into_iter().collect::<Vec<_>>(), ["desk-1"]);
 }
 
 /// Each entry counts what it has heard; one that has heard less went on sending what the others
--- a/mustardrill_standins/examples/experiment.rs
+++ b/mustardrill_standins/examples/experiment.rs
@@ -11,7 +11,7 @@
 use mustardrill_core::direct::DirectSettings;
 use mustardrill_entry::direct;
 use mustardrill_runtime::settings::{SettingsOutcome, SettingsReader};
-use mustardrill_standins::experiment::{LoadPattern, PlayReport, SecondCount, play};
+use mustardrill_standins::experiment::{LoadPattern, PLAIN_ENTRY, PlayReport, SecondCount, play};
 use mustardrill_types::Millis;
 use plotters::prelude::*;
 use serde::Serialize;
@@ -31,19 +31,6 @@
   -h, --help           this text
 ";
 
-/// The settings of a plain entry.
-const PLAIN_ENTRY: &str = "\
-[entry]
-platform = prepared
-instance = entry-0
-data_centre = hall
-listen = 127.0.0.1:0
-ready_listen = 127.0.0.1:0
-peer_listen = 127.0.0.1:0
-[platform]
-store = 127.0.0.1:1
-";
-
 /// Longer than all prompts that an engine may have to read.
 const NO_LIMIT: Millis = Millis(1_000_000);
 
--- a/mustardrill_standins/src/experiment/mod.rs
+++ b/mustardrill_standins/src/experiment/mod.rs
@@ -17,3 +17,16 @@
 pub use pattern::{CallerKind, DisturbanceKind, LoadPattern, PatternDisturbance};
 pub use play::play;
 pub use report::{KindCount, PlayReport, SecondCount};
+
+/// The settings of a plain entry, for plays that bring none of their own.
+pub const PLAIN_ENTRY: &str = "\
+[entry]
+platform = prepared
+instance = entry-0
+data_centre = hall
+listen = 127.0.0.1:0
+ready_listen = 127.0.0.1:0
+peer_listen = 127.0.0.1:0
+[platform]
+store = 127.0.0.1:1
+";
--- a/mustardrill_standins/tests/experiment.rs
+++ b/mustardrill_standins/tests/experiment.rs
@@ -4,22 +4,10 @@
 use mustardrill_entry::direct;
 use mustardrill_runtime::settings::SettingsReader;
 use mustardrill_standins::experiment::{
-    EngineEvent, EngineModel, EngineRun, LoadPattern, RunId, play,
+    EngineEvent, EngineModel, EngineRun, LoadPattern, PLAIN_ENTRY, RunId, play,
 };
 use mustardrill_types::Millis;
 
-const ENTRY: &str = "\
-[entry]
-platform = prepared
-instance = entry-0
-data_centre = hall
-listen = 127.0.0.1:0
-ready_listen = 127.0.0.1:0
-peer_listen = 127.0.0.1:0
-[platform]
-store = 127.0.0.1:1
-";
-
 const CALM: &str = "\
 [pattern]
 span = 4s
@@ -33,7 +21,7 @@
 ";
 
 fn settings() -> DirectSettings {
-    let reader = SettingsReader::read("entry.ini", ENTRY).unwrap();
+    let reader = SettingsReader::read("entry.ini", PLAIN_ENTRY).unwrap();
     direct::read(reader).settings.unwrap().direct
 }
 
