Read again: one gate for suspects, verdicts only where something was cleared, one question less a heartbeat

- Refuse, or hold for the verdict, or go on stood three times in each of the two reducers: hold_suspect.
- After crashes under a hot request each of its answers had all suspects judged anew, for ten minutes, though nothing had changed; only an answer that clears something does now.
- An agent was asked by itself for what it heard of crashes at each heartbeat; the status it is asked for anyway carries it, and the query is gone.
- Both reducers logged a suspicion in the same words; the table does.
No decision changes; tests are untouched.

--- a/mustardrill_agent/src/actor.rs
+++ b/mustardrill_agent/src/actor.rs
@@ -112,6 +112,8 @@
     pub(crate) capacity: u32,
     pub(crate) serving: Vec<ManifestDigest>,
     pub(crate) progress: Vec<WeightsProgress>,
+    /// What entries told lately of requests under which upstreams ended.
+    pub(crate) crashes: Vec<CrashWord>,
     pub(crate) document: Arc<CatalogueDocument>,
     pub(crate) sent_bytes: u64,
 }
@@ -119,9 +121,6 @@
 /// Asks for the sum of demand, and over how many entries it is.
 pub(crate) struct DemandQuery;
 
-/// Asks for what was heard of crashes lately.
-pub(crate) struct CrashQuery;
-
 /// Asks for the lease, to give it back.
 pub(crate) struct LeaseQuery;
 
@@ -222,6 +221,7 @@
         _: StatusQuery,
         _: &mut Context<Self, StatusAnswer>,
     ) -> StatusAnswer {
+        let now = self.context.clock.now();
         StatusAnswer {
             generation: self.reducer.generation(),
             leaving: self.reducer.is_leaving(),
@@ -229,7 +229,8 @@
             outstanding: self.reducer.outstanding(),
             capacity: self.reducer.capacity(),
             serving: self.reducer.serving().to_vec(),
-            progress: self.reducer.progress(self.context.clock.now()),
+            progress: self.reducer.progress(now),
+            crashes: self.reducer.crashes(now),
             document: self.reducer.document().clone(),
             sent_bytes: self.context.sent_bytes.load(Ordering::Relaxed),
         }
@@ -249,18 +250,6 @@
     }
 }
 
-impl Message<CrashQuery> for AgentActor {
-    type Reply = Vec<CrashWord>;
-
-    async fn handle(
-        &mut self,
-        _: CrashQuery,
-        _: &mut Context<Self, Vec<CrashWord>>,
-    ) -> Vec<CrashWord> {
-        self.reducer.crashes(self.context.clock.now())
-    }
-}
-
 impl Message<LeaseQuery> for AgentActor {
     type Reply = Option<u64>;
 
--- a/mustardrill_agent/src/server.rs
+++ b/mustardrill_agent/src/server.rs
@@ -24,8 +24,7 @@
 use tonic::{Request, Response, Status};
 
 use crate::actor::{
-    AgentActor, AskClaim, CrashQuery, DemandQuery, Event, HoldingAnswer, HoldingQuery, StatusQuery,
-    count_sent,
+    AgentActor, AskClaim, DemandQuery, Event, HoldingAnswer, HoldingQuery, StatusQuery, count_sent,
 };
 use crate::context::AgentContext;
 use crate::execute;
@@ -82,15 +81,13 @@
         }
     }
 
-    /// Notes what an entry tells of crashes; returns what was heard lately.
-    async fn trade_crashes(&self, sent: &[proto::CrashRow]) -> Vec<proto::CrashRow> {
+    /// Notes what an entry tells of crashes.
+    async fn note_crashes(&self, sent: &[proto::CrashRow]) {
         let now = self.context.clock.now();
         let words: Vec<_> = sent.iter().filter_map(|row| crash_word(now, row)).collect();
         if !words.is_empty() {
             let _ = self.actor.tell(Event(AgentEvent::CrashesHeard(words))).await;
         }
-        let heard = self.actor.ask(CrashQuery).await.unwrap_or_default();
-        heard.iter().map(|word| crash_message(now, word)).collect()
     }
 
     /// Notes what customers asked of an entry; returns the sum over all entries heard of.
@@ -138,11 +135,12 @@
         if let Some(document) = catalogue_of(&sent.catalogue, &sent.entry) {
             let _ = self.actor.tell(Event(AgentEvent::CatalogueSeen(Arc::new(document)))).await;
         }
-        let crashes = self.trade_crashes(&sent.crashes).await;
+        self.note_crashes(&sent.crashes).await;
         let (demand, entries) =
             if sent.with_demand { self.trade_demand(&sent).await } else { Default::default() };
         let asked = self.actor.ask(StatusQuery).await;
         let status = asked.map_err(|_| Status::unavailable("the agent is ending"))?;
+        let now = self.context.clock.now();
         let progress = status.progress.iter().map(|row| proto::Progress {
             model: row.model.to_string(),
             manifest: digest_bytes(row.digest),
@@ -163,11 +161,11 @@
             capacity: status.capacity,
             serving: status.serving.iter().map(|digest| digest_bytes(*digest)).collect(),
             progress: progress.collect(),
-            clock_ms: self.context.clock.now().0,
+            clock_ms: now.0,
             catalogue: newer_catalogue(&status.document, sent.generation),
             demand: demand.iter().map(demand_message).collect(),
             entries,
-            crashes,
+            crashes: status.crashes.iter().map(|word| crash_message(now, word)).collect(),
         }))
     }
 
--- a/mustardrill_core/src/direct/admit.rs
+++ b/mustardrill_core/src/direct/admit.rs
@@ -58,13 +58,7 @@
         let customer = customer.map(|customer| (customer.name.clone(), customer.priority));
         let state = RequestState::new(request, route, service, customer);
         self.requests.insert(number, state);
-        if let Some(refusal) = self.refuse_quarantined(now, number) {
-            return refusal;
-        }
-        if self.await_verdict(now, number) {
-            return Vec::new();
-        }
-        self.start(now, number)
+        self.hold_suspect(now, number).unwrap_or_else(|| self.start(now, number))
     }
 
     fn turn_away(
--- a/mustardrill_core/src/direct/crash_words.rs
+++ b/mustardrill_core/src/direct/crash_words.rs
@@ -1,8 +1,8 @@
 //! What entries tell each other of requests under which upstreams ended, and how often.
 //!
 //! Load pattern: a link loses a part of what is sent, or an entry is cut off for a second. A word that
-//! is lost costs an engine, and one that is told to 340 entries costs 340 datagrams, so each is told
-//! a few times with growing pauses.
+//! is lost costs an engine, and each telling costs a datagram for each entry, so words are told a few
+//! times with growing pauses.
 
 use std::collections::VecDeque;
 
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -289,13 +289,7 @@
             AttemptOutcome::Lost { delivered, .. } => {
                 state.may_have_run = true;
                 state.delivered |= delivered;
-                if let Some(refusal) = self.refuse_quarantined(now, number) {
-                    return refusal;
-                }
-                if self.await_verdict(now, number) {
-                    return Vec::new();
-                }
-                self.repeat_lost(now, number)
+                self.hold_suspect(now, number).unwrap_or_else(|| self.repeat_lost(now, number))
             }
         }
     }
--- a/mustardrill_core/src/direct/suspicion.rs
+++ b/mustardrill_core/src/direct/suspicion.rs
@@ -114,13 +114,9 @@
     }
 
     fn suspect(&mut self, now: Moment, run: CrashedRun) {
-        let (digest, took) = (run.digest, run.ended.since(run.sent));
-        let upstream = run.upstream.clone();
         let start = UpstreamStart { id: run.upstream.clone(), start: run.start };
         self.upstreams.ended(&start, run.ended);
-        if self.quarantine.crashed(now, run) {
-            info!("quarantine digest={digest} instance={upstream} ran={took} outcome=suspected");
-        }
+        self.quarantine.crashed(now, run);
     }
 
     /// Decides on the suspects, where that is due, and goes on with what waited for it.
@@ -156,7 +152,7 @@
     }
 
     /// Refuses a request that is run no more; nothing where it may run.
-    pub(super) fn refuse_quarantined(
+    fn refuse_quarantined(
         &mut self,
         now: Moment,
         number: RequestNumber,
@@ -166,24 +162,29 @@
         Some(self.refuse(now, number, ResultCode::Quarantined, retry_after))
     }
 
-    /// Lets a request wait for the verdict on it; says whether there is one to wait for.
-    pub(super) fn await_verdict(&mut self, now: Moment, number: RequestNumber) -> bool {
-        let Some(state) = self.requests.get(&number) else { return false };
-        let is_open = self.quarantine.is_open(now, state.digest);
-        if is_open {
-            info!("request={} decision=hold reason=verdict digest={}", state.attempt, state.digest);
-            self.undecided.push(number);
+    /// Keeps a request from being run: it is refused, or waits for the verdict on it. Nothing where
+    /// it may run.
+    pub(super) fn hold_suspect(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+    ) -> Option<Vec<DirectEffect>> {
+        if let Some(refusal) = self.refuse_quarantined(now, number) {
+            return Some(refusal);
+        }
+        let state = self.requests.get(&number)?;
+        if !self.quarantine.is_open(now, state.digest) {
+            return None;
         }
-        is_open
+        info!("request={} decision=hold reason=verdict digest={}", state.attempt, state.digest);
+        self.undecided.push(number);
+        Some(Vec::new())
     }
 
     /// Goes on with a request that waited for the verdict on it.
     fn resume(&mut self, now: Moment, number: RequestNumber) -> Vec<DirectEffect> {
-        if let Some(refusal) = self.refuse_quarantined(now, number) {
-            return refusal;
-        }
-        if self.await_verdict(now, number) {
-            return Vec::new();
+        if let Some(held) = self.hold_suspect(now, number) {
+            return held;
         }
         match self.requests.get(&number) {
             Some(state) if state.may_have_run => self.repeat_lost(now, number),
--- a/mustardrill_core/src/entry/reducer.rs
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -184,13 +184,7 @@
         };
         self.budget.earn();
         self.requests.insert(id, RequestState::new(incoming, entry.class));
-        if let Some(refusal) = self.reject_quarantined(now, id) {
-            return refusal;
-        }
-        if self.await_verdict(now, id) {
-            return Vec::new();
-        }
-        self.begin(now, id)
+        self.hold_suspect(now, id).unwrap_or_else(|| self.begin(now, id))
     }
 
     /// Asks for the claim of a request that was admitted, or sends one that needs none.
--- a/mustardrill_core/src/entry/suspicion.rs
+++ b/mustardrill_core/src/entry/suspicion.rs
@@ -27,14 +27,8 @@
             ended: now,
         };
         self.crashes.hear(now, CrashWord::Crashed(run.clone()));
-        self.suspect(now, run);
-        if let Some(refusal) = self.reject_quarantined(now, id) {
-            return refusal;
-        }
-        if self.await_verdict(now, id) {
-            return Vec::new();
-        }
-        self.lost(now, id, ResultCode::Unknown)
+        self.quarantine.crashed(now, run);
+        self.hold_suspect(now, id).unwrap_or_else(|| self.lost(now, id, ResultCode::Unknown))
     }
 
     /// Notes that a request was answered whole: it is none that upstreams end under.
@@ -49,7 +43,9 @@
     pub(super) fn crashes_heard(&mut self, now: Moment, words: Vec<CrashWord>) {
         for word in words {
             match word {
-                CrashWord::Crashed(run) => self.suspect(now, run),
+                CrashWord::Crashed(run) => {
+                    self.quarantine.crashed(now, run);
+                }
                 CrashWord::Sound(digest, at) => {
                     self.crashes.end_term(digest);
                     if self.quarantine.succeeded(now, digest, at) {
@@ -66,40 +62,35 @@
         }
     }
 
-    fn suspect(&mut self, now: Moment, run: CrashedRun) {
-        let (digest, took) = (run.digest, run.ended.since(run.sent));
-        let upstream = run.upstream.clone();
-        if self.quarantine.crashed(now, run) {
-            info!("quarantine digest={digest} instance={upstream} ran={took} outcome=suspected");
-        }
-    }
-
     /// Rejects a request that is run no more; nothing where it may run.
     pub(super) fn reject_quarantined(
         &mut self,
         now: Moment,
         id: RequestId,
     ) -> Option<Vec<EntryEffect>> {
-        let digest = self.requests.get(id)?.digest;
-        let left = self.quarantine.remaining(now, digest)?;
-        let mut effects = Vec::new();
-        // This sending was not run, so its key may be used again.
-        let state = self.requests.get(id).filter(|state| !state.may_have_run);
-        effects.extend(state.and_then(|state| self.release_claim(now, state)));
+        let state = self.requests.get(id)?;
+        let left = self.quarantine.remaining(now, state.digest)?;
+        // A sending that was not run gives its key back.
+        let released = if state.may_have_run { None } else { self.release_claim(now, state) };
+        let mut effects: Vec<_> = released.into_iter().collect();
         effects.extend(self.reject(now, id, ResultCode::Quarantined, left));
         Some(effects)
     }
 
-    /// Lets a request wait for the verdict on it; says whether there is one to wait for.
-    pub(super) fn await_verdict(&mut self, now: Moment, id: RequestId) -> bool {
-        let Some(state) = self.requests.get_mut(id) else { return false };
-        let is_open = self.quarantine.is_open(now, state.digest);
-        if is_open {
-            info!("request={id} decision=hold reason=verdict digest={}", state.digest);
-            state.stage = RequestStage::Judged;
-            self.undecided.push(id);
+    /// Keeps a request from being run: it is rejected, or waits for the verdict on it. Nothing where
+    /// it may run.
+    pub(super) fn hold_suspect(&mut self, now: Moment, id: RequestId) -> Option<Vec<EntryEffect>> {
+        if let Some(refusal) = self.reject_quarantined(now, id) {
+            return Some(refusal);
+        }
+        let state = self.requests.get_mut(id)?;
+        if !self.quarantine.is_open(now, state.digest) {
+            return None;
         }
-        is_open
+        info!("request={id} decision=hold reason=verdict digest={}", state.digest);
+        state.stage = RequestStage::Judged;
+        self.undecided.push(id);
+        Some(Vec::new())
     }
 
     /// Decides on the suspects, where that is due, and goes on with what waited for it.
@@ -117,11 +108,8 @@
 
     /// Goes on with a request that waited for the verdict on it.
     fn resume(&mut self, now: Moment, id: RequestId) -> Vec<EntryEffect> {
-        if let Some(refusal) = self.reject_quarantined(now, id) {
-            return refusal;
-        }
-        if self.await_verdict(now, id) {
-            return Vec::new();
+        if let Some(held) = self.hold_suspect(now, id) {
+            return held;
         }
         match self.requests.get(id) {
             Some(state) if state.may_have_run => self.lost(now, id, ResultCode::Unknown),
--- a/mustardrill_core/src/quarantine.rs
+++ b/mustardrill_core/src/quarantine.rs
@@ -11,6 +11,7 @@
 
 use std::cmp::Reverse;
 
+use log::info;
 use mustardrill_types::{FastMap, InstanceId, Millis, Moment, RequestDigest, StartStamp};
 
 /// Upstreams that ended under a request before it is held to be the cause.
@@ -105,6 +106,12 @@
             return false;
         }
         self.forget(now);
+        info!(
+            "quarantine digest={} instance={} ran={} outcome=suspected",
+            run.digest,
+            run.upstream,
+            run.ended.since(run.sent)
+        );
         let record = self.suspects.entry(run.digest).or_default();
         record.runs.push(run);
         if record.runs.len() > RUNS_LIMIT {
@@ -121,8 +128,10 @@
         let before = record.counted().count();
         record.cleared = record.cleared.max(at);
         let was_suspected = record.counted().count() < before;
-        // What ended beside it is now the others' alone.
-        self.due = Some(now);
+        if was_suspected {
+            // What ended beside it is now the others' alone.
+            self.due = Some(now);
+        }
         was_suspected || was_quarantined
     }
 
