--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -518,6 +518,24 @@
     assert!(came <= Millis(150), "who leaves is sent nothing more within 0.3 s");
 }
 
+/// While changes gather, requests of a service without upstreams are refused.
+#[test]
+fn the_first_upstream_of_a_service_that_lost_its_last_is_not_kept_waiting() {
+    let mut gathering = GatherPause::default();
+    let fleet =
+        ["d1", "d2", "e1"].map(|id| upstream(id, if id == "e1" { "pool" } else { "desk" }, 1));
+    let changes: Vec<_> = fleet.iter().cloned().map(FleetChange::Upstream).collect();
+    gathering.after(&FleetPage { whole: true, ..page(changes) });
+    let mut told = |change| gathering.after(&page(vec![change]));
+    let gone = |id: &str| FleetChange::UpstreamGone(id.parse().unwrap());
+    assert!(told(gone("d1")) > Millis(0), "the other one serves");
+    assert_eq!(told(gone("d2")), Millis(0), "nobody serves: the next registration is waited for");
+    let back = FleetChange::Upstream(upstream("d1", "desk", 1));
+    assert!(told(back) > Millis(0));
+    let leaving = UpstreamRecord { leaving: true, ..upstream("d1", "desk", 1) };
+    assert_eq!(told(FleetChange::Upstream(leaving)), Millis(0));
+}
+
 #[test]
 fn a_restarted_upstream_replaces_the_one_at_its_address() {
     let old = upstream("u1", "pool", 1);
