A store that returned proves nothing of the configuration until operators have written again

Cause: the first answer after a return renewed the proof that the configuration is the newest, though the copy may lack one that nobody has read. Ruled out: what entries know to be newer (they kept it); the age of the proof alone (it was renewed by the copy). Change: a proof of its own for the configuration, which an answer renews only from lapse_grace after the return on; what was proved before goes on for its own time, so that a short drill refuses nobody. Test: a_key_taken_away_in_what_the_store_lost_unread_is_used_past_its_bound fails before.

--- a/mustardrill_core/src/direct/admit.rs
+++ b/mustardrill_core/src/direct/admit.rs
@@ -52,7 +52,7 @@
 
     /// Whether a configuration is proved to be the newest, and the others know no newer one.
     pub(super) fn is_current(&self, now: Moment, document: &RouteDocument) -> bool {
-        self.proof.is_fresh(now, self.settings.proof_limit)
+        self.config_proof.is_fresh(now, self.settings.proof_limit)
             && self.word.allows(now, document.generation)
     }
 
@@ -84,7 +84,7 @@
             request.attempt,
             plan.code,
             self.document.as_ref().map_or(0, |document| document.generation.0),
-            self.proof.age(now).map_or(-1, |age| age.0 as i64),
+            self.config_proof.age(now).map_or(-1, |age| age.0 as i64),
         );
         vec![DirectEffect::Refuse(request.number, plan)]
     }
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -46,7 +46,12 @@
 pub struct DirectReducer {
     pub(super) settings: DirectSettings,
     pub(super) document: Option<Arc<RouteDocument>>,
+    /// When the store was there last.
     pub(super) proof: ProofClock,
+    /// When the configuration was the newest that the operator had written.
+    pub(super) config_proof: ProofClock,
+    /// Until then a store that came back from an older copy may lack what the operator wrote.
+    pub(super) rewritten_at: Moment,
     pub(super) upstreams: UpstreamTable,
     pub(super) versions: VersionTable,
     pub(super) requests: FastMap<RequestNumber, RequestState>,
@@ -89,6 +94,8 @@
             settings,
             document: None,
             proof: ProofClock::default(),
+            config_proof: ProofClock::default(),
+            rewritten_at: Moment(0),
             upstreams: UpstreamTable::default(),
             versions: VersionTable::default(),
             requests: FastMap::default(),
@@ -214,7 +221,7 @@
     pub fn status(&self, now: Moment) -> StatusRow {
         StatusRow {
             generation: self.document.as_ref().map(|document| document.generation),
-            proof_age: self.proof.age(now),
+            proof_age: self.config_proof.age(now),
             era: self.era,
             upstreams: self.upstreams.len(),
             lapsed: self.upstreams.lapsed(),
--- a/mustardrill_core/src/direct/store_view.rs
+++ b/mustardrill_core/src/direct/store_view.rs
@@ -46,6 +46,7 @@
             self.word.await_from(now);
         }
         self.proof.prove(sent);
+        self.prove_config(sent);
         self.settle_lapsed(now);
         effects.extend(self.pump_all(now));
         if !self.word.is_awaited(now) {
@@ -76,10 +77,19 @@
                 page.era, self.era, page.at, self.revision
             );
             self.contact.returned(returned_at(now, self.proof.last()));
+            self.rewritten_at = now + self.settings.lapse_grace;
         }
         returned
     }
 
+    /// Notes that the store held the newest configuration at `sent`. One that came back from an older
+    /// copy may have lost a configuration that nobody had read, until the operator has written again.
+    fn prove_config(&mut self, sent: Moment) {
+        if sent >= self.rewritten_at {
+            self.config_proof.prove(sent);
+        }
+    }
+
     fn take_changes(
         &mut self,
         now: Moment,
--- a/mustardrill_core/tests/store_eras.rs
+++ b/mustardrill_core/tests/store_eras.rs
@@ -225,3 +225,35 @@
     assert_eq!(sends(&reducer.reduce(START + Millis(200), DirectEvent::Woke)), 1);
     assert!(reducer.is_ready(START + Millis(200)));
 }
+
+/// A configuration that takes a key away and that the store lost before anybody had read it is unknown
+/// until the operator has written again.
+#[test]
+fn a_key_taken_away_in_what_the_store_lost_unread_is_used_past_its_bound() {
+    let limit = common::direct_settings().proof_limit;
+    let mut reducer = DirectReducer::new(common::direct_settings(), 7);
+    let mut changes = common::desk_fleet(UPSTREAMS);
+    changes[0] = FleetChange::Configured(keyed_document(1));
+    tell(&mut reducer, START, 0, changes);
+    let proved = BACK - Millis(2_000);
+    tell(&mut reducer, proved, 0, Vec::new());
+    // Two returns, so that what was written after the first one is lost again.
+    for (era, back) in [(1, BACK), (2, BACK + Millis(1_500))] {
+        let mut copy = common::desk_fleet(UPSTREAMS);
+        copy[0] = FleetChange::Configured(keyed_document(1));
+        let page = FleetPage { changes: copy, ..page(era, 1, true) };
+        reducer.reduce(back, DirectEvent::Fleet(page, back));
+        tell(&mut reducer, back + Millis(1_000), era, Vec::new());
+    }
+    let just_before = proved + Millis(limit.0 - 1);
+    assert_eq!(
+        sends(&keyed_call(&mut reducer, just_before, 1)),
+        1,
+        "proved before the first return"
+    );
+    assert_eq!(sends(&keyed_call(&mut reducer, proved + limit, 2)), 0);
+    let rewritten = BACK + Millis(3_500);
+    let released = reducer.reduce(rewritten, DirectEvent::Fleet(page(2, 1, false), rewritten));
+    assert_eq!(sends(&released), 1, "what is held is served then");
+    assert_eq!(sends(&keyed_call(&mut reducer, rewritten, 3)), 1);
+}
