--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -33,7 +33,10 @@
 /// fleet.
 /// 6038: an entry that started in an outage took the store's last answer before it for one of its own
 /// time, with the same end.
-const SEEDS: [u64; 5] = [1, 2, 220, 2013, 6038];
+/// 8000: the store lost a configuration that took a key away before any entry had read it, and was
+/// taken to prove the older one.
+/// 8023: the store lost the registration of the only desk before any entry had heard of it.
+const SEEDS: [u64; 7] = [1, 2, 220, 2013, 6038, 8000, 8023];
 
 /// How long a seed's faults last where nothing else is asked.
 const SECONDS: u64 = 5;
@@ -53,6 +56,9 @@
 /// Until then all is written again that the store lost.
 const REWRITTEN: Duration = Duration::from_millis(1_500);
 
+/// Within this time an entry has heard of a registration: as soon as of one that leaves.
+const HEARING: Duration = Duration::from_millis(300);
+
 /// How long an entry must have been without trouble before it is held to what others told it.
 const IN_TOUCH: Duration = Duration::from_secs(3);
 
@@ -129,6 +135,8 @@
     desks: Vec<Worker>,
     /// For each desk the times in which it had left; the last one may go on.
     left: Vec<Vec<(Instant, Option<Instant>)>>,
+    /// When desks registered again after they had left, or after the store had forgotten them.
+    registrations: Vec<(usize, Instant)>,
     /// When the store came back without the registrations of upstreams.
     forgotten: Vec<Instant>,
     /// From what the store comes back.
@@ -224,6 +232,7 @@
             engine_servers,
             crashes,
             left: vec![Vec::new(); desks.len()],
+            registrations: Vec::new(),
             forgotten: Vec::new(),
             copy: None,
             desks,
@@ -435,11 +444,24 @@
 
     fn register_desk(&mut self, desk: usize) {
         register(&self.store, &self.desks[desk], self.desk_links[desk].address, "desk");
+        let now = Instant::now();
+        self.registrations.push((desk, now));
         if let Some((_, until)) = self.left[desk].last_mut() {
-            until.get_or_insert(Instant::now());
+            until.get_or_insert(now);
         }
     }
 
+    /// From when on entries know of a desk that left at `from`: nobody can have heard of a
+    /// registration that the store lost at once.
+    fn known_again(&self, desk: usize, from: Instant) -> Option<Instant> {
+        let own = self.registrations.iter().filter(|(of, at)| *of == desk && *at > from);
+        let heard = own.map(|(_, at)| (*at, *at + HEARING));
+        let lost = |span: &(Instant, Instant)| {
+            self.forgotten.iter().any(|back| span.0 <= *back && *back <= span.1)
+        };
+        heard.filter(|span| !lost(span)).map(|(_, until)| until).min()
+    }
+
     /// Whether an entry may not know at `at` what the others do.
     fn is_out_of_touch(&self, entry: Option<usize>, at: Instant) -> bool {
         let mut troubles = self.troubles.iter();
@@ -475,8 +497,10 @@
 
     /// Requests for which no upstream was known though the store had only forgotten them.
     fn thrown_away(&self, outcomes: &[Outcome]) -> usize {
-        let desks_left = self.left.iter().flatten();
-        let desks_left: Vec<_> = desks_left.collect();
+        let spans = self.left.iter().enumerate().flat_map(|(desk, left)| {
+            left.iter().map(move |(from, _)| (*from, self.known_again(desk, *from)))
+        });
+        let desks_left: Vec<_> = spans.collect();
         let is_wrong = |outcome: &&Outcome| {
             let is_refused = outcome.answer.as_ref().is_some_and(|(_, body)| body.contains("2012"));
             let after = self
