Replaced weights are begun on until a forecast reaches their bound, not for 87 % of it

Cause: the margin for requests that wait inside an engine was a share (13 %) of the bound. What it covers is a time: the way to the engine and twice the forecast of the first token there, with 0.25 s kept. The last turn to load moves with it, from 82 % of the bound to 0.9 s before its end. Tests: engines_with_replaced_weights_idle_before_their_time_is_over fails before. The test of changes that gather finds the end of the bound itself in place of a fixed 7 s; the template's test asks for the whole bound, of which the share was taken, as the forecast's margin is tested in the core.

--- a/mustardrill_agent/src/stock/config.rs
+++ b/mustardrill_agent/src/stock/config.rs
@@ -37,9 +37,9 @@
 /// is sooner, waiting a little gives callers a choice of engines for longer.
 const FIRST_TURN_PERCENT: u64 = 30;
 
-/// The part of the version bound by which the last engine loads, in percent. Soon after it,
-/// entries send nothing more to engines without the version, so waiting longer gains nothing.
-const LAST_TURN_PERCENT: u64 = 82;
+/// How long before the end of the version bound the last engine loads. Soon after it, entries send
+/// nothing more to engines without the version, so waiting longer gains nothing.
+const LAST_TURN_RESERVE: Millis = Millis(900);
 
 /// Reads and checks all settings.
 pub fn read(mut reader: SettingsReader) -> SettingsOutcome<StockConfig> {
@@ -66,7 +66,7 @@
             transfer: transfer(&mut reader),
             turns: TurnSettings {
                 first: Millis(version.0 * FIRST_TURN_PERCENT / 100),
-                last: Millis(version.0 * LAST_TURN_PERCENT / 100),
+                last: Millis(version.0.saturating_sub(LAST_TURN_RESERVE.0)),
                 switch: reader.value("weights", "switch", Millis(2_000)),
             },
             tell_every: reader.value("weights", "exchange_every", Millis(35)),
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -173,7 +173,7 @@
         // A version that has replaced all others is demanded, should the belief be wrong.
         let pinned = state.pinned.or_else(|| {
             let newest = self.versions.newest(state.model.as_ref()?)?;
-            let floor = self.floor(now, state)?;
+            let floor = self.floor(now, state, target)?;
             (floor == newest && floor.0 > 1).then_some(floor)
         });
         let plan = SendPlan {
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -208,7 +208,7 @@
     /// A key is taken while the configuration was proved newest less than this ago.
     pub proof_limit: Millis,
     /// A request may begin on older weights for this long after newer ones were seen named.
-    pub version_patience: Millis,
+    pub version_bound: Millis,
     /// What this entry may repeat.
     pub retry: RetryShare,
     /// Requests beyond its slots that an upstream gets at once, from all entries together.
--- a/mustardrill_core/src/direct/placing.rs
+++ b/mustardrill_core/src/direct/placing.rs
@@ -12,6 +12,14 @@
 use crate::direct::waiting::WaitQueue;
 use crate::rendezvous;
 
+/// What is left of the bound on replaced weights when a request begins on them: for its way to the
+/// engine, and for the moment at which the newer version was named, which is known to within a call.
+const VERSION_RESERVE: Millis = Millis(250);
+
+/// A request is taken to begin after this many times its forecast: engines may be slower than their
+/// profile, and what other entries just sent is not known yet.
+const BEGIN_CAUTION: u64 = 2;
+
 impl DirectReducer {
     /// The upstream for a request; nothing where none has room, or others' waiting requests go first.
     pub(super) fn choose(&self, now: Moment, state: &RequestState) -> Option<InstanceId> {
@@ -129,14 +137,37 @@
             return true;
         }
         let Some(version) = upstream.version_of(model) else { return false };
-        let floor = self.floor(now, state);
+        if state.pinned.is_some_and(|pinned| version != pinned) {
+            return false;
+        }
+        if self.versions.newest(model).is_none_or(|newest| version >= newest) {
+            return true;
+        }
+        let floor = self.floor(now, state, upstream);
         floor.is_none_or(|floor| version >= floor)
-            && state.pinned.is_none_or(|pinned| version == pinned)
     }
 
-    pub(super) fn floor(&self, now: Moment, state: &RequestState) -> Option<WeightVersion> {
+    /// The least version that the request may begin on at an upstream, by when it would begin there.
+    ///
+    /// Load pattern: the newer version is late, and engines with the older one idle. How long before
+    /// the end of its time they are left alone depends on what waits inside them.
+    pub(super) fn floor(
+        &self,
+        now: Moment,
+        state: &RequestState,
+        upstream: &UpstreamState,
+    ) -> Option<WeightVersion> {
         let model = state.model.as_ref()?;
-        self.versions.floor(now, model, self.settings.version_patience)
+        let begins = now + VERSION_RESERVE + self.begin_time(state, upstream);
+        self.versions.floor(begins, model, self.settings.version_bound)
+    }
+
+    /// How long it may take until an upstream makes the first token of a request sent to it now.
+    fn begin_time(&self, state: &RequestState, upstream: &UpstreamState) -> Millis {
+        let Some(profile) = self.profile(&state.service) else { return Millis(0) };
+        let present = self.upstreams.present(&upstream.record.id);
+        let forecast = EngineForecast::new(profile).first_token(present.requests, state.size);
+        Millis(BEGIN_CAUTION * (forecast.0 + present.reading.0))
     }
 
     /// How long an engine takes to read the request's prompt.
--- a/mustardrill_core/src/direct/version.rs
+++ b/mustardrill_core/src/direct/version.rs
@@ -42,11 +42,11 @@
         known.iter().find(|(named, _)| *named == version).map(|(_, since)| *since)
     }
 
-    /// The least version that a request may begin on: every version named longer ago than
-    /// `patience` has replaced those before it.
-    pub fn floor(&self, now: Moment, model: &ModelName, patience: Millis) -> Option<WeightVersion> {
+    /// The least version that a request may begin on at `begins`: every version named longer ago than
+    /// `bound` has replaced those before it.
+    pub fn floor(&self, begins: Moment, model: &ModelName, bound: Millis) -> Option<WeightVersion> {
         let known = self.named.get(model)?;
-        let due = known.iter().rev().find(|(_, since)| now.since(*since) >= patience);
+        let due = known.iter().rev().find(|(_, since)| begins.since(*since) >= bound);
         due.map(|(version, _)| *version)
     }
 }
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -85,7 +85,7 @@
         own: "entry-1".parse().unwrap(),
         data_centre: "hall-a".parse().unwrap(),
         proof_limit: Millis(4_500),
-        version_patience: Millis(7_000),
+        version_bound: Millis(7_000),
         retry: RetryShare { ratio: 0.1, allowance: 8.0, window: Millis(10_000) },
         ahead: 2,
         reading_limit: Millis(80),
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -482,18 +482,39 @@
 #[test]
 fn a_version_named_while_changes_gathered_counts_from_the_answer_before() {
     let named = FleetChange::VersionNamed("m".parse().unwrap(), WeightVersion(2));
-    let serves = |gathered: u64, waited: u64| {
+    let serves = |gathered: u64, waited: u64, due: Moment| {
         let mut reducer = entry(&[upstream("u1", "pool", 1)]);
         let asked = START + Millis(gathered);
         let told = asked + Millis(waited);
         reducer.reduce(told, DirectEvent::Fleet(page(vec![named.clone()]), asked));
-        let due = START + Millis(7_000);
         reducer.reduce(due, DirectEvent::Fleet(page(Vec::new()), due));
         sent(&arrive(&mut reducer, due, 1, "/drafts/x")).len()
     };
-    assert_eq!(serves(500, 10), 0, "it may have been named 490 ms before it was asked for");
-    assert_eq!(serves(500, 700), 1, "the answer was waited for: it was named just then");
-    assert_eq!(serves(0, 10), 1);
+    let over = (0..7_000).map(|at| START + Millis(at)).find(|due| serves(0, 0, *due) == 0).unwrap();
+    assert_eq!(serves(500, 10, over), 0, "it may have been named 490 ms before it was asked for");
+    assert_eq!(serves(500, 700, over), 1, "the answer was waited for: it was named just then");
+    assert_eq!(serves(0, 10, over), 1);
+}
+
+/// The newer version is late; the older one may be begun on until its bound.
+#[test]
+fn engines_with_replaced_weights_idle_before_their_time_is_over() {
+    let named = FleetChange::VersionNamed("m".parse().unwrap(), WeightVersion(2));
+    let bound = common::direct_settings().version_bound;
+    let mut idle = entry(&[upstream("u1", "pool", 1)]);
+    idle.reduce(START, DirectEvent::Fleet(page(vec![named.clone()]), START));
+    let late = START + Millis(bound.0 - 600);
+    idle.reduce(late, DirectEvent::Fleet(page(Vec::new()), late));
+    assert_eq!(sent(&arrive(&mut idle, late, 1, "/drafts/x")).len(), 1, "it begins at once");
+    // What waits inside an engine puts the beginning off.
+    let mut full = entry(&[upstream("u1", "pool", 1)]);
+    let rows = vec![("u1".parse().unwrap(), UpstreamLoad { requests: 16, reading: Millis(70) })];
+    let news = LoadNews { rows, whole: true, waiting: Vec::new() };
+    full.reduce(START, DirectEvent::Fleet(page(vec![named]), START));
+    full.reduce(late, DirectEvent::Fleet(page(Vec::new()), late));
+    let from = "entry-2".parse().unwrap();
+    full.reduce(late, DirectEvent::PeerHeard(PeerLoad { from, news }));
+    assert_eq!(sent(&arrive(&mut full, late, 1, "/drafts/x")).len(), 0);
 }
 
 /// Engines that load tell so again and again; whoever comes or goes is learned of soon.
--- a/mustardrill_entry/src/direct/config.rs
+++ b/mustardrill_entry/src/direct/config.rs
@@ -43,11 +43,6 @@
 /// way of the request that is checked.
 const PROOF_PERCENT: u64 = 90;
 
-/// The part of the version bound that remains for a request that waits inside an engine, in
-/// percent. Where load is high, requests began 0.9 s after they were sent to an engine whose
-/// bound is 13.4 s.
-const VERSION_MARGIN_PERCENT: u64 = 13;
-
 /// The share of the retry ratio that one entry uses, as windows of entries don't begin together.
 const RATIO_SHARE: f64 = 0.6;
 
@@ -83,7 +78,7 @@
             own: name(&mut reader, "entry", "instance"),
             data_centre: name(&mut reader, "entry", "data_centre"),
             proof_limit: Millis(revocation.0 * PROOF_PERCENT / 100),
-            version_patience: Millis(version.0 * (100 - VERSION_MARGIN_PERCENT) / 100),
+            version_bound: version,
             retry: retry(&mut reader),
             ahead: reader.bounded("admission", "ahead", 1, 0, 1_000),
             wait_percent: reader.bounded("admission", "wait_percent", 25, 0, 100),
--- a/mustardrill_standins/tests/deployment.rs
+++ b/mustardrill_standins/tests/deployment.rs
@@ -56,7 +56,7 @@
     let config = entry();
     assert_eq!(config.direct.own.as_str(), "edge-hall-a-1");
     assert_eq!(config.direct.proof_limit, Millis(4_500), "below the bound of revocation");
-    assert!(config.direct.version_patience <= Millis(7_000), "an eighth for the engine's queue");
+    assert_eq!(config.direct.version_bound, Millis(8_000), "forecasts take off what engines need");
     assert_eq!(config.direct.forgetting, Millis(3_000), "two heartbeats of upstreams");
     assert!(config.linger < config.grace);
     assert_ne!(config.metrics, None);
