Agents read only the versions named where the store's history is gone

Cause: the store dropped its history in the outage, and each agent then read everything, with a configuration of hundreds of kilobytes of which it needs nothing: 36 of them over the links that entries need. Ruled out: the configurations that follow one another (read once in 0.8 s alone, the entries came back as late). Change: after the configuration an agent follows versions only, and reads only these anew.

--- a/mustardrill_agent/src/stock/watch.rs
+++ b/mustardrill_agent/src/stock/watch.rs
@@ -8,7 +8,7 @@
 use mustardrill_core::direct::{CursorVerdict, FleetChange, StoreCursor, WatchSpan};
 use mustardrill_core::stock::{EngineView, StockEvent};
 use mustardrill_runtime::backoff::RetryBackoff;
-use mustardrill_runtime::border::{EngineState, FleetScope, StoreError};
+use mustardrill_runtime::border::{EngineState, FleetPart, FleetScope, StoreError};
 use mustardrill_types::Millis;
 
 use crate::stock::actor::{BusyQuery, Event, StockActor, StockContext};
@@ -48,6 +48,11 @@
                 let span = WatchSpan::patient(context.config.watch);
                 source.read_changes(scope, revision, span).await
             }
+            // A whole reading by each agent, with a configuration of which it needs some lines, fills
+            // the links between regions just as entries read it after an outage.
+            None if begun && scope == FleetScope::Versions => {
+                source.read_part(FleetPart::Versions).await
+            }
             // What an entry tells may be older than the history that the store keeps.
             None if begun => source.read_all().await,
             None => match fleet::read(&context).await {
--- a/mustardrill_runtime/src/border.rs
+++ b/mustardrill_runtime/src/border.rs
@@ -58,12 +58,14 @@
     Versions,
 }
 
-/// A kind of registration.
+/// A kind of item.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FleetPart {
-    /// Those of upstreams.
+    /// The versions named.
+    Versions,
+    /// Registrations of upstreams.
     Upstreams,
-    /// Those of entries.
+    /// Registrations of entries.
     Entries,
 }
 
@@ -72,7 +74,7 @@
     /// Reads everything.
     fn read_all(&self) -> BoxFuture<'_, Result<FleetPage, StoreError>>;
 
-    /// Reads one kind of registration; the page is not marked as whole.
+    /// Reads one kind of item; the page is not marked as whole.
     fn read_part(&self, part: FleetPart) -> BoxFuture<'_, Result<FleetPage, StoreError>>;
 
     /// Waits for changes after a state; an empty page where there were none in that time.
--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -194,6 +194,26 @@
     }
 }
 
+/// The history goes on in an outage, and every agent asks again at its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_agent_reads_the_configuration_again_when_the_history_is_gone() {
+    let engines: Vec<_> = ["i-1", "i-2", "i-3"].map(|id| Worker::new(id, 1)).into();
+    let fleet = Fleet::start(23, engines).await;
+    let serve =
+        |fleet: &Fleet, version| fleet.engines.iter().all(|engine| engine.version() == version);
+    fleet.until("all serve", async || fleet.ready().await).await;
+    // Agents have read the configuration, and wait for versions alone.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let (whole, versions) = (fleet.store.reads(""), fleet.store.reads("op/version/"));
+    fleet.store.write("op/note", &json!({}));
+    fleet.store.compact();
+    fleet.store.write("op/version/m0", &json!({"model": "m0", "version": 2}));
+    fleet.until("all have version 2", async || serve(&fleet, 2)).await;
+    let read = fleet.store.reads("") - whole;
+    assert!(read <= 1, "the entry alone reads everything, not {read} processes");
+    assert!(fleet.store.reads("op/version/") - versions <= 3, "one small reading an agent");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_finishes_what_it_has_begun() {
     let mut fleet = Fleet::start(6, vec![Worker::new("i-1", 1)]).await;
