Of configurations in quick succession only the newest is read

Change: a configuration that follows another one within 2 s makes the entry wait 0.8 s and read all anew, which tells only the newest.

--- a/mustardrill_core/src/direct/gathering.rs
+++ b/mustardrill_core/src/direct/gathering.rs
@@ -4,8 +4,13 @@
 //! fleet of 45. Each answered watch is a billed call, and agents tell entries of their engines anyway.
 //! Upstreams that come or go are another matter: after a restart of all, whoever knows only the names
 //! of before sends to nobody, and while the last one of a service is gone its requests are refused.
+//!
+//! Load pattern: configurations in quick succession, of hundreds of kilobytes each. A watch tells each
+//! of them in full to each entry, and fills the links between regions for seconds, over which other
+//! entries then reach neither the store nor weights. Read as a whole after a pause, only the newest
+//! one crosses.
 
-use mustardrill_types::{FastMap, InstanceId, Millis, ServiceName, StartStamp};
+use mustardrill_types::{FastMap, Generation, InstanceId, Millis, Moment, ServiceName, StartStamp};
 
 use crate::direct::fleet::{FleetChange, FleetPage};
 
@@ -16,10 +21,28 @@
 /// The pause where engines only told what they serve: a quarter of the tightest bound on a change.
 const LATER: Millis = Millis(500);
 
+/// A configuration that follows another one within this time is one of a series.
+const SERIES_SPAN: Millis = Millis(2_000);
+
+/// The pause within a series: with a reading over a busy link it leaves half of the tightest bound on
+/// a change.
+const SERIES_PAUSE: Millis = Millis(800);
+
+/// How the store is read next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NextReading {
+    /// How long changes gather before.
+    pub pause: Millis,
+    /// Whether all is read anew, in place of each change since.
+    pub anew: bool,
+}
+
 /// The upstreams that were told of, to see who is new and which service is without any.
 #[derive(Debug, Default)]
 pub struct GatherPause {
     known: FastMap<InstanceId, KnownUpstream>,
+    /// The newest configuration that was told, and when it was told first.
+    configured: Option<(Generation, Moment)>,
 }
 
 /// What was told last of an upstream.
@@ -31,8 +54,32 @@
 }
 
 impl GatherPause {
-    /// How long to wait after a page; nothing where it tells nothing, or all at once.
-    pub fn after(&mut self, page: &FleetPage) -> Millis {
+    /// How to go on after a page that came at `now`: at once where it tells nothing, or all at once.
+    pub fn after(&mut self, now: Moment, page: &FleetPage) -> NextReading {
+        if self.is_series(now, page) {
+            for change in &page.changes {
+                self.takes(change);
+            }
+            return NextReading { pause: SERIES_PAUSE, anew: true };
+        }
+        NextReading { pause: self.pause_after(page), anew: false }
+    }
+
+    /// Whether a page brings a configuration soon after another one.
+    fn is_series(&mut self, now: Moment, page: &FleetPage) -> bool {
+        let told = page.changes.iter().filter_map(|change| match change {
+            FleetChange::Configured(document) => Some(document.generation),
+            _ => None,
+        });
+        let Some(newest) = told.max() else { return false };
+        if self.configured.is_some_and(|(generation, _)| newest <= generation) {
+            return false;
+        }
+        let before = self.configured.replace((newest, now));
+        !page.whole && before.is_some_and(|(_, before)| now.since(before) < SERIES_SPAN)
+    }
+
+    fn pause_after(&mut self, page: &FleetPage) -> Millis {
         let mut moved = false;
         let mut bereft = false;
         for change in &page.changes {
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod census;
+mod closing;
 mod contact;
 mod crash_words;
 mod cursor;
@@ -43,7 +44,7 @@
 pub use fleet::{FleetChange, FleetPage, PeerRecord, ServedWeights, UpstreamRecord};
 pub use forecast::{EngineForecast, WorkSize};
 pub use freshness::{ProofClock, proved_at};
-pub use gathering::GatherPause;
+pub use gathering::{GatherPause, NextReading};
 pub use reducer::DirectReducer;
 pub use route::{
     CallerLimits, CustomerRecord, EngineProfile, ModelProfile, OriginProfile, RepeatRule,
--- a/mustardrill_entry/src/direct/watch.rs
+++ b/mustardrill_entry/src/direct/watch.rs
@@ -61,9 +61,12 @@
                 if outcome.regained {
                     regained.notify_one();
                 }
-                let pause = gathering.after(&page);
+                let next = gathering.after(now, &page);
                 let _ = actor.tell(Event(DirectEvent::Fleet(page, outcome.proved))).await;
-                tokio::time::sleep(pause.to_std()).await;
+                tokio::time::sleep(next.pause.to_std()).await;
+                if next.anew {
+                    reader.reset();
+                }
             }
             Err(error @ (StoreError::HistoryGone | StoreError::EraChanged)) => {
                 info!(
