Much larger requests wait behind others that can be in time

Change: among requests that wait, one whose work (its prompt, and its share of the passes) is over 1.5 times a usual one's goes behind the others of its priority. It is served once those are, so that only where capacity is short large ones wait longer, for at most the time that any request waits. Test: a_large_request_goes_before_several_usual_ones fails before.

--- a/mustardrill_core/src/direct/admit.rs
+++ b/mustardrill_core/src/direct/admit.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 
 use crate::direct::event::{DirectEffect, DirectRequest, RefusalPlan, RequestNumber};
+use crate::direct::forecast::EngineForecast;
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::RequestState;
 use crate::direct::route::{CustomerRecord, RouteDocument, RouteRule};
@@ -68,7 +69,9 @@
         let window = self.windows.entry(service.clone()).or_default();
         window.earn(now, &self.settings.retry);
         let customer = customer.map(|customer| (customer.name.clone(), customer.priority));
-        let state = RequestState::new(request, route, service, customer);
+        let mut state = RequestState::new(request, route, service, customer);
+        let profile = self.profile(&state.service);
+        state.large = profile.is_some_and(|it| EngineForecast::new(it).is_large(state.size));
         self.requests.insert(number, state);
         self.hold_suspect(now, number).unwrap_or_else(|| self.start(now, number))
     }
--- a/mustardrill_core/src/direct/forecast.rs
+++ b/mustardrill_core/src/direct/forecast.rs
@@ -16,6 +16,9 @@
     pub answer: u32,
 }
 
+/// A request is large that takes this many times the work of a usual one.
+const LARGE_WORK: f64 = 1.5;
+
 /// What an engine of a profile takes for its work.
 #[derive(Debug, Clone, Copy)]
 pub struct EngineForecast<'a> {
@@ -49,6 +52,20 @@
         self.read_ms(size.prompt) + passes * pass
     }
 
+    /// What a request takes of a full engine's time, in milliseconds: reading its prompt, and its share
+    /// of the passes.
+    pub fn work_ms(&self, size: WorkSize) -> f64 {
+        let token = self.profile.step_ms / f64::from(self.profile.slots.max(1));
+        self.read_ms(size.prompt) + f64::from(size.answer) * token
+    }
+
+    /// Whether a request takes much more of an engine than a usual one.
+    pub fn is_large(&self, size: WorkSize) -> bool {
+        let usual =
+            WorkSize { prompt: self.profile.usual_prompt, answer: self.profile.usual_answer };
+        self.work_ms(size) > LARGE_WORK * self.work_ms(usual)
+    }
+
     /// How long until a slot is free at an engine where `present` requests run or wait.
     pub fn slot_wait(&self, present: u32) -> Millis {
         let slots = self.profile.slots.max(1);
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -24,6 +24,8 @@
     pub(crate) service: ServiceName,
     pub(crate) model: Option<ModelName>,
     pub(crate) size: WorkSize,
+    /// Whether it takes much more of an engine than a usual one.
+    pub(crate) large: bool,
     /// What of its prompt is counted as unread at the upstream where it is.
     pub(crate) reading: Millis,
     pub(crate) repeat: RepeatRule,
@@ -85,6 +87,7 @@
             service,
             model: request.model,
             size: request.size,
+            large: false,
             reading: Millis(0),
             repeat: route.repeat,
             priority: priority.unwrap_or(route.priority),
@@ -104,7 +107,8 @@
 
     /// Its place among those that wait, by whether it can still be in time.
     pub(crate) fn rank(&self, late: bool) -> WaitRank {
-        WaitRank { late, priority: self.priority, since: self.arrived, number: self.number }
+        let Self { priority, large, number, .. } = *self;
+        WaitRank { late, priority, large, since: self.arrived, number }
     }
 
     /// How long after its arrival an answer is still in time.
--- a/mustardrill_core/src/direct/waiting.rs
+++ b/mustardrill_core/src/direct/waiting.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: more requests come than slots are free, for a moment or for long. Requests that
 //! can still be in time go before those that are late already, and among equals the more urgent
-//! first, then the one that has waited longest. What can't be started within the longest wait is
+//! first, then those that are not much larger than usual, then the one that has waited longest: in
+//! the time of one large request several others are answered. What can't be started within the longest wait is
 //! refused at once by the reducer, so the queue stays as short as the wait that it promises.
 
 use std::collections::BTreeMap;
@@ -18,6 +19,8 @@
     pub late: bool,
     /// Its priority; zero is the most urgent.
     pub priority: u8,
+    /// Whether it takes much more of an engine than a usual one.
+    pub large: bool,
     /// When it came.
     pub since: Moment,
     /// Its number, between equals.
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -589,6 +589,41 @@
     assert_eq!(sent(&arrive(&mut left, START + Millis(1_600), 3, "/drafts/x")).len(), 1);
 }
 
+/// More requests than slots: one large request takes the time of several others.
+#[test]
+fn a_large_request_goes_before_several_usual_ones() {
+    let mut reducer = entry(&[upstream("u1", "pool", 1)]);
+    let sized = |number, answer| {
+        let size = WorkSize { prompt: 300, answer };
+        DirectEvent::Arrived(DirectRequest { size, ..request(number, "/drafts/x", START) })
+    };
+    let mut running: Vec<u64> = (1..60)
+        .filter(|number| {
+            let effects = reducer.reduce(START, sized(*number, 36));
+            reducer.reduce(START, DirectEvent::Answering(RequestNumber(*number), None, None));
+            !sent(&effects).is_empty()
+        })
+        .collect();
+    // Those that found no place give up, so that only the next three wait.
+    (1..60).filter(|it| !running.contains(it)).for_each(|number| {
+        reducer.reduce(START, DirectEvent::Gone(RequestNumber(number)));
+    });
+    let waiting = [(100, 600), (101, 36), (102, 36)];
+    for (number, answer) in waiting {
+        assert_eq!(sent(&reducer.reduce(START, sized(number, answer))).len(), 0);
+    }
+    let mut order = Vec::new();
+    for _ in waiting {
+        let ended = RequestNumber(running.remove(0));
+        let effects = reducer.reduce(START, DirectEvent::Ended(ended, AttemptOutcome::Whole));
+        order.extend(effects.iter().filter_map(|effect| match effect {
+            DirectEffect::Send(number, _) => Some(number.0),
+            _ => None,
+        }));
+    }
+    assert_eq!(order, [101, 102, 100], "the large one is served once nobody else waits");
+}
+
 /// A watch tells each configuration of a series in full, at each entry.
 #[test]
 fn each_configuration_of_a_series_crosses_the_link() {
