Direct serving: decisions in folders that say what they decide

Now fleet/, store/, placing/, waiting/ and repeats/ hold what an entry believes, what it reads, whom it sends to, who waits, and what is sent once more. Moved only; public names are as before.

--- a/mustardrill_core/src/direct/admit.rs
+++ b/mustardrill_core/src/direct/admit.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use crate::direct::event::{DirectEffect, DirectRequest, RefusalPlan, RequestNumber};
-use crate::direct::forecast::EngineForecast;
+use crate::direct::placing::forecast::EngineForecast;
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::RequestState;
 use crate::direct::route::{CustomerRecord, RouteDocument, RouteRule};
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -7,10 +7,10 @@
 use crate::direct::event::{
     AttemptOutcome, DirectEffect, LoadReport, RefusalPlan, RequestNumber, SendPlan,
 };
-use crate::direct::forecast::{EngineForecast, WorkSize};
+use crate::direct::placing::forecast::{EngineForecast, WorkSize};
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::{RequestStage, RequestState};
-use crate::direct::waiting::WaitRank;
+use crate::direct::waiting::queue::WaitRank;
 
 /// When a caller may come back where no upstream is listed.
 const NO_UPSTREAM_RETRY: Millis = Millis(500);
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -7,12 +7,12 @@
     ResultCode, StoreEra, WeightVersion,
 };
 
-use crate::direct::contact::AnswerSpan;
-use crate::direct::fleet::FleetPage;
-use crate::direct::forecast::WorkSize;
+use crate::direct::fleet::page::FleetPage;
+use crate::direct::fleet::telling::LoadNews;
+use crate::direct::placing::forecast::WorkSize;
+use crate::direct::repeats::spending::RetryShare;
 use crate::direct::route::RepeatRule;
-use crate::direct::spending::RetryShare;
-use crate::direct::telling::LoadNews;
+use crate::direct::store::contact::AnswerSpan;
 use crate::quarantine::CrashWord;
 
 /// The number of a request within one entry.
--- a/mustardrill_core/src/direct/census.rs
+++ b/mustardrill_core/src/direct/fleet/census.rs
@@ -6,7 +6,7 @@
 
 use mustardrill_types::{FastMap, InstanceId, Millis, Moment};
 
-use crate::direct::fleet::PeerRecord;
+use crate::direct::fleet::page::PeerRecord;
 
 /// When each of the other entries gave its last sign.
 #[derive(Debug, Default)]
--- a/mustardrill_core/src/direct/upstream.rs
+++ b/mustardrill_core/src/direct/fleet/upstream.rs
@@ -4,7 +4,7 @@
 use mustardrill_types::{InstanceId, Millis, ModelName, Moment, StartStamp, WeightVersion};
 
 use crate::direct::event::{AttemptOutcome, UpstreamLoad};
-use crate::direct::fleet::{ServedWeights, UpstreamRecord};
+use crate::direct::fleet::page::{ServedWeights, UpstreamRecord};
 
 /// The share by which one outcome moves the share of failures.
 ///
--- a/mustardrill_core/src/direct/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -8,9 +8,9 @@
 };
 
 use crate::direct::event::{AttemptOutcome, LoadReport, UpstreamLoad};
-use crate::direct::fleet::{ServedWeights, UpstreamRecord};
-use crate::direct::heard::HeardLoads;
-use crate::direct::upstream::{LapseCause, RegistrationLapse, UpstreamStart, UpstreamState};
+use crate::direct::fleet::heard::HeardLoads;
+use crate::direct::fleet::page::{ServedWeights, UpstreamRecord};
+use crate::direct::fleet::upstream::{LapseCause, RegistrationLapse, UpstreamStart, UpstreamState};
 
 /// How long it is remembered that an upstream left: longer than the copies are old from which a store
 /// comes back.
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -5,54 +5,36 @@
 //! is asked, who waits and who is refused. Nothing here does I/O or reads a clock.
 
 mod admit;
-mod census;
-mod closing;
-mod contact;
-mod crash_words;
-mod cursor;
 mod dispatch;
 mod event;
 mod fleet;
-mod forecast;
-mod freshness;
-mod gathering;
-mod generation_word;
-mod heard;
-mod holding;
 mod placing;
-mod pressure;
 mod reducer;
+mod repeats;
 mod request;
 mod route;
-mod spending;
-mod store_reader;
-mod store_view;
-mod suspicion;
-mod telling;
-mod upstream;
-mod upstream_table;
+mod store;
 mod version;
 mod waiting;
-mod watch_pace;
 
-pub use contact::{AnswerSpan, StoreContact};
-pub use cursor::{CursorVerdict, StoreCursor};
 pub use event::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, EngineWord,
     LoadReport, PeerLoad, RefusalPlan, RequestNumber, SendPlan, StatusRow, UpstreamLoad,
 };
-pub use fleet::{FleetChange, FleetPage, PeerRecord, ServedWeights, UpstreamRecord};
-pub use forecast::{EngineForecast, WorkSize};
-pub use freshness::{ProofClock, proved_at};
-pub use gathering::{GatherPause, NextReading};
+pub use fleet::page::{FleetChange, FleetPage, PeerRecord, ServedWeights, UpstreamRecord};
+pub use fleet::telling::{LoadNews, LoadRows, LoadTeller, WaitRows};
+pub use placing::forecast::{EngineForecast, WorkSize};
 pub use reducer::DirectReducer;
+pub use repeats::spending::{RetryShare, RetryWindow};
 pub use route::{
     CallerLimits, CustomerRecord, EngineProfile, ModelProfile, OriginProfile, RepeatRule,
     RouteDocument, RouteRule, ServiceProfile,
 };
-pub use spending::{RetryShare, RetryWindow};
-pub use store_reader::{ReadOutcome, StoreReader};
-pub use telling::{LoadNews, LoadRows, LoadTeller, WaitRows};
+pub use store::contact::{AnswerSpan, StoreContact};
+pub use store::cursor::{CursorVerdict, StoreCursor};
+pub use store::freshness::{ProofClock, proved_at};
+pub use store::gathering::{GatherPause, NextReading};
+pub use store::reader::{ReadOutcome, StoreReader};
+pub use store::watch_pace::WatchSpan;
 pub use version::VersionTable;
-pub use waiting::{WaitQueue, WaitRank};
-pub use watch_pace::WatchSpan;
+pub use waiting::queue::{WaitQueue, WaitRank};
--- a/mustardrill_core/src/direct/placing.rs
+++ b/mustardrill_core/src/direct/placing/choice.rs
@@ -2,15 +2,15 @@
 
 use mustardrill_types::{InstanceId, Millis, Moment, ServiceName, WeightVersion};
 
-use crate::direct::closing;
 use crate::direct::event::{PeerLoad, UpstreamLoad};
-use crate::direct::forecast::EngineForecast;
-use crate::direct::pressure::{self, ChoiceInputs, PlaceTurn};
+use crate::direct::fleet::upstream::UpstreamState;
+use crate::direct::placing::closing;
+use crate::direct::placing::forecast::EngineForecast;
+use crate::direct::placing::pressure::{self, ChoiceInputs, PlaceTurn};
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::RequestState;
 use crate::direct::route::EngineProfile;
-use crate::direct::upstream::UpstreamState;
-use crate::direct::waiting::WaitQueue;
+use crate::direct::waiting::queue::WaitQueue;
 use crate::rendezvous;
 
 /// What is left of the bound on replaced weights when a request begins on them: for its way to the
@@ -23,7 +23,11 @@
 
 impl DirectReducer {
     /// The upstream for a request; nothing where none has room, or others' waiting requests go first.
-    pub(super) fn choose(&self, now: Moment, state: &RequestState) -> Option<InstanceId> {
+    pub(in crate::direct) fn choose(
+        &self,
+        now: Moment,
+        state: &RequestState,
+    ) -> Option<InstanceId> {
         let usable = self.upstreams.usable(now, &state.service);
         let fitting = usable.into_iter().filter(|upstream| self.fits(now, state, upstream));
         let (tried, fresh): (Vec<_>, Vec<_>) =
@@ -64,7 +68,7 @@
     }
 
     /// Takes another entry's word on its load, and notes where that makes room.
-    pub(super) fn load_heard(&mut self, now: Moment, load: PeerLoad) {
+    pub(in crate::direct) fn load_heard(&mut self, now: Moment, load: PeerLoad) {
         let named: Vec<_> = load.news.rows.iter().map(|(id, _)| id.clone()).collect();
         let full: Vec<_> = named.into_iter().filter(|id| !self.has_room(now, id)).collect();
         self.upstreams.heard.hear(now, load);
@@ -128,14 +132,23 @@
 
     /// When a place that another entry freed becomes this entry's to take, or one that was full is
     /// asked again, for what waits.
-    pub(super) fn next_place(&self, now: Moment, service: &ServiceName) -> Option<Moment> {
+    pub(in crate::direct) fn next_place(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+    ) -> Option<Moment> {
         let usable = self.upstreams.usable(now, service);
         let opens = usable.iter().map(|it| self.place_open(now, it, 1).max(it.rests_until));
         opens.filter(|open| *open > now).min()
     }
 
     /// Whether an upstream holds weights that the request may be run with.
-    pub(super) fn fits(&self, now: Moment, state: &RequestState, upstream: &UpstreamState) -> bool {
+    pub(in crate::direct) fn fits(
+        &self,
+        now: Moment,
+        state: &RequestState,
+        upstream: &UpstreamState,
+    ) -> bool {
         let Some(model) = &state.model else { return true };
         if self.profile(&state.service).is_none() {
             return true;
@@ -155,7 +168,7 @@
     ///
     /// Load pattern: the newer version is late, and engines with the older one idle. How long before
     /// the end of its time they are left alone depends on what waits inside them.
-    pub(super) fn floor(
+    pub(in crate::direct) fn floor(
         &self,
         now: Moment,
         state: &RequestState,
@@ -183,13 +196,13 @@
     }
 
     /// How long an engine takes to read the request's prompt.
-    pub(super) fn reading_time(&self, state: &RequestState) -> Millis {
+    pub(in crate::direct) fn reading_time(&self, state: &RequestState) -> Millis {
         let profile = self.profile(&state.service);
         let read = |profile| EngineForecast::new(profile).read_ms(state.size.prompt);
         Millis(profile.map_or(0.0, read) as u64)
     }
 
-    pub(super) fn profile(&self, service: &ServiceName) -> Option<&EngineProfile> {
+    pub(in crate::direct) fn profile(&self, service: &ServiceName) -> Option<&EngineProfile> {
         self.document.as_ref()?.service(service)?.engine.as_ref()
     }
 }
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -9,23 +9,23 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::direct::census::EntryCensus;
-use crate::direct::contact::{AnswerSpan, StoreContact};
-use crate::direct::crash_words::CrashTeller;
 use crate::direct::event::{
     DirectEffect, DirectEvent, DirectSettings, EngineWord, RequestNumber, StatusRow,
 };
-use crate::direct::fleet::{FleetChange, FleetPage, PeerRecord};
-use crate::direct::freshness::ProofClock;
-use crate::direct::generation_word::GenerationWord;
-use crate::direct::holding::HeldRequests;
+use crate::direct::fleet::census::EntryCensus;
+use crate::direct::fleet::page::{FleetChange, FleetPage, PeerRecord};
+use crate::direct::fleet::telling::{LoadRows, WaitRows};
+use crate::direct::fleet::upstream_table::UpstreamTable;
+use crate::direct::repeats::crash_words::CrashTeller;
+use crate::direct::repeats::spending::RetryWindow;
 use crate::direct::request::{RequestStage, RequestState};
 use crate::direct::route::RouteDocument;
-use crate::direct::spending::RetryWindow;
-use crate::direct::telling::{LoadRows, WaitRows};
-use crate::direct::upstream_table::UpstreamTable;
+use crate::direct::store::contact::{AnswerSpan, StoreContact};
+use crate::direct::store::freshness::ProofClock;
+use crate::direct::store::generation_word::GenerationWord;
 use crate::direct::version::VersionTable;
-use crate::direct::waiting::WaitQueue;
+use crate::direct::waiting::holding::HeldRequests;
+use crate::direct::waiting::queue::WaitQueue;
 use crate::quarantine::QuarantineTable;
 
 /// How long an agent's word counts that its engine takes no requests.
--- a/mustardrill_core/src/direct/suspicion.rs
+++ b/mustardrill_core/src/direct/repeats/suspicion.rs
@@ -4,15 +4,15 @@
 use mustardrill_types::{Millis, Moment, RequestDigest, ResultCode};
 
 use crate::direct::event::{DirectEffect, RequestNumber};
+use crate::direct::fleet::upstream::UpstreamStart;
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::{RequestStage, RequestState};
-use crate::direct::upstream::UpstreamStart;
 use crate::quarantine::{CrashWord, CrashedRun, QUARANTINE_SPAN};
 use crate::rendezvous;
 
 impl DirectReducer {
     /// Notes that an upstream ended while it had a request of this entry, and tells the others.
-    pub(super) fn run_crashed(
+    pub(in crate::direct) fn run_crashed(
         &mut self,
         now: Moment,
         number: RequestNumber,
@@ -37,7 +37,7 @@
     }
 
     /// Notes that a request was answered whole: it is none that upstreams end under.
-    pub(super) fn run_succeeded(
+    pub(in crate::direct) fn run_succeeded(
         &mut self,
         now: Moment,
         digest: RequestDigest,
@@ -63,7 +63,11 @@
     }
 
     /// Takes what another entry tells.
-    pub(super) fn crash_heard(&mut self, now: Moment, word: CrashWord) -> Vec<DirectEffect> {
+    pub(in crate::direct) fn crash_heard(
+        &mut self,
+        now: Moment,
+        word: CrashWord,
+    ) -> Vec<DirectEffect> {
         match word {
             CrashWord::Crashed(run) => self.suspect(now, run),
             CrashWord::Sound(digest, at) => {
@@ -83,7 +87,7 @@
     }
 
     /// Takes what the store keeps of another entry's verdict.
-    pub(super) fn quarantine_seen(
+    pub(in crate::direct) fn quarantine_seen(
         &mut self,
         now: Moment,
         digest: RequestDigest,
@@ -96,7 +100,7 @@
     }
 
     /// Writes to the store again what it may have forgotten.
-    pub(super) fn keep_quarantines_again(&self, now: Moment) -> Vec<DirectEffect> {
+    pub(in crate::direct) fn keep_quarantines_again(&self, now: Moment) -> Vec<DirectEffect> {
         let active = self.quarantine.active(now).into_iter();
         let kept = active.filter(|(digest, _)| self.keeps_record(*digest));
         kept.map(|(digest, left)| DirectEffect::KeepQuarantine(digest, left)).collect()
@@ -127,7 +131,7 @@
     }
 
     /// Decides on the suspects, where that is due, and goes on with what waited for it.
-    pub(super) fn decide_suspects(&mut self, now: Moment) -> Vec<DirectEffect> {
+    pub(in crate::direct) fn decide_suspects(&mut self, now: Moment) -> Vec<DirectEffect> {
         if self.quarantine.next_verdict().is_none_or(|due| due > now) {
             return Vec::new();
         }
@@ -171,7 +175,7 @@
 
     /// Keeps a request from being run: it is refused, or waits for the verdict on it. Nothing where
     /// it may run.
-    pub(super) fn hold_suspect(
+    pub(in crate::direct) fn hold_suspect(
         &mut self,
         now: Moment,
         number: RequestNumber,
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -5,10 +5,10 @@
 };
 
 use crate::direct::event::{DirectRequest, RequestNumber};
-use crate::direct::forecast::WorkSize;
+use crate::direct::fleet::upstream::UpstreamStart;
+use crate::direct::placing::forecast::WorkSize;
 use crate::direct::route::{RepeatRule, RouteRule};
-use crate::direct::upstream::UpstreamStart;
-use crate::direct::waiting::WaitRank;
+use crate::direct::waiting::queue::WaitRank;
 
 /// One request in progress.
 #[derive(Debug)]
--- a/mustardrill_core/src/direct/cursor.rs
+++ b/mustardrill_core/src/direct/store/cursor.rs
@@ -6,7 +6,7 @@
 
 use mustardrill_types::{StoreEra, StoreRevision};
 
-use crate::direct::fleet::FleetPage;
+use crate::direct::fleet::page::FleetPage;
 
 /// What is to be done with a page.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/mustardrill_core/src/direct/gathering.rs
+++ b/mustardrill_core/src/direct/store/gathering.rs
@@ -12,7 +12,7 @@
 
 use mustardrill_types::{FastMap, Generation, InstanceId, Millis, Moment, ServiceName, StartStamp};
 
-use crate::direct::fleet::{FleetChange, FleetPage};
+use crate::direct::fleet::page::{FleetChange, FleetPage};
 
 /// The pause where anything else changed, above all where upstreams came or went: one that leaves is
 /// sent nothing more within 0.3 s.
--- a/mustardrill_core/src/direct/store_reader.rs
+++ b/mustardrill_core/src/direct/store/reader.rs
@@ -2,10 +2,10 @@
 
 use mustardrill_types::{Millis, Moment, StoreRevision};
 
-use crate::direct::cursor::{CursorVerdict, StoreCursor};
-use crate::direct::fleet::FleetPage;
-use crate::direct::freshness::{ProofClock, proved_at, returned_at};
-use crate::direct::watch_pace::{WatchPace, WatchSpan};
+use crate::direct::fleet::page::FleetPage;
+use crate::direct::store::cursor::{CursorVerdict, StoreCursor};
+use crate::direct::store::freshness::{ProofClock, proved_at, returned_at};
+use crate::direct::store::watch_pace::{WatchPace, WatchSpan};
 
 /// What an entry that follows the store knows of its own reading.
 #[derive(Debug, Default)]
--- a/mustardrill_core/src/direct/store_view.rs
+++ b/mustardrill_core/src/direct/store/view.rs
@@ -6,10 +6,10 @@
 use mustardrill_types::{FastSet, InstanceId, Millis, Moment};
 
 use crate::direct::event::DirectEffect;
-use crate::direct::fleet::{FleetChange, FleetPage, UpstreamRecord};
-use crate::direct::freshness::{ProofClock, returned_at};
+use crate::direct::fleet::page::{FleetChange, FleetPage, UpstreamRecord};
+use crate::direct::fleet::upstream::LapseCause;
 use crate::direct::reducer::DirectReducer;
-use crate::direct::upstream::LapseCause;
+use crate::direct::store::freshness::{ProofClock, returned_at};
 
 /// An entry that was without the store for less than this may have missed a naming that the
 /// platform counts as heard: single calls fail also where neither the store nor a link is down.
@@ -17,7 +17,7 @@
 
 impl DirectReducer {
     /// Takes what the store tells; the call was sent, or proves the configuration, at `sent`.
-    pub(super) fn fleet_seen(
+    pub(in crate::direct) fn fleet_seen(
         &mut self,
         now: Moment,
         page: FleetPage,
@@ -185,12 +185,12 @@
     }
 
     /// Until when an upstream that the store lists no more may be one that it forgot.
-    pub(super) fn return_limit(&self) -> Option<Moment> {
+    pub(in crate::direct) fn return_limit(&self) -> Option<Moment> {
         self.contact.return_limit(self.settings.lapse_grace)
     }
 
     /// Forgets upstreams that the store still lists no more after they had the time to be back.
-    pub(super) fn settle_lapsed(&mut self, now: Moment) {
+    pub(in crate::direct) fn settle_lapsed(&mut self, now: Moment) {
         if self.return_limit().is_none_or(|limit| self.proof.reaches(limit)) {
             self.upstreams.forget_lapsed(now);
             for id in std::mem::take(&mut self.unconfirmed) {
@@ -264,7 +264,7 @@
     }
 
     /// Notes that the store does not answer: whoever waits for it waits no longer.
-    pub(super) fn store_failed(&mut self, now: Moment) -> Vec<DirectEffect> {
+    pub(in crate::direct) fn store_failed(&mut self, now: Moment) -> Vec<DirectEffect> {
         if !self.store_away {
             warn!("dependency=store outcome=lost proof_age={}", age_text(&self.proof, now));
         }
