--- /dev/null
+++ b/mustardrill_core/src/direct/repeats/again.rs
@@ -0,0 +1,105 @@
+//! What follows an attempt that has no whole answer: another one, or the end of the request.
+//!
+//! Load pattern: upstreams crash, fail or turn requests away. What may have run is sent once more
+//! only where that is harmless, and all repeats together stay within the budget.
+
+use log::info;
+use mustardrill_types::{Millis, Moment, ResultCode};
+
+use crate::direct::event::{AttemptOutcome, DirectEffect, RequestNumber};
+use crate::direct::reducer::DirectReducer;
+use crate::direct::waiting::line::{FULL_RETRY, NO_UPSTREAM_RETRY};
+
+/// Upstreams that can't be reached before a request is given up.
+const UNREACHED_LIMIT: usize = 4;
+
+impl DirectReducer {
+    pub(in crate::direct) fn go_on(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+        outcome: AttemptOutcome,
+    ) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.get_mut(&number) else { return Vec::new() };
+        state.reached += u32::from(outcome != AttemptOutcome::NotSent);
+        match outcome {
+            AttemptOutcome::Whole => {
+                self.requests.remove(&number);
+                Vec::new()
+            }
+            AttemptOutcome::Failed => {
+                state.may_have_run = true;
+                if state.is_repeatable() && self.may_repeat(now, number) {
+                    return self.again(now, number);
+                }
+                self.requests.remove(&number);
+                vec![DirectEffect::PassOn(number)]
+            }
+            AttemptOutcome::Full | AttemptOutcome::Misdirected => {
+                if self.may_repeat(now, number) {
+                    return self.again(now, number);
+                }
+                let retry_after = self.spread(FULL_RETRY);
+                self.refuse(now, number, ResultCode::Overloaded, retry_after)
+            }
+            AttemptOutcome::NotSent => {
+                if state.tried.len() < UNREACHED_LIMIT {
+                    return self.again(now, number);
+                }
+                self.refuse(now, number, ResultCode::NoUpstream, NO_UPSTREAM_RETRY)
+            }
+            AttemptOutcome::Lost { delivered, .. } => {
+                state.may_have_run = true;
+                state.delivered |= delivered;
+                self.hold_suspect(now, number).unwrap_or_else(|| self.repeat_lost(now, number))
+            }
+        }
+    }
+
+    /// Sends a request whose last attempt was lost once more, or gives it up.
+    pub(in crate::direct) fn repeat_lost(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+    ) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.get(&number) else { return Vec::new() };
+        if state.is_repeatable() && self.may_repeat(now, number) {
+            return self.again(now, number);
+        }
+        self.refuse(now, number, ResultCode::Unknown, Millis(0))
+    }
+
+    /// Whether the request may be sent once more: by its route's attempts, its deadline and the
+    /// budget of its service.
+    fn may_repeat(&mut self, now: Moment, number: RequestNumber) -> bool {
+        let Some(state) = self.requests.get(&number) else { return false };
+        if state.reached >= state.attempts_limit || state.deadline <= now {
+            return false;
+        }
+        let share = &self.settings.retry;
+        let entries = self.census.count(now, share.window, &self.peers);
+        let window = self.windows.entry(state.service.clone()).or_default();
+        let granted = window.spend(now, share, entries);
+        if !granted {
+            info!("request={} decision=no-repeat reason=budget entries={entries}", state.attempt);
+        }
+        granted
+    }
+
+    pub(in crate::direct) fn again(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+    ) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.get(&number) else { return Vec::new() };
+        if !self.is_possible(now, state) {
+            let code = ResultCode::NoUpstream;
+            return self.refuse(now, number, code, NO_UPSTREAM_RETRY);
+        }
+        let rank = state.rank(now >= self.in_time_until(state));
+        match self.choose(now, state) {
+            Some(upstream) => self.send(now, number, upstream),
+            None => self.wait(now, number, rank),
+        }
+    }
+}
