--- a/mustardrill_agent/src/stock/actor.rs
+++ b/mustardrill_agent/src/stock/actor.rs
@@ -229,9 +229,8 @@
 }
 
 /// The share of the machine's link that chunks for other agents may take; the rest is for answers.
-/// Load pattern: engines are added while the others are overloaded. With all of the link, first
-/// events behind chunks of 42 ms came too late: 23 to 28 % of all while six copies were given, with
-/// half of it 5 to 12 %.
+/// Load pattern: engines are added while the others are overloaded. First events that wait behind
+/// chunks on the whole link come too late.
 const UPLOAD_SHARE: f64 = 0.5;
 
 /// How often the gauges are set: as often as they are usually read.
--- a/mustardrill_agent/src/stock/config.rs
+++ b/mustardrill_agent/src/stock/config.rs
@@ -32,9 +32,9 @@
     pub stock: StockSettings,
 }
 
-/// The part of the version bound after which the first engine loads, in percent. A version is
-/// staged everywhere within 0.35 to 0.36 of it on the links that the bound is made for; where it
-/// is sooner, waiting a little gives callers a choice of engines for longer.
+/// The part of the version bound after which the first engine loads, in percent: about when a version
+/// is staged everywhere. Where it is sooner, waiting a little gives callers a choice of engines for
+/// longer.
 const FIRST_TURN_PERCENT: u64 = 30;
 
 /// How long before the end of the version bound the last engine loads. Soon after it, entries send
--- a/mustardrill_agent/src/stock/fleet.rs
+++ b/mustardrill_agent/src/stock/fleet.rs
@@ -2,9 +2,8 @@
 //! before the agent tells entries of its engine.
 //!
 //! Load pattern: a version is named, and every agent wants to know who else needs it. Read from the
-//! store, that was a sixth of all calls in a day with 51 agents; with 204, the bytes of 204
-//! registrations for each of 41 agents in a region would take its link (28 Mbit/s) about a second
-//! just as the chunks come. An entry has read it all and tells it within the data centre.
+//! store by each of them, all registrations cross the links between regions just as the chunks do.
+//! An entry has read it all and tells it within the data centre.
 
 use std::time::Duration;
 
--- a/mustardrill_agent/src/stock/shelf.rs
+++ b/mustardrill_agent/src/stock/shelf.rs
@@ -9,8 +9,8 @@
 use mustardrill_core::stock::VersionId;
 use mustardrill_types::{ByteSize, ChunkIndex};
 
-/// The most that is kept: what a link of the engines' machines (7 to 10 Mbit/s) carries in 6 s, and
-/// a sixteenth of their memory.
+/// The most that is kept: what a narrow link carries while an engine starts, and a small part of an
+/// engine machine's memory.
 const SHELF_LIMIT: ByteSize = ByteSize(8 << 20);
 
 /// Chunks of one version; closed for good once the engine has answered.
--- a/mustardrill_agent/src/stock/watch.rs
+++ b/mustardrill_agent/src/stock/watch.rs
@@ -18,8 +18,8 @@
 /// The longest pause after a first call that failed.
 const FIRST_PAUSE: Millis = Millis(400);
 
-/// The longest pause after any. Refused calls are billed, and agents outnumber entries: with 0.2 to
-/// 0.4 s between calls, 204 of them would make 680 a second. Entries ask more often and tell agents.
+/// The longest pause after any. Refused calls are billed, and agents outnumber entries, which ask more
+/// often and tell agents.
 const LONGEST_PAUSE: Millis = Millis(2_000);
 
 /// How often the time is looked at while chunks are drawn or an order is under way: a chunk takes
--- a/mustardrill_core/src/direct/fleet/heard.rs
+++ b/mustardrill_core/src/direct/fleet/heard.rs
@@ -1,7 +1,7 @@
 //! What other entries told of their requests, summed for each upstream as their words come.
 //!
 //! Load pattern: a choice among all engines of a fleet for each request. Added up for each choice,
-//! the words of 35 entries on 120 engines were 4,200 look-ups; kept as sums they are 120.
+//! the look-ups would be as many as entries times engines; kept as sums they are one for each engine.
 
 use mustardrill_types::{FastMap, InstanceId, Millis, Moment, ServiceName};
 
--- a/mustardrill_core/src/direct/placing/pressure.rs
+++ b/mustardrill_core/src/direct/placing/pressure.rs
@@ -26,9 +26,9 @@
 /// at the load and the way between data centres.
 const PLACE_STEP: Millis = Millis(15);
 
-/// How long turns are kept after a place became free: 33 entries have had theirs then, and who goes
-/// first and has not come can't use the place. Kept for as long as nobody else frees one, an entry
-/// that had sent many requests was shut out of an engine with room for some seconds.
+/// How long turns are kept after a place became free: dozens of entries have had theirs then, and who
+/// goes first and has not come can't use the place. Kept for as long as nobody else frees one, they
+/// would shut an entry that has sent many requests out of an engine with room.
 const TURNS_KEPT: Millis = Millis(500);
 
 /// An entry's turn among those that have requests waiting for one upstream.
@@ -47,14 +47,12 @@
 /// From when on an entry may take a place that was heard to be free at `freed`: each takes one in
 /// each round.
 ///
-/// Load pattern: more requests than slots, waiting at all entries. A slot that became free was
-/// taken by five of six entries at once, so that engines had 21 requests for 16 slots and a request
-/// that was sent to be in time waited there for up to 300 ms. An engine that had loaded weights got
-/// 12 prompts at once, whose first events came after 600 ms. Who ended a request takes its place at
-/// once and tells the others; what it leaves, they take one after the other. Only who has requests
-/// waiting counts: with all 36 entries counted, a place idled for up to 0.5 s. Requests that come
-/// just then take turns as well: an engine that was back from loading got those of all entries at
-/// once, of which 237 were turned away and 401 stood still for 1.2 s in a switch of 204 engines.
+/// Load pattern: more requests than slots, waiting at all entries. Taken by all entries at once, a slot
+/// that became free gets several requests, and those that were sent to be in time wait inside the
+/// engine. Who ended a request takes its place at once and tells the others; what it leaves, they take
+/// one after the other. Only who has requests waiting counts, as a place would idle for the turns of
+/// the others. Requests that come just then take turns as well, so that an engine that is back from
+/// loading does not get those of all entries at once.
 pub(crate) fn place_open(freed: Moment, turn: &PlaceTurn) -> Moment {
     let rounds = turn.taken.saturating_mul(turn.waiting + 1);
     let turns = turn.before.saturating_add(rounds).saturating_add(1);
@@ -86,8 +84,8 @@
 /// How far apart the costs of upstreams may lie that count as equal, in requests there: what others
 /// sent in the time that their words take is not known.
 ///
-/// Load pattern: 36 entries that believe the same of 120 engines get 1,300 requests a second, 17 of
-/// them within the 13 ms that a word takes. Where all take the least of the same numbers, they meet at one engine.
+/// Load pattern: many entries believe the same of all engines, and get several requests within the time
+/// that a word takes. Where all take the least of the same numbers, they meet at one engine.
 const EQUAL_REQUESTS: f64 = 1.0;
 
 /// A far upstream is asked where a near one has this much more of its slots taken.
@@ -102,7 +100,7 @@
 
 /// Prompts yet to be read that weigh as much as all slots taken.
 ///
-/// They delay the first event by their whole time, which an objective of 300 to 400 ms bears once.
+/// They delay the first event by their whole time, which a usual objective bears once.
 const READING_SCALE_MS: f64 = 400.0;
 
 /// The cost of a choice.
--- a/mustardrill_core/src/direct/repeats/spending.rs
+++ b/mustardrill_core/src/direct/repeats/spending.rs
@@ -3,7 +3,7 @@
 //! Load pattern: an upstream crashes or fails part of its requests, and every entry repeats at
 //! once. The bound holds over all entries in any window, so each one takes an equal share of the
 //! allowance and a part of what its own requests earn. How many share is what each one sees: with
-//! shares cut for twelve entries, 36 of them might spend three allowances.
+//! shares cut for a fixed number of entries, a larger fleet might spend several allowances.
 
 use std::collections::VecDeque;
 
--- a/mustardrill_core/src/homes.rs
+++ b/mustardrill_core/src/homes.rs
@@ -9,8 +9,8 @@
 //!
 //! The origin takes few connections, and what it sends is shared among those that ask. In a fleet
 //! that is larger than a limit only some instances, as many of each data centre, draw from it, and
-//! the homes draw from these: 76 instances that all drew made each chunk so slow that it was given
-//! up and drawn anew, and the origin sent 2.9 copies.
+//! the homes draw from these: where all draw, each chunk is so slow that it is given up and drawn
+//! anew, and the origin sends several copies.
 
 use std::collections::BTreeMap;
 
--- a/mustardrill_core/src/relays.rs
+++ b/mustardrill_core/src/relays.rs
@@ -5,8 +5,7 @@
 //! go over the same links. Entries have links many times as wide. Each data centre's entries hand
 //! a version on to its agents, each chunk by one of them; one entry in all, near the origin, draws
 //! a chunk. So the origin sends one copy, each border carries one, and an engine's link carries
-//! one copy down and none up. With homes among the agents instead, 20 engines had a version of
-//! 2.36 MB after 4.05 s at the median, over links of 7.3 Mbit/s (2.6 s for a copy).
+//! one copy down and none up. Homes among the agents instead would use their links in both directions.
 
 use mustardrill_types::{ChunkIndex, DataCentre, FastMap, InstanceId, Millis, Moment};
 
@@ -17,7 +16,7 @@
 const AVOID_FAILED: Millis = Millis(1_500);
 
 /// An entry whose link carries less than this part of its data centre's widest is asked last: a
-/// chunk for 25 agents takes a link of 40 Mbit/s 123 ms, in which answers wait.
+/// chunk for all agents near it fills a narrow link while answers wait.
 const NARROW_PART: u32 = 2;
 
 /// The entries that may hand chunks on, as one process sees them.
@@ -39,9 +38,9 @@
 /// Whether the origin may be asked by one entry, after it could not be reached.
 ///
 /// Load pattern: the origin is away for some seconds while a version is drawn. Each chunk that
-/// anybody waits for failed within a millisecond and was asked for anew: 13 entries made 300 to
-/// 850 calls a second in vain, whose logs and connections took processor time from callers. Now
-/// one call in each rest finds out for all.
+/// anybody waits for fails within a millisecond and would be asked for anew, in hundreds of calls a
+/// second whose logs and connections take processor time from callers. One call in each rest finds
+/// out for all.
 #[derive(Debug, Default)]
 pub struct OriginGate {
     closed_until: Option<Moment>,
--- a/mustardrill_core/src/stock/entries.rs
+++ b/mustardrill_core/src/stock/entries.rs
@@ -9,9 +9,8 @@
 
 /// The entries as they were read last.
 ///
-/// Load pattern: engines load new weights while the store is away. Addresses read 6 s before were
-/// not used any more, so entries were not told that an engine takes no requests: 8 engines turned
-/// 400 requests away within 2 s, and 59 callers got no answer.
+/// Load pattern: engines load new weights while the store is away. Old addresses are used all the same:
+/// entries that are not told of a pause go on sending requests, which the engine turns away.
 #[derive(Debug, Default)]
 pub struct EntryBook {
     read_at: Option<Moment>,
--- a/mustardrill_core/src/stock/mod.rs
+++ b/mustardrill_core/src/stock/mod.rs
@@ -4,6 +4,7 @@
 //! what is drawn from where, when the staged copy is read back, and when the engine is ordered to
 //! load it. Nothing here does I/O or reads a clock.
 
+mod drawing;
 mod engine;
 mod entries;
 mod event;
--- a/mustardrill_core/src/stock/order.rs
+++ b/mustardrill_core/src/stock/order.rs
@@ -21,9 +21,9 @@
     ///
     /// Load pattern: versions named a few seconds apart, of which the newer one may be slow to
     /// come. Once its list is here its chunks can be drawn, and a load spared is worth more than
-    /// loads that are spread: each costs an engine 2.0 to 2.8 s without new requests, as it first
-    /// finishes what it runs. Until then the older one is gone on with: given up at the naming, it
-    /// left engines without any version that they might use while the origin was away for 5 s.
+    /// loads that are spread: for each an engine goes without new requests, as it first finishes what
+    /// it runs. Until then the older one is gone on with: given up at the naming, it leaves engines
+    /// without any version that they may use where the origin is away.
     pub(super) fn keeps_older(&self, newer: &VersionId) -> bool {
         let (Some(wanted), Some(stage)) = (&self.wanted, &self.stage) else { return false };
         if wanted.model != newer.model || wanted.version >= newer.version {
@@ -148,8 +148,7 @@
     ///
     /// Load pattern: an engine is ordered to load while requests are on their way to it, and one
     /// waits for a slot. Told at the order, it turned the former away and kept the latter for the
-    /// whole pause: 100 requests in a switch of 204 engines. Reading back takes long enough for
-    /// words to arrive and for a slot to become free.
+    /// whole pause. Reading back takes long enough for words to arrive and for a slot to become free.
     pub(super) fn begin_check(&self, version: &VersionId) -> Vec<StockEffect> {
         vec![
             StockEffect::TellEntries(version.model.clone(), EngineWord::Pausing),
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use log::{debug, info, warn};
+use log::{info, warn};
 use mustardrill_types::{
     ChunkIndex, FastMap, InstanceId, Millis, ModelName, Moment, WeightVersion,
 };
@@ -19,14 +19,11 @@
     EngineView, StockEffect, StockEvent, StockSettings, StockStatus, VersionId,
 };
 use crate::stock::following::FollowingList;
-use crate::transfer::{ChunkSource, DrawOutcome, TransferPeer, TransferPlan};
+use crate::transfer::{TransferPeer, TransferPlan};
 
 /// The version that engines hold before any is named.
 const FIRST_VERSION: WeightVersion = WeightVersion(1);
 
-/// The share of a version's chunks, in percent, from which on it is called coming.
-const COMING_SHARE: u32 = 67;
-
 /// How long an order may take before it is looked at again.
 pub(super) const ORDER_PATIENCE: Millis = Millis(4_000);
 
@@ -84,7 +81,7 @@
     /// When a list was last fetched for others.
     pub(super) list_lent: Moment,
     /// The version of which the entries were told that it is coming.
-    announced: Option<VersionId>,
+    pub(super) announced: Option<VersionId>,
     /// The turn of which the entries were told.
     pub(super) closing_told: Option<Moment>,
     /// Whether the staged copy may be of the version wanted, after a restart.
@@ -384,49 +381,6 @@
         }
     }
 
-    fn draw(
-        &mut self,
-        now: Moment,
-        wanted: &VersionId,
-        mut plan: Box<TransferPlan>,
-    ) -> (Option<StockStage>, Vec<StockEffect>) {
-        if plan.is_complete() {
-            let counts = plan.counts();
-            info!(
-                "weights version={wanted} outcome=staged origin_bytes={} entry_bytes={} peer_bytes={} corrupt={}",
-                counts.origin_bytes, counts.relay_bytes, counts.peer_bytes, counts.corrupt_chunks
-            );
-            let total = plan.manifest().chunk_count();
-            self.staged = Some((wanted.clone(), total));
-            return (Some(StockStage::Staged(plan, now)), Vec::new());
-        }
-        let late = plan.overdue(now).into_iter();
-        let mut effects: Vec<_> =
-            late.map(|(index, source)| StockEffect::CancelDraw(index, source)).collect();
-        let share = plan.held().count() * 100 / plan.manifest().chunk_count().max(1);
-        if share >= COMING_SHARE && self.announced.as_ref() != Some(wanted) {
-            self.announced = Some(wanted.clone());
-            effects.push(StockEffect::TellEntries(wanted.model.clone(), EngineWord::Coming));
-        }
-        let origin = self.origin();
-        for draw in plan.next_draws(now) {
-            let address = match &draw.source {
-                ChunkSource::Origin => origin,
-                ChunkSource::Relay(id) => self.relays.get(id).map(|relay| relay.address),
-                ChunkSource::Peer(id) => self.address(id),
-            };
-            match address {
-                Some(address) => {
-                    effects.push(StockEffect::Draw(wanted.clone(), draw, address));
-                }
-                None => {
-                    plan.finished(now, draw.index, &draw.source, &DrawOutcome::Failed);
-                }
-            }
-        }
-        (Some(StockStage::Drawing(plan)), effects)
-    }
-
     fn list_seen(
         &mut self,
         now: Moment,
@@ -472,26 +426,6 @@
         self.stage = Some(StockStage::Drawing(Box::new(plan)));
         Vec::new()
     }
-
-    fn draw_ended(
-        &mut self,
-        now: Moment,
-        version: &VersionId,
-        index: ChunkIndex,
-        source: &ChunkSource,
-        outcome: &DrawOutcome,
-    ) {
-        if self.wanted.as_ref() != Some(version) {
-            return;
-        }
-        if *outcome == DrawOutcome::Corrupt {
-            warn!("chunk version={version} index={index} source={source} outcome=corrupt");
-        }
-        debug!("chunk version={version} index={index} source={source} outcome={outcome:?}");
-        if let Some(plan) = self.plan_mut() {
-            plan.finished(now, index, source, outcome);
-        }
-    }
 }
 
 pub(super) fn version_of(served: &crate::direct::ServedWeights) -> VersionId {
--- a/mustardrill_core/src/stock/sources.rs
+++ b/mustardrill_core/src/stock/sources.rs
@@ -77,8 +77,8 @@
     /// Fetches the list of what the engine serves for agents that ask here for it.
     ///
     /// Load pattern: engines are added long after a version was named. Whoever is asked first has
-    /// loaded it without a list, and the newcomers are far down in rank: 31 engines added to 45
-    /// waited up to 12 s until their own turn to ask the origin came.
+    /// loaded it without a list, and the newcomers are far down in rank, so that their own turn to ask
+    /// the origin comes late.
     pub(super) fn list_wanted(&mut self, now: Moment, version: &VersionId) -> Vec<StockEffect> {
         let mut serving = self.engine.iter().flat_map(|engine| &engine.serving);
         let serves = serving.any(|served| version_of(served) == *version);
--- a/mustardrill_core/src/transfer/choice.rs
+++ b/mustardrill_core/src/transfer/choice.rs
@@ -84,12 +84,11 @@
             return paused;
         }
         // An origin that is slower than told, or still sends an earlier version, is behind with
-        // all chunks: drawing each anew makes it slower still (it sent 2.3 copies).
+        // all chunks: drawing each anew makes it slower still.
         let seen = f64::from(self.seen.count().max(1));
         let true_pace = (now.since(self.started).0 as f64 / seen).clamp(pace, pace * SLOWEST_PACE);
         let due = self.started + Millis((f64::from(index.0) * true_pace) as u64);
-        // Twice the time, as a drawer's turn may come late behind the turns before it: with once,
-        // an origin that was a quarter slower than told sent 1.6 copies.
+        // Twice the time, as a drawer's turn may come late behind the turns before it.
         let late = now.since(due).0 / (stall * 2);
         if late == 0 { 0 } else { (late + 1).min(paused + MOST_LATE_DRAWERS) }
     }
--- a/mustardrill_core/src/transfer/relayed.rs
+++ b/mustardrill_core/src/transfer/relayed.rs
@@ -10,8 +10,8 @@
 /// entries: some rounds of questions and answers.
 const PEERS_FIRST: Millis = Millis(300);
 
-/// A chunk that takes longer, with others in flight, tells of a narrow link: on those that the
-/// bounds are made for it takes 80 to 140 ms.
+/// A chunk that takes longer, with others in flight, tells of a link that is narrower than those that
+/// the bounds are made for.
 const SLOW_PACE: Millis = Millis(250);
 
 /// How long entries are left alone of which one says that the origin can't be had.
--- a/mustardrill_runtime/src/fleet_digest.rs
+++ b/mustardrill_runtime/src/fleet_digest.rs
@@ -1,8 +1,8 @@
 //! What an agent that starts needs of the fleet, as an entry near it tells.
 //!
-//! Load pattern: all processes restart at once. Each agent read everything from the store, with a
-//! configuration of which it needs some lines; 76 of them filled the links between regions
-//! (26 Mbit/s) for 8 s, in which entries could not read it either. An entry has read it all.
+//! Load pattern: all processes restart at once. Where each agent reads everything from the store, with
+//! a configuration of which it needs some lines, they fill the links between regions for seconds, in
+//! which entries can't read it either. An entry has read it all.
 
 use std::sync::Arc;
 
