--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -3,9 +3,7 @@
 use log::info;
 use mustardrill_types::{InstanceId, Millis, Moment, ResultCode, WeightVersion};
 
-use crate::direct::event::{
-    AttemptOutcome, DirectEffect, LoadReport, RefusalPlan, RequestNumber, SendPlan,
-};
+use crate::direct::event::{AttemptOutcome, DirectEffect, LoadReport, RequestNumber, SendPlan};
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::RequestStage;
 
@@ -128,34 +126,4 @@
         effects.extend(self.pump(now, &service));
         effects
     }
-
-    /// Ends a request without a whole answer, at once.
-    pub(super) fn refuse(
-        &mut self,
-        now: Moment,
-        number: RequestNumber,
-        code: ResultCode,
-        retry_after: Millis,
-    ) -> Vec<DirectEffect> {
-        let Some(state) = self.requests.remove(&number) else { return Vec::new() };
-        self.release(&state);
-        // A later attempt's refusal says nothing of an earlier one that may have run.
-        let code = match code {
-            _ if state.delivered => ResultCode::AnswerCut,
-            code if state.may_have_run && code.is_not_run() => ResultCode::Unknown,
-            code => code,
-        };
-        let usable = self.upstreams.usable(now, &state.service);
-        info!(
-            "request={} decision=refuse code={code} waited={} attempts={} queue={} usable={} fitting={} retry_after={retry_after} digest={}",
-            state.attempt,
-            now.since(state.arrived),
-            state.tried.len(),
-            self.queues.get(&state.service).map_or(0, |queue| queue.len()),
-            usable.len(),
-            usable.iter().filter(|upstream| self.fits(now, &state, upstream)).count(),
-            state.digest,
-        );
-        vec![DirectEffect::Refuse(number, RefusalPlan { code, retry_after })]
-    }
 }
--- a/mustardrill_core/src/direct/repeats/again.rs
+++ b/mustardrill_core/src/direct/repeats/again.rs
@@ -6,7 +6,7 @@
 use log::info;
 use mustardrill_types::{Millis, Moment, ResultCode};
 
-use crate::direct::event::{AttemptOutcome, DirectEffect, RequestNumber};
+use crate::direct::event::{AttemptOutcome, DirectEffect, RefusalPlan, RequestNumber};
 use crate::direct::reducer::DirectReducer;
 use crate::direct::waiting::line::{FULL_RETRY, NO_UPSTREAM_RETRY};
 
@@ -102,4 +102,34 @@
             None => self.wait(now, number, rank),
         }
     }
+
+    /// Ends a request without a whole answer, at once.
+    pub(in crate::direct) fn refuse(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+        code: ResultCode,
+        retry_after: Millis,
+    ) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.remove(&number) else { return Vec::new() };
+        self.release(&state);
+        // A later attempt's refusal says nothing of an earlier one that may have run.
+        let code = match code {
+            _ if state.delivered => ResultCode::AnswerCut,
+            code if state.may_have_run && code.is_not_run() => ResultCode::Unknown,
+            code => code,
+        };
+        let usable = self.upstreams.usable(now, &state.service);
+        info!(
+            "request={} decision=refuse code={code} waited={} attempts={} queue={} usable={} fitting={} retry_after={retry_after} digest={}",
+            state.attempt,
+            now.since(state.arrived),
+            state.tried.len(),
+            self.queues.get(&state.service).map_or(0, |queue| queue.len()),
+            usable.len(),
+            usable.iter().filter(|upstream| self.fits(now, &state, upstream)).count(),
+            state.digest,
+        );
+        vec![DirectEffect::Refuse(number, RefusalPlan { code, retry_after })]
+    }
 }
