Read again: one look at a turn for each step, a forecast only where an engine is about to load

Behaviour as it is. While weights were staged, each tick of an agent ranked all peers twice for its turn; now await_turn does it once and decides. A choice forecast the whole length of a request at every engine; now only at one whose turn is near. A usual request's size is told in one place (EngineForecast::usual, three copies before). Whether a request is large is known when its state is made. The word of an engine is encoded by one match.

--- a/mustardrill_core/src/direct/admit.rs
+++ b/mustardrill_core/src/direct/admit.rs
@@ -69,9 +69,9 @@
         let window = self.windows.entry(service.clone()).or_default();
         window.earn(now, &self.settings.retry);
         let customer = customer.map(|customer| (customer.name.clone(), customer.priority));
-        let mut state = RequestState::new(request, route, service, customer);
-        let profile = self.profile(&state.service);
-        state.large = profile.is_some_and(|it| EngineForecast::new(it).is_large(state.size));
+        let profile = self.profile(&service);
+        let large = profile.is_some_and(|it| EngineForecast::new(it).is_large(request.size));
+        let state = RequestState::new(request, route, service, customer, large);
         self.requests.insert(number, state);
         self.hold_suspect(now, number).unwrap_or_else(|| self.start(now, number))
     }
--- a/mustardrill_core/src/direct/placing/choice.rs
+++ b/mustardrill_core/src/direct/placing/choice.rs
@@ -49,7 +49,7 @@
             if room == 0 || now < self.place_open(now, upstream, room) {
                 continue;
             }
-            if !closing::takes(now, upstream.closes_at, self.whole_time(state, present)) {
+            if !closing::takes(now, upstream.closes_at, || self.whole_time(state, present)) {
                 continue;
             }
             let cost = pressure::cost(&ChoiceInputs {
--- a/mustardrill_core/src/direct/placing/closing.rs
+++ b/mustardrill_core/src/direct/placing/closing.rs
@@ -13,8 +13,13 @@
 /// An engine that has not paused so long after its turn goes on serving: its agent may have ended.
 const CLOSING_LIMIT: Millis = Millis(1_000);
 
-/// Whether an engine that is to load at `closes_at` is given a request that takes `whole` there.
-pub(crate) fn takes(now: Moment, closes_at: Option<Moment>, whole: Millis) -> bool {
+/// Whether an engine that is to load at `closes_at` is given a request; `whole` tells how long that
+/// takes there, and is asked only of an engine whose turn is near.
+pub(crate) fn takes(
+    now: Moment,
+    closes_at: Option<Moment>,
+    whole: impl FnOnce() -> Millis,
+) -> bool {
     let near = closes_at.filter(|closes| now < *closes + CLOSING_LIMIT);
-    near.is_none_or(|closes| now + whole <= closes + CLOSING_SLACK)
+    near.is_none_or(|closes| now + whole() <= closes + CLOSING_SLACK)
 }
--- a/mustardrill_core/src/direct/placing/forecast.rs
+++ b/mustardrill_core/src/direct/placing/forecast.rs
@@ -31,6 +31,11 @@
         Self { profile }
     }
 
+    /// A request of the service's usual size.
+    pub fn usual(&self) -> WorkSize {
+        WorkSize { prompt: self.profile.usual_prompt, answer: self.profile.usual_answer }
+    }
+
     /// One pass in which `running` requests write, in milliseconds.
     pub fn pass_ms(&self, running: u32) -> f64 {
         let step = self.profile.step_ms + self.profile.request_ms * f64::from(running);
@@ -61,9 +66,7 @@
 
     /// Whether a request takes much more of an engine than a usual one.
     pub fn is_large(&self, size: WorkSize) -> bool {
-        let usual =
-            WorkSize { prompt: self.profile.usual_prompt, answer: self.profile.usual_answer };
-        self.work_ms(size) > LARGE_WORK * self.work_ms(usual)
+        self.work_ms(size) > LARGE_WORK * self.work_ms(self.usual())
     }
 
     /// How long until a slot is free at an engine where `present` requests run or wait.
@@ -72,9 +75,7 @@
         if present < slots {
             return Millis(0);
         }
-        let usual =
-            WorkSize { prompt: self.profile.usual_prompt, answer: self.profile.usual_answer };
-        let turnover = self.whole_ms(slots, usual) / f64::from(slots);
+        let turnover = self.whole_ms(slots, self.usual()) / f64::from(slots);
         Millis((turnover * f64::from(present - slots + 1)) as u64)
     }
 
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -69,6 +69,7 @@
         route: &RouteRule,
         service: ServiceName,
         customer: Option<(CustomerName, Option<u8>)>,
+        large: bool,
     ) -> Self {
         let patience = request.patience.unwrap_or(route.timeout).min(route.timeout);
         let priority = customer.as_ref().and_then(|(_, priority)| *priority);
@@ -87,7 +88,7 @@
             service,
             model: request.model,
             size: request.size,
-            large: false,
+            large,
             reading: Millis(0),
             repeat: route.repeat,
             priority: priority.unwrap_or(route.priority),
--- a/mustardrill_core/src/direct/waiting/line.rs
+++ b/mustardrill_core/src/direct/waiting/line.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 use crate::direct::event::{DirectEffect, RequestNumber};
-use crate::direct::placing::forecast::{EngineForecast, WorkSize};
+use crate::direct::placing::forecast::EngineForecast;
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::{RequestStage, RequestState};
 use crate::direct::waiting::queue::WaitRank;
@@ -86,8 +86,7 @@
             return if ahead >= places { Millis(u64::MAX / 4) } else { Millis(0) };
         };
         let forecast = EngineForecast::new(profile);
-        let usual = WorkSize { prompt: profile.usual_prompt, answer: profile.usual_answer };
-        let whole = forecast.whole_ms(profile.slots, usual);
+        let whole = forecast.whole_ms(profile.slots, forecast.usual());
         // Others ask for the freed slots as well, so this entry gets its share of them.
         let entries = self.peers().len() + 1;
         let slots = self.upstreams.slots(&state.service).max(1);
--- a/mustardrill_core/src/stock/order.rs
+++ b/mustardrill_core/src/stock/order.rs
@@ -44,7 +44,7 @@
     }
 
     /// When this engine's turn to load comes; at once for one that serves nothing.
-    pub(super) fn turn(&self, wanted: &VersionId, staged: Moment) -> Moment {
+    fn turn(&self, wanted: &VersionId, staged: Moment) -> Moment {
         let Some(turn) = self.own_turn(wanted) else { return Moment(0) };
         if staged <= turn {
             return turn;
@@ -75,18 +75,30 @@
         span.turn(wanted.model.as_str().as_bytes(), &ids, &self.settings.own)
     }
 
-    /// Tells entries of this engine's turn once it is near, and again where it has moved.
-    pub(super) fn tell_closing(
+    /// Begins the load of what is staged at this engine's turn, and tells entries before.
+    pub(super) fn await_turn(
         &mut self,
         now: Moment,
         wanted: &VersionId,
+        plan: Box<TransferPlan>,
         staged: Moment,
-    ) -> Vec<StockEffect> {
+    ) -> (Option<StockStage>, Vec<StockEffect>) {
+        // Read back from an engine that is away, all chunks would count as lost.
+        if self.engine.is_none() {
+            return (Some(StockStage::Staged(plan, staged)), Vec::new());
+        }
         let turn = self.turn(wanted, staged);
+        if turn <= now {
+            return (Some(StockStage::Checking(plan)), self.begin_check(wanted));
+        }
+        (Some(StockStage::Staged(plan, staged)), self.tell_closing(now, wanted, turn))
+    }
+
+    /// Tells entries of this engine's turn once it is near, and again where it has moved.
+    fn tell_closing(&mut self, now: Moment, wanted: &VersionId, turn: Moment) -> Vec<StockEffect> {
         let left = turn.since(now);
         let is_told = |told: Moment| turn.0.abs_diff(told.0) < TURN_MOVED.0;
-        let moved = !self.closing_told.is_some_and(is_told);
-        if self.engine.is_none() || left == Millis(0) || left > CLOSING_SPAN || !moved {
+        if left > CLOSING_SPAN || self.closing_told.is_some_and(is_told) {
             return Vec::new();
         }
         self.closing_told = Some(turn);
@@ -149,7 +161,7 @@
     /// Load pattern: an engine is ordered to load while requests are on their way to it, and one
     /// waits for a slot. Told at the order, it turned the former away and kept the latter for the
     /// whole pause. Reading back takes long enough for words to arrive and for a slot to become free.
-    pub(super) fn begin_check(&self, version: &VersionId) -> Vec<StockEffect> {
+    fn begin_check(&self, version: &VersionId) -> Vec<StockEffect> {
         vec![
             StockEffect::TellEntries(version.model.clone(), EngineWord::Pausing),
             StockEffect::ReadBack(version.clone()),
--- a/mustardrill_core/src/stock/reducer.rs
+++ b/mustardrill_core/src/stock/reducer.rs
@@ -363,16 +363,7 @@
                 (Some(stage), vec![StockEffect::FetchList(wanted.clone(), sources)])
             }
             StockStage::Drawing(plan) => self.draw(now, wanted, plan),
-            // Read back from an engine that is away, all chunks would count as lost.
-            StockStage::Staged(plan, staged)
-                if self.engine.is_some() && self.turn(wanted, staged) <= now =>
-            {
-                (Some(StockStage::Checking(plan)), self.begin_check(wanted))
-            }
-            StockStage::Staged(plan, staged) => {
-                let closing = self.tell_closing(now, wanted, staged);
-                (Some(StockStage::Staged(plan, staged)), closing)
-            }
+            StockStage::Staged(plan, staged) => self.await_turn(now, wanted, plan, staged),
             StockStage::Ordered(plan, order) if now.since(order.since) > ORDER_PATIENCE => {
                 warn!("order version={wanted} outcome=overdue");
                 (Some(StockStage::Staged(plan, now)), Vec::new())
--- a/mustardrill_runtime/src/datagram.rs
+++ b/mustardrill_runtime/src/datagram.rs
@@ -188,16 +188,13 @@
     /// What an agent tells of the engine at `address`.
     pub fn new(address: SocketAddr, model: &ModelName, word: EngineWord) -> Self {
         let (address, model) = (address.to_string(), model.to_string());
-        let version = match word {
-            EngineWord::Serving(version) => version.0,
-            EngineWord::Coming | EngineWord::Closing(_) | EngineWord::Pausing => 0,
-        };
-        let closing_ms = match word {
-            EngineWord::Closing(after) => after.0.max(1),
-            _ => 0,
-        };
         // Who does not know of closing engines takes their weights for coming ones.
-        let coming = word == EngineWord::Coming || closing_ms > 0;
+        let (coming, version, closing_ms) = match word {
+            EngineWord::Coming => (true, 0, 0),
+            EngineWord::Closing(after) => (true, 0, after.0.max(1)),
+            EngineWord::Pausing => (false, 0, 0),
+            EngineWord::Serving(version) => (false, version.0, 0),
+        };
         Self { address, coming, model, version, closing_ms }
     }
 
