--- a/mustardrill_agent/src/stock/peers.rs
+++ b/mustardrill_agent/src/stock/peers.rs
@@ -19,7 +19,7 @@
 
 /// The time of uploads that may wait for the link. One chunk more is then accepted: enough to keep
 /// the link busy, and little enough that an event of an answer, which goes over the same link, is
-/// not held up behind them. With 120 ms of uploads waiting, two of five streams were late.
+/// not held up behind them.
 const LONGEST_QUEUE: Millis = Millis(45);
 
 /// The size by which uploads are counted before they are read, in bytes.
--- a/mustardrill_core/src/direct/fleet/telling.rs
+++ b/mustardrill_core/src/direct/fleet/telling.rs
@@ -1,17 +1,16 @@
 //! What an entry tells the others of its requests at upstreams, and when.
 //!
 //! Load pattern: several entries have requests waiting, and an engine has room. Each of them sends
-//! until it hears of the others' requests; what is told late is sent twice and more. With load told
-//! every 50 ms, 12 prompts reached an engine at once, and their first events came after 490 ms in
-//! place of 90. Rises are therefore told within 10 ms, and only what changed, as the bytes cross
-//! borders that are billed.
+//! until it hears of the others' requests; what is told late is sent twice and more, and the first
+//! events of all wait for each other's prompts. Rises are therefore told at once, and only what
+//! changed, as the bytes cross borders that are billed.
 
 use mustardrill_types::{FastMap, InstanceId, Millis, Moment, ServiceName};
 
 use crate::direct::event::UpstreamLoad;
 
-/// Falls are told after this: an engine ends a request about every 85 ms at full load, and one that
-/// is believed to be a little fuller than it is loses less than one that is overrun.
+/// Falls are told after this, sooner than a full engine ends its next request: one that is believed to
+/// be a little fuller than it is loses less than one that is overrun.
 const TELL_FALLS: Millis = Millis(50);
 
 /// Everything is told anew after this, so that a lost datagram is mended and silence means absence.
--- a/mustardrill_core/src/direct/fleet/upstream.rs
+++ b/mustardrill_core/src/direct/fleet/upstream.rs
@@ -37,7 +37,7 @@
 /// weights, are there than believed.
 const FIRST_REST: Millis = Millis(150);
 
-/// How often the rest is doubled: one with a long queue of its own needs 1.2 s to work it off.
+/// How often the rest is doubled: one with a long queue of its own needs that long to work it off.
 const REST_DOUBLINGS: u32 = 3;
 
 /// One start of an upstream. What was sent to it is not counted at a later start, which knows
--- a/mustardrill_core/src/direct/store/freshness.rs
+++ b/mustardrill_core/src/direct/store/freshness.rs
@@ -46,8 +46,8 @@
 ///
 /// The store answers a watch when something changes, and after its time otherwise. Where nothing
 /// changed and that time has passed, it looked at the end of it; any other answer may have been made
-/// just after the sending. Load pattern: the store goes away. With a limit of 4.5 s and watches of
-/// 1.5 s, entries go on with known customers for 2.5 s at least, in place of 1.0 s.
+/// just after the sending. Load pattern: the store goes away. Proved at its end, a watch lets entries go
+/// on with known customers for longer by its own time.
 pub fn proved_at(sent: Moment, answered: Moment, wait: Millis, unchanged: bool) -> Moment {
     if unchanged && answered.since(sent) >= wait { sent + wait } else { sent }
 }
--- a/mustardrill_core/src/direct/store/gathering.rs
+++ b/mustardrill_core/src/direct/store/gathering.rs
@@ -1,12 +1,12 @@
 //! How long an entry lets changes gather at the store before it asks for more of them.
 //!
-//! Load pattern: engines load weights and tell so by their registrations, fifty times a second in a
-//! fleet of 45. Each answered watch is a billed call, and agents tell entries of their engines anyway.
+//! Load pattern: engines load weights and tell so by their registrations, many times a second. Each
+//! answered watch is a billed call, and agents tell entries of their engines anyway.
 //! Upstreams that come or go are another matter: after a restart of all, whoever knows only the names
 //! of before sends to nobody, and while the last one of a service is gone its requests are refused.
 //!
-//! Load pattern: configurations in quick succession, of hundreds of kilobytes each. A watch tells each
-//! of them in full to each entry, and fills the links between regions for seconds, over which other
+//! Load pattern: large configurations in quick succession. A watch tells each of them in full to each
+//! entry, and fills the links between regions for seconds, over which other
 //! entries then reach neither the store nor weights. Read as a whole after a pause, only the newest
 //! one crosses.
 
@@ -14,8 +14,8 @@
 
 use crate::direct::fleet::page::{FleetChange, FleetPage};
 
-/// The pause where anything else changed, above all where upstreams came or went: one that leaves is
-/// sent nothing more within 0.3 s.
+/// The pause where anything else changed, above all where upstreams came or went: one that leaves is to
+/// be sent nothing more within twice that.
 const SOON: Millis = Millis(150);
 
 /// The pause where engines only told what they serve: a quarter of the tightest bound on a change.
--- a/mustardrill_core/src/direct/store/view.rs
+++ b/mustardrill_core/src/direct/store/view.rs
@@ -209,7 +209,7 @@
     ///
     /// Counted from its sighting, an entry that starts long after the naming would send to engines
     /// with the older version for the whole patience once more. After an outage the platform counts
-    /// anew: stopping at once then left engines idle for 7 s that nothing newer could reach.
+    /// anew: stopping at once would leave engines idle that nothing newer can reach yet.
     ///
     /// A call that is answered sooner than the one before it was over may tell what happened in
     /// the pause between them; one that has waited for longer was answered at the naming.
--- a/mustardrill_core/src/direct/waiting/holding.rs
+++ b/mustardrill_core/src/direct/waiting/holding.rs
@@ -1,9 +1,9 @@
 //! Requests that came before the entry could know whether it may serve them.
 //!
-//! Load pattern: all entries lose power and start again. Reading the first configuration takes up
-//! to 1.0 s, as all read it over the same links. Each caller that was refused meanwhile tried
-//! another entry, which was starting too, and gave up: 410 refusals in a day, 13 since. The first
-//! answer of the store is near, so they wait for it; where the store does not answer they don't.
+//! Load pattern: all entries lose power and start again, and read the first configuration over the
+//! same links. A caller that is refused meanwhile tries another entry, which is starting too, and
+//! gives up. The first answer of the store is near, so they wait for it; where the store does not
+//! answer they don't.
 
 use std::collections::VecDeque;
 
--- a/mustardrill_core/src/stock/sources.rs
+++ b/mustardrill_core/src/stock/sources.rs
@@ -29,8 +29,8 @@
 /// transfer or a machine that was cut off left behind, and as many for lists and successors.
 const CONNECTIONS_PER_DRAWER: usize = 2;
 
-/// The pause between two tries is doubled this often at most: to 300 ms. With 600 ms the last
-/// agents began 0.7 s after the origin's return, a quarter of what a copy takes.
+/// The pause between two tries is doubled this often at most: the last agents are to begin within a
+/// small part of a copy's time after the origin's return.
 const LONGEST_LIST_BACKOFF: u32 = 1;
 
 impl StockReducer {
@@ -66,8 +66,8 @@
             let any = &ids[self.random.random_range(0..ids.len())];
             peers.push(WeightSource::Peer(any.clone()));
         }
-        // Each try lets a few more ask the origin. All at once, a fleet of 76 that lost power took
-        // all of its connections again and again, and nobody got an answer for 15 s.
+        // Each try lets a few more ask the origin. All at once, a fleet that lost power takes all of
+        // its connections again and again, and nobody gets an answer.
         if place < LIST_DRAWERS * (tries as usize + 1) {
             return origin.into_iter().chain(peers).collect();
         }
--- a/mustardrill_core/src/transfer/mod.rs
+++ b/mustardrill_core/src/transfer/mod.rs
@@ -367,8 +367,8 @@
     }
 }
 
-/// A busy partner is left alone for this many times that a link takes for a chunk. Twice that left
-/// links idle between two chunks: the median instance had staged a version after 4.3 s, now 4.05 s.
+/// A busy partner is left alone for this many times that a link takes for a chunk; longer leaves links
+/// idle between two chunks.
 const BUSY_PACES: f64 = 0.6;
 
 /// A chunk of the origin is given this many times what it takes while all drawers draw at once.
--- a/mustardrill_core/src/transfer/relayed.rs
+++ b/mustardrill_core/src/transfer/relayed.rs
@@ -16,9 +16,9 @@
 
 /// How long entries are left alone of which one says that the origin can't be had.
 ///
-/// Load pattern: the origin is away. Counted as failed, the entries were left one after the other,
-/// until each agent asked the origin itself; on its return all of them drew the same chunks from
-/// it, and the first engine had them after 8 s. The rest is about what entries take to notice.
+/// Load pattern: the origin is away. Counted as failed, the entries would be left one after the other,
+/// until each agent asks the origin itself, and on its return all draw the same chunks from it. The
+/// rest is about what entries take to notice.
 const RELAY_REST: Millis = Millis(150);
 
 /// With each time of so many stalls that passes, one more instance asks far entries for a chunk
@@ -52,9 +52,8 @@
 
     /// Chunks in flight from entries at once.
     ///
-    /// Load pattern: an engine's link narrows to an eighth in the middle of a copy. What is in
-    /// flight then waits before the link, and requests wait behind it: three chunks were 0.65 s,
-    /// so that requests reached engines after their callers had left.
+    /// Load pattern: an engine's link narrows in the middle of a copy. What is in flight then waits
+    /// before the link, and requests wait behind it until their callers have left.
     pub(super) fn relay_window(&self) -> usize {
         let window = self.settings.relay_window;
         if self.pace > SLOW_PACE { window.min(1) } else { window }
--- a/mustardrill_entry/src/direct/relay.rs
+++ b/mustardrill_entry/src/direct/relay.rs
@@ -40,15 +40,14 @@
 const HAND_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// How long an entry that draws an item is waited for. Drawing it a second time instead slows the
-/// first: after an origin's return four copies went over its link in 8 s, in place of one in 2 s.
+/// first, and several copies go over the origin's link.
 const LONGEST_HAND: Duration = Duration::from_millis(4_000);
 
 /// The entries that are asked to draw an item: some may have lost their way to the origin.
 const DRAWERS_ASKED: usize = 3;
 
 /// Chunks drawn from the origin at once by one entry: enough to keep its link busy, and few enough
-/// that the list of the next version doesn't wait long behind them. With 12 chunks in flight over
-/// all agents a list took 0.5 s.
+/// that the list of the next version doesn't wait long behind them.
 const ORIGIN_DRAWS: usize = 3;
 
 /// The share of an entry's link that chunks may take, in percent; the rest is for answers.
