--- a/mustardrill_standins/tests/prepared/fleet.rs
+++ b/mustardrill_standins/tests/prepared/fleet.rs
@@ -36,9 +36,11 @@
     }
 }
 
-/// An address of this machine alone for each machine of a fleet, and another for each test.
+/// An address of this machine alone for each machine of a fleet, and others for each test and each run
+/// of the tests: daemons listen at ports that are the same on all machines.
 pub fn machine(test: u8, number: u8) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 10, test, number))
+    let run = 10 + (std::process::id() % 240) as u8;
+    IpAddr::V4(Ipv4Addr::new(127, run, test, number))
 }
 
 pub async fn listen(
