Limits of upstreams: entries log which rate an upstream accepts, and what they send there

A statement that is no rate is told with its value and changes nothing; of several the lowest counts.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -95,10 +95,13 @@
         }
         let prefill_time = self.prefill_time(state);
         let start = target.start();
+        let attempt_id = state.attempt_id.clone();
         self.upstreams.record_sent(&start, prefill_time);
+        self.record_limited_send(now, &attempt_id, &start);
         if let Some(state) = self.requests.get_mut(&number) {
             state.pending_prefill = prefill_time;
             state.has_started = false;
+            state.has_stated_intake = false;
             state.sent_at = now;
             state.expected_version = weights;
             state.start_forecast = forecast;
@@ -117,6 +120,7 @@
         version: Option<WeightVersion>,
     ) {
         self.record_attempt_start(now, number, version);
+        self.record_missing_intake_statement(now, number);
         let Some(state) = self.requests.get_mut(&number) else { return };
         let RequestStage::Sent(upstream) = state.stage.clone() else { return };
         self.upstreams.record_prefill_end(&upstream, std::mem::take(&mut state.pending_prefill));
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -9,6 +9,7 @@
 
 use crate::direct::fleet::load_broadcast::LoadUpdate;
 use crate::direct::fleet::update::FleetUpdate;
+use crate::direct::intake::limit::IntakeStatement;
 use crate::direct::placement::forecast::WorkSize;
 use crate::direct::retries::retry_budget::RetryShare;
 use crate::direct::route::RepeatRule;
@@ -114,6 +115,9 @@
     /// The answer to the current attempt started; with the upstream's load and the weights that
     /// produce it, where reported.
     AnswerStarted(RequestNumber, Option<LoadReport>, Option<WeightVersion>),
+    /// The answer to the current attempt states which request rate the upstream accepts. Told
+    /// before `AnswerStarted`, and only for answers that carry such a statement.
+    IntakeStated(RequestNumber, IntakeStatement),
     /// The current attempt of the request ended.
     AttemptEnded(RequestNumber, AttemptOutcome),
     /// The store answered a call that was sent at the given moment.
@@ -273,6 +277,8 @@
     pub requests: usize,
     /// Requests that wait for an upstream with capacity.
     pub waiting: usize,
+    /// Listed upstreams that limit the request rate that they accept.
+    pub limited: usize,
     /// Requests that are not run for a while because upstreams crash while running them.
     pub quarantined: usize,
     /// Answers that started on superseded weights after the allowed time, as observed by this
--- a/mustardrill_core/src/direct/fleet/upstream.rs
+++ b/mustardrill_core/src/direct/fleet/upstream.rs
@@ -5,6 +5,7 @@
 
 use crate::direct::event::{AttemptOutcome, UpstreamLoad};
 use crate::direct::fleet::update::{ServedWeights, UpstreamRecord};
+use crate::direct::intake::limit::IntakeLimit;
 
 /// Weight of one outcome in the moving average of failures.
 ///
@@ -81,6 +82,8 @@
     pub(crate) cooldown_until: Moment,
     /// Number of cool-downs since it last accepted a request.
     cooldowns: u32,
+    /// The request rate that it accepts from all entries together.
+    pub(crate) intake_limit: IntakeLimit,
     /// Set once its registration has expired, if the upstream may still be running.
     pub(crate) expired_registration: Option<ExpiredRegistration>,
 }
@@ -152,6 +155,7 @@
             crashed_until: Moment(0),
             cooldown_until: Moment(0),
             cooldowns: 0,
+            intake_limit: IntakeLimit::default(),
             expired_registration: None,
         }
     }
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -212,12 +212,17 @@
         self.states.values().filter(|state| state.expired_registration.is_some()).count()
     }
 
+    /// Counts the upstreams that limit the request rate that they accept.
+    pub(crate) fn limited_count(&self) -> usize {
+        self.states.values().filter(|state| state.intake_limit.rate().is_some()).count()
+    }
+
     pub(crate) fn get(&self, id: &InstanceId) -> Option<&UpstreamState> {
         self.states.get(id)
     }
 
     /// Returns the state of an upstream if exactly this incarnation of it is known.
-    fn incarnation_mut(&mut self, start: &UpstreamStart) -> Option<&mut UpstreamState> {
+    pub(crate) fn incarnation_mut(&mut self, start: &UpstreamStart) -> Option<&mut UpstreamState> {
         let state = self.states.get_mut(&start.id)?;
         (state.record.start == start.start).then_some(state)
     }
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod dispatch;
 mod event;
 mod fleet;
+mod intake;
 mod placement;
 mod reducer;
 mod request;
@@ -24,6 +25,7 @@
 };
 pub use fleet::load_broadcast::{LoadBroadcaster, LoadRows, LoadUpdate, WaitRows};
 pub use fleet::update::{FleetChange, FleetUpdate, PeerRecord, ServedWeights, UpstreamRecord};
+pub use intake::limit::IntakeStatement;
 pub use placement::forecast::{EngineForecast, WorkSize};
 pub use reducer::DirectReducer;
 pub use retries::retry_budget::{RetryShare, RetryWindow};
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -151,6 +151,10 @@
                 self.record_answer_start(now, number, load, version);
                 Vec::new()
             }
+            DirectEvent::IntakeStated(number, statement) => {
+                self.record_intake_statement(now, number, &statement);
+                Vec::new()
+            }
             DirectEvent::AttemptEnded(number, outcome) => self.finish_attempt(now, number, outcome),
             DirectEvent::StoreAnswered(update, sent) => self.apply_fleet_update(now, update, sent),
             DirectEvent::StoreFailed => self.record_store_failure(now),
@@ -284,6 +288,7 @@
             expired: self.upstreams.expired_count(),
             requests: self.requests.len(),
             waiting: self.queues.values().map(WaitQueue::len).sum(),
+            limited: self.upstreams.limited_count(),
             quarantined: self.quarantine.quarantined_count(now),
             started_late: self.started_late,
         }
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -55,6 +55,8 @@
     pub(crate) start_forecast: Millis,
     /// Whether the answer to the current attempt has started.
     pub(crate) has_started: bool,
+    /// Whether the answer to the current attempt stated which request rate its upstream accepts.
+    pub(crate) has_stated_intake: bool,
     /// The limits of the current attempt, where its weights are being superseded.
     pub(crate) superseded_attempt: Option<SupersededAttempt>,
 }
@@ -116,6 +118,7 @@
             expected_version: None,
             start_forecast: Millis(0),
             has_started: false,
+            has_stated_intake: false,
             superseded_attempt: None,
         }
     }
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -331,6 +331,7 @@
             ("store_era", status.era.0),
             ("upstreams", status.upstreams as u64),
             ("upstreams_lapsed", status.expired as u64),
+            ("upstreams_limited", status.limited as u64),
             ("requests_open", status.requests as u64),
             ("requests_waiting", status.waiting as u64),
             ("requests_quarantined", status.quarantined as u64),
--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -12,7 +12,8 @@
 use hyper::{HeaderMap, Response, StatusCode, http};
 use kameo::prelude::*;
 use mustardrill_core::direct::{
-    AttemptOutcome, DirectEvent, DirectRequest, LoadReport, RequestNumber, SendPlan,
+    AttemptOutcome, DirectEvent, DirectRequest, IntakeStatement, LoadReport, RequestNumber,
+    SendPlan,
 };
 use mustardrill_runtime::adapters::AnswerKind;
 use mustardrill_runtime::http::refuses_connections;
@@ -214,6 +215,7 @@
             AnswerKind::Answer { success, load, version } => {
                 let took = self.context.clock.now().since(sent_at).0;
                 let _ = self.context.metrics.time("first_ms", took);
+                self.report_intake(plan, response.headers()).await;
                 self.report_answer_start(load, version).await;
                 Ok(AcceptedAnswer { response, connection, success })
             }
@@ -227,8 +229,12 @@
                 Err(lost)
             }
             AnswerKind::Full | AnswerKind::Misdirected => {
-                self.drain_refusal(plan, response, connection).await;
                 let is_full = kind == AnswerKind::Full;
+                // A misdirected request may have been answered by another upstream.
+                if is_full {
+                    self.report_intake(plan, response.headers()).await;
+                }
+                self.drain_refusal(plan, response, connection).await;
                 Err(if is_full { AttemptOutcome::Full } else { AttemptOutcome::Misdirected })
             }
         }
@@ -239,6 +245,27 @@
         let _ = self.actor.tell(Event(event)).await;
     }
 
+    /// Reports which request rate the upstream accepts, if the answer states one.
+    async fn report_intake(&self, plan: &SendPlan, headers: &HeaderMap) {
+        let statement = self.context.adapters.dialect.read_intake(headers);
+        if statement == IntakeStatement::default() {
+            return;
+        }
+        if let Some(text) = &statement.malformed {
+            log::warn!(
+                "request={} instance={} limit=malformed value={text:?} used={} expected=\"one \
+                 decimal number of requests per second, such as 2.5\"",
+                self.caller_request_id,
+                plan.upstream,
+                statement.limit.map_or("none".into(), |limit| limit.to_string())
+            );
+        }
+        let label = if statement.malformed.is_some() { "malformed" } else { "valid" };
+        let _ = self.context.metrics.count(&format!("limit_statements.{label}"), 1);
+        let event = DirectEvent::IntakeStated(self.number, statement);
+        let _ = self.actor.tell(Event(event)).await;
+    }
+
     /// Reads a refusal to its end, so that its connection can be reused.
     async fn drain_refusal(
         &self,
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -4,7 +4,7 @@
 use mustardrill_runtime::exposition::{MetricKind, MetricRow};
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 14] = [
+pub const METRICS: [MetricRow; 16] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -26,6 +26,16 @@
         MetricKind::Counter("kind"),
         "Bytes of weights drawn from the origin and given to others.",
     ),
+    MetricRow::new(
+        "limit_statements",
+        MetricKind::Counter("form"),
+        "Answers that state which request rate their upstream accepts, by whether it is valid.",
+    ),
+    MetricRow::new(
+        "upstreams_limited",
+        MetricKind::Gauge,
+        "Upstreams that limit the request rate that they accept.",
+    ),
     MetricRow::new("generation", MetricKind::Gauge, "The configuration in force; zero for none."),
     MetricRow::new(
         "proof_age_ms",
--- a/mustardrill_types/src/lib.rs
+++ b/mustardrill_types/src/lib.rs
@@ -16,4 +16,4 @@
 };
 pub use map::{FastMap, FastSet};
 pub use time::{Millis, Moment};
-pub use unit::{ByteRate, ByteSize, ParseUnitError};
+pub use unit::{ByteRate, ByteSize, ParseUnitError, RequestRate};
--- a/mustardrill_types/src/unit.rs
+++ b/mustardrill_types/src/unit.rs
@@ -1,5 +1,5 @@
-//! Sizes in bytes and rates in bytes per second, parsed from text with decimal units (1 KB is 1,000
-//! B).
+//! Sizes in bytes, rates in bytes or requests per second, parsed from text with decimal units (1 KB
+//! is 1,000 B).
 
 use std::str::FromStr;
 
@@ -45,6 +45,12 @@
 #[display("{_0}B/s")]
 pub struct ByteRate(pub u64);
 
+/// A rate of requests, in thousandths of a request per second. It is written as a decimal number of
+/// requests per second, such as `2.5/s`; the parser also accepts it without `/s`.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[display("{}/s", *_0 as f64 / 1_000.0)]
+pub struct RequestRate(pub u64);
+
 /// The error for text that is not a valid size, rate or span of time.
 #[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
 #[display("\"{value}\" is not {expected}")]
@@ -70,6 +76,32 @@
     }
 }
 
+impl RequestRate {
+    /// The largest rate that the parser accepts.
+    pub const MAX: Self = Self(1_000_000_000);
+
+    /// Returns the rate in requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0 as f64 / 1_000.0
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, ParseUnitError> {
+        const EXPECTED: &str =
+            "a decimal number of requests per second from 0 to 1000000, such as 2.5";
+        let number = text.trim();
+        let number = number.strip_suffix("/s").unwrap_or(number);
+        // The standard parser also accepts signs, exponents, infinity and NaN.
+        let is_decimal = number.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+        let rate = number.parse::<f64>().ok().filter(|_| is_decimal);
+        let rate = rate.map(|rate| rate * 1_000.0).filter(|rate| *rate <= Self::MAX.0 as f64);
+        rate.map(|rate| Self(rate.round() as u64)).ok_or(ParseUnitError::new(text, EXPECTED))
+    }
+}
+
 impl FromStr for ByteSize {
     type Err = ParseUnitError;
 
