--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod fleet;
 mod leaving;
+mod limits;
 mod rewound;
 mod soak;
 mod store;
--- a/mustardrill_standins/tests/prepared/versions.rs
+++ b/mustardrill_standins/tests/prepared/versions.rs
@@ -27,11 +27,11 @@
 
 /// Entries with a link each to the store, in front of engines without agents: these keep the
 /// weights that they have.
-struct EngineFleet {
-    store: Store,
-    links: Vec<LabLink>,
-    entries: Vec<LabProcess>,
-    engines: Vec<Worker>,
+pub struct EngineFleet {
+    pub store: Store,
+    pub links: Vec<LabLink>,
+    pub entries: Vec<LabProcess>,
+    pub engines: Vec<Worker>,
     client: HttpClient,
     folder: PathBuf,
     /// How long a request may still start on superseded weights after newer ones were announced.
@@ -46,7 +46,7 @@
 }
 
 impl EngineFleet {
-    async fn start(test: u8, entries: u8, engines: Vec<Worker>, bound_s: u64) -> Self {
+    pub async fn start(test: u8, entries: u8, engines: Vec<Worker>, bound_s: u64) -> Self {
         let folder = std::env::temp_dir()
             .join(format!("mustardrill-versions-{test}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
@@ -100,7 +100,7 @@
 
     /// Starts a call to every entry each `CALL_INTERVAL` for `span`; the calls may last longer. An
     /// attempt's id ends with its entry.
-    async fn call_for(&self, span: Duration, name: &str) -> JoinSet<CallerView> {
+    pub async fn call_for(&self, span: Duration, name: &str) -> JoinSet<CallerView> {
         let started_at = Instant::now();
         let mut calls = JoinSet::new();
         for number in 0.. {
@@ -173,7 +173,7 @@
     }
 }
 
-fn is_complete(view: &CallerView) -> bool {
+pub fn is_complete(view: &CallerView) -> bool {
     view.as_ref()
         .is_some_and(|(status, body)| *status == StatusCode::OK && *body == complete_stream())
 }
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -90,6 +90,8 @@
     /// Number of requests that still get the fault.
     faults_left: u32,
     answer_delay: Duration,
+    /// The value of `server-limit` in answers.
+    intake_limit: Option<String>,
     crash: Option<CrashTrigger>,
     crash_runs: Vec<(String, Instant)>,
     born: u64,
@@ -124,6 +126,7 @@
             fault: WorkerFault::None,
             faults_left: 0,
             answer_delay: Duration::from_millis(5),
+            intake_limit: None,
             crash: None,
             crash_runs: Vec::new(),
             born: FIRST_BORN_MS,
@@ -148,6 +151,11 @@
         self.state.lock().unwrap().answer_delay = answer_delay;
     }
 
+    /// Makes later answers state how many requests a second the worker accepts, or no longer.
+    pub fn set_intake_limit(&self, text: Option<&str>) {
+        self.state.lock().unwrap().intake_limit = text.map(str::to_owned);
+    }
+
     /// Makes later requests wait before they start; a request whose connection closes meanwhile
     /// never starts.
     pub fn set_start_delay(&self, delay: Duration) {
@@ -273,7 +281,7 @@
             // The server drops this future when the connection closes.
             tokio::time::sleep(delay).await;
         }
-        let (version, answer_delay, crash) = {
+        let (version, answer_delay, intake_limit, crash) = {
             let mut state = self.state.lock().unwrap();
             let (now, version) = (Instant::now(), state.version);
             if fault != WorkerFault::NotExecuted {
@@ -291,7 +299,7 @@
             if crash.is_some() {
                 state.crash_runs.push((attempt.clone(), now));
             }
-            (version, state.answer_delay, crash)
+            (version, state.answer_delay, state.intake_limit.clone(), crash)
         };
         if let Some(crash) = crash {
             let silent = crash.silent;
@@ -303,6 +311,7 @@
         if fault == WorkerFault::NotExecuted {
             let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "");
             response.headers_mut().insert("x-not-executed", "1".parse().unwrap());
+            state_intake_limit(&mut response, intake_limit.as_deref());
             return response;
         }
         if !model {
@@ -321,10 +330,17 @@
         headers.insert("x-server-signature", format!("s-{}", self.id).parse().unwrap());
         headers.insert("x-instance-load", "1,0,16".parse().unwrap());
         headers.insert("x-weight-versions", version.into());
+        state_intake_limit(&mut response, intake_limit.as_deref());
         response
     }
 }
 
+fn state_intake_limit(response: &mut AnyResponse, limit: Option<&str>) {
+    if let Some(limit) = limit {
+        response.headers_mut().insert("server-limit", limit.parse().unwrap());
+    }
+}
+
 impl Worker {
     /// Reports the crash after the trigger's delay.
     async fn report_crash(self, crash: CrashTrigger) {
