--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -10,6 +10,7 @@
 use crate::direct::fleet::load_broadcast::LoadUpdate;
 use crate::direct::fleet::update::FleetUpdate;
 use crate::direct::intake::limit::IntakeStatement;
+use crate::direct::intake::report::IntakeReport;
 use crate::direct::placement::forecast::WorkSize;
 use crate::direct::retries::retry_budget::RetryShare;
 use crate::direct::route::RepeatRule;
@@ -118,6 +119,8 @@
     /// The answer to the current attempt states which request rate the upstream accepts. Told
     /// before `AnswerStarted`, and only for answers that carry such a statement.
     IntakeStated(RequestNumber, IntakeStatement),
+    /// A peer entry reported which request rates upstreams accept.
+    IntakeReportsReceived(InstanceId, Vec<IntakeReport>),
     /// The current attempt of the request ended.
     AttemptEnded(RequestNumber, AttemptOutcome),
     /// The store answered a call that was sent at the given moment.
--- a/mustardrill_core/src/direct/fleet/entry_counter.rs
+++ b/mustardrill_core/src/direct/fleet/entry_counter.rs
@@ -5,7 +5,7 @@
 //! whole shared budget. A peer entry is therefore counted for a full window after its last sign of
 //! life, which is its registration or a load update.
 
-use mustardrill_types::{FastMap, InstanceId, Millis, Moment};
+use mustardrill_types::{FastMap, FastSet, InstanceId, Millis, Moment};
 
 use crate::direct::fleet::update::PeerRecord;
 
@@ -26,6 +26,35 @@
         }
     }
 
+    /// Returns the peers that are registered or gave a sign of life within `window`. Peers that have
+    /// been silent for longer are dropped.
+    pub(crate) fn live_peers(
+        &mut self,
+        now: Moment,
+        window: Millis,
+        registered: &[PeerRecord],
+    ) -> Vec<InstanceId> {
+        self.last_seen.retain(|_, seen| now.since(*seen) < window);
+        let registered: FastSet<_> = registered.iter().map(|peer| &peer.id).collect();
+        let unregistered = self.last_seen.keys().filter(|id| !registered.contains(id));
+        unregistered.chain(registered.iter().copied()).cloned().collect()
+    }
+
+    /// Whether more than half of the registered entries, this one included, gave a sign of life
+    /// within `span`.
+    pub(crate) fn has_majority(
+        &self,
+        now: Moment,
+        span: Millis,
+        registered: &[PeerRecord],
+    ) -> bool {
+        let is_seen = |peer: &&PeerRecord| {
+            self.last_seen.get(&peer.id).is_some_and(|seen| now.since(*seen) < span)
+        };
+        let seen = 1 + registered.iter().filter(is_seen).count();
+        2 * seen > 1 + registered.len()
+    }
+
     /// Counts the entries that are registered or gave a sign of life within `window`, including
     /// this one. Peers that have been silent for longer are dropped.
     pub(crate) fn count_live(
@@ -34,9 +63,6 @@
         window: Millis,
         registered: &[PeerRecord],
     ) -> usize {
-        self.last_seen.retain(|_, seen| now.since(*seen) < window);
-        let is_registered = |id: &&InstanceId| registered.iter().any(|peer| peer.id == **id);
-        let unregistered = self.last_seen.keys().filter(|id| !is_registered(id)).count();
-        1 + registered.len() + unregistered
+        1 + self.live_peers(now, window, registered).len()
     }
 }
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -13,6 +13,7 @@
 use crate::direct::fleet::upstream::{
     ExpiredRegistration, ExpiryCause, UpstreamStart, UpstreamState,
 };
+use crate::direct::intake::limit::IntakeLimit;
 
 /// How long a removed upstream is remembered: longer than the age of the copies from which a store
 /// is restored.
@@ -23,10 +24,12 @@
 const LOST_FRACTION_DIVISOR: usize = 3;
 
 /// An incarnation of an upstream that was removed from the table.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct Departure {
     start: StartStamp,
     at: Moment,
+    /// It may be listed again, as the same incarnation.
+    intake_limit: IntakeLimit,
 }
 
 /// The known upstreams by instance, with an index by service.
@@ -85,12 +88,15 @@
             record.address,
             format_versions(&record.serving)
         );
-        self.departed.remove(&record.id);
+        let departure = self.departed.remove(&record.id);
+        let returned = departure.filter(|departure| departure.start == record.start);
         if is_served {
             self.remove_predecessor(now, record.address);
         }
         self.by_service.entry(record.service.clone()).or_default().push(record.id.clone());
-        self.states.insert(record.id.clone(), UpstreamState::new(record));
+        let mut state = UpstreamState::new(record);
+        state.intake_limit = returned.map(|departure| departure.intake_limit).unwrap_or_default();
+        self.states.insert(state.record.id.clone(), state);
     }
 
     /// Removes the upstream that was at an address before. A restarted upstream may have a new id
@@ -183,20 +189,20 @@
 
     /// Removes an upstream and remembers its incarnation for [`DEPARTURE_RETENTION`].
     fn remove_departed(&mut self, now: Moment, id: &InstanceId) {
-        if let Some(state) = self.states.get(id) {
-            let departure = Departure { start: state.record.start, at: now };
+        if let Some(state) = self.remove(id) {
+            let UpstreamState { record, intake_limit, .. } = state;
+            let departure = Departure { start: record.start, at: now, intake_limit };
             self.departed.retain(|_, departure| now.since(departure.at) < DEPARTURE_RETENTION);
-            self.departed.insert(id.clone(), departure);
+            self.departed.insert(record.id, departure);
         }
-        self.remove(id);
     }
 
-    fn remove(&mut self, id: &InstanceId) {
-        if let Some(state) = self.states.remove(id)
-            && let Some(ids) = self.by_service.get_mut(&state.record.service)
-        {
+    fn remove(&mut self, id: &InstanceId) -> Option<UpstreamState> {
+        let state = self.states.remove(id)?;
+        if let Some(ids) = self.by_service.get_mut(&state.record.service) {
             ids.retain(|known| known != id);
         }
+        Some(state)
     }
 
     pub(crate) fn ids(&self) -> Vec<InstanceId> {
@@ -212,6 +218,14 @@
         self.states.values().filter(|state| state.expired_registration.is_some()).count()
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &UpstreamState> {
+        self.states.values()
+    }
+
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut UpstreamState> {
+        self.states.values_mut()
+    }
+
     /// Counts the upstreams that limit the request rate that they accept.
     pub(crate) fn limited_count(&self) -> usize {
         self.states.values().filter(|state| state.intake_limit.rate().is_some()).count()
@@ -232,7 +246,7 @@
     }
 
     /// Returns the upstreams that are listed for a service.
-    fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &UpstreamState> {
+    pub(crate) fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &UpstreamState> {
         let ids = self.by_service.get(service).into_iter().flatten();
         ids.filter_map(|id| self.states.get(id))
     }
@@ -263,9 +277,12 @@
         self.of_service(service).any(|state| is_loading(state) && !state.record.leaving)
     }
 
-    /// Returns the number of slots of all upstreams that are listed for a service.
-    pub(crate) fn total_slots(&self, service: &ServiceName) -> u32 {
-        self.of_service(service).map(|state| state.record.slots).sum()
+    /// Returns the number of slots of the upstreams that are listed for a service and do not limit
+    /// the request rate.
+    pub(crate) fn unlimited_slots(&self, service: &ServiceName) -> u32 {
+        let unlimited =
+            self.of_service(service).filter(|state| state.intake_limit.rate().is_none());
+        unlimited.map(|state| state.record.slots).sum()
     }
 
     /// Returns the load at an upstream: this entry's own and that of the peers that reported
--- a/mustardrill_core/src/direct/intake/statements.rs
+++ b/mustardrill_core/src/direct/intake/statements.rs
@@ -1,14 +1,24 @@
-//! Records what answers state of the request rate that their upstream accepts.
+//! Records what answers and peers state of the request rate that upstreams accept, and which part
+//! of it this entry may use.
 
 use log::info;
-use mustardrill_types::{Moment, RequestRate};
+use mustardrill_types::{InstanceId, Millis, Moment, RequestRate};
 
-use crate::direct::event::RequestNumber;
-use crate::direct::fleet::upstream::UpstreamStart;
+use crate::direct::event::{DirectEffect, RequestNumber};
+use crate::direct::fleet::upstream::{UpstreamStart, UpstreamState};
 use crate::direct::intake::limit::{IntakeStatement, SENT_SPAN};
+use crate::direct::intake::report::IntakeReport;
+use crate::direct::intake::share::IntakeShare;
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::RequestStage;
 
+/// How often the shares are computed again from the entries that exist.
+const SHARE_INTERVAL: Millis = Millis(100);
+
+/// How long an entry uses its share after its last contact with the store or with most entries. It
+/// is shorter than the time for which the others leave the share of a missing entry unused.
+const CONTACT_TIMEOUT: Millis = Millis(3_000);
+
 impl DirectReducer {
     /// Records the statement of an answer that carries one.
     pub(in crate::direct) fn record_intake_statement(
@@ -21,7 +31,7 @@
         state.has_stated_intake = true;
         // A malformed statement neither sets a limit nor ends one.
         if statement.limit.is_some() {
-            self.apply_intake_limit(now, number, statement.limit);
+            self.apply_intake_answer(now, number, statement.limit);
         }
     }
 
@@ -32,10 +42,37 @@
         number: RequestNumber,
     ) {
         if self.requests.get(&number).is_some_and(|state| !state.has_stated_intake) {
-            self.apply_intake_limit(now, number, None);
+            self.apply_intake_answer(now, number, None);
         }
     }
 
+    /// Applies the reports of a peer entry.
+    pub(in crate::direct) fn receive_intake_reports(
+        &mut self,
+        now: Moment,
+        from: &InstanceId,
+        reports: &[IntakeReport],
+    ) -> Vec<DirectEffect> {
+        self.entry_counter.record_activity(now, from);
+        let mut has_changed = false;
+        for report in reports {
+            let start = UpstreamStart { id: report.upstream.clone(), start: report.start };
+            let Some(upstream) = self.upstreams.incarnation_mut(&start) else { continue };
+            let before = upstream.intake_limit.rate();
+            if upstream.intake_limit.apply_report(now, report) {
+                has_changed = true;
+                let source =
+                    format!("source={from} stated={} revision={}", report.age, report.revision);
+                log_change(&start, report.rate, before, &source);
+            }
+        }
+        if !has_changed {
+            return Vec::new();
+        }
+        self.update_intake_shares(now);
+        self.dispatch_all_waiting(now)
+    }
+
     /// Records and logs that a request is sent to an upstream that limits its rate.
     pub(in crate::direct) fn record_limited_send(
         &mut self,
@@ -46,14 +83,57 @@
         let Some(upstream) = self.upstreams.incarnation_mut(start) else { return };
         let Some(rate) = upstream.intake_limit.rate() else { return };
         let sent = upstream.intake_limit.record_sent(now);
+        let Some(share) = upstream.intake_limit.share() else { return };
         info!(
-            "request={attempt} instance={} limit={rate} limit_age={} sent={sent} span={SENT_SPAN}",
+            "request={attempt} instance={} limit={rate} limit_age={} rank={} senders={} entries={} \
+             interval={:.0}ms sent={sent} span={SENT_SPAN}",
             start.id,
             upstream.intake_limit.age(now),
+            share.rank,
+            share.senders,
+            share.members,
+            share.interval_ms(),
         );
     }
 
-    fn apply_intake_limit(
+    /// From when on this entry may send to an upstream, considering its limit; `None` if it may not
+    /// send at all.
+    pub(in crate::direct) fn intake_opens_at(&self, upstream: &UpstreamState) -> Option<Moment> {
+        upstream.intake_limit.opens_at()
+    }
+
+    /// Computes the shares again if that is due.
+    pub(in crate::direct) fn refresh_intake_shares(&mut self, now: Moment) {
+        if now.since(self.intake_shares_at) < SHARE_INTERVAL {
+            return;
+        }
+        self.intake_shares_at = now;
+        if self.upstreams.limited_count() > 0 {
+            self.update_intake_shares(now);
+        }
+    }
+
+    fn update_intake_shares(&mut self, now: Moment) {
+        self.intake_shares_at = now;
+        let is_member = self.is_in_contact(now);
+        let window = self.settings.retry_share.window;
+        let peers = self.entry_counter.live_peers(now, window, &self.peers);
+        let own_id = &self.settings.own_id;
+        for upstream in self.upstreams.iter_mut() {
+            let rate = upstream.intake_limit.rate().filter(|_| is_member);
+            let share = rate.map(|rate| IntakeShare::of(rate, &upstream.record.id, own_id, &peers));
+            upstream.intake_limit.set_share(share);
+        }
+    }
+
+    /// Whether this entry has lately been in contact with the store or with most entries. Without
+    /// that the others may divide its share among themselves.
+    fn is_in_contact(&self, now: Moment) -> bool {
+        self.store_freshness.is_fresh(now, CONTACT_TIMEOUT)
+            || self.entry_counter.has_majority(now, CONTACT_TIMEOUT, &self.peers)
+    }
+
+    fn apply_intake_answer(
         &mut self,
         now: Moment,
         number: RequestNumber,
@@ -63,21 +143,33 @@
         let RequestStage::Sent(start) = &state.stage else { return };
         let Some(upstream) = self.upstreams.incarnation_mut(start) else { return };
         let before = upstream.intake_limit.rate();
-        if upstream.intake_limit.apply_answer(now, state.sent_at, rate) {
-            info!(
-                "intake instance={} start={} limit={} before={} source=answer request={} \
-                 answered_after={}",
-                start.id,
-                start.start,
-                format_rate(rate),
-                format_rate(before),
-                state.attempt_id,
-                now.since(state.sent_at),
-            );
+        if !upstream.intake_limit.apply_answer(now, state.sent_at, rate) {
+            return;
         }
+        let answered_after = now.since(state.sent_at);
+        let source =
+            format!("source=answer request={} answered_after={answered_after}", state.attempt_id);
+        log_change(start, rate, before, &source);
+        self.intake_reports.record_change();
+        self.update_intake_shares(now);
     }
 }
 
+fn log_change(
+    start: &UpstreamStart,
+    rate: Option<RequestRate>,
+    before: Option<RequestRate>,
+    source: &str,
+) {
+    info!(
+        "intake instance={} start={} limit={} before={} {source}",
+        start.id,
+        start.start,
+        format_rate(rate),
+        format_rate(before),
+    );
+}
+
 fn format_rate(rate: Option<RequestRate>) -> String {
     rate.map_or("none".into(), |rate| rate.to_string())
 }
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -26,6 +26,7 @@
 pub use fleet::load_broadcast::{LoadBroadcaster, LoadRows, LoadUpdate, WaitRows};
 pub use fleet::update::{FleetChange, FleetUpdate, PeerRecord, ServedWeights, UpstreamRecord};
 pub use intake::limit::IntakeStatement;
+pub use intake::report::IntakeReport;
 pub use placement::forecast::{EngineForecast, WorkSize};
 pub use reducer::DirectReducer;
 pub use retries::retry_budget::{RetryShare, RetryWindow};
--- a/mustardrill_core/src/direct/placement/choice.rs
+++ b/mustardrill_core/src/direct/placement/choice.rs
@@ -28,8 +28,10 @@
         state: &RequestState,
     ) -> Option<InstanceId> {
         let usable = self.upstreams.usable(now, &state.service);
-        let fitting =
-            usable.into_iter().filter(|upstream| self.serves_allowed_version(now, state, upstream));
+        let fitting = usable.into_iter().filter(|upstream| {
+            self.intake_opens_at(upstream).is_some_and(|opens_at| opens_at <= now)
+                && self.serves_allowed_version(now, state, upstream)
+        });
         let (tried, fresh): (Vec<_>, Vec<_>) =
             fitting.partition(|upstream| state.tried_upstreams.contains(&upstream.record.id));
         let candidates = if fresh.is_empty() { tried } else { fresh };
@@ -141,15 +143,18 @@
     }
 
     /// When a waiting request may next be sent: when this entry's turn comes at an upstream that a
-    /// peer's request has left, or when the back-off of an upstream that was full ends.
+    /// peer's request has left, when the back-off of an upstream that was full ends, or when an
+    /// upstream that limits its rate accepts the next one.
     pub(in crate::direct) fn next_capacity_at(
         &self,
         now: Moment,
         service: &ServiceName,
     ) -> Option<Moment> {
         let usable = self.upstreams.usable(now, service);
-        let opening_times =
-            usable.iter().map(|it| self.capacity_opens_at(now, it, 1).max(it.cooldown_until));
+        let opening_times = usable.iter().filter_map(|upstream| {
+            let opens_at = self.capacity_opens_at(now, upstream, 1).max(upstream.cooldown_until);
+            Some(opens_at.max(self.intake_opens_at(upstream)?))
+        });
         opening_times.filter(|opens_at| *opens_at > now).min()
     }
 
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -16,6 +16,7 @@
 use crate::direct::fleet::load_broadcast::{LoadRows, WaitRows};
 use crate::direct::fleet::update::{FleetChange, FleetUpdate, PeerRecord};
 use crate::direct::fleet::upstream_table::UpstreamTable;
+use crate::direct::intake::report::IntakeBroadcaster;
 use crate::direct::request::{RequestStage, RequestState};
 use crate::direct::retries::crash_broadcast::CrashBroadcaster;
 use crate::direct::retries::retry_budget::RetryWindow;
@@ -99,6 +100,10 @@
     pub(super) undecided_requests: Vec<RequestNumber>,
     /// Crash reports for the peer entries.
     pub(super) crash_reports: CrashBroadcaster,
+    /// When limits of upstreams were last reported to the peer entries.
+    pub(super) intake_reports: IntakeBroadcaster,
+    /// When the shares of limited upstreams were last computed.
+    pub(super) intake_shares_at: Moment,
     /// When capacity becomes available that waiting requests may take.
     pub(super) capacity_at: Option<Moment>,
     /// The pending `DirectEffect::SetTimer`, so that no later one is requested.
@@ -136,6 +141,8 @@
             quarantine: QuarantineTable::new(CRASH_REPORT_WAIT),
             undecided_requests: Vec::new(),
             crash_reports: CrashBroadcaster::default(),
+            intake_reports: IntakeBroadcaster::default(),
+            intake_shares_at: Moment(0),
             capacity_at: None,
             armed_timer: None,
         }
@@ -144,6 +151,7 @@
     /// Applies an event at `now` and returns the effects to carry out.
     pub fn reduce(&mut self, now: Moment, event: DirectEvent) -> Vec<DirectEffect> {
         self.upstreams.peer_loads.expire_silent(now, self.settings.peer_load_timeout);
+        self.refresh_intake_shares(now);
         let mut effects = match event {
             DirectEvent::RequestArrived(request) => self.admit_arrival(now, request),
             DirectEvent::CallerGone(number) => self.caller_gone(now, number),
@@ -155,6 +163,9 @@
                 self.record_intake_statement(now, number, &statement);
                 Vec::new()
             }
+            DirectEvent::IntakeReportsReceived(from, reports) => {
+                self.receive_intake_reports(now, &from, &reports)
+            }
             DirectEvent::AttemptEnded(number, outcome) => self.finish_attempt(now, number, outcome),
             DirectEvent::StoreAnswered(update, sent) => self.apply_fleet_update(now, update, sent),
             DirectEvent::StoreFailed => self.record_store_failure(now),
--- a/mustardrill_core/src/direct/waiting/wait_policy.rs
+++ b/mustardrill_core/src/direct/waiting/wait_policy.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 
 use crate::direct::event::{DirectEffect, RequestNumber};
+use crate::direct::intake::share::IntakeShare;
 use crate::direct::placement::forecast::EngineForecast;
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::{RequestStage, RequestState};
@@ -33,6 +34,9 @@
 /// with.
 const PLAIN_QUEUE_PER_SLOT: usize = 2;
 
+/// The expected wait where no request can be placed.
+const UNBOUNDED_WAIT: Millis = Millis(u64::MAX / 4);
+
 impl DirectReducer {
     /// Queues a request, or refuses it where it would wait in vain.
     pub(in crate::direct) fn queue_request(
@@ -47,7 +51,7 @@
         if !self.may_be_served_soon(now, state) {
             return self.refuse(now, number, ResultCode::NoUpstream, NO_UPSTREAM_RETRY);
         }
-        let expected = self.expected_wait(state, ahead);
+        let expected = self.expected_wait(now, state, ahead);
         if now + expected > until {
             let retry_after = self.jittered_retry(expected);
             return self.refuse(now, number, ResultCode::Overloaded, retry_after);
@@ -83,20 +87,45 @@
             || self.upstreams.is_loading(now, &state.service)
     }
 
-    /// The expected wait behind `ahead` other requests, where the engine profile allows a forecast.
-    fn expected_wait(&self, state: &RequestState, ahead: usize) -> Millis {
-        let Some(profile) = self.engine_profile(&state.service) else {
+    /// The expected wait behind `ahead` other requests, where the engine profile or the limits of
+    /// the upstreams allow a forecast.
+    fn expected_wait(&self, now: Moment, state: &RequestState, ahead: usize) -> Millis {
+        let service = &state.service;
+        let mut upstreams = self.upstreams.of_service(service);
+        if upstreams.all(|upstream| upstream.intake_limit.rate().is_some()) {
+            return self.limited_wait(now, service, ahead);
+        }
+        let Some(profile) = self.engine_profile(service) else {
             let queue_limit =
-                self.upstreams.total_slots(&state.service) as usize * PLAIN_QUEUE_PER_SLOT;
-            return if ahead >= queue_limit { Millis(u64::MAX / 4) } else { Millis(0) };
+                self.upstreams.unlimited_slots(service) as usize * PLAIN_QUEUE_PER_SLOT;
+            return if ahead >= queue_limit { UNBOUNDED_WAIT } else { Millis(0) };
         };
         let forecast = EngineForecast::new(profile);
         let service_ms = forecast.service_ms(profile.slots, forecast.usual_size());
         // Peer entries use the freed slots as well, so this entry gets its share of them.
         let entries = self.peers().len() + 1;
-        let slots = self.upstreams.total_slots(&state.service).max(1);
-        let slot_interval_ms = service_ms * entries as f64 / f64::from(slots);
-        Millis((slot_interval_ms * (ahead + 1) as f64) as u64)
+        let slots = f64::from(self.upstreams.unlimited_slots(service));
+        let by_slots = slots * 1_000.0 / (service_ms * entries as f64);
+        wait_at_rate(ahead + 1, by_slots + self.limited_rate(service))
+    }
+
+    /// The expected wait behind `ahead` other requests where all upstreams limit their rate.
+    fn limited_wait(&self, now: Moment, service: &ServiceName, ahead: usize) -> Millis {
+        let per_second = self.limited_rate(service);
+        match self.next_capacity_at(now, service) {
+            Some(opens_at) => {
+                let wait = wait_at_rate(ahead, per_second);
+                Millis(wait.0 + opens_at.since(now).0).min(UNBOUNDED_WAIT)
+            }
+            None => wait_at_rate(ahead + 1, per_second),
+        }
+    }
+
+    /// The requests per second that this entry may send to those upstreams of a service that limit
+    /// their rate.
+    fn limited_rate(&self, service: &ServiceName) -> f64 {
+        let shares = self.upstreams.of_service(service);
+        shares.filter_map(|it| it.intake_limit.share()).map(IntakeShare::per_second).sum()
     }
 
     /// A retry delay derived from the expected wait, randomized so that callers do not all return
@@ -159,3 +188,11 @@
         self.refuse(now, number, ResultCode::Overloaded, retry_after)
     }
 }
+
+/// The time in which `requests` can be placed at `per_second`.
+fn wait_at_rate(requests: usize, per_second: f64) -> Millis {
+    if requests == 0 {
+        return Millis(0);
+    }
+    Millis((1_000.0 * requests as f64 / per_second) as u64).min(UNBOUNDED_WAIT)
+}
--- a/mustardrill_entry/src/direct/gossip.rs
+++ b/mustardrill_entry/src/direct/gossip.rs
@@ -10,7 +10,9 @@
 use mustardrill_core::direct::{
     DirectEvent, LoadBroadcaster, LoadUpdate, PeerLoad, PeerRecord, UpstreamLoad,
 };
-use mustardrill_runtime::datagram::{DATAGRAM_LIMIT, Datagram, LoadRow, VersionRow, WaitRow};
+use mustardrill_runtime::datagram::{
+    DATAGRAM_LIMIT, Datagram, IntakeRow, LoadRow, VersionRow, WaitRow,
+};
 use mustardrill_runtime::wire::{crash_message, crash_report};
 use mustardrill_types::{Millis, ModelName, Moment, WeightVersion};
 
@@ -28,6 +30,9 @@
 /// Crash reports per datagram: a row takes 50 bytes, or 90 with the longest names.
 const CRASH_ROWS_PER_DATAGRAM: usize = 14;
 
+/// Limits of upstreams per datagram: a row takes 40 bytes, or 90 with the longest names.
+const INTAKE_ROWS_PER_DATAGRAM: usize = 14;
+
 /// Pause after a receive error.
 const RECEIVE_ERROR_PAUSE: Duration = Duration::from_millis(50);
 
@@ -94,6 +99,11 @@
 }
 
 fn events_of(now: Moment, datagram: Datagram) -> Vec<DirectEvent> {
+    if !datagram.intakes.is_empty() {
+        let Ok(from) = datagram.from.parse() else { return Vec::new() };
+        let reports = datagram.intakes.iter().filter_map(IntakeRow::report);
+        return vec![DirectEvent::IntakeReportsReceived(from, reports.collect())];
+    }
     if datagram.crashes.is_empty() {
         return event_of(datagram).into_iter().collect();
     }
@@ -141,6 +151,12 @@
             datagram.crashes = reports.iter().map(|report| crash_message(now, report)).collect();
             send_to_all(&context, &reply.peers, &datagram.to_bytes()).await;
         }
+        for reports in reply.intake_reports.chunks(INTAKE_ROWS_PER_DATAGRAM) {
+            let mut datagram = Datagram::new(&context.config.direct.own_id);
+            datagram.partial = true;
+            datagram.intakes = reports.iter().map(IntakeRow::new).collect();
+            send_to_all(&context, &reply.peers, &datagram.to_bytes()).await;
+        }
         let Some(update) = broadcaster.next_update(now, reply.outstanding, reply.waiting) else {
             continue;
         };
--- a/mustardrill_runtime/src/datagram.rs
+++ b/mustardrill_runtime/src/datagram.rs
@@ -6,10 +6,12 @@
 use std::net::SocketAddr;
 
 use mustardrill_core::direct::{
-    AnnouncementReport, AnnouncementTime, AvailabilitySpan, EngineNotice,
+    AnnouncementReport, AnnouncementTime, AvailabilitySpan, EngineNotice, IntakeReport,
 };
 use mustardrill_proto::CrashRow;
-use mustardrill_types::{Generation, InstanceId, Millis, ModelName, Moment, WeightVersion};
+use mustardrill_types::{
+    Generation, InstanceId, Millis, ModelName, Moment, RequestRate, StartStamp, WeightVersion,
+};
 use prost::Message;
 
 /// Largest datagram sent, in bytes; small enough to pass every link without fragmentation.
@@ -49,6 +51,30 @@
     /// Requests `availability`; carries the time of the request on the requester's clock.
     #[prost(uint64, optional, tag = "10")]
     pub availability_request: Option<u64>,
+    /// Request rates that upstreams accept. The datagram is marked `partial`, as entries of an
+    /// earlier build take it for a load update.
+    #[prost(message, repeated, tag = "11")]
+    pub intakes: Vec<IntakeRow>,
+}
+
+/// The request rate that an upstream accepts from all entries together.
+#[derive(Clone, PartialEq, Message)]
+pub struct IntakeRow {
+    /// The upstream's id.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Start of the upstream's incarnation.
+    #[prost(uint64, tag = "2")]
+    pub start: u64,
+    /// Rate in thousandths of a request per second; `None` for any rate.
+    #[prost(uint64, optional, tag = "3")]
+    pub rate: Option<u64>,
+    /// Number of changes of the rate, as the sender knows it.
+    #[prost(uint64, tag = "4")]
+    pub revision: u64,
+    /// Age of the last answer that stated the rate, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub age_ms: u64,
 }
 
 /// A span in which the store was available. Its ends are sent as ages at the time of sending, since
@@ -285,6 +311,30 @@
     }
 }
 
+impl IntakeRow {
+    /// Encodes a report.
+    pub fn new(report: &IntakeReport) -> Self {
+        Self {
+            upstream: report.upstream.to_string(),
+            start: report.start.0,
+            rate: report.rate.map(|rate| rate.0),
+            revision: report.revision,
+            age_ms: report.age.0,
+        }
+    }
+
+    /// Decodes the report; `None` if the upstream's id is invalid.
+    pub fn report(&self) -> Option<IntakeReport> {
+        Some(IntakeReport {
+            upstream: self.upstream.parse().ok()?,
+            start: StartStamp(self.start),
+            rate: self.rate.map(RequestRate),
+            revision: self.revision,
+            age: Millis(self.age_ms),
+        })
+    }
+}
+
 impl EngineRow {
     /// Builds the row that an agent sends about the engine at `address`.
     pub fn new(address: SocketAddr, model: &ModelName, notice: EngineNotice) -> Self {
