--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -27,6 +27,7 @@
     agent_settings, caller_request, complete_stream, configuration, entry_settings, listen,
     machine_ip, register,
 };
+use crate::limits::{largest_count, request_bound};
 use crate::store::{Store, StoreMode, StoreSnapshot};
 use crate::worker::{CrashTrigger, Origin, Worker, WorkerFault};
 
@@ -47,6 +48,16 @@
 /// request's start for a bound; the first failures were of 3, 7, 103 and 105.
 const LATE_WEIGHTS_SEEDS: [u64; 4] = [3, 7, 103, 105];
 
+/// Seeds that CI runs with a plain worker that limits the request rate that it accepts.
+const LIMITED_WORKER_SEEDS: [u64; 4] = [10, 14, 18, 22];
+
+/// The rates that such a worker accepts, in requests per second.
+const ACCEPTED_RATES: [f64; 4] = [0.5, 1.0, 2.5, 5.0];
+
+/// Time after a worker first states its limit from which it must be kept: the platform's stability
+/// window.
+const LIMIT_NOTICE_SPAN: Duration = Duration::from_secs(3);
+
 /// Seconds for which faults are injected by default.
 const DEFAULT_FAULT_SECONDS: u64 = 5;
 
@@ -108,21 +119,26 @@
     /// Newer weights are late, and engines let requests wait before they start. The weights are
     /// announced at the beginning, so that their bound ends before the first faults.
     LateWeights,
+    /// A plain worker limits the request rate that it accepts.
+    LimitedWorker,
 }
 
 impl SoakKind {
-    /// Odd seeds run with late weights, except those that were in `SEEDS` before this kind existed:
-    /// they run as they did then.
+    /// Odd seeds run with late weights, and every second even one with a limited worker, except
+    /// those that were in `SEEDS` before these kinds existed: they run as they did then.
     fn of(seed: u64) -> Self {
-        let has_late_weights =
-            LATE_WEIGHTS_SEEDS.contains(&seed) || (seed % 2 == 1 && !SEEDS.contains(&seed));
-        if has_late_weights { Self::LateWeights } else { Self::Standard }
+        match seed % 4 {
+            _ if SEEDS.contains(&seed) => Self::Standard,
+            1 | 3 => Self::LateWeights,
+            2 => Self::LimitedWorker,
+            _ => Self::Standard,
+        }
     }
 
     /// How long a request may start on superseded weights.
     fn version_bound(self) -> Duration {
         match self {
-            Self::Standard => VERSION_BOUND,
+            Self::Standard | Self::LimitedWorker => VERSION_BOUND,
             Self::LateWeights => LATE_WEIGHTS_VERSION_BOUND,
         }
     }
@@ -226,6 +242,8 @@
     origin_address: SocketAddr,
     revoked: Option<Instant>,
     faults: Vec<String>,
+    /// The rate that the first plain worker accepts, and since when it says so.
+    limited: Option<(f64, Instant)>,
     _stand_ins: Vec<StandIn>,
 }
 
@@ -330,6 +348,7 @@
             origin_address,
             revoked: None,
             faults: Vec::new(),
+            limited: None,
             _stand_ins: stand_ins,
         };
         soak.publish_addresses();
@@ -855,6 +874,32 @@
         }
     }
 
+    /// Makes the first plain worker limit the rate that it accepts.
+    fn limit_worker(&mut self) {
+        let rate = ACCEPTED_RATES[(self.seed / 4) as usize % ACCEPTED_RATES.len()];
+        self.desks[0].set_intake_limit(Some(&rate.to_string()));
+        self.limited = Some((rate, Instant::now()));
+    }
+
+    /// The largest number of requests that the limited worker got within the counted span, and the
+    /// number that it accepts. Requests of entries that were restarted, suspended or cut off from
+    /// the store are left out, as the platform does.
+    fn limited_requests(&self, outcomes: &[CallOutcome]) -> Option<(usize, usize)> {
+        let (rate, limited_at) = self.limited?;
+        let is_counted = |(attempt, at): &(String, Instant)| {
+            let outcome = outcomes.iter().find(|outcome| attempt.starts_with(&*outcome.attempt));
+            let entry = outcome.and_then(|outcome| self.entry_of(outcome));
+            !self.entry_disturbances.iter().any(|disturbance| {
+                let concerns = entry.is_some() && disturbance.entry == entry;
+                concerns && disturbance.from <= *at && *at <= disturbance.until
+            })
+        };
+        let mut arrivals = self.desks[0].arrivals();
+        arrivals.retain(is_counted);
+        let count = largest_count(&arrivals, limited_at + LIMIT_NOTICE_SPAN);
+        Some((count, request_bound(rate)))
+    }
+
     /// Revokes a key for good; the revocation counts from when the store accepted it.
     fn revoke(&mut self) {
         self.generation += 1;
@@ -870,7 +915,9 @@
             // the engines at each crash, and one that only waited there can be taken for the cause:
             // a separate fault, which would hide those of the versions.
             let (draft, crashing) = match self.kind {
-                SoakKind::Standard => ("/drafts/x".to_owned(), CRASHING_PATH),
+                SoakKind::Standard | SoakKind::LimitedWorker => {
+                    ("/drafts/x".to_owned(), CRASHING_PATH)
+                }
                 SoakKind::LateWeights => (format!("/drafts/x?caller={number}"), "/drafts/x"),
             };
             tokio::spawn(run_caller(
@@ -932,6 +979,12 @@
         }
         violations.extend(self.runs_after_deregistration(outcomes));
         violations.extend(self.late_starts(outcomes).0);
+        if let Some((count, bound)) = self.limited_requests(outcomes)
+            && count > bound
+        {
+            violations
+                .push(format!("a limited worker got {count} requests in 4 s, {bound} allowed"));
+        }
         let wrongly_refused = self.wrongly_refused(outcomes);
         if wrongly_refused > 0 {
             violations.push(format!(
@@ -1020,6 +1073,9 @@
         soak.announce_version();
         (0..soak.engines.len()).for_each(|engine| soak.change_start_delay(engine));
     }
+    if soak.kind == SoakKind::LimitedWorker {
+        soak.limit_worker();
+    }
     let started_at = Instant::now();
     // The calls continue through the recovery, in which the bound for keys ends.
     let callers = soak.callers(started_at + span + REVOCATION_BOUND);
@@ -1082,7 +1138,7 @@
     };
     let summary = format!(
         "seed {seed} {:?}: {} faults, {} requests, 200: {}, 503: {}, 502: {}, 401: {}, {} started after a \
-         bound, recovered in {} ms",
+         bound, limited {:?}, recovered in {} ms",
         soak.kind,
         soak.faults.len(),
         outcomes.len(),
@@ -1091,6 +1147,7 @@
         count(502),
         count(401),
         soak.late_starts(&outcomes).1,
+        soak.limited_requests(&outcomes),
         recovered.as_millis(),
     );
     if violations.is_empty() {
@@ -1123,6 +1180,14 @@
     }
 }
 
+/// Runs the CI seeds with a limited worker in parallel to the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_seeded_soak_with_a_limited_worker_keeps_the_promises() {
+    if number("SOAK_SEED").is_none() {
+        run_seeds(&LIMITED_WORKER_SEEDS).await;
+    }
+}
+
 async fn run_seeds(seeds: &[u64]) {
     let span = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(DEFAULT_FAULT_SECONDS));
     let mut failed = Vec::new();
