--- a/mustardrill_standins/examples/experiment.rs
+++ b/mustardrill_standins/examples/experiment.rs
@@ -3,6 +3,7 @@
 //! `cargo run --release -p mustardrill_standins --example experiment -- PATTERN.ini [--seeds N]
 //! [--settings ENTRY.ini] [--only NAME]... [--json FILE] [--plot FILE.svg]`
 
+use std::collections::BTreeMap;
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -12,7 +13,7 @@
 use mustardrill_entry::direct;
 use mustardrill_runtime::settings::{SettingsOutcome, SettingsReader};
 use mustardrill_standins::experiment::{
-    DEFAULT_ENTRY_SETTINGS, LoadPattern, SecondCount, SimulationReport, simulate,
+    DEFAULT_ENTRY_SETTINGS, LimitCount, LoadPattern, SecondCount, SimulationReport, simulate,
 };
 use mustardrill_types::Millis;
 use plotters::prelude::*;
@@ -125,6 +126,7 @@
     }
     eprintln!();
     print_table(&results);
+    print_limits(&results[0]);
     if let Some(path) = &options.json {
         std::fs::write(path, serde_json::to_vec_pretty(&results)?)?;
     }
@@ -224,6 +226,19 @@
     }
 }
 
+/// Prints what engines that limit their rate got, over all plays with all mechanisms.
+fn print_limits(result: &VariantResult) {
+    let mut by_rate = BTreeMap::<String, Vec<&LimitCount>>::new();
+    for count in result.plays.iter().flat_map(|play| &play.limits) {
+        by_rate.entry(format!("{:.2}", count.rate)).or_default().push(count);
+    }
+    for (rate, counts) in by_rate {
+        let used = MeanSpread::of(counts.iter().map(|count| count.used));
+        let largest = counts.iter().map(|count| count.largest).max().unwrap_or(0);
+        println!("limit {rate}/s: {} engines, used {used}, at most {largest} in 4 s", counts.len());
+    }
+}
+
 impl MeanSpread {
     fn of(values: impl Iterator<Item = f64>) -> Self {
         let values: Vec<_> = values.collect();
--- a/mustardrill_standins/src/experiment/evaluation.rs
+++ b/mustardrill_standins/src/experiment/evaluation.rs
@@ -1,12 +1,17 @@
 //! Evaluates a finished simulation: outcomes of the calls, and an upper bound on timely answers.
 
-use mustardrill_core::direct::{EngineForecast, WorkSize};
-use mustardrill_types::Millis;
+use mustardrill_types::{Millis, Moment};
 
 use crate::experiment::call::CallOutcome;
-use crate::experiment::report::{SecondCount, SimulationReport};
+use crate::experiment::report::{LimitCount, SecondCount, SimulationReport};
 use crate::experiment::simulation::{PatternSimulation, START};
 
+/// The span in which requests are counted against an engine's limit.
+const COUNTED_SPAN: Millis = Millis(4_000);
+
+/// How long after an engine limits its rate its requests are counted.
+const LIMIT_NOTICE_SPAN: Millis = Millis(3_000);
+
 impl PatternSimulation<'_> {
     /// Counts the outcomes of all calls and sets the bound of each second.
     ///
@@ -33,17 +38,39 @@
                 *counter += 1;
             }
         }
-        let mean_size = WorkSize {
-            prompt_tokens: self.pattern.profile.mean_prompt,
-            answer_tokens: self.pattern.profile.mean_answer,
-        };
-        let slots = self.pattern.profile.slots;
-        let service_ms = EngineForecast::new(&self.pattern.profile).service_ms(slots, mean_size);
+        self.report.limits = self.limit_counts();
+        let engine_rate = self.pattern.engine_rate();
         for (index, second) in self.report.seconds.iter_mut().enumerate() {
             let engines = self.pattern.effective_engines(Millis(index as u64 * 1_000));
-            let capacity = engines * f64::from(slots) * 1_000.0 / service_ms.max(1.0);
-            second.bound = capacity.min(f64::from(second.count.asked));
+            second.bound = (engines * engine_rate).min(f64::from(second.count.asked));
         }
         self.report
     }
+
+    /// The requests that engines got while they limited their rate, once all entries could know of it.
+    fn limit_counts(&self) -> Vec<LimitCount> {
+        let mut counts = Vec::new();
+        for (index, engines) in &self.limited_engines {
+            let disturbance = &self.pattern.disturbances[*index];
+            let from = START + disturbance.at + LIMIT_NOTICE_SPAN;
+            let until = START + disturbance.at + disturbance.span;
+            for engine in engines {
+                let arrivals = self.engines[*engine].arrivals.iter().copied();
+                let arrivals: Vec<_> = arrivals.filter(|at| from <= *at && *at < until).collect();
+                let in_span = |start: &Moment| {
+                    arrivals
+                        .iter()
+                        .filter(|at| *start <= **at && **at < *start + COUNTED_SPAN)
+                        .count()
+                };
+                let seconds = until.since(from).0 as f64 / 1_000.0;
+                counts.push(LimitCount {
+                    rate: disturbance.factor,
+                    largest: arrivals.iter().map(in_span).max().unwrap_or(0),
+                    used: arrivals.len() as f64 / (seconds * disturbance.factor),
+                });
+            }
+        }
+        counts
+    }
 }
--- a/mustardrill_standins/src/experiment/mod.rs
+++ b/mustardrill_standins/src/experiment/mod.rs
@@ -16,7 +16,7 @@
 
 pub use engine::{EngineEvent, EngineModel, EngineRun, RunId};
 pub use pattern::{CallerKind, DisturbanceKind, LoadPattern, PatternDisturbance};
-pub use report::{OutcomeCounts, SecondCount, SimulationReport};
+pub use report::{LimitCount, OutcomeCounts, SecondCount, SimulationReport};
 pub use simulation::simulate;
 
 /// Settings of an entry for simulations without a settings file; all other keys have their defaults.
--- a/mustardrill_standins/src/experiment/pattern.rs
+++ b/mustardrill_standins/src/experiment/pattern.rs
@@ -3,7 +3,7 @@
 use std::str::FromStr;
 
 use derive_more::Display;
-use mustardrill_core::direct::{EngineProfile, ModelProfile};
+use mustardrill_core::direct::{EngineForecast, EngineProfile, ModelProfile};
 use mustardrill_runtime::settings::{SettingsOutcome, SettingsReader};
 use mustardrill_types::{Millis, ModelName};
 
@@ -71,7 +71,8 @@
     pub span: Millis,
     /// Share of the engines affected, from 0 to 1, chosen at random; no effect on a burst.
     pub share: f64,
-    /// Factor on the request rate (burst) or on the duration of the engines' passes (slow).
+    /// Factor on the request rate (burst) or on the duration of the engines' passes (slow); the
+    /// requests per second that an engine accepts (limit).
     pub factor: f64,
 }
 
@@ -81,6 +82,9 @@
     /// The request rate of all kinds is multiplied by the factor.
     #[display("burst")]
     Burst,
+    /// Engines state that they accept only so many requests per second.
+    #[display("limit")]
+    Limit,
     /// Engines crash, and start again when the disturbance ends.
     #[display("crash")]
     Crash,
@@ -96,8 +100,9 @@
         match text {
             "burst" => Ok(Self::Burst),
             "crash" => Ok(Self::Crash),
+            "limit" => Ok(Self::Limit),
             "slow" => Ok(Self::Slow),
-            _ => Err("write burst, crash or slow".into()),
+            _ => Err("write burst, crash, limit or slow".into()),
         }
     }
 }
@@ -137,9 +142,19 @@
         bursts.filter(|it| it.is_active(at)).map(|it| it.factor).product()
     }
 
-    /// The engines running at a moment, a slow one counted by its remaining speed.
+    /// The requests of mean size that one engine completes per second.
+    pub(crate) fn engine_rate(&self) -> f64 {
+        let forecast = EngineForecast::new(&self.profile);
+        let service_ms = forecast.service_ms(self.profile.slots, forecast.usual_size());
+        f64::from(self.profile.slots) * 1_000.0 / service_ms.max(1.0)
+    }
+
+    /// The engines running at a moment, a slow or limited one counted by what it completes.
     pub(crate) fn effective_engines(&self, at: Millis) -> f64 {
         let lost_share = |it: &PatternDisturbance| match it.kind {
+            DisturbanceKind::Limit => {
+                it.share * (1.0 - it.factor / self.engine_rate()).clamp(0.0, 1.0)
+            }
             DisturbanceKind::Crash => it.share,
             DisturbanceKind::Slow => it.share * (1.0 - 1.0 / it.factor.max(1.0)),
             DisturbanceKind::Burst => 0.0,
@@ -170,7 +185,8 @@
 
 impl PatternDisturbance {
     fn read(reader: &mut SettingsReader, section: &str) -> Self {
-        let kind = reader.required(section, "kind", "burst, crash or slow", DisturbanceKind::Burst);
+        let kind =
+            reader.required(section, "kind", "burst, crash, limit or slow", DisturbanceKind::Burst);
         Self {
             name: section.trim_start_matches("disturbance ").trim().into(),
             kind,
--- a/mustardrill_standins/src/experiment/report.rs
+++ b/mustardrill_standins/src/experiment/report.rs
@@ -27,6 +27,17 @@
     pub bound: f64,
 }
 
+/// What an engine that limited its rate got.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct LimitCount {
+    /// The requests per second that it accepted.
+    pub rate: f64,
+    /// The largest number of requests that it got within four seconds.
+    pub largest: usize,
+    /// The share of `rate` that it got in the mean.
+    pub used: f64,
+}
+
 /// The result of one simulation.
 #[derive(Debug, Default, Clone, Serialize)]
 pub struct SimulationReport {
@@ -34,6 +45,8 @@
     pub kinds: FastMap<Box<str>, OutcomeCounts>,
     /// Outcomes by the second of arrival.
     pub seconds: Vec<SecondCount>,
+    /// Engines that limited their rate, once for each disturbance.
+    pub limits: Vec<LimitCount>,
     /// Engine crashes caused by a request; crashes of a disturbance are not counted.
     pub engines_ended: u32,
     /// Attempts rejected by engines whose slots and queue were full.
--- a/mustardrill_standins/src/experiment/simulation.rs
+++ b/mustardrill_standins/src/experiment/simulation.rs
@@ -5,10 +5,12 @@
 
 use mustardrill_core::direct::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, DirectSettings, FleetChange,
-    FleetUpdate, LoadBroadcaster, PeerLoad, RequestNumber, SendPlan,
+    FleetUpdate, IntakeReport, IntakeStatement, LoadBroadcaster, PeerLoad, RequestNumber, SendPlan,
 };
 use mustardrill_core::quarantine::CrashReport;
-use mustardrill_types::{FastMap, InstanceId, Millis, Moment, StoreRevision, WeightVersion};
+use mustardrill_types::{
+    FastMap, InstanceId, Millis, Moment, RequestRate, StoreRevision, WeightVersion,
+};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -52,6 +54,7 @@
     BroadcastDue { entry: usize },
     PeerLoadArrives { entry: usize, load: PeerLoad },
     CrashReportArrives { entry: usize, report: CrashReport },
+    IntakeReportsArrive { entry: usize, from: usize, reports: Vec<IntakeReport> },
     TimerFires { entry: usize },
     DisturbanceStarts { index: usize },
     DisturbanceEnds { index: usize },
@@ -78,6 +81,10 @@
     pub(super) model: EngineModel,
     incarnation: u64,
     is_up: bool,
+    /// The rate that the engine states to accept.
+    intake: Option<RequestRate>,
+    /// When requests arrived, whether or not it took them.
+    pub(super) arrivals: Vec<Moment>,
 }
 
 pub(super) struct PatternSimulation<'a> {
@@ -97,6 +104,8 @@
     pub(super) engines: Vec<EngineState>,
     /// Indices of the engines that each disturbance affects, while it is active.
     affected_engines: Vec<Vec<usize>>,
+    /// The engines that each disturbance of the kind `limit` has affected.
+    pub(super) limited_engines: Vec<(usize, Vec<usize>)>,
     pub(super) calls: Vec<CallState>,
     pub(super) report: SimulationReport,
 }
@@ -113,6 +122,8 @@
             model: EngineModel::new(&pattern.profile, pattern.prefill_chunk),
             incarnation: 1,
             is_up: true,
+            intake: None,
+            arrivals: Vec::new(),
         };
         let mut simulation = Self {
             pattern,
@@ -125,6 +136,7 @@
             entries: (0..pattern.entries as usize).map(entry).collect(),
             engines: (0..pattern.engines).map(engine).collect(),
             affected_engines: vec![Vec::new(); pattern.disturbances.len()],
+            limited_engines: Vec::new(),
             calls: Vec::new(),
             report: SimulationReport::default(),
         };
@@ -180,6 +192,10 @@
             SimulationEvent::CrashReportArrives { entry, report } => {
                 self.reduce(entry, DirectEvent::CrashReportReceived(report));
             }
+            SimulationEvent::IntakeReportsArrive { entry, from, reports } => {
+                let event = DirectEvent::IntakeReportsReceived(entry_id(from), reports);
+                self.reduce(entry, event);
+            }
             SimulationEvent::TimerFires { entry } => self.reduce(entry, DirectEvent::TimerFired),
             SimulationEvent::DisturbanceStarts { index } => self.start_disturbance(index),
             SimulationEvent::DisturbanceEnds { index } => self.end_disturbance(index),
@@ -250,7 +266,9 @@
         if !self.is_current(id) {
             return;
         }
+        let now = self.moment();
         let state = &mut self.engines[engine];
+        state.arrivals.push(now);
         if !state.is_up {
             return self.report_attempt(id, AttemptReport::NotSent);
         }
@@ -340,6 +358,7 @@
         let entry = self.calls[id.call].entry;
         let outcome = match report {
             AttemptReport::EventSent => {
+                self.state_intake(id.call);
                 let event = DirectEvent::AnswerStarted(number, None, Some(WeightVersion(1)));
                 self.reduce(entry, event);
                 return self.receive_event(id.call);
@@ -364,6 +383,15 @@
         self.reduce(entry, DirectEvent::AttemptEnded(number, outcome));
     }
 
+    /// Reports the limit of the engine that runs a call, as the head of its answer states it.
+    fn state_intake(&mut self, call: usize) {
+        let state = &self.calls[call];
+        let Some((engine, _)) = &state.engine else { return };
+        let Some(rate) = self.engines[*engine].intake else { return };
+        let statement = IntakeStatement { limit: Some(rate), malformed: None };
+        self.reduce(state.entry, DirectEvent::IntakeStated(self.number(call), statement));
+    }
+
     fn broadcast_load(&mut self, entry: usize) {
         let now = self.moment();
         let state = &mut self.entries[entry];
@@ -371,6 +399,7 @@
             (state.reducer.outstanding_load(), state.reducer.waiting_counts());
         let update = state.broadcaster.next_update(now, outstanding, waiting);
         let reports = state.reducer.due_crash_reports(now);
+        let intake_reports = state.reducer.due_intake_reports(now);
         for other in (0..self.entries.len()).filter(|other| *other != entry) {
             if let Some(update) = update.clone().filter(|_| self.draw_delivery()) {
                 let load = PeerLoad { from: entry_id(entry), update };
@@ -379,6 +408,11 @@
                     SimulationEvent::PeerLoadArrives { entry: other, load },
                 );
             }
+            if !intake_reports.is_empty() && self.draw_delivery() {
+                let (from, reports) = (entry, intake_reports.clone());
+                let event = SimulationEvent::IntakeReportsArrive { entry: other, from, reports };
+                self.schedule(self.pattern.one_way_delay, event);
+            }
             for report in reports.clone() {
                 if self.draw_delivery() {
                     let event = SimulationEvent::CrashReportArrives { entry: other, report };
@@ -395,6 +429,7 @@
 
     fn start_disturbance(&mut self, index: usize) {
         let disturbance = &self.pattern.disturbances[index];
+        let accepted = RequestRate((disturbance.factor * 1_000.0) as u64);
         let mut engines: Vec<_> = (0..self.engines.len()).collect();
         engines.shuffle(&mut self.rng);
         let count = (disturbance.share * engines.len() as f64).round() as usize;
@@ -403,9 +438,13 @@
             match disturbance.kind {
                 DisturbanceKind::Burst => {}
                 DisturbanceKind::Slow => self.engines[*engine].model.slowdown = disturbance.factor,
+                DisturbanceKind::Limit => self.engines[*engine].intake = Some(accepted),
                 DisturbanceKind::Crash => self.crash_engine(*engine),
             }
         }
+        if disturbance.kind == DisturbanceKind::Limit {
+            self.limited_engines.push((index, engines.clone()));
+        }
         self.affected_engines[index] = engines;
     }
 
@@ -415,6 +454,7 @@
             match kind {
                 DisturbanceKind::Burst => {}
                 DisturbanceKind::Slow => self.engines[engine].model.slowdown = 1.0,
+                DisturbanceKind::Limit => self.engines[engine].intake = None,
                 DisturbanceKind::Crash => self.start_engine(engine),
             }
         }
--- a/mustardrill_standins/tests/experiment.rs
+++ b/mustardrill_standins/tests/experiment.rs
@@ -137,7 +137,7 @@
     assert_eq!(
         faults,
         [
-            "pattern.ini:11: [disturbance x] kind = flood: write burst, crash or slow",
+            "pattern.ini:11: [disturbance x] kind = flood: write burst, crash, limit or slow",
             "pattern.ini:5: [fleet] engines = 0: write 1 to 10000",
         ]
     );
@@ -163,3 +163,16 @@
     }
     assert!(read >= 4);
 }
+
+#[test]
+fn engines_that_limit_their_rate_get_it_and_no_more_under_overload() {
+    let text = LIGHT_LOAD.replace("rate = 10", "rate = 60").replace("span = 4s", "span = 16s");
+    let limit = "[disturbance half]\nkind = limit\nat = 2s\nfor = 13s\nshare = 0.5\nfactor = 2\n";
+    let report = simulate(&pattern(&format!("{text}{limit}")), &settings(), 1);
+    assert_eq!(report.limits.len(), 2, "{:?}", report.limits);
+    for count in &report.limits {
+        // Half as much again, and five requests, in four seconds.
+        assert!(count.largest <= 17, "{count:?}");
+        assert!(count.used >= 0.9, "{count:?}");
+    }
+}
