Connections to an upstream are divided among the entries that are there, not those listed

After an outage in which registrations ended, an entry that read the store before the others were back took all of the connections that an upstream accepts for its own (64 of 64 with 4 entries, in the test that failed). The count is the one of the retry budget: entries that are registered or gave a sign within the window, computed ten times a second and at each reading. The forecast of waiting keeps the listed entries: it promises nothing.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -46,7 +46,7 @@
         }
         let address = target.record.address;
         let profile = self.document.as_ref().and_then(|it| it.service(&state.service));
-        let entries = self.peers().len() as u32 + 1;
+        let entries = self.entry_count as u32;
         // Once a version has superseded another, the version expected here is required explicitly,
         // in case the expectation is wrong.
         let pinned_version = state.pinned_version.or_else(|| {
--- a/mustardrill_core/src/direct/intake/statements.rs
+++ b/mustardrill_core/src/direct/intake/statements.rs
@@ -69,7 +69,7 @@
         if !has_changed {
             return Vec::new();
         }
-        self.update_intake_shares(now);
+        self.update_shares(now);
         self.dispatch_all_waiting(now)
     }
 
@@ -103,21 +103,22 @@
     }
 
     /// Computes the shares again if that is due.
-    pub(in crate::direct) fn refresh_intake_shares(&mut self, now: Moment) {
-        if now.since(self.intake_shares_at) < SHARE_INTERVAL {
-            return;
-        }
-        self.intake_shares_at = now;
-        if self.upstreams.limited_count() > 0 {
-            self.update_intake_shares(now);
+    pub(in crate::direct) fn refresh_shares(&mut self, now: Moment) {
+        if now.since(self.shares_at) >= SHARE_INTERVAL {
+            self.update_shares(now);
         }
     }
 
-    fn update_intake_shares(&mut self, now: Moment) {
-        self.intake_shares_at = now;
+    /// Computes this entry's shares from the entries that exist.
+    pub(in crate::direct) fn update_shares(&mut self, now: Moment) {
+        self.shares_at = now;
         let is_member = self.is_in_contact(now);
         let window = self.settings.retry_share.window;
         let peers = self.entry_counter.live_peers(now, window, &self.peers);
+        self.entry_count = peers.len() + 1;
+        if self.upstreams.limited_count() == 0 {
+            return;
+        }
         let own_id = &self.settings.own_id;
         for upstream in self.upstreams.iter_mut() {
             let rate = upstream.intake_limit.rate().filter(|_| is_member);
@@ -151,7 +152,7 @@
             format!("source=answer request={} answered_after={answered_after}", state.attempt_id);
         log_change(start, rate, before, &source);
         self.intake_reports.record_change();
-        self.update_intake_shares(now);
+        self.update_shares(now);
     }
 }
 
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -102,8 +102,10 @@
     pub(super) crash_reports: CrashBroadcaster,
     /// When limits of upstreams were last reported to the peer entries.
     pub(super) intake_reports: IntakeBroadcaster,
-    /// When the shares of limited upstreams were last computed.
-    pub(super) intake_shares_at: Moment,
+    /// How many entries share what upstreams accept from all of them, this one included.
+    pub(super) entry_count: usize,
+    /// When `entry_count` and the shares of limited upstreams were last computed.
+    pub(super) shares_at: Moment,
     /// When capacity becomes available that waiting requests may take.
     pub(super) capacity_at: Option<Moment>,
     /// The pending `DirectEffect::SetTimer`, so that no later one is requested.
@@ -142,7 +144,8 @@
             undecided_requests: Vec::new(),
             crash_reports: CrashBroadcaster::default(),
             intake_reports: IntakeBroadcaster::default(),
-            intake_shares_at: Moment(0),
+            entry_count: 1,
+            shares_at: Moment(0),
             capacity_at: None,
             armed_timer: None,
         }
@@ -151,7 +154,7 @@
     /// Applies an event at `now` and returns the effects to carry out.
     pub fn reduce(&mut self, now: Moment, event: DirectEvent) -> Vec<DirectEffect> {
         self.upstreams.peer_loads.expire_silent(now, self.settings.peer_load_timeout);
-        self.refresh_intake_shares(now);
+        self.refresh_shares(now);
         let mut effects = match event {
             DirectEvent::RequestArrived(request) => self.admit_arrival(now, request),
             DirectEvent::CallerGone(number) => self.caller_gone(now, number),
--- a/mustardrill_core/src/direct/store/fleet_updates.rs
+++ b/mustardrill_core/src/direct/store/fleet_updates.rs
@@ -44,6 +44,7 @@
             self.peer_generation.start_wait(now);
         }
         self.store_freshness.confirm(sent);
+        self.update_shares(now);
         self.confirm_config(sent);
         self.remove_unreturned(now);
         self.settle_announcements(now);
--- a/mustardrill_core/tests/budgets.rs
+++ b/mustardrill_core/tests/budgets.rs
@@ -1,10 +1,14 @@
 //! The retry budget that all entries share, for any number of entries.
 
+use std::sync::Arc;
+
+use common::public_route;
 use mustardrill_core::direct::{
-    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, DirectSettings, FleetChange,
-    FleetUpdate, LoadUpdate, PeerLoad, RequestNumber, RetryShare,
+    AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectSettings,
+    FleetChange, FleetUpdate, LoadUpdate, PeerLoad, RepeatRule, RequestNumber, RetryShare,
+    RouteDocument, ServiceProfile,
 };
-use mustardrill_types::{InstanceId, Millis, Moment, StoreRevision};
+use mustardrill_types::{FastMap, Generation, InstanceId, Millis, Moment, StoreRevision};
 
 mod common;
 
@@ -56,6 +60,28 @@
     retries
 }
 
+/// After an outage of the store the entries' registrations come back one after the other, and the
+/// peers keep the connections that they have.
+#[test]
+fn connections_of_missing_peers_are_used_by_the_entries_that_are_listed() {
+    let mut reducer = entry_of(4);
+    let limit = 64;
+    let mut changes = common::desk_fleet(3);
+    let Some(FleetChange::Configured(document)) = changes.first_mut() else { panic!() };
+    let mut services = FastMap::default();
+    let profile = ServiceProfile { connection_limit: limit, ..ServiceProfile::default() };
+    services.insert("desk".parse().unwrap(), profile);
+    let routes = vec![public_route("status", "/", "desk", RepeatRule::Idempotent)];
+    let callers = CallerLimits::default();
+    *document = Arc::new(RouteDocument::new(Generation(2), routes, services, Vec::new(), callers));
+    let now = START + Millis(5_000);
+    update_fleet(&mut reducer, now, changes, true);
+    let request = common::desk_request(1, now);
+    let effects = reducer.reduce(now, DirectEvent::RequestArrived(request));
+    let [DirectEffect::Send(_, plan)] = &effects[..] else { panic!("{effects:?}") };
+    assert_eq!(plan.connection_limit, limit / 4);
+}
+
 #[test]
 fn all_entries_together_stay_within_the_allowance_and_use_most_of_it() {
     for entries in [1, 2, 4, 12, 13, 36, 100] {
