--- a/mustardrill_core/tests/limits.rs
+++ b/mustardrill_core/tests/limits.rs
@@ -8,9 +8,11 @@
 use common::document_with;
 use mustardrill_core::budget::RetrySettings;
 use mustardrill_core::demand::DemandRow;
+use mustardrill_core::document::CustomerLimits;
 use mustardrill_core::entry::{
     AgentSync, EntryEffect, EntryEvent, EntryReducer, EntrySettings, IncomingRequest, RequestId,
 };
+use mustardrill_core::limit::LimitTable;
 use mustardrill_core::membership::{InstanceRecord, MemberSettings};
 use mustardrill_core::quarantine::CrashReport;
 use mustardrill_core::routing::{RoutingSettings, UpstreamReport};
@@ -133,6 +135,20 @@
     }
 }
 
+#[test]
+fn more_requests_of_a_customer_are_in_progress_than_its_limit_at_many_entries() {
+    let limits = CustomerLimits { requests_per_second: 1_000, in_flight: 4 };
+    let key = ("comedor".parse().unwrap(), "desk".parse().unwrap());
+    for entries in [4, 36, 340] {
+        let admitted = |_: &usize| {
+            let mut table = LimitTable::default();
+            table.admit(Moment(1_000), &key, limits, entries).is_ok()
+        };
+        let in_flight = (0..entries).filter(admitted).count();
+        assert!(in_flight <= 4, "{in_flight} of 4 in progress at {entries} entries");
+    }
+}
+
 #[test]
 fn equal_demand_gets_equal_shares() {
     for (entries, reporting) in [(3, 3), (34, 10)] {
