--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -212,6 +212,8 @@
     pub repeat_rule: RepeatRule,
     /// The priority sent to the upstream; zero is the most urgent.
     pub priority: u8,
+    /// Whether the upstream limits the request rate that it accepts.
+    pub is_limited: bool,
 }
 
 /// Why a request is refused, and when to retry.
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use cadence::{Gauged, StatsdClient};
+use cadence::{Counted, Gauged, StatsdClient};
 use kameo::prelude::*;
 use mustardrill_core::direct::{
     AnnouncementReport, AvailabilitySpan, CallerLimits, DirectEffect, DirectEvent, DirectReducer,
@@ -24,7 +24,7 @@
 use crate::direct::callers::CallerHandler;
 use crate::direct::config::DirectConfig;
 use crate::direct::connections::ConnectionPool;
-use crate::direct::metrics::METRICS;
+use crate::direct::metrics::{METRICS, UpstreamLabels};
 use crate::direct::quarantine_records::RecordChange;
 use crate::direct::relay::ChunkRelay;
 use crate::direct::watch::own_record;
@@ -94,6 +94,7 @@
     reducer: DirectReducer,
     context: Arc<DirectContext>,
     command_senders: FastMap<RequestNumber, mpsc::UnboundedSender<RequestCommand>>,
+    upstream_labels: UpstreamLabels,
 }
 
 /// An event for the reducer.
@@ -166,6 +167,10 @@
         for effect in self.reducer.reduce(now, event) {
             match effect {
                 DirectEffect::Send(number, plan) => {
+                    if plan.is_limited {
+                        let label = self.upstream_labels.label(&plan.upstream);
+                        let _ = self.context.metrics.count(&format!("limited_sends.{label}"), 1);
+                    }
                     self.send_command(number, RequestCommand::Send(plan))
                 }
                 DirectEffect::Withdraw(number) => {
@@ -366,8 +371,12 @@
         halt: halt.clone(),
     });
     let reducer = DirectReducer::new(config.direct.clone(), rand::random());
-    let state =
-        DirectActor { reducer, context: context.clone(), command_senders: FastMap::default() };
+    let state = DirectActor {
+        reducer,
+        context: context.clone(),
+        command_senders: FastMap::default(),
+        upstream_labels: UpstreamLabels::default(),
+    };
     let actor = DirectActor::spawn_with_mailbox(state, mailbox::unbounded());
     let handler = CallerHandler::new(actor.clone(), context.clone());
     let ready =
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -2,9 +2,32 @@
 //! them.
 
 use mustardrill_runtime::exposition::{MetricKind, MetricRow};
+use mustardrill_types::{FastSet, InstanceId};
+
+/// Upstreams with a label of their own; each costs memory until the process ends.
+const MAX_UPSTREAM_LABELS: usize = 32;
+
+/// The label of the upstreams beyond `MAX_UPSTREAM_LABELS`.
+const OTHER_UPSTREAMS: &str = "other";
+
+/// Assigns the values of the label `upstream`, of which there are few.
+#[derive(Debug, Default)]
+pub(crate) struct UpstreamLabels {
+    labelled: FastSet<InstanceId>,
+}
+
+impl UpstreamLabels {
+    /// Returns the label of an upstream.
+    pub(crate) fn label<'a>(&mut self, id: &'a InstanceId) -> &'a str {
+        if self.labelled.len() < MAX_UPSTREAM_LABELS && !self.labelled.contains(id) {
+            self.labelled.insert(id.clone());
+        }
+        if self.labelled.contains(id) { id.as_str() } else { OTHER_UPSTREAMS }
+    }
+}
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 16] = [
+pub const METRICS: [MetricRow; 17] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -31,6 +54,11 @@
         MetricKind::Counter("form"),
         "Answers that state which request rate their upstream accepts, by whether it is valid.",
     ),
+    MetricRow::new(
+        "limited_sends",
+        MetricKind::Counter("upstream"),
+        "Attempts at upstreams that limit the request rate that they accept.",
+    ),
     MetricRow::new(
         "upstreams_limited",
         MetricKind::Gauge,
