--- a/mustardrill_core/tests/common/intake.rs
+++ b/mustardrill_core/tests/common/intake.rs
@@ -77,6 +77,8 @@
     pub refused: u64,
     /// The entries that callers send to; `None` for all of them.
     pub called: Option<Vec<usize>>,
+    /// Whether the store has lost the entries' registrations.
+    has_lost_entries: bool,
     /// Whether the other upstreams fail the requests that they run.
     pub do_others_fail: bool,
     sent_to: BTreeMap<RequestNumber, InstanceId>,
@@ -100,6 +102,7 @@
             arrivals: Vec::new(),
             refused: 0,
             called: None,
+            has_lost_entries: false,
             do_others_fail: false,
             sent_to: BTreeMap::new(),
             starts: 0,
@@ -135,6 +138,12 @@
         self.changes += 1;
     }
 
+    /// Makes the store lose the entries' registrations, or list the entries again.
+    pub fn set_entries_lost(&mut self, has_lost_entries: bool) {
+        self.has_lost_entries = has_lost_entries;
+        self.changes += 1;
+    }
+
     /// The entries that run.
     pub fn places(&self) -> Vec<usize> {
         self.entries.keys().copied().collect()
@@ -282,7 +291,8 @@
                 record.slots = 1_000;
             }
         }
-        let registered = self.entries.values().filter(|entry| entry.group == 0);
+        let is_listed = |entry: &&Entry| entry.group == 0 && !self.has_lost_entries;
+        let registered = self.entries.values().filter(is_listed);
         changes.extend(registered.map(|entry| FleetChange::Peer(peer(&entry.id))));
         changes
     }
--- a/mustardrill_core/tests/intake_limits.rs
+++ b/mustardrill_core/tests/intake_limits.rs
@@ -176,6 +176,20 @@
     }
 }
 
+/// After an outage of the store in which they ended.
+#[test]
+fn an_upstream_gets_more_than_it_accepts_while_the_registrations_of_entries_are_missing() {
+    for entries in [4, 36] {
+        let rate = RequestRate(1_000);
+        let (mut simulation, from) = limited(scenario(entries, rate, 12), rate);
+        simulation.set_entries_lost(true);
+        simulation.run_for(Millis(4_000));
+        simulation.set_entries_lost(false);
+        simulation.run_for(Millis(4_000));
+        check_bound(&simulation, rate, from, &format!("{entries} entries"));
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: common::cases(12), ..ProptestConfig::default() })]
 
