--- a/mustardrill_core/tests/common/intake.rs
+++ b/mustardrill_core/tests/common/intake.rs
@@ -1,5 +1,6 @@
 //! A simulation of entries in front of an upstream that limits its request rate and of others that
 //! do not.
+#![allow(dead_code, reason = "each test and example uses a part of it")]
 
 use std::collections::BTreeMap;
 
