Limits of upstreams: no allocation for sends without a limit, no pass-through function, no silent drop

Read once more: each send copied its attempt id for a log line that only limited upstreams need; intake_opens_at only called the limit; a report from an invalid instance id was dropped without a log line. Decisions are as before.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -96,9 +96,11 @@
         }
         let prefill_time = self.prefill_time(state);
         let start = target.start();
-        let attempt_id = state.attempt_id.clone();
+        let limited_attempt = plan.is_limited.then(|| state.attempt_id.clone());
         self.upstreams.record_sent(&start, prefill_time);
-        self.record_limited_send(now, &attempt_id, &start);
+        if let Some(attempt) = limited_attempt {
+            self.record_limited_send(now, &attempt, &start);
+        }
         if let Some(state) = self.requests.get_mut(&number) {
             state.pending_prefill = prefill_time;
             state.has_started = false;
--- a/mustardrill_core/src/direct/intake/statements.rs
+++ b/mustardrill_core/src/direct/intake/statements.rs
@@ -5,7 +5,7 @@
 use mustardrill_types::{InstanceId, Millis, Moment, RequestRate};
 
 use crate::direct::event::{DirectEffect, RequestNumber};
-use crate::direct::fleet::upstream::{UpstreamStart, UpstreamState};
+use crate::direct::fleet::upstream::UpstreamStart;
 use crate::direct::intake::limit::{IntakeStatement, SENT_SPAN};
 use crate::direct::intake::report::IntakeReport;
 use crate::direct::intake::share::IntakeShare;
@@ -96,12 +96,6 @@
         );
     }
 
-    /// From when on this entry may send to an upstream, considering its limit; `None` if it may not
-    /// send at all.
-    pub(in crate::direct) fn intake_opens_at(&self, upstream: &UpstreamState) -> Option<Moment> {
-        upstream.intake_limit.opens_at()
-    }
-
     /// Computes the shares again if that is due.
     pub(in crate::direct) fn refresh_shares(&mut self, now: Moment) {
         if now.since(self.shares_at) >= SHARE_INTERVAL {
--- a/mustardrill_entry/src/direct/gossip.rs
+++ b/mustardrill_entry/src/direct/gossip.rs
@@ -100,7 +100,13 @@
 
 fn events_of(now: Moment, datagram: Datagram) -> Vec<DirectEvent> {
     if !datagram.intakes.is_empty() {
-        let Ok(from) = datagram.from.parse() else { return Vec::new() };
+        let Ok(from) = datagram.from.parse() else {
+            warn!(
+                "datagram from={:?} outcome=dropped reason=\"invalid instance id\"",
+                datagram.from
+            );
+            return Vec::new();
+        };
         let reports = datagram.intakes.iter().filter_map(IntakeRow::report);
         return vec![DirectEvent::IntakeReportsReceived(from, reports.collect())];
     }
