--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -88,6 +88,8 @@
     /// Peers that are missing in a store restored from an older copy.
     pub(super) unconfirmed_peers: FastSet<InstanceId>,
     pub(super) store_read_at: Moment,
+    /// When this process first read the store.
+    pub(super) first_read_at: Option<Moment>,
     /// Whether the last call to the store failed.
     pub(super) is_store_unreachable: bool,
     /// For how long the store has been answering the entries.
@@ -137,6 +139,7 @@
             peer_generation: GenerationReport::default(),
             unconfirmed_peers: FastSet::default(),
             store_read_at: Moment(0),
+            first_read_at: None,
             is_store_unreachable: false,
             store_availability: StoreAvailability::default(),
             held_requests: HeldRequests::default(),
--- a/mustardrill_core/src/direct/retries/retry.rs
+++ b/mustardrill_core/src/direct/retries/retry.rs
@@ -88,14 +88,19 @@
         let share = &self.settings.retry_share;
         let entries = self.entry_counter.count_live(now, share.window, &self.peers);
         let window = self.retry_windows.entry(state.service.clone()).or_default();
-        let granted = window.try_spend(now, share, entries);
-        if !granted {
-            info!(
-                "request={} decision=no-repeat reason=budget entries={entries}",
-                state.attempt_id
-            );
-        }
-        granted
+        let decision = window.try_spend(now, share, entries);
+        info!(
+            "request={} decision={} reason=budget service={} spent={} earned={:.1} allowance={:.1} \
+             entries={entries} age={}",
+            state.attempt_id,
+            if decision.is_granted { "repeat" } else { "no-repeat" },
+            state.service,
+            decision.spent,
+            decision.earned,
+            decision.allowance,
+            self.first_read_at.map_or("none".into(), |read_at| now.since(read_at).to_string()),
+        );
+        decision.is_granted
     }
 
     pub(in crate::direct) fn retry(
--- a/mustardrill_core/src/direct/retries/retry_budget.rs
+++ b/mustardrill_core/src/direct/retries/retry_budget.rs
@@ -20,6 +20,19 @@
     pub window: Millis,
 }
 
+/// A decision on one retry, with the figures that it was made from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryDecision {
+    /// Whether the retry is allowed; it is then counted as spent.
+    pub is_granted: bool,
+    /// Retries that were spent within the window before this one.
+    pub spent: usize,
+    /// Retries that this entry's requests within the window have earned.
+    pub earned: f64,
+    /// This entry's part of the allowance.
+    pub allowance: f64,
+}
+
 /// The requests and retries of one service in the last window.
 #[derive(Debug, Default)]
 pub struct RetryWindow {
@@ -34,17 +47,17 @@
         self.requests.push_back(now);
     }
 
-    /// Spends one retry if the budget permits; returns whether it did. The allowance is divided
-    /// among `entries`.
-    pub fn try_spend(&mut self, now: Moment, share: &RetryShare, entries: usize) -> bool {
+    /// Spends one retry if the budget permits. The allowance is divided among `entries`.
+    pub fn try_spend(&mut self, now: Moment, share: &RetryShare, entries: usize) -> RetryDecision {
         self.drop_expired(now, share);
         let allowance = share.allowance / entries.max(1) as f64;
-        let earned = self.requests.len() as f64 * share.ratio + allowance;
-        if self.retries.len() as f64 + 1.0 > earned {
-            return false;
+        let earned = self.requests.len() as f64 * share.ratio;
+        let spent = self.retries.len();
+        let is_granted = spent as f64 + 1.0 <= earned + allowance;
+        if is_granted {
+            self.retries.push_back(now);
         }
-        self.retries.push_back(now);
-        true
+        RetryDecision { is_granted, spent, earned, allowance }
     }
 
     fn drop_expired(&mut self, now: Moment, share: &RetryShare) {
