Retry shares are derived from their bound in the core

No change of figures: the margins move from the settings of the entry to the reducer's module, so that a test of the core plays what the programs use.

--- a/mustardrill_core/src/direct/retries/retry_budget.rs
+++ b/mustardrill_core/src/direct/retries/retry_budget.rs
@@ -9,6 +9,14 @@
 
 use mustardrill_types::{Millis, Moment};
 
+/// The share of the retry ratio that one entry uses, because the windows of the entries don't start
+/// together.
+const RATIO_SHARE: f64 = 0.6;
+
+/// The share of the retry allowance that all entries spend together. A restarted entry has
+/// forgotten what it spent; the reserve allows a fifth of all entries to restart within a window.
+const ALLOWANCE_SHARE: f64 = 0.8;
+
 /// What one entry may spend on retries.
 #[derive(Debug, Clone)]
 pub struct RetryShare {
@@ -20,6 +28,28 @@
     pub window: Millis,
 }
 
+/// The promised bound on the retries of a service, over all entries.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RetryBound {
+    /// Retries per request in a window.
+    pub ratio: f64,
+    /// Retries per window in addition to those.
+    pub allowance: f64,
+    /// The length of the sliding window.
+    pub window: Millis,
+}
+
+impl RetryShare {
+    /// What an entry may spend so that all entries together stay within the bound.
+    pub fn within(bound: &RetryBound) -> Self {
+        Self {
+            ratio: bound.ratio * RATIO_SHARE,
+            allowance: bound.allowance * ALLOWANCE_SHARE,
+            window: bound.window,
+        }
+    }
+}
+
 /// A decision on one retry, with the figures that it was made from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryDecision {
--- a/mustardrill_entry/src/direct/config.rs
+++ b/mustardrill_entry/src/direct/config.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use log::LevelFilter;
-use mustardrill_core::direct::{DirectSettings, RetryShare};
+use mustardrill_core::direct::{DirectSettings, RetryBound, RetryShare};
 use mustardrill_runtime::config::{local, name};
 use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
 use mustardrill_types::{ByteSize, Millis};
@@ -45,14 +45,6 @@
 /// covers the time that a checked request is under way.
 const FRESHNESS_PERCENT: u64 = 90;
 
-/// The share of the retry ratio that one entry uses, because the windows of the entries don't start
-/// together.
-const RETRY_RATIO_SHARE: f64 = 0.6;
-
-/// The share of the retry allowance that all entries spend together. A restarted entry has
-/// forgotten what it spent; the reserve allows a fifth of all entries to restart within a window.
-const RETRY_ALLOWANCE_SHARE: f64 = 0.8;
-
 /// The number of heartbeat intervals that a registration is certain to survive: it expires with the
 /// third missing heartbeat, and the last one may have come just before the store became
 /// unavailable.
@@ -104,9 +96,6 @@
     let ratio: f64 = reader.bounded("bounds", "retry_ratio", 0.2, 0.0, 10.0);
     // The platform scales it with the size of the installation, which may give a fraction.
     let allowance: f64 = reader.bounded("bounds", "retry_allowance", 100.0, 0.0, 1_000_000.0);
-    RetryShare {
-        ratio: ratio * RETRY_RATIO_SHARE,
-        allowance: allowance * RETRY_ALLOWANCE_SHARE,
-        window: reader.value("bounds", "retry_window", Millis(10_000)),
-    }
+    let window = reader.value("bounds", "retry_window", Millis(10_000));
+    RetryShare::within(&RetryBound { ratio, allowance, window })
 }
