Soak: the retry budget, judged from what workers see while entries are killed in series

Every eighth seed: plain workers fail every request while entries are killed, stopped or suspended, with a bound of 0.05 and 20 in 2 s. Seed 28 stands in for 20, whose machines have the addresses of seed 220 (seen once: 'Address already in use' at agent-0-1).

--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -4,7 +4,7 @@
 //! `SOAK_SEED` runs one seed, `SOAK_SEEDS` that many from there on, each for `SOAK_SECONDS`
 //! seconds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -51,6 +51,17 @@
 /// Seeds that CI runs with a plain worker that limits the request rate that it accepts.
 const LIMITED_WORKER_SEEDS: [u64; 4] = [10, 14, 18, 22];
 
+/// Seeds that CI runs with plain workers that fail every request while entries are killed.
+const FAILING_WORKERS_SEEDS: [u64; 3] = [4, 12, 28];
+
+/// The bound on retries where plain workers fail: low enough for a few callers to exceed it.
+const RETRY_RATIO: f64 = 0.05;
+const RETRY_ALLOWANCE: f64 = 20.0;
+const RETRY_WINDOW: Duration = Duration::from_secs(2);
+
+/// Requests that a failing worker fails; more than a run has.
+const ALL_REQUESTS: u32 = u32::MAX;
+
 /// The rates that such a worker accepts, in requests per second.
 const ACCEPTED_RATES: [f64; 4] = [0.5, 1.0, 2.5, 5.0];
 
@@ -121,16 +132,21 @@
     LateWeights,
     /// A plain worker limits the request rate that it accepts.
     LimitedWorker,
+    /// Plain workers fail every request, and entries are killed, stopped or suspended in
+    /// series.
+    FailingWorkers,
 }
 
 impl SoakKind {
-    /// Odd seeds run with late weights, and every second even one with a limited worker, except
-    /// those that were in `SEEDS` before these kinds existed: they run as they did then.
+    /// Odd seeds run with late weights, every second even one with a limited worker, and every
+    /// eighth seed with failing workers, except those that were in `SEEDS` before these kinds
+    /// existed: they run as they did then.
     fn of(seed: u64) -> Self {
-        match seed % 4 {
+        match seed % 8 {
             _ if SEEDS.contains(&seed) => Self::Standard,
-            1 | 3 => Self::LateWeights,
-            2 => Self::LimitedWorker,
+            1 | 3 | 5 | 7 => Self::LateWeights,
+            2 | 6 => Self::LimitedWorker,
+            4 => Self::FailingWorkers,
             _ => Self::Standard,
         }
     }
@@ -138,7 +154,7 @@
     /// How long a request may start on superseded weights.
     fn version_bound(self) -> Duration {
         match self {
-            Self::Standard | Self::LimitedWorker => VERSION_BOUND,
+            Self::Standard | Self::LimitedWorker | Self::FailingWorkers => VERSION_BOUND,
             Self::LateWeights => LATE_WEIGHTS_VERSION_BOUND,
         }
     }
@@ -275,7 +291,14 @@
             let store = store_links[usize::from(place)].address;
             let settings = entry_settings(&name, machine_ip(test, 3 + place), store);
             let bound = format!("version = {}ms", kind.version_bound().as_millis());
-            let settings = settings.replace("version = 3s", &bound);
+            let mut settings = settings.replace("version = 3s", &bound);
+            if kind == SoakKind::FailingWorkers {
+                let window = RETRY_WINDOW.as_millis();
+                settings += &format!(
+                    "retry_ratio = {RETRY_RATIO}\nretry_allowance = {RETRY_ALLOWANCE}\n\
+                     retry_window = {window}ms\n"
+                );
+            }
             let program = "mustardrill-entry";
             processes.push(ManagedProcess { program, name, settings, starts: 0, process: None });
         }
@@ -459,6 +482,57 @@
         self.recovery_actions.extend(action.map(|action| (ends, action)));
     }
 
+    /// Kills, stops or suspends an entry that runs, and schedules its return.
+    fn disturb_entry(&mut self) {
+        let place = self.random.random_range(0..usize::from(ENTRIES));
+        let choice = self.random.random_range(0..5);
+        let ends = Instant::now() + Duration::from_millis(self.random.random_range(0..300));
+        let Some(mut process) = self.processes[place].process.take() else { return };
+        let (kind, action) = match choice {
+            0 => {
+                process.suspend();
+                self.processes[place].process = Some(process);
+                (0, RecoveryAction::Thaw(place))
+            }
+            1 => {
+                process.terminate();
+                self.processes[place].process = Some(process);
+                (3, RecoveryAction::Restart(place))
+            }
+            _ => {
+                process.kill();
+                (2, RecoveryAction::Restart(place))
+            }
+        };
+        self.record_disturbance(kind, place, Some(action), ends);
+        self.faults.push(format!("{kind} at {place} {action:?}"));
+        self.recovery_actions.push((ends, action));
+    }
+
+    /// The window with the most retries at plain workers for what it allows, and that number.
+    fn retries_at_desks(&self, outcomes: &[CallOutcome]) -> Option<(usize, usize)> {
+        if self.kind != SoakKind::FailingWorkers {
+            return None;
+        }
+        let mut arrivals: Vec<_> = self.desks.iter().flat_map(Worker::arrivals).collect();
+        arrivals.sort_by_key(|(_, at)| *at);
+        let mut seen = HashSet::new();
+        let retries = arrivals.into_iter().filter(|(attempt, _)| !seen.insert(attempt.clone()));
+        let retries: Vec<_> = retries.map(|(_, at)| at).collect();
+        let to_desks = outcomes.iter().filter(|outcome| outcome.path.ends_with("s/x"));
+        let sent: Vec<_> = to_desks.map(|outcome| outcome.sent).collect();
+        let count = |moments: &[Instant], from: Instant| {
+            moments.iter().filter(|at| **at >= from && **at < from + RETRY_WINDOW).count()
+        };
+        let windows = retries.iter().map(|from| {
+            let earlier = [*from, *from - RETRY_WINDOW / 2, *from - RETRY_WINDOW];
+            let requests = earlier.map(|from| count(&sent, from)).into_iter().max().unwrap_or(0);
+            let allowed = RETRY_RATIO * requests as f64 + RETRY_ALLOWANCE;
+            (count(&retries, *from), allowed as usize)
+        });
+        windows.max_by_key(|(count, allowed)| *count as i64 - *allowed as i64)
+    }
+
     fn announce_version(&mut self) {
         self.version += 1;
         let document = json!({"model": "m0", "version": self.version});
@@ -915,7 +989,7 @@
             // the engines at each crash, and one that only waited there can be taken for the cause:
             // a separate fault, which would hide those of the versions.
             let (draft, crashing) = match self.kind {
-                SoakKind::Standard | SoakKind::LimitedWorker => {
+                SoakKind::Standard | SoakKind::LimitedWorker | SoakKind::FailingWorkers => {
                     ("/drafts/x".to_owned(), CRASHING_PATH)
                 }
                 SoakKind::LateWeights => (format!("/drafts/x?caller={number}"), "/drafts/x"),
@@ -985,6 +1059,13 @@
             violations
                 .push(format!("a limited worker got {count} requests in 4 s, {bound} allowed"));
         }
+        if let Some((count, allowed)) = self.retries_at_desks(outcomes)
+            && count > allowed
+        {
+            violations.push(format!(
+                "plain workers got {count} retries in {RETRY_WINDOW:?}, {allowed} allowed"
+            ));
+        }
         let wrongly_refused = self.wrongly_refused(outcomes);
         if wrongly_refused > 0 {
             violations.push(format!(
@@ -1082,8 +1163,15 @@
     let first = FIRST_FAULT_DELAYS[usize::from(soak.kind == SoakKind::LateWeights)];
     let (mut next, revoke_at) = (started_at + first, started_at + span / 2);
     while started_at.elapsed() < span {
+        if soak.kind == SoakKind::FailingWorkers {
+            soak.desks.iter().for_each(|it| it.set_fault(WorkerFault::Fail, ALL_REQUESTS));
+        }
         if Instant::now() >= next {
-            soak.inject_fault();
+            if soak.kind == SoakKind::FailingWorkers {
+                soak.disturb_entry();
+            } else {
+                soak.inject_fault();
+            }
             next = Instant::now() + Duration::from_millis(soak.random.random_range(50..600));
         }
         // Answer faults are injected all the while, about four times a second at another worker.
@@ -1103,6 +1191,9 @@
         tokio::time::sleep(TICK).await;
     }
     soak.run_recovery_actions(true);
+    if soak.kind == SoakKind::FailingWorkers {
+        soak.desks.iter().for_each(|desk| desk.set_fault(WorkerFault::None, 0));
+    }
     soak.end_disturbances();
     let mut violations = Vec::new();
     let recovery_started_at = Instant::now();
@@ -1138,7 +1229,7 @@
     };
     let summary = format!(
         "seed {seed} {:?}: {} faults, {} requests, 200: {}, 503: {}, 502: {}, 401: {}, {} started after a \
-         bound, limited {:?}, recovered in {} ms",
+         bound, limited {:?}, retries {:?}, recovered in {} ms",
         soak.kind,
         soak.faults.len(),
         outcomes.len(),
@@ -1148,6 +1239,7 @@
         count(401),
         soak.late_starts(&outcomes).1,
         soak.limited_requests(&outcomes),
+        soak.retries_at_desks(&outcomes),
         recovered.as_millis(),
     );
     if violations.is_empty() {
@@ -1188,6 +1280,14 @@
     }
 }
 
+/// Runs the CI seeds with failing workers in parallel to the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_seeded_soak_with_failing_workers_keeps_the_promises() {
+    if number("SOAK_SEED").is_none() {
+        run_seeds(&FAILING_WORKERS_SEEDS).await;
+    }
+}
+
 async fn run_seeds(seeds: &[u64]) {
     let span = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(DEFAULT_FAULT_SECONDS));
     let mut failed = Vec::new();
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -52,6 +52,8 @@
     LoseAnswer,
     /// Answers with the attempt id of another request.
     WrongRequestId,
+    /// Runs the request and answers that it failed.
+    Fail,
 }
 
 /// A request that an engine started to execute.
@@ -324,6 +326,9 @@
             (_, false) => Response::new(buffered_body(format!("done {attempt}"))),
             (fault, true) => Response::new(event_stream(first, fault, answer_delay)),
         };
+        if fault == WorkerFault::Fail {
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        }
         let headers = response.headers_mut();
         let answered_id = if fault == WorkerFault::WrongRequestId { "another" } else { &*attempt };
         headers.insert("x-attempt-id", answered_id.parse().unwrap());
