--- a/mustardrill_core/tests/budgets.rs
+++ b/mustardrill_core/tests/budgets.rs
@@ -261,3 +261,15 @@
     assert!(!is_sent(&effects), "{effects:?}");
     assert!(effects.iter().any(|effect| matches!(effect, DirectEffect::Refuse(..))), "{effects:?}");
 }
+
+#[test]
+fn an_entry_that_was_away_spends_at_once_what_the_others_have_divided() {
+    let mut reducer = entry_of(2);
+    assert_eq!(count_retries(&mut reducer, START, 1..500), 180, "half of 360");
+    let back = START + Millis(20_000);
+    common::keep_in_contact(&mut reducer, back, back);
+    assert_eq!(count_retries(&mut reducer, back, 501..1_000), 0);
+    let later = back + WINDOW + Millis(4_000);
+    common::keep_in_contact(&mut reducer, back, later);
+    assert_eq!(count_retries(&mut reducer, later, 1_001..1_500), 180);
+}
