--- a/mustardrill_core/src/direct/retries/membership.rs
+++ b/mustardrill_core/src/direct/retries/membership.rs
@@ -9,9 +9,9 @@
 /// the store has lost return within two seconds, others' watches report a new one at once.
 const JOIN_SPAN: Millis = Millis(3_000);
 
-/// The part of the window without contact after which an entry joins anew. The others count it for
-/// a window after its last sign of life.
-const ABSENCE_SHARE: u64 = 2;
+/// After a window divided by this without contact an entry joins anew. The others count it for a
+/// window after its last sign of life.
+const ABSENCE_DIVISOR: u64 = 2;
 
 /// An entry's contact with the store and with the other entries.
 #[derive(Debug, Default)]
@@ -26,9 +26,8 @@
 impl AllowanceMembership {
     /// Records an answer of the store.
     pub(crate) fn record_answer(&mut self, now: Moment, window: Millis) {
-        let absence = Millis(window.0 / ABSENCE_SHARE);
         let since = match self.since {
-            Some(since) if now.since(self.contacted_at) < absence => since,
+            Some(since) if self.is_continuous(now, window) => since,
             _ => {
                 self.joined_at = None;
                 now
@@ -43,7 +42,7 @@
 
     /// Records that the entry is in contact with the store or with most entries.
     pub(crate) fn record_contact(&mut self, now: Moment, window: Millis) {
-        if now.since(self.contacted_at) < Millis(window.0 / ABSENCE_SHARE) {
+        if self.is_continuous(now, window) {
             self.contacted_at = now;
         }
     }
@@ -53,6 +52,11 @@
         self.joined_at.is_some_and(|joined_at| now.since(joined_at) >= window)
     }
 
+    /// Whether a contact at `now` continues the present one.
+    fn is_continuous(&self, now: Moment, window: Millis) -> bool {
+        now.since(self.contacted_at) < Millis(window.0 / ABSENCE_DIVISOR)
+    }
+
     /// How long the present contact has lasted; `None` before the first answer of the store.
     pub(crate) fn age(&self, now: Moment) -> Option<Millis> {
         self.since.map(|since| now.since(since))
--- a/mustardrill_core/src/direct/retries/retry.rs
+++ b/mustardrill_core/src/direct/retries/retry.rs
@@ -4,7 +4,7 @@
 //! that is harmless, and all retries together stay within the budget.
 
 use log::info;
-use mustardrill_types::{InstanceId, Millis, Moment, ResultCode, ServiceName};
+use mustardrill_types::{FastMap, InstanceId, Millis, Moment, ResultCode, ServiceName};
 use rand::Rng;
 
 use crate::direct::event::{AttemptOutcome, DirectEffect, RefusalPlan, RequestNumber};
@@ -26,10 +26,10 @@
     ) -> Vec<DirectEffect> {
         let was_sent =
             !matches!(outcome, AttemptOutcome::NotSent | AttemptOutcome::Withdrawn { sent: false });
+        let Some(state) = self.requests.get_mut(&number) else { return Vec::new() };
         if was_sent {
-            self.settle_grant(number);
+            settle_grant(&mut self.retry_windows, state);
         }
-        let Some(state) = self.requests.get_mut(&number) else { return Vec::new() };
         state.attempts_reached += u32::from(was_sent);
         match outcome {
             AttemptOutcome::Whole => {
@@ -145,27 +145,13 @@
         self.try_spend_retry(now, number)
     }
 
-    /// Records that the attempt that the request's grant paid for has reached an upstream.
-    fn settle_grant(&mut self, number: RequestNumber) {
-        let Some(state) = self.requests.get_mut(&number) else { return };
-        if let Some(grant) = state.retry_grant.take()
-            && let Some(window) = self.retry_windows.get_mut(&grant.service)
-        {
-            window.settle(state.sent_at, grant.payment);
-        }
-    }
-
     /// Ends the grant of a request that ends. An attempt that is under way counts as sent.
     pub(in crate::direct) fn release_grant(&mut self, state: &mut RequestState) {
-        let grant = state.retry_grant.take();
-        if !matches!(state.stage, RequestStage::Sent(_)) {
+        if matches!(state.stage, RequestStage::Sent(_)) {
+            settle_grant(&mut self.retry_windows, state);
+        } else {
+            let grant = state.retry_grant.take();
             self.withdraw_grant(grant);
-            return;
-        }
-        if let Some(grant) = grant
-            && let Some(window) = self.retry_windows.get_mut(&grant.service)
-        {
-            window.settle(state.sent_at, grant.payment);
         }
     }
 
@@ -248,3 +234,12 @@
         vec![DirectEffect::Refuse(number, RefusalPlan { code, retry_after })]
     }
 }
+
+/// Records that the attempt that a request's grant paid for has reached an upstream.
+fn settle_grant(windows: &mut FastMap<ServiceName, RetryWindow>, state: &mut RequestState) {
+    if let Some(grant) = state.retry_grant.take()
+        && let Some(window) = windows.get_mut(&grant.service)
+    {
+        window.settle(state.sent_at, grant.payment);
+    }
+}
--- a/mustardrill_core/tests/budgets.rs
+++ b/mustardrill_core/tests/budgets.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use common::public_route;
+use common::{end_attempt, public_route};
 use mustardrill_core::direct::{
     AllowancePart, AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer,
     DirectSettings, EngineNotice, FleetChange, FleetUpdate, LoadUpdate, PeerLoad, RepeatRule,
@@ -212,15 +212,6 @@
     assert!(is_sent(&effects), "{effects:?}");
 }
 
-fn end_attempt(
-    reducer: &mut DirectReducer,
-    now: Moment,
-    number: u64,
-    outcome: AttemptOutcome,
-) -> Vec<DirectEffect> {
-    reducer.reduce(now, DirectEvent::AttemptEnded(RequestNumber(number), outcome))
-}
-
 fn is_sent(effects: &[DirectEffect]) -> bool {
     effects.iter().any(|effect| matches!(effect, DirectEffect::Send(..)))
 }
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -34,6 +34,16 @@
     }
 }
 
+/// Ends the current attempt of a request.
+pub fn end_attempt(
+    reducer: &mut DirectReducer,
+    now: Moment,
+    number: u64,
+    outcome: AttemptOutcome,
+) -> Vec<DirectEffect> {
+    reducer.reduce(now, DirectEvent::AttemptEnded(RequestNumber(number), outcome))
+}
+
 /// How many cases a property test runs; a longer run sets `PROPTEST_CASES`.
 pub fn cases(usual: u32) -> u32 {
     std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use assert_matches::assert_matches;
+use common::end_attempt;
 use mustardrill_core::direct::{
     AttemptOutcome, CallerLimits, ChangeCoalescer, CustomerRecord, DirectEffect, DirectEvent,
     DirectReducer, DirectRequest, DirectSettings, EngineNotice, FleetChange, FleetUpdate,
@@ -126,15 +127,6 @@
     plans.collect()
 }
 
-fn end_attempt(
-    reducer: &mut DirectReducer,
-    now: Moment,
-    number: u64,
-    outcome: AttemptOutcome,
-) -> Vec<DirectEffect> {
-    reducer.reduce(now, DirectEvent::AttemptEnded(RequestNumber(number), outcome))
-}
-
 #[test]
 fn shorter_route_prefix_wins_over_longer_one() {
     let document = document(1, &[]);
