Answers are read once for all that they state of their upstream; log lines and counters

The logs could not tell whether `Server-Leaving` and `Retry-After` of upstreams were not read, or read and undone: no line said what an answer stated, when a pause after a 503 began, or what ended it. Only the limit has an effect, as before. Logged: statements of departure and rest, malformed ones with what would be right, pauses and their early end. Counters leaving_statements and rest_statements.

--- a/mustardrill_core/examples/limits.rs
+++ b/mustardrill_core/examples/limits.rs
@@ -6,7 +6,7 @@
 use intake::{IntakeScenario, IntakeSimulation};
 use mustardrill_core::direct::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, FleetChange, FleetUpdate,
-    IntakeStatement, RequestNumber,
+    RequestNumber, StatedValue, UpstreamStatement,
 };
 use mustardrill_types::{InstanceId, Millis, Moment, RequestRate};
 
@@ -84,8 +84,11 @@
         });
         let number = RequestNumber(number);
         if is_limited {
-            let statement = IntakeStatement { limit: Some(RequestRate(1_000)), malformed: None };
-            reducer.reduce(now, DirectEvent::IntakeStated(number, statement));
+            let statement = UpstreamStatement {
+                limit: StatedValue::valid(RequestRate(1_000)),
+                ..UpstreamStatement::default()
+            };
+            reducer.reduce(now, DirectEvent::UpstreamStated(number, statement));
         }
         reducer.reduce(now, DirectEvent::AnswerStarted(number, None, None));
         reducer.reduce(now, DirectEvent::AttemptEnded(number, AttemptOutcome::Whole));
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -70,6 +70,7 @@
             weights.and_then(|version| self.superseded_attempt(state, version, forecast));
         let plan = SendPlan {
             upstream: upstream.clone(),
+            start: target.record.start,
             address,
             connection_limit: profile.map_or(0, |profile| profile.connection_limit) / entries,
             customer: state.customer.clone(),
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -4,16 +4,16 @@
 
 use mustardrill_types::{
     CustomerName, DataCentre, Generation, InstanceId, Millis, ModelName, Moment, RequestDigest,
-    ResultCode, StoreEra, WeightVersion,
+    ResultCode, StartStamp, StoreEra, WeightVersion,
 };
 
 use crate::direct::fleet::load_broadcast::LoadUpdate;
 use crate::direct::fleet::update::FleetUpdate;
-use crate::direct::intake::limit::IntakeStatement;
 use crate::direct::intake::report::IntakeReport;
 use crate::direct::placement::forecast::WorkSize;
 use crate::direct::retries::retry_budget::RetryShare;
 use crate::direct::route::RepeatRule;
+use crate::direct::statements::statement::UpstreamStatement;
 use crate::direct::store::availability::AvailabilitySpan;
 use crate::direct::versions::table::AnnouncementReport;
 use crate::quarantine::CrashReport;
@@ -116,9 +116,9 @@
     /// The answer to the current attempt started; with the upstream's load and the weights that
     /// produce it, where reported.
     AnswerStarted(RequestNumber, Option<LoadReport>, Option<WeightVersion>),
-    /// The answer to the current attempt states which request rate the upstream accepts. Told
-    /// before `AnswerStarted`, and only for answers that carry such a statement.
-    IntakeStated(RequestNumber, IntakeStatement),
+    /// The answer to the current attempt states something about its upstream. Told before
+    /// `AnswerStarted`, and only for answers that carry a statement.
+    UpstreamStated(RequestNumber, UpstreamStatement),
     /// A peer entry reported which request rates upstreams accept.
     IntakeReportsReceived(InstanceId, Vec<IntakeReport>),
     /// The current attempt of the request ended.
@@ -193,6 +193,8 @@
 pub struct SendPlan {
     /// The upstream that gets the attempt.
     pub upstream: InstanceId,
+    /// The upstream's incarnation.
+    pub start: StartStamp,
     /// The upstream's address.
     pub address: SocketAddr,
     /// How many connections to the upstream this entry may keep; 0 where no limit is configured.
--- a/mustardrill_core/src/direct/fleet/upstream.rs
+++ b/mustardrill_core/src/direct/fleet/upstream.rs
@@ -214,6 +214,9 @@
         }
         self.paused_until = Moment(0);
         self.reload_at = None;
+        if self.cooldown_until > now {
+            info!("cooldown instance={} outcome=ended reason=engine-serves", self.record.id);
+        }
         self.cooldown_until = Moment(0);
         self.set_served_version(model, version);
     }
@@ -240,9 +243,10 @@
         if self.cooldown_until > now {
             return;
         }
-        self.cooldown_until =
-            now + Millis(FIRST_COOLDOWN.0 << self.cooldowns.min(MAX_COOLDOWN_DOUBLINGS));
+        let span = Millis(FIRST_COOLDOWN.0 << self.cooldowns.min(MAX_COOLDOWN_DOUBLINGS));
+        self.cooldown_until = now + span;
         self.cooldowns += 1;
+        info!("cooldown instance={} span={span} times={}", self.record.id, self.cooldowns);
     }
 
     /// Records that it accepted a request, which ends the series of cool-downs.
--- a/mustardrill_core/src/direct/intake/limit.rs
+++ b/mustardrill_core/src/direct/intake/limit.rs
@@ -21,15 +21,6 @@
 /// peer that was cut off may report a change that has been superseded since.
 const MAX_LOOSENING_AGE: Millis = Millis(3_000);
 
-/// Which request rate an upstream's answer states that it accepts from all entries together.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct IntakeStatement {
-    /// The stated rate; the lowest one where the answer states several.
-    pub limit: Option<RequestRate>,
-    /// The statement as received, if it is not exactly one valid rate.
-    pub malformed: Option<Box<str>>,
-}
-
 /// The limit of one upstream, and this entry's use of it.
 #[derive(Debug, Default)]
 pub(crate) struct IntakeLimit {
--- a/mustardrill_core/src/direct/intake/statements.rs
+++ b/mustardrill_core/src/direct/intake/statements.rs
@@ -6,11 +6,12 @@
 
 use crate::direct::event::{DirectEffect, RequestNumber};
 use crate::direct::fleet::upstream::UpstreamStart;
-use crate::direct::intake::limit::{IntakeStatement, SENT_SPAN};
+use crate::direct::intake::limit::SENT_SPAN;
 use crate::direct::intake::report::IntakeReport;
 use crate::direct::intake::share::IntakeShare;
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::RequestStage;
+use crate::direct::statements::statement::StatedValue;
 
 /// How often the shares are computed again from the entries that exist.
 const SHARE_INTERVAL: Millis = Millis(100);
@@ -20,18 +21,18 @@
 const CONTACT_TIMEOUT: Millis = Millis(3_000);
 
 impl DirectReducer {
-    /// Records the statement of an answer that carries one.
+    /// Records the limit that an answer states.
     pub(in crate::direct) fn record_intake_statement(
         &mut self,
         now: Moment,
         number: RequestNumber,
-        statement: &IntakeStatement,
+        statement: &StatedValue<RequestRate>,
     ) {
         let Some(state) = self.requests.get_mut(&number) else { return };
         state.has_stated_intake = true;
         // A malformed statement neither sets a limit nor ends one.
-        if statement.limit.is_some() {
-            self.apply_intake_answer(now, number, statement.limit);
+        if statement.value.is_some() {
+            self.apply_intake_answer(now, number, statement.value);
         }
     }
 
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -15,6 +15,7 @@
 mod request;
 mod retries;
 mod route;
+mod statements;
 mod store;
 mod versions;
 mod waiting;
@@ -25,7 +26,6 @@
 };
 pub use fleet::load_broadcast::{LoadBroadcaster, LoadRows, LoadUpdate, WaitRows};
 pub use fleet::update::{FleetChange, FleetUpdate, PeerRecord, ServedWeights, UpstreamRecord};
-pub use intake::limit::IntakeStatement;
 pub use intake::report::IntakeReport;
 pub use placement::forecast::{EngineForecast, WorkSize};
 pub use reducer::DirectReducer;
@@ -36,6 +36,7 @@
     CallerLimits, CustomerRecord, EngineProfile, ModelProfile, OriginProfile, RepeatRule,
     RouteDocument, RouteRule, ServiceProfile,
 };
+pub use statements::statement::{StatedValue, UpstreamStatement};
 pub use store::availability::{AvailabilitySpan, StoreAvailability};
 pub use store::coalescing::{ChangeCoalescer, NextRead};
 pub use store::cursor::{CursorVerdict, StoreCursor};
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -166,8 +166,10 @@
                 self.record_answer_start(now, number, load, version);
                 Vec::new()
             }
-            DirectEvent::IntakeStated(number, statement) => {
-                self.record_intake_statement(now, number, &statement);
+            DirectEvent::UpstreamStated(number, statement) => {
+                if !statement.limit.is_absent() {
+                    self.record_intake_statement(now, number, &statement.limit);
+                }
                 Vec::new()
             }
             DirectEvent::IntakeReportsReceived(from, reports) => {
--- a/mustardrill_core/tests/common/intake.rs
+++ b/mustardrill_core/tests/common/intake.rs
@@ -6,7 +6,7 @@
 
 use mustardrill_core::direct::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, DirectSettings, FleetChange,
-    FleetUpdate, IntakeReport, IntakeStatement, RequestNumber,
+    FleetUpdate, IntakeReport, RequestNumber, StatedValue, UpstreamStatement,
 };
 use mustardrill_types::{InstanceId, Millis, Moment, RequestRate, StoreEra, StoreRevision};
 use rand::rngs::StdRng;
@@ -226,8 +226,11 @@
             Delivery::Answer(number) => {
                 let upstream = self.sent_to.remove(&number);
                 if upstream == Some(desk_id(0)) && self.limit.is_some() {
-                    let statement = IntakeStatement { limit: self.limit, malformed: None };
-                    self.reduce(place, DirectEvent::IntakeStated(number, statement));
+                    let statement = UpstreamStatement {
+                        limit: StatedValue { value: self.limit, malformed: None },
+                        ..UpstreamStatement::default()
+                    };
+                    self.reduce(place, DirectEvent::UpstreamStated(number, statement));
                 }
                 self.reduce(place, DirectEvent::AnswerStarted(number, None, None));
                 let is_failed = self.do_others_fail && upstream != Some(desk_id(0));
--- a/mustardrill_core/tests/intake_limits.rs
+++ b/mustardrill_core/tests/intake_limits.rs
@@ -4,7 +4,7 @@
 use intake::{COUNTED_SPAN, IntakeScenario, IntakeSimulation};
 use mustardrill_core::direct::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, FleetChange, FleetUpdate,
-    IntakeReport, IntakeStatement, RequestNumber, SendPlan, UpstreamRecord,
+    IntakeReport, RequestNumber, SendPlan, StatedValue, UpstreamRecord, UpstreamStatement,
 };
 use mustardrill_types::{InstanceId, Millis, Moment, RequestRate, ResultCode, StartStamp};
 use proptest::prelude::*;
@@ -248,8 +248,11 @@
 fn answer(reducer: &mut DirectReducer, number: u64, now: Moment, rate: Option<u64>) {
     let number = RequestNumber(number);
     if let Some(rate) = rate {
-        let statement = IntakeStatement { limit: Some(RequestRate(rate)), malformed: None };
-        reducer.reduce(now, DirectEvent::IntakeStated(number, statement));
+        let statement = UpstreamStatement {
+            limit: StatedValue::valid(RequestRate(rate)),
+            ..UpstreamStatement::default()
+        };
+        reducer.reduce(now, DirectEvent::UpstreamStated(number, statement));
     }
     reducer.reduce(now, DirectEvent::AnswerStarted(number, None, None));
     reducer.reduce(now, DirectEvent::AttemptEnded(number, AttemptOutcome::Whole));
@@ -282,8 +285,11 @@
     answer(&mut reducer, 1, START, Some(1_000));
     let later = START + Millis(1_100);
     assert!(is_sent(&send(&mut reducer, 2, later)));
-    let statement = IntakeStatement { limit: None, malformed: Some("none".into()) };
-    reducer.reduce(later, DirectEvent::IntakeStated(RequestNumber(2), statement));
+    let statement = UpstreamStatement {
+        limit: StatedValue { value: None, malformed: Some("none".into()) },
+        ..UpstreamStatement::default()
+    };
+    reducer.reduce(later, DirectEvent::UpstreamStated(RequestNumber(2), statement));
     answer(&mut reducer, 2, later, None);
     assert_eq!(limited_count(&reducer, later), 1);
 }
--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -1,6 +1,7 @@
 //! The task of one request: sends it to the upstreams that the reducer chooses and forwards the
 //! answer.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -12,8 +13,8 @@
 use hyper::{HeaderMap, Response, StatusCode, http};
 use kameo::prelude::*;
 use mustardrill_core::direct::{
-    AttemptOutcome, DirectEvent, DirectRequest, IntakeStatement, LoadReport, RequestNumber,
-    SendPlan,
+    AttemptOutcome, DirectEvent, DirectRequest, LoadReport, RequestNumber, SendPlan, StatedValue,
+    UpstreamStatement,
 };
 use mustardrill_runtime::adapters::AnswerKind;
 use mustardrill_runtime::http::refuses_connections;
@@ -215,7 +216,7 @@
             AnswerKind::Answer { success, load, version } => {
                 let took = self.context.clock.now().since(sent_at).0;
                 let _ = self.context.metrics.time("first_ms", took);
-                self.report_intake(plan, response.headers()).await;
+                self.report_statement(plan, response.status(), response.headers()).await;
                 self.report_answer_start(load, version).await;
                 Ok(AcceptedAnswer { response, connection, success })
             }
@@ -232,7 +233,7 @@
                 let is_full = kind == AnswerKind::Full;
                 // A misdirected request may have been answered by another upstream.
                 if is_full {
-                    self.report_intake(plan, response.headers()).await;
+                    self.report_statement(plan, response.status(), response.headers()).await;
                 }
                 self.drain_refusal(plan, response, connection).await;
                 Err(if is_full { AttemptOutcome::Full } else { AttemptOutcome::Misdirected })
@@ -245,25 +246,66 @@
         let _ = self.actor.tell(Event(event)).await;
     }
 
-    /// Reports which request rate the upstream accepts, if the answer states one.
-    async fn report_intake(&self, plan: &SendPlan, headers: &HeaderMap) {
-        let statement = self.context.adapters.dialect.read_intake(headers);
-        if statement == IntakeStatement::default() {
+    /// Reports what the answer states about its upstream, if anything.
+    async fn report_statement(&self, plan: &SendPlan, status: StatusCode, headers: &HeaderMap) {
+        let statement = self.context.adapters.dialect.read_statement(status, headers);
+        if statement.is_absent() {
             return;
         }
-        if let Some(text) = &statement.malformed {
+        self.log_statement(plan, status, &statement);
+        let event = DirectEvent::UpstreamStated(self.number, statement);
+        let _ = self.actor.tell(Event(event)).await;
+    }
+
+    fn log_statement(&self, plan: &SendPlan, status: StatusCode, statement: &UpstreamStatement) {
+        let UpstreamStatement { limit, leaving, rest } = statement;
+        self.check_statement(
+            plan,
+            "limit",
+            limit,
+            "one decimal number of requests per second, such as 2.5",
+        );
+        self.check_statement(plan, "leaving", leaving, "1 from an upstream that leaves");
+        self.check_statement(
+            plan,
+            "rest",
+            rest,
+            "one decimal number of seconds up to 86400, such as 2.5",
+        );
+        if leaving.value == Some(true) || rest.value.is_some() {
+            log::info!(
+                "request={} instance={} start={} status={} leaving={} rest={}",
+                self.caller_request_id,
+                plan.upstream,
+                plan.start,
+                status.as_u16(),
+                u8::from(leaving.value == Some(true)),
+                rest.value.map_or("none".into(), |rest| rest.to_string()),
+            );
+        }
+    }
+
+    /// Counts a statement, and logs one that is malformed.
+    fn check_statement<T: Display>(
+        &self,
+        plan: &SendPlan,
+        name: &str,
+        stated: &StatedValue<T>,
+        expected: &str,
+    ) {
+        if stated.is_absent() {
+            return;
+        }
+        if let Some(text) = &stated.malformed {
             log::warn!(
-                "request={} instance={} limit=malformed value={text:?} used={} expected=\"one \
-                 decimal number of requests per second, such as 2.5\"",
+                "request={} instance={} {name}=malformed value={text:?} used={} expected=\"{expected}\"",
                 self.caller_request_id,
                 plan.upstream,
-                statement.limit.map_or("none".into(), |limit| limit.to_string())
+                stated.value.as_ref().map_or("none".into(), |value| value.to_string())
             );
         }
-        let label = if statement.malformed.is_some() { "malformed" } else { "valid" };
-        let _ = self.context.metrics.count(&format!("limit_statements.{label}"), 1);
-        let event = DirectEvent::IntakeStated(self.number, statement);
-        let _ = self.actor.tell(Event(event)).await;
+        let form = if stated.malformed.is_some() { "malformed" } else { "valid" };
+        let _ = self.context.metrics.count(&format!("{name}_statements.{form}"), 1);
     }
 
     /// Reads a refusal to its end, so that its connection can be reused.
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -27,7 +27,7 @@
 }
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 17] = [
+pub const METRICS: [MetricRow; 19] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -54,6 +54,16 @@
         MetricKind::Counter("form"),
         "Answers that state which request rate their upstream accepts, by whether it is valid.",
     ),
+    MetricRow::new(
+        "leaving_statements",
+        MetricKind::Counter("form"),
+        "Answers whose upstream states that it leaves, by whether the statement is valid.",
+    ),
+    MetricRow::new(
+        "rest_statements",
+        MetricKind::Counter("form"),
+        "Answers that ask for a time without requests, by whether the statement is valid.",
+    ),
     MetricRow::new(
         "limited_sends",
         MetricKind::Counter("upstream"),
--- a/mustardrill_runtime/src/adapters.rs
+++ b/mustardrill_runtime/src/adapters.rs
@@ -9,8 +9,8 @@
 use futures_util::future::BoxFuture;
 use hyper::{HeaderMap, Request, StatusCode, Uri, http};
 use mustardrill_core::direct::{
-    DirectRequest, FleetUpdate, IntakeStatement, LoadReport, PeerRecord, RequestNumber, SendPlan,
-    ServedWeights, WatchTiming,
+    DirectRequest, FleetUpdate, LoadReport, PeerRecord, RequestNumber, SendPlan, ServedWeights,
+    UpstreamStatement, WatchTiming,
 };
 use mustardrill_types::{
     ChunkIndex, Millis, ModelName, Moment, RequestDigest, ResultCode, StartStamp, StoreEra,
@@ -164,8 +164,8 @@
         headers: &HeaderMap,
     ) -> AnswerKind;
 
-    /// Reads which request rate an answer's upstream accepts from all entries together.
-    fn read_intake(&self, headers: &HeaderMap) -> IntakeStatement;
+    /// Reads what an answer states about the upstream that sent it.
+    fn read_statement(&self, status: StatusCode, headers: &HeaderMap) -> UpstreamStatement;
 
     /// Returns the status and headers with which a request is refused.
     fn write_refusal(&self, code: ResultCode, retry_after: Millis) -> (StatusCode, HeaderMap);
--- a/mustardrill_standins/src/experiment/simulation.rs
+++ b/mustardrill_standins/src/experiment/simulation.rs
@@ -5,7 +5,8 @@
 
 use mustardrill_core::direct::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, DirectSettings, FleetChange,
-    FleetUpdate, IntakeReport, IntakeStatement, LoadBroadcaster, PeerLoad, RequestNumber, SendPlan,
+    FleetUpdate, IntakeReport, LoadBroadcaster, PeerLoad, RequestNumber, SendPlan, StatedValue,
+    UpstreamStatement,
 };
 use mustardrill_core::quarantine::CrashReport;
 use mustardrill_types::{
@@ -388,8 +389,9 @@
         let state = &self.calls[call];
         let Some((engine, _)) = &state.engine else { return };
         let Some(rate) = self.engines[*engine].intake else { return };
-        let statement = IntakeStatement { limit: Some(rate), malformed: None };
-        self.reduce(state.entry, DirectEvent::IntakeStated(self.number(call), statement));
+        let statement =
+            UpstreamStatement { limit: StatedValue::valid(rate), ..UpstreamStatement::default() };
+        self.reduce(state.entry, DirectEvent::UpstreamStated(self.number(call), statement));
     }
 
     fn broadcast_load(&mut self, entry: usize) {
