--- a/mustardrill_standins/tests/prepared/fleet.rs
+++ b/mustardrill_standins/tests/prepared/fleet.rs
@@ -131,6 +131,13 @@
             panic!("{error}\n{}", self.logs());
         })
     }
+
+    /// Renews the registration of a plain worker, which says that it is ready.
+    pub fn renew_desk(&self, place: usize) {
+        let address = self.stand_ins[2 + self.engines.len() + place].address;
+        register(&self.store, &self.desks[place], address, "desk");
+    }
+
     /// Counts the runs of an attempt over all workers.
     pub fn runs(&self, attempt: &str) -> usize {
         let workers = self.engines.iter().chain(&self.desks);
--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod rewound;
 mod soak;
+mod statements;
 mod store;
 mod versions;
 mod worker;
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -56,6 +56,17 @@
     Fail,
 }
 
+/// What a worker stated of itself in an answer.
+#[derive(Debug, Clone)]
+pub struct WorkerStatement {
+    /// The request that was answered.
+    pub attempt: String,
+    pub at: Instant,
+    pub is_leaving: bool,
+    /// For how long it asked the sender for no requests.
+    pub rest: Option<Duration>,
+}
+
 /// A request that an engine started to execute.
 #[derive(Debug, Clone)]
 pub struct RequestStart {
@@ -94,6 +105,11 @@
     answer_delay: Duration,
     /// The value of `server-limit` in answers.
     intake_limit: Option<String>,
+    /// Whether answers say that the worker is leaving.
+    is_leaving: bool,
+    /// The time for which requests are turned away with the answer that asks for it.
+    rest: Option<Duration>,
+    statements: Vec<WorkerStatement>,
     crash: Option<CrashTrigger>,
     crash_runs: Vec<(String, Instant)>,
     born: u64,
@@ -129,6 +145,9 @@
             faults_left: 0,
             answer_delay: Duration::from_millis(5),
             intake_limit: None,
+            is_leaving: false,
+            rest: None,
+            statements: Vec::new(),
             crash: None,
             crash_runs: Vec::new(),
             born: FIRST_BORN_MS,
@@ -158,6 +177,21 @@
         self.state.lock().unwrap().intake_limit = text.map(str::to_owned);
     }
 
+    /// Makes later answers say that the worker is leaving, or no longer.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.state.lock().unwrap().is_leaving = is_leaving;
+    }
+
+    /// Makes the worker turn later requests away and ask for a rest of this length, or no longer.
+    pub fn set_rest(&self, rest: Option<Duration>) {
+        self.state.lock().unwrap().rest = rest;
+    }
+
+    /// The answers in which the worker stated that it is leaving or wants a rest.
+    pub fn statements(&self) -> Vec<WorkerStatement> {
+        self.state.lock().unwrap().statements.clone()
+    }
+
     /// Makes later requests wait before they start; a request whose connection closes meanwhile
     /// never starts.
     pub fn set_start_delay(&self, delay: Duration) {
@@ -274,7 +308,13 @@
         let model = text("x-model").is_some();
         let (fault, delay) = {
             let mut state = self.state.lock().unwrap();
-            let fault = if state.faults_left > 0 { state.fault } else { WorkerFault::None };
+            let fault = if state.rest.is_some() {
+                WorkerFault::NotExecuted
+            } else if state.faults_left > 0 {
+                state.fault
+            } else {
+                WorkerFault::None
+            };
             state.faults_left = state.faults_left.saturating_sub(1);
             state.arrivals.push((attempt.clone(), Instant::now()));
             (fault, state.start_delay)
@@ -313,7 +353,9 @@
         if fault == WorkerFault::NotExecuted {
             let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "");
             response.headers_mut().insert("x-not-executed", "1".parse().unwrap());
+            response.headers_mut().insert("x-attempt-id", attempt.parse().unwrap());
             state_intake_limit(&mut response, intake_limit.as_deref());
+            self.state_departure_and_rest(&mut response, &attempt);
             return response;
         }
         if !model {
@@ -336,8 +378,28 @@
         headers.insert("x-instance-load", "1,0,16".parse().unwrap());
         headers.insert("x-weight-versions", version.into());
         state_intake_limit(&mut response, intake_limit.as_deref());
+        self.state_departure_and_rest(&mut response, &attempt);
         response
     }
+
+    /// Adds to an answer, and records, that the worker is leaving or wants a rest.
+    fn state_departure_and_rest(&self, response: &mut AnyResponse, attempt: &str) {
+        let mut state = self.state.lock().unwrap();
+        let is_turned_away = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let rest = state.rest.filter(|_| is_turned_away);
+        let is_leaving = state.is_leaving;
+        if is_leaving {
+            response.headers_mut().insert("server-leaving", "1".parse().unwrap());
+        }
+        if let Some(rest) = rest {
+            let seconds = rest.as_secs_f64().to_string();
+            response.headers_mut().insert("retry-after", seconds.parse().unwrap());
+        }
+        if is_leaving || rest.is_some() {
+            let (attempt, at) = (attempt.to_owned(), Instant::now());
+            state.statements.push(WorkerStatement { attempt, at, is_leaving, rest });
+        }
+    }
 }
 
 fn state_intake_limit(response: &mut AnyResponse, limit: Option<&str>) {
