--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -176,6 +176,8 @@
     Refuse(RequestNumber, RefusalPlan),
     /// Cancel an attempt whose answer has not started, and close its connection.
     Withdraw(RequestNumber),
+    /// Cancel an attempt of which nothing has been written to its upstream yet.
+    WithdrawUnsent(RequestNumber),
     /// Deliver the upstream's error answer, which is available, to the caller.
     ForwardFailure(RequestNumber),
     /// Notify the agents on these machines that a version was announced.
@@ -284,6 +286,8 @@
     pub requests: usize,
     /// Requests that wait for an upstream with capacity.
     pub waiting: usize,
+    /// Listed upstreams that have stated in their answers that they are leaving.
+    pub leaving: usize,
     /// Listed upstreams that limit the request rate that they accept.
     pub limited: usize,
     /// Requests that are not run for a while because upstreams crash while running them.
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -167,10 +167,7 @@
                 Vec::new()
             }
             DirectEvent::UpstreamStated(number, statement) => {
-                if !statement.limit.is_absent() {
-                    self.record_intake_statement(now, number, &statement.limit);
-                }
-                Vec::new()
+                self.record_statement(now, number, &statement)
             }
             DirectEvent::IntakeReportsReceived(from, reports) => {
                 self.receive_intake_reports(now, &from, &reports)
@@ -308,6 +305,7 @@
             expired: self.upstreams.expired_count(),
             requests: self.requests.len(),
             waiting: self.queues.values().map(WaitQueue::len).sum(),
+            leaving: self.upstreams.leaving_count(),
             limited: self.upstreams.limited_count(),
             quarantined: self.quarantine.quarantined_count(now),
             started_late: self.started_late,
--- /dev/null
+++ b/mustardrill_core/src/direct/statements/record.rs
@@ -0,0 +1,71 @@
+//! Applies what answers state of their upstreams.
+
+use log::info;
+use mustardrill_types::{Moment, ServiceName};
+
+use crate::direct::event::{DirectEffect, RequestNumber};
+use crate::direct::fleet::upstream::UpstreamStart;
+use crate::direct::reducer::DirectReducer;
+use crate::direct::request::RequestStage;
+use crate::direct::statements::statement::UpstreamStatement;
+
+impl DirectReducer {
+    /// Applies the statement in the answer to a request's current attempt.
+    pub(in crate::direct) fn record_statement(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+        statement: &UpstreamStatement,
+    ) -> Vec<DirectEffect> {
+        if !statement.limit.is_absent() {
+            self.record_intake_statement(now, number, &statement.limit);
+        }
+        let Some(state) = self.requests.get(&number) else { return Vec::new() };
+        let RequestStage::Sent(upstream) = state.stage.clone() else { return Vec::new() };
+        let attempt_id = state.attempt_id.clone();
+        let is_news = statement.leaving.value == Some(true)
+            && self.record_leaving(now, &upstream, &attempt_id);
+        if is_news { self.turn_away_from(now, &upstream) } else { Vec::new() }
+    }
+
+    /// Records that an upstream is leaving; returns whether that is news.
+    fn record_leaving(&mut self, now: Moment, upstream: &UpstreamStart, attempt_id: &str) -> bool {
+        let Some(conditions) = self.upstreams.conditions_mut(upstream) else { return false };
+        let is_news = conditions.record_leaving(now);
+        if is_news {
+            info!(
+                "membership instance={} start={} leaving=true source=answer request={attempt_id}",
+                upstream.id, upstream.start
+            );
+        }
+        is_news
+    }
+
+    /// Takes back the attempts at an upstream of which nothing has been written yet, and refuses
+    /// the waiting requests that no other upstream can serve.
+    fn turn_away_from(&mut self, now: Moment, upstream: &UpstreamStart) -> Vec<DirectEffect> {
+        let unanswered = self.requests.values().filter(|state| {
+            !state.has_started
+                && matches!(&state.stage, RequestStage::Sent(target) if target == upstream)
+        });
+        let mut effects: Vec<_> =
+            unanswered.map(|state| DirectEffect::WithdrawUnsent(state.number)).collect();
+        let service = self.upstreams.get(&upstream.id).map(|state| state.record.service.clone());
+        effects
+            .extend(service.into_iter().flat_map(|service| self.refuse_unservable(now, &service)));
+        effects
+    }
+
+    /// Refuses the waiting requests of a service that would wait in vain.
+    fn refuse_unservable(&mut self, now: Moment, service: &ServiceName) -> Vec<DirectEffect> {
+        let ranks = self.queues.get(service).map_or(Vec::new(), |queue| queue.ranks().collect());
+        let mut effects = Vec::new();
+        for rank in ranks {
+            let Some(state) = self.requests.get(&rank.number) else { continue };
+            if !self.may_be_served_soon(now, state) {
+                effects.extend(self.refuse_unplaceable(now, rank.number));
+            }
+        }
+        effects
+    }
+}
--- a/mustardrill_core/src/direct/store/fleet_updates.rs
+++ b/mustardrill_core/src/direct/store/fleet_updates.rs
@@ -239,7 +239,7 @@
                 let is_served = self.is_service_configured(&record);
                 self.upstreams.register(now, record, is_served);
             }
-            FleetChange::UpstreamInvalid(id) => self.upstreams.remove_invalid(&id),
+            FleetChange::UpstreamInvalid(id) => self.upstreams.remove_invalid(now, &id),
             FleetChange::UpstreamGone(id) => {
                 self.upstreams.expire(
                     now,
--- a/mustardrill_core/src/direct/waiting/queue.rs
+++ b/mustardrill_core/src/direct/waiting/queue.rs
@@ -61,6 +61,11 @@
         self.ranks.range(..rank).count()
     }
 
+    /// The waiting requests, in their order.
+    pub fn ranks(&self) -> impl Iterator<Item = WaitRank> {
+        self.ranks.keys().copied()
+    }
+
     /// How many requests wait.
     pub fn len(&self) -> usize {
         self.ranks.len()
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -946,6 +946,7 @@
                         prop_assert!(false, "{number} is withdrawn though it runs on the newest weights");
                     }
                     DirectEffect::SetTimer(_)
+                    | DirectEffect::WithdrawUnsent(_)
                     | DirectEffect::NotifyAgents(..)
                     | DirectEffect::StoreQuarantine(..)
                     | DirectEffect::RemoveQuarantine(_) => {}
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -82,6 +82,8 @@
     Send(SendPlan),
     /// Close the current attempt unless its answer has started.
     Withdraw,
+    /// Close the current attempt unless a part of it has been written.
+    WithdrawUnsent,
     /// Forward the failure that an upstream answered to the caller.
     ForwardFailure,
     /// Answer the caller with a refusal.
@@ -176,6 +178,9 @@
                 DirectEffect::Withdraw(number) => {
                     self.send_command(number, RequestCommand::Withdraw)
                 }
+                DirectEffect::WithdrawUnsent(number) => {
+                    self.send_command(number, RequestCommand::WithdrawUnsent)
+                }
                 DirectEffect::ForwardFailure(number) => {
                     self.send_command(number, RequestCommand::ForwardFailure)
                 }
@@ -338,6 +343,7 @@
             ("store_era", status.era.0),
             ("upstreams", status.upstreams as u64),
             ("upstreams_lapsed", status.expired as u64),
+            ("upstreams_leaving", status.leaving as u64),
             ("upstreams_limited", status.limited as u64),
             ("requests_open", status.requests as u64),
             ("requests_waiting", status.waiting as u64),
--- a/mustardrill_entry/src/direct/connections.rs
+++ b/mustardrill_entry/src/direct/connections.rs
@@ -136,6 +136,7 @@
             return;
         }
         connection.reused = true;
+        connection.gate.reset();
         let mut idle = self.idle.lock().expect("no lock holder panics");
         let connections = idle.entry(upstream.clone()).or_default();
         connections.retain(|it| it.reusable_until > now && !it.connection.sender.is_closed());
@@ -172,6 +173,11 @@
         })
     }
 
+    /// The gate that controls the writing of its current request.
+    pub(crate) fn gate(&self) -> Arc<SendGate> {
+        self.gate.clone()
+    }
+
     /// Whether it carried an earlier request.
     pub(crate) fn is_reused(&self) -> bool {
         self.reused
