--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -46,8 +46,7 @@
             return self.refuse(now, number, ResultCode::DeadlinePassed, Millis(0));
         }
         if !self.confirm_grant(now, number) {
-            let retry_after = self.jittered_retry(MIN_FULL_RETRY);
-            return self.refuse(now, number, ResultCode::Overloaded, retry_after);
+            return self.refuse_full(now, number, MIN_FULL_RETRY);
         }
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let Some(target) = self.upstreams.get(&upstream) else { return Vec::new() };
@@ -104,10 +103,11 @@
         }
         let prefill_time = self.prefill_time(state);
         let start = target.start();
-        let limited_attempt = plan.is_limited.then(|| state.attempt_id.clone());
+        let attempt_id = state.attempt_id.clone();
         self.upstreams.record_sent(&start, prefill_time);
-        if let Some(attempt) = limited_attempt {
-            self.record_limited_send(now, &attempt, &start);
+        self.record_return(&attempt_id, &start);
+        if plan.is_limited {
+            self.record_limited_send(now, &attempt_id, &start);
         }
         if let Some(state) = self.requests.get_mut(&number) {
             state.pending_prefill = prefill_time;
@@ -153,8 +153,9 @@
         state.stage = RequestStage::Between;
         let service = state.service.clone();
         let (attempt, digest) = (state.attempt_id.clone(), state.digest);
+        let sent_at = state.sent_at;
         self.upstreams.record_prefill_end(&upstream, std::mem::take(&mut state.pending_prefill));
-        self.upstreams.record_finished(&upstream);
+        self.upstreams.record_finished(&upstream, sent_at);
         self.upstreams.record_outcome(now, &upstream, outcome, self.settings.base_ejection);
         let mut effects = Vec::new();
         match outcome {
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -288,6 +288,8 @@
     pub waiting: usize,
     /// Listed upstreams that have stated in their answers that they are leaving.
     pub leaving: usize,
+    /// Listed upstreams that want no requests from this entry for a while.
+    pub resting: usize,
     /// Listed upstreams that limit the request rate that they accept.
     pub limited: usize,
     /// Requests that are not run for a while because upstreams crash while running them.
--- a/mustardrill_core/src/direct/fleet/upstream.rs
+++ b/mustardrill_core/src/direct/fleet/upstream.rs
@@ -257,6 +257,7 @@
     /// Records that it accepted a request, which ends the series of cool-downs.
     pub(crate) fn record_acceptance(&mut self, now: Moment) {
         self.record_answer(now);
+        self.conditions.rest.record_acceptance(now);
         self.cooldowns = 0;
     }
 
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -187,12 +187,16 @@
         }
     }
 
-    /// Removes an upstream and remembers its incarnation for [`DEPARTURE_RETENTION`].
+    /// Removes an upstream and remembers its incarnation for [`DEPARTURE_RETENTION`], or until its
+    /// rest ends.
     fn remove_departed(&mut self, now: Moment, id: &InstanceId) {
         if let Some(state) = self.remove(id) {
             let UpstreamState { record, conditions, .. } = state;
             let departure = Departure { start: record.start, at: now, conditions };
-            self.departed.retain(|_, departure| now.since(departure.at) < DEPARTURE_RETENTION);
+            self.departed.retain(|_, departure| {
+                now.since(departure.at) < DEPARTURE_RETENTION
+                    || departure.conditions.rest.is_resting(now)
+            });
             self.departed.insert(record.id, departure);
         }
     }
@@ -253,6 +257,11 @@
         (departure.start == start.start).then_some(&mut departure.conditions)
     }
 
+    /// Counts the upstreams that want no requests from this entry for a while.
+    pub(crate) fn resting_count(&self, now: Moment) -> usize {
+        self.states.values().filter(|state| state.conditions.rest.is_resting(now)).count()
+    }
+
     /// Counts the upstreams that have stated in their answers that they are leaving.
     pub(crate) fn leaving_count(&self) -> usize {
         self.states.values().filter(|state| state.conditions.is_leaving()).count()
@@ -273,15 +282,36 @@
         self.of_service(service).filter(|state| !state.is_leaving())
     }
 
+    /// Returns the upstreams that stay in a service and want no requests from this entry for a
+    /// while.
+    pub(crate) fn resting(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &UpstreamState> {
+        self.staying(service).filter(move |state| state.conditions.rest.is_resting(now))
+    }
+
+    /// Returns the upstreams that stay in a service and accept requests from this entry.
+    pub(crate) fn awake(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &UpstreamState> {
+        self.staying(service).filter(move |state| !state.conditions.rest.is_resting(now))
+    }
+
     /// Returns the upstreams of a service that requests may be sent to now. If all of them are
-    /// ejected or have crashed, those are returned instead.
+    /// ejected or have crashed, those are returned instead; never one that leaves or rests.
     pub(crate) fn usable(&self, now: Moment, service: &ServiceName) -> Vec<&UpstreamState> {
         let staying = self.staying(service);
         let mut available: Vec<_> = staying.collect();
         let uncertain = available.iter().filter(|state| state.may_have_shut_down()).count();
         let is_small_share = uncertain * LOST_FRACTION_DIVISOR <= available.len();
         available.retain(|state| {
-            state.paused_until <= now && !(is_small_share && state.may_have_shut_down())
+            state.paused_until <= now
+                && !state.conditions.rest.is_resting(now)
+                && !(is_small_share && state.may_have_shut_down())
         });
         let running: Vec<_> =
             available.iter().copied().filter(|state| state.crashed_until <= now).collect();
@@ -299,11 +329,11 @@
         self.staying(service).any(is_loading)
     }
 
-    /// Returns the number of slots of the upstreams that stay in a service and do not limit the
-    /// request rate.
-    pub(crate) fn unlimited_slots(&self, service: &ServiceName) -> u32 {
+    /// Returns the number of slots of the upstreams that accept requests for a service from this
+    /// entry and do not limit the request rate.
+    pub(crate) fn unlimited_slots(&self, now: Moment, service: &ServiceName) -> u32 {
         let unlimited =
-            self.staying(service).filter(|state| state.conditions.intake_limit.rate().is_none());
+            self.awake(now, service).filter(|state| state.conditions.intake_limit.rate().is_none());
         unlimited.map(|state| state.record.slots).sum()
     }
 
@@ -343,9 +373,10 @@
         }
     }
 
-    /// Records that a request is no longer at an upstream.
-    pub(crate) fn record_finished(&mut self, start: &UpstreamStart) {
+    /// Records that a request that was sent at `sent_at` is no longer at an upstream.
+    pub(crate) fn record_finished(&mut self, start: &UpstreamStart, sent_at: Moment) {
         if let Some(state) = self.incarnation_mut(start) {
+            state.conditions.rest.record_finished(sent_at);
             state.own_load.requests = state.own_load.requests.saturating_sub(1);
         }
     }
--- a/mustardrill_core/src/direct/placement/choice.rs
+++ b/mustardrill_core/src/direct/placement/choice.rs
@@ -102,7 +102,8 @@
         limit: u32,
         upstream: &UpstreamState,
     ) -> u32 {
-        let free_slots = limit.saturating_sub(present.requests);
+        let free_slots =
+            limit.saturating_sub(present.requests).min(upstream.conditions.rest.room());
         if upstream.cooldown_until > now || present.pending_prefill > self.settings.prefill_limit {
             return 0;
         }
@@ -143,18 +144,20 @@
     }
 
     /// When a waiting request may next be sent: when this entry's turn comes at an upstream that a
-    /// peer's request has left, when the back-off of an upstream that was full ends, or when an
-    /// upstream that limits its rate accepts the next one.
+    /// peer's request has left, when the back-off of an upstream that was full or its rest ends, or
+    /// when an upstream that limits its rate accepts the next one.
     pub(in crate::direct) fn next_capacity_at(
         &self,
         now: Moment,
         service: &ServiceName,
     ) -> Option<Moment> {
-        let usable = self.upstreams.usable(now, service);
-        let opening_times = usable.iter().filter_map(|upstream| {
-            let opens_at = self.capacity_opens_at(now, upstream, 1).max(upstream.cooldown_until);
-            Some(opens_at.max(upstream.conditions.intake_limit.opens_at()?))
-        });
+        let usable = self.upstreams.usable(now, service).into_iter();
+        let opening_times =
+            usable.chain(self.upstreams.resting(now, service)).filter_map(|upstream| {
+                let opens_at =
+                    self.capacity_opens_at(now, upstream, 1).max(upstream.cooldown_until);
+                Some(opens_at.max(upstream.conditions.opens_at()?))
+            });
         opening_times.filter(|opens_at| *opens_at > now).min()
     }
 
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -306,6 +306,7 @@
             requests: self.requests.len(),
             waiting: self.queues.values().map(WaitQueue::len).sum(),
             leaving: self.upstreams.leaving_count(),
+            resting: self.upstreams.resting_count(now),
             limited: self.upstreams.limited_count(),
             quarantined: self.quarantine.quarantined_count(now),
             started_late: self.started_late,
@@ -333,7 +334,7 @@
             }
             RequestStage::Sent(upstream) => {
                 self.upstreams.record_prefill_end(upstream, state.pending_prefill);
-                self.upstreams.record_finished(upstream);
+                self.upstreams.record_finished(upstream, state.sent_at);
             }
             RequestStage::Between => {}
         }
--- a/mustardrill_core/src/direct/retries/retry.rs
+++ b/mustardrill_core/src/direct/retries/retry.rs
@@ -48,8 +48,7 @@
                 if self.try_spend_retry(now, number) {
                     return self.retry(now, number);
                 }
-                let retry_after = self.jittered_retry(MIN_FULL_RETRY);
-                self.refuse(now, number, ResultCode::Overloaded, retry_after)
+                self.refuse_full(now, number, MIN_FULL_RETRY)
             }
             AttemptOutcome::NotSent => {
                 if state.tried_upstreams.len() < UNREACHABLE_UPSTREAMS_LIMIT {
@@ -219,7 +218,8 @@
         };
         let usable = self.upstreams.usable(now, &state.service);
         info!(
-            "request={} decision=refuse code={code} waited={} attempts={} queue={} usable={} fitting={} retry_after={retry_after} digest={}",
+            "request={} decision=refuse code={code} waited={} attempts={} queue={} usable={} \
+             fitting={} leaving={} resting={} retry_after={retry_after} digest={}",
             state.attempt_id,
             now.since(state.arrived_at),
             state.tried_upstreams.len(),
@@ -229,6 +229,8 @@
                 .iter()
                 .filter(|upstream| self.serves_allowed_version(now, &state, upstream))
                 .count(),
+            self.upstreams.of_service(&state.service).filter(|it| it.is_leaving()).count(),
+            self.upstreams.resting(now, &state.service).count(),
             state.digest,
         );
         vec![DirectEffect::Refuse(number, RefusalPlan { code, retry_after })]
--- a/mustardrill_core/src/direct/statements/conditions.rs
+++ b/mustardrill_core/src/direct/statements/conditions.rs
@@ -3,6 +3,7 @@
 use mustardrill_types::Moment;
 
 use crate::direct::intake::limit::IntakeLimit;
+use crate::direct::statements::rest::RestPeriod;
 
 /// What an incarnation has stated of itself. Kept apart from its registration, so that no
 /// registration that is renewed, read late or lost and written again undoes it.
@@ -12,6 +13,8 @@
     pub(crate) intake_limit: IntakeLimit,
     /// When it first stated that it is leaving. An incarnation that leaves does not come back.
     leaving_since: Option<Moment>,
+    /// For how long it wants no requests from this entry.
+    pub(crate) rest: RestPeriod,
 }
 
 impl StatedConditions {
@@ -22,6 +25,12 @@
         is_news
     }
 
+    /// From when on its limit and its rest let this entry send the next request; `None` if the limit
+    /// lets it send nothing.
+    pub(crate) fn opens_at(&self) -> Option<Moment> {
+        Some(self.intake_limit.opens_at()?.max(self.rest.opens_at()))
+    }
+
     /// Whether it has stated that it is leaving.
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving_since.is_some()
--- a/mustardrill_core/src/direct/waiting/queue.rs
+++ b/mustardrill_core/src/direct/waiting/queue.rs
@@ -61,9 +61,9 @@
         self.ranks.range(..rank).count()
     }
 
-    /// The waiting requests, in their order.
-    pub fn ranks(&self) -> impl Iterator<Item = WaitRank> {
-        self.ranks.keys().copied()
+    /// The waiting requests in their order, each with the end of its wait.
+    pub fn iter(&self) -> impl Iterator<Item = (WaitRank, Moment)> {
+        self.ranks.iter().map(|(rank, until)| (*rank, *until))
     }
 
     /// How many requests wait.
--- a/mustardrill_core/src/direct/waiting/wait_policy.rs
+++ b/mustardrill_core/src/direct/waiting/wait_policy.rs
@@ -23,6 +23,9 @@
 /// time that they have left.
 const MAX_FULL_RETRY: Millis = Millis(1_800);
 
+/// The time after the end of a rest over which the callers that were refused meanwhile return.
+const REST_RETRY_SPREAD: Millis = Millis(1_000);
+
 /// How long a request that was sent before waits for another upstream.
 const RETRY_WAIT: Millis = Millis(1_000);
 
@@ -53,8 +56,7 @@
         }
         let expected = self.expected_wait(now, state, ahead);
         if now + expected > until {
-            let retry_after = self.jittered_retry(expected);
-            return self.refuse(now, number, ResultCode::Overloaded, retry_after);
+            return self.refuse_full(now, number, expected);
         }
         let service = state.service.clone();
         self.queues.entry(service).or_default().push(rank, until);
@@ -78,40 +80,61 @@
         state.arrived_at + Millis(share)
     }
 
-    /// Whether an upstream is expected to accept the request soon: one that may run it, or one
-    /// whose engine is loading weights or about to. Waiting for anything else would most often be
-    /// in vain.
+    /// Whether an upstream is expected to accept the request soon: one that may run it, now or after
+    /// a rest, or one whose engine is loading weights or about to. Waiting for anything else would
+    /// most often be in vain.
     pub(in crate::direct) fn may_be_served_soon(&self, now: Moment, state: &RequestState) -> bool {
-        let usable = self.upstreams.usable(now, &state.service);
-        usable.iter().any(|upstream| self.serves_allowed_version(now, state, upstream))
+        let usable = self.upstreams.usable(now, &state.service).into_iter();
+        usable
+            .chain(self.upstreams.resting(now, &state.service))
+            .any(|upstream| self.serves_allowed_version(now, state, upstream))
             || self.upstreams.is_loading(now, &state.service)
     }
 
-    /// The expected wait behind `ahead` other requests, where the engine profile or the limits of
-    /// the upstreams allow a forecast.
-    fn expected_wait(&self, now: Moment, state: &RequestState, ahead: usize) -> Millis {
+    /// The expected wait behind `ahead` other requests, where the engine profile, the limits or the
+    /// rests of the upstreams allow a forecast.
+    pub(in crate::direct) fn expected_wait(
+        &self,
+        now: Moment,
+        state: &RequestState,
+        ahead: usize,
+    ) -> Millis {
+        let resting = self.upstreams.resting(now, &state.service);
+        let mut rest_ends: Vec<_> = resting.map(|it| it.conditions.rest.opens_at()).collect();
+        rest_ends.sort_unstable();
+        // Each upstream is sent one request after its rest.
+        let after_rest = rest_ends.get(ahead).map(|end| end.since(now));
+        let at_others = self.expected_wait_now(now, state, ahead);
+        after_rest.map_or(at_others, |wait| wait.min(at_others))
+    }
+
+    /// The expected wait at the upstreams that do not rest.
+    fn expected_wait_now(&self, now: Moment, state: &RequestState, ahead: usize) -> Millis {
         let service = &state.service;
-        let mut upstreams = self.upstreams.staying(service);
+        let mut upstreams = self.upstreams.awake(now, service).peekable();
+        if upstreams.peek().is_none() {
+            return UNBOUNDED_WAIT;
+        }
         if upstreams.all(|upstream| upstream.conditions.intake_limit.rate().is_some()) {
             return self.limited_wait(now, service, ahead);
         }
         let Some(profile) = self.engine_profile(service) else {
             let queue_limit =
-                self.upstreams.unlimited_slots(service) as usize * PLAIN_QUEUE_PER_SLOT;
+                self.upstreams.unlimited_slots(now, service) as usize * PLAIN_QUEUE_PER_SLOT;
             return if ahead >= queue_limit { UNBOUNDED_WAIT } else { Millis(0) };
         };
         let forecast = EngineForecast::new(profile);
         let service_ms = forecast.service_ms(profile.slots, forecast.usual_size());
         // Peer entries use the freed slots as well, so this entry gets its share of them.
         let entries = self.peers().len() + 1;
-        let slots = f64::from(self.upstreams.unlimited_slots(service));
+        let slots = f64::from(self.upstreams.unlimited_slots(now, service));
         let by_slots = slots * 1_000.0 / (service_ms * entries as f64);
-        wait_at_rate(ahead + 1, by_slots + self.limited_rate(service))
+        wait_at_rate(ahead + 1, by_slots + self.limited_rate(now, service))
     }
 
     /// The expected wait behind `ahead` other requests where all upstreams limit their rate.
     fn limited_wait(&self, now: Moment, service: &ServiceName, ahead: usize) -> Millis {
-        let per_second = self.limited_rate(service);
+        let per_second = self.limited_rate(now, service);
         match self.next_capacity_at(now, service) {
             Some(opens_at) => {
                 let wait = wait_at_rate(ahead, per_second);
@@ -123,14 +146,35 @@
 
     /// The requests per second that this entry may send to those upstreams of a service that limit
     /// their rate.
-    fn limited_rate(&self, service: &ServiceName) -> f64 {
-        let shares = self.upstreams.staying(service);
+    fn limited_rate(&self, now: Moment, service: &ServiceName) -> f64 {
+        let shares = self.upstreams.awake(now, service);
         shares
             .filter_map(|it| it.conditions.intake_limit.share())
             .map(IntakeShare::per_second)
             .sum()
     }
 
+    /// Refuses a request for which all upstreams are full for the time `expected`. If all of them
+    /// rest, its caller may return once the first rest has ended.
+    pub(in crate::direct) fn refuse_full(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+        expected: Millis,
+    ) -> Vec<DirectEffect> {
+        let Some(state) = self.requests.get(&number) else { return Vec::new() };
+        let is_any_awake = self.upstreams.awake(now, &state.service).next().is_some();
+        let resting = self.upstreams.resting(now, &state.service);
+        let rest_end = resting.map(|upstream| upstream.conditions.rest.opens_at()).min();
+        let retry_after = match rest_end.filter(|_| !is_any_awake) {
+            Some(end) => {
+                Millis(end.since(now).0 + self.random.random_range(0..=REST_RETRY_SPREAD.0))
+            }
+            None => self.jittered_retry(expected),
+        };
+        self.refuse(now, number, ResultCode::Overloaded, retry_after)
+    }
+
     /// A retry delay derived from the expected wait, randomized so that callers do not all return
     /// at once.
     pub(in crate::direct) fn jittered_retry(&mut self, expected: Millis) -> Millis {
@@ -196,8 +240,7 @@
         if let Some(state) = self.requests.get_mut(&number) {
             state.stage = RequestStage::Between;
         }
-        let retry_after = self.jittered_retry(MIN_FULL_RETRY);
-        self.refuse(now, number, ResultCode::Overloaded, retry_after)
+        self.refuse_full(now, number, MIN_FULL_RETRY)
     }
 }
 
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -27,7 +27,7 @@
 }
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 20] = [
+pub const METRICS: [MetricRow; 21] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -74,6 +74,11 @@
         MetricKind::Gauge,
         "Upstreams listed that have stated in their answers that they leave.",
     ),
+    MetricRow::new(
+        "upstreams_resting",
+        MetricKind::Gauge,
+        "Upstreams listed that want no requests from this entry for a while.",
+    ),
     MetricRow::new(
         "upstreams_limited",
         MetricKind::Gauge,
