--- a/mustardrill_core/src/entry/dispatch.rs
+++ b/mustardrill_core/src/entry/dispatch.rs
@@ -165,6 +165,10 @@
         refusal: &AttemptRefusal,
     ) -> Vec<EntryEffect> {
         let AttemptRefusal { code, retry_after, serving } = refusal;
+        if *code == ResultCode::Leaving {
+            info!("membership instance={instance} leaving=true source=refusal request={id}");
+            self.routing.record_leaving(instance);
+        }
         if !code.is_retryable() {
             return self.reject(now, id, *code, *retry_after);
         }
--- a/mustardrill_core/src/routing.rs
+++ b/mustardrill_core/src/routing.rs
@@ -143,6 +143,13 @@
         }
     }
 
+    /// Records that an upstream is draining, from a refusal of its agent ahead of its next report.
+    pub fn record_leaving(&mut self, id: &InstanceId) {
+        if let Some(view) = self.views.get_mut(id) {
+            view.report.leaving = true;
+        }
+    }
+
     /// Removes an upstream that is no longer a member of the fleet.
     pub fn remove(&mut self, id: &InstanceId) {
         self.views.remove(id);
