--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -182,6 +182,10 @@
         self.state.lock().unwrap().is_leaving = is_leaving;
     }
 
+    pub fn is_leaving(&self) -> bool {
+        self.state.lock().unwrap().is_leaving
+    }
+
     /// Makes the worker turn later requests away and ask for a rest of this length, or no longer.
     pub fn set_rest(&self, rest: Option<Duration>) {
         self.state.lock().unwrap().rest = rest;
