--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -5,19 +5,24 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use mustardrill_core::budget::RetrySettings;
 use mustardrill_core::catalogue::{EntryDraft, parse_drafts};
 use mustardrill_core::direct::{
     AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
-    DirectSettings, EngineProfile, FleetChange, FleetUpdate, ModelProfile, PeerRecord, RepeatRule,
-    RequestNumber, RetryShare, RouteDocument, RouteRule, ServiceProfile, UpstreamRecord, WorkSize,
+    DirectSettings, EngineProfile, FleetChange, FleetUpdate, ModelProfile, PeerRecord, RefusalPlan,
+    RepeatRule, RequestNumber, RetryShare, RouteDocument, RouteRule, SendPlan, ServiceProfile,
+    UpstreamRecord, WorkSize,
 };
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::edit::{EditChange, EditRequest, FleetFacts, PublishedVersion, apply_edit};
+use mustardrill_core::entry::EntrySettings;
+use mustardrill_core::membership::{InstanceRecord, MemberSettings};
 use mustardrill_core::provisioning::{ProvisioningSettings, RolloutSettings};
+use mustardrill_core::routing::RoutingSettings;
 use mustardrill_core::transfer::TransferSettings;
 use mustardrill_types::{
     ByteSize, EditId, FastMap, Generation, InstanceId, Millis, Moment, RequestDigest, StartStamp,
-    StoreRevision,
+    StoreEra, StoreRevision,
 };
 
 /// The digest of version v1.
@@ -44,6 +49,71 @@
     reducer.reduce(now, DirectEvent::AttemptEnded(RequestNumber(number), outcome))
 }
 
+/// The store answers an entry with these changes.
+pub fn answer_from_store(
+    reducer: &mut DirectReducer,
+    now: Moment,
+    changes: Vec<FleetChange>,
+    is_snapshot: bool,
+    era: u64,
+) {
+    let (revision, era) = (StoreRevision(1), StoreEra(era));
+    let update = FleetUpdate { changes, revision, era, is_snapshot };
+    reducer.reduce(now, DirectEvent::StoreAnswered(update, now));
+}
+
+/// Sends a request to the service of `desk_fleet`; returns the effects, without timers.
+pub fn send_to_desk(reducer: &mut DirectReducer, number: u64, now: Moment) -> Vec<DirectEffect> {
+    let arrival = DirectEvent::RequestArrived(desk_request(number, now));
+    let mut effects = reducer.reduce(now, arrival);
+    effects.retain(|effect| !matches!(effect, DirectEffect::SetTimer(_)));
+    effects
+}
+
+/// The plan of the one attempt that is sent.
+pub fn plan_of(effects: &[DirectEffect]) -> &SendPlan {
+    let [DirectEffect::Send(_, plan)] = effects else { panic!("not sent: {effects:?}") };
+    plan
+}
+
+/// The one refusal.
+pub fn refusal_of(effects: &[DirectEffect]) -> &RefusalPlan {
+    let [DirectEffect::Refuse(_, plan)] = effects else { panic!("not refused: {effects:?}") };
+    plan
+}
+
+/// Ends a request with a complete answer.
+pub fn end_request(reducer: &mut DirectReducer, number: u64, now: Moment) {
+    end_attempt(reducer, now, number, AttemptOutcome::Whole);
+    reducer.reduce(now, DirectEvent::CallerGone(RequestNumber(number)));
+}
+
+/// Settings of an entry of the own interface.
+pub fn entry_settings(routing: RoutingSettings) -> EntrySettings {
+    EntrySettings {
+        own_id: "entry-0".parse().unwrap(),
+        data_centre: "gc-hall-a".parse().unwrap(),
+        routing,
+        retry: RetrySettings::default(),
+        claim_shards: 1,
+        members: MemberSettings::default(),
+        subset: 8,
+        sync_every: Millis(500),
+    }
+}
+
+/// The `number`-th instance of the service `records-desk`.
+pub fn desk_instance(number: u16) -> InstanceRecord {
+    InstanceRecord {
+        id: desk_id(number),
+        service: "records-desk".parse().unwrap(),
+        data_centre: "gc-hall-a".parse().unwrap(),
+        region: "guate-central".parse().unwrap(),
+        agent: format!("127.0.0.1:{}", number + 1).into(),
+        leaving: false,
+    }
+}
+
 /// How many cases a property test runs; a longer run sets `PROPTEST_CASES`.
 pub fn cases(usual: u32) -> u32 {
     std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
--- a/mustardrill_core/tests/limits.rs
+++ b/mustardrill_core/tests/limits.rs
@@ -5,15 +5,13 @@
 
 use std::sync::Arc;
 
-use common::document_with;
-use mustardrill_core::budget::RetrySettings;
+use common::{desk_instance, document_with, entry_settings};
 use mustardrill_core::demand::DemandRow;
 use mustardrill_core::document::CustomerLimits;
 use mustardrill_core::entry::{
-    AgentSync, EntryEffect, EntryEvent, EntryReducer, EntrySettings, IncomingRequest, RequestId,
+    AgentSync, EntryEffect, EntryEvent, EntryReducer, IncomingRequest, RequestId,
 };
 use mustardrill_core::limit::LimitTable;
-use mustardrill_core::membership::{InstanceRecord, MemberSettings};
 use mustardrill_core::quarantine::CrashReport;
 use mustardrill_core::routing::{RoutingSettings, UpstreamReport};
 use mustardrill_types::{Generation, Millis, Moment, RequestDigest, ResultCode};
@@ -29,32 +27,16 @@
 
 impl EntryFixture {
     fn new(entries: usize) -> Self {
-        let settings = EntrySettings {
-            own_id: "entry-0".parse().unwrap(),
-            data_centre: "gc-hall-a".parse().unwrap(),
-            routing: RoutingSettings { silent_for: Millis(100_000), ..RoutingSettings::default() },
-            retry: RetrySettings::default(),
-            claim_shards: 1,
-            members: MemberSettings::default(),
-            subset: 8,
-            sync_every: Millis(500),
-        };
+        let routing = RoutingSettings { silent_for: Millis(100_000), ..RoutingSettings::default() };
+        let settings = entry_settings(routing);
         let mut reducer = EntryReducer::new(settings, 1);
         let text = format!(
             "[plain desk]\nservice = records-desk\nowner = ana\nclass = standard\ncallers = all\n\
              requests_per_second = {LIMIT}\nin_flight = 1000\n"
         );
-        let record = InstanceRecord {
-            id: "desk-0".parse().unwrap(),
-            service: "records-desk".parse().unwrap(),
-            data_centre: "gc-hall-a".parse().unwrap(),
-            region: "guate-central".parse().unwrap(),
-            agent: "127.0.0.1:1".into(),
-            leaving: false,
-        };
         let now = Moment(1_000);
         reducer.reduce(now, EntryEvent::CatalogueReceived(Arc::new(document_with(&text))));
-        reducer.reduce(now, EntryEvent::InstancesReceived(vec![record]));
+        reducer.reduce(now, EntryEvent::InstancesReceived(vec![desk_instance(0)]));
         reducer.reduce(now, EntryEvent::EntriesCounted(entries));
         let mut fixture = Self { reducer, now: 1_000, last_request: 0 };
         fixture.receive_demand(0, 0);
--- a/mustardrill_core/tests/refusals.rs
+++ b/mustardrill_core/tests/refusals.rs
@@ -4,55 +4,32 @@
 
 use std::sync::Arc;
 
-use common::document_with;
-use mustardrill_core::budget::RetrySettings;
+use common::{desk_id, desk_instance, document_with, entry_settings};
 use mustardrill_core::entry::{
-    AgentSync, AttemptEnd, EntryEffect, EntryEvent, EntryReducer, EntrySettings, IncomingRequest,
-    RequestId, SendOrder,
+    AgentSync, AttemptEnd, EntryEffect, EntryEvent, EntryReducer, IncomingRequest, RequestId,
+    SendOrder,
 };
-use mustardrill_core::membership::{InstanceRecord, MemberSettings};
 use mustardrill_core::refusal::AttemptRefusal;
 use mustardrill_core::routing::{RoutingSettings, UpstreamReport};
-use mustardrill_types::{Generation, InstanceId, Millis, Moment, RequestDigest, ResultCode};
+use mustardrill_types::{Generation, Millis, Moment, RequestDigest, ResultCode};
 
 const START: Moment = Moment(1_000);
 
-fn instance(number: usize) -> InstanceId {
-    format!("desk-{number}").parse().unwrap()
-}
-
 fn entry() -> EntryReducer {
-    let settings = EntrySettings {
-        own_id: "entry-0".parse().unwrap(),
-        data_centre: "gc-hall-a".parse().unwrap(),
-        routing: RoutingSettings::default(),
-        retry: RetrySettings::default(),
-        claim_shards: 1,
-        members: MemberSettings::default(),
-        subset: 8,
-        sync_every: Millis(500),
-    };
+    let settings = entry_settings(RoutingSettings::default());
     let mut reducer = EntryReducer::new(settings, 1);
     let text = "[plain desk]\nservice = records-desk\nowner = ana\nclass = standard\n\
                 callers = all\nrequests_per_second = 1000\nin_flight = 1000\n";
-    let record = |number| InstanceRecord {
-        id: instance(number),
-        service: "records-desk".parse().unwrap(),
-        data_centre: "gc-hall-a".parse().unwrap(),
-        region: "guate-central".parse().unwrap(),
-        agent: format!("127.0.0.1:{}", number + 1).into(),
-        leaving: false,
-    };
     reducer.reduce(START, EntryEvent::CatalogueReceived(Arc::new(document_with(text))));
-    reducer.reduce(START, EntryEvent::InstancesReceived((0..2).map(record).collect()));
+    reducer.reduce(START, EntryEvent::InstancesReceived((0..2).map(desk_instance).collect()));
     reducer.reduce(START, EntryEvent::EntriesCounted(1));
     (0..2).for_each(|number| receive_heartbeat(&mut reducer, START, number));
     reducer
 }
 
-fn receive_heartbeat(reducer: &mut EntryReducer, now: Moment, number: usize) {
+fn receive_heartbeat(reducer: &mut EntryReducer, now: Moment, number: u16) {
     let sync = AgentSync {
-        id: instance(number),
+        id: desk_id(number),
         generation: Generation(1),
         report: UpstreamReport { outstanding: 0, capacity: 10, serving: vec![], leaving: false },
         progress: Vec::new(),
--- a/mustardrill_core/tests/stated_departures.rs
+++ b/mustardrill_core/tests/stated_departures.rs
@@ -1,30 +1,21 @@
 //! Upstreams that state in their answers that they are leaving. Each test names what must not bring
 //! one back, or what must not be taken for such a statement.
 
-use common::{desk, desk_fleet, desk_id, desk_request, direct_settings, reached_desks};
+use common::{
+    answer_from_store, desk, desk_fleet, desk_id, direct_settings, end_request, plan_of,
+    reached_desks, refusal_of, send_to_desk,
+};
 use mustardrill_core::direct::{
-    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, FleetChange, FleetUpdate,
-    RefusalPlan, RequestNumber, SendPlan, StatedValue, UpstreamRecord, UpstreamStatement,
+    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, FleetChange, RequestNumber,
+    StatedValue, UpstreamRecord, UpstreamStatement,
 };
-use mustardrill_types::{Millis, Moment, ResultCode, StartStamp, StoreEra, StoreRevision};
+use mustardrill_types::{Millis, Moment, ResultCode, StartStamp};
 
 mod common;
 
 const START: Moment = Moment(100_000);
 const UPSTREAMS: u16 = 3;
 
-fn answer_from_store(
-    reducer: &mut DirectReducer,
-    now: Moment,
-    changes: Vec<FleetChange>,
-    is_snapshot: bool,
-    era: u64,
-) {
-    let (revision, era) = (StoreRevision(1), StoreEra(era));
-    let update = FleetUpdate { changes, revision, era, is_snapshot };
-    reducer.reduce(now, DirectEvent::StoreAnswered(update, now));
-}
-
 fn register(reducer: &mut DirectReducer, now: Moment, record: UpstreamRecord) {
     answer_from_store(reducer, now, vec![FleetChange::Upstream(record)], false, 0);
 }
@@ -35,24 +26,6 @@
     reducer
 }
 
-/// Sends a request and returns the effects, without timers.
-fn send(reducer: &mut DirectReducer, number: u64, now: Moment) -> Vec<DirectEffect> {
-    let arrival = DirectEvent::RequestArrived(desk_request(number, now));
-    let mut effects = reducer.reduce(now, arrival);
-    effects.retain(|effect| !matches!(effect, DirectEffect::SetTimer(_)));
-    effects
-}
-
-fn plan_of(effects: &[DirectEffect]) -> &SendPlan {
-    let [DirectEffect::Send(_, plan)] = effects else { panic!("not sent: {effects:?}") };
-    plan
-}
-
-fn refusal_of(effects: &[DirectEffect]) -> &RefusalPlan {
-    let [DirectEffect::Refuse(_, plan)] = effects else { panic!("not refused: {effects:?}") };
-    plan
-}
-
 /// The answer to a request's current attempt states that its upstream is leaving.
 fn state_leaving(reducer: &mut DirectReducer, number: u64, now: Moment) -> Vec<DirectEffect> {
     let statement =
@@ -60,19 +33,14 @@
     reducer.reduce(now, DirectEvent::UpstreamStated(RequestNumber(number), statement))
 }
 
-fn end(reducer: &mut DirectReducer, number: u64, now: Moment) {
-    common::end_attempt(reducer, now, number, AttemptOutcome::Whole);
-    reducer.reduce(now, DirectEvent::CallerGone(RequestNumber(number)));
-}
-
 /// Sends requests until one reaches the upstream, which states in its answer that it is leaving.
 fn let_leave(reducer: &mut DirectReducer, upstream: u16, now: Moment) {
     for number in 1_000.. {
-        let reached = plan_of(&send(reducer, number, now)).upstream.clone();
+        let reached = plan_of(&send_to_desk(reducer, number, now)).upstream.clone();
         if reached == desk_id(upstream) {
             state_leaving(reducer, number, now);
         }
-        end(reducer, number, now);
+        end_request(reducer, number, now);
         if reached == desk_id(upstream) {
             return;
         }
@@ -135,11 +103,11 @@
 #[test]
 fn the_statement_of_an_upstream_that_was_just_removed_is_lost() {
     let mut reducer = entry(1);
-    send(&mut reducer, 1, START);
+    send_to_desk(&mut reducer, 1, START);
     let gone = vec![FleetChange::UpstreamGone(desk_id(0))];
     answer_from_store(&mut reducer, START + Millis(100), gone, false, 0);
     state_leaving(&mut reducer, 1, START + Millis(200));
-    end(&mut reducer, 1, START + Millis(200));
+    end_request(&mut reducer, 1, START + Millis(200));
     register(&mut reducer, START + Millis(500), desk(0));
     assert!(!is_used(&mut reducer, 0, START + Millis(500)));
 }
@@ -156,11 +124,11 @@
 #[test]
 fn the_answer_of_an_earlier_incarnation_makes_the_next_one_leave() {
     let mut reducer = entry(1);
-    send(&mut reducer, 1, START);
+    send_to_desk(&mut reducer, 1, START);
     let reborn = UpstreamRecord { start: StartStamp(2), ..desk(0) };
     register(&mut reducer, START + Millis(100), reborn);
     state_leaving(&mut reducer, 1, START + Millis(200));
-    end(&mut reducer, 1, START + Millis(200));
+    end_request(&mut reducer, 1, START + Millis(200));
     assert!(is_used(&mut reducer, 0, START + Millis(300)));
 }
 
@@ -169,14 +137,14 @@
     let mut reducer = entry(2);
     let_leave(&mut reducer, 0, START);
     // The other one is ejected after it could not be reached; it is tried all the same.
-    plan_of(&send(&mut reducer, 1, START + Millis(100)));
+    plan_of(&send_to_desk(&mut reducer, 1, START + Millis(100)));
     let effects =
         common::end_attempt(&mut reducer, START + Millis(100), 1, AttemptOutcome::NotSent);
     assert_eq!(plan_of(&effects).upstream, desk_id(1));
     // Its registration ends as well: nothing is left.
     let gone = vec![FleetChange::UpstreamGone(desk_id(1))];
     answer_from_store(&mut reducer, START + Millis(200), gone, false, 0);
-    let effects = send(&mut reducer, 2, START + Millis(200));
+    let effects = send_to_desk(&mut reducer, 2, START + Millis(200));
     assert_eq!(refusal_of(&effects).code, ResultCode::NoUpstream);
 }
 
@@ -197,13 +165,13 @@
     let mut reducer = entry(1);
     let numbers = 1..=12;
     let sent: Vec<_> =
-        numbers.clone().filter(|it| !send(&mut reducer, *it, START).is_empty()).collect();
+        numbers.clone().filter(|it| !send_to_desk(&mut reducer, *it, START).is_empty()).collect();
     let waiting = reducer.status(START).waiting;
     assert!(waiting > 0, "the upstream has too much room");
     let effects = state_leaving(&mut reducer, sent[0], START + Millis(50));
     let refused = effects.iter().filter(|it| matches!(it, DirectEffect::Refuse(..))).count();
     assert_eq!((refused, reducer.status(START).waiting), (waiting, 0), "{effects:?}");
-    let effects = send(&mut reducer, 99, START + Millis(60));
+    let effects = send_to_desk(&mut reducer, 99, START + Millis(60));
     assert_eq!(refusal_of(&effects).code, ResultCode::NoUpstream);
     assert!(refusal_of(&effects).retry_after > Millis(0));
 }
@@ -212,7 +180,9 @@
 fn attempts_that_were_not_written_reach_an_upstream_that_said_that_it_leaves() {
     let mut reducer = entry(2);
     let plans: Vec<_> = (1..=6)
-        .map(|number| (number, plan_of(&send(&mut reducer, number, START)).upstream.clone()))
+        .map(|number| {
+            (number, plan_of(&send_to_desk(&mut reducer, number, START)).upstream.clone())
+        })
         .collect();
     let at_first: Vec<_> =
         plans.iter().filter(|(_, it)| *it == desk_id(0)).map(|(number, _)| *number).collect();
@@ -237,10 +207,10 @@
         (1, StatedValue::valid(false)),
         (2, StatedValue { value: None, malformed: Some("yes".into()) }),
     ] {
-        send(&mut reducer, number, START);
+        send_to_desk(&mut reducer, number, START);
         let statement = UpstreamStatement { leaving, ..UpstreamStatement::default() };
         reducer.reduce(START, DirectEvent::UpstreamStated(RequestNumber(number), statement));
-        end(&mut reducer, number, START);
+        end_request(&mut reducer, number, START);
         assert!(is_used(&mut reducer, 0, START + Millis(number)));
     }
 }
--- a/mustardrill_core/tests/stated_rests.rs
+++ b/mustardrill_core/tests/stated_rests.rs
@@ -3,15 +3,15 @@
 
 use std::collections::BTreeMap;
 
-use common::{desk, desk_fleet, desk_id, desk_request, direct_settings, peer};
+use common::{
+    answer_from_store, desk, desk_fleet, desk_id, desk_request, direct_settings, end_request, peer,
+    plan_of, refusal_of, send_to_desk,
+};
 use mustardrill_core::direct::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, DirectSettings, FleetChange,
-    FleetUpdate, RefusalPlan, RequestNumber, RetryShare, SendPlan, StatedValue, UpstreamRecord,
-    UpstreamStatement,
-};
-use mustardrill_types::{
-    InstanceId, Millis, Moment, ResultCode, StartStamp, StoreEra, StoreRevision,
+    FleetUpdate, RequestNumber, RetryShare, StatedValue, UpstreamRecord, UpstreamStatement,
 };
+use mustardrill_types::{InstanceId, Millis, Moment, ResultCode, StartStamp, StoreEra};
 use proptest::prelude::*;
 
 mod common;
@@ -19,18 +19,6 @@
 const START: Moment = Moment(100_000);
 const REST: Millis = Millis(3_000);
 
-fn answer_from_store(
-    reducer: &mut DirectReducer,
-    now: Moment,
-    changes: Vec<FleetChange>,
-    is_snapshot: bool,
-    era: u64,
-) {
-    let (revision, era) = (StoreRevision(1), StoreEra(era));
-    let update = FleetUpdate { changes, revision, era, is_snapshot };
-    reducer.reduce(now, DirectEvent::StoreAnswered(update, now));
-}
-
 /// An entry whose requests earn more retries than it needs.
 fn entry(upstreams: u16) -> DirectReducer {
     let retry_share = RetryShare { ratio: 100.0, ..direct_settings().retry_share };
@@ -40,23 +28,6 @@
     reducer
 }
 
-fn send(reducer: &mut DirectReducer, number: u64, now: Moment) -> Vec<DirectEffect> {
-    let arrival = DirectEvent::RequestArrived(desk_request(number, now));
-    let mut effects = reducer.reduce(now, arrival);
-    effects.retain(|effect| !matches!(effect, DirectEffect::SetTimer(_)));
-    effects
-}
-
-fn plan_of(effects: &[DirectEffect]) -> &SendPlan {
-    let [DirectEffect::Send(_, plan)] = effects else { panic!("not sent: {effects:?}") };
-    plan
-}
-
-fn refusal_of(effects: &[DirectEffect]) -> &RefusalPlan {
-    let [DirectEffect::Refuse(_, plan)] = effects else { panic!("not refused: {effects:?}") };
-    plan
-}
-
 fn state_rest(
     reducer: &mut DirectReducer,
     number: u64,
@@ -85,15 +56,10 @@
     reducer.reduce(now, DirectEvent::AnswerStarted(RequestNumber(number), None, None));
 }
 
-fn end(reducer: &mut DirectReducer, number: u64, now: Moment) {
-    common::end_attempt(reducer, now, number, AttemptOutcome::Whole);
-    reducer.reduce(now, DirectEvent::CallerGone(RequestNumber(number)));
-}
-
 /// An entry with one upstream, which asked for `REST` at `START`.
 fn entry_of_resting() -> DirectReducer {
     let mut reducer = entry(1);
-    plan_of(&send(&mut reducer, 1, START));
+    plan_of(&send_to_desk(&mut reducer, 1, START));
     refusal_of(&turn_away(&mut reducer, 1, START, REST));
     reducer
 }
@@ -105,7 +71,7 @@
 #[test]
 fn an_upstream_that_asked_for_a_rest_is_the_last_resort() {
     let mut reducer = entry(2);
-    let first = plan_of(&send(&mut reducer, 1, START)).upstream.clone();
+    let first = plan_of(&send_to_desk(&mut reducer, 1, START)).upstream.clone();
     let effects = turn_away(&mut reducer, 1, START, REST);
     let second = plan_of(&effects).upstream.clone();
     assert_ne!(first, second, "another upstream is tried at once");
@@ -122,7 +88,7 @@
 #[test]
 fn a_rest_is_shortened_by_a_shorter_one_an_acceptance_or_new_weights() {
     let mut reducer = entry(1);
-    (1..=3).for_each(|number| drop(send(&mut reducer, number, START)));
+    (1..=3).for_each(|number| drop(send_to_desk(&mut reducer, number, START)));
     turn_away(&mut reducer, 1, START, REST);
     turn_away(&mut reducer, 2, START + Millis(10), Millis(100));
     turn_away(&mut reducer, 3, START + Millis(20), Millis(0));
@@ -142,7 +108,7 @@
 #[test]
 fn the_latest_end_of_several_rests_is_forgotten() {
     let mut reducer = entry(1);
-    (1..=3).for_each(|number| drop(send(&mut reducer, number, START)));
+    (1..=3).for_each(|number| drop(send_to_desk(&mut reducer, number, START)));
     turn_away(&mut reducer, 1, START, Millis(1_000));
     turn_away(&mut reducer, 2, START + Millis(500), REST);
     turn_away(&mut reducer, 3, START + Millis(600), Millis(1_000));
@@ -183,7 +149,7 @@
 #[test]
 fn a_huge_rest_overflows() {
     let mut reducer = entry(1);
-    send(&mut reducer, 1, START);
+    send_to_desk(&mut reducer, 1, START);
     turn_away(&mut reducer, 1, START, Millis(u64::MAX));
     assert!(!is_used(&mut reducer, START + Millis(1_000_000_000)));
 }
@@ -193,7 +159,7 @@
     let mut reducer = entry_of_resting();
     let now = START + Millis(200);
     for number in 10..20 {
-        let effects = send(&mut reducer, number, now);
+        let effects = send_to_desk(&mut reducer, number, now);
         let refusal = refusal_of(&effects);
         assert_eq!(refusal.code, ResultCode::Overloaded);
         let left = REST.0 - 200;
@@ -201,8 +167,8 @@
     }
     // One request is served at the end of the rest, and waits for it.
     let now = START + REST - Millis(400);
-    assert_eq!(send(&mut reducer, 30, now), Vec::new());
-    refusal_of(&send(&mut reducer, 31, now));
+    assert_eq!(send_to_desk(&mut reducer, 30, now), Vec::new());
+    refusal_of(&send_to_desk(&mut reducer, 31, now));
     let effects = reducer.reduce(START + REST, DirectEvent::TimerFired);
     assert!(matches!(effects[0], DirectEffect::Send(RequestNumber(30), _)), "{effects:?}");
 }
@@ -210,7 +176,8 @@
 #[test]
 fn waiting_requests_are_kept_when_all_upstreams_rest() {
     let mut reducer = entry(1);
-    let sent: Vec<_> = (1..=12).filter(|it| !send(&mut reducer, *it, START).is_empty()).collect();
+    let sent: Vec<_> =
+        (1..=12).filter(|it| !send_to_desk(&mut reducer, *it, START).is_empty()).collect();
     let waiting = reducer.status(START).waiting;
     assert!(waiting > 0, "the upstream has too much room");
     let effects = state_rest(&mut reducer, sent[0], START + Millis(50), REST);
@@ -222,7 +189,9 @@
 fn attempts_that_were_not_written_reach_an_upstream_that_asked_for_a_rest() {
     let mut reducer = entry(2);
     let plans: Vec<_> = (1..=6)
-        .map(|number| (number, plan_of(&send(&mut reducer, number, START)).upstream.clone()))
+        .map(|number| {
+            (number, plan_of(&send_to_desk(&mut reducer, number, START)).upstream.clone())
+        })
         .collect();
     let at_first: Vec<_> = plans.iter().filter(|(_, it)| *it == desk_id(0)).collect();
     let [(told, _), unsent @ ..] = &at_first[..] else { panic!("{plans:?}") };
@@ -241,7 +210,9 @@
     let mut number = 100;
     for _ in 0..4 {
         let round: Vec<_> = (number..number + 20)
-            .filter(|it| matches!(send(&mut reducer, *it, now)[..], [DirectEffect::Send(..)]))
+            .filter(|it| {
+                matches!(send_to_desk(&mut reducer, *it, now)[..], [DirectEffect::Send(..)])
+            })
             .collect();
         accepted_at_once.push(round.len());
         now = now + Millis(100);
@@ -249,11 +220,11 @@
             accept(&mut reducer, *request, now);
         }
         for request in &round {
-            end(&mut reducer, *request, now);
+            end_request(&mut reducer, *request, now);
         }
         // Those that waited and were sent since are gone as well.
         for request in number..number + 20 {
-            end(&mut reducer, request, now);
+            end_request(&mut reducer, request, now);
         }
         number += 100;
         now = now + Millis(100);
@@ -277,7 +248,7 @@
                 ids.iter().filter(|id| *id != own_id).map(|id| FleetChange::Peer(peer(id))),
             );
             answer_from_store(&mut reducer, START, changes, false, 0);
-            send(&mut reducer, 1, START);
+            send_to_desk(&mut reducer, 1, START);
             turn_away(&mut reducer, 1, START, REST);
             let end = START + REST;
             let returned = (0..2_000).step_by(10).find(|after| {
@@ -373,7 +344,7 @@
             match step {
                 Step::Arrive => {
                     next += 1;
-                    effects = send(&mut reducer, next, now);
+                    effects = send_to_desk(&mut reducer, next, now);
                 }
                 Step::Answer(at, choice) if !open.is_empty() => {
                     let (number, upstream, start) = open.remove(at.index(open.len()));
