--- a/mustardrill_core/tests/policies.rs
+++ b/mustardrill_core/tests/policies.rs
@@ -245,6 +245,25 @@
     assert!(!budget.spend(4), "the request has no attempt left");
 }
 
+/// Every entry is killed again and again, and every attempt fails.
+#[test]
+fn entries_that_start_spend_retries_that_no_request_has_earned() {
+    let settings = RetrySettings { percent: 20, reserve: 20, attempts: 4 };
+    for (entries, lives, requests) in [(1, 50, 4), (36, 5, 4), (340, 1, 4), (340, 3, 1)] {
+        let (mut first, mut retries) = (0, 0);
+        for _ in 0..entries * lives {
+            let mut budget = RetryBudget::new(settings.clone());
+            for _ in 0..requests {
+                first += 1;
+                budget.earn();
+                retries += (1..4).filter(|attempts| budget.spend(*attempts)).count();
+            }
+        }
+        let allowed = first * 20 / 100 + 20;
+        assert!(retries <= allowed, "{entries} entries, {lives} lives: {retries} of {allowed}");
+    }
+}
+
 fn ids(count: usize) -> Vec<InstanceId> {
     (0..count).map(|index| format!("instance-{index}").parse().unwrap()).collect()
 }
--- a/mustardrill_core/tests/refusals.rs
+++ b/mustardrill_core/tests/refusals.rs
@@ -66,6 +66,8 @@
 #[test]
 fn an_upstream_whose_agent_said_that_it_leaves_is_chosen_until_the_next_heartbeat() {
     let mut reducer = entry();
+    // Earns the retries.
+    (100..110).for_each(|number| drop(send(&mut reducer, number, START)));
     let first = send(&mut reducer, 1, START);
     let refusal = AttemptRefusal::new(ResultCode::Leaving, Millis(1));
     let now = START + Millis(10);
