A return after a rest goes on after a lost registration, and serves what waits

Read again: an upstream whose registration was lost while the first request after its rest was there, and that registers again, would have got no request of that entry any more: the end of that request was counted for listed upstreams only. And requests that wait were not sent when the upstream accepted the first one, but with the next other event. Waiting requests are checked anew only when a rest begins, not with each answer that prolongs it.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -129,16 +129,23 @@
         number: RequestNumber,
         load: Option<LoadReport>,
         version: Option<WeightVersion>,
-    ) {
+    ) -> Vec<DirectEffect> {
         self.record_attempt_start(now, number, version);
         self.record_missing_intake_statement(now, number);
-        let Some(state) = self.requests.get_mut(&number) else { return };
-        let RequestStage::Sent(upstream) = state.stage.clone() else { return };
+        let Some(state) = self.requests.get_mut(&number) else { return Vec::new() };
+        let RequestStage::Sent(upstream) = state.stage.clone() else { return Vec::new() };
+        let service = state.service.clone();
         self.upstreams.record_prefill_end(&upstream, std::mem::take(&mut state.pending_prefill));
         if state.pinned_version.is_none() && state.repeat_rule.is_stream() {
             state.pinned_version = version;
         }
         self.upstreams.record_answer_start(now, &upstream, load, state.model.as_ref(), version);
+        // One that accepts a request after a rest is sent one more at a time.
+        let target = self.upstreams.get(&upstream.id);
+        if target.is_some_and(|target| target.conditions.rest.is_returning(now)) {
+            return self.dispatch_waiting(now, &service);
+        }
+        Vec::new()
     }
 
     pub(super) fn finish_attempt(
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -375,8 +375,11 @@
 
     /// Records that a request that was sent at `sent_at` is no longer at an upstream.
     pub(crate) fn record_finished(&mut self, start: &UpstreamStart, sent_at: Moment) {
+        // It may be listed again as the same incarnation.
+        if let Some(conditions) = self.conditions_mut(start) {
+            conditions.rest.record_finished(sent_at);
+        }
         if let Some(state) = self.incarnation_mut(start) {
-            state.conditions.rest.record_finished(sent_at);
             state.own_load.requests = state.own_load.requests.saturating_sub(1);
         }
     }
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -163,8 +163,7 @@
             DirectEvent::RequestArrived(request) => self.admit_arrival(now, request),
             DirectEvent::CallerGone(number) => self.caller_gone(now, number),
             DirectEvent::AnswerStarted(number, load, version) => {
-                self.record_answer_start(now, number, load, version);
-                Vec::new()
+                self.record_answer_start(now, number, load, version)
             }
             DirectEvent::UpstreamStated(number, statement) => {
                 self.record_statement(now, number, &statement)
--- a/mustardrill_core/src/direct/statements/record.rs
+++ b/mustardrill_core/src/direct/statements/record.rs
@@ -46,8 +46,7 @@
         is_news
     }
 
-    /// Records that an upstream wants no requests for a while; returns whether that prolongs the
-    /// rest in force.
+    /// Records that an upstream wants no requests for a while; returns whether a rest begins.
     fn record_rest(
         &mut self,
         now: Moment,
@@ -61,15 +60,15 @@
         let rank = rendezvous::rank(subject, self.settings.own_id.as_str(), peers);
         let return_delay = return_delay(rank, slots);
         let Some(conditions) = self.upstreams.conditions_mut(upstream) else { return false };
-        let is_news = conditions.rest.record(now, rest, return_delay);
-        if is_news {
+        let begins = conditions.rest.record(now, rest, return_delay);
+        if begins {
             info!(
                 "rest instance={} start={} for={rest} return_delay={return_delay} source=answer \
                  request={attempt_id}",
                 upstream.id, upstream.start
             );
         }
-        is_news
+        begins
     }
 
     /// Records and logs that a request is sent to an upstream, if it is the first one after a rest.
--- a/mustardrill_core/src/direct/statements/rest.rs
+++ b/mustardrill_core/src/direct/statements/rest.rs
@@ -35,18 +35,19 @@
 }
 
 impl RestPeriod {
-    /// Records that the upstream asked for a rest; returns whether that prolongs the one in force.
+    /// Records that the upstream asked for a rest; returns whether one begins.
     pub(crate) fn record(&mut self, now: Moment, rest: Millis, return_delay: Millis) -> bool {
         let ends_at = Moment(now.0.saturating_add(rest.0));
         if rest == Millis(0) || ends_at <= self.ends_at {
             return false;
         }
+        let begins = !self.is_resting(now);
         self.ends_at = ends_at;
         self.return_delay = return_delay;
         self.request_limit = Some(FIRST_REQUESTS);
         self.present = 0;
         self.is_unbroken = true;
-        true
+        begins
     }
 
     /// From when on this entry may send requests there.
@@ -58,6 +59,11 @@
         now < self.opens_at()
     }
 
+    /// Whether this entry sends fewer requests there than it may have, since a rest has ended.
+    pub(crate) fn is_returning(&self, now: Moment) -> bool {
+        self.request_limit.is_some() && !self.is_resting(now)
+    }
+
     /// How many more requests this entry may send there.
     pub(crate) fn room(&self) -> u32 {
         self.request_limit.map_or(u32::MAX, |limit| limit.saturating_sub(self.present))
@@ -66,7 +72,7 @@
     /// Records that the upstream accepted a request. One that was sent before the rest says nothing
     /// of what it accepts since.
     pub(crate) fn record_acceptance(&mut self, now: Moment) {
-        if !self.is_unbroken && !self.is_resting(now) {
+        if !self.is_unbroken && self.is_returning(now) {
             let grown = self.request_limit.map(|limit| limit + 1);
             self.request_limit = grown.filter(|limit| *limit < RETURNED_REQUESTS);
         }
--- a/mustardrill_core/tests/stated_rests.rs
+++ b/mustardrill_core/tests/stated_rests.rs
@@ -434,3 +434,31 @@
         }
     }
 }
+
+/// The request that was sent first after the rest ends while the upstream is not listed.
+#[test]
+fn an_upstream_whose_registration_was_lost_in_its_return_gets_nothing_more() {
+    let mut reducer = entry_of_resting();
+    let back = START + REST;
+    common::keep_in_contact(&mut reducer, START, back);
+    plan_of(&send_to_desk(&mut reducer, 10, back));
+    let gone = vec![FleetChange::UpstreamGone(desk_id(0))];
+    answer_from_store(&mut reducer, back + Millis(10), gone, false, 0);
+    assert_eq!(reducer.status(back + Millis(10)).upstreams, 0);
+    end_request(&mut reducer, 10, back + Millis(20));
+    let renewed = vec![FleetChange::Upstream(desk(0))];
+    answer_from_store(&mut reducer, back + Millis(900), renewed, false, 0);
+    assert!(is_used(&mut reducer, back + Millis(900)));
+}
+
+#[test]
+fn waiting_requests_are_not_sent_when_an_upstream_accepts_the_first_one_after_its_rest() {
+    let mut reducer = entry_of_resting();
+    let back = START + REST;
+    plan_of(&send_to_desk(&mut reducer, 10, back));
+    (11..14).for_each(|number| assert_eq!(send_to_desk(&mut reducer, number, back), Vec::new()));
+    let accepted = DirectEvent::AnswerStarted(RequestNumber(10), None, None);
+    let effects = reducer.reduce(back + Millis(50), accepted);
+    let sent = effects.iter().filter(|effect| matches!(effect, DirectEffect::Send(..))).count();
+    assert_eq!(sent, 1, "{effects:?}");
+}
