Entries read the parts of a prompt, and logs name them

Neither the line of a sending nor that of a lost attempt said which parts a request has, so the logs could not tell whether a crashing part is not counted, or counted and cleared.

A malformed list is logged with what would be right and counted (part_lists); its request is served. No decision uses the parts yet.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -83,7 +83,7 @@
         };
         info!(
             "request={} decision=send instance={upstream} waited={} attempt={} present={} pinned={} \
-             evidence={} digest={}",
+             evidence={} digest={} parts={}",
             state.attempt_id,
             now.since(state.arrived_at),
             state.tried_upstreams.len() + 1,
@@ -91,6 +91,7 @@
             plan.pinned_version.map_or(0, |version| version.0),
             target.evidence(now, self.store_freshness.age(now).unwrap_or_default()),
             state.digest,
+            state.parts,
         );
         if let Some(superseded_attempt) = &superseded_attempt {
             info!(
@@ -159,21 +160,25 @@
         let RequestStage::Sent(upstream) = state.stage.clone() else { return Vec::new() };
         state.stage = RequestStage::Between;
         let service = state.service.clone();
-        let (attempt, digest) = (state.attempt_id.clone(), state.digest);
+        let (attempt, digest, parts) =
+            (state.attempt_id.clone(), state.digest, state.parts.clone());
         let sent_at = state.sent_at;
         self.upstreams.record_prefill_end(&upstream, std::mem::take(&mut state.pending_prefill));
         self.upstreams.record_finished(&upstream, sent_at);
         self.upstreams.record_outcome(now, &upstream, outcome, self.settings.base_ejection);
         let mut effects = Vec::new();
         match outcome {
-            AttemptOutcome::Whole => effects.extend(self.record_run_success(now, digest)),
+            AttemptOutcome::Whole => effects.extend(self.record_run_success(now, digest, &parts)),
             AttemptOutcome::Lost { crashed: true, .. } => {
                 self.record_run_crash(now, number, &upstream)
             }
             _ => {}
         }
         if outcome != AttemptOutcome::Whole {
-            info!("request={attempt} instance={} outcome={outcome:?} digest={digest}", upstream.id);
+            info!(
+                "request={attempt} instance={} outcome={outcome:?} digest={digest} parts={parts}",
+                upstream.id
+            );
         }
         effects.extend(self.continue_after_attempt(now, number, outcome));
         effects.extend(self.dispatch_waiting(now, &service));
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -3,8 +3,8 @@
 use std::net::{IpAddr, SocketAddr};
 
 use mustardrill_types::{
-    CustomerName, DataCentre, Generation, InstanceId, Millis, ModelName, Moment, RequestDigest,
-    ResultCode, StartStamp, StoreEra, WeightVersion,
+    CustomerName, DataCentre, Generation, InstanceId, Millis, ModelName, Moment, PartSet,
+    RequestDigest, ResultCode, StartStamp, StoreEra, WeightVersion,
 };
 
 use crate::direct::fleet::load_broadcast::LoadUpdate;
@@ -13,7 +13,7 @@
 use crate::direct::placement::forecast::WorkSize;
 use crate::direct::retries::retry_budget::RetryShare;
 use crate::direct::route::RepeatRule;
-use crate::direct::statements::statement::UpstreamStatement;
+use crate::direct::statements::statement::{StatedValue, UpstreamStatement};
 use crate::direct::store::availability::AvailabilitySpan;
 use crate::direct::versions::table::AnnouncementReport;
 use crate::quarantine::CrashReport;
@@ -47,6 +47,9 @@
     pub size: WorkSize,
     /// Whether the caller resumes a stream that started on another connection.
     pub is_resumed: bool,
+    /// The parts of its prompt that other requests may share. The last part of a prompt belongs to
+    /// the request itself and is not among them.
+    pub shared_parts: StatedValue<PartSet>,
 }
 
 /// The outcome of sending a request to an upstream once.
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -1,7 +1,8 @@
 //! The state of a request in progress at an entry.
 
 use mustardrill_types::{
-    CustomerName, InstanceId, Millis, ModelName, Moment, RequestDigest, ServiceName, WeightVersion,
+    CustomerName, InstanceId, Millis, ModelName, Moment, PartSet, RequestDigest, ServiceName,
+    WeightVersion,
 };
 
 use crate::direct::event::{DirectRequest, RequestNumber};
@@ -19,6 +20,8 @@
     pub(crate) attempt_id: Box<str>,
     /// Identifies the content: equal for each attempt and each retry of the caller.
     pub(crate) digest: RequestDigest,
+    /// The parts of its prompt that other requests may share.
+    pub(crate) parts: PartSet,
     pub(crate) host: Box<str>,
     pub(crate) path: Box<str>,
     pub(crate) api_key: Option<Box<str>>,
@@ -96,6 +99,7 @@
             number: request.number,
             attempt_id: request.attempt_id,
             digest,
+            parts: request.shared_parts.value.unwrap_or_default(),
             host: request.host,
             path: request.path,
             api_key: request.api_key,
--- a/mustardrill_core/src/direct/retries/retry.rs
+++ b/mustardrill_core/src/direct/retries/retry.rs
@@ -219,7 +219,7 @@
         let usable = self.upstreams.usable(now, &state.service);
         info!(
             "request={} decision=refuse code={code} waited={} attempts={} queue={} usable={} \
-             fitting={} leaving={} resting={} retry_after={retry_after} digest={}",
+             fitting={} leaving={} resting={} retry_after={retry_after} digest={} parts={}",
             state.attempt_id,
             now.since(state.arrived_at),
             state.tried_upstreams.len(),
@@ -232,6 +232,7 @@
             self.upstreams.of_service(&state.service).filter(|it| it.is_leaving()).count(),
             self.upstreams.resting(now, &state.service).count(),
             state.digest,
+            state.parts,
         );
         vec![DirectEffect::Refuse(number, RefusalPlan { code, retry_after })]
     }
--- a/mustardrill_core/src/direct/retries/suspicion.rs
+++ b/mustardrill_core/src/direct/retries/suspicion.rs
@@ -1,7 +1,7 @@
 //! How an entry handles requests that were running when upstreams crashed.
 
 use log::{info, warn};
-use mustardrill_types::{Millis, Moment, RequestDigest, ResultCode};
+use mustardrill_types::{Millis, Moment, PartSet, RequestDigest, ResultCode};
 
 use crate::direct::event::{DirectEffect, RequestNumber};
 use crate::direct::fleet::upstream::UpstreamStart;
@@ -45,11 +45,12 @@
         &mut self,
         now: Moment,
         digest: RequestDigest,
+        parts: &PartSet,
     ) -> Option<DirectEffect> {
         let was_quarantined = self.quarantine.remaining(now, digest).is_some();
         self.crash_reports.withdraw_quarantine(digest);
         if self.quarantine.record_success(now, digest, now) {
-            info!("quarantine digest={digest} outcome=sound");
+            info!("quarantine digest={digest} outcome=sound parts={parts}");
             self.crash_reports.push(now, CrashReport::Sound(digest, now));
         }
         was_quarantined.then_some(DirectEffect::RemoveQuarantine(digest))
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -11,7 +11,7 @@
     AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
     DirectSettings, EngineProfile, FleetChange, FleetUpdate, ModelProfile, PeerRecord, RefusalPlan,
     RepeatRule, RequestNumber, RetryShare, RouteDocument, RouteRule, SendPlan, ServiceProfile,
-    UpstreamRecord, WorkSize,
+    StatedValue, UpstreamRecord, WorkSize,
 };
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::edit::{EditChange, EditRequest, FleetFacts, PublishedVersion, apply_edit};
@@ -226,6 +226,7 @@
         model: Some("m".parse().unwrap()),
         size,
         is_resumed: false,
+        shared_parts: StatedValue::default(),
     }
 }
 
--- a/mustardrill_entry/src/direct/callers.rs
+++ b/mustardrill_entry/src/direct/callers.rs
@@ -10,9 +10,9 @@
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode, http};
 use kameo::prelude::*;
-use mustardrill_core::direct::{RefusalPlan, RequestNumber};
+use mustardrill_core::direct::{DirectRequest, RefusalPlan, RequestNumber};
 use mustardrill_runtime::http::{AnyResponse, HttpHandler, text_response};
-use mustardrill_types::{Millis, RequestDigest, ResultCode};
+use mustardrill_types::{Millis, PartSet, RequestDigest, ResultCode};
 use tokio::sync::mpsc;
 
 use crate::direct::actor::{DirectActor, DirectContext, LimitsQuery, ReadyQuery};
@@ -49,6 +49,7 @@
                 return bad_request_response(dialect);
             }
         };
+        self.check_parts(&call);
         let limits = self.actor.ask(LimitsQuery).await.map(|reply| reply.0).unwrap_or_default();
         let body = Limited::new(body, limits.max_body.0 as usize).collect().await;
         let Ok(body) = body else {
@@ -79,6 +80,24 @@
         self.close_if_draining(response)
     }
 
+    /// Counts a request that lists the parts of its prompt, and logs a malformed list.
+    fn check_parts(&self, call: &DirectRequest) {
+        let stated = &call.shared_parts;
+        if stated.is_absent() {
+            return;
+        }
+        if let Some(text) = &stated.malformed {
+            log::warn!(
+                "request={} parts=malformed value={text:?} used={} expected=\"a few ID:TOKENS, such \
+                 as 5c1e07a2:800, with ids of 1 to 32 hexadecimal digits\"",
+                call.attempt_id,
+                stated.value.as_ref().map_or(0, PartSet::len)
+            );
+        }
+        let form = if stated.malformed.is_some() { "malformed" } else { "valid" };
+        let _ = self.context.metrics.count(&format!("part_lists.{form}"), 1);
+    }
+
     /// Asks the caller to close its connection if this entry is draining, so that its next request
     /// goes to another entry.
     fn close_if_draining(&self, mut response: AnyResponse) -> AnyResponse {
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -27,7 +27,7 @@
 }
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 21] = [
+pub const METRICS: [MetricRow; 22] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -64,6 +64,11 @@
         MetricKind::Counter("form"),
         "Answers that ask for a time without requests, by whether the statement is valid.",
     ),
+    MetricRow::new(
+        "part_lists",
+        MetricKind::Counter("form"),
+        "Requests that list the parts of their prompt, by whether the list is valid.",
+    ),
     MetricRow::new(
         "limited_sends",
         MetricKind::Counter("upstream"),
--- a/mustardrill_standins/src/experiment/callers.rs
+++ b/mustardrill_standins/src/experiment/callers.rs
@@ -1,6 +1,8 @@
 //! Behaviour of simulated callers: arrivals, requests, received events, retries and deadlines.
 
-use mustardrill_core::direct::{DirectEvent, DirectRequest, RefusalPlan, RequestNumber, WorkSize};
+use mustardrill_core::direct::{
+    DirectEvent, DirectRequest, RefusalPlan, RequestNumber, StatedValue, WorkSize,
+};
 use mustardrill_types::{Millis, RequestDigest};
 use rand::Rng;
 
@@ -78,6 +80,7 @@
             model: MODEL.parse().ok(),
             size: state.size,
             is_resumed: false,
+            shared_parts: StatedValue::default(),
         };
         self.reduce(state.entry, DirectEvent::RequestArrived(request));
     }
--- a/mustardrill_types/src/lib.rs
+++ b/mustardrill_types/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod code;
 pub mod id;
 pub mod map;
+pub mod prompt;
 pub mod time;
 pub mod unit;
 
@@ -15,5 +16,6 @@
     StoreEra, StoreRevision, VersionName, WeightVersion,
 };
 pub use map::{FastMap, FastSet};
+pub use prompt::{ParsePartError, PartId, PartSet};
 pub use time::{Millis, Moment};
 pub use unit::{ByteRate, ByteSize, ParseUnitError, RequestRate};
