--- a/mustardrill_standins/tests/prepared/crash.rs
+++ b/mustardrill_standins/tests/prepared/crash.rs
@@ -18,7 +18,7 @@
     caller_request, complete_stream, configuration, entry_settings, listen, machine_ip, register,
 };
 use crate::store::Store;
-use crate::worker::{CrashTrigger, Worker};
+use crate::worker::{CrashCause, CrashTrigger, Worker};
 
 /// Path of the requests that crash an engine.
 pub const CRASHING_PATH: &str = "/drafts/crashing";
@@ -38,19 +38,21 @@
     link: Option<LabLink>,
     address: SocketAddr,
     engine: Worker,
-    crashes: usize,
+    /// Engines that crashed on this machine.
+    former_engines: Vec<Worker>,
+    crashed_at: Vec<Instant>,
     _server: StandIn,
 }
 
 /// Shared with the task that restarts engines.
 type EngineHosts = Arc<Mutex<Vec<EngineHost>>>;
 
-/// Entries in front of engines that crash on `CRASHING_PATH`.
-struct CrashFleet {
-    entries: Vec<LabProcess>,
+/// Entries in front of engines that crash on certain requests.
+pub struct CrashFleet {
+    pub entries: Vec<LabProcess>,
     hosts: EngineHosts,
     folder: PathBuf,
-    client: HttpClient,
+    pub client: HttpClient,
     restart_task: JoinHandle<()>,
     store_server: StandIn,
 }
@@ -63,7 +65,7 @@
 }
 
 impl CrashFleet {
-    async fn start(test: u8, entries: u8, engines: u8) -> Self {
+    pub async fn start(test: u8, entries: u8, engines: u8, cause: CrashCause) -> Self {
         let folder =
             std::env::temp_dir().join(format!("mustardrill-crash-{test}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
@@ -72,7 +74,7 @@
         let (crash_sender, crashes) = mpsc::unbounded_channel();
         let mut engine_hosts = Vec::new();
         for place in 0..engines {
-            let engine = new_engine(&format!("i-{place}-0"), &crash_sender);
+            let engine = new_engine(&format!("i-{place}-0"), cause, &crash_sender);
             let engine_server =
                 listen(machine_ip(test, 60 + place), Box::new(engine.clone())).await;
             let address = SocketAddr::new(machine_ip(test, 10 + place), 8_000);
@@ -82,7 +84,8 @@
                 link: Some(link),
                 address,
                 engine,
-                crashes: 0,
+                former_engines: Vec::new(),
+                crashed_at: Vec::new(),
                 _server: engine_server,
             });
         }
@@ -94,6 +97,7 @@
             hosts.clone(),
             store,
             crash_sender,
+            cause,
             test,
         ));
         let mut fleet = Self {
@@ -140,22 +144,38 @@
     }
 
     fn crashes(&self) -> usize {
-        self.hosts.lock().unwrap().iter().map(|host| host.crashes).sum()
+        self.crash_times().len()
     }
 
-    fn logs(&self) -> String {
+    /// When engines crashed, in order.
+    pub fn crash_times(&self) -> Vec<Instant> {
+        let hosts = self.hosts.lock().unwrap();
+        let mut times: Vec<_> = hosts.iter().flat_map(|host| host.crashed_at.clone()).collect();
+        times.sort_unstable();
+        times
+    }
+
+    /// Requests that reached engines, with their times.
+    pub fn arrivals(&self) -> Vec<(String, Instant)> {
+        let hosts = self.hosts.lock().unwrap();
+        let engines =
+            hosts.iter().flat_map(|host| host.former_engines.iter().chain([&host.engine]));
+        engines.flat_map(Worker::arrivals).collect()
+    }
+
+    pub fn logs(&self) -> String {
         let names = std::fs::read_dir(&self.folder).unwrap().flatten();
         let logs = names.filter(|file| file.path().extension().is_some_and(|it| it == "log"));
         logs.map(|file| std::fs::read_to_string(file.path()).unwrap_or_default()).collect()
     }
 }
 
-fn new_engine(id: &str, crash_sender: &mpsc::UnboundedSender<String>) -> Worker {
+fn new_engine(id: &str, cause: CrashCause, crash_sender: &mpsc::UnboundedSender<String>) -> Worker {
     let engine = Worker::new(id, 1);
     engine.set_answer_delay(Duration::from_millis(15));
     let after = Duration::from_millis(40);
     let crash_sender = crash_sender.clone();
-    engine.set_crash(CrashTrigger { path: CRASHING_PATH, after, silent: false, crash_sender });
+    engine.set_crash(CrashTrigger { cause, after, silent: false, crash_sender });
     engine
 }
 
@@ -166,6 +186,7 @@
     hosts: EngineHosts,
     store: Store,
     crash_sender: mpsc::UnboundedSender<String>,
+    cause: CrashCause,
     test: u8,
 ) {
     let mut starts = 0;
@@ -177,11 +198,11 @@
             if hosts[place].link.take().is_none() {
                 continue;
             }
-            hosts[place].crashes += 1;
+            hosts[place].crashed_at.push(Instant::now());
             place
         };
         starts += 1;
-        let successor = new_engine(&format!("i-{place}-{starts}"), &crash_sender);
+        let successor = new_engine(&format!("i-{place}-{starts}"), cause, &crash_sender);
         let (hosts, store) = (hosts.clone(), store.clone());
         tokio::spawn(async move {
             tokio::time::sleep(ENGINE_RESTART_DELAY).await;
@@ -192,14 +213,11 @@
             let link = LabLink::spawn_at(address, engine_server.address).unwrap();
             register(&store, &successor, address, "pool");
             let mut hosts = hosts.lock().unwrap();
-            let crashes = hosts[place].crashes;
-            hosts[place] = EngineHost {
-                link: Some(link),
-                address,
-                engine: successor,
-                crashes,
-                _server: engine_server,
-            };
+            let host = &mut hosts[place];
+            let crashed = std::mem::replace(&mut host.engine, successor);
+            host.former_engines.push(crashed);
+            host.link = Some(link);
+            host._server = engine_server;
         });
     }
 }
@@ -213,7 +231,7 @@
 /// digest=da64ba38...`, `request=crash-2 instance=i-3-0 ... digest=da64ba38...`.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_engines_is_quarantined() {
-    let fleet = CrashFleet::start(20, 3, 8).await;
+    let fleet = CrashFleet::start(20, 3, 8, CrashCause::Path(CRASHING_PATH)).await;
     let mut crashing = Vec::new();
     for round in 0..24 {
         let answer = fleet.call(round, &format!("crash-{round}"), CRASHING_PATH).await;
@@ -252,7 +270,7 @@
 /// quarantines, each of them lets the request crash engines again after a restart of all entries.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_starts_later_knows_the_quarantined_requests() {
-    let mut fleet = CrashFleet::start(21, 2, 6).await;
+    let mut fleet = CrashFleet::start(21, 2, 6, CrashCause::Path(CRASHING_PATH)).await;
     for round in 0..4 {
         fleet.call(round, &format!("crash-{round}"), CRASHING_PATH).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -3,8 +3,10 @@
 
 mod crash;
 mod fleet;
+mod framing;
 mod leaving;
 mod limits;
+mod parts;
 mod rewound;
 mod soak;
 mod statements;
--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -31,7 +31,7 @@
 use crate::limits::{largest_count, request_bound};
 use crate::statements::{LEAVING_BOUND, REST_REQUEST_LIMIT, requests_in_rest};
 use crate::store::{Store, StoreMode, StoreSnapshot};
-use crate::worker::{CrashTrigger, Origin, Worker, WorkerFault, WorkerStatement};
+use crate::worker::{CrashCause, CrashTrigger, Origin, Worker, WorkerFault, WorkerStatement};
 
 /// Seeds that CI runs: those that once failed, with the cause, and two more.
 /// - 220: a version was announced while the store was silent. Agents, whose calls hung for 13 s,
@@ -337,7 +337,7 @@
         for (place, engine) in engines.iter().enumerate() {
             let (after, crash_sender) = (Duration::from_millis(10), crash_sender.clone());
             engine.set_crash(CrashTrigger {
-                path: CRASHING_PATH,
+                cause: CrashCause::Path(CRASHING_PATH),
                 after,
                 silent: true,
                 crash_sender,
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -115,10 +115,19 @@
     born: u64,
 }
 
+/// What the requests that crash a worker have in common.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashCause {
+    /// The path.
+    Path(&'static str),
+    /// The id of a part of the prompt, as the caller writes it; never that of the last part.
+    Part(&'static str),
+}
+
 /// Requests that crash a worker, and the channel that reports the crash.
 #[derive(Debug, Clone)]
 pub struct CrashTrigger {
-    pub path: &'static str,
+    pub cause: CrashCause,
     /// Time between the start of the request and the crash.
     pub after: Duration,
     /// Whether the worker sends nothing of an answer before the crash.
@@ -127,6 +136,20 @@
     pub crash_sender: mpsc::UnboundedSender<String>,
 }
 
+impl CrashCause {
+    fn is_in(self, head: &hyper::http::request::Parts) -> bool {
+        match self {
+            Self::Path(path) => path == head.uri.path(),
+            Self::Part(id) => {
+                let list = head.headers.get("x-prompt-prefix").map(|it| it.to_str().unwrap());
+                let mut rows: Vec<_> = list.unwrap_or_default().split(',').collect();
+                rows.pop();
+                rows.iter().any(|row| row.split(':').next() == Some(id))
+            }
+        }
+    }
+}
+
 impl Worker {
     pub fn new(id: &str, version: u64) -> Self {
         let staged = (0..CHUNKS).map(|index| (index, chunk(version, index))).collect();
@@ -341,7 +364,7 @@
                     });
                 }
             }
-            let crash = state.crash.clone().filter(|it| it.path == head.uri.path());
+            let crash = state.crash.clone().filter(|it| it.cause.is_in(head));
             if crash.is_some() {
                 state.crash_runs.push((attempt.clone(), now));
             }
