A stream with CR LF line ends is delivered

What callers saw: nothing of such a stream, until the silence ended it. Cause: an event ended at LF LF only, so no event was ever complete. Now a blank line ends an event whether its lines end with LF or CR LF.

--- a/mustardrill_entry/src/direct/event_splitter.rs
+++ b/mustardrill_entry/src/direct/event_splitter.rs
@@ -3,9 +3,6 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// The blank line that ends an event.
-const EVENT_END: &[u8] = b"\n\n";
-
 /// Holds the bytes of an event that is not complete yet and the id of the last complete event.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
@@ -48,9 +45,14 @@
     }
 }
 
+/// The end of the last blank line, which ends an event. Lines end with LF or CR LF.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let start = bytes.windows(EVENT_END.len()).rposition(|window| window == EVENT_END)?;
-    Some(start + EVENT_END.len())
+    let ends_blank_line = |end: &usize| {
+        let line = bytes[..*end].strip_suffix(b"\n").unwrap_or_default();
+        line.strip_suffix(b"\r").unwrap_or(line).ends_with(b"\n")
+    };
+    let line_ends = (0..bytes.len()).rev().filter(|index| bytes[*index] == b'\n');
+    line_ends.map(|index| index + 1).find(ends_blank_line)
 }
 
 fn event_ids(events: &[u8]) -> impl Iterator<Item = &str> {
