An answer without a length that its upstream's crash cut is not complete

What callers saw: the first half of an answer as a 200; a stream that ended as complete after any event, so that nothing resumed it. Cause: an answer with neither a length nor chunks ends with its connection, and a crash ends the connection as well. The end was taken for the end of the answer (outcome Whole), which also cleared the request of the crash that it had just caused. Now such an end counts as a crash where the upstream accepts no new connection: the attempt is lost, and a stream is resumed elsewhere. Answers without a length from an upstream that lives on are delivered as before (two tests). A part of an event was not delivered before and is not now.

--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -57,6 +57,9 @@
 pub enum AttemptOutcome {
     /// The complete answer was received and is being, or was, delivered to the caller.
     Whole,
+    /// An answer without a length or chunks ended with its connection, at an upstream that still
+    /// runs. It is delivered as complete, but nothing shows that it is.
+    Undelimited,
     /// The upstream ran the request and failed; its complete error answer is available.
     Failed,
     /// The upstream reports that it is full and did not run the request.
--- a/mustardrill_core/src/direct/fleet/upstream.rs
+++ b/mustardrill_core/src/direct/fleet/upstream.rs
@@ -173,7 +173,7 @@
         first_ejection: Millis,
     ) {
         match outcome {
-            AttemptOutcome::Whole => self.record_success(now),
+            AttemptOutcome::Whole | AttemptOutcome::Undelimited => self.record_success(now),
             AttemptOutcome::Full | AttemptOutcome::Misdirected => self.record_rejection(now),
             AttemptOutcome::Failed => {
                 self.record_answer(now);
--- a/mustardrill_core/src/direct/retries/retry.rs
+++ b/mustardrill_core/src/direct/retries/retry.rs
@@ -32,7 +32,7 @@
         }
         state.attempts_reached += u32::from(was_sent);
         match outcome {
-            AttemptOutcome::Whole => {
+            AttemptOutcome::Whole | AttemptOutcome::Undelimited => {
                 self.requests.remove(&number);
                 Vec::new()
             }
--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -17,7 +17,7 @@
     UpstreamStatement,
 };
 use mustardrill_runtime::adapters::AnswerKind;
-use mustardrill_runtime::http::refuses_connections;
+use mustardrill_runtime::http::{is_delimited, refuses_connections};
 use mustardrill_types::WeightVersion;
 use tokio::sync::mpsc;
 
@@ -99,7 +99,7 @@
                     let _ = self.context.metrics.count(&format!("attempts.{label}"), 1);
                     let event = DirectEvent::AttemptEnded(self.number, outcome);
                     let _ = self.actor.tell(Event(event)).await;
-                    if outcome == AttemptOutcome::Whole {
+                    if matches!(outcome, AttemptOutcome::Whole | AttemptOutcome::Undelimited) {
                         return;
                     }
                 }
@@ -374,6 +374,11 @@
         };
         let bytes = body.to_bytes();
         let headers = head.headers.clone();
+        let is_delimited = is_delimited(&headers);
+        if !is_delimited && refuses_connections(plan.address).await {
+            self.log_end_by_crash(plan, None);
+            return AttemptOutcome::Lost { delivered: false, crashed: true };
+        }
         if !answer.success {
             progress.failure = Some((head.status, head.headers, bytes));
             self.return_connection(plan, answer.connection, &headers).await;
@@ -381,7 +386,17 @@
         }
         self.send_part(AnswerPart::Complete(head.status, head.headers, bytes)).await;
         self.return_connection(plan, answer.connection, &headers).await;
-        AttemptOutcome::Whole
+        whole_attempt(is_delimited)
+    }
+
+    /// Logs that the end of an answer without a length is due to the crash of its upstream.
+    fn log_end_by_crash(&self, plan: &SendPlan, last_event: Option<&str>) {
+        log::info!(
+            "request={} instance={} outcome=broken last={last_event:?} reason=\"the answer has no \
+             length and its upstream accepts no connections\"",
+            self.caller_request_id,
+            plan.upstream
+        );
     }
 
     /// Classifies an attempt whose connection broke: an upstream that accepts no new connection has
@@ -446,9 +461,14 @@
         if !progress.splitter.is_complete() || !progress.has_started {
             return self.classify_broken(plan, progress.has_started).await;
         }
+        let is_delimited = is_delimited(&head.headers);
+        if !is_delimited && refuses_connections(plan.address).await {
+            self.log_end_by_crash(plan, progress.splitter.last_id());
+            return AttemptOutcome::Lost { delivered: true, crashed: true };
+        }
         self.send_part(AnswerPart::End).await;
         self.return_connection(plan, answer.connection, &head.headers).await;
-        AttemptOutcome::Whole
+        whole_attempt(is_delimited)
     }
 }
 
@@ -471,6 +491,11 @@
     std::future::pending().await
 }
 
+/// An attempt whose answer was delivered as complete.
+fn whole_attempt(is_delimited: bool) -> AttemptOutcome {
+    if is_delimited { AttemptOutcome::Whole } else { AttemptOutcome::Undelimited }
+}
+
 /// An attempt that was lost without evidence that its upstream crashed.
 fn lost_attempt(delivered: bool) -> AttemptOutcome {
     AttemptOutcome::Lost { delivered, crashed: false }
@@ -480,6 +505,7 @@
 fn outcome_label(outcome: AttemptOutcome) -> &'static str {
     match outcome {
         AttemptOutcome::Whole => "whole",
+        AttemptOutcome::Undelimited => "undelimited",
         AttemptOutcome::Failed => "failed",
         AttemptOutcome::Full => "full",
         AttemptOutcome::Misdirected => "misdirected",
--- a/mustardrill_runtime/src/http.rs
+++ b/mustardrill_runtime/src/http.rs
@@ -11,6 +11,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
@@ -230,6 +231,12 @@
     matches!(connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
+/// Whether the end of an answer is marked by its length or its last chunk, and not only by the end
+/// of its connection, which a crash of the sender looks like as well.
+pub fn is_delimited(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Wraps bytes in a buffered body.
 pub fn buffered_body(bytes: impl Into<Bytes>) -> AnyBody {
     Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed_unsync()
