Runs whose caller left or whose connection broke count at a crash of their upstream

What callers saw: nothing yet; found by reading. A crash is seen only if a new connection is refused within 50 ms, and a request whose caller has left ends with its task. A part that crashes upstreams is then missing at some of its crashes, and the parts that were seen there look likelier. Evidence: core crashing_parts a_crash_counts_although_its_caller_has_left.

Also tests of what the verdict does: requests that have not started are taken back, the code is true of the caller's own request, a resumed answer clears nothing, one request of the whole fleet is tried, entries that know a part to be sound object.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -179,6 +179,9 @@
             AttemptOutcome::Lost { crashed: true, .. } => {
                 self.record_run_crash(now, number, &upstream)
             }
+            AttemptOutcome::Lost { crashed: false, .. } => {
+                self.record_lost_run(now, number, &upstream);
+            }
             _ => {}
         }
         if outcome != AttemptOutcome::Whole {
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -22,6 +22,7 @@
 use crate::direct::retries::membership::AllowanceMembership;
 use crate::direct::retries::part_objections::PartObjections;
 use crate::direct::retries::retry_budget::RetryWindow;
+use crate::direct::retries::unattributed_runs::UnattributedRuns;
 use crate::direct::route::RouteDocument;
 use crate::direct::store::availability::{AvailabilitySpan, StoreAvailability};
 use crate::direct::store::freshness::FreshnessClock;
@@ -100,6 +101,8 @@
     pub(super) quarantine: QuarantineTable,
     /// Suspected requests held until it is decided whether they may run.
     pub(super) undecided_requests: Vec<RequestNumber>,
+    /// Runs whose upstreams may have crashed.
+    pub(super) unattributed_runs: UnattributedRuns,
     /// Objections to suspicions of sound parts, for the peer entries.
     pub(super) part_objections: PartObjections,
     /// Crash reports for the peer entries.
@@ -148,6 +151,7 @@
             held_requests: HeldRequests::default(),
             quarantine: QuarantineTable::new(CRASH_REPORT_WAIT),
             undecided_requests: Vec::new(),
+            unattributed_runs: UnattributedRuns::default(),
             part_objections: PartObjections::default(),
             crash_reports: CrashBroadcaster::default(),
             intake_reports: IntakeBroadcaster::default(),
@@ -323,6 +327,10 @@
         self.untrack_attempt(number);
         let Some(mut state) = self.requests.remove(&number) else { return Vec::new() };
         info!("request={} outcome=caller-gone stage={:?}", state.attempt_id, state.stage);
+        if let RequestStage::Sent(upstream) = &state.stage {
+            let upstream = upstream.clone();
+            self.record_unattributed_run(now, &state, &upstream);
+        }
         self.release_resources(&mut state);
         self.dispatch_waiting(now, &state.service)
     }
--- a/mustardrill_core/src/direct/retries/mod.rs
+++ b/mustardrill_core/src/direct/retries/mod.rs
@@ -7,3 +7,4 @@
 pub(in crate::direct) mod retry;
 pub(in crate::direct) mod retry_budget;
 pub(in crate::direct) mod suspicion;
+pub(crate) mod unattributed_runs;
--- a/mustardrill_core/src/direct/retries/suspicion.rs
+++ b/mustardrill_core/src/direct/retries/suspicion.rs
@@ -7,6 +7,7 @@
 use crate::direct::fleet::upstream::UpstreamStart;
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::{RequestStage, RequestState};
+use crate::direct::retries::unattributed_runs::is_near;
 use crate::quarantine::{CrashReport, CrashedRun, QUARANTINE_SPAN, QuarantineSubject};
 use crate::rendezvous;
 
@@ -32,16 +33,51 @@
         if !is_unplanned && !self.quarantine.is_suspected(&parts) {
             return;
         }
-        let run = CrashedRun {
+        let run = self.run_of(now, state, upstream);
+        self.crash_reports.push(now, CrashReport::Crashed(run.clone()));
+        self.record_crashed_run(now, run);
+    }
+
+    /// Remembers a run that ended without an answer, in case that its upstream crashed.
+    pub(in crate::direct) fn record_unattributed_run(
+        &mut self,
+        now: Moment,
+        state: &RequestState,
+        upstream: &UpstreamStart,
+    ) {
+        let run = self.run_of(now, state, upstream);
+        match self.quarantine.crashed_at(&run) {
+            Some(crashed_at) if is_near(now, crashed_at) => {
+                self.crash_reports.push(now, CrashReport::Crashed(run.clone()));
+                self.record_crashed_run(now, run);
+            }
+            _ => self.unattributed_runs.push(run),
+        }
+    }
+
+    /// Remembers the current attempt of a request, which was lost.
+    pub(in crate::direct) fn record_lost_run(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+        upstream: &UpstreamStart,
+    ) {
+        if let Some(state) = self.requests.remove(&number) {
+            self.record_unattributed_run(now, &state, upstream);
+            self.requests.insert(number, state);
+        }
+    }
+
+    /// The current attempt of a request, as a run that ends now.
+    fn run_of(&self, now: Moment, state: &RequestState, upstream: &UpstreamStart) -> CrashedRun {
+        CrashedRun {
             digest: state.digest,
-            parts,
+            parts: self.reported_parts(now, &state.parts),
             upstream: upstream.id.clone(),
             start: upstream.start,
             sent: state.sent_at,
             ended: now,
-        };
-        self.crash_reports.push(now, CrashReport::Crashed(run.clone()));
-        self.record_crashed_run(now, run);
+        }
     }
 
     /// Records that a request was answered completely, which shows that it does not crash
@@ -177,6 +213,10 @@
     fn record_crashed_run(&mut self, now: Moment, run: CrashedRun) {
         let start = UpstreamStart { id: run.upstream.clone(), start: run.start };
         self.upstreams.record_crash(&start, run.ended);
+        for present in self.unattributed_runs.take(now, &run) {
+            self.crash_reports.push(now, CrashReport::Crashed(present.clone()));
+            self.quarantine.record_crash(now, present);
+        }
         self.quarantine.record_crash(now, run);
     }
 
--- a/mustardrill_core/src/quarantine/mod.rs
+++ b/mustardrill_core/src/quarantine/mod.rs
@@ -231,6 +231,11 @@
         active.map(|(parts, until)| (parts.clone(), until.since(now))).collect()
     }
 
+    /// When the upstream of a run crashed, if that is known.
+    pub fn crashed_at(&self, run: &CrashedRun) -> Option<Moment> {
+        self.part_suspects.crashed_at(&crash_id(run))
+    }
+
     /// Whether several upstreams crashed under one of the parts.
     pub fn is_suspected(&self, parts: &PartSet) -> bool {
         self.part_suspects.is_suspected(parts)
--- a/mustardrill_core/src/quarantine/part_suspects.rs
+++ b/mustardrill_core/src/quarantine/part_suspects.rs
@@ -198,6 +198,11 @@
         parts.iter().any(is_pending)
     }
 
+    /// When an incarnation of an upstream crashed, if that is known.
+    pub(super) fn crashed_at(&self, crash: &CrashId) -> Option<Moment> {
+        self.crashes.get(crash).map(|record| record.ended)
+    }
+
     /// Whether several upstreams crashed under one of the parts.
     pub(super) fn is_suspected(&self, parts: &PartSet) -> bool {
         let has_several = |part: PartId| {
--- a/mustardrill_core/tests/crashing_parts.rs
+++ b/mustardrill_core/tests/crashing_parts.rs
@@ -1,8 +1,14 @@
 //! Parts of prompts that crash each engine that begins to answer a request with them, whatever else
 //! the request holds: which requests are refused, and which still run.
 
-use mustardrill_core::quarantine::{CrashedRun, QUARANTINE_SPAN, QuarantineTable};
-use mustardrill_types::{Millis, Moment, PartSet, RequestDigest, StartStamp};
+use mustardrill_core::direct::{
+    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, DirectRequest, DirectSettings,
+    FleetChange, RequestNumber, StatedValue,
+};
+use mustardrill_core::quarantine::{CrashReport, CrashedRun, QUARANTINE_SPAN, QuarantineTable};
+use mustardrill_types::{
+    InstanceId, Millis, Moment, PartSet, RequestDigest, ResultCode, StartStamp,
+};
 
 mod common;
 #[path = "common/prompts.rs"]
@@ -292,3 +298,203 @@
     }
     assert_eq!(bench.settle(), [part_set(&[0xbad])]);
 }
+
+/// An entry whose peers are given by name, with the upstreams of `desk_fleet`.
+fn entry(upstreams: u16) -> DirectReducer {
+    let mut reducer = DirectReducer::new(common::direct_settings(), 7);
+    common::answer_from_store(&mut reducer, START, common::desk_fleet(upstreams), false, 0);
+    reducer
+}
+
+fn arrive(
+    reducer: &mut DirectReducer,
+    now: Moment,
+    number: u64,
+    parts: &[u128],
+) -> Vec<DirectEffect> {
+    let request = DirectRequest {
+        content_digest: RequestDigest::of(&[&number.to_be_bytes()]),
+        shared_parts: StatedValue::valid(part_set(parts)),
+        ..common::desk_request(number, now)
+    };
+    let mut effects = reducer.reduce(now, DirectEvent::RequestArrived(request));
+    effects.retain(|effect| !matches!(effect, DirectEffect::SetTimer(_)));
+    effects
+}
+
+/// A peer reports a crash under a request with the crashing part, and another one's.
+fn report_crash(reducer: &mut DirectReducer, now: Moment, upstream: &str, content: &str) {
+    for (content, parts) in [(content, part_set(&[0xbad])), ("sound", part_set(&[]))] {
+        let run = CrashedRun {
+            digest: RequestDigest::of(&[content.as_bytes()]),
+            parts,
+            upstream: upstream.parse().unwrap(),
+            start: StartStamp(1),
+            sent: now - Millis(100),
+            ended: now,
+        };
+        reducer.reduce(now, DirectEvent::CrashReportReceived(CrashReport::Crashed(run)));
+    }
+}
+
+/// Requests that had been sent before the verdict were left in the engines' queues, and crashed
+/// them one after the other.
+#[test]
+fn requests_that_have_not_started_are_taken_back_by_a_verdict() {
+    let mut reducer = entry(4);
+    let now = START + Millis(100);
+    assert!(matches!(arrive(&mut reducer, now, 1, &[0xbad])[..], [DirectEffect::Send(..)]));
+    assert!(matches!(arrive(&mut reducer, now, 2, &[0xa1])[..], [DirectEffect::Send(..)]));
+    assert!(matches!(arrive(&mut reducer, now, 3, &[0xbad])[..], [DirectEffect::Send(..)]));
+    reducer.reduce(now, DirectEvent::AnswerStarted(RequestNumber(3), None, None));
+    let parts = part_set(&[0xbad]).into();
+    let report = CrashReport::Quarantined(parts, Millis(60_000));
+    let effects = reducer.reduce(now, DirectEvent::CrashReportReceived(report));
+    let withdrawn: Vec<_> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            DirectEffect::Withdraw(number) => Some(number.0),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(withdrawn, [1]);
+    let outcome = AttemptOutcome::Withdrawn { sent: false };
+    let effects = common::end_attempt(&mut reducer, now, 1, outcome);
+    let refused = effects.iter().find_map(|effect| match effect {
+        DirectEffect::Refuse(number, plan) => Some((number.0, plan.code)),
+        _ => None,
+    });
+    assert_eq!(refused, Some((1, ResultCode::PartQuarantined)));
+}
+
+/// The caller's own request had crashed an engine, but it was told that it had not run.
+#[test]
+fn a_request_that_crashed_an_upstream_is_not_called_not_run() {
+    let mut reducer = entry(4);
+    let mut now = START + Millis(100);
+    arrive(&mut reducer, now, 1, &[0xbad]);
+    for (upstream, content) in [("v1", "a"), ("v2", "b")] {
+        now = now + Millis(200);
+        report_crash(&mut reducer, now, upstream, content);
+    }
+    now = now + Millis(200);
+    let crashed = AttemptOutcome::Lost { delivered: false, crashed: true };
+    common::end_attempt(&mut reducer, now, 1, crashed);
+    let effects = reducer.reduce(now + SETTLE, DirectEvent::TimerFired);
+    let refused = effects.iter().find_map(|effect| match effect {
+        DirectEffect::Refuse(_, plan) => Some(plan.code),
+        _ => None,
+    });
+    assert_eq!(refused, Some(ResultCode::Quarantined), "{effects:?}");
+    let [DirectEffect::Refuse(_, plan)] = &arrive(&mut reducer, now + SETTLE, 2, &[0xbad])[..]
+    else {
+        panic!("sent on");
+    };
+    assert_eq!(plan.code, ResultCode::PartQuarantined);
+    assert!(plan.retry_after > Millis(0));
+}
+
+/// A stream was resumed at another engine, which had only its last event left to write. That
+/// cleared the part.
+#[test]
+fn an_answer_that_was_resumed_clears_nothing() {
+    let mut reducer = entry(4);
+    let mut now = START + Millis(100);
+    for (upstream, content) in [("v1", "a"), ("v2", "b"), ("v3", "c")] {
+        now = now + Millis(200);
+        report_crash(&mut reducer, now, upstream, content);
+        if upstream == "v1" {
+            // Sent while the part is only suspected.
+            let request = DirectRequest {
+                is_resumed: true,
+                shared_parts: StatedValue::valid(part_set(&[0xbad])),
+                ..common::desk_request(1, now)
+            };
+            reducer.reduce(now, DirectEvent::RequestArrived(request));
+        }
+    }
+    common::end_attempt(&mut reducer, now, 1, AttemptOutcome::Whole);
+    reducer.reduce(now + SETTLE, DirectEvent::TimerFired);
+    let effects = arrive(&mut reducer, now + SETTLE, 2, &[0xbad]);
+    assert!(matches!(effects[..], [DirectEffect::Refuse(..)]), "{effects:?}");
+}
+
+/// The caller left just before its request crashed the engine, and the crash was not counted
+/// against the part.
+#[test]
+fn a_crash_counts_although_its_caller_has_left() {
+    let mut reducer = entry(4);
+    let mut now = START;
+    let mut number = 0;
+    for _ in 0..3 {
+        now = now + Millis(300);
+        number += 1;
+        let effects = arrive(&mut reducer, now, number, &[0xbad]);
+        let [DirectEffect::Send(_, plan)] = &effects[..] else { panic!("{effects:?}") };
+        let run = CrashedRun {
+            digest: RequestDigest::of(&[b"sound"]),
+            parts: part_set(&[]),
+            upstream: plan.upstream.clone(),
+            start: plan.start,
+            sent: now,
+            ended: now + Millis(120),
+        };
+        reducer.reduce(now + Millis(100), DirectEvent::CallerGone(RequestNumber(number)));
+        let report = CrashReport::Crashed(run);
+        reducer.reduce(now + Millis(130), DirectEvent::CrashReportReceived(report));
+    }
+    reducer.reduce(now + Millis(130) + SETTLE, DirectEvent::TimerFired);
+    let effects = arrive(&mut reducer, now + Millis(130) + SETTLE, 10, &[0xbad]);
+    assert!(matches!(effects[..], [DirectEffect::Refuse(..)]), "{effects:?}");
+}
+
+/// Each entry tried a request of its own after a quarantine.
+#[test]
+fn one_request_in_the_whole_fleet_is_tried() {
+    let ids: Vec<InstanceId> =
+        (0..4).map(|index| format!("entry-{index}").parse().unwrap()).collect();
+    let mut tried = 0;
+    for id in &ids {
+        let settings = DirectSettings { own_id: id.clone(), ..common::direct_settings() };
+        let mut reducer = DirectReducer::new(settings, 7);
+        let mut changes = common::desk_fleet(4);
+        let peers = ids.iter().filter(|peer| *peer != id);
+        changes.extend(peers.map(|peer| FleetChange::Peer(common::peer(peer))));
+        common::answer_from_store(&mut reducer, START, changes, false, 0);
+        let report = CrashReport::Quarantined(part_set(&[0xbad]).into(), Millis(3_000));
+        reducer.reduce(START, DirectEvent::CrashReportReceived(report));
+        common::keep_in_contact(&mut reducer, START, START + Millis(3_000));
+        for number in 0..5 {
+            let effects = arrive(&mut reducer, START + Millis(3_100), number, &[0xbad]);
+            tried += usize::from(matches!(effects[..], [DirectEffect::Send(..)]));
+        }
+    }
+    assert_eq!(tried, 1);
+}
+
+/// An entry that had not seen requests with a part condemned it, although its peers had answered
+/// them all the time.
+#[test]
+fn entries_that_know_a_part_to_be_sound_object() {
+    let mut reducer = entry(4);
+    let now = START + Millis(100);
+    arrive(&mut reducer, now, 1, &[0x5]);
+    common::end_attempt(&mut reducer, now, 1, AttemptOutcome::Whole);
+    let run = CrashedRun {
+        digest: RequestDigest::of(&[b"other"]),
+        parts: part_set(&[0x5, 0x6]),
+        upstream: "v1".parse().unwrap(),
+        start: StartStamp(1),
+        sent: now,
+        ended: now + Millis(500),
+    };
+    let received_at = now + Millis(510);
+    reducer.reduce(received_at, DirectEvent::CrashReportReceived(CrashReport::Crashed(run)));
+    let objections = reducer.due_crash_reports(received_at);
+    assert_eq!(objections, [CrashReport::PartsSound(part_set(&[0x5]), now)]);
+    // Told once, and not for a verdict on both either.
+    let verdict = CrashReport::Quarantined(part_set(&[0x5]).into(), Millis(60_000));
+    reducer.reduce(received_at, DirectEvent::CrashReportReceived(verdict));
+    let effects = arrive(&mut reducer, received_at, 2, &[0x5]);
+    assert!(matches!(effects[..], [DirectEffect::Send(..)]), "{effects:?}");
+}
--- a/mustardrill_standins/tests/prepared/framing.rs
+++ b/mustardrill_standins/tests/prepared/framing.rs
@@ -110,8 +110,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_ends_with_its_connection_is_delivered() {
-    let fleet = fleet_without_desks(204).await;
-    let upstream = RawUpstream::start(&fleet, 204, "i-raw", plain("all of it", false)).await;
+    let fleet = fleet_without_desks(244).await;
+    let upstream = RawUpstream::start(&fleet, 244, "i-raw", plain("all of it", false)).await;
     wait_for_registration().await;
     let answer = fleet.call("whole", "/status/x", "key-1").await;
     assert_eq!((answer.status, &*answer.body), (StatusCode::OK, b"all of it" as &[u8]));
@@ -123,8 +123,8 @@
 /// of the answer, and the caller got the first half as a success.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_cut_by_a_crash_is_delivered_as_complete() {
-    let fleet = fleet_without_desks(205).await;
-    let upstream = RawUpstream::start(&fleet, 205, "i-raw", plain("half of", true)).await;
+    let fleet = fleet_without_desks(245).await;
+    let upstream = RawUpstream::start(&fleet, 245, "i-raw", plain("half of", true)).await;
     wait_for_registration().await;
     let answer = fleet.call("cut", "/status/x", "key-1").await;
     assert_ne!(answer.status, StatusCode::OK, "{:?}\n{}", answer.body, fleet.logs());
@@ -133,8 +133,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_ends_with_its_connection_is_delivered() {
-    let fleet = fleet_without_desks(206).await;
-    RawUpstream::start(&fleet, 206, "i-raw", events(&complete_stream(), false)).await;
+    let fleet = fleet_without_desks(246).await;
+    RawUpstream::start(&fleet, 246, "i-raw", events(&complete_stream(), false)).await;
     wait_for_registration().await;
     let answer = fleet.call("whole", "/drafts/x", "key-1").await;
     assert_eq!(answer.body, complete_stream(), "{}", fleet.logs());
@@ -144,8 +144,8 @@
 /// complete and was not resumed.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_cut_by_a_crash_after_an_event_is_delivered_as_complete() {
-    let fleet = fleet_without_desks(207).await;
-    RawUpstream::start(&fleet, 207, "i-raw", events("id: 1\ndata: piece 1\n\n", true)).await;
+    let fleet = fleet_without_desks(247).await;
+    RawUpstream::start(&fleet, 247, "i-raw", events("id: 1\ndata: piece 1\n\n", true)).await;
     wait_for_registration().await;
     let call = crate::fleet::caller_request(fleet.entry.address, "cut", "/drafts/x", "key-1");
     let answer = fleet.client.call(call, Duration::from_secs(10), 1_000_000).await;
@@ -156,9 +156,9 @@
 /// stream was delivered.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_with_cr_lf_line_ends_is_not_delivered() {
-    let fleet = fleet_without_desks(208).await;
+    let fleet = fleet_without_desks(248).await;
     let stream = complete_stream().replace('\n', "\r\n");
-    RawUpstream::start(&fleet, 208, "i-raw", events(&stream, false)).await;
+    RawUpstream::start(&fleet, 248, "i-raw", events(&stream, false)).await;
     wait_for_registration().await;
     let call = crate::fleet::caller_request(fleet.entry.address, "crlf", "/drafts/x", "key-1");
     let answer = fleet.client.call(call, Duration::from_secs(10), 1_000_000).await;
@@ -170,9 +170,9 @@
 /// engine.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_of_an_event_is_never_delivered() {
-    let fleet = fleet_without_desks(209).await;
+    let fleet = fleet_without_desks(249).await;
     let cut = "id: 1\ndata: piece 1\n\nid: 2\ndata: pie";
-    RawUpstream::start(&fleet, 209, "i-raw", events(cut, false)).await;
+    RawUpstream::start(&fleet, 249, "i-raw", events(cut, false)).await;
     wait_for_registration().await;
     let mut stream = TcpStream::connect(fleet.entry.address).await.unwrap();
     let request = "POST /drafts/x HTTP/1.1\r\nhost: drafts.example\r\nx-attempt-id: part\r\n\
