Soak and guards: a part of prompts that crashes engines, judged from what engines see

A kind of soak seed (every 32nd): requests with one part, no two alike, crash engines beside all other faults; sound ones share the first part, the second part and the caller. Judged: runs with the part later than 3 s after the fifth crash, sound requests refused as quarantined.

--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -10,6 +10,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
 use mustardrill_runtime::http::HttpClient;
 use mustardrill_standins::StandIn;
 use mustardrill_standins::link::{LabLink, LinkState};
@@ -59,6 +62,17 @@
 /// Seeds that CI runs with plain workers that leave or want rest, and say so in their answers.
 const STATING_WORKERS_SEEDS: [u64; 4] = [8, 24, 40, 72];
 
+/// Seeds that CI runs with a part of prompts that crashes engines.
+const CRASHING_PART_SEEDS: [u64; 3] = [32, 64, 96];
+
+/// The part that crashes engines, and the number of crashes from which it must be known.
+const CRASHING_PART: &str = "bad";
+const CRASHES_UNTIL_PART_IS_KNOWN: usize = 5;
+
+/// Of `REQUEST_CHOICES` requests, how many crash engines: in a standard run, and where a part does.
+const CRASHING_CHOICES: [usize; 2] = [1, 4];
+const REQUEST_CHOICES: usize = 40;
+
 /// Range of the time for which a plain worker says that it leaves before its successor starts, in
 /// milliseconds; mostly longer than `LEAVING_BOUND`.
 const LEAVING_SPANS_MS: std::ops::Range<u64> = 1_000..4_500;
@@ -150,12 +164,14 @@
     FailingWorkers,
     /// Workers say in their answers that they leave or want a rest, whatever the store lists.
     StatingWorkers,
+    /// Requests with one part in their prompts crash engines, no two alike.
+    CrashingPart,
 }
 
 impl SoakKind {
     /// Odd seeds run with late weights, every second even one with a limited worker, every eighth
-    /// seed with failing workers and every sixteenth with stating ones, except those that were in
-    /// `SEEDS` before these kinds existed: they run as they did then.
+    /// seed with failing workers, every sixteenth with stating ones and every 32nd with a crashing
+    /// part, except those that were in `SEEDS` before these kinds existed: they run as they did then.
     fn of(seed: u64) -> Self {
         match seed % 8 {
             _ if SEEDS.contains(&seed) => Self::Standard,
@@ -163,6 +179,7 @@
             2 | 6 => Self::LimitedWorker,
             4 => Self::FailingWorkers,
             _ if seed % 16 == 8 => Self::StatingWorkers,
+            _ if seed % 32 == 0 => Self::CrashingPart,
             _ => Self::Standard,
         }
     }
@@ -170,9 +187,11 @@
     /// How long a request may start on superseded weights.
     fn version_bound(self) -> Duration {
         match self {
-            Self::Standard | Self::LimitedWorker | Self::FailingWorkers | Self::StatingWorkers => {
-                VERSION_BOUND
-            }
+            Self::Standard
+            | Self::LimitedWorker
+            | Self::FailingWorkers
+            | Self::StatingWorkers
+            | Self::CrashingPart => VERSION_BOUND,
             Self::LateWeights => LATE_WEIGHTS_VERSION_BOUND,
         }
     }
@@ -288,6 +307,8 @@
     worker_restarts: Vec<(usize, Instant)>,
     /// Periods in which the answers of a plain worker may not have reached the entries.
     desk_disturbances: Vec<(usize, Instant, Instant)>,
+    /// When engines crashed under a request.
+    request_crashes: Vec<Instant>,
     _stand_ins: Vec<StandIn>,
 }
 
@@ -337,7 +358,10 @@
         for (place, engine) in engines.iter().enumerate() {
             let (after, crash_sender) = (Duration::from_millis(10), crash_sender.clone());
             engine.set_crash(CrashTrigger {
-                cause: CrashCause::Path(CRASHING_PATH),
+                cause: match kind {
+                    SoakKind::CrashingPart => CrashCause::Part(CRASHING_PART),
+                    _ => CrashCause::Path(CRASHING_PATH),
+                },
                 after,
                 silent: true,
                 crash_sender,
@@ -402,6 +426,7 @@
             limited: None,
             worker_restarts: Vec::new(),
             desk_disturbances: Vec::new(),
+            request_crashes: Vec::new(),
             _stand_ins: stand_ins,
         };
         soak.publish_addresses();
@@ -872,6 +897,9 @@
     fn terminate_crashed_engines(&mut self) {
         while let Ok(id) = self.crashes.try_recv() {
             let place = self.engines.iter().position(|engine| engine.id == id).unwrap();
+            if self.engine_links[place].1.is_some() {
+                self.request_crashes.push(Instant::now());
+            }
             self.crash_engine(place);
         }
     }
@@ -890,8 +918,15 @@
     fn late_crashing_runs(&self, outcomes: &[CallOutcome]) -> usize {
         let mut runs: Vec<_> = self.engines.iter().flat_map(Worker::crash_runs).collect();
         runs.sort_by_key(|(_, at)| *at);
-        let Some((_, third)) = runs.get(CRASHES_UNTIL_QUARANTINE - 1) else { return 0 };
-        let known = *third + SETTLE_TIME;
+        let third = runs.get(CRASHES_UNTIL_QUARANTINE - 1).map(|(_, at)| *at);
+        let known = match self.kind {
+            SoakKind::CrashingPart => {
+                self.request_crashes.get(CRASHES_UNTIL_PART_IS_KNOWN - 1).copied()
+            }
+            _ => third,
+        };
+        let (Some(third), Some(known)) = (third, known) else { return 0 };
+        let known = known + SETTLE_TIME;
         let is_late = |(attempt, at): &&(String, Instant)| {
             let outcome = outcomes.iter().find(|outcome| outcome.attempt == *attempt);
             let entry = outcome.and_then(|outcome| {
@@ -903,7 +938,7 @@
             let has_started = self
                 .starts
                 .iter()
-                .any(|(started, when)| Some(*started) == entry && *third <= *when && *when <= *at);
+                .any(|(started, when)| Some(*started) == entry && third <= *when && *when <= *at);
             let may_lack_updates = |disturbance: &Disturbance| {
                 let concerns = disturbance.entry.is_none() || disturbance.entry == entry;
                 let matters = concerns && (has_started || !disturbance.is_store_outage);
@@ -1181,14 +1216,15 @@
                 SoakKind::Standard
                 | SoakKind::LimitedWorker
                 | SoakKind::FailingWorkers
-                | SoakKind::StatingWorkers => ("/drafts/x".to_owned(), CRASHING_PATH),
+                | SoakKind::StatingWorkers
+                | SoakKind::CrashingPart => ("/drafts/x".to_owned(), CRASHING_PATH),
                 SoakKind::LateWeights => (format!("/drafts/x?caller={number}"), "/drafts/x"),
             };
             tokio::spawn(run_caller(
                 stop,
                 self.addresses.clone(),
                 random,
-                (number, draft, crashing),
+                (number, draft, crashing, self.kind == SoakKind::CrashingPart),
             ))
         };
         let has_late_weights = self.kind == SoakKind::LateWeights;
@@ -1298,7 +1334,7 @@
     stop: Instant,
     addresses: Arc<Mutex<Vec<SocketAddr>>>,
     mut random: StdRng,
-    (number, draft, crashing): (u64, String, &'static str),
+    (number, draft, crashing, has_parts): (u64, String, &'static str, bool),
 ) -> Vec<CallOutcome> {
     // Connections stay open until their entry has exited.
     let client = HttpClient::open(Duration::from_millis(500));
@@ -1313,15 +1349,18 @@
             continue;
         }
         let entry = known[random.random_range(0..known.len())];
-        let path = match random.random_range(0..40) {
-            0 => crashing,
+        let path = match random.random_range(0..REQUEST_CHOICES) {
+            choice if choice < CRASHING_CHOICES[usize::from(has_parts)] => crashing,
             choice => ["/drafts/x", "/notices/x", "/status/x"][choice % 3],
         };
         let key = if random.random_range(0..4) == 0 { "key-2" } else { "key-1" };
         let attempt = format!("c{number}-{round}.");
         let sent = Instant::now();
         let target = if path == "/drafts/x" { &*draft } else { path };
-        let call = caller_request(entry, &attempt, target, key);
+        let mut call = caller_request(entry, &attempt, target, key);
+        if has_parts && path != "/notices/x" && path != "/status/x" {
+            call = prompt_request(entry, &attempt, key, round, path == crashing);
+        }
         let answer = client.call(call, Duration::from_secs(7), 1_000_000).await.ok();
         let answer = answer.map(|answer| {
             (answer.status.as_u16(), String::from_utf8_lossy(&answer.body).into_owned())
@@ -1333,6 +1372,22 @@
     outcomes
 }
 
+/// A request whose prompt shares its first part with all others and its second one with many. Each
+/// has another content.
+fn prompt_request(
+    entry: SocketAddr,
+    attempt: &str,
+    key: &str,
+    round: usize,
+    is_crashing: bool,
+) -> Request<Full<Bytes>> {
+    let mut call = caller_request(entry, attempt, &format!("/drafts/x?of={attempt}"), key);
+    let crashing = if is_crashing { format!("{CRASHING_PART}:200,") } else { String::new() };
+    let parts = format!("a1:40,{:x}:300,{crashing}{:x}:90", 0x100 + round % 4, 0x10_000 + round);
+    call.headers_mut().insert("x-prompt-prefix", parts.parse().unwrap());
+    call
+}
+
 /// Runs one seed; returns the violated promises and a summary.
 async fn run_seed(seed: u64, span: Duration) -> (Vec<String>, String) {
     const TICK: Duration = Duration::from_millis(25);
@@ -1429,7 +1484,7 @@
     };
     let summary = format!(
         "seed {seed} {:?}: {} faults, {} requests, 200: {}, 503: {}, 502: {}, 401: {}, {} started after a \
-         bound, limited {:?}, retries {:?}, said to leave and to rest {:?}, recovered in {} ms",
+         bound, limited {:?}, retries {:?}, said to leave and to rest {:?}, crashes under requests {}, recovered in {} ms",
         soak.kind,
         soak.faults.len(),
         outcomes.len(),
@@ -1441,6 +1496,7 @@
         soak.limited_requests(&outcomes),
         soak.retries_at_desks(&outcomes),
         soak.statement_counts(),
+        soak.request_crashes.len(),
         recovered.as_millis(),
     );
     if violations.is_empty() {
@@ -1497,6 +1553,14 @@
     }
 }
 
+/// Runs the CI seeds with a crashing part in parallel to the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_seeded_soak_with_a_crashing_part_keeps_the_promises() {
+    if number("SOAK_SEED").is_none() {
+        run_seeds(&CRASHING_PART_SEEDS).await;
+    }
+}
+
 async fn run_seeds(seeds: &[u64]) {
     let span = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(DEFAULT_FAULT_SECONDS));
     let mut failed = Vec::new();
