--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -179,7 +179,7 @@
             2 | 6 => Self::LimitedWorker,
             4 => Self::FailingWorkers,
             _ if seed % 16 == 8 => Self::StatingWorkers,
-            _ if seed % 32 == 0 => Self::CrashingPart,
+            _ if seed.is_multiple_of(32) => Self::CrashingPart,
             _ => Self::Standard,
         }
     }
