Own interface: a common prefix that crashes upstreams is quarantined, not only a content

What callers saw: nothing yet; the same cause elsewhere. The prefix by which requests are routed to one upstream (mustardrill-prefix, or the beginning of a long body) was no key of crashes, so that requests with it, each with another content, crashed one upstream after the other. Now the prefix counts as a part: the same table, verdicts and objections, over the heartbeats that carry reports of contents. A resumed answer clears nothing here either. Evidence: core crashing_prefixes failed before (the fourth request was sent), passes now.

--- a/mustardrill_core/src/entry/dispatch.rs
+++ b/mustardrill_core/src/entry/dispatch.rs
@@ -135,13 +135,14 @@
         self.requests.unbind_attempt(attempt);
         if let Some(state) = self.requests.get_mut(id) {
             state.delivered = delivered;
+            state.has_resumed |= delivered > 0 && *end != AttemptEnd::Complete;
         }
         let is_healthy = matches!(end, AttemptEnd::Complete | AttemptEnd::Refused(..));
         self.routing.record_ended(now, &instance, is_healthy);
         match end {
             AttemptEnd::Complete => {
                 if let Some(state) = self.remove_request(id) {
-                    self.record_complete_answer(now, state.digest);
+                    self.record_complete_answer(now, &state);
                 }
                 Vec::new()
             }
--- a/mustardrill_core/src/entry/request.rs
+++ b/mustardrill_core/src/entry/request.rs
@@ -1,8 +1,8 @@
 //! The table of requests in progress at an entry, with the attempts that they wait for.
 
 use mustardrill_types::{
-    AttemptId, CustomerName, FastMap, InstanceId, ManifestDigest, ModelName, Moment, RequestDigest,
-    RequestKey,
+    AttemptId, CustomerName, FastMap, InstanceId, ManifestDigest, ModelName, Moment, PartId,
+    PartSet, RequestDigest, RequestKey,
 };
 
 use crate::document::RequestClass;
@@ -20,6 +20,8 @@
     /// When the last attempt was sent to an agent.
     pub(crate) sent_at: Moment,
     pub(crate) affinity: Option<Box<str>>,
+    /// The common prefix, as the part of its prompt that other requests may share.
+    pub(crate) parts: PartSet,
     pub(crate) stage: RequestStage,
     /// The number of attempts sent so far.
     pub(crate) attempts: u32,
@@ -27,6 +29,12 @@
     pub(crate) tried: Vec<InstanceId>,
     /// Whether an attempt was lost after it was sent, so that it may have run.
     pub(crate) may_have_run: bool,
+    /// Whether an upstream crashed while it ran an attempt.
+    pub(crate) has_crashed_upstream: bool,
+    /// Whether attempts go on with an answer that an earlier one began.
+    pub(crate) has_resumed: bool,
+    /// Whether it is tried although its prefix is quarantined.
+    pub(crate) is_trial: bool,
     /// The number of answer bytes that the caller has received.
     pub(crate) delivered: u64,
     /// The weights of the last attempt. Once bytes were delivered, all later attempts must use the
@@ -36,6 +44,11 @@
     pub(crate) claimant: Option<AttemptId>,
 }
 
+/// The part that stands for a common prefix, which callers name as they like.
+fn prefix_part(name: &str) -> PartId {
+    PartId(RequestDigest::of(&[b"prefix", name.as_bytes()]).0)
+}
+
 /// What a request in progress waits for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum RequestStage {
@@ -64,11 +77,15 @@
             digest: incoming.digest,
             deadline: incoming.deadline,
             sent_at: Moment(0),
+            parts: incoming.affinity.as_deref().map(prefix_part).into_iter().collect(),
             affinity: incoming.affinity,
             stage: RequestStage::Claiming,
             attempts: 0,
             tried: Vec::new(),
             may_have_run: false,
+            has_crashed_upstream: false,
+            has_resumed: false,
+            is_trial: false,
             delivered: 0,
             pinned: None,
             claimant: None,
--- a/mustardrill_core/src/entry/suspicion.rs
+++ b/mustardrill_core/src/entry/suspicion.rs
@@ -1,12 +1,14 @@
 //! Quarantine of requests that crash upstreams, as one entry applies it.
 
 use log::{info, warn};
-use mustardrill_types::{InstanceId, Moment, PartSet, RequestDigest, ResultCode, StartStamp};
+use mustardrill_types::{InstanceId, Millis, Moment, PartSet, ResultCode, StartStamp};
 
 use crate::entry::event::{EntryEffect, RequestId};
 use crate::entry::reducer::EntryReducer;
-use crate::entry::request::RequestStage;
-use crate::quarantine::{CrashReport, CrashedRun, QUARANTINE_SPAN, QuarantineSubject};
+use crate::entry::request::{RequestStage, RequestState};
+use crate::quarantine::{
+    ClearedParts, CrashReport, CrashedRun, QUARANTINE_SPAN, QuarantineSubject, StartedQuarantine,
+};
 
 impl EntryReducer {
     /// Handles an attempt during which its upstream crashed: the crash is reported to the other
@@ -20,9 +22,10 @@
     ) -> Vec<EntryEffect> {
         let Some(state) = self.requests.get_mut(id) else { return Vec::new() };
         state.may_have_run = true;
+        state.has_crashed_upstream = true;
         let run = CrashedRun {
             digest: state.digest,
-            parts: PartSet::default(),
+            parts: self.quarantine.unproven_parts(now, &state.parts),
             upstream: instance.clone(),
             start,
             sent: state.sent_at,
@@ -35,11 +38,22 @@
     }
 
     /// Clears a request of suspicion, as it was answered completely without a crash.
-    pub(super) fn record_complete_answer(&mut self, now: Moment, digest: RequestDigest) {
+    ///
+    /// An answer of which the caller had a part from an earlier attempt shows nothing: only its rest
+    /// was run.
+    pub(super) fn record_complete_answer(&mut self, now: Moment, state: &RequestState) {
+        if state.has_resumed {
+            return;
+        }
+        let digest = state.digest;
         if self.quarantine.record_success(now, digest, now) {
             info!("quarantine digest={digest} outcome=sound");
             self.crashes.record(now, CrashReport::Sound(digest, now));
         }
+        if self.quarantine.record_sound_parts(now, &state.parts, now) != ClearedParts::default() {
+            info!("quarantine parts={} outcome=sound", state.parts);
+            self.crashes.record(now, CrashReport::PartsSound(state.parts.clone(), now));
+        }
     }
 
     /// Applies the crash reports of other entries, which an agent passed on.
@@ -47,6 +61,7 @@
         for report in reports {
             match report {
                 CrashReport::Crashed(run) => {
+                    self.object_for_sound_parts(now, &run.parts);
                     self.quarantine.record_crash(now, run);
                 }
                 CrashReport::Sound(digest, at) => {
@@ -62,9 +77,34 @@
                             .record(now, CrashReport::Quarantined(digest.into(), remaining));
                     }
                 }
-                // Requests of this interface do not list the parts of their prompts.
-                CrashReport::PartsSound(..)
-                | CrashReport::Quarantined(QuarantineSubject::Parts(_), _) => {}
+                CrashReport::PartsSound(parts, at) => {
+                    let cleared = self.quarantine.record_sound_parts(now, &parts, at);
+                    if cleared != ClearedParts::default() {
+                        info!("quarantine parts={parts} outcome=sound source=agent");
+                        self.crashes.record(now, CrashReport::PartsSound(parts, at));
+                    }
+                }
+                CrashReport::Quarantined(QuarantineSubject::Parts(parts), remaining) => {
+                    self.object_for_sound_parts(now, &parts);
+                    let unproven = self.quarantine.unproven_parts(now, &parts);
+                    if !unproven.is_empty()
+                        && self.quarantine.adopt_parts(now, unproven.clone(), remaining)
+                    {
+                        info!("quarantine parts={unproven} outcome=begun source=agent");
+                        let report = CrashReport::Quarantined(unproven.into(), remaining);
+                        self.crashes.record(now, report);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reports parts as sound that this entry knows to be so, where crashes count against them.
+    fn object_for_sound_parts(&mut self, now: Moment, parts: &PartSet) {
+        for part in parts.iter() {
+            if let Some(at) = self.quarantine.sound_since(now, part) {
+                let parts = [part].into_iter().collect();
+                self.crashes.record(now, CrashReport::PartsSound(parts, at));
             }
         }
     }
@@ -75,15 +115,41 @@
         now: Moment,
         id: RequestId,
     ) -> Option<Vec<EntryEffect>> {
+        let (code, remaining) = self.check_quarantine(now, id)?;
         let state = self.requests.get(id)?;
-        let remaining = self.quarantine.remaining(now, state.digest)?;
         // No attempt has run, so the key's claim is released.
         let released = if state.may_have_run { None } else { self.release_claim(now, state) };
         let mut effects: Vec<_> = released.into_iter().collect();
-        effects.extend(self.reject(now, id, ResultCode::Quarantined, remaining));
+        effects.extend(self.reject(now, id, code, remaining));
         Some(effects)
     }
 
+    /// The rejection of a quarantined request, as code and time to retry. `None` if it may run, as
+    /// the one of its prefix that this entry tries.
+    fn check_quarantine(&mut self, now: Moment, id: RequestId) -> Option<(ResultCode, Millis)> {
+        let state = self.requests.get_mut(id)?;
+        if let Some(remaining) = self.quarantine.remaining(now, state.digest) {
+            return Some((ResultCode::Quarantined, remaining));
+        }
+        let block = self.quarantine.part_block(now, &state.parts)?;
+        if block.is_trial_due && !state.is_trial {
+            info!("request={id} decision=try parts={}", block.parts);
+            state.is_trial = true;
+            self.quarantine.start_trial(now, &block.parts);
+        }
+        if state.is_trial {
+            return None;
+        }
+        let retry_after = block.until.since(now).max(Millis(1));
+        info!("request={id} decision=quarantine parts={} left={retry_after}", block.parts);
+        let code = if state.has_crashed_upstream {
+            ResultCode::Quarantined
+        } else {
+            ResultCode::PartQuarantined
+        };
+        Some((code, retry_after))
+    }
+
     /// Rejects a quarantined request, or holds a suspected one until the verdict on it. `None`
     /// where the request may be sent.
     pub(super) fn hold_suspect(&mut self, now: Moment, id: RequestId) -> Option<Vec<EntryEffect>> {
@@ -91,7 +157,7 @@
             return Some(refusal);
         }
         let state = self.requests.get_mut(id)?;
-        if !self.quarantine.is_verdict_pending(now, state.digest, &PartSet::default()) {
+        if !self.quarantine.is_verdict_pending(now, state.digest, &state.parts) {
             return None;
         }
         info!("request={id} decision=hold reason=verdict digest={}", state.digest);
@@ -105,6 +171,15 @@
         if self.quarantine.next_verdict().is_none_or(|due| due > now) {
             return Vec::new();
         }
+        for StartedQuarantine { parts, span, crashes, sequential } in
+            self.quarantine.take_part_verdicts(now)
+        {
+            warn!(
+                "quarantine parts={parts} outcome=begun span={span} crashes={crashes} \
+                 sequential={sequential}"
+            );
+            self.crashes.record(now, CrashReport::Quarantined(parts.into(), span));
+        }
         for digest in self.quarantine.take_verdicts(now) {
             warn!("quarantine digest={digest} outcome=begun");
             self.crashes.record(now, CrashReport::Quarantined(digest.into(), QUARANTINE_SPAN));
