--- a/mustardrill_core/src/direct/retries/part_suspicion.rs
+++ b/mustardrill_core/src/direct/retries/part_suspicion.rs
@@ -37,7 +37,11 @@
             return Vec::new();
         }
         info!("quarantine parts={} outcome=sound", cleared.parts);
-        self.crash_reports.push(now, CrashReport::PartsSound(parts.clone(), now));
+        let answered: Vec<_> = parts.iter().collect();
+        for reported in answered.chunks(REPORTED_PARTS_LIMIT) {
+            let reported = reported.iter().copied().collect();
+            self.crash_reports.push(now, CrashReport::PartsSound(reported, now));
+        }
         self.part_objections.record_shared(now, parts);
         self.apply_cleared_groups(now, cleared.groups)
     }
--- a/mustardrill_core/src/quarantine/part_suspects.rs
+++ b/mustardrill_core/src/quarantine/part_suspects.rs
@@ -48,6 +48,9 @@
 /// How long a crash counts.
 const SUSPICION_SPAN: Millis = Millis(600_000);
 
+/// Interval at which expired records are dropped; a crash is reported many times.
+const EXPIRY_INTERVAL: Millis = Millis(1_000);
+
 /// Maximum number of suspected parts. One crash adds a few that were not answered lately.
 const SUSPECTS_LIMIT: usize = 1_024;
 
@@ -68,6 +71,8 @@
     records: FastMap<PartId, Vec<PartRun>>,
     /// Recent crashes.
     crashes: FastMap<CrashId, CrashRecord>,
+    /// When expired records were last dropped.
+    expired_at: Moment,
 }
 
 /// One crash, and what was present at it.
@@ -116,7 +121,12 @@
 
 impl PartSuspects {
     pub(super) fn new(settle: Millis) -> Self {
-        Self { settle, records: FastMap::default(), crashes: FastMap::default() }
+        Self {
+            settle,
+            records: FastMap::default(),
+            crashes: FastMap::default(),
+            expired_at: Moment(0),
+        }
     }
 
     /// Records a crash against the parts of a run that are not known to be sound; returns whether
@@ -127,7 +137,10 @@
         run: &CrashedRun,
         sound: &SoundParts,
     ) -> bool {
-        self.drop_expired(now);
+        if now.since(self.expired_at) >= EXPIRY_INTERVAL || self.is_full() {
+            self.expired_at = now;
+            self.drop_expired(now);
+        }
         let crash = (run.upstream.clone(), run.start);
         let record = self.crashes.entry(crash.clone()).or_insert_with(|| CrashRecord {
             ended: run.ended,
@@ -362,6 +375,10 @@
         })
     }
 
+    fn is_full(&self) -> bool {
+        self.records.len() >= SUSPECTS_LIMIT || self.crashes.len() >= CRASHES_LIMIT
+    }
+
     /// Drops expired records, and where there are too many the parts with the fewest crashes.
     fn drop_expired(&mut self, now: Moment) {
         let is_recent = |ended: Moment| now.since(ended) < SUSPICION_SPAN;
--- a/mustardrill_core/tests/crashing_parts.rs
+++ b/mustardrill_core/tests/crashing_parts.rs
@@ -255,6 +255,7 @@
     let mut bench = Bench::new();
     for _ in 0..4 {
         bench.crash(&[("own fault", &[0xa1, 5])]);
+        bench.answer(&[0xa1]);
         bench.settle();
     }
     assert!(bench.is_quarantined("own fault") && !bench.is_blocked(&[5]));
@@ -448,6 +449,44 @@
     assert!(matches!(effects[..], [DirectEffect::Refuse(..)]), "{effects:?}");
 }
 
+/// The report on an answer named all parts of a long prompt, did not fit into a datagram and was
+/// lost.
+#[test]
+fn reports_on_long_prompts_fit_into_datagrams() {
+    let mut reducer = entry(4);
+    let parts: Vec<u128> = (1..=200).collect();
+    let now = START + Millis(100);
+    arrive(&mut reducer, now, 1, &parts);
+    let crashed = AttemptOutcome::Lost { delivered: false, crashed: true };
+    common::end_attempt(&mut reducer, now + Millis(100), 1, crashed);
+    arrive(&mut reducer, now + Millis(200), 2, &parts);
+    common::end_attempt(&mut reducer, now + Millis(900), 2, AttemptOutcome::Whole);
+    let reports = reducer.due_crash_reports(now + Millis(900));
+    let named: Vec<_> = reports
+        .iter()
+        .map(|report| match report {
+            CrashReport::Crashed(run) => run.parts.len(),
+            CrashReport::PartsSound(parts, _) => parts.len(),
+            _ => 0,
+        })
+        .collect();
+    assert!(named.len() >= 4 && named.iter().all(|count| *count <= 64), "{named:?}");
+}
+
+/// A verdict was broadcast for 3 s, and entries that were cut off for longer did not learn of it.
+#[test]
+fn a_verdict_is_broadcast_as_long_as_it_is_in_force() {
+    let mut reducer = entry(4);
+    let verdict = CrashReport::Quarantined(part_set(&[0xbad]).into(), Millis(60_000));
+    reducer.reduce(START, DirectEvent::CrashReportReceived(verdict));
+    for after in [1_000, 10_000, 30_000] {
+        let remaining = Millis(60_000 - after);
+        let expected = CrashReport::Quarantined(part_set(&[0xbad]).into(), remaining);
+        assert_eq!(reducer.due_crash_reports(START + Millis(after)), [expected]);
+        assert!(reducer.due_crash_reports(START + Millis(after + 500)).is_empty());
+    }
+}
+
 /// Each entry tried a request of its own after a quarantine.
 #[test]
 fn one_request_in_the_whole_fleet_is_tried() {
--- a/mustardrill_standins/tests/explain.rs
+++ b/mustardrill_standins/tests/explain.rs
@@ -82,6 +82,23 @@
     );
 }
 
+/// The part of its prompt for which a request was refused had crashed engines under other requests.
+#[test]
+fn the_quarantine_of_a_requests_part_is_found_in_the_logs_of_all_entries() {
+    let own_log = "\
+time=2026-10-05T23:22:39.000Z level=warn process=entry-1 quarantine parts=bad outcome=begun span=9914ms crashes=3 sequential=3
+time=2026-10-05T23:22:40.007Z level=info process=entry-1 request=a1 decision=quarantine parts=bad left=9871ms
+time=2026-10-05T23:22:40.007Z level=info process=entry-1 request=a1 decision=refuse code=2019 waited=0ms digest=d1 parts=a1+bad
+";
+    let other_log = "\
+time=2026-10-05T23:22:37.000Z level=info process=entry-2 quarantine digest=d7 instance=i-1 start=1 ran=40ms outcome=suspected parts=5+bad
+time=2026-10-05T23:22:37.000Z level=info process=entry-2 quarantine digest=d8 instance=i-1 start=1 ran=90ms outcome=suspected parts=5
+";
+    let lines = explain("a1", [own_log, other_log]);
+    assert_eq!(lines.len(), 4, "{lines:?}");
+    assert!(lines[0].contains("digest=d7") && lines[1].contains("outcome=begun"), "{lines:?}");
+}
+
 #[test]
 fn an_unknown_request_has_no_lines() {
     assert!(explain("a9", [ENTRY, OTHER_ENTRY]).is_empty());
