Quarantine of parts: what the change wrote twice is written once

Read again as a whole; behaviour is as before. The comparison of two crashes (is_same_crash), the distance of two moments, the thresholds and the span that contents have already, the code of a refusal and the line that a quarantine begins each stand in one place. A result that nobody used, a field kept for a log line, parts computed twice for a crash, and a request taken out of its table and put back are gone. Whether an answer was run from its start is asked of the request's state. Two comments that said something else than the code, and the module's, are corrected.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -161,7 +161,7 @@
         self.untrack_attempt(number);
         let Some(state) = self.requests.get_mut(&number) else { return Vec::new() };
         let RequestStage::Sent(upstream) = state.stage.clone() else { return Vec::new() };
-        let is_proof = Self::is_proof(state);
+        let is_run_from_start = state.is_run_from_start();
         state.has_crashed_upstream |= matches!(outcome, AttemptOutcome::Lost { crashed: true, .. });
         state.stage = RequestStage::Between;
         let service = state.service.clone();
@@ -173,7 +173,7 @@
         self.upstreams.record_outcome(now, &upstream, outcome, self.settings.base_ejection);
         let mut effects = Vec::new();
         match outcome {
-            AttemptOutcome::Whole if is_proof => {
+            AttemptOutcome::Whole if is_run_from_start => {
                 effects.extend(self.record_run_success(now, digest, &parts))
             }
             AttemptOutcome::Lost { crashed: true, .. } => {
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -328,8 +328,8 @@
         let Some(mut state) = self.requests.remove(&number) else { return Vec::new() };
         info!("request={} outcome=caller-gone stage={:?}", state.attempt_id, state.stage);
         if let RequestStage::Sent(upstream) = &state.stage {
-            let upstream = upstream.clone();
-            self.record_unattributed_run(now, &state, &upstream);
+            let run = self.run_of(now, &state, upstream);
+            self.record_unattributed_run(now, run);
         }
         self.release_resources(&mut state);
         self.dispatch_waiting(now, &state.service)
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -151,6 +151,12 @@
         self.objective_until.since(self.arrived_at)
     }
 
+    /// Whether a complete answer shows that the request does not crash upstreams. If the answer began
+    /// at another upstream or on another connection, only its rest was run.
+    pub(crate) fn is_run_from_start(&self) -> bool {
+        !self.is_resumed && !self.has_delivered
+    }
+
     /// Whether another attempt is allowed after one that may have run.
     pub(crate) fn is_repeatable(&self) -> bool {
         match self.repeat_rule {
--- a/mustardrill_core/src/direct/retries/part_suspicion.rs
+++ b/mustardrill_core/src/direct/retries/part_suspicion.rs
@@ -1,13 +1,13 @@
 //! How an entry handles requests whose prompts have parts that crash upstreams.
 
-use log::{info, warn};
+use log::info;
 use mustardrill_types::{Millis, Moment, PartSet, ResultCode};
 
 use crate::direct::event::{DirectEffect, RequestNumber};
 use crate::direct::reducer::DirectReducer;
-use crate::direct::request::{RequestStage, RequestState};
+use crate::direct::request::RequestStage;
 use crate::direct::retries::part_objections::objection;
-use crate::quarantine::{ClearedParts, CrashReport, PartBlock, QUARANTINE_SPAN, StartedQuarantine};
+use crate::quarantine::{CrashReport, PartBlock, QUARANTINE_SPAN, StartedQuarantine};
 use crate::rendezvous;
 
 /// Parts named in one crash report, so that it fits into a datagram.
@@ -33,7 +33,7 @@
         parts: &PartSet,
     ) -> Vec<DirectEffect> {
         let cleared = self.quarantine.record_sound_parts(now, parts, now);
-        if cleared == ClearedParts::default() {
+        if cleared.is_empty() {
             return Vec::new();
         }
         info!("quarantine parts={} outcome=sound", cleared.parts);
@@ -55,7 +55,7 @@
     ) -> Vec<DirectEffect> {
         self.part_objections.record_shared(now, parts);
         let cleared = self.quarantine.record_sound_parts(now, parts, at);
-        if cleared != ClearedParts::default() {
+        if !cleared.is_empty() {
             info!("quarantine parts={} outcome=sound source=entry", cleared.parts);
         }
         self.apply_cleared_groups(now, cleared.groups)
@@ -112,13 +112,7 @@
     /// Starts the quarantines of groups of parts whose verdict is due.
     pub(in crate::direct) fn decide_suspected_parts(&mut self, now: Moment) -> Vec<DirectEffect> {
         let mut effects = Vec::new();
-        for StartedQuarantine { parts, span, crashes, sequential } in
-            self.quarantine.take_part_verdicts(now)
-        {
-            warn!(
-                "quarantine parts={parts} outcome=begun span={span} crashes={crashes} \
-                 sequential={sequential}"
-            );
+        for StartedQuarantine { parts, span } in self.quarantine.take_part_verdicts(now) {
             let subject = parts.clone().into();
             // Peers may have received fewer reports, or received them too late to order the runs.
             if self.crash_reports.is_broadcasting_parts(&parts) || self.writes_quarantine(&subject)
@@ -160,6 +154,7 @@
                     effects.extend(self.refuse_quarantined(now, number).into_iter().flatten());
                 }
                 RequestStage::Sent(_) if !state.has_started && !state.is_trial => {
+                    // What is not written yet costs no retry; the other command then has no effect.
                     effects.push(DirectEffect::WithdrawUnsent(number));
                     effects.push(DirectEffect::Withdraw(number));
                 }
@@ -195,14 +190,7 @@
             "request={} decision=quarantine parts={} left={retry_after}",
             state.attempt_id, block.parts
         );
-        // The caller learns whether upstreams crashed under its own request, or only under others
-        // with the same parts.
-        let code = if state.has_crashed_upstream {
-            ResultCode::Quarantined
-        } else {
-            ResultCode::PartQuarantined
-        };
-        Some((code, retry_after))
+        Some((PartBlock::refusal_code(state.has_crashed_upstream), retry_after))
     }
 
     fn start_trial(&mut self, now: Moment, number: RequestNumber, block: &PartBlock) {
@@ -219,10 +207,4 @@
         let subject = block.parts.to_string();
         self.rank_among_entries(subject.as_bytes()) == turn as usize % entries
     }
-
-    /// Whether a request shows by its complete answer that its parts do not crash upstreams. One
-    /// whose answer began at another upstream or on another connection had only its rest run.
-    pub(in crate::direct) fn is_proof(state: &RequestState) -> bool {
-        !state.is_resumed && !state.has_delivered
-    }
 }
--- a/mustardrill_core/src/direct/retries/suspicion.rs
+++ b/mustardrill_core/src/direct/retries/suspicion.rs
@@ -24,28 +24,21 @@
         upstream: &UpstreamStart,
     ) {
         let Some(state) = self.requests.get(&number) else { return };
-        let parts = self.reported_parts(now, &state.parts);
+        let run = self.run_of(now, state, upstream);
         // An upstream that is draining stops as announced; the request merely took too long for it.
         // That is not a crash, unless the request has parts under which others crashed.
         let listed = self.upstreams.get(&upstream.id);
         let is_unplanned =
             listed.is_some_and(|listed| listed.start() == *upstream && !listed.record.leaving);
-        if !is_unplanned && !self.quarantine.is_suspected(&parts) {
+        if !is_unplanned && !self.quarantine.is_suspected(&run.parts) {
             return;
         }
-        let run = self.run_of(now, state, upstream);
         self.crash_reports.push(now, CrashReport::Crashed(run.clone()));
         self.record_crashed_run(now, run);
     }
 
     /// Remembers a run that ended without an answer, in case that its upstream crashed.
-    pub(in crate::direct) fn record_unattributed_run(
-        &mut self,
-        now: Moment,
-        state: &RequestState,
-        upstream: &UpstreamStart,
-    ) {
-        let run = self.run_of(now, state, upstream);
+    pub(in crate::direct) fn record_unattributed_run(&mut self, now: Moment, run: CrashedRun) {
         match self.quarantine.crashed_at(&run) {
             Some(crashed_at) if is_near(now, crashed_at) => {
                 self.crash_reports.push(now, CrashReport::Crashed(run.clone()));
@@ -62,14 +55,18 @@
         number: RequestNumber,
         upstream: &UpstreamStart,
     ) {
-        if let Some(state) = self.requests.remove(&number) {
-            self.record_unattributed_run(now, &state, upstream);
-            self.requests.insert(number, state);
-        }
+        let Some(state) = self.requests.get(&number) else { return };
+        let run = self.run_of(now, state, upstream);
+        self.record_unattributed_run(now, run);
     }
 
     /// The current attempt of a request, as a run that ends now.
-    fn run_of(&self, now: Moment, state: &RequestState, upstream: &UpstreamStart) -> CrashedRun {
+    pub(in crate::direct) fn run_of(
+        &self,
+        now: Moment,
+        state: &RequestState,
+        upstream: &UpstreamStart,
+    ) -> CrashedRun {
         CrashedRun {
             digest: state.digest,
             parts: self.reported_parts(now, &state.parts),
--- a/mustardrill_core/src/direct/retries/unattributed_runs.rs
+++ b/mustardrill_core/src/direct/retries/unattributed_runs.rs
@@ -38,11 +38,8 @@
     /// Takes the runs that were present at the crash under `crashed`.
     pub(crate) fn take(&mut self, now: Moment, crashed: &CrashedRun) -> Vec<CrashedRun> {
         self.drop_expired(now);
-        let is_present = |run: &CrashedRun| {
-            run.upstream == crashed.upstream
-                && run.start == crashed.start
-                && is_near(run.ended, crashed.ended)
-        };
+        let is_present =
+            |run: &CrashedRun| run.is_same_crash(crashed) && is_near(run.ended, crashed.ended);
         let (present, rest): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.runs).into_iter().partition(is_present);
         self.runs = rest.into();
@@ -60,5 +57,5 @@
 
 /// Whether a run that ended at `ended` was present at a crash at `crashed`.
 pub(crate) fn is_near(ended: Moment, crashed: Moment) -> bool {
-    ended.since(crashed).max(crashed.since(ended)) <= ATTRIBUTION_SPAN
+    ended.distance(crashed) <= ATTRIBUTION_SPAN
 }
--- a/mustardrill_core/src/entry/suspicion.rs
+++ b/mustardrill_core/src/entry/suspicion.rs
@@ -7,7 +7,7 @@
 use crate::entry::reducer::EntryReducer;
 use crate::entry::request::{RequestStage, RequestState};
 use crate::quarantine::{
-    ClearedParts, CrashReport, CrashedRun, QUARANTINE_SPAN, QuarantineSubject, StartedQuarantine,
+    CrashReport, CrashedRun, PartBlock, QUARANTINE_SPAN, QuarantineSubject, StartedQuarantine,
 };
 
 impl EntryReducer {
@@ -50,7 +50,7 @@
             info!("quarantine digest={digest} outcome=sound");
             self.crashes.record(now, CrashReport::Sound(digest, now));
         }
-        if self.quarantine.record_sound_parts(now, &state.parts, now) != ClearedParts::default() {
+        if !self.quarantine.record_sound_parts(now, &state.parts, now).is_empty() {
             info!("quarantine parts={} outcome=sound", state.parts);
             self.crashes.record(now, CrashReport::PartsSound(state.parts.clone(), now));
         }
@@ -78,8 +78,7 @@
                     }
                 }
                 CrashReport::PartsSound(parts, at) => {
-                    let cleared = self.quarantine.record_sound_parts(now, &parts, at);
-                    if cleared != ClearedParts::default() {
+                    if !self.quarantine.record_sound_parts(now, &parts, at).is_empty() {
                         info!("quarantine parts={parts} outcome=sound source=agent");
                         self.crashes.record(now, CrashReport::PartsSound(parts, at));
                     }
@@ -142,12 +141,7 @@
         }
         let retry_after = block.until.since(now).max(Millis(1));
         info!("request={id} decision=quarantine parts={} left={retry_after}", block.parts);
-        let code = if state.has_crashed_upstream {
-            ResultCode::Quarantined
-        } else {
-            ResultCode::PartQuarantined
-        };
-        Some((code, retry_after))
+        Some((PartBlock::refusal_code(state.has_crashed_upstream), retry_after))
     }
 
     /// Rejects a quarantined request, or holds a suspected one until the verdict on it. `None`
@@ -171,13 +165,7 @@
         if self.quarantine.next_verdict().is_none_or(|due| due > now) {
             return Vec::new();
         }
-        for StartedQuarantine { parts, span, crashes, sequential } in
-            self.quarantine.take_part_verdicts(now)
-        {
-            warn!(
-                "quarantine parts={parts} outcome=begun span={span} crashes={crashes} \
-                 sequential={sequential}"
-            );
+        for StartedQuarantine { parts, span } in self.quarantine.take_part_verdicts(now) {
             self.crashes.record(now, CrashReport::Quarantined(parts.into(), span));
         }
         for digest in self.quarantine.take_verdicts(now) {
--- a/mustardrill_core/src/quarantine/mod.rs
+++ b/mustardrill_core/src/quarantine/mod.rs
@@ -10,6 +10,10 @@
 //! cleared. A crash is attributed to the requests that were present at most crashes in sequence,
 //! each starting after the previous crash: many that run at the same time see many upstreams go
 //! down when a data hall loses power, whereas a culprit crashes one upstream after the other.
+//!
+//! Requests that differ in content may crash upstreams by a part of the prompt that they share.
+//! Crashes therefore count against parts as well (`part_suspects`), and what a part explains does
+//! not count against contents.
 
 mod evidence;
 mod part_quarantines;
@@ -19,7 +23,7 @@
 
 use std::cmp::Reverse;
 
-use log::info;
+use log::{info, warn};
 use mustardrill_types::{FastMap, FastSet, Millis, Moment, PartId, PartSet, RequestDigest};
 
 use crate::quarantine::evidence::CrashEvidence;
@@ -73,17 +77,13 @@
     sound_parts: SoundParts,
 }
 
-/// A group of parts whose quarantine starts, and what it was decided from.
+/// A group of parts whose quarantine starts.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StartedQuarantine {
     /// The group of parts.
     pub parts: PartSet,
     /// How long no request with these parts is tried.
     pub span: Millis,
-    /// The upstreams that crashed under requests with these parts.
-    pub crashes: usize,
-    /// How many of these crashes happened in sequence.
-    pub sequential: usize,
 }
 
 /// What changes when a request with parts is answered completely.
@@ -95,6 +95,13 @@
     pub groups: Vec<(PartSet, Option<PartSet>)>,
 }
 
+impl ClearedParts {
+    /// Whether nothing changes.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty() && self.groups.is_empty()
+    }
+}
+
 /// The crashes recorded against a request.
 #[derive(Debug, Default)]
 struct SuspectRecord {
@@ -174,11 +181,12 @@
         self.sound_parts.record(now, parts, at);
         let cleared = self.part_suspects.clear(parts, &self.sound_parts);
         let groups = self.part_quarantines.clear(parts);
-        if !cleared.is_empty() || !groups.is_empty() {
+        let cleared = ClearedParts { parts: cleared, groups };
+        if !cleared.is_empty() {
             // The crashes that they shared now count against the other parts alone.
             self.verdicts_due = Some(now);
         }
-        ClearedParts { parts: cleared, groups }
+        cleared
     }
 
     /// Those of the parts that were not answered lately.
@@ -189,8 +197,7 @@
     /// When a request with the part was last answered completely, if that is lately enough to show
     /// that the part does not crash upstreams.
     pub fn sound_since(&self, now: Moment, part: PartId) -> Option<Moment> {
-        let answered_at = self.sound_parts.answered_at(part);
-        answered_at.filter(|_| self.sound_parts.is_sound(part, now))
+        self.sound_parts.sound_since(part, now)
     }
 
     /// Decides on parts if that is due, and returns the groups whose quarantine starts now.
@@ -204,7 +211,12 @@
         for PartVerdict { parts, record } in verdicts {
             let until = self.part_quarantines.start(now, &parts, &record, &self.sound_parts);
             let CrashEvidence { sequential, crashes } = record.evidence;
-            started.push(StartedQuarantine { parts, span: until.since(now), crashes, sequential });
+            let span = until.since(now);
+            warn!(
+                "quarantine parts={parts} outcome=begun span={span} crashes={crashes} \
+                 sequential={sequential}"
+            );
+            started.push(StartedQuarantine { parts, span });
         }
         started
     }
--- a/mustardrill_core/src/quarantine/part_quarantines.rs
+++ b/mustardrill_core/src/quarantine/part_quarantines.rs
@@ -1,13 +1,11 @@
 //! The quarantined groups of parts, and when one request may be tried again.
 
-use mustardrill_types::{Millis, Moment, PartSet};
+use mustardrill_types::{Millis, Moment, PartSet, ResultCode};
 
-use crate::quarantine::QUARANTINE_SPAN;
 use crate::quarantine::evidence::CrashEvidence;
-use crate::quarantine::part_suspects::{
-    CONCLUSIVE_CRASHES, GroupRecord, MIN_CRASHES, MIN_SEQUENTIAL_CRASHES, PartSuspects,
-};
+use crate::quarantine::part_suspects::{CONCLUSIVE_CRASHES, GroupRecord, PartSuspects};
 use crate::quarantine::sound_parts::SoundParts;
+use crate::quarantine::{MIN_CRASHES, MIN_SEQUENTIAL_CRASHES, QUARANTINE_SPAN};
 
 /// Time until a trial where few upstreams have crashed: another crash is worth finding out that the
 /// verdict was wrong.
@@ -23,7 +21,7 @@
 /// How long a trial may take.
 const TRIAL_SPAN: Millis = Millis(5_000);
 
-/// Maximum number of quarantined groups; the one whose trial is due first is dropped.
+/// Maximum number of quarantined groups; the one that was added first is dropped.
 const QUARANTINES_LIMIT: usize = 256;
 
 /// The quarantined groups of parts.
@@ -42,7 +40,7 @@
     reported_until: Moment,
     /// Trials that ended with a crash.
     failed_trials: u32,
-    /// When the trial in progress counts as failed to tell anything.
+    /// The latest end of the trial in progress; zero where there is none.
     trial_until: Moment,
 }
 
@@ -57,6 +55,14 @@
     pub is_trial_due: bool,
 }
 
+impl PartBlock {
+    /// The code with which a request is refused, which tells its caller whether upstreams crashed
+    /// under this very request or only under others with the same parts.
+    pub fn refusal_code(has_crashed_upstream: bool) -> ResultCode {
+        if has_crashed_upstream { ResultCode::Quarantined } else { ResultCode::PartQuarantined }
+    }
+}
+
 impl PartQuarantines {
     /// The quarantined groups.
     pub(super) fn groups(&self) -> impl Iterator<Item = &PartSet> {
--- a/mustardrill_core/src/quarantine/part_suspects.rs
+++ b/mustardrill_core/src/quarantine/part_suspects.rs
@@ -16,17 +16,11 @@
 use crate::quarantine::part_quarantines::PartQuarantines;
 use crate::quarantine::report::CrashedRun;
 use crate::quarantine::sound_parts::SoundParts;
-
-/// Crashes under a part before it is taken to be the cause.
-pub(super) const MIN_CRASHES: usize = 3;
+use crate::quarantine::{MIN_CRASHES, MIN_SEQUENTIAL_CRASHES, SUSPICION_SPAN};
 
 /// Contents under which these crashes must have happened; a single content is quarantined as such.
 const MIN_CONTENTS: usize = 2;
 
-/// How many runs must have started after the previous one had crashed: when a data hall loses
-/// power, all crash at the same time.
-pub(super) const MIN_SEQUENTIAL_CRASHES: usize = 2;
-
 /// Crashes under a part that make up for what else speaks against a verdict.
 pub(super) const CONCLUSIVE_CRASHES: usize = 5;
 
@@ -45,9 +39,6 @@
 /// Time between crashes that have different reasons: a loss of power is observed within less.
 const MOMENT_GAP: Millis = Millis(50);
 
-/// How long a crash counts.
-const SUSPICION_SPAN: Millis = Millis(600_000);
-
 /// Interval at which expired records are dropped; a crash is reported many times.
 const EXPIRY_INTERVAL: Millis = Millis(1_000);
 
@@ -129,14 +120,8 @@
         }
     }
 
-    /// Records a crash against the parts of a run that are not known to be sound; returns whether
-    /// there are any.
-    pub(super) fn record_crash(
-        &mut self,
-        now: Moment,
-        run: &CrashedRun,
-        sound: &SoundParts,
-    ) -> bool {
+    /// Records a crash against the parts of a run that are not known to be sound.
+    pub(super) fn record_crash(&mut self, now: Moment, run: &CrashedRun, sound: &SoundParts) {
         if now.since(self.expired_at) >= EXPIRY_INTERVAL || self.is_full() {
             self.expired_at = now;
             self.drop_expired(now);
@@ -167,7 +152,6 @@
                 runs.remove(0);
             }
         }
-        !parts.is_empty()
     }
 
     /// Forgets the crashes of parts that have been answered; returns those that had any.
@@ -230,7 +214,7 @@
         self.records.len()
     }
 
-    /// Returns the groups of parts that are the cause of crashes that no quarantine explains yet.
+    /// Returns the groups of parts that caused crashes which no quarantine explains yet.
     pub(super) fn verdicts(
         &self,
         now: Moment,
@@ -281,6 +265,7 @@
         })
     }
 
+    /// Whether the crashes that no part with as many crashes explains are enough for a verdict.
     fn is_cause(
         &self,
         candidate: &Candidate,
@@ -316,7 +301,7 @@
                 crashes_since.iter().filter(|(crash, _)| !candidate.crashes.contains_key(*crash));
             let others: Vec<_> = others.map(|(_, record)| record.ended).collect();
             let is_alone = |(_, ended): &&(Moment, Moment)| {
-                others.iter().all(|other| gap(*other, *ended) >= MOMENT_GAP)
+                others.iter().all(|other| other.distance(*ended) >= MOMENT_GAP)
             };
             let is_frequent = percent >= FREQUENT_PERCENT;
             let least = if is_frequent { MIN_CRASHES } else { CONCLUSIVE_CRASHES };
@@ -402,10 +387,6 @@
     }
 }
 
-fn gap(one: Moment, other: Moment) -> Millis {
-    one.since(other).max(other.since(one))
-}
-
 /// How many of the crashes happened at moments that are `MOMENT_GAP` apart.
 fn distinct_moments(spans: &[(Moment, Moment)]) -> usize {
     let mut ended: Vec<_> = spans.iter().map(|(_, ended)| *ended).collect();
--- a/mustardrill_core/src/quarantine/sound_parts.rs
+++ b/mustardrill_core/src/quarantine/sound_parts.rs
@@ -48,14 +48,20 @@
     }
 
     /// When a request with the part was last answered completely, if that is remembered.
-    pub(super) fn answered_at(&self, part: PartId) -> Option<Moment> {
+    fn answered_at(&self, part: PartId) -> Option<Moment> {
         self.young.get(&part).max(self.old.get(&part)).copied()
     }
 
     /// Whether a part was answered so shortly before `moment`, or since, that it did not cause a
     /// crash then.
     pub(super) fn is_sound(&self, part: PartId, moment: Moment) -> bool {
-        self.answered_at(part).is_some_and(|at| at + SOUND_SPAN > moment)
+        self.sound_since(part, moment).is_some()
+    }
+
+    /// When a part was last answered completely, if that shows that it did not cause a crash at
+    /// `moment`.
+    pub(super) fn sound_since(&self, part: PartId, moment: Moment) -> Option<Moment> {
+        self.answered_at(part).filter(|at| *at + SOUND_SPAN > moment)
     }
 
     /// How many requests with shared parts were answered completely after `moment`, at most
--- a/mustardrill_types/src/time.rs
+++ b/mustardrill_types/src/time.rs
@@ -41,6 +41,11 @@
     pub fn since(self, earlier: Self) -> Millis {
         Millis(self.0.saturating_sub(earlier.0))
     }
+
+    /// The time between two moments, whichever is earlier.
+    pub fn distance(self, other: Self) -> Millis {
+        Millis(self.0.abs_diff(other.0))
+    }
 }
 
 impl Add<Millis> for Moment {
