--- a/mustardrill_core/tests/crashing_parts.rs
+++ b/mustardrill_core/tests/crashing_parts.rs
@@ -300,7 +300,7 @@
     assert_eq!(bench.settle(), [part_set(&[0xbad])]);
 }
 
-/// An entry whose peers are given by name, with the upstreams of `desk_fleet`.
+/// An entry without peers, with the upstreams of `desk_fleet`.
 fn entry(upstreams: u16) -> DirectReducer {
     let mut reducer = DirectReducer::new(common::direct_settings(), 7);
     common::answer_from_store(&mut reducer, START, common::desk_fleet(upstreams), false, 0);
@@ -531,9 +531,39 @@
     reducer.reduce(received_at, DirectEvent::CrashReportReceived(CrashReport::Crashed(run)));
     let objections = reducer.due_crash_reports(received_at);
     assert_eq!(objections, [CrashReport::PartsSound(part_set(&[0x5]), now)]);
-    // Told once, and not for a verdict on both either.
+    // A verdict on the part is not adopted.
     let verdict = CrashReport::Quarantined(part_set(&[0x5]).into(), Millis(60_000));
     reducer.reduce(received_at, DirectEvent::CrashReportReceived(verdict));
     let effects = arrive(&mut reducer, received_at, 2, &[0x5]);
     assert!(matches!(effects[..], [DirectEffect::Send(..)]), "{effects:?}");
 }
+
+/// A verdict on three crashes was written to the store, and read back as one that lasts for ten
+/// minutes: a sound part that had been condemned by mistake was not tried for so long.
+#[test]
+fn a_verdict_on_few_crashes_is_not_tried_again_for_ten_minutes() {
+    let mut reducer = entry(4);
+    let mut now = START;
+    for (upstream, content) in [("v1", "a"), ("v2", "b"), ("v3", "c")] {
+        now = now + Millis(200);
+        report_crash(&mut reducer, now, upstream, content);
+    }
+    let sound = CrashReport::PartsSound(part_set(&[0xa1]), now + Millis(10));
+    reducer.reduce(now + Millis(10), DirectEvent::CrashReportReceived(sound));
+    let effects = reducer.reduce(now + SETTLE, DirectEvent::TimerFired);
+    let stored = effects.into_iter().find_map(|effect| match effect {
+        DirectEffect::StoreQuarantine(subject, _) => Some(FleetChange::Quarantined(subject)),
+        _ => None,
+    });
+    let written_at = now + SETTLE + Millis(50);
+    let changes = vec![stored.expect("the verdict is stored")];
+    common::answer_from_store(&mut reducer, written_at, changes, false, 0);
+    assert!(matches!(
+        arrive(&mut reducer, written_at, 1, &[0xbad])[..],
+        [DirectEffect::Refuse(..)]
+    ));
+    let trial_at = now + Millis(11_000);
+    common::keep_in_contact(&mut reducer, written_at, trial_at);
+    let effects = arrive(&mut reducer, trial_at, 2, &[0xbad]);
+    assert!(matches!(effects[..], [DirectEffect::Send(..)]), "{effects:?}");
+}
