Log and count the time between an answer's head and its first event

An attempt on superseded weights is logged as begun at the head of its answer, and nothing was logged from there to the answer's end, so that an engine that keeps a request waiting behind its head could not be told from one that begins. The first event of such an attempt is logged with its distance from the head, and event_ms counts that of all streams.

--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -17,7 +17,7 @@
 };
 use mustardrill_runtime::adapters::AnswerKind;
 use mustardrill_runtime::http::{is_delimited, refuses_connections};
-use mustardrill_types::{Millis, WeightVersion};
+use mustardrill_types::{Millis, Moment, WeightVersion};
 
 use crate::direct::activity::UpstreamActivity;
 use crate::direct::answer::AnswerPart;
@@ -79,6 +79,8 @@
 /// An upstream's answer whose head was accepted.
 struct AcceptedAnswer {
     response: Response<Incoming>,
+    /// When the head arrived.
+    head_at: Moment,
     connection: UpstreamConnection,
     success: bool,
 }
@@ -221,11 +223,11 @@
         let kind = dialect.read_answer(head, response.status(), response.headers());
         match kind {
             AnswerKind::Answer { success, load, version } => {
-                let took = self.task.context.clock.now().since(sent_at).0;
-                let _ = self.task.context.metrics.time("first_ms", took);
+                let head_at = self.task.context.clock.now();
+                let _ = self.task.context.metrics.time("first_ms", head_at.since(sent_at).0);
                 self.report_statement(response.status(), response.headers()).await;
                 self.report_answer_start(load, version).await;
-                Ok(AcceptedAnswer { response, connection, success })
+                Ok(AcceptedAnswer { response, head_at, connection, success })
             }
             AnswerKind::Foreign => {
                 log::warn!(
@@ -394,11 +396,26 @@
         AttemptOutcome::Lost { delivered: self.task.sink.has_started(), crashed }
     }
 
+    /// Records how long after its head the first event of an answer arrived.
+    fn record_first_event(&self, head_at: Moment) {
+        let context = &self.task.context;
+        let after_head = context.clock.now().since(head_at);
+        let _ = context.metrics.time("event_ms", after_head.0);
+        if self.plan.start_by.is_some() {
+            log::info!(
+                "request={} instance={} outcome=first-event after_head={after_head}",
+                self.task.caller_request_id,
+                self.plan.upstream,
+            );
+        }
+    }
+
     /// Forwards the events of a stream as they arrive.
     async fn forward_stream(&self, answer: AcceptedAnswer) -> AttemptOutcome {
         let (head, mut body) = answer.response.into_parts();
         let mut splitter = EventSplitter::after(self.task.sink.last_event());
         let mut has_events = self.task.sink.has_started();
+        let mut has_own_events = false;
         while let Some(frame) = self.next_frame(&mut body).await {
             let data = match frame {
                 Ok(frame) => frame.into_data().unwrap_or_default(),
@@ -414,7 +431,10 @@
             };
             match splitter.push(&data) {
                 Ok(Some(events)) => {
-                    has_events = true;
+                    if !has_own_events {
+                        self.record_first_event(answer.head_at);
+                    }
+                    (has_events, has_own_events) = (true, true);
                     let head = (head.status, &head.headers);
                     self.task.sink.send_events(self.number, head, events, splitter.last_id()).await;
                 }
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -27,7 +27,7 @@
 }
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 27] = [
+pub const METRICS: [MetricRow; 28] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -57,7 +57,12 @@
     MetricRow::new(
         "first_ms",
         MetricKind::Histogram,
-        "Milliseconds from sending to an answer's first part.",
+        "Milliseconds from sending to an answer's head.",
+    ),
+    MetricRow::new(
+        "event_ms",
+        MetricKind::Histogram,
+        "Milliseconds from the head of a streamed answer to its first event.",
     ),
     MetricRow::new(
         "relay_bytes",
