--- a/mustardrill_core/tests/versions.rs
+++ b/mustardrill_core/tests/versions.rs
@@ -393,3 +393,48 @@
     reducer.reduce(bound_end, DirectEvent::EngineNoticeReceived { address, model, notice });
     assert_eq!(pinned(&mut reducer, 2), Some(("u2".into(), Some(WeightVersion(3)))));
 }
+
+/// A call that took longer than the pause before it may have been slow instead of waiting for the
+/// announcement.
+#[test]
+fn a_slow_answer_of_the_store_extends_the_time_of_superseded_weights() {
+    let bound = common::direct_settings().version_bound;
+    for (pause, took) in [(100, 110), (150, 400), (500, 510), (800, 810)] {
+        let mut reducer = entry_before_announcement();
+        let sent = START + Millis(pause);
+        let answered = sent + Millis(took);
+        let update = fleet_update(vec![version_announced(2)]);
+        reducer.reduce(answered, DirectEvent::StoreAnswered(update, sent));
+        let dropped_at = superseded_from(reducer);
+        assert!(
+            dropped_at <= START + bound,
+            "pause {pause} ms, call {took} ms: used until {} after it may have been announced",
+            dropped_at.since(START)
+        );
+    }
+}
+
+/// The engine may hold other weights than its agent has reported.
+#[test]
+fn a_request_sent_on_a_wrong_report_of_newer_weights_has_no_limit() {
+    let bound = common::direct_settings().version_bound;
+    let mut reducer = entry_after_announcement();
+    let now = START + Millis(bound.0 - 800);
+    reducer.reduce(now, DirectEvent::StoreAnswered(fleet_update(Vec::new()), now));
+    let (address, model) = (engine_with(1).address, "m".parse().unwrap());
+    let notice = EngineNotice::Serving(WeightVersion(2));
+    reducer.reduce(now, DirectEvent::EngineNoticeReceived { address, model, notice });
+    let request =
+        common::direct_request(1, "/x", WorkSize { prompt_tokens: 300, answer_tokens: 120 }, now);
+    let effects = reducer.reduce(now, DirectEvent::RequestArrived(request));
+    let limits = effects.iter().find_map(|effect| match effect {
+        DirectEffect::Send(_, plan) => Some((plan.pinned_version, plan.start_by)),
+        _ => None,
+    });
+    let (pinned_version, start_by) = limits.expect("the request is sent");
+    let is_limited = start_by.is_some_and(|start_by| start_by < START + bound);
+    assert!(
+        pinned_version == Some(WeightVersion(2)) || is_limited,
+        "pinned to {pinned_version:?}, to start by {start_by:?}"
+    );
+}
--- a/mustardrill_standins/tests/prepared/versions.rs
+++ b/mustardrill_standins/tests/prepared/versions.rs
@@ -307,6 +307,27 @@
     assert_eq!(waiting + refused, views.len(), "{views:?}");
 }
 
+/// A request starts with its first token, and an engine may send the head of the answer before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_starts_behind_the_head_of_its_answer_after_the_bound_of_its_weights() {
+    let engine = Worker::new("i-1", 1);
+    let fleet = EngineFleet::start(40, 2, vec![engine.clone()], 3).await;
+    let announced_at = fleet.announce(2);
+    fleet.call_for(Duration::from_millis(1_900), "before").await.join_all().await;
+    engine.send_head_first();
+    engine.set_start_delay(Duration::from_millis(1_000));
+    let views = fleet.call_for(Duration::from_millis(400), "waiting").await.join_all().await;
+    let rest = (fleet.bound + Duration::from_millis(1_500)).saturating_sub(announced_at.elapsed());
+    tokio::time::sleep(rest).await;
+    let is_waiting = |attempt: &String| attempt.starts_with("waiting");
+    let waited = engine.arrivals().into_iter().filter(|(attempt, _)| is_waiting(attempt)).count();
+    assert!(waited > 0, "no request waited in the engine");
+    fleet.assert_no_late_start(2, announced_at);
+    let starts = engine.request_starts().into_iter().filter(|it| is_waiting(&it.attempt)).count();
+    let complete = views.iter().filter(|view| is_complete(view)).count();
+    assert_eq!(starts, complete, "what has started is answered, and nothing else: {views:?}");
+}
+
 /// Sends a burst shortly before the bound and suspends the entry from `after` the burst until after
 /// the bound. Returns how many calls of the burst started, and which of them too late.
 async fn late_starts_after_suspension(
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -90,6 +90,8 @@
 #[derive(Debug, Clone)]
 enum BodyStep {
     Wait(Duration),
+    /// The request of this tenant starts.
+    Start(String),
     Send(Bytes),
     Cut,
 }
@@ -137,6 +139,8 @@
     request_starts: Vec<RequestStart>,
     /// Time that a request waits in an engine before it starts.
     start_delay: Duration,
+    /// Whether the head of an answer is sent before that time instead of after it.
+    sends_head_first: bool,
     fault: WorkerFault,
     /// Number of requests that still get the fault.
     faults_left: u32,
@@ -214,6 +218,7 @@
             arrivals: Vec::new(),
             request_starts: Vec::new(),
             start_delay: Duration::ZERO,
+            sends_head_first: false,
             fault: WorkerFault::None,
             faults_left: 0,
             answer_delay: Duration::from_millis(5),
@@ -333,6 +338,12 @@
         self.state.lock().unwrap().start_delay = delay;
     }
 
+    /// Makes the engine send the heads of later answers when it receives their requests, and start
+    /// these after the start delay.
+    pub fn send_head_first(&self) {
+        self.state.lock().unwrap().sends_head_first = true;
+    }
+
     pub fn set_crash(&self, crash: CrashTrigger) {
         self.state.lock().unwrap().crash = Some(crash);
     }
@@ -441,7 +452,7 @@
         assert_eq!(text("authorization"), None, "a worker must not receive the caller's key");
         let attempt = text("x-attempt-id").unwrap();
         let model = text("x-model").is_some();
-        let (fault, delay) = {
+        let (fault, delay, sends_head_first) = {
             let mut state = self.state.lock().unwrap();
             let fault = if state.rest.is_some() {
                 WorkerFault::NotExecuted
@@ -452,25 +463,19 @@
             };
             state.faults_left = state.faults_left.saturating_sub(1);
             state.arrivals.push((attempt.clone(), Instant::now()));
-            (fault, state.start_delay)
+            let sends_head_first = state.sends_head_first && model;
+            (fault, state.start_delay, sends_head_first)
         };
-        if model && fault != WorkerFault::NotExecuted && delay > Duration::ZERO {
+        let tenant = text("x-tenant").unwrap_or_default();
+        if model && !sends_head_first && fault != WorkerFault::NotExecuted && !delay.is_zero() {
             // The server drops this future when the connection closes.
             tokio::time::sleep(delay).await;
         }
         let (version, answer_delay, intake_limit, crash, silences) = {
             let mut state = self.state.lock().unwrap();
             let (now, version) = (Instant::now(), state.version);
-            if fault != WorkerFault::NotExecuted {
-                let run = format!("{attempt} {}", text("x-tenant").unwrap_or_default());
-                state.runs.push((run, now));
-                if model {
-                    state.request_starts.push(RequestStart {
-                        attempt: attempt.clone(),
-                        version,
-                        at: now,
-                    });
-                }
+            if fault != WorkerFault::NotExecuted && !sends_head_first {
+                state.record_start(&attempt, &tenant, model);
             }
             let crash = state.crash.clone().filter(|it| it.cause.is_in(head));
             if crash.is_some() {
@@ -507,7 +512,10 @@
             (WorkerFault::WrongRequestId, false) => Response::new(buffered_body("done another")),
             (_, false) => Response::new(self.plain_body(guard, &silences)),
             (fault, true) => {
-                let steps = event_steps(first, fault, answer_delay, &silences);
+                let mut steps = event_steps(first, fault, answer_delay, &silences);
+                if sends_head_first {
+                    steps.splice(0..0, [BodyStep::Wait(delay), BodyStep::Start(tenant)]);
+                }
                 Response::new(self.stepped_body(guard, steps))
             }
         };
@@ -601,11 +609,18 @@
     fn stepped_body(&self, guard: AnswerGuard, steps: Vec<BodyStep>) -> AnyBody {
         let frames = stream::unfold((guard, steps.into_iter()), async |(mut guard, mut steps)| {
             loop {
-                let step = steps.next();
-                if let Some(BodyStep::Wait(length)) = step {
-                    pause(length).await;
-                    continue;
-                }
+                let step = match steps.next() {
+                    Some(BodyStep::Wait(length)) => {
+                        pause(length).await;
+                        continue;
+                    }
+                    Some(BodyStep::Start(tenant)) => {
+                        let mut state = guard.worker.state.lock().unwrap();
+                        state.record_start(&guard.attempt, &tenant, true);
+                        continue;
+                    }
+                    step => step,
+                };
                 guard.worker.wait_out_silence().await;
                 let Some(step) = step else {
                     guard.has_ended = true;
@@ -627,7 +642,7 @@
 }
 
 impl AnswerGuard {
-    /// Notes a step other than waiting and returns its frame.
+    /// Notes a step that ends a frame and returns that frame.
     fn perform(&mut self, step: BodyStep) -> Result<Frame<Bytes>, TruncatedBodyError> {
         let mut state = self.worker.state.lock().unwrap();
         match step {
@@ -638,7 +653,7 @@
                 }
                 Ok(Frame::data(bytes))
             }
-            BodyStep::Cut | BodyStep::Wait(_) => {
+            BodyStep::Cut | BodyStep::Wait(_) | BodyStep::Start(_) => {
                 state.cut_attempts.push(self.attempt.clone());
                 self.has_ended = true;
                 Err(TruncatedBodyError)
@@ -662,6 +677,15 @@
 }
 
 impl WorkerState {
+    /// Records that a request starts now.
+    fn record_start(&mut self, attempt: &str, tenant: &str, model: bool) {
+        let (at, version) = (Instant::now(), self.version);
+        self.runs.push((format!("{attempt} {tenant}"), at));
+        if model {
+            self.request_starts.push(RequestStart { attempt: attempt.to_owned(), version, at });
+        }
+    }
+
     /// The silences of the answer that starts.
     fn next_silences(&mut self) -> Vec<AnswerSilence> {
         let (silences, left) = &mut self.silences;
