An attempt has begun at the first part of its answer, not at its head

What callers saw: requests begun on superseded weights after their bound, at an engine in which they had waited for 0.6 s and more, answered whole: their entries had not withdrawn them.

Cause: the head of an answer ended the watch over an attempt (its withdrawal at the bound, the time by which it must be written, the task's own check), although a request begins with its first token and an engine may send the head when it takes the request in. Class: a sign that says nothing of its subject is taken for its evidence.

Now the first body byte that belongs to an event is reported as the start, for buffered answers the first byte; an error answer starts at its head, as nothing waits behind it. Until then the attempt is withdrawn at its time and the rest of a long request is not written after it. The version that the first event names goes before that of the head, as the engine may have loaded others in between. start_ms replaces event_ms, which only streams had.

--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -163,7 +163,7 @@
     RequestArrived(DirectRequest),
     /// The caller disconnected, or its answer has been delivered completely.
     CallerGone(RequestNumber),
-    /// The answer to the current attempt started; with the upstream's load and the weights that
+    /// The first part of the answer to the current attempt arrived; with the upstream's load and the weights that
     /// produce it, where reported.
     AnswerStarted(RequestNumber, Option<LoadReport>, Option<WeightVersion>),
     /// The answer to the current attempt states something about its upstream. Told before
--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -22,7 +22,7 @@
 use crate::direct::activity::UpstreamActivity;
 use crate::direct::answer::AnswerPart;
 use crate::direct::connections::{SendFailure, UpstreamConnection};
-use crate::direct::event_splitter::EventSplitter;
+use crate::direct::event_splitter::{EventSplitter, has_event_line};
 use crate::direct::gated_stream::SendGate;
 use crate::direct::request_task::RequestTask;
 
@@ -49,7 +49,7 @@
 pub(crate) struct AttemptStage {
     /// Whether the upstream may have received the request.
     is_sent: AtomicBool,
-    /// Whether the head of the answer has arrived, or the wait for it has failed.
+    /// Whether the answer has started, or can't start any more.
     is_wait_over: AtomicBool,
     /// Whether the upstream was reported as silent and has sent nothing since.
     is_silent: AtomicBool,
@@ -78,11 +78,14 @@
 
 /// An upstream's answer whose head was accepted.
 struct AcceptedAnswer {
-    response: Response<Incoming>,
+    head: hyper::http::response::Parts,
     /// When the head arrived.
     head_at: Moment,
     connection: UpstreamConnection,
     success: bool,
+    load: Option<LoadReport>,
+    version: Option<WeightVersion>,
+    has_started: bool,
 }
 
 /// One attempt of a request.
@@ -176,26 +179,27 @@
         // Nothing else sets the gate of this attempt.
         let _ = stage.gate.set(connection.gate());
         stage.is_sent.store(true, Ordering::Relaxed);
-        let answer = match self.send_request(connection).await {
+        let (mut answer, body) = match self.send_request(connection).await {
             Ok(answer) => answer,
             Err(outcome) => return outcome,
         };
-        if plan.repeat_rule.is_stream() && answer.response.status() == StatusCode::OK {
-            return self.forward_stream(answer).await;
+        if plan.repeat_rule.is_stream() && answer.head.status == StatusCode::OK {
+            return self.forward_stream(answer, body).await;
         }
         if self.task.sink.has_started() {
             // The caller already has events of an earlier attempt's stream, so another upstream's
             // failure can't be forwarded any more.
+            self.report_answer_start(&mut answer, &[]).await;
             return self.lost();
         }
-        self.forward_buffered(answer, failure).await
+        self.forward_buffered(answer, body, failure).await
     }
 
     /// Sends the request and checks the head of the answer.
     async fn send_request(
         &self,
         mut connection: UpstreamConnection,
-    ) -> Result<AcceptedAnswer, AttemptOutcome> {
+    ) -> Result<(AcceptedAnswer, Incoming), AttemptOutcome> {
         let Self { plan, stage, .. } = self;
         let RequestTask { context, head, body, .. } = self.task;
         let remaining = plan.deadline.since(context.clock.now());
@@ -206,7 +210,9 @@
         let reused = connection.is_reused();
         let sent_at = context.clock.now();
         let response = self.wait_for(connection.send(request, plan.start_by), Result::is_ok).await;
-        stage.is_wait_over.store(true, Ordering::Relaxed);
+        if response.is_err() {
+            stage.is_wait_over.store(true, Ordering::Relaxed);
+        }
         let response = match response {
             Ok(response) => response,
             Err(SendFailure::NotSent) => return Err(AttemptOutcome::NotSent),
@@ -217,7 +223,7 @@
                     self.task.caller_request_id,
                     plan.upstream
                 );
-                return Err(self.classify_broken().await);
+                return Err(self.classify_lost().await);
             }
         };
         let kind = dialect.read_answer(head, response.status(), response.headers());
@@ -226,8 +232,18 @@
                 let head_at = self.task.context.clock.now();
                 let _ = self.task.context.metrics.time("first_ms", head_at.since(sent_at).0);
                 self.report_statement(response.status(), response.headers()).await;
-                self.report_answer_start(load, version).await;
-                Ok(AcceptedAnswer { response, head_at, connection, success })
+                let (head, body) = response.into_parts();
+                let has_started = false;
+                let answer = AcceptedAnswer {
+                    head,
+                    head_at,
+                    connection,
+                    success,
+                    load,
+                    version,
+                    has_started,
+                };
+                Ok((answer, body))
             }
             AnswerKind::Foreign => {
                 log::warn!(
@@ -250,8 +266,24 @@
         }
     }
 
-    async fn report_answer_start(&self, load: Option<LoadReport>, version: Option<WeightVersion>) {
-        self.task.report(DirectEvent::AnswerStarted(self.number, load, version)).await;
+    /// Reports the first part of an answer. Its head shows only that the upstream has received the
+    /// request, which may still wait there.
+    async fn report_answer_start(&self, answer: &mut AcceptedAnswer, part: &[u8]) {
+        answer.has_started = true;
+        self.stage.is_wait_over.store(true, Ordering::Relaxed);
+        answer.connection.gate().record_answer_start();
+        let context = &self.task.context;
+        let after_head = context.clock.now().since(answer.head_at);
+        let _ = context.metrics.time("start_ms", after_head.0);
+        if self.plan.start_by.is_some() {
+            log::info!(
+                "request={} instance={} outcome=started after_head={after_head}",
+                self.task.caller_request_id,
+                self.plan.upstream,
+            );
+        }
+        let version = context.adapters.dialect.read_part_version(part).or(answer.version);
+        self.task.report(DirectEvent::AnswerStarted(self.number, answer.load, version)).await;
     }
 
     /// Reports what the answer states about its upstream, if anything.
@@ -329,11 +361,11 @@
     /// Buffers an answer completely and forwards it only then.
     async fn forward_buffered(
         &self,
-        answer: AcceptedAnswer,
+        mut answer: AcceptedAnswer,
+        body: Incoming,
         failure: &mut Option<FailedAnswer>,
     ) -> AttemptOutcome {
-        let (head, body) = answer.response.into_parts();
-        let bytes = match self.read_body(body).await {
+        let bytes = match self.read_body(&mut answer, body).await {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::info!(
@@ -341,32 +373,47 @@
                     self.task.caller_request_id,
                     self.plan.upstream
                 );
-                return self.classify_broken().await;
+                return self.classify_broken(&answer).await;
             }
         };
+        let AcceptedAnswer { head, connection, success, .. } = answer;
         let headers = head.headers.clone();
         let is_delimited = is_delimited(&headers);
         if !is_delimited && refuses_connections(self.plan.address).await {
             self.log_end_by_crash(None);
             return AttemptOutcome::Lost { delivered: false, crashed: true };
         }
-        if !answer.success {
+        if !success {
             *failure = Some((head.status, head.headers, bytes));
-            self.return_connection(answer.connection, &headers).await;
+            self.return_connection(connection, &headers).await;
             return AttemptOutcome::Failed;
         }
         let part = AnswerPart::Complete(head.status, head.headers, bytes);
         self.task.sink.send_end(self.number, part).await;
-        self.return_connection(answer.connection, &headers).await;
+        self.return_connection(connection, &headers).await;
         whole_attempt(is_delimited)
     }
 
-    /// Reads an answer's body to its end.
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    /// Reads an answer's body to its end, and reports its start.
+    async fn read_body(
+        &self,
+        answer: &mut AcceptedAnswer,
+        body: Incoming,
+    ) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+        // An error answer has no part for which its request waits in the upstream.
+        if !answer.success {
+            self.report_answer_start(answer, &[]).await;
+        }
         let mut body = Limited::new(body, BUFFERED_ANSWER_LIMIT);
         let mut bytes = BytesMut::new();
         while let Some(frame) = self.next_frame(&mut body).await {
             bytes.extend_from_slice(&frame?.into_data().unwrap_or_default());
+            if !answer.has_started && !bytes.is_empty() {
+                self.report_answer_start(answer, &[]).await;
+            }
+        }
+        if !answer.has_started {
+            self.report_answer_start(answer, &[]).await;
         }
         Ok(bytes.freeze())
     }
@@ -391,31 +438,26 @@
 
     /// Classifies an attempt whose connection broke: an upstream that accepts no new connection has
     /// crashed, perhaps because of this very request.
-    async fn classify_broken(&self) -> AttemptOutcome {
-        let crashed = refuses_connections(self.plan.address).await;
-        AttemptOutcome::Lost { delivered: self.task.sink.has_started(), crashed }
+    async fn classify_broken(&self, answer: &AcceptedAnswer) -> AttemptOutcome {
+        if answer.connection.gate().has_refused() {
+            return AttemptOutcome::Withdrawn { sent: true };
+        }
+        self.classify_lost().await
     }
 
-    /// Records how long after its head the first event of an answer arrived.
-    fn record_first_event(&self, head_at: Moment) {
-        let context = &self.task.context;
-        let after_head = context.clock.now().since(head_at);
-        let _ = context.metrics.time("event_ms", after_head.0);
-        if self.plan.start_by.is_some() {
-            log::info!(
-                "request={} instance={} outcome=first-event after_head={after_head}",
-                self.task.caller_request_id,
-                self.plan.upstream,
-            );
-        }
+    async fn classify_lost(&self) -> AttemptOutcome {
+        let crashed = refuses_connections(self.plan.address).await;
+        AttemptOutcome::Lost { delivered: self.task.sink.has_started(), crashed }
     }
 
     /// Forwards the events of a stream as they arrive.
-    async fn forward_stream(&self, answer: AcceptedAnswer) -> AttemptOutcome {
-        let (head, mut body) = answer.response.into_parts();
+    async fn forward_stream(
+        &self,
+        mut answer: AcceptedAnswer,
+        mut body: Incoming,
+    ) -> AttemptOutcome {
         let mut splitter = EventSplitter::after(self.task.sink.last_event());
         let mut has_events = self.task.sink.has_started();
-        let mut has_own_events = false;
         while let Some(frame) = self.next_frame(&mut body).await {
             let data = match frame {
                 Ok(frame) => frame.into_data().unwrap_or_default(),
@@ -426,16 +468,16 @@
                         self.plan.upstream,
                         splitter.last_id()
                     );
-                    return self.classify_broken().await;
+                    return self.classify_broken(&answer).await;
                 }
             };
+            if !answer.has_started && has_event_line(&data) {
+                self.report_answer_start(&mut answer, &data).await;
+            }
             match splitter.push(&data) {
                 Ok(Some(events)) => {
-                    if !has_own_events {
-                        self.record_first_event(answer.head_at);
-                    }
-                    (has_events, has_own_events) = (true, true);
-                    let head = (head.status, &head.headers);
+                    has_events = true;
+                    let head = (answer.head.status, &answer.head.headers);
                     self.task.sink.send_events(self.number, head, events, splitter.last_id()).await;
                 }
                 Ok(None) => {}
@@ -451,15 +493,16 @@
             }
         }
         if !splitter.is_complete() || !has_events {
-            return self.classify_broken().await;
+            return self.classify_broken(&answer).await;
         }
-        let is_delimited = is_delimited(&head.headers);
+        let headers = &answer.head.headers;
+        let is_delimited = is_delimited(headers);
         if !is_delimited && refuses_connections(self.plan.address).await {
             self.log_end_by_crash(splitter.last_id());
             return AttemptOutcome::Lost { delivered: true, crashed: true };
         }
         self.task.sink.send_end(self.number, AnswerPart::End).await;
-        self.return_connection(answer.connection, &head.headers).await;
+        self.return_connection(answer.connection, headers).await;
         whole_attempt(is_delimited)
     }
 }
--- a/mustardrill_entry/src/direct/connections.rs
+++ b/mustardrill_entry/src/direct/connections.rs
@@ -146,7 +146,8 @@
 }
 
 impl UpstreamConnection {
-    /// Sends a request and waits for the head of its answer. Nothing is written after `write_by`.
+    /// Sends a request and waits for the head of its answer. Nothing is written after `write_by`,
+    /// unless the answer was recorded as started at the gate.
     pub(crate) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -160,7 +161,6 @@
         if self.gate.has_refused() {
             return Err(SendFailure::TooLate);
         }
-        self.gate.record_answer_start();
         sent.map_err(|mut failure| match failure.take_message() {
             Some(_) => SendFailure::NotSent,
             None => SendFailure::Broken(failure.into_error()),
--- a/mustardrill_entry/src/direct/event_splitter.rs
+++ b/mustardrill_entry/src/direct/event_splitter.rs
@@ -45,6 +45,12 @@
     }
 }
 
+/// Whether some line belongs to an event. Comments only keep a connection open.
+pub(crate) fn has_event_line(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// The end of the last blank line, which ends an event. Lines end with LF or CR LF.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
     let ends_blank_line = |end: &usize| {
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -60,9 +60,9 @@
         "Milliseconds from sending to an answer's head.",
     ),
     MetricRow::new(
-        "event_ms",
+        "start_ms",
         MetricKind::Histogram,
-        "Milliseconds from the head of a streamed answer to its first event.",
+        "Milliseconds from an answer's head to its first part.",
     ),
     MetricRow::new(
         "relay_bytes",
--- a/mustardrill_runtime/src/adapters.rs
+++ b/mustardrill_runtime/src/adapters.rs
@@ -168,6 +168,9 @@
         headers: &HeaderMap,
     ) -> AnswerKind;
 
+    /// Reads the version of the weights that a part of a streamed answer names, if it does.
+    fn read_part_version(&self, part: &[u8]) -> Option<WeightVersion>;
+
     /// Reads what an answer states about the upstream that sent it.
     fn read_statement(&self, status: StatusCode, headers: &HeaderMap) -> UpstreamStatement;
 
