A version counts from the last proof that it was not announced, however the store answered

What callers saw: requests begun on superseded weights after their bound.

Cause: the answer of a call that took longer than the pause before it was taken for one that had waited for the announcement, and the version counted from that moment. A call that was only slow (a narrow link, a large configuration in the same answer, a starved entry) passes the same test, and the announcement may have been made at any time since the call before it was sent. Where all entries hear late, no peer corrects it. Class: absence of evidence (no answer yet) taken for evidence (nothing was announced yet).

Now the only bound that is relied on is the last confirmation of the store before the answer, which goes by the sending of calls; no observed time is kept or told to peers any more, so that no delay of an answer, of its decoding or of the actor's mailbox can make a version count late. Peers' confirmations narrow it. As entries hear of each change together, their watches used to end together; the first watch after a change has a random length now, so that their confirmations are spread.

--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -86,14 +86,13 @@
     /// The registered peer entries.
     pub(super) peers: Vec<PeerRecord>,
     pub(super) entry_counter: EntryCounter,
-    /// The store revision that was read last; `store_read_at` is when.
+    /// The store revision that was read last.
     pub(super) store_revision: StoreRevision,
     pub(super) store_era: StoreEra,
     /// What peers report about the newest configuration.
     pub(super) peer_generation: GenerationReport,
     /// Peers that are missing in a store restored from an older copy.
     pub(super) unconfirmed_peers: FastSet<InstanceId>,
-    pub(super) store_read_at: Moment,
     /// Whether the last call to the store failed.
     pub(super) is_store_unreachable: bool,
     /// For how long the store has been answering the entries.
@@ -149,7 +148,6 @@
             store_era: StoreEra::default(),
             peer_generation: GenerationReport::default(),
             unconfirmed_peers: FastSet::default(),
-            store_read_at: Moment(0),
             is_store_unreachable: false,
             store_availability: StoreAvailability::default(),
             held_requests: HeldRequests::default(),
--- a/mustardrill_core/src/direct/store/fleet_updates.rs
+++ b/mustardrill_core/src/direct/store/fleet_updates.rs
@@ -27,8 +27,7 @@
         let is_first_read = self.store_freshness.last_confirmed().is_none();
         self.store_revision = update.revision;
         self.store_era = update.era;
-        let time = self.announcement_time(now, sent, was_unavailable);
-        self.store_read_at = now;
+        let time = self.announcement_time(now);
         self.membership.record_answer(now, self.settings.retry_share.window);
         if update.is_snapshot {
             self.expire_missing(now, &update, is_restored);
--- a/mustardrill_core/src/direct/store/reader.rs
+++ b/mustardrill_core/src/direct/store/reader.rs
@@ -32,9 +32,16 @@
     }
 
     /// Returns the timing of the next watch. `usual` is the wait while the store is available, and
-    /// `grace` the time for which lost registrations are kept after the store is back.
-    pub fn next_watch(&mut self, now: Moment, usual: Millis, grace: Millis) -> WatchTiming {
-        self.watch_scheduler.next_watch(now, usual, grace)
+    /// `grace` the time for which lost registrations are kept after the store is back. `share` is
+    /// uniformly random, from 0 to 1, for each call.
+    pub fn next_watch(
+        &mut self,
+        now: Moment,
+        usual: Millis,
+        grace: Millis,
+        share: f64,
+    ) -> WatchTiming {
+        self.watch_scheduler.next_watch(now, usual, grace, share)
     }
 
     /// Records the answer, received at `now`, to a call that was sent at `sent` with the timing
@@ -48,7 +55,7 @@
     ) -> Option<ReadOutcome> {
         let unchanged = self.revision() == Some(update.revision) && update.changes.is_empty();
         let CursorVerdict::Taken { returned } = self.cursor.take(update) else { return None };
-        let is_recovered = self.watch_scheduler.record_answer(now) | returned;
+        let is_recovered = self.watch_scheduler.record_answer(now, !unchanged) | returned;
         if returned {
             self.watch_scheduler
                 .record_restore(earliest_restore_time(now, self.freshness.last_confirmed()));
--- a/mustardrill_core/src/direct/store/watch_timing.rs
+++ b/mustardrill_core/src/direct/store/watch_timing.rs
@@ -4,6 +4,10 @@
 //! detects that only at its end, and until then requests are sent to an upstream that is shutting
 //! down and that the watch would have reported. After the store is back, a watch of the usual
 //! length would be as slow to detect the next outage.
+//!
+//! A change reaches all entries at once, so that their next watches would be sent and end together.
+//! The first watch after a change has a random length instead: with watches that end one after the
+//! other, the entries know together to within a fraction of a watch when the next change was made.
 
 use mustardrill_types::{Millis, Moment};
 
@@ -35,6 +39,8 @@
 #[derive(Debug, Default)]
 pub struct WatchScheduler {
     has_failed: bool,
+    /// Whether the last answer contained a change.
+    has_changed: bool,
     back_since: Option<Moment>,
 }
 
@@ -56,8 +62,10 @@
         self.has_failed = true;
     }
 
-    /// Records an answer received at `now`; returns whether it is the first one after a failure.
-    pub fn record_answer(&mut self, now: Moment) -> bool {
+    /// Records an answer received at `now`, and whether it contained a change; returns whether it is
+    /// the first one after a failure.
+    pub fn record_answer(&mut self, now: Moment, has_changed: bool) -> bool {
+        self.has_changed = has_changed;
         let is_back = std::mem::take(&mut self.has_failed);
         if is_back {
             self.back_since = Some(now);
@@ -72,13 +80,22 @@
 
     /// Returns the timing of the next watch. `usual` is the wait while the store is available, and
     /// `grace` the time for which lost registrations are kept after the store is back. A watch ends
-    /// exactly when that time is over, so that the store is read once more at that moment.
-    pub fn next_watch(&mut self, now: Moment, usual: Millis, grace: Millis) -> WatchTiming {
+    /// exactly when that time is over, so that the store is read once more at that moment. The first
+    /// watch after a change waits for `share` of the usual time, from 0 to 1.
+    pub fn next_watch(
+        &mut self,
+        now: Moment,
+        usual: Millis,
+        grace: Millis,
+        share: f64,
+    ) -> WatchTiming {
         if self.has_failed {
             return WatchTiming { wait: Millis(0), answer_timeout: RECOVERY_ANSWER_TIMEOUT };
         }
         let Some(back) = self.back_since else {
-            return WatchTiming { wait: usual, answer_timeout: STEADY_ANSWER_TIMEOUT };
+            let share = if self.has_changed { share } else { 1.0 };
+            let wait = Millis((usual.0 as f64 * share) as u64);
+            return WatchTiming { wait, answer_timeout: STEADY_ANSWER_TIMEOUT };
         };
         let remaining = (back + grace).since(now);
         if remaining == Millis(0) {
--- a/mustardrill_core/src/direct/versions/announcements.rs
+++ b/mustardrill_core/src/direct/versions/announcements.rs
@@ -37,14 +37,11 @@
 
 impl AnnouncementInquiry {
     /// Starts polling for a version that was learned of at `now`; the version it supersedes may be
-    /// used for `bound`. `is_observed` is whether the store reported the announcement as it was
-    /// made.
-    fn start(&mut self, now: Moment, bound: Millis, is_observed: bool) {
+    /// used for `bound`.
+    fn start(&mut self, now: Moment, bound: Millis) {
         self.poll_until = now + POLL_SPAN;
         self.unanswered_until = now + bound;
-        if !is_observed {
-            self.settle_at = Some(now + PEER_REPORT_TIMEOUT);
-        }
+        self.settle_at = Some(now + PEER_REPORT_TIMEOUT);
     }
 
     pub(crate) fn record_answer(&mut self) {
@@ -84,26 +81,14 @@
 }
 
 impl DirectReducer {
-    /// Derives when a version was announced from the answer that shows it first, to a call sent at
-    /// `sent`.
+    /// When a version was announced that an answer of the store shows first, as far as this process
+    /// knows.
     ///
-    /// If the call took no longer than the pause since the previous one, the announcement may have
-    /// been made in that pause. A call that waited longer was answered when the announcement was
-    /// made.
-    pub(in crate::direct) fn announcement_time(
-        &self,
-        now: Moment,
-        sent: Moment,
-        was_unavailable: bool,
-    ) -> AnnouncementTime {
-        let earliest = self.store_freshness.last_confirmed().unwrap_or_default();
-        if was_unavailable || self.store_freshness.last_confirmed().is_none() {
-            return AnnouncementTime::bounded(earliest, now);
-        }
-        if now.since(sent) <= sent.since(self.store_read_at) {
-            return AnnouncementTime::bounded(self.store_read_at, now);
-        }
-        AnnouncementTime::observed(earliest, now)
+    /// The answer may have been made at any time since its call was sent, and the one before it at
+    /// any time since that was confirmed, so only the last confirmation is certain to be earlier
+    /// than the announcement.
+    pub(in crate::direct) fn announcement_time(&self, now: Moment) -> AnnouncementTime {
+        AnnouncementTime::bounded(self.store_freshness.last_confirmed().unwrap_or_default(), now)
     }
 
     /// Records a version that the store shows, and starts polling the peers for its announcement
@@ -118,13 +103,11 @@
         if !self.versions.announce(model, version, time) {
             return;
         }
-        let is_observed = time.observed.is_some();
         info!(
-            "weights model={model} version={version} outcome=named since={} evidence={}",
+            "weights model={model} version={version} outcome=named since={} source=store",
             now.since(time.effective_at()),
-            if is_observed { "heard" } else { "bounded" }
         );
-        self.announcement_inquiry.start(now, self.settings.version_bound, is_observed);
+        self.announcement_inquiry.start(now, self.settings.version_bound);
         self.refresh_attempt_limits();
     }
 
--- a/mustardrill_core/src/direct/versions/table.rs
+++ b/mustardrill_core/src/direct/versions/table.rs
@@ -13,8 +13,6 @@
     pub earliest: Moment,
     /// Some process knew of the version at this time.
     pub known_at: Moment,
-    /// When a process observed the announcement as it was made, to all appearances.
-    pub observed: Option<Moment>,
 }
 
 /// What another entry knows of a version's announcement.
@@ -26,9 +24,6 @@
     pub version: WeightVersion,
     /// The announcement time according to the reporting entry's own observations.
     pub time: AnnouncementTime,
-    /// The most by which the observation may have been later than `time` says, given the message's
-    /// unknown delay.
-    pub slack: Millis,
 }
 
 /// A version and its announcement time.
@@ -49,42 +44,24 @@
 }
 
 impl AnnouncementTime {
-    /// An announcement that the store reports at `now` as it is made, and that was not made before
-    /// `earliest`.
-    pub fn observed(earliest: Moment, now: Moment) -> Self {
-        Self { earliest, known_at: now, observed: Some(now) }
-    }
-
     /// An announcement that is learned of at `now`, and that was made between `earliest` and then.
     pub fn bounded(earliest: Moment, now: Moment) -> Self {
-        Self { earliest, known_at: now, observed: None }
+        Self { earliest, known_at: now }
     }
 
-    /// The moment from which the version is taken to be announced: the observed time, else the
-    /// earliest possible one.
+    /// The moment from which the version is taken to be announced: the earliest possible one.
     pub fn effective_at(&self) -> Moment {
-        self.observed_time().unwrap_or(self.earliest.min(self.known_at))
-    }
-
-    /// The observed announcement time. A process that was suspended takes an old answer for a
-    /// current one; a peer that knew of the version before then disproves the observation.
-    fn observed_time(&self) -> Option<Moment> {
-        self.observed.filter(|observed| *observed <= self.known_at)
+        self.earliest.min(self.known_at)
     }
 
-    /// Merges the bounds of another process, whose observation may be later by up to `slack`.
-    fn refine(&mut self, other: Self, slack: Millis) {
+    /// Merges the bounds of another process.
+    fn refine(&mut self, other: Self) {
         self.known_at = self.known_at.min(other.known_at);
         // A process that was suspended takes an old answer of the store for one of that moment, so
         // a lower bound past the time at which the version was known is dropped.
         let bounds = [self.earliest, other.earliest].into_iter();
         let consistent = bounds.filter(|earliest| *earliest <= self.known_at).max();
         self.earliest = consistent.unwrap_or(self.known_at);
-        // Reports of one announcement differ by their network delay. Taking the earliest of them
-        // all would accumulate the delays.
-        let is_same_observation =
-            |observed: &Moment| other.observed.is_none_or(|reported| *observed <= reported + slack);
-        self.observed = self.observed.filter(is_same_observation).or(other.observed);
     }
 }
 
@@ -102,7 +79,7 @@
         {
             // Peers reported it before this process saw it.
             announced.own_time = Some(time);
-            announced.time.refine(time, Millis(0));
+            announced.time.refine(time);
         }
         if versions.last().is_some_and(|newest| newest.version >= version) {
             return false;
@@ -119,7 +96,7 @@
         match versions.get_mut(index) {
             Some(announced) if announced.version == report.version => {
                 let before = announced.time.effective_at();
-                announced.time.refine(report.time, report.slack);
+                announced.time.refine(report.time);
                 announced.time.effective_at() != before
             }
             _ => {
@@ -135,8 +112,7 @@
     /// store had answered nobody for `min_outage` or longer: the platform counts in the same way.
     pub fn count_from_return(&mut self, returned: Moment, min_outage: Millis) {
         for AnnouncedVersion { time, .. } in self.announced.values_mut().flatten() {
-            let is_learned_after_return =
-                time.observed_time().is_none() && time.known_at >= returned;
+            let is_learned_after_return = time.known_at >= returned;
             // Versions present when this process started may have been announced at any time
             // before.
             let is_from_process_start = time.earliest == Moment(0);
@@ -155,7 +131,7 @@
         let all = self.announced.iter().flat_map(|(model, versions)| {
             versions.iter().filter_map(|announced| {
                 let (version, time) = (announced.version, announced.own_time?);
-                Some(AnnouncementReport { model: model.clone(), version, time, slack: Millis(0) })
+                Some(AnnouncementReport { model: model.clone(), version, time })
             })
         });
         all.filter(|report| report.time.effective_at() >= from).collect()
--- a/mustardrill_core/src/provisioning/engine.rs
+++ b/mustardrill_core/src/provisioning/engine.rs
@@ -55,7 +55,7 @@
         for served in &view.serving {
             let newest = self.versions.newest(&served.model);
             if newest.is_none_or(|newest| newest < served.version) {
-                let time = AnnouncementTime::observed(Moment(0), Moment(0));
+                let time = AnnouncementTime::bounded(Moment(0), Moment(0));
                 self.versions.announce(&served.model, served.version, time);
             }
         }
--- a/mustardrill_core/src/provisioning/reducer.rs
+++ b/mustardrill_core/src/provisioning/reducer.rs
@@ -258,7 +258,7 @@
         model: &ModelName,
         version: WeightVersion,
     ) -> Vec<ProvisioningEffect> {
-        if !self.versions.announce(model, version, AnnouncementTime::observed(since, since)) {
+        if !self.versions.announce(model, version, AnnouncementTime::bounded(since, since)) {
             return Vec::new();
         }
         info!("weights model={model} version={version} outcome=named");
--- a/mustardrill_core/tests/departures.rs
+++ b/mustardrill_core/tests/departures.rs
@@ -283,7 +283,7 @@
         self.reducer.reduce(now, DirectEvent::TimerFired);
         match self.call {
             CallState::Idle { until } if now >= until => {
-                let span = self.reader.next_watch(now, WATCH, REREGISTRATION_GRACE);
+                let span = self.reader.next_watch(now, WATCH, REREGISTRATION_GRACE, 1.0);
                 let fails = is_cut_off.then_some(now + CONNECT_TIMEOUT);
                 self.call = CallState::Waiting { sent: now, span, fails };
             }
@@ -326,7 +326,7 @@
 /// A reader that has read a snapshot at `START`.
 fn first_reader() -> StoreReader {
     let mut reader = StoreReader::default();
-    let span = reader.next_watch(START, WATCH, REREGISTRATION_GRACE);
+    let span = reader.next_watch(START, WATCH, REREGISTRATION_GRACE, 1.0);
     let first = FleetUpdate { is_snapshot: true, ..FleetUpdate::default() };
     assert!(reader.record_answer(START, START, span, &first).is_some());
     reader
--- a/mustardrill_core/tests/unobserved_announcements.rs
+++ b/mustardrill_core/tests/unobserved_announcements.rs
@@ -52,7 +52,7 @@
 }
 
 fn announcement_report(version: u64, time: AnnouncementTime) -> AnnouncementReport {
-    AnnouncementReport { model: model(), version: WeightVersion(version), time, slack: Millis(10) }
+    AnnouncementReport { model: model(), version: WeightVersion(version), time }
 }
 
 fn entry_at(now: Moment) -> DirectReducer {
@@ -117,11 +117,7 @@
     // What `AnnouncementRow::report` makes of an age of 6.5 s that is received at 320 ms.
     let now = Moment::CLOCK_START + Millis(320);
     let moment_of_age = |age: u64| now - Millis(10) - Millis(age);
-    let time = AnnouncementTime {
-        earliest: moment_of_age(6_600),
-        known_at: now - Millis(6_500),
-        observed: Some(moment_of_age(6_500)),
-    };
+    let time = AnnouncementTime::bounded(moment_of_age(6_600), now - Millis(6_500));
     reducer.reduce(now, DirectEvent::AnnouncementsReceived(vec![announcement_report(2, time)]));
     let late = Moment::CLOCK_START + Millis(1_320);
     reducer.reduce(late, DirectEvent::StoreAnswered(fleet_update(Vec::new()), late));
@@ -271,12 +267,12 @@
 #[test]
 fn an_own_observation_is_not_reported_where_a_peer_reported_the_version_first() {
     let mut table = VersionTable::default();
-    let time = AnnouncementTime::observed(START, START + Millis(500));
+    let time = AnnouncementTime::bounded(START, START + Millis(500));
     table.refine(&announcement_report(2, time));
     table.announce(
         &model(),
         WeightVersion(2),
-        AnnouncementTime::observed(START, START + Millis(510)),
+        AnnouncementTime::bounded(START, START + Millis(510)),
     );
     assert_eq!(table.reports(START).len(), 1);
 }
--- a/mustardrill_core/tests/versions.rs
+++ b/mustardrill_core/tests/versions.rs
@@ -254,7 +254,7 @@
     reducer.reduce(now, DirectEvent::StoreAnswered(fleet_update(Vec::new()), now));
     assert!(is_sent(&mut reducer, 1, now));
     let reports =
-        vec![announcement_report(2, AnnouncementTime::observed(START, START + Millis(500)))];
+        vec![announcement_report(2, AnnouncementTime::bounded(START, START + Millis(500)))];
     assert!(is_withdrawn(&reducer.reduce(now, DirectEvent::AnnouncementsReceived(reports))));
 }
 
@@ -276,7 +276,7 @@
 
 fn announcement_report(version: u64, time: AnnouncementTime) -> AnnouncementReport {
     let (model, version) = ("m".parse().unwrap(), WeightVersion(version));
-    AnnouncementReport { model, version, time, slack: Millis(10) }
+    AnnouncementReport { model, version, time }
 }
 
 /// The first moment at which nothing is sent to the first version any more.
@@ -295,8 +295,8 @@
 fn a_version_announced_and_superseded_during_an_outage_is_missed() {
     let (mut reducer, back) = entry_back_from_outage();
     let second = START + Millis(2_000);
-    let time = AnnouncementTime::observed(START + Millis(1_500), second);
-    let third = AnnouncementTime::observed(second, START + Millis(5_000));
+    let time = AnnouncementTime::bounded(START + Millis(1_500), second);
+    let third = AnnouncementTime::bounded(second, START + Millis(5_000));
     let reports = vec![announcement_report(2, time), announcement_report(3, third)];
     reducer.reduce(back + Millis(20), DirectEvent::AnnouncementsReceived(reports));
     let dropped_at = superseded_from(reducer);
@@ -328,7 +328,7 @@
         DirectEvent::StoreAnswered(fleet_update(vec![version_announced(2)]), START),
     );
     let announced_at = START + Millis(300);
-    let reports = vec![announcement_report(2, AnnouncementTime::observed(START, announced_at))];
+    let reports = vec![announcement_report(2, AnnouncementTime::bounded(START, announced_at))];
     reducer.reduce(resumed + Millis(20), DirectEvent::AnnouncementsReceived(reports));
     let dropped_at = superseded_from(reducer);
     assert!(dropped_at <= announced_at + common::direct_settings().version_bound, "{dropped_at}");
@@ -348,20 +348,15 @@
 fn repeated_reports_of_one_announcement_accumulate_their_delays() {
     let mut table = VersionTable::default();
     let model = "m".parse().unwrap();
-    table.announce(
-        &model,
-        WeightVersion(2),
-        AnnouncementTime::observed(START, START + Millis(500)),
-    );
+    table.announce(&model, WeightVersion(2), AnnouncementTime::bounded(START, START + Millis(500)));
     for _ in 0..100 {
         let mut reports = table.reports(START);
         for report in &mut reports {
-            report.slack = Millis(10);
-            report.time.observed = report.time.observed.map(|observed| observed - report.slack);
+            report.time.earliest = report.time.earliest - Millis(10);
         }
         reports.iter().for_each(|report| assert!(!table.refine(report)));
     }
-    assert_eq!(table.announced_at(&model, WeightVersion(2)), Some(START + Millis(500)));
+    assert_eq!(table.announced_at(&model, WeightVersion(2)), Some(START));
 }
 
 /// The engine may have restarted with the first version, and between two announcements no minimum
--- a/mustardrill_entry/src/direct/watch.rs
+++ b/mustardrill_entry/src/direct/watch.rs
@@ -54,8 +54,8 @@
     let mut coalescer = ChangeCoalescer::default();
     loop {
         let sent_at = context.clock.now();
-        let timing =
-            reader.next_watch(sent_at, context.config.watch, context.config.direct.expiry_grace);
+        let (usual, grace) = (context.config.watch, context.config.direct.expiry_grace);
+        let timing = reader.next_watch(sent_at, usual, grace, rand::random());
         match read_store(&context, reader.revision(), timing).await {
             Ok(update) => {
                 backoff.answered();
--- a/mustardrill_runtime/src/datagram.rs
+++ b/mustardrill_runtime/src/datagram.rs
@@ -120,10 +120,6 @@
     /// Age of a time at which some process knew of it, in milliseconds.
     #[prost(uint64, tag = "4")]
     pub known_ms: u64,
-    /// Age of the time at which a process observed the announcement as it was made, in
-    /// milliseconds; `None` if no process did.
-    #[prost(uint64, optional, tag = "5")]
-    pub observed_ms: Option<u64>,
 }
 
 /// Most announcements in one answer, so that it fits into a datagram; the newest ones are sent.
@@ -293,7 +289,6 @@
                 earliest => now.since(earliest).0,
             },
             known_ms: now.since(report.time.known_at).0,
-            observed_ms: report.time.observed.map(|observed| now.since(observed).0),
         }
     }
 
@@ -302,17 +297,14 @@
     fn report(&self, now: Moment, round_trip: Millis) -> Option<AnnouncementReport> {
         // It may have been sent at any time since the request, so it may be older by the round
         // trip.
-        let oldest = |age_ms: u64| now - round_trip - Millis(age_ms);
         let time = AnnouncementTime {
-            earliest: oldest(self.earliest_ms),
+            earliest: now - round_trip - Millis(self.earliest_ms),
             known_at: now - Millis(self.known_ms),
-            observed: self.observed_ms.map(oldest),
         };
         Some(AnnouncementReport {
             model: self.model.parse().ok()?,
             version: WeightVersion(self.version),
             time,
-            slack: round_trip,
         })
     }
 }
