A request on a belief in newer weights demands them of its engine

Callers saw: a request began on superseded weights after their bound. An entry that was told of newer weights by an engine's agent sent to that engine with neither a demanded version nor a time by which the request must start, unless the older version was forbidden already; where the word was wrong, nothing guarded the request.

Cause: the version was demanded only once the older one was forbidden at the forecast start.

Now every version above the first one is demanded. An engine refuses another version on arrival, and its version never falls within one start, so an attempt that was demanded never starts on an older one. An attempt without a demand (the first version is believed, or an answer has contradicted the belief and an older version is allowed yet) is tracked as one that may be on the first version; a contradicted belief, or one in another incarnation, ends no limit.

What a wrong belief costs: one refusal. A route with one attempt therefore refuses such a request (it did not run). The first contradiction brings no cool-down, so the request goes back at once, without a demand; from the second one on the engine gets its cool-down. One that went on to a still newer version is used without a demand until an answer or its agent names it.

Seen by: the send line names `believed=`, `source=` and `known_for=`; a warning `outcome=contradicted` and the gauge beliefs_contradicted.

Guards were tried for fit, not for bite.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -56,14 +56,9 @@
         let address = target.record.address;
         let profile = self.document.as_ref().and_then(|it| it.service(&state.service));
         let entries = self.live_peers.len() as u32 + 1;
-        // Once a version has superseded another, the version expected here is required explicitly,
-        // in case the expectation is wrong.
-        let pinned_version = state.pinned_version.or_else(|| {
-            let oldest_allowed = self.oldest_allowed_version(now, state, target)?;
-            let expected = target.served_version(state.model.as_ref()?)?;
-            (oldest_allowed.0 > 1).then_some(expected)
-        });
-        let weights = self.believed_version(state, &upstream);
+        let pinned_version = self.demanded_version(now, state, target);
+        let believed = state.model.as_ref().and_then(|model| target.served_version(model));
+        let weights = self.oldest_start_version(state, target, pinned_version);
         // A forecast is needed only for weights that are being superseded.
         let newest = state.model.as_ref().and_then(|model| self.versions.newest(model));
         let forecast =
@@ -87,7 +82,7 @@
         };
         info!(
             "request={} decision=send instance={upstream} waited={} attempt={} present={} pinned={} \
-             evidence={} digest={} parts={}",
+             evidence={} digest={} parts={} believed={} source={} known_for={}",
             state.attempt_id,
             now.since(state.arrived_at),
             state.tried_upstreams.len() + 1,
@@ -96,6 +91,9 @@
             target.evidence(now, self.store_freshness.age(now).unwrap_or_default()),
             state.digest,
             state.parts,
+            believed.map_or(0, |version| version.0),
+            target.belief.source,
+            now.since(target.belief.since),
         );
         if let Some(superseded_attempt) = &superseded_attempt {
             info!(
@@ -123,6 +121,7 @@
             state.silence_verdict = None;
             state.has_stated_intake = false;
             state.sent_at = now;
+            state.demanded_version = pinned_version;
             state.expected_version = weights;
             state.start_forecast = forecast;
             state.tried_upstreams.push(upstream);
@@ -164,8 +163,10 @@
         outcome: AttemptOutcome,
     ) -> Vec<DirectEffect> {
         self.untrack_attempt(number);
-        let Some(state) = self.requests.get_mut(&number) else { return Vec::new() };
+        let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let RequestStage::Sent(upstream) = state.stage.clone() else { return Vec::new() };
+        let was_misled = self.record_refused_version(now, number, &upstream, outcome);
+        let Some(state) = self.requests.get_mut(&number) else { return Vec::new() };
         let is_run_from_start = state.is_run_from_start();
         state.has_crashed_upstream |= matches!(outcome, AttemptOutcome::Lost { crashed: true, .. });
         state.stage = RequestStage::Between;
@@ -175,7 +176,12 @@
         let sent_at = state.sent_at;
         self.upstreams.record_prefill_end(&upstream, std::mem::take(&mut state.pending_prefill));
         self.upstreams.record_finished(&upstream, sent_at);
-        self.upstreams.record_outcome(now, &upstream, outcome, self.settings.base_ejection);
+        if was_misled && let Some(target) = self.upstreams.incarnation_mut(&upstream) {
+            // Only the belief was wrong; the upstream itself needs no cool-down.
+            target.record_answer(now);
+        } else {
+            self.upstreams.record_outcome(now, &upstream, outcome, self.settings.base_ejection);
+        }
         let mut effects = Vec::new();
         match outcome {
             AttemptOutcome::Whole if is_run_from_start => {
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -363,4 +363,6 @@
     /// Answers that started on superseded weights after the allowed time, as observed by this
     /// entry.
     pub started_late: u64,
+    /// Beliefs in the weights of upstreams that an answer contradicted.
+    pub contradicted_beliefs: u64,
 }
--- a/mustardrill_core/src/direct/fleet/mod.rs
+++ b/mustardrill_core/src/direct/fleet/mod.rs
@@ -6,3 +6,4 @@
 pub(in crate::direct) mod update;
 pub(in crate::direct) mod upstream;
 pub(in crate::direct) mod upstream_table;
+pub(in crate::direct) mod version_belief;
--- a/mustardrill_core/src/direct/fleet/upstream.rs
+++ b/mustardrill_core/src/direct/fleet/upstream.rs
@@ -5,6 +5,7 @@
 
 use crate::direct::event::{AttemptOutcome, UpstreamLoad};
 use crate::direct::fleet::update::{ServedWeights, UpstreamRecord};
+use crate::direct::fleet::version_belief::{BeliefSource, VersionBelief};
 use crate::direct::silence::SilencePeriod;
 use crate::direct::statements::conditions::StatedConditions;
 
@@ -57,6 +58,8 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamState {
     pub(crate) record: UpstreamRecord,
+    /// What the versions in `record.serving` rest on.
+    pub(crate) belief: VersionBelief,
     /// This entry's own requests there.
     pub(crate) own_load: UpstreamLoad,
     /// Moving average of failures over its latest answers, from 0 to 1.
@@ -146,9 +149,10 @@
         self.expired_registration.is_some_and(|expired| expired.cause == ExpiryCause::Outage)
     }
 
-    pub(crate) fn new(record: UpstreamRecord) -> Self {
+    pub(crate) fn new(now: Moment, record: UpstreamRecord) -> Self {
         Self {
             record,
+            belief: VersionBelief::new(BeliefSource::Registration, now),
             own_load: UpstreamLoad::default(),
             failure_rate: 0.0,
             paused_until: Moment(0),
@@ -250,11 +254,17 @@
             info!("cooldown instance={} outcome=ended reason=engine-serves", self.record.id);
         }
         self.cooldown_until = Moment(0);
-        self.set_served_version(model, version);
+        self.set_served_version(model, version, VersionBelief::new(BeliefSource::Notice, now));
     }
 
-    /// Records the version of a model that it serves.
-    pub(crate) fn set_served_version(&mut self, model: &ModelName, version: WeightVersion) {
+    /// Records the version of a model that it serves, and what that rests on.
+    pub(crate) fn set_served_version(
+        &mut self,
+        model: &ModelName,
+        version: WeightVersion,
+        belief: VersionBelief,
+    ) {
+        self.belief = belief;
         let served = self.record.serving.iter_mut().find(|served| served.model == *model);
         match served {
             Some(served) => served.version = version,
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -13,6 +13,7 @@
 use crate::direct::fleet::upstream::{
     ExpiredRegistration, ExpiryCause, UpstreamStart, UpstreamState,
 };
+use crate::direct::fleet::version_belief::{BeliefSource, VersionBelief};
 use crate::direct::statements::conditions::StatedConditions;
 
 /// How long a removed upstream is remembered: longer than the age of the copies from which a store
@@ -71,6 +72,7 @@
                 );
             }
             if state.record.serving != record.serving {
+                state.belief = VersionBelief::new(BeliefSource::Registration, now);
                 state.paused_until = Moment(0);
                 state.reload_at = None;
             }
@@ -94,7 +96,7 @@
             self.remove_predecessor(now, record.address);
         }
         self.by_service.entry(record.service.clone()).or_default().push(record.id.clone());
-        let mut state = UpstreamState::new(record);
+        let mut state = UpstreamState::new(now, record);
         state.conditions = returned.map(|departure| departure.conditions).unwrap_or_default();
         self.states.insert(state.record.id.clone(), state);
     }
@@ -239,6 +241,11 @@
         self.states.get(id)
     }
 
+    /// Returns the state of an upstream if exactly this incarnation of it is known.
+    pub(crate) fn incarnation(&self, start: &UpstreamStart) -> Option<&UpstreamState> {
+        self.states.get(&start.id).filter(|state| state.record.start == start.start)
+    }
+
     /// Returns the state of an upstream if exactly this incarnation of it is known.
     pub(crate) fn incarnation_mut(&mut self, start: &UpstreamStart) -> Option<&mut UpstreamState> {
         let state = self.states.get_mut(&start.id)?;
@@ -409,7 +416,8 @@
             state.record.slots = load.slots;
         }
         if let (Some(model), Some(version)) = (model, version) {
-            state.set_served_version(model, version);
+            let belief = VersionBelief::new(BeliefSource::Answer, now);
+            state.set_served_version(model, version, belief);
         }
     }
 
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -77,6 +77,8 @@
     pub(super) announcement_inquiry: AnnouncementInquiry,
     /// Answers that started on superseded weights after the allowed time.
     pub(super) started_late: u64,
+    /// Beliefs in the weights of upstreams that an answer contradicted.
+    pub(super) contradicted_beliefs: u64,
     pub(super) requests: FastMap<RequestNumber, RequestState>,
     pub(super) queues: FastMap<ServiceName, WaitQueue>,
     pub(super) retry_windows: FastMap<ServiceName, RetryWindow>,
@@ -138,6 +140,7 @@
             unstarted_attempts: UnstartedAttempts::default(),
             announcement_inquiry: AnnouncementInquiry::default(),
             started_late: 0,
+            contradicted_beliefs: 0,
             requests: FastMap::default(),
             queues: FastMap::default(),
             retry_windows: FastMap::default(),
@@ -326,6 +329,7 @@
             quarantined_parts: self.quarantine.active_parts(now).len(),
             suspected_parts: self.quarantine.part_suspect_count(),
             started_late: self.started_late,
+            contradicted_beliefs: self.contradicted_beliefs,
         }
     }
 
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -69,7 +69,9 @@
     pub(crate) has_delivered: bool,
     /// The version that produced the events that the caller has received.
     pub(crate) pinned_version: Option<WeightVersion>,
-    /// The version that the current attempt was expected to start on.
+    /// The version that the current attempt demands of its upstream.
+    pub(crate) demanded_version: Option<WeightVersion>,
+    /// The oldest version that the current attempt may start on.
     pub(crate) expected_version: Option<WeightVersion>,
     /// How long after its sending the current attempt was expected to start.
     pub(crate) start_forecast: Millis,
@@ -143,6 +145,7 @@
             may_have_run: false,
             has_delivered: false,
             pinned_version: None,
+            demanded_version: None,
             expected_version: None,
             start_forecast: Millis(0),
             has_started: false,
--- /dev/null
+++ b/mustardrill_core/src/direct/versions/demand.rs
@@ -0,0 +1,86 @@
+//! Which version an attempt demands of its engine, and what follows when the engine has another.
+//!
+//! The belief in an engine's weights may be newer than the truth. An engine refuses an attempt that
+//! demands another version than it has when the attempt arrives, and its version never falls
+//! within one start. An attempt that demands a version therefore never starts on an older one.
+
+use log::warn;
+use mustardrill_types::{Moment, WeightVersion};
+
+use crate::direct::event::{AttemptOutcome, RequestNumber};
+use crate::direct::fleet::upstream::{UpstreamStart, UpstreamState};
+use crate::direct::reducer::DirectReducer;
+use crate::direct::request::RequestState;
+
+/// The version that engines hold before any is announced.
+const INITIAL_VERSION: WeightVersion = WeightVersion(1);
+
+impl DirectReducer {
+    /// The version that an attempt at `target` demands. While an older one is allowed, nothing is
+    /// demanded of an engine whose answer has contradicted the belief, until it reports again.
+    pub(in crate::direct) fn demanded_version(
+        &self,
+        now: Moment,
+        state: &RequestState,
+        target: &UpstreamState,
+    ) -> Option<WeightVersion> {
+        if state.pinned_version.is_some() {
+            return state.pinned_version;
+        }
+        let believed = target.served_version(state.model.as_ref()?)?;
+        let is_demanded = believed > INITIAL_VERSION && target.belief.is_uncontradicted();
+        let is_older_forbidden = || {
+            let oldest_allowed = self.oldest_allowed_version(now, state, target);
+            oldest_allowed.is_some_and(|oldest| oldest > INITIAL_VERSION)
+        };
+        (is_demanded || is_older_forbidden()).then_some(believed)
+    }
+
+    /// The oldest version on which an attempt may start: the one that it demands, or any that the
+    /// engine may hold. `None` if the request is not for a model.
+    pub(in crate::direct) fn oldest_start_version(
+        &self,
+        state: &RequestState,
+        target: &UpstreamState,
+        demanded: Option<WeightVersion>,
+    ) -> Option<WeightVersion> {
+        self.believed_version(state, &target.record.id)?;
+        Some(demanded.unwrap_or(INITIAL_VERSION))
+    }
+
+    /// Records that an upstream refused the version that an attempt demanded. Returns whether the
+    /// attempt was sent before that version was known to be wrong, so that the refusal tells
+    /// nothing else about the upstream.
+    pub(in crate::direct) fn record_refused_version(
+        &mut self,
+        now: Moment,
+        number: RequestNumber,
+        upstream: &UpstreamStart,
+        outcome: AttemptOutcome,
+    ) -> bool {
+        if outcome != AttemptOutcome::Misdirected {
+            return false;
+        }
+        let Some(state) = self.requests.get(&number) else { return false };
+        let Some(demanded) = state.demanded_version else { return false };
+        let Some(target) = self.upstreams.incarnation_mut(upstream) else { return false };
+        let believed = state.model.as_ref().and_then(|model| target.served_version(model));
+        // The belief has changed since the attempt was sent.
+        if believed != Some(demanded) || state.sent_at < target.belief.since {
+            return true;
+        }
+        let was_relied_on = target.belief.was_relied_on(state.sent_at);
+        if target.belief.is_uncontradicted() {
+            warn!(
+                "request={} instance={} believed={demanded} source={} age={} outcome=contradicted by=refusal",
+                state.attempt_id,
+                upstream.id,
+                target.belief.source,
+                now.since(target.belief.since),
+            );
+            self.contradicted_beliefs += 1;
+        }
+        target.belief.record_contradiction(now);
+        was_relied_on
+    }
+}
--- a/mustardrill_core/src/direct/versions/mod.rs
+++ b/mustardrill_core/src/direct/versions/mod.rs
@@ -2,5 +2,6 @@
 //! start on superseded ones.
 
 pub(in crate::direct) mod announcements;
+pub(in crate::direct) mod demand;
 pub(in crate::direct) mod superseded;
 pub(in crate::direct) mod table;
--- a/mustardrill_core/src/direct/versions/superseded.rs
+++ b/mustardrill_core/src/direct/versions/superseded.rs
@@ -12,6 +12,7 @@
 use mustardrill_types::{InstanceId, Millis, Moment, WeightVersion};
 
 use crate::direct::event::{DirectEffect, RequestNumber};
+use crate::direct::fleet::upstream::UpstreamStart;
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::{RequestStage, RequestState};
 
@@ -23,7 +24,7 @@
 /// An attempt on weights for which a newer version has been announced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct SupersededAttempt {
-    /// The version that the upstream was believed to hold.
+    /// The oldest version that it may start on.
     pub(crate) version: WeightVersion,
     /// Time from sending to the expected start of the answer.
     pub(crate) forecast: Millis,
@@ -117,14 +118,18 @@
         self.upstreams.get(upstream)?.served_version(state.model.as_ref()?)
     }
 
-    /// Returns the time limit of a request's attempt that is under way. An engine that is no longer
-    /// listed, or that reports no weights, may still start it on the weights that it had.
+    /// Returns the time limit of a request's attempt that is under way. Only what is known of the
+    /// very incarnation that has it, and was not contradicted, tells of newer weights.
     fn current_superseded_attempt(
         &self,
         state: &RequestState,
-        upstream: &InstanceId,
+        upstream: &UpstreamStart,
     ) -> Option<SupersededAttempt> {
-        let version = self.believed_version(state, upstream).or(state.expected_version)?;
+        let expected = state.expected_version?;
+        let target = self.upstreams.incarnation(upstream);
+        let known = target.filter(|target| target.belief.is_uncontradicted());
+        let served = known.and_then(|known| known.served_version(state.model.as_ref()?));
+        let version = served.map_or(expected, |served| served.max(expected));
         self.superseded_attempt(state, version, state.start_forecast)
     }
 
@@ -174,7 +179,7 @@
     pub(in crate::direct) fn refresh_attempt_limits(&mut self) {
         let sent_attempts = self.requests.values().filter_map(|state| match &state.stage {
             RequestStage::Sent(upstream) if !state.has_started => {
-                Some((state.number, self.current_superseded_attempt(state, &upstream.id)))
+                Some((state.number, self.current_superseded_attempt(state, upstream)))
             }
             _ => None,
         });
@@ -193,7 +198,7 @@
         while let Some(number) = self.unstarted_attempts.take_overdue(now) {
             let Some(state) = self.requests.get(&number) else { continue };
             let RequestStage::Sent(upstream) = &state.stage else { continue };
-            match self.current_superseded_attempt(state, &upstream.id) {
+            match self.current_superseded_attempt(state, upstream) {
                 None => {}
                 Some(attempt) if attempt.start_by() > now => {
                     self.track_attempt(number, Some(attempt));
--- /dev/null
+++ b/mustardrill_core/tests/beliefs.rs
@@ -0,0 +1,161 @@
+//! What an entry does when it believes an engine to hold other weights than it has.
+
+use mustardrill_core::direct::{
+    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, EngineNotice, FleetChange,
+    FleetUpdate, RepeatRule, RequestNumber, RouteDocument, RouteRule, SendPlan, ServedWeights,
+    ServiceProfile, UpstreamRecord, WorkSize,
+};
+use mustardrill_types::{FastMap, Generation, Millis, Moment, WeightVersion};
+
+mod common;
+
+const START: Moment = Moment(100_000);
+
+const SIZE: WorkSize = WorkSize { prompt_tokens: 300, answer_tokens: 120 };
+
+/// The engine, as registered with `version`.
+fn engine_with(version: u64) -> UpstreamRecord {
+    let version = WeightVersion(version);
+    UpstreamRecord {
+        service: "pool".parse().unwrap(),
+        slots: common::engine_profile().slots,
+        serving: vec![ServedWeights { model: "m".parse().unwrap(), version }],
+        ..common::desk(0)
+    }
+}
+
+fn answer(reducer: &mut DirectReducer, now: Moment, changes: Vec<FleetChange>) {
+    let update = FleetUpdate { changes, ..FleetUpdate::default() };
+    reducer.reduce(now, DirectEvent::StoreAnswered(update, now));
+}
+
+fn version_announced(version: u64) -> FleetChange {
+    FleetChange::VersionAnnounced("m".parse().unwrap(), WeightVersion(version))
+}
+
+/// An entry with one engine, which reported the first version; the second one was announced at
+/// `START`. A request may be sent twice.
+fn entry() -> DirectReducer {
+    let route = RouteRule {
+        attempt_limit: 2,
+        ..common::public_route("drafts", "/", "pool", RepeatRule::StreamResumable)
+    };
+    let engine = Some(common::engine_profile());
+    let mut services = FastMap::default();
+    services
+        .insert("pool".parse().unwrap(), ServiceProfile { engine, ..ServiceProfile::default() });
+    let document =
+        RouteDocument::new(Generation(1), vec![route], services, Vec::new(), Default::default());
+    let mut reducer = DirectReducer::new(common::direct_settings(), 7);
+    let engine = FleetChange::Upstream(engine_with(1));
+    answer(&mut reducer, START, vec![FleetChange::Configured(document.into()), engine]);
+    answer(&mut reducer, START, vec![version_announced(2)]);
+    reducer
+}
+
+/// The engine's agent tells the entry which version it serves.
+fn notify(reducer: &mut DirectReducer, now: Moment, version: u64) -> Vec<DirectEffect> {
+    let (address, model) = (engine_with(1).address, "m".parse().unwrap());
+    let notice = EngineNotice::Serving(WeightVersion(version));
+    reducer.reduce(now, DirectEvent::EngineNoticeReceived { address, model, notice })
+}
+
+fn sent(effects: &[DirectEffect], number: u64) -> Option<SendPlan> {
+    effects.iter().find_map(|effect| match effect {
+        DirectEffect::Send(sent, plan) if sent.0 == number => Some(plan.clone()),
+        _ => None,
+    })
+}
+
+fn send(reducer: &mut DirectReducer, now: Moment, number: u64) -> SendPlan {
+    let request = common::direct_request(number, "/x", SIZE, now);
+    let effects = reducer.reduce(now, DirectEvent::RequestArrived(request));
+    sent(&effects, number).expect("the request is sent")
+}
+
+fn refuse_version(reducer: &mut DirectReducer, now: Moment, number: u64) -> Vec<DirectEffect> {
+    common::end_attempt(reducer, now, number, AttemptOutcome::Misdirected)
+}
+
+fn is_withdrawn(effects: &[DirectEffect], number: u64) -> bool {
+    effects.contains(&DirectEffect::Withdraw(RequestNumber(number)))
+}
+
+/// The second version is demanded of an engine that has the first one. All requests sent on that
+/// belief are repeated at once, with the time limit of the first version.
+#[test]
+fn requests_sent_on_a_wrong_belief_are_refused() {
+    let mut reducer = entry();
+    let now = START + Millis(1_000);
+    notify(&mut reducer, now, 2);
+    for number in 1..=2 {
+        assert_eq!(send(&mut reducer, now, number).pinned_version, Some(WeightVersion(2)));
+    }
+    let later = now + Millis(20);
+    for number in 1..=2 {
+        let effects = refuse_version(&mut reducer, later, number);
+        let plan = sent(&effects, number).expect("the request is repeated");
+        assert_eq!(plan.pinned_version, None);
+        assert!(
+            plan.start_by.is_some_and(|by| by < START + common::direct_settings().version_bound)
+        );
+    }
+    assert_eq!(reducer.status(later).contradicted_beliefs, 1);
+}
+
+#[test]
+fn an_engine_that_refuses_every_version_gets_no_cool_down() {
+    let mut reducer = entry();
+    let now = START + Millis(1_000);
+    notify(&mut reducer, now, 2);
+    send(&mut reducer, now, 1);
+    assert!(sent(&refuse_version(&mut reducer, now + Millis(20), 1), 1).is_some());
+    refuse_version(&mut reducer, now + Millis(40), 1);
+    let request = common::direct_request(2, "/x", SIZE, now + Millis(50));
+    let effects = reducer.reduce(now + Millis(50), DirectEvent::RequestArrived(request));
+    assert_eq!(sent(&effects, 2), None);
+}
+
+/// Nothing may start on the first version then, so the newer one is demanded still.
+#[test]
+fn nothing_is_demanded_of_a_contradicted_engine_after_the_bound() {
+    let mut reducer = entry();
+    let now = START + common::direct_settings().version_bound;
+    answer(&mut reducer, now, Vec::new());
+    notify(&mut reducer, now, 2);
+    send(&mut reducer, now, 1);
+    let effects = refuse_version(&mut reducer, now + Millis(20), 1);
+    let demanded = sent(&effects, 1).map(|plan| plan.pinned_version);
+    assert_eq!(demanded, Some(Some(WeightVersion(2))));
+}
+
+/// The agent's notice of the third version was lost.
+#[test]
+fn requests_are_refused_at_an_engine_that_went_on_to_a_newer_version() {
+    let mut reducer = entry();
+    let now = START + Millis(1_000);
+    notify(&mut reducer, now, 2);
+    answer(&mut reducer, now, vec![version_announced(3)]);
+    assert_eq!(send(&mut reducer, now, 1).pinned_version, Some(WeightVersion(2)));
+    let effects = refuse_version(&mut reducer, now + Millis(20), 1);
+    assert_eq!(sent(&effects, 1).map(|plan| plan.pinned_version), Some(None));
+    let started = DirectEvent::AnswerStarted(RequestNumber(1), None, Some(WeightVersion(3)));
+    reducer.reduce(now + Millis(40), started);
+    assert_eq!(send(&mut reducer, now + Millis(50), 2).pinned_version, Some(WeightVersion(3)));
+}
+
+/// The attempt was sent without a demand, as an answer had contradicted the belief. That belief is
+/// no evidence later on.
+#[test]
+fn a_contradicted_belief_ends_the_limit_of_an_attempt() {
+    let mut reducer = entry();
+    let now = START + Millis(5_000);
+    answer(&mut reducer, now, Vec::new());
+    notify(&mut reducer, now, 2);
+    send(&mut reducer, now, 1);
+    refuse_version(&mut reducer, now + Millis(20), 1);
+    answer(&mut reducer, now + Millis(40), vec![version_announced(3)]);
+    let bound_end = START + common::direct_settings().version_bound;
+    let effects = reducer.reduce(bound_end, DirectEvent::TimerFired);
+    assert!(is_withdrawn(&effects, 1), "{effects:?}");
+}
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -372,6 +372,7 @@
             ("parts_quarantined", status.quarantined_parts as u64),
             ("parts_suspected", status.suspected_parts as u64),
             ("requests_begun_late", status.started_late),
+            ("beliefs_contradicted", status.contradicted_beliefs),
         ];
         for (name, value) in gauges {
             let _ = context.metrics.gauge(name, value);
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -27,7 +27,7 @@
 }
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 28] = [
+pub const METRICS: [MetricRow; 29] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -148,4 +148,9 @@
         MetricKind::Gauge,
         "Answers that began on replaced weights after their time, as far as this entry knows it.",
     ),
+    MetricRow::new(
+        "beliefs_contradicted",
+        MetricKind::Gauge,
+        "Beliefs in the weights of upstreams that an answer contradicted.",
+    ),
 ];
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -449,6 +449,10 @@
         if text("x-expected-instance").is_some_and(|expected| expected != self.id) {
             return text_response(StatusCode::MISDIRECTED_REQUEST, "");
         }
+        let demanded = text("x-expected-version").map(|text| text.parse::<u64>().unwrap());
+        if demanded.is_some_and(|version| version != self.state.lock().unwrap().version) {
+            return text_response(StatusCode::MISDIRECTED_REQUEST, "");
+        }
         assert_eq!(text("authorization"), None, "a worker must not receive the caller's key");
         let attempt = text("x-attempt-id").unwrap();
         let model = text("x-model").is_some();
