A request with a write deadline is held by the kernel until the clock was read once more

Seen: of the requests of an entry that was suspended around the bound of superseded weights, one started 3.10 s after the announcement (bound 3 s), at the moment at which the entry was resumed.

Cause: the clock was read before the write, and the suspension fell between the two. No reading before a write can rule that out.

Ruled out: a final part in a second small write (the same gap before that write); a second look at the clock after the write, and a close (the request has left; the engine reads what it received before the close); a demand for a version (the engine holds the one that is asked for); signals at the deadline (unsafe code).

Change: bytes with a deadline are handed to the kernel, which holds them (TCP_CORK); then the clock is read again, and they are released, or the connection is reset with what it holds. Why it works: after a suspension before the hand-over, the second reading finds the deadline passed, and nothing has left. Writes without a deadline are as before.

--- a/mustardrill_entry/src/direct/connections.rs
+++ b/mustardrill_entry/src/direct/connections.rs
@@ -189,7 +189,7 @@
     let stream = open_stream(address).await?;
     stream.set_nodelay(true)?;
     detect_dead_peer(&stream)?;
-    let (stream, gate) = GatedStream::new(stream, clock);
+    let (stream, gate) = GatedStream::new(stream, Box::new(clock));
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(64 * 1024)
         .handshake(TokioIo::new(stream))
--- a/mustardrill_entry/src/direct/gated_stream.rs
+++ b/mustardrill_entry/src/direct/gated_stream.rs
@@ -1,8 +1,12 @@
-//! A TCP stream that refuses to write a request after its write deadline, or once it was withdrawn.
+//! A TCP stream that sends no request after its write deadline, or once it was withdrawn.
 //!
-//! A process may be suspended between the decision to send a request and the write to the socket. A
-//! request that was sent in time by that decision would then reach the upstream too late. A request
-//! may also be withdrawn as long as nothing of it has been written.
+//! A process may be suspended between any two steps, so a clock that is read before a write may be
+//! outdated when the write is made. Bytes with a deadline are therefore first handed to the kernel,
+//! which holds them; the clock is read again, and they are released or discarded. If the process is
+//! suspended before the release, the kernel sends them by itself: after the round-trip time and
+//! 0.2 s.
+//!
+//! A request may also be withdrawn as long as nothing of it has been written.
 
 use std::io;
 use std::pin::Pin;
@@ -10,8 +14,9 @@
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 
-use mustardrill_runtime::clock::ProcessClock;
+use mustardrill_runtime::clock::MonotonicClock;
 use mustardrill_types::Moment;
+use rustix::net::{connect_unspec, sockopt};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -29,7 +34,7 @@
 
 /// Controls the writing of the request that a connection currently carries.
 #[derive(Debug)]
-pub(crate) struct SendGate {
+pub struct SendGate {
     /// Held during each write, so that no write runs beside a withdrawal.
     stage: Mutex<WriteStage>,
     /// In milliseconds of the process clock.
@@ -37,11 +42,11 @@
     has_refused: AtomicBool,
 }
 
-/// A connection whose writes fail once the deadline of its gate has passed.
+/// A connection whose writes fail, and send nothing, once the deadline of its gate has passed.
 #[derive(Debug)]
-pub(crate) struct GatedStream {
+pub struct GatedStream {
     stream: TcpStream,
-    clock: ProcessClock,
+    clock: Box<dyn MonotonicClock>,
     gate: Arc<SendGate>,
 }
 
@@ -55,7 +60,7 @@
     }
 
     /// Starts a request. Nothing of it is written after `write_by`.
-    pub(crate) fn start_request(&self, write_by: Option<Moment>) {
+    pub fn start_request(&self, write_by: Option<Moment>) {
         self.write_by.store(write_by.map_or(NO_DEADLINE, |moment| moment.0), Ordering::Relaxed);
     }
 
@@ -92,6 +97,22 @@
         written
     }
 
+    fn has_deadline(&self) -> bool {
+        self.write_by.load(Ordering::Relaxed) != NO_DEADLINE
+    }
+
+    /// Fails, and records that, if the deadline has passed.
+    fn check_deadline(&self, now: Moment) -> io::Result<()> {
+        if now.0 < self.write_by.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        self.has_refused.store(true, Ordering::Relaxed);
+        Err(io::Error::new(
+            io::ErrorKind::TimedOut,
+            "write deadline of the request passed before it was sent completely",
+        ))
+    }
+
     /// Whether a write was refused because the deadline had passed.
     pub(crate) fn has_refused(&self) -> bool {
         self.has_refused.load(Ordering::Relaxed)
@@ -100,21 +121,40 @@
 
 impl GatedStream {
     /// Wraps a stream; returns it with the gate that controls it.
-    pub(crate) fn new(stream: TcpStream, clock: ProcessClock) -> (Self, Arc<SendGate>) {
+    pub fn new(stream: TcpStream, clock: Box<dyn MonotonicClock>) -> (Self, Arc<SendGate>) {
         let gate = Arc::new(SendGate::new());
         (Self { stream, clock, gate: gate.clone() }, gate)
     }
 
-    fn check_deadline(&self) -> io::Result<()> {
-        let write_by = self.gate.write_by.load(Ordering::Relaxed);
-        if write_by == NO_DEADLINE || self.clock.now().0 < write_by {
-            return Ok(());
+    /// Runs a write unless the gate forbids it.
+    fn write(
+        &mut self,
+        write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let Self { stream, clock, gate } = self;
+        if !gate.has_deadline() {
+            return gate.write(|| write(Pin::new(stream)));
         }
-        self.gate.has_refused.store(true, Ordering::Relaxed);
-        Err(io::Error::new(
-            io::ErrorKind::TimedOut,
-            "write deadline of the request passed before it was sent completely",
-        ))
+        gate.check_deadline(clock.now())?;
+        gate.write(|| {
+            sockopt::set_tcp_cork(&*stream, true)?;
+            let written = write(Pin::new(&mut *stream));
+            if let Err(error) = gate.check_deadline(clock.now()) {
+                discard(stream);
+                return Poll::Ready(Err(error));
+            }
+            sockopt::set_tcp_cork(&*stream, false)?;
+            written
+        })
+    }
+}
+
+/// Resets a connection, so that the kernel sends nothing of what it holds.
+fn discard(stream: &TcpStream) {
+    if let Err(error) = connect_unspec(stream) {
+        log::warn!(
+            "connection outcome=not_reset reason=\"{error}\"; a request may be sent after its deadline"
+        );
     }
 }
 
@@ -134,11 +174,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if let Err(error) = self.check_deadline() {
-            return Poll::Ready(Err(error));
-        }
-        let Self { stream, gate, .. } = &mut *self;
-        gate.write(|| Pin::new(stream).poll_write(context, bytes))
+        self.write(|stream| stream.poll_write(context, bytes))
     }
 
     fn poll_write_vectored(
@@ -146,11 +182,7 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        if let Err(error) = self.check_deadline() {
-            return Poll::Ready(Err(error));
-        }
-        let Self { stream, gate, .. } = &mut *self;
-        gate.write(|| Pin::new(stream).poll_write_vectored(context, parts))
+        self.write(|stream| stream.poll_write_vectored(context, parts))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/mustardrill_entry/src/direct/mod.rs
+++ b/mustardrill_entry/src/direct/mod.rs
@@ -22,4 +22,5 @@
 
 pub use actor::{DirectHandle, PlatformAdapters, spawn};
 pub use config::{DirectConfig, read};
+pub use gated_stream::{GatedStream, SendGate};
 pub use metrics::METRICS;
--- a/mustardrill_runtime/src/clock.rs
+++ b/mustardrill_runtime/src/clock.rs
@@ -1,11 +1,18 @@
 //! Clocks of a process. Only the daemons read them; reducers get the time as an argument.
 
+use std::fmt::Debug;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use mustardrill_types::{Millis, Moment};
 use rustix::time::{ClockId, clock_gettime};
 use tokio_util::sync::CancellationToken;
 
+/// A clock that never goes back, in milliseconds since the start of the process.
+pub trait MonotonicClock: Debug + Send + Sync {
+    /// Returns the current time.
+    fn now(&self) -> Moment;
+}
+
 /// The monotonic clock of this process and the wall clock.
 ///
 /// The monotonic clock includes the time that the machine is suspended, since meanwhile leases
@@ -33,6 +40,12 @@
     }
 }
 
+impl MonotonicClock for ProcessClock {
+    fn now(&self) -> Moment {
+        Self::now(self)
+    }
+}
+
 /// Calls `tick` periodically until `halt` is cancelled. Missed ticks are not caught up.
 pub fn spawn_ticks<F>(
     period: Millis,
