A whole manifest of other weights is rejected for its digest

Without the pinned digest the test of the manifest failed all the same, but on bytes that were no manifest: 'not a manifest: ... is not a valid manifest digest'. It showed which error is given, not that a manifest of other weights is turned away. It now tries one whose chunks are in another order, first.

--- a/mustardrill_core/tests/transfers.rs
+++ b/mustardrill_core/tests/transfers.rs
@@ -290,6 +290,13 @@
     let manifest = manifest();
     let bytes = manifest.encode();
     assert_eq!(Manifest::decode_verified(&bytes, manifest.digest()).as_ref(), Ok(&manifest));
+    // A whole manifest of other weights is malformed in no way.
+    let foreign =
+        Manifest { chunks: manifest.chunks.iter().rev().copied().collect(), ..manifest.clone() };
+    let rejected = Manifest::decode_verified(&foreign.encode(), manifest.digest());
+    let expected =
+        ManifestError::WrongDigest { pinned: manifest.digest(), found: foreign.digest() };
+    assert_eq!(rejected, Err(expected));
     let mut other = bytes.clone();
     let index = other.len() / 2;
     other[index] ^= 1;
