Requests that only an upstream which leaves could serve are refused as such

What the check alone keeps is that nobody waits for an engine that stays but holds only weights which were superseded longer ago than their bound; no test showed that.

The test of the waiting requests now asks for NoUpstream, and requests_wait_for_an_engine_whose_weights_they_may_not_use is new: without the check its two waiting requests stay (0 of 2 refused), with it both are refused.

--- a/mustardrill_core/tests/stated_departures.rs
+++ b/mustardrill_core/tests/stated_departures.rs
@@ -6,10 +6,13 @@
     reached_desks, refusal_of, send_to_desk,
 };
 use mustardrill_core::direct::{
-    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, FleetChange, RequestNumber,
-    StatedValue, UpstreamRecord, UpstreamStatement,
+    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, FleetChange, RepeatRule,
+    RequestNumber, RouteDocument, ServedWeights, ServiceProfile, StatedValue, UpstreamRecord,
+    UpstreamStatement, WorkSize,
+};
+use mustardrill_types::{
+    FastMap, Generation, Millis, Moment, ResultCode, StartStamp, WeightVersion,
 };
-use mustardrill_types::{Millis, Moment, ResultCode, StartStamp};
 
 mod common;
 
@@ -160,6 +163,10 @@
     assert_eq!(reducer.status(back).upstreams, 0);
 }
 
+fn is_refusal(effect: &DirectEffect, code: ResultCode) -> bool {
+    matches!(effect, DirectEffect::Refuse(_, refusal) if refusal.code == code)
+}
+
 #[test]
 fn waiting_requests_are_kept_after_all_upstreams_said_that_they_leave() {
     let mut reducer = entry(1);
@@ -169,13 +176,50 @@
     let waiting = reducer.status(START).waiting;
     assert!(waiting > 0, "the upstream has too much room");
     let effects = state_leaving(&mut reducer, sent[0], START + Millis(50));
-    let refused = effects.iter().filter(|it| matches!(it, DirectEffect::Refuse(..))).count();
+    let refused = effects.iter().filter(|it| is_refusal(it, ResultCode::NoUpstream)).count();
     assert_eq!((refused, reducer.status(START).waiting), (waiting, 0), "{effects:?}");
     let effects = send_to_desk(&mut reducer, 99, START + Millis(60));
     assert_eq!(refusal_of(&effects).code, ResultCode::NoUpstream);
     assert!(refusal_of(&effects).retry_after > Millis(0));
 }
 
+/// An engine with the weights of `version`.
+fn engine_with(version: u64) -> UpstreamRecord {
+    let weights = ServedWeights { model: "m".parse().unwrap(), version: WeightVersion(version) };
+    let service = "pool".parse().unwrap();
+    UpstreamRecord { service, serving: vec![weights], ..desk(version as u16) }
+}
+
+/// The engine that stays has room, and only weights that were superseded longer ago than their bound.
+#[test]
+fn requests_wait_for_an_engine_whose_weights_they_may_not_use() {
+    let route = common::public_route("drafts", "/", "pool", RepeatRule::Idempotent);
+    let profile =
+        ServiceProfile { engine: Some(common::engine_profile()), ..ServiceProfile::default() };
+    let services = FastMap::from_iter([("pool".parse().unwrap(), profile)]);
+    let document =
+        RouteDocument::new(Generation(1), vec![route], services, Vec::new(), Default::default());
+    let newest = FleetChange::VersionAnnounced("m".parse().unwrap(), WeightVersion(2));
+    let mut changes = vec![FleetChange::Configured(document.into()), newest];
+    changes.extend([1, 2].map(|version| FleetChange::Upstream(engine_with(version))));
+    let mut reducer = DirectReducer::new(direct_settings(), 1);
+    answer_from_store(&mut reducer, START, changes, false, 0);
+    let now = START + direct_settings().version_bound + Millis(1_000);
+    answer_from_store(&mut reducer, now, Vec::new(), false, 0);
+    let size = WorkSize { prompt_tokens: 300, answer_tokens: 120 };
+    for number in 1..=8 {
+        let request = common::direct_request(number, "/x", size, now);
+        let effects = reducer.reduce(now, DirectEvent::RequestArrived(request));
+        let elsewhere = |it: &DirectEffect| matches!(it, DirectEffect::Send(_, plan) if plan.upstream != desk_id(2));
+        assert!(!effects.iter().any(elsewhere), "{effects:?}");
+    }
+    let waiting = reducer.status(now).waiting;
+    assert!(waiting > 0, "the engine has too much room");
+    let effects = state_leaving(&mut reducer, 1, now);
+    let refused = effects.iter().filter(|it| is_refusal(it, ResultCode::NoUpstream)).count();
+    assert_eq!((refused, reducer.status(now).waiting), (waiting, 0), "{effects:?}");
+}
+
 #[test]
 fn attempts_that_were_not_written_reach_an_upstream_that_said_that_it_leaves() {
     let mut reducer = entry(2);
