The waves of a switch are checked before the notices in them

Without the guard 'a switch goes in waves' the test failed at the count of notices (0 instead of 6), so the part of the agents that load at once was never looked at.

--- a/mustardrill_core/tests/agents.rs
+++ b/mustardrill_core/tests/agents.rs
@@ -290,12 +290,12 @@
     simulation.apply_catalogue(catalogue(&["v1", "v2"]));
     simulation.notices_to_successors = 0;
     simulation.run_until_serving("v2");
+    assert_eq!(simulation.max_loading, 2, "a quarter of eight agents may load at once");
     assert_eq!(
         simulation.notices_to_successors,
         AGENTS - 2,
         "each agent notifies the one a wave behind"
     );
-    assert_eq!(simulation.max_loading, 2, "a quarter of eight agents may load at once");
 }
 
 proptest! {
