A notice of an engine's agent applies to the start that it names

Callers saw: a request began on superseded weights after their bound. An attempt under way without a demanded version lost its time limit when a notice of newer weights came, and that was addressed by IP and port alone: another start of the engine, before or after the one that has the request, ended the limit as well. So did the registration of a later start.

Now a notice carries the start stamp of the engine's report that it rests on (all three places that send `Serving` read it from that report; none sends what was only ordered or told). An entry applies it to that start only. One of a later start is kept until that is registered, one of an earlier start is dropped; both are logged with `outcome=other-start`. A notice without a start, of an agent of an earlier build, is believed as before, so that the version is demanded, but ends no limit. A registration of the same start lowers no version that is known by such evidence, as versions never fall within one start; an older one came after a notice and lowered it.

Not shown here: that the platform's engine states the same `born` in its registration and in its report. If it did not, all notices would be dropped; `outcome=other-start` tells.

--- a/mustardrill_agent/src/provisioning/actor.rs
+++ b/mustardrill_agent/src/provisioning/actor.rs
@@ -143,8 +143,8 @@
             ProvisioningEffect::OrderLoad(version, sequence) => {
                 effects::order_load(context, actor, version, sequence);
             }
-            ProvisioningEffect::NotifyEntries(model, notice) => {
-                effects::notify_entries(context, model, notice);
+            ProvisioningEffect::NotifyEntries(model, start, notice) => {
+                effects::notify_entries(context, model, start, notice);
             }
             ProvisioningEffect::DropManifest(version) => {
                 self.chunk_lists.remove(&version);
--- a/mustardrill_agent/src/provisioning/effects.rs
+++ b/mustardrill_agent/src/provisioning/effects.rs
@@ -21,7 +21,7 @@
 use mustardrill_runtime::datagram::{Datagram, EngineRow};
 use mustardrill_runtime::http::request;
 use mustardrill_runtime::peer_call::PeerCall;
-use mustardrill_types::{ChunkIndex, ModelName};
+use mustardrill_types::{ChunkIndex, ModelName, StartStamp};
 use tokio_util::sync::CancellationToken;
 
 use crate::provisioning::actor::{ChunkListFetched, Event, ProvisioningActor, ProvisioningContext};
@@ -346,6 +346,7 @@
 pub(crate) fn notify_entries(
     context: Arc<ProvisioningContext>,
     model: ModelName,
+    start: Option<StartStamp>,
     notice: EngineNotice,
 ) {
     const REPEAT_DELAY: Duration = Duration::from_millis(60);
@@ -353,7 +354,7 @@
     tokio::spawn(async move {
         let mut datagram = Datagram::new(&context.config.settings.own_id);
         let address = context.config.settings.engine;
-        datagram.engine = Some(EngineRow::new(address, &model, notice));
+        datagram.engine = Some(EngineRow::new(address, &model, start, notice));
         let addresses =
             |entries: &[PeerRecord]| entries.iter().map(|entry| entry.address).collect::<Vec<_>>();
         // Known entries are notified at once: reading the entries anew may take as long as the
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -199,6 +199,9 @@
         address: SocketAddr,
         /// The model whose weights the notice is about.
         model: ModelName,
+        /// The incarnation of the engine that the notice is about; `None` from an agent of an
+        /// earlier build.
+        start: Option<StartStamp>,
         /// The reported state.
         notice: EngineNotice,
     },
--- a/mustardrill_core/src/direct/fleet/upstream.rs
+++ b/mustardrill_core/src/direct/fleet/upstream.rs
@@ -244,7 +244,14 @@
     }
 
     /// Records that it accepts requests again and serves a version of a model.
-    pub(crate) fn record_resume(&mut self, now: Moment, model: &ModelName, version: WeightVersion) {
+    /// `start` is the incarnation that its agent named, if any.
+    pub(crate) fn record_resume(
+        &mut self,
+        now: Moment,
+        model: &ModelName,
+        version: WeightVersion,
+        start: Option<StartStamp>,
+    ) {
         if self.paused_until > now {
             self.record_free_capacity(now);
         }
@@ -254,7 +261,11 @@
             info!("cooldown instance={} outcome=ended reason=engine-serves", self.record.id);
         }
         self.cooldown_until = Moment(0);
-        self.set_served_version(model, version, VersionBelief::new(BeliefSource::Notice, now));
+        let source = match start {
+            Some(_) => BeliefSource::Notice,
+            None => BeliefSource::AddressNotice,
+        };
+        self.set_served_version(model, version, VersionBelief::new(source, now));
     }
 
     /// Records the version of a model that it serves, and what that rests on.
@@ -272,6 +283,18 @@
         }
     }
 
+    /// Raises the versions in a registration of the same incarnation to those known by newer
+    /// evidence: within one start they never fall.
+    pub(crate) fn keep_newer_versions(&self, record: &mut UpstreamRecord) {
+        if !self.belief.is_evidence() {
+            return;
+        }
+        for served in &mut record.serving {
+            let known = self.served_version(&served.model);
+            served.version = known.map_or(served.version, |known| known.max(served.version));
+        }
+    }
+
     /// Returns the version of a model that it has loaded completely.
     pub(crate) fn served_version(&self, model: &ModelName) -> Option<WeightVersion> {
         let served = self.record.serving.iter().find(|served| served.model == *model);
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -7,7 +7,7 @@
     FastMap, InstanceId, Millis, ModelName, Moment, ServiceName, StartStamp, WeightVersion,
 };
 
-use crate::direct::event::{AttemptOutcome, LoadReport, UpstreamLoad};
+use crate::direct::event::{AttemptOutcome, EngineNotice, LoadReport, UpstreamLoad};
 use crate::direct::fleet::peer_loads::PeerLoadTotals;
 use crate::direct::fleet::update::{ServedWeights, UpstreamRecord};
 use crate::direct::fleet::upstream::{
@@ -33,6 +33,14 @@
     conditions: StatedConditions,
 }
 
+/// An agent's notice of an incarnation that is not registered yet, as far as this entry knows.
+#[derive(Debug)]
+struct EarlyNotice {
+    start: StartStamp,
+    served: ServedWeights,
+    received_at: Moment,
+}
+
 /// The known upstreams by instance, with an index by service.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamTable {
@@ -41,6 +49,8 @@
     /// Upstreams that were removed lately, so that an older copy of the store does not list them
     /// again.
     departed: FastMap<InstanceId, Departure>,
+    /// Notices of later incarnations at the addresses of known upstreams.
+    early_notices: FastMap<SocketAddr, EarlyNotice>,
     /// The load of the peer entries at the upstreams.
     pub(crate) peer_loads: PeerLoadTotals,
 }
@@ -51,7 +61,7 @@
     ///
     /// `is_served` says whether the configuration names its service. A registration for any other
     /// service may come from a foreign writer and replaces no upstream at the same address.
-    pub(crate) fn register(&mut self, now: Moment, record: UpstreamRecord, is_served: bool) {
+    pub(crate) fn register(&mut self, now: Moment, mut record: UpstreamRecord, is_served: bool) {
         if let Some(known) = self.states.get(&record.id).map(|state| &state.record) {
             if record.start < known.start {
                 info!("membership instance={} start={} outcome=kept", record.id, record.start);
@@ -63,6 +73,7 @@
             }
         }
         if let Some(state) = self.states.get_mut(&record.id) {
+            state.keep_newer_versions(&mut record);
             if state.record != record {
                 info!(
                     "membership instance={} leaving={} serving={} outcome=changed",
@@ -97,10 +108,56 @@
         }
         self.by_service.entry(record.service.clone()).or_default().push(record.id.clone());
         let mut state = UpstreamState::new(now, record);
+        self.apply_early_notice(now, &mut state);
         state.conditions = returned.map(|departure| departure.conditions).unwrap_or_default();
         self.states.insert(state.record.id.clone(), state);
     }
 
+    /// Whether a notice is of the incarnation listed at an address, or names none. One of a later
+    /// incarnation is kept until that is registered.
+    pub(crate) fn accepts_notice(
+        &mut self,
+        now: Moment,
+        address: SocketAddr,
+        model: &ModelName,
+        start: Option<StartStamp>,
+        notice: EngineNotice,
+    ) -> bool {
+        let Some(known) = self.by_address(address).map(|state| state.start()) else { return false };
+        let Some(start) = start else { return true };
+        if start == known.start {
+            return true;
+        }
+        info!(
+            "engine instance={} model={model} word={notice} start={start} listed={} \
+             outcome=other-start",
+            known.id, known.start
+        );
+        if let EngineNotice::Serving(version) = notice
+            && start > known.start
+        {
+            let served = ServedWeights { model: model.clone(), version };
+            let early = EarlyNotice { start, served, received_at: now };
+            self.early_notices.insert(address, early);
+        }
+        false
+    }
+
+    /// Applies a notice of an incarnation that was received before its registration.
+    fn apply_early_notice(&mut self, now: Moment, state: &mut UpstreamState) {
+        let Some(early) = self.early_notices.remove(&state.record.address) else { return };
+        if early.start != state.record.start {
+            return;
+        }
+        let ServedWeights { model, version } = early.served;
+        if state.served_version(&model).is_none_or(|served| served < version) {
+            let age = now.since(early.received_at);
+            info!("engine instance={} serving={version} source=notice age={age}", state.record.id);
+            let belief = VersionBelief::new(BeliefSource::Notice, early.received_at);
+            state.set_served_version(&model, version, belief);
+        }
+    }
+
     /// Removes the upstream that was at an address before. A restarted upstream may have a new id
     /// while the old one stays registered for some seconds; after a restart of the whole fleet
     /// every second request went to an old one.
@@ -171,9 +228,8 @@
         let mut merged = record;
         merged.leaving |= state.record.leaving;
         for known in &state.record.serving {
-            match merged.serving.iter_mut().find(|served| served.model == known.model) {
-                Some(served) => served.version = served.version.max(known.version),
-                None => merged.serving.push(known.clone()),
+            if merged.serving.iter().all(|served| served.model != known.model) {
+                merged.serving.push(known.clone());
             }
         }
         self.register(now, merged, is_served);
--- a/mustardrill_core/src/direct/fleet/version_belief.rs
+++ b/mustardrill_core/src/direct/fleet/version_belief.rs
@@ -10,9 +10,12 @@
     /// The upstream's registration in the store.
     #[display("registration")]
     Registration,
-    /// A notice of the upstream's agent.
+    /// A notice of the upstream's agent that names the incarnation.
     #[display("notice")]
     Notice,
+    /// A notice of an agent that names only the address, where another incarnation may listen.
+    #[display("address-notice")]
+    AddressNotice,
     /// An answer of the upstream.
     #[display("answer")]
     Answer,
@@ -43,6 +46,12 @@
         self.contradicted_at.is_none()
     }
 
+    /// Whether it is evidence of the weights of the incarnation in question, so that a limit that
+    /// rests on older weights ends.
+    pub(crate) fn is_evidence(&self) -> bool {
+        self.is_uncontradicted() && self.source != BeliefSource::AddressNotice
+    }
+
     /// Whether an attempt sent at `sent_at` rested on it before it was contradicted.
     pub(crate) fn was_relied_on(&self, sent_at: Moment) -> bool {
         sent_at >= self.since && self.contradicted_at.is_none_or(|at| sent_at <= at)
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -213,7 +213,10 @@
                 self.release_all_held(now)
             }
             DirectEvent::CrashReportReceived(report) => self.receive_crash_report(now, report),
-            DirectEvent::EngineNoticeReceived { address, model, notice } => {
+            DirectEvent::EngineNoticeReceived { address, model, start, notice } => {
+                if !self.upstreams.accepts_notice(now, address, &model, start, notice) {
+                    return Vec::new();
+                }
                 let Some(state) = self.upstreams.by_address(address) else { return Vec::new() };
                 match notice {
                     EngineNotice::UpdatePending => {
@@ -221,7 +224,9 @@
                     }
                     EngineNotice::LoadingIn(after) => state.reload_at = Some(now + after),
                     EngineNotice::Loading => state.paused_until = now + LOADING_TIMEOUT,
-                    EngineNotice::Serving(version) => state.record_resume(now, &model, version),
+                    EngineNotice::Serving(version) => {
+                        state.record_resume(now, &model, version, start)
+                    }
                 }
                 info!(
                     "engine instance={} model={model} word={notice} source=agent",
--- a/mustardrill_core/src/direct/versions/superseded.rs
+++ b/mustardrill_core/src/direct/versions/superseded.rs
@@ -119,7 +119,7 @@
     }
 
     /// Returns the time limit of a request's attempt that is under way. Only what is known of the
-    /// very incarnation that has it, and was not contradicted, tells of newer weights.
+    /// very incarnation that has it tells of newer weights.
     fn current_superseded_attempt(
         &self,
         state: &RequestState,
@@ -127,7 +127,7 @@
     ) -> Option<SupersededAttempt> {
         let expected = state.expected_version?;
         let target = self.upstreams.incarnation(upstream);
-        let known = target.filter(|target| target.belief.is_uncontradicted());
+        let known = target.filter(|target| target.belief.is_evidence());
         let served = known.and_then(|known| known.served_version(state.model.as_ref()?));
         let version = served.map_or(expected, |served| served.max(expected));
         self.superseded_attempt(state, version, state.start_forecast)
--- a/mustardrill_core/src/provisioning/engine.rs
+++ b/mustardrill_core/src/provisioning/engine.rs
@@ -40,7 +40,8 @@
             let version = version_id_of(now_served);
             info!("engine serving={version} sequence={} outcome=changed", view.sequence);
             let notice = EngineNotice::Serving(version.version);
-            effects.push(ProvisioningEffect::NotifyEntries(version.model, notice));
+            let start = Some(view.start);
+            effects.push(ProvisioningEffect::NotifyEntries(version.model, start, notice));
         }
         self.engine = Some(view);
         effects
--- a/mustardrill_core/src/provisioning/event.rs
+++ b/mustardrill_core/src/provisioning/event.rs
@@ -141,8 +141,8 @@
     /// Order the engine to load the staged version, provided that it has accepted this many orders
     /// so far.
     OrderLoad(VersionId, u64),
-    /// Send the entries a notice about the engine.
-    NotifyEntries(ModelName, EngineNotice),
+    /// Send the entries a notice about the engine, with the incarnation whose report it rests on.
+    NotifyEntries(ModelName, Option<StartStamp>, EngineNotice),
     /// Drop the manifest of a version that is no longer wanted.
     DropManifest(VersionId),
 }
--- a/mustardrill_core/src/provisioning/fetching.rs
+++ b/mustardrill_core/src/provisioning/fetching.rs
@@ -37,10 +37,7 @@
             && self.update_pending_reported.as_ref() != Some(wanted)
         {
             self.update_pending_reported = Some(wanted.clone());
-            effects.push(ProvisioningEffect::NotifyEntries(
-                wanted.model.clone(),
-                EngineNotice::UpdatePending,
-            ));
+            effects.push(self.notify_entries(wanted.model.clone(), EngineNotice::UpdatePending));
         }
         let origin = self.origin();
         for fetch in plan.next_fetches(now) {
--- a/mustardrill_core/src/provisioning/load_order.rs
+++ b/mustardrill_core/src/provisioning/load_order.rs
@@ -1,7 +1,7 @@
 //! Decides when the engine is ordered to load the staged version, and handles the outcome.
 
 use log::{info, warn};
-use mustardrill_types::{Millis, Moment};
+use mustardrill_types::{Millis, ModelName, Moment};
 
 use crate::direct::{EngineNotice, ServedWeights};
 use crate::manifest::ChunkBitmap;
@@ -124,10 +124,7 @@
             return Vec::new();
         }
         self.load_slot_reported = Some(slot);
-        vec![ProvisioningEffect::NotifyEntries(
-            wanted.model.clone(),
-            EngineNotice::LoadingIn(until_slot),
-        )]
+        vec![self.notify_entries(wanted.model.clone(), EngineNotice::LoadingIn(until_slot))]
     }
 
     pub(super) fn staged_verified(
@@ -193,17 +190,27 @@
     /// chunks back takes long enough for the notice to arrive and for a slot to become free.
     fn start_verification(&self, version: &VersionId) -> Vec<ProvisioningEffect> {
         vec![
-            ProvisioningEffect::NotifyEntries(version.model.clone(), EngineNotice::Loading),
+            self.notify_entries(version.model.clone(), EngineNotice::Loading),
             ProvisioningEffect::VerifyStaged(version.clone()),
         ]
     }
 
+    /// Notifies the entries of the engine that reported last.
+    pub(super) fn notify_entries(
+        &self,
+        model: ModelName,
+        notice: EngineNotice,
+    ) -> ProvisioningEffect {
+        let start = self.last_engine_view.as_ref().map(|view| view.start);
+        ProvisioningEffect::NotifyEntries(model, start, notice)
+    }
+
     /// Notifies the entries that the engine continues with the version that it serves.
     fn cancel_pause(&self) -> Vec<ProvisioningEffect> {
         let served = self.engine.as_ref().and_then(|engine| engine.serving.first());
         let notify = |served: &ServedWeights| {
             let notice = EngineNotice::Serving(served.version);
-            ProvisioningEffect::NotifyEntries(served.model.clone(), notice)
+            self.notify_entries(served.model.clone(), notice)
         };
         served.map(notify).into_iter().collect()
     }
--- a/mustardrill_core/src/provisioning/reducer.rs
+++ b/mustardrill_core/src/provisioning/reducer.rs
@@ -358,7 +358,7 @@
             self.inspects_staged = false;
             info!("weights version={target} outcome=served");
             let notice = EngineNotice::Serving(target.version);
-            return vec![ProvisioningEffect::NotifyEntries(target.model, notice)];
+            return vec![self.notify_entries(target.model, notice)];
         }
         if serves {
             self.wanted = Some(target);
--- a/mustardrill_core/tests/beliefs.rs
+++ b/mustardrill_core/tests/beliefs.rs
@@ -5,7 +5,7 @@
     FleetUpdate, RepeatRule, RequestNumber, RouteDocument, RouteRule, SendPlan, ServedWeights,
     ServiceProfile, UpstreamRecord, WorkSize,
 };
-use mustardrill_types::{FastMap, Generation, Millis, Moment, WeightVersion};
+use mustardrill_types::{FastMap, Generation, Millis, Moment, StartStamp, WeightVersion};
 
 mod common;
 
@@ -55,9 +55,18 @@
 
 /// The engine's agent tells the entry which version it serves.
 fn notify(reducer: &mut DirectReducer, now: Moment, version: u64) -> Vec<DirectEffect> {
+    notify_of_start(reducer, now, version, Some(engine_with(1).start))
+}
+
+fn notify_of_start(
+    reducer: &mut DirectReducer,
+    now: Moment,
+    version: u64,
+    start: Option<StartStamp>,
+) -> Vec<DirectEffect> {
     let (address, model) = (engine_with(1).address, "m".parse().unwrap());
     let notice = EngineNotice::Serving(WeightVersion(version));
-    reducer.reduce(now, DirectEvent::EngineNoticeReceived { address, model, notice })
+    reducer.reduce(now, DirectEvent::EngineNoticeReceived { address, model, start, notice })
 }
 
 fn sent(effects: &[DirectEffect], number: u64) -> Option<SendPlan> {
@@ -159,3 +168,62 @@
     let effects = reducer.reduce(bound_end, DirectEvent::TimerFired);
     assert!(is_withdrawn(&effects, 1), "{effects:?}");
 }
+
+/// An entry that sent request 1 to the engine with the first version 800 ms before the bound, and
+/// has heard since that the engine serves the second one, in the incarnation `start`.
+fn entry_with_attempt_and_notice(start: Option<StartStamp>) -> (DirectReducer, Moment) {
+    let mut reducer = entry();
+    let bound_end = START + common::direct_settings().version_bound;
+    let now = bound_end - Millis(800);
+    answer(&mut reducer, now, Vec::new());
+    assert!(send(&mut reducer, now, 1).start_by.is_some());
+    notify_of_start(&mut reducer, now + Millis(100), 2, start);
+    (reducer, bound_end)
+}
+
+#[test]
+fn a_notice_of_another_start_ends_the_limit_of_an_attempt() {
+    for start in [0, 2].map(StartStamp) {
+        let (mut reducer, bound_end) = entry_with_attempt_and_notice(Some(start));
+        assert!(is_withdrawn(&reducer.reduce(bound_end, DirectEvent::TimerFired), 1), "{start}");
+    }
+}
+
+/// An agent of an earlier build names no start, and another incarnation may have its address.
+#[test]
+fn a_notice_by_address_ends_the_limit_of_an_attempt() {
+    let (mut reducer, bound_end) = entry_with_attempt_and_notice(None);
+    assert!(is_withdrawn(&reducer.reduce(bound_end, DirectEvent::TimerFired), 1));
+    let (mut reducer, bound_end) = entry_with_attempt_and_notice(Some(engine_with(1).start));
+    assert!(!is_withdrawn(&reducer.reduce(bound_end, DirectEvent::TimerFired), 1));
+}
+
+/// The attempt was sent to the start before, which may still run it.
+#[test]
+fn a_registration_of_another_start_ends_the_limit_of_an_attempt() {
+    let (mut reducer, bound_end) = entry_with_attempt_and_notice(Some(StartStamp(0)));
+    let reborn = UpstreamRecord { start: StartStamp(2), ..engine_with(2) };
+    answer(&mut reducer, bound_end - Millis(600), vec![FleetChange::Upstream(reborn)]);
+    assert!(is_withdrawn(&reducer.reduce(bound_end, DirectEvent::TimerFired), 1));
+}
+
+#[test]
+fn a_notice_that_comes_before_its_registration_is_lost() {
+    let (mut reducer, bound_end) = entry_with_attempt_and_notice(Some(StartStamp(2)));
+    let reborn = UpstreamRecord { start: StartStamp(2), serving: Vec::new(), ..engine_with(1) };
+    answer(&mut reducer, bound_end, vec![FleetChange::Upstream(reborn)]);
+    assert_eq!(send(&mut reducer, bound_end, 2).pinned_version, Some(WeightVersion(2)));
+}
+
+/// It was written before the engine loaded newer weights, and read after the notice of them.
+#[test]
+fn an_older_registration_of_the_same_start_lowers_the_believed_version() {
+    let mut reducer = entry();
+    let now = START + Millis(1_000);
+    notify(&mut reducer, now, 2);
+    answer(&mut reducer, now, vec![FleetChange::Upstream(engine_with(1))]);
+    assert_eq!(send(&mut reducer, now, 1).pinned_version, Some(WeightVersion(2)));
+    let reborn = UpstreamRecord { start: StartStamp(2), ..engine_with(1) };
+    answer(&mut reducer, now, vec![FleetChange::Upstream(reborn)]);
+    assert_eq!(send(&mut reducer, now, 2).pinned_version, None);
+}
--- a/mustardrill_core/tests/budgets.rs
+++ b/mustardrill_core/tests/budgets.rs
@@ -218,8 +218,9 @@
 
 fn notify(reducer: &mut DirectReducer, now: Moment, notice: EngineNotice) -> Vec<DirectEffect> {
     let address = common::desk(0).address;
+    let start = Some(common::desk(0).start);
     let model = "m".parse().unwrap();
-    reducer.reduce(now, DirectEvent::EngineNoticeReceived { address, model, notice })
+    reducer.reduce(now, DirectEvent::EngineNoticeReceived { address, model, start, notice })
 }
 
 /// Fails the first attempt of a request while the upstream loads, so that its retry waits.
--- a/mustardrill_core/tests/common/silences.rs
+++ b/mustardrill_core/tests/common/silences.rs
@@ -695,10 +695,11 @@
         upstream.version = version;
         upstream.record.serving[0].version = version;
         let (address, model) = (upstream.record.address, model());
+        let start = Some(upstream.record.start);
         for entry in 0..self.entries.len() {
             let notice = EngineNotice::Serving(version);
             let model = model.clone();
-            self.reduce(entry, DirectEvent::EngineNoticeReceived { address, model, notice });
+            self.reduce(entry, DirectEvent::EngineNoticeReceived { address, model, start, notice });
         }
     }
 
--- a/mustardrill_core/tests/contention.rs
+++ b/mustardrill_core/tests/contention.rs
@@ -215,6 +215,7 @@
     DirectEvent::EngineNoticeReceived {
         address: address(index),
         model: "m".parse().unwrap(),
+        start: Some(common::desk(0).start),
         notice,
     }
 }
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -780,7 +780,8 @@
     let closing = |reducer: &mut DirectReducer, after| {
         let notice = EngineNotice::LoadingIn(Millis(after));
         let (address, model) = (upstream("u1", "pool", 1).address, "m".parse().unwrap());
-        reducer.reduce(START, DirectEvent::EngineNoticeReceived { address, model, notice });
+        let start = Some(upstream("u1", "pool", 1).start);
+        reducer.reduce(START, DirectEvent::EngineNoticeReceived { address, model, start, notice });
     };
     let mut reducer = entry(&[upstream("u1", "pool", 1), upstream("u2", "pool", 1)]);
     closing(&mut reducer, 500);
--- a/mustardrill_core/tests/provisioning.rs
+++ b/mustardrill_core/tests/provisioning.rs
@@ -278,7 +278,7 @@
         matches!(
             effect,
             ProvisioningEffect::SendHoldings { .. }
-                | ProvisioningEffect::NotifyEntries(_, EngineNotice::LoadingIn(_))
+                | ProvisioningEffect::NotifyEntries(_, Some(_), EngineNotice::LoadingIn(_))
         )
     };
     assert!(
@@ -288,7 +288,11 @@
     let slot = START + common::ROLLOUT.first;
     let effects = reducer.reduce(slot, ProvisioningEvent::Tick);
     assert!(effects.contains(&ProvisioningEffect::VerifyStaged(version(2))), "{effects:?}");
-    let pause = ProvisioningEffect::NotifyEntries("m".parse().unwrap(), EngineNotice::Loading);
+    let pause = ProvisioningEffect::NotifyEntries(
+        "m".parse().unwrap(),
+        Some(StartStamp(0)),
+        EngineNotice::Loading,
+    );
     assert!(
         effects.contains(&pause),
         "entries are notified before the engine stops accepting requests"
@@ -305,7 +309,11 @@
     reducer.reduce(slot, ProvisioningEvent::LoadOrderEnded(version(2), LoadOrderOutcome::Accepted));
     let effects = reducer.reduce(slot + Millis(900), engine_state(2, 1));
     let notice = EngineNotice::Serving(WeightVersion(2));
-    assert!(effects.contains(&ProvisioningEffect::NotifyEntries("m".parse().unwrap(), notice)));
+    assert!(effects.contains(&ProvisioningEffect::NotifyEntries(
+        "m".parse().unwrap(),
+        Some(StartStamp(0)),
+        notice
+    )));
     assert!(!reducer.is_busy());
 }
 
@@ -317,7 +325,9 @@
     let slot = START + common::ROLLOUT.first;
     let notified_time = |effects: &[ProvisioningEffect]| {
         effects.iter().find_map(|effect| match effect {
-            ProvisioningEffect::NotifyEntries(_, EngineNotice::LoadingIn(after)) => Some(*after),
+            ProvisioningEffect::NotifyEntries(_, Some(_), EngineNotice::LoadingIn(after)) => {
+                Some(*after)
+            }
             _ => None,
         })
     };
@@ -343,7 +353,8 @@
         reducer.reduce(slot, ProvisioningEvent::StagedVerified(version(2), with_damaged_chunk));
     assert!(!effects.iter().any(|effect| matches!(effect, ProvisioningEffect::OrderLoad(..))));
     let resumed = EngineNotice::Serving(WeightVersion(1));
-    let resumed = ProvisioningEffect::NotifyEntries("m".parse().unwrap(), resumed);
+    let resumed =
+        ProvisioningEffect::NotifyEntries("m".parse().unwrap(), Some(StartStamp(0)), resumed);
     assert!(effects.contains(&resumed), "entries were notified of a pause that does not come");
     for step in 1..60 {
         effects.extend(reducer.reduce(slot + Millis(step * 100), ProvisioningEvent::Tick));
--- a/mustardrill_core/tests/stated_rests.rs
+++ b/mustardrill_core/tests/stated_rests.rs
@@ -97,7 +97,8 @@
     let notice =
         mustardrill_core::direct::EngineNotice::Serving(mustardrill_types::WeightVersion(2));
     let model = "m".parse().unwrap();
-    let event = DirectEvent::EngineNoticeReceived { address, model, notice };
+    let start = Some(desk(0).start);
+    let event = DirectEvent::EngineNoticeReceived { address, model, start, notice };
     reducer.reduce(START + Millis(600), event);
     assert!(!is_used(&mut reducer, START + Millis(600)));
     assert!(!is_used(&mut reducer, START + REST - Millis(1)));
--- a/mustardrill_core/tests/versions.rs
+++ b/mustardrill_core/tests/versions.rs
@@ -240,8 +240,9 @@
     let (mut reducer, start_by) =
         entry_with_attempt_shortly_before_bound(RepeatRule::StreamResumable);
     let (address, model) = (engine_with(1).address, "m".parse().unwrap());
+    let start = Some(engine_with(1).start);
     let notice = EngineNotice::Serving(WeightVersion(2));
-    reducer.reduce(start_by, DirectEvent::EngineNoticeReceived { address, model, notice });
+    reducer.reduce(start_by, DirectEvent::EngineNoticeReceived { address, model, start, notice });
     assert!(!is_withdrawn(&reducer.reduce(start_by, DirectEvent::TimerFired)));
 }
 
@@ -389,8 +390,9 @@
     };
     assert_eq!(pinned(&mut reducer, 1), Some(("u2".into(), Some(WeightVersion(2)))));
     let (address, model) = (engine_with(2).address, "m".parse().unwrap());
+    let start = Some(engine_with(2).start);
     let notice = EngineNotice::Serving(WeightVersion(3));
-    reducer.reduce(bound_end, DirectEvent::EngineNoticeReceived { address, model, notice });
+    reducer.reduce(bound_end, DirectEvent::EngineNoticeReceived { address, model, start, notice });
     assert_eq!(pinned(&mut reducer, 2), Some(("u2".into(), Some(WeightVersion(3)))));
 }
 
@@ -422,8 +424,9 @@
     let now = START + Millis(bound.0 - 800);
     reducer.reduce(now, DirectEvent::StoreAnswered(fleet_update(Vec::new()), now));
     let (address, model) = (engine_with(1).address, "m".parse().unwrap());
+    let start = Some(engine_with(1).start);
     let notice = EngineNotice::Serving(WeightVersion(2));
-    reducer.reduce(now, DirectEvent::EngineNoticeReceived { address, model, notice });
+    reducer.reduce(now, DirectEvent::EngineNoticeReceived { address, model, start, notice });
     let request =
         common::direct_request(1, "/x", WorkSize { prompt_tokens: 300, answer_tokens: 120 }, now);
     let effects = reducer.reduce(now, DirectEvent::RequestArrived(request));
--- a/mustardrill_entry/src/direct/gossip.rs
+++ b/mustardrill_entry/src/direct/gossip.rs
@@ -14,7 +14,7 @@
     DATAGRAM_LIMIT, Datagram, IntakeRow, LoadRow, VersionRow, WaitRow, split_crash_rows,
 };
 use mustardrill_runtime::wire::{crash_message, crash_report};
-use mustardrill_types::{Millis, ModelName, Moment, WeightVersion};
+use mustardrill_types::{Millis, ModelName, Moment, StartStamp, WeightVersion};
 
 use crate::direct::actor::{DirectActor, DirectContext, Event, GossipQuery};
 use crate::direct::availability::{self, AvailabilityQuerier};
@@ -119,6 +119,7 @@
         return Some(DirectEvent::EngineNoticeReceived {
             address: engine.address.parse::<SocketAddr>().ok()?,
             model: engine.model.parse().ok()?,
+            start: engine.start.map(StartStamp),
             notice: engine.notice(),
         });
     }
--- a/mustardrill_runtime/src/datagram.rs
+++ b/mustardrill_runtime/src/datagram.rs
@@ -187,6 +187,9 @@
     /// Time until it loads newer weights, in milliseconds; zero if not reported.
     #[prost(uint64, tag = "5")]
     pub loading_in_ms: u64,
+    /// Start of the engine's incarnation; agents of an earlier build send none.
+    #[prost(uint64, optional, tag = "6")]
+    pub start: Option<u64>,
 }
 
 /// Chunks of a version that an agent holds.
@@ -343,7 +346,12 @@
 
 impl EngineRow {
     /// Builds the row that an agent sends about the engine at `address`.
-    pub fn new(address: SocketAddr, model: &ModelName, notice: EngineNotice) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        model: &ModelName,
+        start: Option<StartStamp>,
+        notice: EngineNotice,
+    ) -> Self {
         let (address, model) = (address.to_string(), model.to_string());
         // Receivers that do not know `loading_in_ms` treat the engine as having newer weights to
         // come.
@@ -353,7 +361,8 @@
             EngineNotice::Loading => (false, 0, 0),
             EngineNotice::Serving(version) => (false, version.0, 0),
         };
-        Self { address, update_pending, model, version, loading_in_ms }
+        let start = start.map(|start| start.0);
+        Self { address, update_pending, model, version, loading_in_ms, start }
     }
 
     /// Returns the notice that the row encodes.
