--- a/mustardrill_core/tests/transfers.rs
+++ b/mustardrill_core/tests/transfers.rs
@@ -42,6 +42,8 @@
     origin_stalled_until: u64,
     origin_corrupt_until: u64,
     origin_fetches: u32,
+    /// Duration of a fetch from a peer.
+    peer_fetch_ms: u64,
 }
 
 fn manifest() -> Manifest {
@@ -86,6 +88,7 @@
             origin_stalled_until: 0,
             origin_corrupt_until: 0,
             origin_fetches: 0,
+            peer_fetch_ms: FETCH_MS,
             peers,
         }
     }
@@ -127,8 +130,10 @@
             let plan = self.plans[*agent].as_mut().unwrap();
             plan.expire_fetches(now);
             for fetch in plan.next_fetches(now) {
-                self.origin_fetches += u32::from(fetch.source == ChunkSource::Origin);
-                self.pending_fetches.push((self.now + FETCH_MS, *agent, fetch));
+                let is_from_origin = fetch.source == ChunkSource::Origin;
+                self.origin_fetches += u32::from(is_from_origin);
+                let fetch_ms = if is_from_origin { FETCH_MS } else { self.peer_fetch_ms };
+                self.pending_fetches.push((self.now + fetch_ms, *agent, fetch));
             }
         }
     }
@@ -259,6 +264,28 @@
     assert!(simulation.origin_fetches <= CHUNKS * 2);
 }
 
+/// The killed seeders had fetched chunks ahead of what they could pass on, as their peers were busy.
+#[test]
+fn the_origin_sends_more_than_a_quarter_again_after_two_busy_seeders_are_killed() {
+    let mut simulation = Simulation::new(10, &settings());
+    simulation.peer_fetch_ms = 8 * FETCH_MS;
+    while simulation.origin_fetches < CHUNKS {
+        simulation.step();
+    }
+    let is_seeder = |index: &usize| {
+        simulation.plans[*index].as_ref().is_some_and(|plan| plan.counts().origin_bytes > 0)
+    };
+    let seeders: Vec<_> = simulation.live_agents().filter(is_seeder).collect();
+    assert_eq!(seeders.len(), settings().max_seeders);
+    seeders.into_iter().take(2).for_each(|seeder| simulation.inject(Fault::Kill(seeder)));
+    while !simulation.is_complete() {
+        simulation.step();
+        assert!(simulation.now < 20_000, "the surviving agents never complete");
+    }
+    let sent = simulation.origin_fetches;
+    assert!(sent <= CHUNKS * 5 / 4, "the origin sent {sent} chunks of {CHUNKS}");
+}
+
 #[test]
 fn a_sender_of_corrupt_chunks_is_ejected() {
     let manifest = Arc::new(manifest());
