--- a/mustardrill_core/tests/common/bounds.rs
+++ b/mustardrill_core/tests/common/bounds.rs
@@ -428,6 +428,9 @@
         if !has_weights || plan.start != engine.record.start {
             self.tally.misdirected += 1;
             self.attempts[index].is_closed = true;
+            if self.attempts[index].is_withdrawn {
+                return;
+            }
             let outcome = AttemptOutcome::Misdirected;
             return self.report(index, DirectEvent::AttemptEnded(number, outcome));
         }
