A repeated request counts as sent after the contradiction that repeats it

An engine that refuses the demanded version each time, after the older version's bound, got its cool-down only from the third refusal on: the repetition is sent in the moment of the contradiction and counted as sent before it. Evidence: `an_engine_that_refuses_every_version_gets_no_cool_down`, now played after the bound, failed before and passes.

--- a/mustardrill_core/src/direct/fleet/version_belief.rs
+++ b/mustardrill_core/src/direct/fleet/version_belief.rs
@@ -52,8 +52,9 @@
         self.is_uncontradicted() && self.source != BeliefSource::AddressNotice
     }
 
-    /// Whether an attempt sent at `sent_at` rested on it before it was contradicted.
+    /// Whether an attempt sent at `sent_at` rested on it before it was contradicted. A repetition is
+    /// sent at the moment of the contradiction.
     pub(crate) fn was_relied_on(&self, sent_at: Moment) -> bool {
-        sent_at >= self.since && self.contradicted_at.is_none_or(|at| sent_at <= at)
+        sent_at >= self.since && self.contradicted_at.is_none_or(|at| sent_at < at)
     }
 }
--- a/mustardrill_core/tests/beliefs.rs
+++ b/mustardrill_core/tests/beliefs.rs
@@ -112,10 +112,12 @@
     assert_eq!(reducer.status(later).contradicted_beliefs, 1);
 }
 
+/// The version is demanded each time then, as nothing may start on the first one.
 #[test]
 fn an_engine_that_refuses_every_version_gets_no_cool_down() {
     let mut reducer = entry();
-    let now = START + Millis(1_000);
+    let now = START + common::direct_settings().version_bound;
+    answer(&mut reducer, now, Vec::new());
     notify(&mut reducer, now, 2);
     send(&mut reducer, now, 1);
     assert!(sent(&refuse_version(&mut reducer, now + Millis(20), 1), 1).is_some());
