--- a/mustardrill_core/tests/beliefs.rs
+++ b/mustardrill_core/tests/beliefs.rs
@@ -3,7 +3,7 @@
 use mustardrill_core::direct::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, EngineNotice, FleetChange,
     FleetUpdate, RepeatRule, RequestNumber, RouteDocument, RouteRule, SendPlan, ServedWeights,
-    ServiceProfile, UpstreamRecord, WorkSize,
+    ServiceProfile, SilenceReport, UpstreamRecord, WorkSize,
 };
 use mustardrill_types::{FastMap, Generation, Millis, Moment, StartStamp, WeightVersion};
 
@@ -229,3 +229,59 @@
     answer(&mut reducer, now, vec![FleetChange::Upstream(reborn)]);
     assert_eq!(send(&mut reducer, now, 2).pinned_version, None);
 }
+
+fn silent_for(after: u64) -> SilenceReport {
+    SilenceReport {
+        silent_for: Millis(after),
+        delivered: false,
+        is_reachable: false,
+        is_upstream_heard: false,
+    }
+}
+
+/// The first attempt is on the first version; the belief in the second engine may be wrong.
+#[test]
+fn a_second_attempt_demands_no_version() {
+    let mut reducer = entry();
+    let now = START + common::direct_settings().version_bound - Millis(1_500);
+    answer(&mut reducer, now, Vec::new());
+    send(&mut reducer, now, 1);
+    let other = UpstreamRecord {
+        id: "u2".parse().unwrap(),
+        address: ([10, 0, 0, 2], 1_000).into(),
+        ..engine_with(2)
+    };
+    answer(&mut reducer, now, vec![FleetChange::Upstream(other)]);
+    let silent = DirectEvent::AttemptSilent(RequestNumber(1), silent_for(300));
+    let effects = reducer.reduce(now + Millis(300), silent);
+    let backup = effects.iter().find_map(|effect| match effect {
+        DirectEffect::SendBackup(_, plan) => Some((plan.upstream.as_str(), plan.pinned_version)),
+        _ => None,
+    });
+    assert_eq!(backup, Some(("u2", Some(WeightVersion(2)))));
+    let bound_end = START + common::direct_settings().version_bound;
+    assert!(is_withdrawn(&reducer.reduce(bound_end, DirectEvent::TimerFired), 1));
+}
+
+/// The caller has a part of a stream of the first version. Its rest is a new run on that version.
+#[test]
+fn the_rest_of_a_stream_starts_on_superseded_weights_after_their_bound() {
+    for (left, is_sent) in [(1_500, true), (0, false)] {
+        let mut reducer = entry();
+        let bound_end = START + common::direct_settings().version_bound;
+        let sent_at = bound_end - Millis(2_000);
+        answer(&mut reducer, sent_at, Vec::new());
+        send(&mut reducer, sent_at, 1);
+        let started = DirectEvent::AnswerStarted(RequestNumber(1), None, Some(WeightVersion(1)));
+        reducer.reduce(sent_at + Millis(100), started);
+        let cut = bound_end - Millis(left);
+        let lost = AttemptOutcome::Lost { delivered: true, crashed: false };
+        let effects = common::end_attempt(&mut reducer, cut, 1, lost);
+        let plan = sent(&effects, 1);
+        assert_eq!(plan.is_some(), is_sent, "{left} ms before the bound: {effects:?}");
+        if let Some(plan) = plan {
+            assert_eq!(plan.pinned_version, Some(WeightVersion(1)));
+            assert!(plan.start_by.is_some_and(|start_by| start_by < bound_end));
+        }
+    }
+}
