An answer on other weights than believed is logged, and one of an earlier run lowers nothing

Callers saw: nothing yet; operators saw no line where an answer contradicted what an entry believed. And an answer that began before its engine loaded newer weights, and came after the notice of them, lowered the believed version, after which the engine counted as superseded until it reported again.

Now an answer's version is compared with the belief that held when its request was sent. An older one is a contradiction: a warning `outcome=contradicted by=answer` names version, source and age, the gauge beliefs_contradicted rises, and the answer's version is believed from then on. Where the request was sent before that evidence, it tells nothing.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -147,7 +147,11 @@
         if state.pinned_version.is_none() && state.repeat_rule.is_stream() {
             state.pinned_version = version;
         }
-        self.upstreams.record_answer_start(now, &upstream, load, state.model.as_ref(), version);
+        let model = state.model.as_ref();
+        let sent_at = state.sent_at;
+        let is_contradicted =
+            self.upstreams.record_answer_start(now, sent_at, &upstream, load, model, version);
+        self.contradicted_beliefs += u64::from(is_contradicted);
         // One that accepts a request after a rest is sent one more at a time.
         let target = self.upstreams.get(&upstream.id);
         if target.is_some_and(|target| target.conditions.rest.is_returning(now)) {
--- a/mustardrill_core/src/direct/fleet/upstream.rs
+++ b/mustardrill_core/src/direct/fleet/upstream.rs
@@ -1,6 +1,6 @@
 //! Health, load and served weights of one upstream, as seen by one entry.
 
-use log::info;
+use log::{info, warn};
 use mustardrill_types::{InstanceId, Millis, ModelName, Moment, StartStamp, WeightVersion};
 
 use crate::direct::event::{AttemptOutcome, UpstreamLoad};
@@ -283,6 +283,33 @@
         }
     }
 
+    /// Records the version that an answer to an attempt sent at `sent_at` reports. Returns whether it
+    /// contradicts what was believed. An attempt sent before the evidence of a newer version may
+    /// have started before the engine loaded that.
+    pub(crate) fn record_answered_version(
+        &mut self,
+        now: Moment,
+        sent_at: Moment,
+        model: &ModelName,
+        version: WeightVersion,
+    ) -> bool {
+        let newer = self.served_version(model).filter(|known| *known > version);
+        if newer.is_some() && sent_at < self.belief.since {
+            return false;
+        }
+        if let Some(known) = newer {
+            warn!(
+                "instance={} believed={known} source={} age={} served={version} \
+                 outcome=contradicted by=answer",
+                self.record.id,
+                self.belief.source,
+                now.since(self.belief.since)
+            );
+        }
+        self.set_served_version(model, version, VersionBelief::new(BeliefSource::Answer, now));
+        newer.is_some()
+    }
+
     /// Raises the versions in a registration of the same incarnation to those known by newer
     /// evidence: within one start they never fall.
     pub(crate) fn keep_newer_versions(&self, record: &mut UpstreamRecord) {
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -457,24 +457,26 @@
         }
     }
 
-    /// Records the start of an answer, with the load and the weights version that it reports.
+    /// Records the start of an answer to an attempt sent at `sent_at`, with the load and the weights
+    /// version that it reports. Returns whether the version contradicts what was believed.
     pub(crate) fn record_answer_start(
         &mut self,
         now: Moment,
+        sent_at: Moment,
         start: &UpstreamStart,
         load: Option<LoadReport>,
         model: Option<&ModelName>,
         version: Option<WeightVersion>,
-    ) {
-        let Some(state) = self.incarnation_mut(start) else { return };
+    ) -> bool {
+        let Some(state) = self.incarnation_mut(start) else { return false };
         state.record_acceptance(now);
         if let Some(load) = load {
             state.record.slots = load.slots;
         }
-        if let (Some(model), Some(version)) = (model, version) {
-            let belief = VersionBelief::new(BeliefSource::Answer, now);
-            state.set_served_version(model, version, belief);
-        }
+        let answered = model.zip(version);
+        answered.is_some_and(|(model, version)| {
+            state.record_answered_version(now, sent_at, model, version)
+        })
     }
 
     /// Records the outcome of an attempt; `first_ejection` is the length of a first ejection.
--- a/mustardrill_core/tests/beliefs.rs
+++ b/mustardrill_core/tests/beliefs.rs
@@ -285,3 +285,31 @@
         }
     }
 }
+
+/// The run began before the engine loaded the version that its agent told of.
+#[test]
+fn the_answer_of_an_earlier_run_lowers_the_believed_version() {
+    let mut reducer = entry();
+    let now = START + Millis(1_000);
+    send(&mut reducer, now, 1);
+    notify(&mut reducer, now + Millis(500), 2);
+    let started = DirectEvent::AnswerStarted(RequestNumber(1), None, Some(WeightVersion(1)));
+    reducer.reduce(now + Millis(510), started);
+    let plan = send(&mut reducer, now + Millis(520), 2);
+    assert_eq!(plan.pinned_version, Some(WeightVersion(2)));
+    assert_eq!(reducer.status(now).contradicted_beliefs, 0);
+}
+
+/// The entry believes the registration, and the answer to a later request tells otherwise.
+#[test]
+fn an_answer_on_older_weights_contradicts_no_belief() {
+    let mut reducer = entry();
+    let now = START + Millis(1_000);
+    notify(&mut reducer, now, 2);
+    send(&mut reducer, now, 1);
+    refuse_version(&mut reducer, now + Millis(20), 1);
+    let started = DirectEvent::AnswerStarted(RequestNumber(1), None, Some(WeightVersion(1)));
+    reducer.reduce(now + Millis(40), started);
+    assert_eq!(reducer.status(now).contradicted_beliefs, 2, "by the refusal and by the answer");
+    assert_eq!(send(&mut reducer, now + Millis(50), 2).pinned_version, None);
+}
