Soak seeds in which a notice that an engine stated too early ends the watch over an attempt, listed

In each the request had a limit (`replaced_in=` 385 to 685 ms), `serving:2` of its engine, which held version 1, was received before or beside it, and there is no `decision=withdraw`.

In the schedules wrong notices name no start since; an engine that reports newer weights before it holds them names its own, as in the soak.

--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -73,8 +73,9 @@
 ///   1488, 1616 and 1680, which are played by hand.
 /// - 2448: answers of a slow store were taken for ones that had waited for the announcement, which
 ///   was counted up to 0.8 s late; so they were with 1040 and 1104.
-/// - 3216: an attempt was not withdrawn after a wrong notice that its engine held newer weights.
-const VERSION_BOUNDS_SEEDS: [u64; 3] = [1104, 2448, 3216];
+/// - 3216: an attempt was not withdrawn after a wrong notice that its engine held newer weights; so
+///   it was with 7440, 11856, 12560 and 12944.
+const VERSION_BOUNDS_SEEDS: [u64; 4] = [1104, 2448, 3216, 12560];
 
 /// Seeds that CI runs with workers that fall silent.
 const SILENCES_SEEDS: [u64; 3] = [48, 112, 304];
