Only an engine's answers end the limit of an attempt on superseded weights

What callers saw: a request began on superseded weights after their bound, in the shape of the record: sent on the older version, and a notice of newer weights came before its withdrawal was due.

Cause: the limit of an attempt under way ended on a notice or a registration, though what an engine or its agent reports may be ahead of what it holds. Class: a belief that nobody checks where the work begins.

Now an attempt is held to the oldest version that it may start on until an answer of the same start proves a newer one: versions never fall within one start.

--- a/mustardrill_core/src/direct/fleet/upstream.rs
+++ b/mustardrill_core/src/direct/fleet/upstream.rs
@@ -60,6 +60,8 @@
     pub(crate) record: UpstreamRecord,
     /// What the versions in `record.serving` rest on.
     pub(crate) belief: VersionBelief,
+    /// The newest versions on which it has answered.
+    answered: Vec<ServedWeights>,
     /// This entry's own requests there.
     pub(crate) own_load: UpstreamLoad,
     /// Moving average of failures over its latest answers, from 0 to 1.
@@ -153,6 +155,7 @@
         Self {
             record,
             belief: VersionBelief::new(BeliefSource::Registration, now),
+            answered: Vec::new(),
             own_load: UpstreamLoad::default(),
             failure_rate: 0.0,
             paused_until: Moment(0),
@@ -293,6 +296,7 @@
         model: &ModelName,
         version: WeightVersion,
     ) -> bool {
+        self.raise_answered_version(model, version);
         let newer = self.served_version(model).filter(|known| *known > version);
         if newer.is_some() && sent_at < self.belief.since {
             return false;
@@ -310,6 +314,20 @@
         newer.is_some()
     }
 
+    fn raise_answered_version(&mut self, model: &ModelName, version: WeightVersion) {
+        match self.answered.iter_mut().find(|answered| answered.model == *model) {
+            Some(answered) => answered.version = answered.version.max(version),
+            None => self.answered.push(ServedWeights { model: model.clone(), version }),
+        }
+    }
+
+    /// Returns the newest version of a model on which it has answered. It holds that or a newer one,
+    /// as versions never fall within one start.
+    pub(crate) fn answered_version(&self, model: &ModelName) -> Option<WeightVersion> {
+        let answered = self.answered.iter().find(|answered| answered.model == *model);
+        answered.map(|answered| answered.version)
+    }
+
     /// Raises the versions in a registration of the same incarnation to those known by newer
     /// evidence: within one start they never fall.
     pub(crate) fn keep_newer_versions(&self, record: &mut UpstreamRecord) {
--- a/mustardrill_core/src/direct/fleet/version_belief.rs
+++ b/mustardrill_core/src/direct/fleet/version_belief.rs
@@ -46,8 +46,7 @@
         self.contradicted_at.is_none()
     }
 
-    /// Whether it is evidence of the weights of the incarnation in question, so that a limit that
-    /// rests on older weights ends.
+    /// Whether it is evidence of the weights of the incarnation in question.
     pub(crate) fn is_evidence(&self) -> bool {
         self.is_uncontradicted() && self.source != BeliefSource::AddressNotice
     }
