Only failed calls are an outage of the store, and a write that the kernel can't hold is no lost attempt

Now calls must have failed, and the time counts from the last answer before. a test of a demanded version relied on a silence of 7 s without a failed call; it confirms the version shortly before now. - Where the kernel refuses to hold a request, the attempt ended as lost although nothing had left, and a refused release left it as unwritten. It is written as before then, and the kernel's own end of the hold releases it.

--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -25,7 +25,7 @@
 use crate::direct::retries::unattributed_runs::UnattributedRuns;
 use crate::direct::route::RouteDocument;
 use crate::direct::silence::SilenceAllowance;
-use crate::direct::store::availability::{AvailabilitySpan, StoreAvailability};
+use crate::direct::store::availability::{AvailabilitySpan, StoreAvailability, StoreOutage};
 use crate::direct::store::freshness::FreshnessClock;
 use crate::direct::store::generation_report::GenerationReport;
 use crate::direct::versions::announcements::AnnouncementInquiry;
@@ -95,6 +95,10 @@
     pub(super) peer_generation: GenerationReport,
     /// Peers that are missing in a store restored from an older copy.
     pub(super) unconfirmed_peers: FastSet<InstanceId>,
+    /// When the store answered last.
+    pub(super) store_answered_at: Moment,
+    /// The latest time in which calls to the store failed.
+    pub(super) store_outage: Option<StoreOutage>,
     /// Whether the last call to the store failed.
     pub(super) is_store_unreachable: bool,
     /// For how long the store has been answering the entries.
@@ -151,6 +155,8 @@
             store_era: StoreEra::default(),
             peer_generation: GenerationReport::default(),
             unconfirmed_peers: FastSet::default(),
+            store_answered_at: Moment(0),
+            store_outage: None,
             is_store_unreachable: false,
             store_availability: StoreAvailability::default(),
             held_requests: HeldRequests::default(),
--- a/mustardrill_core/src/direct/store/availability.rs
+++ b/mustardrill_core/src/direct/store/availability.rs
@@ -16,6 +16,24 @@
     pub until: Moment,
 }
 
+/// A time in which calls of this entry to the store failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct StoreOutage {
+    /// When the store answered last before.
+    pub(crate) answered_before: Moment,
+    /// When it answered first after.
+    pub(crate) answered_again: Moment,
+}
+
+impl StoreOutage {
+    /// How long it lasted at least, if the store has been available since `since`; zero if that is
+    /// not the period which followed.
+    pub(crate) fn length(self, since: Moment) -> Millis {
+        let is_followed = since <= self.answered_again;
+        if is_followed { since.since(self.answered_before) } else { Millis(0) }
+    }
+}
+
 /// The latest period of availability, by the answers to this entry and the reports of its peers.
 #[derive(Debug, Default)]
 pub struct StoreAvailability {
--- a/mustardrill_core/src/direct/store/fleet_updates.rs
+++ b/mustardrill_core/src/direct/store/fleet_updates.rs
@@ -9,6 +9,7 @@
 use crate::direct::fleet::update::{FleetChange, FleetUpdate, UpstreamRecord};
 use crate::direct::fleet::upstream::ExpiryCause;
 use crate::direct::reducer::DirectReducer;
+use crate::direct::store::availability::StoreOutage;
 use crate::direct::store::freshness::{FreshnessClock, earliest_restore_time};
 use crate::direct::versions::table::AnnouncementTime;
 
@@ -58,7 +59,9 @@
     /// Records that the store was available at `sent`.
     fn record_availability(&mut self, now: Moment, sent: Moment, was_unavailable: bool) {
         self.store_availability.record_answer(now, sent, self.settings.registration_expiry);
+        let answered_before = std::mem::replace(&mut self.store_answered_at, now);
         if was_unavailable {
+            self.store_outage = Some(StoreOutage { answered_before, answered_again: now });
             let answering = self.store_availability.span().map_or(now, |span| span.since);
             info!(
                 "dependency=store outcome=regained proof_age={} answering={}",
--- a/mustardrill_core/src/direct/versions/announcements.rs
+++ b/mustardrill_core/src/direct/versions/announcements.rs
@@ -140,7 +140,11 @@
             return;
         }
         if let Some(span) = self.store_availability.span() {
-            self.versions.count_from_return(span.since, MIN_STORE_OUTAGE);
+            // A process that was suspended has had no answer either, but no call of it failed.
+            let outage = self.store_outage.map_or(Millis(0), |outage| outage.length(span.since));
+            if outage >= MIN_STORE_OUTAGE {
+                self.versions.count_from_return(span.since, MIN_STORE_OUTAGE);
+            }
             self.refresh_attempt_limits();
             info!("weights outcome=settled answering={}", now.since(span.since));
         }
--- a/mustardrill_core/tests/versions.rs
+++ b/mustardrill_core/tests/versions.rs
@@ -384,6 +384,9 @@
 fn an_engine_is_asked_for_no_version_while_one_newer_than_its_own_is_announced() {
     let mut reducer = entry_after_announcement();
     let bound_end = START + common::direct_settings().version_bound;
+    let confirmed_at = bound_end - Millis(10);
+    reducer
+        .reduce(confirmed_at, DirectEvent::StoreAnswered(fleet_update(Vec::new()), confirmed_at));
     let changes = vec![version_announced(3), FleetChange::Upstream(engine_with(2))];
     reducer.reduce(bound_end, DirectEvent::StoreAnswered(fleet_update(changes), bound_end));
     let pinned = |reducer: &mut DirectReducer, number| {
@@ -454,3 +457,22 @@
         "pinned to {pinned_version:?}, to start by {start_by:?}"
     );
 }
+
+/// The process was suspended for 3 s after a slow answer, and no call of it failed.
+#[test]
+fn a_suspension_beside_a_slow_answer_counts_as_an_outage_of_the_store() {
+    let mut reducer = entry_before_announcement();
+    let answers = [(0, 900, Vec::new()), (4_000, 4_010, vec![version_announced(2)])];
+    for (sent, answered, changes) in answers {
+        let event = DirectEvent::StoreAnswered(fleet_update(changes), START + Millis(sent));
+        reducer.reduce(START + Millis(answered), event);
+        reducer.reduce(START + Millis(answered + 210), DirectEvent::TimerFired);
+    }
+    let announced_at = START + Millis(950);
+    let dropped_at = superseded_from(reducer);
+    assert!(
+        dropped_at <= announced_at + common::direct_settings().version_bound,
+        "{} after the announcement",
+        dropped_at.since(announced_at)
+    );
+}
--- a/mustardrill_entry/src/direct/gated_stream.rs
+++ b/mustardrill_entry/src/direct/gated_stream.rs
@@ -137,18 +137,30 @@
         }
         gate.check_deadline(clock.now())?;
         gate.write(|| {
-            sockopt::set_tcp_cork(&*stream, true)?;
+            let is_held = set_held(stream, true);
             let written = write(Pin::new(&mut *stream));
+            if !is_held {
+                return written;
+            }
             if let Err(error) = gate.check_deadline(clock.now()) {
                 discard(stream);
                 return Poll::Ready(Err(error));
             }
-            sockopt::set_tcp_cork(&*stream, false)?;
+            set_held(stream, false);
             written
         })
     }
 }
 
+/// Makes the kernel hold what is written, or release it; returns whether it does so.
+fn set_held(stream: &TcpStream, is_held: bool) -> bool {
+    let outcome = sockopt::set_tcp_cork(stream, is_held);
+    if let Err(error) = &outcome {
+        log::warn!("connection held={is_held} outcome=refused reason=\"{error}\"");
+    }
+    outcome.is_ok()
+}
+
 /// Resets a connection, so that the kernel sends nothing of what it holds.
 fn discard(stream: &TcpStream) {
     if let Err(error) = connect_unspec(stream) {
