--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt of a request: sends it to an upstream and passes the answer on.
 
 use std::error::Error;
-use std::fmt::Display;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -12,8 +11,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use hyper::{HeaderMap, Response, StatusCode};
 use mustardrill_core::direct::{
-    AttemptOutcome, DirectEvent, LoadReport, RequestNumber, SendPlan, SilenceReport, StatedValue,
-    UpstreamStatement,
+    AttemptOutcome, DirectEvent, LoadReport, RequestNumber, SendPlan, SilenceReport,
 };
 use mustardrill_runtime::adapters::AnswerKind;
 use mustardrill_runtime::http::{is_delimited, refuses_connections};
@@ -286,60 +284,6 @@
         self.task.report(DirectEvent::AnswerStarted(self.number, answer.load, version)).await;
     }
 
-    /// Reports what the answer states about its upstream, if anything.
-    async fn report_statement(&self, status: StatusCode, headers: &HeaderMap) {
-        let statement = self.task.context.adapters.dialect.read_statement(status, headers);
-        if statement.is_absent() {
-            return;
-        }
-        self.log_statement(status, &statement);
-        self.task.report(DirectEvent::UpstreamStated(self.number, statement)).await;
-    }
-
-    fn log_statement(&self, status: StatusCode, statement: &UpstreamStatement) {
-        let plan = &self.plan;
-        let UpstreamStatement { limit, leaving, rest } = statement;
-        self.check_statement(
-            "limit",
-            limit,
-            "one decimal number of requests per second, such as 2.5",
-        );
-        self.check_statement("leaving", leaving, "1 from an upstream that leaves");
-        self.check_statement(
-            "rest",
-            rest,
-            "one decimal number of seconds up to 86400, such as 2.5",
-        );
-        if leaving.value == Some(true) || rest.value.is_some() {
-            log::info!(
-                "request={} instance={} start={} status={} leaving={} rest={}",
-                self.task.caller_request_id,
-                plan.upstream,
-                plan.start,
-                status.as_u16(),
-                u8::from(leaving.value == Some(true)),
-                rest.value.map_or("none".into(), |rest| rest.to_string()),
-            );
-        }
-    }
-
-    /// Counts a statement, and logs one that is malformed.
-    fn check_statement<T: Display>(&self, name: &str, stated: &StatedValue<T>, expected: &str) {
-        if stated.is_absent() {
-            return;
-        }
-        if let Some(text) = &stated.malformed {
-            log::warn!(
-                "request={} instance={} {name}=malformed value={text:?} used={} expected=\"{expected}\"",
-                self.task.caller_request_id,
-                self.plan.upstream,
-                stated.value.as_ref().map_or("none".into(), |value| value.to_string())
-            );
-        }
-        let form = if stated.malformed.is_some() { "malformed" } else { "valid" };
-        let _ = self.task.context.metrics.count(&format!("{name}_statements.{form}"), 1);
-    }
-
     /// Reads a refusal to its end, so that its connection can be reused.
     async fn drain_refusal(&self, response: Response<Incoming>, connection: UpstreamConnection) {
         const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
--- a/mustardrill_entry/src/direct/mod.rs
+++ b/mustardrill_entry/src/direct/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod answer_sink;
 mod attempt;
+mod attempt_statements;
 mod availability;
 mod callers;
 mod config;
