Tests of requests that wait in an engine leave the entry its own bound

One entry counts an announcement from up to a watch of the store (1 s) earlier since the fix of that count, so that its bound could be over when the calls came. Callers wait longer before the bound now: the engine keeps each for 2 s in place of 1 s and the calls come 0.8 s earlier, so that without a withdrawal each starts 0.2 s and more too late, as before.

--- a/mustardrill_standins/tests/prepared/versions.rs
+++ b/mustardrill_standins/tests/prepared/versions.rs
@@ -250,8 +250,9 @@
     fleet.assert_no_late_start(2, announced_at);
 }
 
-/// Runs an engine with the superseded weights that from 1 s before the bound on starts a request
-/// only 1 s after it was received. Returns the fleet and the answers to the calls of the period in
+/// Runs an engine with the superseded weights that from 1.8 s before the bound on starts a request
+/// only 2 s after it was received. An entry may count the announcement from up to a watch of the
+/// store earlier, and requests are sent before its own bound. Returns the fleet and the answers to the calls of the period in
 /// which an entry cannot know of this delay.
 async fn run_with_slow_engine(
     test: u8,
@@ -261,8 +262,8 @@
     let engines = [vec![slow.clone()], other_engines].concat();
     let fleet = EngineFleet::start(test, 1, engines, 3).await;
     let announced_at = fleet.announce(2);
-    fleet.call_for(Duration::from_millis(2_000), "before").await.join_all().await;
-    slow.set_start_delay(Duration::from_millis(1_000));
+    fleet.call_for(Duration::from_millis(1_200), "before").await.join_all().await;
+    slow.set_start_delay(Duration::from_millis(2_000));
     let slow_from = Instant::now();
     let calls = fleet.call_for(Duration::from_millis(500), "waiting").await;
     let views = calls.join_all().await;
@@ -313,9 +314,9 @@
     let engine = Worker::new("i-1", 1);
     let fleet = EngineFleet::start(40, 2, vec![engine.clone()], 3).await;
     let announced_at = fleet.announce(2);
-    fleet.call_for(Duration::from_millis(1_900), "before").await.join_all().await;
+    fleet.call_for(Duration::from_millis(1_200), "before").await.join_all().await;
     engine.send_head_first();
-    engine.set_start_delay(Duration::from_millis(1_000));
+    engine.set_start_delay(Duration::from_millis(2_000));
     let views = fleet.call_for(Duration::from_millis(400), "waiting").await.join_all().await;
     let rest = (fleet.bound + Duration::from_millis(1_500)).saturating_sub(announced_at.elapsed());
     tokio::time::sleep(rest).await;
