--- a/mustardrill_standins/tests/prepared/callers.rs
+++ b/mustardrill_standins/tests/prepared/callers.rs
@@ -44,7 +44,7 @@
 /// A caller that shuts down its sending side counts as gone, as one that closes its connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_caller_has_shut_down_its_sending_side_starts_later() {
-    let fleet = Fleet::start(223, vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
     let arrivals = || fleet.engines.iter().map(|engine| engine.arrivals().len()).sum::<usize>();
     fleet.engines.iter().for_each(|engine| engine.set_start_delay(Duration::from_millis(800)));
     let mut stream = send(&fleet, "gone", "/drafts/x").await;
@@ -59,7 +59,7 @@
 /// Nothing is sent to another upstream for a caller that is gone, however long the first is silent.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_caller_left_in_a_silence_runs_again() {
-    let fleet = Fleet::start(224, vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
     let silence = AnswerSilence { place: BeforeHead, length: Duration::from_secs(5) };
     for worker in fleet.engines.iter().chain(&fleet.desks) {
         worker.set_silences(&[silence], 2);
@@ -78,10 +78,10 @@
 /// The entry waits for the caller then, not for the upstream.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_stream_of_a_caller_that_reads_slowly_is_cut() {
-    let fleet = fleet_without_desks(225).await;
+    let fleet = fleet_without_desks().await;
     let event = |id: usize| format!("id: {id}\ndata: {}\n\n", "x".repeat(1_000));
     let sent: String = (1..=LARGE_STREAM_BYTES / 1_000).map(event).collect();
-    RawUpstream::start(&fleet, 225, "i-raw", events(&sent, false)).await;
+    RawUpstream::start(&fleet, "i-raw", events(&sent, false)).await;
     wait_for_registration().await;
     let mut stream = send(&fleet, "slow", "/drafts/x").await;
     tokio::time::sleep(FIRST_PAUSE).await;
--- a/mustardrill_standins/tests/prepared/crash.rs
+++ b/mustardrill_standins/tests/prepared/crash.rs
@@ -15,8 +15,9 @@
 use tokio::task::JoinHandle;
 
 use crate::fleet::{
-    caller_request, complete_stream, configuration, entry_settings, listen, machine_ip, register,
+    caller_request, complete_stream, configuration, entry_settings, listen, register,
 };
+use crate::network::TestNetwork;
 use crate::store::Store;
 use crate::worker::{CrashCause, CrashTrigger, Worker};
 
@@ -55,6 +56,7 @@
     pub client: HttpClient,
     restart_task: JoinHandle<()>,
     store_server: StandIn,
+    network: TestNetwork,
 }
 
 impl Drop for CrashFleet {
@@ -65,19 +67,20 @@
 }
 
 impl CrashFleet {
-    pub async fn start(test: u8, entries: u8, engines: u8, cause: CrashCause) -> Self {
-        let folder =
-            std::env::temp_dir().join(format!("mustardrill-crash-{test}-{}", std::process::id()));
+    pub async fn start(entries: u8, engines: u8, cause: CrashCause) -> Self {
+        let network = TestNetwork::open();
+        let folder = std::env::temp_dir()
+            .join(format!("mustardrill-crash-{network}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let store = Store::new();
-        let server = listen(machine_ip(test, 1), Box::new(store.clone())).await;
+        let server = listen(network.machine_ip(1), Box::new(store.clone())).await;
         let (crash_sender, crashes) = mpsc::unbounded_channel();
         let mut engine_hosts = Vec::new();
         for place in 0..engines {
             let engine = new_engine(&format!("i-{place}-0"), cause, &crash_sender);
             let engine_server =
-                listen(machine_ip(test, 60 + place), Box::new(engine.clone())).await;
-            let address = SocketAddr::new(machine_ip(test, 10 + place), 8_000);
+                listen(network.machine_ip(60 + place), Box::new(engine.clone())).await;
+            let address = SocketAddr::new(network.machine_ip(10 + place), 8_000);
             let link = LabLink::spawn_at(address, engine_server.address).unwrap();
             register(&store, &engine, address, "pool");
             engine_hosts.push(EngineHost {
@@ -89,7 +92,7 @@
                 _server: engine_server,
             });
         }
-        let origin = SocketAddr::new(machine_ip(test, 2), 9);
+        let origin = SocketAddr::new(network.machine_ip(2), 9);
         store.write("op/config", &configuration(1, origin, &["key-1", "key-2"]));
         let hosts = Arc::new(Mutex::new(engine_hosts));
         let restart_task = tokio::spawn(restart_crashed_engines(
@@ -98,7 +101,7 @@
             store,
             crash_sender,
             cause,
-            test,
+            network,
         ));
         let mut fleet = Self {
             entries: Vec::new(),
@@ -107,19 +110,20 @@
             client: HttpClient::open(Duration::from_secs(1)),
             restart_task,
             store_server: server,
+            network,
         };
         for place in 0..entries {
-            fleet.start_entry(test, place).await;
+            fleet.start_entry(place).await;
         }
         // Entries discover each other through the store.
         tokio::time::sleep(Duration::from_millis(500)).await;
         fleet
     }
 
-    async fn start_entry(&mut self, test: u8, place: u8) {
+    async fn start_entry(&mut self, place: u8) {
         let name = format!("entry-{place}");
         let settings =
-            entry_settings(&name, machine_ip(test, 100 + place), self.store_server.address);
+            entry_settings(&name, self.network.machine_ip(100 + place), self.store_server.address);
         self.entries.push(daemon(&self.folder, "mustardrill-entry", &name, &settings));
         let entry = self.entries.len() - 1;
         let started_at = Instant::now();
@@ -187,7 +191,7 @@
     store: Store,
     crash_sender: mpsc::UnboundedSender<String>,
     cause: CrashCause,
-    test: u8,
+    network: TestNetwork,
 ) {
     let mut starts = 0;
     while let Some(id) = crashes.recv().await {
@@ -208,7 +212,7 @@
             tokio::time::sleep(ENGINE_RESTART_DELAY).await;
             store.remove(&format!("servers/{id}"));
             let engine_server =
-                listen(machine_ip(test, 60 + place as u8), Box::new(successor.clone())).await;
+                listen(network.machine_ip(60 + place as u8), Box::new(successor.clone())).await;
             let address = hosts.lock().unwrap()[place].address;
             let link = LabLink::spawn_at(address, engine_server.address).unwrap();
             register(&store, &successor, address, "pool");
@@ -231,7 +235,7 @@
 /// digest=da64ba38...`, `request=crash-2 instance=i-3-0 ... digest=da64ba38...`.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_engines_is_quarantined() {
-    let fleet = CrashFleet::start(20, 3, 8, CrashCause::Path(CRASHING_PATH)).await;
+    let fleet = CrashFleet::start(3, 8, CrashCause::Path(CRASHING_PATH)).await;
     let mut crashing = Vec::new();
     for round in 0..24 {
         let answer = fleet.call(round, &format!("crash-{round}"), CRASHING_PATH).await;
@@ -270,7 +274,7 @@
 /// quarantines, each of them lets the request crash engines again after a restart of all entries.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_starts_later_knows_the_quarantined_requests() {
-    let mut fleet = CrashFleet::start(21, 2, 6, CrashCause::Path(CRASHING_PATH)).await;
+    let mut fleet = CrashFleet::start(2, 6, CrashCause::Path(CRASHING_PATH)).await;
     for round in 0..4 {
         fleet.call(round, &format!("crash-{round}"), CRASHING_PATH).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
@@ -279,7 +283,7 @@
     fleet.entries.iter_mut().for_each(LabProcess::kill);
     fleet.entries.clear();
     for place in 2..4 {
-        fleet.start_entry(21, place).await;
+        fleet.start_entry(place).await;
     }
     for round in 0..4 {
         let answer = fleet.call(round, &format!("again-{round}"), CRASHING_PATH).await;
--- a/mustardrill_standins/tests/prepared/fleet.rs
+++ b/mustardrill_standins/tests/prepared/fleet.rs
@@ -1,7 +1,7 @@
 //! A fleet of daemons on stand-ins of the prepared platform, and the documents it is configured
 //! with.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,7 @@
 use mustardrill_standins::process::{LabProcess, daemon};
 use serde_json::{Value, json};
 
+use crate::network::TestNetwork;
 use crate::store::Store;
 use crate::worker::{CHUNKS, EVENTS, Origin, Worker};
 
@@ -25,6 +26,7 @@
     pub entry: LabProcess,
     pub agents: Vec<LabProcess>,
     pub folder: PathBuf,
+    pub network: TestNetwork,
     pub client: HttpClient,
     /// Servers of the stand-ins; they stop listening when the fleet is dropped.
     pub stand_ins: Vec<StandIn>,
@@ -37,14 +39,6 @@
     }
 }
 
-/// Returns the loopback address that stands for a machine of a test's fleet. Daemons listen at the
-/// same ports on all machines, so each machine, test and run of the tests needs an address of its
-/// own.
-pub fn machine_ip(test: u8, number: u8) -> IpAddr {
-    let run = 10 + (std::process::id() % 240) as u8;
-    IpAddr::V4(Ipv4Addr::new(127, run, test, number))
-}
-
 pub async fn listen(
     address: IpAddr,
     handler: Box<dyn mustardrill_runtime::http::HttpHandler>,
@@ -55,23 +49,24 @@
 const AGENT_PORT: u16 = 17_701;
 
 impl Fleet {
-    pub async fn start(test: u8, engines: Vec<Worker>) -> Self {
+    pub async fn start(engines: Vec<Worker>) -> Self {
+        let network = TestNetwork::open();
         let folder = std::env::temp_dir()
-            .join(format!("mustardrill-prepared-{test}-{}", std::process::id()));
+            .join(format!("mustardrill-prepared-{network}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let (store, origin) = (Store::new(), Origin::default());
-        let store_server = listen(machine_ip(test, 1), Box::new(store.clone())).await;
-        let origin_server = listen(machine_ip(test, 2), Box::new(origin.clone())).await;
+        let store_server = listen(network.machine_ip(1), Box::new(store.clone())).await;
+        let origin_server = listen(network.machine_ip(2), Box::new(origin.clone())).await;
         let (store_address, origin_address) = (store_server.address, origin_server.address);
         let mut stand_ins = vec![store_server, origin_server];
         let desks = vec![Worker::new("i-desk-1", 0), Worker::new("i-desk-2", 0)];
         // Each request earns a retry: an entry that has just started has no part of the allowance.
         let settings =
-            entry_settings("entry-1", machine_ip(test, 3), store_address) + "retry_ratio = 2\n";
+            entry_settings("entry-1", network.machine_ip(3), store_address) + "retry_ratio = 2\n";
         let entry = daemon(&folder, "mustardrill-entry", "entry", &settings);
         let mut agents = Vec::new();
         for (place, engine) in engines.iter().enumerate() {
-            let ip = machine_ip(test, 10 + place as u8);
+            let ip = network.machine_ip(10 + place as u8);
             let at = listen(ip, Box::new(engine.clone())).await;
             register(&store, engine, at.address, "pool");
             let name = format!("agent-{place}");
@@ -80,7 +75,7 @@
             agents.push(daemon(&folder, "mustardrill-agent", &name, &settings));
         }
         for (place, desk) in desks.iter().enumerate() {
-            let at = listen(machine_ip(test, 30 + place as u8), Box::new(desk.clone())).await;
+            let at = listen(network.machine_ip(30 + place as u8), Box::new(desk.clone())).await;
             register(&store, desk, at.address, "desk");
             stand_ins.push(at);
         }
@@ -94,6 +89,7 @@
             entry,
             agents,
             folder,
+            network,
             client,
             stand_ins,
             origin_address,
--- a/mustardrill_standins/tests/prepared/framing.rs
+++ b/mustardrill_standins/tests/prepared/framing.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::fleet::{Fleet, complete_stream, machine_ip};
+use crate::fleet::{Fleet, complete_stream};
 
 /// What a raw upstream answers, and whether it crashes at the end of its answer.
 #[derive(Debug, Clone)]
@@ -30,9 +30,9 @@
 
 impl RawUpstream {
     /// Starts it and registers it at the fleet's store under `id` for `service`.
-    pub async fn start(fleet: &Fleet, test: u8, id: &'static str, answer: RawAnswer) -> Self {
+    pub async fn start(fleet: &Fleet, id: &'static str, answer: RawAnswer) -> Self {
         let service = if answer.content_type == "text/event-stream" { "pool" } else { "desk" };
-        let listener = TcpListener::bind((machine_ip(test, 90), 0)).await.unwrap();
+        let listener = TcpListener::bind((fleet.network.machine_ip(90), 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
         let models = json!([{"name": "m0", "version": 1, "adapters": []}]);
         let entry = json!({"service": service, "address": address, "zone": "hall-a",
@@ -86,8 +86,8 @@
 }
 
 /// A fleet whose plain workers have left.
-pub async fn fleet_without_desks(test: u8) -> Fleet {
-    let fleet = Fleet::start(test, Vec::new()).await;
+pub async fn fleet_without_desks() -> Fleet {
+    let fleet = Fleet::start(Vec::new()).await;
     for desk in &fleet.desks {
         fleet.store.remove(&format!("servers/{}", desk.id));
     }
@@ -110,8 +110,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_that_ends_with_its_connection_is_delivered() {
-    let fleet = fleet_without_desks(244).await;
-    let upstream = RawUpstream::start(&fleet, 244, "i-raw", plain("all of it", false)).await;
+    let fleet = fleet_without_desks().await;
+    let upstream = RawUpstream::start(&fleet, "i-raw", plain("all of it", false)).await;
     wait_for_registration().await;
     let answer = fleet.call("whole", "/status/x", "key-1").await;
     assert_eq!((answer.status, &*answer.body), (StatusCode::OK, b"all of it" as &[u8]));
@@ -123,8 +123,8 @@
 /// of the answer, and the caller got the first half as a success.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_cut_by_a_crash_is_delivered_as_complete() {
-    let fleet = fleet_without_desks(245).await;
-    let upstream = RawUpstream::start(&fleet, 245, "i-raw", plain("half of", true)).await;
+    let fleet = fleet_without_desks().await;
+    let upstream = RawUpstream::start(&fleet, "i-raw", plain("half of", true)).await;
     wait_for_registration().await;
     let answer = fleet.call("cut", "/status/x", "key-1").await;
     assert_ne!(answer.status, StatusCode::OK, "{:?}\n{}", answer.body, fleet.logs());
@@ -133,8 +133,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_ends_with_its_connection_is_delivered() {
-    let fleet = fleet_without_desks(246).await;
-    RawUpstream::start(&fleet, 246, "i-raw", events(&complete_stream(), false)).await;
+    let fleet = fleet_without_desks().await;
+    RawUpstream::start(&fleet, "i-raw", events(&complete_stream(), false)).await;
     wait_for_registration().await;
     let answer = fleet.call("whole", "/drafts/x", "key-1").await;
     assert_eq!(answer.body, complete_stream(), "{}", fleet.logs());
@@ -144,8 +144,8 @@
 /// complete and was not resumed.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_cut_by_a_crash_after_an_event_is_delivered_as_complete() {
-    let fleet = fleet_without_desks(247).await;
-    RawUpstream::start(&fleet, 247, "i-raw", events("id: 1\ndata: piece 1\n\n", true)).await;
+    let fleet = fleet_without_desks().await;
+    RawUpstream::start(&fleet, "i-raw", events("id: 1\ndata: piece 1\n\n", true)).await;
     wait_for_registration().await;
     let call = crate::fleet::caller_request(fleet.entry.address, "cut", "/drafts/x", "key-1");
     let answer = fleet.client.call(call, Duration::from_secs(10), 1_000_000).await;
@@ -156,9 +156,9 @@
 /// stream was delivered.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_with_cr_lf_line_ends_is_not_delivered() {
-    let fleet = fleet_without_desks(248).await;
+    let fleet = fleet_without_desks().await;
     let stream = complete_stream().replace('\n', "\r\n");
-    RawUpstream::start(&fleet, 248, "i-raw", events(&stream, false)).await;
+    RawUpstream::start(&fleet, "i-raw", events(&stream, false)).await;
     wait_for_registration().await;
     let call = crate::fleet::caller_request(fleet.entry.address, "crlf", "/drafts/x", "key-1");
     let answer = fleet.client.call(call, Duration::from_secs(10), 1_000_000).await;
@@ -170,9 +170,9 @@
 /// engine.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_of_an_event_is_never_delivered() {
-    let fleet = fleet_without_desks(249).await;
+    let fleet = fleet_without_desks().await;
     let cut = "id: 1\ndata: piece 1\n\nid: 2\ndata: pie";
-    RawUpstream::start(&fleet, 249, "i-raw", events(cut, false)).await;
+    RawUpstream::start(&fleet, "i-raw", events(cut, false)).await;
     wait_for_registration().await;
     let mut stream = TcpStream::connect(fleet.entry.address).await.unwrap();
     let request = "POST /drafts/x HTTP/1.1\r\nhost: drafts.example\r\nx-attempt-id: part\r\n\
--- a/mustardrill_standins/tests/prepared/leaving.rs
+++ b/mustardrill_standins/tests/prepared/leaving.rs
@@ -11,7 +11,8 @@
 use mustardrill_standins::process::{LabProcess, daemon};
 use serde_json::json;
 
-use crate::fleet::{caller_request, configuration, entry_settings, listen, machine_ip, register};
+use crate::fleet::{caller_request, configuration, entry_settings, listen, register};
+use crate::network::TestNetwork;
 use crate::store::{Store, StoreMode};
 use crate::worker::Worker;
 
@@ -36,24 +37,25 @@
 }
 
 impl LinkedFleet {
-    async fn start(test: u8, entries: u8, worker_count: u8) -> Self {
-        let folder =
-            std::env::temp_dir().join(format!("mustardrill-leaving-{test}-{}", std::process::id()));
+    async fn start(entries: u8, worker_count: u8) -> Self {
+        let network = TestNetwork::open();
+        let folder = std::env::temp_dir()
+            .join(format!("mustardrill-leaving-{network}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let store = Store::new();
-        let store_server = listen(machine_ip(test, 1), Box::new(store.clone())).await;
+        let store_server = listen(network.machine_ip(1), Box::new(store.clone())).await;
         let links: Vec<_> =
             (0..entries).map(|_| LabLink::spawn(store_server.address).unwrap()).collect();
         let mut stand_ins = vec![store_server];
         let mut workers = Vec::new();
         for place in 0..worker_count {
             let worker = Worker::new(&format!("i-{place}"), 0);
-            let at = listen(machine_ip(test, 30 + place), Box::new(worker.clone())).await;
+            let at = listen(network.machine_ip(30 + place), Box::new(worker.clone())).await;
             register(&store, &worker, at.address, "desk");
             stand_ins.push(at);
             workers.push(worker);
         }
-        let origin = (machine_ip(test, 2), 9).into();
+        let origin = (network.machine_ip(2), 9).into();
         // Public routes need no key, so no request is refused because the configuration could not
         // be confirmed as current.
         let mut document = configuration(1, origin, &["key-1"]);
@@ -75,7 +77,7 @@
         for place in 0..entries {
             let name = format!("entry-{place}");
             let store = fleet.links[usize::from(place)].address;
-            let settings = entry_settings(&name, machine_ip(test, 100 + place), store);
+            let settings = entry_settings(&name, network.machine_ip(100 + place), store);
             fleet.entries.push(daemon(&fleet.folder, "mustardrill-entry", &name, &settings));
         }
         // Entries discover each other through the store.
@@ -116,8 +118,8 @@
 
 /// Returns the runs that the first `leaving` of three upstreams received later than `LEAVE_BOUND`
 /// after they deregistered while one of two entries was cut off from the store.
-async fn late_requests_after_disconnection(test: u8, leaving: usize) -> Vec<(String, Duration)> {
-    let fleet = LinkedFleet::start(test, 2, 3).await;
+async fn late_requests_after_disconnection(leaving: usize) -> Vec<(String, Duration)> {
+    let fleet = LinkedFleet::start(2, 3).await;
     fleet.links[0].set(LinkState::Silent);
     fleet.call_for(Duration::from_millis(1_900), "cut").await;
     (0..leaving).for_each(|place| fleet.store.remove(&format!("servers/i-{place}")));
@@ -133,7 +135,7 @@
 /// An entry that was cut off from the store, alone, kept a deregistered upstream for another 2.2 s.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_upstream_that_shut_down_while_its_entry_was_cut_off_gets_no_requests() {
-    let late = late_requests_after_disconnection(12, 1).await;
+    let late = late_requests_after_disconnection(1).await;
     assert!(
         late.is_empty(),
         "{} requests came after the bound, the last {:?} after deregistration",
@@ -146,7 +148,7 @@
 /// shows that the store was available.
 #[tokio::test(flavor = "multi_thread")]
 async fn most_upstreams_that_shut_down_while_an_entry_was_cut_off_get_no_requests() {
-    let late = late_requests_after_disconnection(15, 2).await;
+    let late = late_requests_after_disconnection(2).await;
     assert!(
         late.is_empty(),
         "{} requests came after the bound, the last {:?} after deregistration",
@@ -157,7 +159,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn live_upstreams_are_kept_after_an_outage_of_the_store() {
-    let fleet = LinkedFleet::start(13, 2, 3).await;
+    let fleet = LinkedFleet::start(2, 3).await;
     fleet.store.set_mode(StoreMode::Unavailable);
     let mut calls = vec![fleet.call_for(Duration::from_millis(4_000), "away").await];
     calls.extend(fleet.call_after_registration_loss(Duration::from_millis(3_000)).await);
@@ -170,7 +172,7 @@
 /// The watch hung for 2.5 s, and the next call reused another connection that was dead as well.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_upstream_that_shut_down_behind_silent_store_connections_gets_no_requests() {
-    let fleet = LinkedFleet::start(14, 1, 3).await;
+    let fleet = LinkedFleet::start(1, 3).await;
     for place in 0..2 {
         // The change completes the pending watch, so that the next one starts with its full
         // time-out.
@@ -192,7 +194,7 @@
 /// to 3 s after the store was available again.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_reaches_the_store_again_renews_its_registration() {
-    let fleet = LinkedFleet::start(16, 1, 1).await;
+    let fleet = LinkedFleet::start(1, 1).await;
     fleet.store.set_mode(StoreMode::Unavailable);
     fleet.call_for(Duration::from_millis(3_000), "away").await;
     let before = fleet.store.renewals();
@@ -205,7 +207,7 @@
 /// available during the outage, so that missing registrations were taken for shutdowns.
 #[tokio::test(flavor = "multi_thread")]
 async fn live_upstreams_are_kept_by_an_entry_suspended_in_an_outage() {
-    let fleet = LinkedFleet::start(19, 2, 3).await;
+    let fleet = LinkedFleet::start(2, 3).await;
     fleet.store.set_mode(StoreMode::Unavailable);
     fleet.call_for(Duration::from_millis(500), "away").await;
     fleet.entries[0].suspend();
--- a/mustardrill_standins/tests/prepared/limits.rs
+++ b/mustardrill_standins/tests/prepared/limits.rs
@@ -31,7 +31,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_upstream_gets_no_more_requests_a_second_than_it_states() {
     let engines: Vec<_> = ["i-1", "i-2", "i-3"].map(|id| Worker::new(id, 1)).into();
-    let fleet = EngineFleet::start(22, 4, engines, 3).await;
+    let fleet = EngineFleet::start(4, engines, 3).await;
     for (engine, limit) in fleet.engines.iter().zip(["1", "2.5"]) {
         engine.set_intake_limit(Some(limit));
     }
--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -7,6 +7,7 @@
 mod framing;
 mod leaving;
 mod limits;
+mod network;
 mod parts;
 mod rewound;
 mod silences;
@@ -26,7 +27,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_get_complete_answers_and_invalid_calls_are_refused() {
-    let fleet = Fleet::start(1, vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
     let answer = fleet.call("a1", "/drafts/x", "key-1").await;
     assert_eq!(answer.status, StatusCode::OK);
     assert_eq!(answer.body, complete_stream());
@@ -50,7 +51,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_is_cut_resumes_at_another_engine() {
-    let fleet = Fleet::start(2, vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
     for after in 0..EVENTS {
         for engine in &fleet.engines {
             engine.set_fault(WorkerFault::CutAfter(after), 1);
@@ -74,7 +75,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_non_idempotent_request_runs_once_and_its_outcome_is_reported_correctly() {
-    let fleet = Fleet::start(3, vec![Worker::new("i-1", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1)]).await;
     for (fault, attempt) in [(WorkerFault::LoseAnswer, "c1"), (WorkerFault::WrongRequestId, "c2")] {
         fleet.desks.iter().for_each(|desk| desk.set_fault(fault, 9));
         let answer = fleet.call(attempt, "/notices/x", "key-1").await;
@@ -96,7 +97,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn new_weights_reach_all_engines_complete_and_about_once_from_the_origin() {
     let engines = vec![Worker::new("i-1", 1), Worker::new("i-2", 1), Worker::empty("i-3")];
-    let fleet = Fleet::start(4, engines).await;
+    let fleet = Fleet::start(engines).await;
     let all = async |version| fleet.engines.iter().all(|engine| engine.version() == version);
     fleet.wait_until("the empty engine has loaded version 1", async || all(1).await).await;
     let before = fleet.origin.sent();
@@ -123,7 +124,7 @@
 /// more often and forward the announcement.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_version_announced_while_the_store_is_silent_is_loaded_soon_after_it_recovers() {
-    let fleet = Fleet::start(10, vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     fleet.store.set_mode(StoreMode::Silent);
     fleet.store.write("op/version/m0", &json!({"model": "m0", "version": 2}));
@@ -139,7 +140,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn agents_that_start_get_the_configuration_from_an_entry() {
     let engines = vec![Worker::empty("i-1"), Worker::empty("i-2"), Worker::empty("i-3")];
-    let fleet = Fleet::start(9, engines).await;
+    let fleet = Fleet::start(engines).await;
     let all = async || fleet.engines.iter().all(|engine| engine.version() == 1);
     fleet.wait_until("all engines have loaded version 1", async || all().await).await;
     assert_eq!(
@@ -154,7 +155,7 @@
 /// the chunks need.
 #[tokio::test(flavor = "multi_thread")]
 async fn agents_get_the_upstreams_that_need_a_version_from_an_entry() {
-    let fleet = Fleet::start(11, vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     fleet.store.write("op/version/m0", &json!({"model": "m0", "version": 2}));
     let all = async || fleet.engines.iter().all(|engine| engine.version() == 2);
@@ -167,7 +168,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn new_weights_reach_all_engines_without_an_entry_that_relays_them() {
     let engines = vec![Worker::new("i-1", 1), Worker::new("i-2", 1), Worker::new("i-3", 1)];
-    let mut fleet = Fleet::start(8, engines).await;
+    let mut fleet = Fleet::start(engines).await;
     let all = async |fleet: &Fleet, version| {
         fleet.engines.iter().all(|engine| engine.version() == version)
     };
@@ -189,7 +190,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_revoked_key_is_refused_and_every_key_while_the_store_is_unavailable() {
-    let fleet = Fleet::start(5, vec![Worker::new("i-1", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1)]).await;
     let newer = configuration(4, fleet.origin_address, &["key-1"]);
     fleet.store.write("op/config", &newer);
     let took = fleet
@@ -227,7 +228,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn agents_read_versions_not_the_configuration_when_the_history_is_gone() {
     let engines: Vec<_> = ["i-1", "i-2", "i-3"].map(|id| Worker::new(id, 1)).into();
-    let fleet = Fleet::start(23, engines).await;
+    let fleet = Fleet::start(engines).await;
     let serve =
         |fleet: &Fleet, version| fleet.engines.iter().all(|engine| engine.version() == version);
     fleet.wait_until("the entry is ready", async || fleet.is_ready().await).await;
@@ -248,7 +249,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_completes_the_requests_in_progress() {
-    let mut fleet = Fleet::start(6, vec![Worker::new("i-1", 1)]).await;
+    let mut fleet = Fleet::start(vec![Worker::new("i-1", 1)]).await;
     fleet.engines[0].set_answer_delay(Duration::from_millis(200));
     let answer = fleet.call("f1", "/drafts/x", "key-1");
     let stop = async {
@@ -274,7 +275,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_deregistered_worker_gets_no_more_requests() {
-    let fleet = Fleet::start(7, vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1), Worker::new("i-2", 1)]).await;
     fleet.store.remove("servers/i-1");
     tokio::time::sleep(Duration::from_millis(300)).await;
     let before = fleet.engines[0].runs().len();
--- a/mustardrill_standins/tests/prepared/parts.rs
+++ b/mustardrill_standins/tests/prepared/parts.rs
@@ -85,7 +85,7 @@
 /// counted was the content of a request, and each had another one.
 #[tokio::test(flavor = "multi_thread")]
 async fn engines_crash_one_after_the_other_under_a_common_part() {
-    let fleet = Arc::new(CrashFleet::start(240, 3, 8, CrashCause::Part(CRASHING_PART)).await);
+    let fleet = Arc::new(CrashFleet::start(3, 8, CrashCause::Part(CRASHING_PART)).await);
     let outcomes = play(fleet.clone()).await;
     let crashes = fleet.crash_times();
     let fifth = crashes.get(4).copied();
--- a/mustardrill_standins/tests/prepared/rewound.rs
+++ b/mustardrill_standins/tests/prepared/rewound.rs
@@ -6,7 +6,7 @@
 use mustardrill_standins::process::daemon;
 use serde_json::json;
 
-use crate::fleet::{Fleet, caller_request, configuration, entry_settings, machine_ip, register};
+use crate::fleet::{Fleet, caller_request, configuration, entry_settings, register};
 use crate::store::Store;
 use crate::worker::Worker;
 
@@ -21,7 +21,7 @@
 /// revision were missed.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_revoked_while_the_store_was_restored_is_refused() {
-    let fleet = Fleet::start(17, vec![Worker::new("i-1", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1)]).await;
     let snapshot = fleet.store.snapshot();
     for _ in 0..40 {
         fleet.store.write("op/other", &json!({}));
@@ -45,7 +45,7 @@
 /// kept renewing that lease.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_registers_again_after_the_store_was_restored() {
-    let fleet = Fleet::start(18, vec![Worker::new("i-1", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1)]).await;
     let key = "mustardrill/entry/entry-1";
     fleet.wait_until("the entry is registered", async || fleet.store.value(key).is_some()).await;
     let mut snapshot = fleet.store.snapshot();
@@ -60,7 +60,7 @@
 /// The entry read the older configuration, which still has the key, and took it for the newest one.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_that_starts_after_the_store_was_restored_refuses_a_revoked_key() {
-    let fleet = Fleet::start(20, vec![Worker::new("i-1", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1)]).await;
     let key = "mustardrill/entry/entry-1";
     fleet.wait_until("the entry is registered", async || fleet.store.value(key).is_some()).await;
     let snapshot = fleet.store.snapshot();
@@ -69,7 +69,7 @@
     tokio::time::sleep(Duration::from_millis(400)).await;
     fleet.store.restore_from(&snapshot);
     let store = fleet.stand_ins[0].address;
-    let settings = entry_settings("entry-2", machine_ip(20, 4), store);
+    let settings = entry_settings("entry-2", fleet.network.machine_ip(4), store);
     let new_entry = daemon(&fleet.folder, "mustardrill-entry", "entry-2", &settings);
     let call = async |number: usize, key: &str| {
         let call = caller_request(new_entry.address, &format!("j{number}"), "/notices/x", key);
@@ -87,7 +87,7 @@
 /// next read by half a second: requests were refused although a worker had registered again.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_delays_the_return_of_a_service_that_the_copy_lacks() {
-    let fleet = Fleet::start(26, vec![Worker::new("i-1", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1)]).await;
     let desks = ["servers/i-desk-1", "servers/i-desk-2"];
     let mut copy = fleet.store.snapshot();
     for desk in desks {
--- a/mustardrill_standins/tests/prepared/silences.rs
+++ b/mustardrill_standins/tests/prepared/silences.rs
@@ -18,9 +18,9 @@
 }
 
 /// A fleet in which every worker is silent in its next answers, as many as one request may get.
-async fn silent_fleet(test: u8, engines: usize, silences: &[AnswerSilence]) -> Fleet {
+async fn silent_fleet(engines: usize, silences: &[AnswerSilence]) -> Fleet {
     let engines = (1..=engines).map(|number| Worker::new(&format!("i-{number}"), 1));
-    let fleet = Fleet::start(test, engines.collect()).await;
+    let fleet = Fleet::start(engines.collect()).await;
     for worker in fleet.engines.iter().chain(&fleet.desks) {
         worker.set_silences(silences, ATTEMPTS_LIMIT as u32);
     }
@@ -72,14 +72,14 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_of_engines_that_are_silent_for_900_ms_is_whole() {
-    let fleet = silent_fleet(200, 2, &[silence(BeforeEvent(3), 900)]).await;
+    let fleet = silent_fleet(2, &[silence(BeforeEvent(3), 900)]).await;
     assert_answered(&fleet, "short", "/drafts/x").await;
     assert_eq!(fleet.runs("short"), 1);
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_connection_breaks_after_a_silence_is_resumed() {
-    let fleet = silent_fleet(201, 2, &[silence(BeforeEvent(2), 500)]).await;
+    let fleet = silent_fleet(2, &[silence(BeforeEvent(2), 500)]).await;
     let cut = cut_first_run(&fleet, "broken", 3);
     let (received, ()) = tokio::join!(view(&fleet, "broken", "/drafts/x"), cut);
     assert_whole(&fleet, "broken", "/drafts/x", &received);
@@ -88,7 +88,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_only_run_broke_off_after_a_silence_is_not_repeated() {
-    let fleet = silent_fleet(202, 1, &[silence(BeforeHead, 500)]).await;
+    let fleet = silent_fleet(1, &[silence(BeforeHead, 500)]).await;
     fleet.desks.iter().for_each(|desk| desk.set_fault(WorkerFault::LoseAnswer, 1));
     let received = view(&fleet, "lost", "/notices/x").await;
     assert!(received.starts_with("502 "), "{received}");
@@ -97,69 +97,69 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn two_engines_that_are_silent_for_1400_ms_cut_a_stream() {
-    let fleet = silent_fleet(203, 2, &[silence(BeforeEvent(3), 1_400)]).await;
+    let fleet = silent_fleet(2, &[silence(BeforeEvent(3), 1_400)]).await;
     assert_answered(&fleet, "once", "/drafts/x").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn two_engines_that_are_silent_for_2600_ms_cut_a_stream() {
-    let fleet = silent_fleet(204, 2, &[silence(BeforeEvent(3), 2_600)]).await;
+    let fleet = silent_fleet(2, &[silence(BeforeEvent(3), 2_600)]).await;
     assert_answered(&fleet, "once", "/drafts/x").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_only_engine_cuts_a_stream_by_a_silence() {
-    let fleet = silent_fleet(205, 1, &[silence(BeforeEvent(3), 1_400)]).await;
+    let fleet = silent_fleet(1, &[silence(BeforeEvent(3), 1_400)]).await;
     assert_answered(&fleet, "alone", "/drafts/x").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_is_lost_by_silences_before_its_head() {
-    let fleet = silent_fleet(206, 2, &[silence(BeforeHead, 2_600)]).await;
+    let fleet = silent_fleet(2, &[silence(BeforeHead, 2_600)]).await;
     assert_answered(&fleet, "head", "/drafts/x").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_is_lost_by_silences_before_its_first_event() {
-    let fleet = silent_fleet(207, 2, &[silence(BeforeEvent(1), 2_600)]).await;
+    let fleet = silent_fleet(2, &[silence(BeforeEvent(1), 2_600)]).await;
     assert_answered(&fleet, "first", "/drafts/x").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_is_cut_by_silences_inside_an_event() {
-    let fleet = silent_fleet(208, 2, &[silence(InEvent(4), 1_400)]).await;
+    let fleet = silent_fleet(2, &[silence(InEvent(4), 1_400)]).await;
     assert_answered(&fleet, "inside", "/drafts/x").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_is_cut_by_silences_after_its_last_event() {
-    let fleet = silent_fleet(209, 2, &[silence(BeforeEnd, 2_600)]).await;
+    let fleet = silent_fleet(2, &[silence(BeforeEnd, 2_600)]).await;
     assert_answered(&fleet, "last", "/drafts/x").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_second_silence_of_an_answer_cuts_its_stream() {
     let silences = [silence(BeforeEvent(2), 1_400), silence(BeforeEvent(5), 1_400)];
-    let fleet = silent_fleet(210, 2, &silences).await;
+    let fleet = silent_fleet(2, &silences).await;
     assert_answered(&fleet, "twice", "/drafts/x").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_non_idempotent_request_is_lost_by_a_silence_before_its_head() {
-    let fleet = silent_fleet(211, 1, &[silence(BeforeHead, 1_500)]).await;
+    let fleet = silent_fleet(1, &[silence(BeforeHead, 1_500)]).await;
     assert_answered(&fleet, "once", "/notices/x").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_idempotent_request_is_lost_by_silences_before_its_head() {
-    let fleet = silent_fleet(212, 1, &[silence(BeforeHead, 1_500)]).await;
+    let fleet = silent_fleet(1, &[silence(BeforeHead, 1_500)]).await;
     assert_answered(&fleet, "again", "/status/x").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_plain_answer_with_silences_in_its_body_is_whole() {
     let silences = [BeforeEvent(1), InEvent(1), BeforeEnd].map(|place| silence(place, 1_400));
-    let fleet = silent_fleet(213, 1, &silences).await;
+    let fleet = silent_fleet(1, &silences).await;
     assert_answered(&fleet, "body-1", "/notices/x").await;
     assert_answered(&fleet, "body-2", "/status/x").await;
 }
@@ -167,7 +167,7 @@
 /// Sends requests of all kinds before and while all workers are silent.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_lost_by_a_silence_of_all_workers() {
-    let fleet = silent_fleet(214, 2, &[]).await;
+    let fleet = silent_fleet(2, &[]).await;
     fleet.engines.iter().for_each(|engine| engine.set_answer_delay(Duration::from_millis(60)));
     let call = async |number: u64| {
         tokio::time::sleep(Duration::from_millis(50 * number)).await;
@@ -197,7 +197,7 @@
 /// A silent upstream may not have stopped the run, so that the request ends with its deadline.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_silence_ends_a_request_before_its_deadline() {
-    let fleet = silent_fleet(215, 1, &[silence(BeforeHead, 4_000)]).await;
+    let fleet = silent_fleet(1, &[silence(BeforeHead, 4_000)]).await;
     let mut call = caller_request(fleet.entry.address, "late", "/notices/x", "key-1");
     call.headers_mut().insert("x-deadline-ms", "2200".parse().unwrap());
     let sent = Instant::now();
@@ -214,8 +214,8 @@
 }
 
 /// Applies `change` while the only engines are silent within a stream, which must be whole.
-async fn assert_stream_outlives(test: u8, change: impl AsyncFn(&Fleet)) {
-    let fleet = silent_fleet(test, 2, &[silence(BeforeEvent(3), 2_000)]).await;
+async fn assert_stream_outlives(change: impl AsyncFn(&Fleet)) {
+    let fleet = silent_fleet(2, &[silence(BeforeEvent(3), 2_000)]).await;
     let apply = async {
         fleet.wait_until("the stream runs", async || fleet.runs("begun") == 1).await;
         tokio::time::sleep(Duration::from_millis(200)).await;
@@ -239,13 +239,13 @@
             document["routes"].as_array_mut().unwrap().remove(0);
         });
     };
-    assert_stream_outlives(216, change).await;
+    assert_stream_outlives(change).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_loss_of_its_key_cuts_a_stream_in_a_silence() {
     let change = async |fleet: &Fleet| reconfigure(fleet, &["key-2"], |_| ());
-    assert_stream_outlives(217, change).await;
+    assert_stream_outlives(change).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -254,7 +254,7 @@
         let change = |document: &mut Value| document["routes"][0]["timeout_ms"] = 1_000.into();
         reconfigure(fleet, &["key-1"], change);
     };
-    assert_stream_outlives(218, change).await;
+    assert_stream_outlives(change).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -262,7 +262,7 @@
     let change = async |fleet: &Fleet| {
         fleet.engines.iter().for_each(|it| fleet.store.remove(&format!("servers/{}", it.id)));
     };
-    assert_stream_outlives(219, change).await;
+    assert_stream_outlives(change).await;
 }
 
 /// No other engine can resume the stream: by then they hold other weights.
@@ -273,14 +273,14 @@
         let loaded = async || fleet.engines.iter().any(|engine| engine.version() == 2);
         fleet.wait_until("an engine has version 2", loaded).await;
     };
-    assert_stream_outlives(220, change).await;
+    assert_stream_outlives(change).await;
 }
 
 /// The bound for superseded weights ends in the silence of the last attempt that the route allows.
 /// It must not begin any more, and no other one may be sent: all that is left is to say so.
 #[tokio::test(flavor = "multi_thread")]
 async fn weights_superseded_in_a_silence_leave_a_request_without_an_answer() {
-    let fleet = silent_fleet(222, 2, &[]).await;
+    let fleet = silent_fleet(2, &[]).await;
     fleet.engines.iter().for_each(|engine| engine.set_answer_delay(Duration::from_millis(100)));
     // The engines do not load the newer weights.
     fleet.agents.iter().for_each(LabProcess::suspend);
@@ -301,7 +301,7 @@
 /// A planned stop ended with the process, and its open requests with it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_leaves_a_silent_request_without_an_answer() {
-    let fleet = silent_fleet(227, 1, &[silence(BeforeHead, 9_000)]).await;
+    let fleet = silent_fleet(1, &[silence(BeforeHead, 9_000)]).await;
     let stop = async {
         fleet.wait_until("it runs", async || fleet.runs("stopped") == 1).await;
         fleet.entry.terminate();
@@ -315,7 +315,7 @@
 /// workers answered that they had not executed it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_two_silent_workers_did_not_execute_is_answered_as_unknown() {
-    let fleet = silent_fleet(226, 1, &[]).await;
+    let fleet = silent_fleet(1, &[]).await;
     for desk in &fleet.desks {
         desk.set_fault(WorkerFault::NotExecuted, 9);
         desk.fall_silent(Duration::from_millis(1_800));
@@ -332,7 +332,7 @@
 /// Engines that fall silent are as sound as before: few requests may run a second time for it.
 #[tokio::test(flavor = "multi_thread")]
 async fn silences_in_a_tenth_of_the_answers_multiply_runs() {
-    let fleet = silent_fleet(221, 4, &[]).await;
+    let fleet = silent_fleet(4, &[]).await;
     for (seed, engine) in (1..).zip(&fleet.engines) {
         engine.set_random_silences(seed, 0.1, 300..3_000);
     }
--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -32,9 +32,10 @@
 };
 use crate::fleet::{
     agent_settings, caller_request, complete_stream, configuration, entry_settings, listen,
-    machine_ip, register,
+    register,
 };
 use crate::limits::{largest_count, request_bound};
+use crate::network::TestNetwork;
 use crate::statements::{LEAVING_BOUND, REST_REQUEST_LIMIT, requests_in_rest};
 use crate::store::{Store, StoreMode, StoreSnapshot};
 use crate::worker::{CrashCause, CrashTrigger, Origin, Worker, WorkerFault, WorkerStatement};
@@ -395,14 +396,14 @@
 
 impl Soak {
     async fn start(seed: u64) -> Self {
-        let test = 40 + (seed % 200) as u8;
+        let network = TestNetwork::open();
         let kind = SoakKind::of(seed);
         let folder =
             std::env::temp_dir().join(format!("mustardrill-soak-{seed}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let store = Store::new();
-        let store_server = listen(machine_ip(test, 1), Box::new(store.clone())).await;
-        let origin_server = listen(machine_ip(test, 2), Box::new(Origin::default())).await;
+        let store_server = listen(network.machine_ip(1), Box::new(store.clone())).await;
+        let origin_server = listen(network.machine_ip(2), Box::new(Origin::default())).await;
         let origin_address = origin_server.address;
         let link = |to| LabLink::spawn(to).unwrap();
         let store_links: Vec<_> =
@@ -411,7 +412,7 @@
         let mut processes = Vec::new();
         for (place, store_link) in store_links.iter().enumerate().take(kind.entries()) {
             let name = format!("entry-{place}");
-            let ip = machine_ip(test, 3 + place as u8);
+            let ip = network.machine_ip(3 + place as u8);
             let settings = entry_settings(&name, ip, store_link.address);
             let bound = format!("version = {}ms", kind.version_bound().as_millis());
             let mut settings = settings.replace("version = 3s", &bound);
@@ -440,7 +441,7 @@
                 silent: true,
                 crash_sender,
             });
-            let ip = machine_ip(test, 10 + place as u8);
+            let ip = network.machine_ip(10 + place as u8);
             let at = listen(ip, Box::new(engine.clone())).await;
             let engine_link = LabLink::spawn_at(SocketAddr::new(ip, 0), at.address).unwrap();
             register(&store, engine, engine_link.address, "pool");
@@ -459,7 +460,7 @@
         desks.iter().for_each(|desk| desk.set_answer_delay(Duration::from_millis(20)));
         let mut desk_links = Vec::new();
         for (place, desk) in desks.iter().enumerate() {
-            let at = listen(machine_ip(test, 30 + place as u8), Box::new(desk.clone())).await;
+            let at = listen(network.machine_ip(30 + place as u8), Box::new(desk.clone())).await;
             let link = link(at.address);
             register(&store, desk, link.address, "desk");
             desk_links.push(link);
--- a/mustardrill_standins/tests/prepared/statements.rs
+++ b/mustardrill_standins/tests/prepared/statements.rs
@@ -49,7 +49,7 @@
 /// The store lists the upstream as ready all the while, and its registration is renewed.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_reach_an_upstream_that_said_that_it_leaves() {
-    let fleet = Fleet::start(24, vec![Worker::new("i-1", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1)]).await;
     call_for(&fleet, Duration::from_millis(300), "before").await;
     fleet.desks[0].set_leaving(true);
     call_for(&fleet, Duration::from_millis(500), "told").await;
@@ -66,7 +66,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_reach_an_upstream_that_asked_for_a_rest() {
-    let fleet = Fleet::start(25, vec![Worker::new("i-1", 1)]).await;
+    let fleet = Fleet::start(vec![Worker::new("i-1", 1)]).await;
     call_for(&fleet, Duration::from_millis(300), "before").await;
     fleet.desks[0].set_rest(Some(Duration::from_secs(5)));
     let (served, sent) = call_for(&fleet, Duration::from_secs(6), "resting").await;
--- a/mustardrill_standins/tests/prepared/versions.rs
+++ b/mustardrill_standins/tests/prepared/versions.rs
@@ -14,8 +14,9 @@
 use tokio::task::JoinSet;
 
 use crate::fleet::{
-    caller_request, complete_stream, configuration, entry_settings, listen, machine_ip, register,
+    caller_request, complete_stream, configuration, entry_settings, listen, register,
 };
+use crate::network::TestNetwork;
 use crate::store::Store;
 use crate::worker::{RequestStart, Worker};
 
@@ -46,21 +47,22 @@
 }
 
 impl EngineFleet {
-    pub async fn start(test: u8, entries: u8, engines: Vec<Worker>, bound_s: u64) -> Self {
+    pub async fn start(entries: u8, engines: Vec<Worker>, bound_s: u64) -> Self {
+        let network = TestNetwork::open();
         let folder = std::env::temp_dir()
-            .join(format!("mustardrill-versions-{test}-{}", std::process::id()));
+            .join(format!("mustardrill-versions-{network}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let store = Store::new();
-        let store_server = listen(machine_ip(test, 1), Box::new(store.clone())).await;
+        let store_server = listen(network.machine_ip(1), Box::new(store.clone())).await;
         let links: Vec<_> =
             (0..entries).map(|_| LabLink::spawn(store_server.address).unwrap()).collect();
         let mut stand_ins = vec![store_server];
         for (place, engine) in engines.iter().enumerate() {
-            let at = listen(machine_ip(test, 10 + place as u8), Box::new(engine.clone())).await;
+            let at = listen(network.machine_ip(10 + place as u8), Box::new(engine.clone())).await;
             register(&store, engine, at.address, "pool");
             stand_ins.push(at);
         }
-        let mut document = configuration(1, (machine_ip(test, 2), 9).into(), &["key-1"]);
+        let mut document = configuration(1, (network.machine_ip(2), 9).into(), &["key-1"]);
         // Public routes need no key, so no request is refused because the configuration could not
         // be confirmed as current.
         document["routes"]
@@ -82,7 +84,7 @@
         for place in 0..entries {
             let name = format!("entry-{place}");
             let store = fleet.links[usize::from(place)].address;
-            let settings = entry_settings(&name, machine_ip(test, 100 + place), store);
+            let settings = entry_settings(&name, network.machine_ip(100 + place), store);
             let settings = settings.replace("version = 3s", &format!("version = {bound_s}s"));
             fleet.entries.push(daemon(&fleet.folder, "mustardrill-entry", &name, &settings));
         }
@@ -183,7 +185,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_request_does_not_start_in_the_engine_stand_in() {
     let engine = Worker::new("i-1", 1);
-    let at = listen(machine_ip(28, 10), Box::new(engine.clone())).await;
+    let at = listen(TestNetwork::open().machine_ip(10), Box::new(engine.clone())).await;
     let delay = Duration::from_millis(300);
     engine.set_start_delay(delay);
     let send = async |attempt: &str| {
@@ -224,7 +226,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn no_request_starts_on_superseded_weights_after_its_entry_was_cut_off_from_the_store() {
     let engines = vec![Worker::new("i-1", 1), Worker::new("i-2", 1)];
-    let fleet = EngineFleet::start(24, 2, engines, 5).await;
+    let fleet = EngineFleet::start(2, engines, 5).await;
     let cut = Instant::now();
     fleet.links[0].set(LinkState::Silent);
     let _before = fleet.call_for(Duration::from_millis(300), "before").await;
@@ -254,13 +256,10 @@
 /// only 2 s after it was received. An entry may count the announcement from up to a watch of the
 /// store earlier, and requests are sent before its own bound. Returns the fleet and the answers to the calls of the period in
 /// which an entry cannot know of this delay.
-async fn run_with_slow_engine(
-    test: u8,
-    other_engines: Vec<Worker>,
-) -> (EngineFleet, Vec<CallerView>) {
+async fn run_with_slow_engine(other_engines: Vec<Worker>) -> (EngineFleet, Vec<CallerView>) {
     let slow = Worker::new("i-slow", 1);
     let engines = [vec![slow.clone()], other_engines].concat();
-    let fleet = EngineFleet::start(test, 1, engines, 3).await;
+    let fleet = EngineFleet::start(1, engines, 3).await;
     let announced_at = fleet.announce(2);
     fleet.call_for(Duration::from_millis(1_200), "before").await.join_all().await;
     slow.set_start_delay(Duration::from_millis(2_000));
@@ -281,7 +280,7 @@
     let newer = Worker::new("i-newer", 2);
     // Its answers last long enough that the other engine is chosen as well.
     newer.set_answer_delay(Duration::from_millis(40));
-    let (fleet, views) = run_with_slow_engine(25, vec![newer]).await;
+    let (fleet, views) = run_with_slow_engine(vec![newer]).await;
     let cut: Vec<_> = views.iter().filter(|view| !is_complete(view)).collect();
     assert!(
         cut.is_empty(),
@@ -299,7 +298,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_waiting_in_the_only_engine_does_not_start_on_superseded_weights_after_their_bound()
  {
-    let (fleet, views) = run_with_slow_engine(26, Vec::new()).await;
+    let (fleet, views) = run_with_slow_engine(Vec::new()).await;
     let is_refused =
         |view: &CallerView| view.as_ref().is_some_and(|(status, _)| !status.is_success());
     let starts = fleet.engines[0].request_starts();
@@ -312,7 +311,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_starts_behind_the_head_of_its_answer_after_the_bound_of_its_weights() {
     let engine = Worker::new("i-1", 1);
-    let fleet = EngineFleet::start(40, 2, vec![engine.clone()], 3).await;
+    let fleet = EngineFleet::start(2, vec![engine.clone()], 3).await;
     let announced_at = fleet.announce(2);
     fleet.call_for(Duration::from_millis(1_200), "before").await.join_all().await;
     engine.send_head_first();
@@ -331,11 +330,8 @@
 
 /// Sends a burst shortly before the bound and suspends the entry from `after` the burst until after
 /// the bound. Returns how many calls of the burst started, and which of them too late.
-async fn late_starts_after_suspension(
-    test: u8,
-    after: Duration,
-) -> (usize, Vec<(RequestStart, Duration)>) {
-    let fleet = EngineFleet::start(test, 1, vec![Worker::new("i-1", 1)], 3).await;
+async fn late_starts_after_suspension(after: Duration) -> (usize, Vec<(RequestStart, Duration)>) {
+    let fleet = EngineFleet::start(1, vec![Worker::new("i-1", 1)], 3).await;
     let announced_at = fleet.announce(2);
     // Opens many connections to the entry, so that the burst reaches it at once.
     for _ in 0..2 {
@@ -360,9 +356,8 @@
 /// two.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_sent_while_its_entry_was_suspended_does_not_start_on_superseded_weights() {
-    let runs = (0..11u8).map(|run| {
-        late_starts_after_suspension(29 + run, Duration::from_micros(700 * u64::from(run) + 200))
-    });
+    let runs = (0..11u8)
+        .map(|run| late_starts_after_suspension(Duration::from_micros(700 * u64::from(run) + 200)));
     let outcomes = futures_util::future::join_all(runs).await;
     let starts: usize = outcomes.iter().map(|(starts, _)| starts).sum();
     assert!(starts > 0, "no call of any burst was sent");
