A comment written in two parts was taken for the start of its answer

What callers may get: an engine that keeps a connection open with comments while a request waits has the second part of a comment taken for an event, as it doesn't begin with a colon. The watch over the attempt ends, and the request may begin on superseded weights after their bound.

Cause: each frame was looked at by itself.

Now the splitter, which holds what is incomplete, tells whether a part of an event was received. Comments ahead of the first event are dropped, so that the caller's head is not sent for an answer that may still be withdrawn, and a stream of nothing but comments counts as broken off.

--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -20,7 +20,7 @@
 use crate::direct::activity::UpstreamActivity;
 use crate::direct::answer::AnswerPart;
 use crate::direct::connections::{SendFailure, UpstreamConnection};
-use crate::direct::event_splitter::{EventSplitter, has_event_line};
+use crate::direct::event_splitter::EventSplitter;
 use crate::direct::gated_stream::SendGate;
 use crate::direct::request_task::RequestTask;
 
@@ -401,7 +401,7 @@
         mut body: Incoming,
     ) -> AttemptOutcome {
         let mut splitter = EventSplitter::after(self.task.sink.last_event());
-        let mut has_events = self.task.sink.has_started();
+        let is_resumed = self.task.sink.has_started();
         while let Some(frame) = self.next_frame(&mut body).await {
             let data = match frame {
                 Ok(frame) => frame.into_data().unwrap_or_default(),
@@ -415,12 +415,12 @@
                     return self.classify_broken(&answer).await;
                 }
             };
-            if !answer.has_started && has_event_line(&data) {
+            let pushed = splitter.push(&data);
+            if !answer.has_started && splitter.has_event() {
                 self.report_answer_start(&mut answer, &data).await;
             }
-            match splitter.push(&data) {
+            match pushed {
                 Ok(Some(events)) => {
-                    has_events = true;
                     let head = (answer.head.status, &answer.head.headers);
                     self.task.sink.send_events(self.number, head, events, splitter.last_id()).await;
                 }
@@ -436,7 +436,7 @@
                 }
             }
         }
-        if !splitter.is_complete() || !has_events {
+        if !splitter.is_complete() || !(is_resumed || splitter.has_event()) {
             return self.classify_broken(&answer).await;
         }
         let headers = &answer.head.headers;
--- a/mustardrill_entry/src/direct/event_splitter.rs
+++ b/mustardrill_entry/src/direct/event_splitter.rs
@@ -3,11 +3,13 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Holds the bytes of an event that is not complete yet and the id of the last complete event.
+/// Holds the bytes of an event that is not complete yet, the id of the last complete event, and
+/// whether any byte of an event was received.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     pending: BytesMut,
     last_id: Option<Box<str>>,
+    has_event: bool,
 }
 
 /// The events' ids are not consecutive: an event is missing or was sent twice.
@@ -15,11 +17,16 @@
 pub(crate) struct EventOrderError;
 
 impl EventSplitter {
-    /// Adds bytes; returns the events that are complete now, if any.
+    /// Adds bytes; returns the events that are complete now, if any. Comments ahead of the first event
+    /// are dropped: the answer may still be withdrawn, and its head was not forwarded.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventOrderError> {
         self.pending.extend_from_slice(bytes);
+        self.has_event = self.has_event || has_event_line(&self.pending);
         let Some(end) = last_event_end(&self.pending) else { return Ok(None) };
         let events = self.pending.split_to(end).freeze();
+        if !self.has_event {
+            return Ok(None);
+        }
         for id in event_ids(&events) {
             if !may_follow(self.last_id.as_deref(), id) {
                 return Err(EventOrderError);
@@ -31,7 +38,7 @@
 
     /// Continues a stream after the event with the id `last_id`.
     pub(crate) fn after(last_id: Option<Box<str>>) -> Self {
-        Self { pending: BytesMut::new(), last_id }
+        Self { last_id, ..Self::default() }
     }
 
     /// The id of the last complete event.
@@ -39,14 +46,19 @@
         self.last_id.as_deref()
     }
 
+    /// Whether a part of an event was received. Comments only keep a connection open.
+    pub(crate) fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Whether the bytes so far end with a complete event.
     pub(crate) fn is_complete(&self) -> bool {
         self.pending.is_empty()
     }
 }
 
-/// Whether some line belongs to an event. Comments only keep a connection open.
-pub(crate) fn has_event_line(bytes: &[u8]) -> bool {
+/// Whether some line belongs to an event instead of a comment.
+fn has_event_line(bytes: &[u8]) -> bool {
     let mut lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
     lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
 }
--- a/mustardrill_standins/tests/prepared/versions.rs
+++ b/mustardrill_standins/tests/prepared/versions.rs
@@ -310,7 +310,19 @@
 /// A request starts with its first token, and an engine may send the head of the answer before.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_starts_behind_the_head_of_its_answer_after_the_bound_of_its_weights() {
+    assert_no_start_behind(&[]).await;
+}
+
+/// The second part of the comment was taken for the first one of an event.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_starts_behind_a_comment_in_two_parts_after_the_bound_of_its_weights() {
+    assert_no_start_behind(&[": the request ", "waits\n\n"]).await;
+}
+
+/// Lets requests wait behind the heads of their answers and a comment in these parts.
+async fn assert_no_start_behind(comment_parts: &'static [&'static str]) {
     let engine = Worker::new("i-1", 1);
+    engine.send_comment_first(comment_parts);
     let fleet = EngineFleet::start(2, vec![engine.clone()], 3).await;
     let announced_at = fleet.announce(2);
     fleet.call_for(Duration::from_millis(1_200), "before").await.join_all().await;
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -143,6 +143,8 @@
     reported_version: u64,
     /// Whether the head of an answer is sent before that time instead of after it.
     sends_head_first: bool,
+    /// A comment that follows a head sent first, in the parts in which it is written.
+    comment_parts: &'static [&'static str],
     fault: WorkerFault,
     /// Number of requests that still get the fault.
     faults_left: u32,
@@ -222,6 +224,7 @@
             start_delay: Duration::ZERO,
             reported_version: 0,
             sends_head_first: false,
+            comment_parts: &[],
             fault: WorkerFault::None,
             faults_left: 0,
             answer_delay: Duration::from_millis(5),
@@ -347,6 +350,11 @@
         self.state.lock().unwrap().sends_head_first = true;
     }
 
+    /// Makes the engine write a comment in these parts behind heads that it sends first.
+    pub fn send_comment_first(&self, parts: &'static [&'static str]) {
+        self.state.lock().unwrap().comment_parts = parts;
+    }
+
     pub fn set_crash(&self, crash: CrashTrigger) {
         self.state.lock().unwrap().crash = Some(crash);
     }
@@ -533,7 +541,13 @@
             (fault, true) => {
                 let mut steps = event_steps(first, fault, answer_delay, &silences);
                 if sends_head_first {
-                    steps.splice(0..0, [BodyStep::Wait(delay), BodyStep::Start(tenant)]);
+                    let parts = self.state.lock().unwrap().comment_parts;
+                    let comment = parts.iter().flat_map(|part| {
+                        let part = Bytes::from_static(part.as_bytes());
+                        [BodyStep::Send(part), BodyStep::Wait(Duration::from_millis(20))]
+                    });
+                    let start = [BodyStep::Wait(delay), BodyStep::Start(tenant)];
+                    steps.splice(0..0, comment.chain(start));
                 }
                 Response::new(self.stepped_body(guard, steps))
             }
