A wrong belief in one model's weights ended the beliefs in all models of its engine

What callers may get: refusals (421, then a repeat paid by the retry budget, or 502 where none is left) at engines that hold several models, as the entry takes a version for wrong that is right, or demands a wrong one again. Never a start on forbidden weights: what is not demanded is tracked as on the first version.

Cause: one belief per engine. A refusal of one model's version contradicted the versions of all models, an older registration then lowered versions that agents had told of, and a notice of one model confirmed all.

Now each model's version has its own belief, and a registration replaces those of the versions that it changes.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -80,6 +80,7 @@
             priority: state.priority,
             is_limited: target.conditions.intake_limit.rate().is_some(),
         };
+        let belief = target.belief(state.model.as_ref());
         info!(
             "request={} decision=send instance={upstream} waited={} attempt={} present={} pinned={} \
              evidence={} digest={} parts={} believed={} source={} known_for={}",
@@ -92,8 +93,8 @@
             state.digest,
             state.parts,
             believed.map_or(0, |version| version.0),
-            target.belief.source,
-            now.since(target.belief.since),
+            belief.source,
+            now.since(belief.since),
         );
         if let Some(superseded_attempt) = &superseded_attempt {
             info!(
--- a/mustardrill_core/src/direct/fleet/upstream.rs
+++ b/mustardrill_core/src/direct/fleet/upstream.rs
@@ -1,7 +1,9 @@
 //! Health, load and served weights of one upstream, as seen by one entry.
 
 use log::{info, warn};
-use mustardrill_types::{InstanceId, Millis, ModelName, Moment, StartStamp, WeightVersion};
+use mustardrill_types::{
+    FastMap, InstanceId, Millis, ModelName, Moment, StartStamp, WeightVersion,
+};
 
 use crate::direct::event::{AttemptOutcome, UpstreamLoad};
 use crate::direct::fleet::update::{ServedWeights, UpstreamRecord};
@@ -58,8 +60,10 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamState {
     pub(crate) record: UpstreamRecord,
-    /// What the versions in `record.serving` rest on.
-    pub(crate) belief: VersionBelief,
+    /// What the versions in `record.serving` rest on, where that is not its first registration.
+    beliefs: FastMap<ModelName, VersionBelief>,
+    /// The belief in all other versions.
+    registered: VersionBelief,
     /// The newest versions on which it has answered.
     answered: Vec<ServedWeights>,
     /// This entry's own requests there.
@@ -154,7 +158,8 @@
     pub(crate) fn new(now: Moment, record: UpstreamRecord) -> Self {
         Self {
             record,
-            belief: VersionBelief::new(BeliefSource::Registration, now),
+            beliefs: FastMap::default(),
+            registered: VersionBelief::new(BeliefSource::Registration, now),
             answered: Vec::new(),
             own_load: UpstreamLoad::default(),
             failure_rate: 0.0,
@@ -271,6 +276,32 @@
         self.set_served_version(model, version, VersionBelief::new(source, now));
     }
 
+    /// What the version of a model rests on.
+    pub(crate) fn belief(&self, model: Option<&ModelName>) -> VersionBelief {
+        let belief = model.and_then(|model| self.beliefs.get(model));
+        belief.copied().unwrap_or(self.registered)
+    }
+
+    /// Records that an answer contradicted the version of a model.
+    pub(crate) fn record_contradiction(&mut self, now: Moment, model: &ModelName) {
+        let registered = self.registered;
+        self.beliefs.entry(model.clone()).or_insert(registered).record_contradiction(now);
+    }
+
+    /// Replaces the registration. The versions that it changes rest on it from now on.
+    pub(crate) fn replace_record(&mut self, now: Moment, record: UpstreamRecord) {
+        let former = std::mem::replace(&mut self.record, record);
+        if former.serving == self.record.serving {
+            return;
+        }
+        for served in self.record.serving.iter().filter(|served| !former.serving.contains(served)) {
+            let belief = VersionBelief::new(BeliefSource::Registration, now);
+            self.beliefs.insert(served.model.clone(), belief);
+        }
+        self.paused_until = Moment(0);
+        self.reload_at = None;
+    }
+
     /// Records the version of a model that it serves, and what that rests on.
     pub(crate) fn set_served_version(
         &mut self,
@@ -278,7 +309,7 @@
         version: WeightVersion,
         belief: VersionBelief,
     ) {
-        self.belief = belief;
+        self.beliefs.insert(model.clone(), belief);
         let served = self.record.serving.iter_mut().find(|served| served.model == *model);
         match served {
             Some(served) => served.version = version,
@@ -298,7 +329,8 @@
     ) -> bool {
         self.raise_answered_version(model, version);
         let newer = self.served_version(model).filter(|known| *known > version);
-        if newer.is_some() && sent_at < self.belief.since {
+        let belief = self.belief(Some(model));
+        if newer.is_some() && sent_at < belief.since {
             return false;
         }
         if let Some(known) = newer {
@@ -306,8 +338,8 @@
                 "instance={} believed={known} source={} age={} served={version} \
                  outcome=contradicted by=answer",
                 self.record.id,
-                self.belief.source,
-                now.since(self.belief.since)
+                belief.source,
+                now.since(belief.since)
             );
         }
         self.set_served_version(model, version, VersionBelief::new(BeliefSource::Answer, now));
@@ -331,12 +363,10 @@
     /// Raises the versions in a registration of the same incarnation to those known by newer
     /// evidence: within one start they never fall.
     pub(crate) fn keep_newer_versions(&self, record: &mut UpstreamRecord) {
-        if !self.belief.is_evidence() {
-            return;
-        }
         for served in &mut record.serving {
             let known = self.served_version(&served.model);
-            served.version = known.map_or(served.version, |known| known.max(served.version));
+            let evident = known.filter(|_| self.belief(Some(&served.model)).is_evidence());
+            served.version = served.version.max(evident.unwrap_or(served.version));
         }
     }
 
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -82,12 +82,7 @@
                     format_versions(&record.serving)
                 );
             }
-            if state.record.serving != record.serving {
-                state.belief = VersionBelief::new(BeliefSource::Registration, now);
-                state.paused_until = Moment(0);
-                state.reload_at = None;
-            }
-            state.record = record;
+            state.replace_record(now, record);
             if let Some(expired) = state.expired_registration.take() {
                 let span = now.since(expired.at);
                 info!("membership instance={} outcome=confirmed after={span}", state.record.id);
--- a/mustardrill_core/src/direct/versions/demand.rs
+++ b/mustardrill_core/src/direct/versions/demand.rs
@@ -27,8 +27,10 @@
         if state.pinned_version.is_some() {
             return state.pinned_version;
         }
-        let believed = target.served_version(state.model.as_ref()?)?;
-        let is_demanded = believed > INITIAL_VERSION && target.belief.is_uncontradicted();
+        let model = state.model.as_ref()?;
+        let believed = target.served_version(model)?;
+        let is_demanded =
+            believed > INITIAL_VERSION && target.belief(Some(model)).is_uncontradicted();
         let is_older_forbidden = || {
             let oldest_allowed = self.oldest_allowed_version(now, state, target);
             oldest_allowed.is_some_and(|oldest| oldest > INITIAL_VERSION)
@@ -64,23 +66,23 @@
         let Some(state) = self.requests.get(&number) else { return false };
         let Some(demanded) = state.demanded_version else { return false };
         let Some(target) = self.upstreams.incarnation_mut(upstream) else { return false };
-        let believed = state.model.as_ref().and_then(|model| target.served_version(model));
+        let Some(model) = &state.model else { return false };
+        let belief = target.belief(Some(model));
         // The belief has changed since the attempt was sent.
-        if believed != Some(demanded) || state.sent_at < target.belief.since {
+        if target.served_version(model) != Some(demanded) || state.sent_at < belief.since {
             return true;
         }
-        let was_relied_on = target.belief.was_relied_on(state.sent_at);
-        if target.belief.is_uncontradicted() {
+        if belief.is_uncontradicted() {
             warn!(
                 "request={} instance={} believed={demanded} source={} age={} outcome=contradicted by=refusal",
                 state.attempt_id,
                 upstream.id,
-                target.belief.source,
-                now.since(target.belief.since),
+                belief.source,
+                now.since(belief.since),
             );
             self.contradicted_beliefs += 1;
         }
-        target.belief.record_contradiction(now);
-        was_relied_on
+        target.record_contradiction(now, model);
+        belief.was_relied_on(state.sent_at)
     }
 }
--- a/mustardrill_core/tests/beliefs.rs
+++ b/mustardrill_core/tests/beliefs.rs
@@ -1,9 +1,9 @@
 //! What an entry does when it believes an engine to hold other weights than it has.
 
 use mustardrill_core::direct::{
-    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, EngineNotice, FleetChange,
-    FleetUpdate, RepeatRule, RequestNumber, RouteDocument, RouteRule, SendPlan, ServedWeights,
-    ServiceProfile, SilenceReport, UpstreamRecord, WorkSize,
+    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, DirectRequest, EngineNotice,
+    FleetChange, FleetUpdate, RepeatRule, RequestNumber, RouteDocument, RouteRule, SendPlan,
+    ServedWeights, ServiceProfile, SilenceReport, UpstreamRecord, WorkSize,
 };
 use mustardrill_types::{FastMap, Generation, Millis, Moment, StartStamp, WeightVersion};
 
@@ -228,6 +228,30 @@
     assert_eq!(send(&mut reducer, now, 2).pinned_version, None);
 }
 
+/// The engine holds two models and has the newer weights of one of them. The belief in it ended with
+/// the refusal that was about the other one.
+#[test]
+fn a_refused_version_of_one_model_ends_the_belief_in_another_one() {
+    let mut reducer = entry();
+    let now = START + Millis(1_000);
+    for model in ["n", "m"] {
+        let (address, model) = (engine_with(1).address, model.parse().unwrap());
+        let (start, notice) = (Some(engine_with(1).start), EngineNotice::Serving(WeightVersion(2)));
+        reducer.reduce(now, DirectEvent::EngineNoticeReceived { address, model, start, notice });
+    }
+    send(&mut reducer, now, 1);
+    refuse_version(&mut reducer, now + Millis(20), 1);
+    let mut registered = engine_with(1);
+    registered
+        .serving
+        .push(ServedWeights { model: "n".parse().unwrap(), version: WeightVersion(1) });
+    answer(&mut reducer, now + Millis(30), vec![FleetChange::Upstream(registered)]);
+    let request = common::direct_request(2, "/x", SIZE, now + Millis(40));
+    let request = DirectRequest { model: Some("n".parse().unwrap()), ..request };
+    let effects = reducer.reduce(now + Millis(40), DirectEvent::RequestArrived(request));
+    assert_eq!(sent(&effects, 2).unwrap().pinned_version, Some(WeightVersion(2)));
+}
+
 fn silent_for(after: u64) -> SilenceReport {
     SilenceReport {
         silent_for: Millis(after),
