Three guards of versions proved nothing since versions are demanded

What an entry believes no longer ends a limit (only answers do), so that the tests of limits pass without two of them; they have tests of what they protect now, the belief itself.

--- a/mustardrill_core/tests/beliefs.rs
+++ b/mustardrill_core/tests/beliefs.rs
@@ -198,6 +198,25 @@
     assert!(is_withdrawn(&reducer.reduce(bound_end, DirectEvent::TimerFired), 1));
 }
 
+#[test]
+fn a_notice_of_another_start_is_believed() {
+    for start in [0, 2].map(StartStamp) {
+        let mut reducer = entry();
+        notify_of_start(&mut reducer, START + Millis(1_000), 2, Some(start));
+        assert_eq!(send(&mut reducer, START + Millis(1_000), 1).pinned_version, None, "{start}");
+    }
+}
+
+/// The notice may be of another incarnation than the registration that follows it.
+#[test]
+fn a_notice_by_address_raises_the_version_of_a_registration() {
+    let mut reducer = entry();
+    let now = START + Millis(1_000);
+    notify_of_start(&mut reducer, now, 2, None);
+    answer(&mut reducer, now, vec![FleetChange::Upstream(engine_with(1))]);
+    assert_eq!(send(&mut reducer, now, 1).pinned_version, None);
+}
+
 /// The attempt was sent to the start before, which may still run it.
 #[test]
 fn a_registration_of_another_start_ends_the_limit_of_an_attempt() {
