A crash that an answer has cleared is not broadcast again

Cause: an entry repeats each crash report up to 3 s after the crash, and the answer that clears it in rounds of its own. An entry that starts in between gets the crash without the answer.

Now an answer, own or reported, ends the repetition of the crashes that it clears; the first round is still sent, as it tells that the upstream is down. A report that is repeated names only the parts that have not been answered since, as one that is made then would. So what a peer receives at any time is what the sender counts itself.

Two new tests failed before.

--- a/mustardrill_core/src/direct/retries/crash_broadcast.rs
+++ b/mustardrill_core/src/direct/retries/crash_broadcast.rs
@@ -34,6 +34,7 @@
     report: CrashReport,
     since: Moment,
     round: usize,
+    is_cleared: bool,
 }
 
 impl CrashBroadcaster {
@@ -42,7 +43,17 @@
         if self.pending.len() >= PENDING_REPORTS_LIMIT {
             self.pending.pop_front();
         }
-        self.pending.push_back(PendingReport { report, since: now, round: 0 });
+        let pending = PendingReport { report, since: now, round: 0, is_cleared: false };
+        self.pending.push_back(pending);
+    }
+
+    /// Stops broadcasting the crashes that a complete answer to a request at `at` has cleared, after
+    /// the first time, which tells that the upstream is down. An entry that starts between two
+    /// rounds would receive the crashes without the answer.
+    pub(crate) fn withdraw_crashes(&mut self, digest: RequestDigest, at: Moment) {
+        for pending in &mut self.pending {
+            pending.is_cleared |= pending.report.is_cleared_crash(digest, at);
+        }
     }
 
     /// Stops broadcasting a quarantine that has been lifted.
@@ -80,6 +91,7 @@
     /// Takes the reports that are due at `now`.
     pub(crate) fn due(&mut self, now: Moment) -> Vec<CrashReport> {
         let mut due = Vec::new();
+        self.pending.retain(|pending| pending.round == 0 || !pending.is_cleared);
         for pending in &mut self.pending {
             if pending.since + BROADCAST_DELAYS[pending.round] <= now {
                 pending.round += 1;
--- a/mustardrill_core/src/direct/retries/suspicion.rs
+++ b/mustardrill_core/src/direct/retries/suspicion.rs
@@ -88,7 +88,7 @@
         parts: &PartSet,
     ) -> Vec<DirectEffect> {
         let was_quarantined = self.quarantine.remaining(now, digest).is_some();
-        self.crash_reports.withdraw_quarantine(&digest.into());
+        self.withdraw_reports(digest, now);
         if self.quarantine.record_success(now, digest, now) {
             info!("quarantine digest={digest} outcome=sound parts={parts}");
             self.crash_reports.push(now, CrashReport::Sound(digest, now));
@@ -100,6 +100,12 @@
         effects
     }
 
+    /// Stops broadcasting what a complete answer to a request at `at` has refuted.
+    fn withdraw_reports(&mut self, digest: RequestDigest, at: Moment) {
+        self.crash_reports.withdraw_quarantine(&digest.into());
+        self.crash_reports.withdraw_crashes(digest, at);
+    }
+
     /// Whether this entry writes the quarantine to the store. All entries reach the verdict; two
     /// write it, since one of them may be killed or cut off from the store.
     pub(in crate::direct) fn writes_quarantine(&self, subject: &QuarantineSubject) -> bool {
@@ -125,7 +131,7 @@
             }
             CrashReport::PartsSound(parts, at) => return self.receive_sound_parts(now, &parts, at),
             CrashReport::Sound(digest, at) => {
-                self.crash_reports.withdraw_quarantine(&digest.into());
+                self.withdraw_reports(digest, at);
                 if self.quarantine.record_success(now, digest, at) {
                     info!("quarantine digest={digest} outcome=sound source=entry");
                 }
@@ -202,6 +208,11 @@
     /// Takes the reports that are to be sent to the peer entries at `now`.
     pub fn due_crash_reports(&mut self, now: Moment) -> Vec<CrashReport> {
         let mut reports = self.crash_reports.due(now);
+        for report in &mut reports {
+            if let CrashReport::Crashed(run) = report {
+                run.parts = self.reported_parts(now, &run.parts);
+            }
+        }
         reports.extend(self.due_objections(now));
         if self.crash_reports.is_reminder_due(now) {
             // What was only read from the store is read there by the peers as well.
--- a/mustardrill_core/src/quarantine/report.rs
+++ b/mustardrill_core/src/quarantine/report.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Whether it reports a crash that a complete answer to the request at `at` has cleared.
+    pub(crate) fn is_cleared_crash(&self, digest: RequestDigest, at: Moment) -> bool {
+        matches!(self, Self::Crashed(run) if run.digest == digest && run.ended <= at)
+    }
+
     /// Whether both report the same event. Times are ignored, as they differ a little with the path
     /// taken.
     pub fn is_same_event(&self, other: &Self) -> bool {
--- a/mustardrill_core/tests/crashing_parts.rs
+++ b/mustardrill_core/tests/crashing_parts.rs
@@ -741,3 +741,26 @@
     }
     assert_eq!(removals, 2);
 }
+
+/// A crash was reported again under parts that had been answered since, to entries that had started
+/// in between and had not heard of the answer.
+#[test]
+fn a_crash_is_reported_again_under_parts_that_were_answered_since() {
+    let mut reducer = entry(4);
+    let crashed = AttemptOutcome::Lost { delivered: false, crashed: true };
+    let mut now = START;
+    for (number, parts, outcome) in
+        [(1, &[5, 0xbad][..], crashed), (2, &[5][..], AttemptOutcome::Whole)]
+    {
+        arrive(&mut reducer, now, number, parts);
+        now = now + Millis(100);
+        reducer.reduce(now, DirectEvent::AttemptEnded(RequestNumber(number), outcome));
+        reducer.reduce(now, DirectEvent::CallerGone(RequestNumber(number)));
+    }
+    let reports = reducer.due_crash_reports(now).into_iter();
+    let parts = reports.filter_map(|report| match report {
+        CrashReport::Crashed(run) => Some(run.parts),
+        _ => None,
+    });
+    assert_eq!(parts.collect::<Vec<_>>(), [part_set(BAD)]);
+}
--- a/mustardrill_core/tests/quarantine.rs
+++ b/mustardrill_core/tests/quarantine.rs
@@ -222,6 +222,31 @@
     assert!(is_sent_to_upstream(&mut reducer, now + Millis(5_000), 11, "/sound"));
 }
 
+/// An entry that started heard of crashes for the last time, and 250 ms later of the answers that had
+/// cleared them, 3 s before. One more crash in between condemned a request that was served all the
+/// time.
+#[test]
+fn an_entry_that_starts_counts_crashes_that_an_answer_has_cleared() {
+    let (mut running, mut started) = (entry(8), entry(8));
+    let crashed = AttemptOutcome::Lost { delivered: false, crashed: true };
+    let mut now = START;
+    for (number, outcome) in [(1, crashed), (2, crashed), (3, AttemptOutcome::Whole)] {
+        assert!(is_sent_to_upstream(&mut running, now, number, "/hot"));
+        now = now + Millis(250);
+        end_attempt(&mut running, now, number, outcome);
+        running.reduce(now, DirectEvent::CallerGone(RequestNumber(number)));
+        running.due_crash_reports(now);
+    }
+    let (start, third) = (now + Millis(2_000), now + Millis(2_900));
+    for at in (now.0..third.0).step_by(50).map(Moment) {
+        for report in running.due_crash_reports(at).into_iter().filter(|_| at > start) {
+            started.reduce(at, DirectEvent::CrashReportReceived(report));
+        }
+    }
+    report_crash(&mut started, third, "/hot", "v3", third - Millis(100));
+    assert!(is_sent_to_upstream(&mut started, third + SETTLED, 1, "/hot"));
+}
+
 /// A crash reported by another entry.
 fn crashed_run(path: &str, upstream: usize, sent: u64, ended: u64) -> CrashedRun {
     CrashedRun {
