A quarantine that an answer has ended does not come back from the store

Cause: only an entry that saw the answer itself and knew of the quarantine removed the record; one that had written the record and heard of the answer did not. And each change to a record was written by a task of its own, so that one that waited for the store could be written after a later one.

Now the entries that write a record remove it at a peer's report as well, as they do for parts, and a change to a record ends the retries of the one before and waits for its last attempt. The last change is the one that stays.

The new test of the core failed before. The order of the writes was read and not tested: there is no stand-in of the store for that task alone.

--- a/mustardrill_core/src/direct/retries/suspicion.rs
+++ b/mustardrill_core/src/direct/retries/suspicion.rs
@@ -130,12 +130,7 @@
                 self.record_crashed_run(now, run);
             }
             CrashReport::PartsSound(parts, at) => return self.receive_sound_parts(now, &parts, at),
-            CrashReport::Sound(digest, at) => {
-                self.withdraw_reports(digest, at);
-                if self.quarantine.record_success(now, digest, at) {
-                    info!("quarantine digest={digest} outcome=sound source=entry");
-                }
-            }
+            CrashReport::Sound(digest, at) => return self.receive_answer(now, digest, at),
             CrashReport::Quarantined(QuarantineSubject::Parts(parts), remaining) => {
                 return self.receive_part_verdict(now, &parts, remaining, VerdictSource::Peer);
             }
@@ -149,6 +144,26 @@
         Vec::new()
     }
 
+    /// Handles a peer's report that a request was answered at `at`. The record of a quarantine is
+    /// removed by those that write it, as the peer may not have known of the quarantine.
+    fn receive_answer(
+        &mut self,
+        now: Moment,
+        digest: RequestDigest,
+        at: Moment,
+    ) -> Vec<DirectEffect> {
+        let was_quarantined = self.quarantine.remaining(now, digest).is_some();
+        self.withdraw_reports(digest, at);
+        if self.quarantine.record_success(now, digest, at) {
+            info!("quarantine digest={digest} outcome=sound source=entry");
+        }
+        let subject = digest.into();
+        if was_quarantined && self.writes_quarantine(&subject) {
+            return vec![DirectEffect::RemoveQuarantine(subject)];
+        }
+        Vec::new()
+    }
+
     /// Applies another entry's verdict that was read from the store.
     pub(in crate::direct) fn apply_stored_quarantine(
         &mut self,
--- a/mustardrill_core/tests/quarantine.rs
+++ b/mustardrill_core/tests/quarantine.rs
@@ -222,6 +222,19 @@
     assert!(is_sent_to_upstream(&mut reducer, now + Millis(5_000), 11, "/sound"));
 }
 
+/// An entry had written its verdict when a peer reported an answer. The record stayed, and all entries
+/// read the quarantine from it again.
+#[test]
+fn the_record_of_a_quarantine_outlives_the_answer_that_ended_it() {
+    let mut reducer = entry(8);
+    let verdict = CrashReport::Quarantined(digest_of("/sound").into(), Millis(60_000));
+    let effects = reducer.reduce(START, DirectEvent::CrashReportReceived(verdict));
+    assert!(effects.iter().any(|effect| matches!(effect, DirectEffect::StoreQuarantine(..))));
+    let sound = CrashReport::Sound(digest_of("/sound"), START);
+    let effects = reducer.reduce(START, DirectEvent::CrashReportReceived(sound));
+    assert!(effects.iter().any(|effect| matches!(effect, DirectEffect::RemoveQuarantine(..))));
+}
+
 /// An entry that started heard of crashes for the last time, and 250 ms later of the answers that had
 /// cleared them, 3 s before. One more crash in between condemned a request that was served all the
 /// time.
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -26,11 +26,11 @@
 use crate::direct::config::DirectConfig;
 use crate::direct::connections::ConnectionPool;
 use crate::direct::metrics::{METRICS, UpstreamLabels};
-use crate::direct::quarantine_records::RecordChange;
+use crate::direct::quarantine_records::{RecordChange, RecordWrites};
 use crate::direct::reachability::ReachabilityProbes;
 use crate::direct::relay::ChunkRelay;
 use crate::direct::watch::own_record;
-use crate::direct::{gossip, quarantine_records, watch};
+use crate::direct::{gossip, watch};
 
 /// The adapters through which the entry uses its platform.
 pub struct PlatformAdapters {
@@ -109,6 +109,7 @@
     context: Arc<DirectContext>,
     command_senders: FastMap<RequestNumber, CommandSender>,
     upstream_labels: UpstreamLabels,
+    record_writes: RecordWrites,
 }
 
 /// An event for the reducer.
@@ -203,14 +204,11 @@
                     gossip::notify_agents(self.context.clone(), &model, version, machines);
                 }
                 DirectEffect::StoreQuarantine(subject, span) => {
-                    quarantine_records::spawn(
-                        self.context.clone(),
-                        subject,
-                        RecordChange::Keep(span),
-                    );
+                    let change = RecordChange::Keep(span);
+                    self.record_writes.spawn(self.context.clone(), subject, change);
                 }
                 DirectEffect::RemoveQuarantine(subject) => {
-                    quarantine_records::spawn(self.context.clone(), subject, RecordChange::End);
+                    self.record_writes.spawn(self.context.clone(), subject, RecordChange::End);
                 }
                 DirectEffect::SetTimer(at) => schedule_wake(now, at, actor.clone()),
             }
@@ -409,6 +407,7 @@
         context: context.clone(),
         command_senders: FastMap::default(),
         upstream_labels: UpstreamLabels::default(),
+        record_writes: RecordWrites::default(),
     };
     let actor = DirectActor::spawn_with_mailbox(state, mailbox::unbounded());
     let handler = CallerHandler::new(actor.clone(), context.clone());
--- a/mustardrill_entry/src/direct/quarantine_records.rs
+++ b/mustardrill_entry/src/direct/quarantine_records.rs
@@ -5,7 +5,9 @@
 use log::{info, warn};
 use mustardrill_core::quarantine::{QUARANTINE_SPAN, QuarantineSubject};
 use mustardrill_runtime::backoff::RetryBackoff;
-use mustardrill_types::Millis;
+use mustardrill_types::{FastMap, Millis};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 
 use crate::direct::actor::DirectContext;
 
@@ -24,22 +26,57 @@
     End,
 }
 
-/// Writes a change in a task of its own, with retries until the store accepts it or the time of a
-/// quarantine has passed.
-pub(crate) fn spawn(context: Arc<DirectContext>, subject: QuarantineSubject, change: RecordChange) {
-    let halt = context.halt.clone();
-    tokio::spawn(halt.run_until_cancelled_owned(write_with_retries(context, subject, change)));
+/// The changes that the store has not accepted yet.
+#[derive(Debug, Default)]
+pub(crate) struct RecordWrites {
+    pending: FastMap<QuarantineSubject, PendingWrite>,
+}
+
+/// A task that writes a change.
+#[derive(Debug)]
+struct PendingWrite {
+    task: JoinHandle<Option<()>>,
+    /// Cancelled when a newer change to the record is to be written.
+    superseded: CancellationToken,
+}
+
+impl RecordWrites {
+    /// Writes a change in a task of its own, with retries until the store accepts it, the time of a
+    /// quarantine has passed or a newer change to the record follows.
+    pub(crate) fn spawn(
+        &mut self,
+        context: Arc<DirectContext>,
+        subject: QuarantineSubject,
+        change: RecordChange,
+    ) {
+        self.pending.retain(|_, write| !write.task.is_finished());
+        let predecessor = self.pending.remove(&subject);
+        let superseded = CancellationToken::new();
+        let halt = context.halt.clone();
+        let (key, own) = (subject.clone(), superseded.clone());
+        let writing = async move {
+            if let Some(write) = predecessor {
+                // Its last attempt must not arrive after this change.
+                write.superseded.cancel();
+                let _ = write.task.await;
+            }
+            write_with_retries(context, subject, change, own).await;
+        };
+        let task = tokio::spawn(halt.run_until_cancelled_owned(writing));
+        self.pending.insert(key, PendingWrite { task, superseded });
+    }
 }
 
 async fn write_with_retries(
     context: Arc<DirectContext>,
     subject: QuarantineSubject,
     change: RecordChange,
+    superseded: CancellationToken,
 ) {
     let fleet_source = &context.adapters.fleet_source;
     let mut backoff = RetryBackoff::new(FIRST_BACKOFF, MAX_BACKOFF);
     let started_at = context.clock.now();
-    while context.clock.now().since(started_at) < QUARANTINE_SPAN {
+    while !superseded.is_cancelled() && context.clock.now().since(started_at) < QUARANTINE_SPAN {
         let written = match change {
             RecordChange::Keep(span) => fleet_source.keep_quarantine(&subject, span).await,
             RecordChange::End => fleet_source.end_quarantine(&subject).await,
@@ -56,6 +93,6 @@
             }
         }
         let pause = backoff.failed(&mut rand::rng());
-        tokio::time::sleep(pause.to_std()).await;
+        superseded.run_until_cancelled(tokio::time::sleep(pause.to_std())).await;
     }
 }
