A crash counts against all parts that were present or against none

Cause: the runs of one crash end some milliseconds apart for their entries, and each counted as soon as 80 ms had passed since its own end.

Now a crash counts once its last run by the reports so far has settled, against all parts that were there. The new test failed before; its guard is the line that keeps the last end.

--- a/mustardrill_core/src/quarantine/part_suspects.rs
+++ b/mustardrill_core/src/quarantine/part_suspects.rs
@@ -70,6 +70,8 @@
 #[derive(Debug)]
 struct CrashRecord {
     ended: Moment,
+    /// When the last of its runs ended, by the reports so far.
+    last_ended: Moment,
     /// The requests that were running.
     contents: FastSet<RequestDigest>,
     /// Whether any of them has parts that may be the cause.
@@ -129,9 +131,11 @@
         let crash = (run.upstream.clone(), run.start);
         let record = self.crashes.entry(crash.clone()).or_insert_with(|| CrashRecord {
             ended: run.ended,
+            last_ended: run.ended,
             contents: FastSet::default(),
             has_parts: false,
         });
+        record.last_ended = record.last_ended.max(run.ended);
         record.contents.insert(run.digest);
         record.has_parts |= !run.parts.is_empty();
         let suspects = run.parts.iter().filter(|part| !sound.is_sound(*part, run.ended));
@@ -171,7 +175,7 @@
 
     /// When the next crash will have been reported by all entries.
     pub(super) fn next_settled(&self, now: Moment) -> Option<Moment> {
-        let settled = self.crashes.values().map(|crash| crash.ended + self.settle);
+        let settled = self.crashes.values().map(|crash| crash.last_ended + self.settle);
         settled.filter(|at| *at > now).min()
     }
 
@@ -185,7 +189,7 @@
     ) -> bool {
         let is_pending = |part: PartId| {
             let Some(runs) = self.records.get(&part) else { return false };
-            if runs.iter().all(|run| run.ended + self.settle <= now) {
+            if runs.iter().all(|run| self.is_settled(now, run)) {
                 return false;
             }
             let explained = self.explained_crashes(quarantines);
@@ -195,6 +199,13 @@
         parts.iter().any(is_pending)
     }
 
+    /// Whether all reports on the crash of a run have arrived. A crash counts against all parts that
+    /// were present or against none: its runs end some milliseconds apart for their entries.
+    fn is_settled(&self, now: Moment, run: &PartRun) -> bool {
+        let record = self.crashes.get(&run.crash);
+        record.map_or(run.ended, |record| record.last_ended) + self.settle <= now
+    }
+
     /// When an incarnation of an upstream crashed, if that is known.
     pub(super) fn crashed_at(&self, crash: &CrashId) -> Option<Moment> {
         self.crashes.get(crash).map(|record| record.ended)
@@ -223,7 +234,7 @@
     ) -> Vec<PartVerdict> {
         let explained = self.explained_crashes(quarantines);
         let is_counted =
-            |run: &&PartRun| run.ended + self.settle <= now && !explained.contains(&run.crash);
+            |run: &&PartRun| self.is_settled(now, run) && !explained.contains(&run.crash);
         let candidates = self
             .records
             .iter()
--- a/mustardrill_core/tests/crashing_parts.rs
+++ b/mustardrill_core/tests/crashing_parts.rs
@@ -212,6 +212,29 @@
     assert!(bench.is_blocked(&[0xa1, 7, 0xbad]) && !bench.is_blocked(&[0xa1, 1]));
 }
 
+/// Of the runs at the third crash, the one without the cause ended 1 ms earlier for its entry. When
+/// the verdict was due, its part had three crashes and the cause two, and was condemned alone.
+#[test]
+fn a_part_is_condemned_before_the_cause_that_was_there_each_time() {
+    let mut bench = Bench::new();
+    bench.crash(&[("1", &[5, 0xbad])]);
+    bench.crash(&[("2", &[5, 0xbad])]);
+    bench.answer(&[0xa1]);
+    bench.crash(&[("other", &[5])]);
+    let last = CrashedRun {
+        digest: RequestDigest::of(&[b"3"]),
+        parts: part_set(&[5, 0xbad]),
+        upstream: format!("v{}", bench.serial).parse().unwrap(),
+        start: StartStamp(1),
+        sent: bench.now - Millis(50),
+        ended: bench.now + Millis(1),
+    };
+    bench.table.record_crash(bench.now + Millis(1), last);
+    assert!(bench.settle().is_empty());
+    bench.now = bench.now + Millis(1);
+    assert_eq!(bench.table.take_part_verdicts(bench.now)[0].parts, part_set(&[5, 0xbad]));
+}
+
 /// Five engines crashed within half a second, between two answers to requests with the commonest
 /// part.
 #[test]
