A limit on requests in flight holds over all entries of the own interface

Cause: each entry rounded its part of the limit up, to at least one.

Change: each entry has a whole, equal part, or one request and a whole part of the others by its demand. The units that are left over, or all where the entries are more than the limit, are held by the entries that rank first for the customer, the target and the turn. Turns follow the wall clock: 24 of 2 minutes and one of 12 an hour. A unit admits only requests whose deadline is 2 s before the end of the turn, so that the next holder needs no word from the one before. An entry counts any other as soon as it is listed and until the end of the turn after whose start less 15 s it was seen; it holds a unit only if it was listed for 15 s before the turn began and its list is at most 10 s old. Of two that hold one unit, one would have had to count the other. A refusal says 1 s where another entry may admit the caller at once, and the start of the next turn in which the request fits where none can.

The instance list names the entries (`entry_ids`); without them the units are not used. The test's set-up changed: the policy needs the ids of the entries and the deadline, so each entry has a roster that has read them. Its assertion is stricter: all four, not at most four.

What it costs: a customer whose limit is below the number of entries, and who uses one entry, waits for its turns. A fleet that is started as a whole admits such a customer from the next turn on. With a timeout of 30 s, the last 32 s of each turn are unused.

--- a/mustardrill_core/src/entry/event.rs
+++ b/mustardrill_core/src/entry/event.rs
@@ -85,6 +85,8 @@
     Delivered(RequestId, u64),
     /// The number of live entries, this one included; limits are divided by it.
     EntriesCounted(usize),
+    /// The ids of all live entries and the Unix time in milliseconds at which they were read.
+    EntriesListed(Vec<InstanceId>, Millis),
     /// Sent periodically: deadlines, verdicts and heartbeats that are due are handled.
     Tick,
     /// A planned shutdown starts: new requests are refused, those in progress are completed.
--- a/mustardrill_core/src/entry/reducer.rs
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -26,6 +26,7 @@
 use crate::membership::{InstanceRecord, MemberTable};
 use crate::quarantine::QuarantineTable;
 use crate::rendezvous;
+use crate::roster::EntryRoster;
 use crate::routing::RoutingTable;
 
 /// Retry-after for a caller whose claim could not be made because the store does not answer.
@@ -47,8 +48,8 @@
     agents: FastMap<InstanceId, AgentView>,
     /// By service, the instances that this entry sends heartbeats and requests to.
     pub(super) subsets: FastMap<ServiceName, Vec<InstanceId>>,
-    /// The number of live entries, this one included.
-    pub(super) entries: usize,
+    /// The entries that divide the limits.
+    roster: EntryRoster,
     /// The requests that this entry received in the last complete round, by customer and target.
     pub(super) demand: Vec<DemandRow>,
     pub(super) next_round: Moment,
@@ -89,7 +90,7 @@
             budget: RetryBudget::new(settings.retry.clone()),
             agents: FastMap::default(),
             subsets: FastMap::default(),
-            entries: 1,
+            roster: EntryRoster::new(settings.own_id.clone()),
             demand: Vec::new(),
             next_round: Moment(0),
             demand_round: 1,
@@ -124,7 +125,11 @@
                 Vec::new()
             }
             EntryEvent::EntriesCounted(count) => {
-                self.entries = count.max(1);
+                self.roster.record_count(count);
+                Vec::new()
+            }
+            EntryEvent::EntriesListed(ids, wall) => {
+                self.roster.record_list(now, wall, ids);
                 Vec::new()
             }
             EntryEvent::Tick => self.tick(now),
@@ -231,7 +236,7 @@
             return Err((ResultCode::DeadlinePassed, Millis(0)));
         }
         let key = (incoming.customer.clone(), incoming.target.clone());
-        let admitted = self.limits.admit(now, &key, entry.limits, self.entries);
+        let admitted = self.limits.admit(now, incoming.deadline, &key, entry.limits, &self.roster);
         admitted.map_err(|over| (ResultCode::OverLimit, over.retry_after))?;
         Ok(entry)
     }
@@ -370,11 +375,11 @@
         for row in totals {
             let own = self.demand.iter().find(|mine| mine.key == row.key);
             let own = own.map_or(0, |mine| mine.requests);
-            let all = estimate_total_demand(own, row.requests, reporting, self.entries);
+            let all = estimate_total_demand(own, row.requests, reporting, self.roster.entries());
             let entry = self.document.entries.get(&row.key.1);
             let limit = entry.map_or(0, |entry| entry.limits.requests_per_second);
             let demand = RoundDemand { own, all, limit };
-            self.limits.set_share(&row.key, demand, self.entries);
+            self.limits.set_share(&row.key, demand, self.roster.entries());
         }
     }
 
--- a/mustardrill_core/src/lib.rs
+++ b/mustardrill_core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod refusal;
 pub mod relays;
 pub mod rendezvous;
+pub mod roster;
 pub mod routing;
 pub mod rule;
 pub mod session;
--- a/mustardrill_core/src/limit.rs
+++ b/mustardrill_core/src/limit.rs
@@ -9,6 +9,7 @@
 
 use crate::budget::TokenBucket;
 use crate::document::CustomerLimits;
+use crate::roster::EntryRoster;
 
 /// A token bucket holds the tokens of this time, so that short bursts pass.
 const BURST_SECONDS: f64 = 0.5;
@@ -45,17 +46,17 @@
 impl LimitTable {
     /// Admits one request, or rejects it with the time to retry after.
     ///
-    /// `entries` is the number of entries that share the limit; a customer that is new here starts
-    /// with an equal share.
+    /// The entries of `roster` share the limit; a customer that is new here starts with an equal
+    /// share.
     pub fn admit(
         &mut self,
         now: Moment,
+        deadline: Moment,
         key: &LimitKey,
         limits: CustomerLimits,
-        entries: usize,
+        roster: &EntryRoster,
     ) -> Result<(), OverLimit> {
-        const IN_FLIGHT_RETRY: Millis = Millis(200);
-        let equal_share = 1.0 / entries.max(1) as f64;
+        let equal_share = 1.0 / roster.entries() as f64;
         let rate = |share: f64| f64::from(limits.requests_per_second) * share;
         let usage = self.usages.entry(key.clone()).or_insert_with(|| LimitUsage {
             bucket: TokenBucket::full(now, burst_of(rate(equal_share))),
@@ -64,12 +65,8 @@
             requests: 0,
         });
         usage.requests += 1;
-        // The share of the limit on requests in flight is rounded up, so that a small limit never
-        // becomes zero.
-        let max_in_flight = (f64::from(limits.in_flight) * usage.share).ceil() as u32;
-        if usage.in_flight >= max_in_flight.max(1) {
-            return Err(OverLimit { retry_after: IN_FLIGHT_RETRY });
-        }
+        let place = usage.find_place(now, deadline, key, limits.in_flight, roster);
+        place.map_err(|retry_after| OverLimit { retry_after })?;
         let rate = rate(usage.share);
         let taken = usage.bucket.take(now, rate, burst_of(rate));
         taken.map_err(|retry_after| OverLimit { retry_after })?;
@@ -115,6 +112,46 @@
     }
 }
 
+impl LimitUsage {
+    /// Whether this entry may have one more request in flight; if not, the time to retry after.
+    fn find_place(
+        &self,
+        now: Moment,
+        deadline: Moment,
+        key: &LimitKey,
+        limit: u32,
+        roster: &EntryRoster,
+    ) -> Result<(), Millis> {
+        const IN_FLIGHT_RETRY: Millis = Millis(200);
+        let divisor = roster.divisor() as u32;
+        let part = whole_part(limit, divisor, self.share * roster.entries() as f64);
+        let units = limit % divisor;
+        if self.in_flight < part {
+            return Ok(());
+        }
+        if self.in_flight > part || units == 0 {
+            return Err(IN_FLIGHT_RETRY);
+        }
+        let subject = format!("{} {}", key.0, key.1);
+        roster.admit_on_unit(now, deadline, subject.as_bytes(), units)
+    }
+}
+
+/// An entry's part of a limit on requests in flight, without the units that are left over, where
+/// its share is `weight` times an equal one.
+///
+/// Each of the `divisor` entries gets one request, so that none waits for another's demand to fall,
+/// and of the others whole ones by its weight. The parts sum to no more than the limit if the
+/// weights sum to `divisor`.
+fn whole_part(limit: u32, divisor: u32, weight: f64) -> u32 {
+    // Equal shares are not exact in floating point.
+    const ROUNDING: f64 = 1e-6;
+    match limit / divisor {
+        0 => 0,
+        equal => 1 + (f64::from(equal - 1) * weight + ROUNDING) as u32,
+    }
+}
+
 /// The requests of one customer in one round, which lasts a second.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RoundDemand {
--- a/mustardrill_core/tests/limits.rs
+++ b/mustardrill_core/tests/limits.rs
@@ -13,6 +13,7 @@
 };
 use mustardrill_core::limit::LimitTable;
 use mustardrill_core::quarantine::CrashReport;
+use mustardrill_core::roster::EntryRoster;
 use mustardrill_core::routing::{RoutingSettings, UpstreamReport};
 use mustardrill_types::{Generation, Millis, Moment, RequestDigest, ResultCode};
 
@@ -121,13 +122,19 @@
 fn more_requests_of_a_customer_are_in_progress_than_its_limit_at_many_entries() {
     let limits = CustomerLimits { requests_per_second: 1_000, in_flight: 4 };
     let key = ("comedor".parse().unwrap(), "desk".parse().unwrap());
+    let now = Moment(121_000);
     for entries in [4, 36, 340] {
-        let admitted = |_: &usize| {
-            let mut table = LimitTable::default();
-            table.admit(Moment(1_000), &key, limits, entries).is_ok()
+        let ids = || (0..entries).map(|index| format!("entry-{index}").parse().unwrap()).collect();
+        let admitted = |index: &usize| {
+            let mut roster = EntryRoster::new(format!("entry-{index}").parse().unwrap());
+            for read_at in [now - Millis(18_000), now - Millis(9_000), now] {
+                roster.record_list(read_at, Millis(read_at.0), ids());
+            }
+            let deadline = now + Millis(30_000);
+            LimitTable::default().admit(now, deadline, &key, limits, &roster).is_ok()
         };
         let in_flight = (0..entries).filter(admitted).count();
-        assert!(in_flight <= 4, "{in_flight} of 4 in progress at {entries} entries");
+        assert_eq!(in_flight, 4, "{in_flight} of 4 in progress at {entries} entries");
     }
 }
 
--- a/mustardrill_core/tests/policies.rs
+++ b/mustardrill_core/tests/policies.rs
@@ -7,6 +7,7 @@
 use mustardrill_core::document::{CustomerLimits, RequestClass};
 use mustardrill_core::limit::{LimitKey, LimitTable, RoundDemand, share_of};
 use mustardrill_core::rendezvous;
+use mustardrill_core::roster::EntryRoster;
 use mustardrill_core::routing::{RoutingReason, RoutingSettings, RoutingTable, UpstreamReport};
 use mustardrill_types::{AttemptId, InstanceId, Millis, Moment, ResultCode};
 use rand::SeedableRng;
@@ -159,17 +160,24 @@
     (customer.parse().unwrap(), "drafts".parse().unwrap())
 }
 
+fn counted(entries: usize) -> EntryRoster {
+    let mut roster = EntryRoster::new("entry-0".parse().unwrap());
+    roster.record_count(entries);
+    roster
+}
+
 /// Sends `offered` requests per second to each entry for ten seconds, with a round of shares each
 /// second; returns the requests admitted per second after the first three seconds.
 fn admitted_rate(offered: &[u64], limits: CustomerLimits) -> f64 {
     let mut tables: Vec<LimitTable> = offered.iter().map(|_| LimitTable::default()).collect();
     let key = key("comedor");
+    let counted = counted(offered.len());
     let mut count = 0;
     for now in 0..10_000_u64 {
         for (table, rate) in tables.iter_mut().zip(offered) {
             let due = (now + 1) * rate / 1_000 - now * rate / 1_000;
             for _ in 0..due {
-                if table.admit(Moment(now), &key, limits, offered.len()).is_ok() {
+                if table.admit(Moment(now), Moment(now), &key, limits, &counted).is_ok() {
                     table.release(&key);
                     count += u64::from(now >= 3_000);
                 }
@@ -213,10 +221,12 @@
 fn low_demand_at_another_entry_takes_no_share_away() {
     let limits = CustomerLimits { requests_per_second: 5_000, in_flight: 500 };
     let (mut table, key) = (LimitTable::default(), key("comedor"));
-    assert!(table.admit(Moment(1), &key, limits, 2).is_ok());
+    assert!(table.admit(Moment(1), Moment(1), &key, limits, &counted(2)).is_ok());
     let demand = RoundDemand { own: 0, all: 1, limit: 5_000 };
     table.set_share(&key, demand, 2);
-    let admitted = (0..200).filter(|_| table.admit(Moment(2), &key, limits, 2).is_ok()).count();
+    let admitted = (0..200)
+        .filter(|_| table.admit(Moment(2), Moment(2), &key, limits, &counted(2)).is_ok())
+        .count();
     assert_eq!(admitted, 200, "half of the 500 requests in flight are allowed at this entry");
 }
 
@@ -224,11 +234,12 @@
 fn a_customer_over_its_limit_does_not_affect_another() {
     let limits = CustomerLimits { requests_per_second: 10, in_flight: 5 };
     let mut table = LimitTable::default();
-    let storm =
-        (0..1_000).filter(|_| table.admit(Moment(1), &key("storm"), limits, 1).is_ok()).count();
+    let storm = (0..1_000)
+        .filter(|_| table.admit(Moment(1), Moment(1), &key("storm"), limits, &counted(1)).is_ok())
+        .count();
     assert!(storm <= 5, "{storm} requests were admitted");
-    assert!(table.admit(Moment(1), &key("calm"), limits, 1).is_ok());
-    let over = table.admit(Moment(1), &key("storm"), limits, 1).unwrap_err();
+    assert!(table.admit(Moment(1), Moment(1), &key("calm"), limits, &counted(1)).is_ok());
+    let over = table.admit(Moment(1), Moment(1), &key("storm"), limits, &counted(1)).unwrap_err();
     assert!(over.retry_after.0 > 0);
     assert_eq!(table.in_flight(&key("calm")), 1);
 }
--- a/mustardrill_entry/src/watch.rs
+++ b/mustardrill_entry/src/watch.rs
@@ -83,7 +83,11 @@
                     let addresses: Vec<_> =
                         listing.instances.iter().map(|record| record.agent.clone()).collect();
                     context.agents.retain(&addresses);
-                    let _ = actor.tell(Event(EntryEvent::EntriesCounted(listing.entries))).await;
+                    let entries = match listing.entry_ids {
+                        ids if ids.is_empty() => EntryEvent::EntriesCounted(listing.entries),
+                        ids => EntryEvent::EntriesListed(ids, context.clock.wall()),
+                    };
+                    let _ = actor.tell(Event(entries)).await;
                     let _ =
                         actor.tell(Event(EntryEvent::InstancesReceived(listing.instances))).await;
                 }
--- a/mustardrill_runtime/src/clock.rs
+++ b/mustardrill_runtime/src/clock.rs
@@ -34,6 +34,12 @@
         Moment::CLOCK_START + Millis(since_boot().saturating_sub(self.start).as_millis() as u64)
     }
 
+    /// Returns the Unix time; used only for the turns in which entries hold units of limits.
+    pub fn wall(&self) -> Millis {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        Millis(since_epoch.map_or(0, |span| span.as_millis() as u64))
+    }
+
     /// Returns the Unix time in seconds; used only for the retention of claims.
     pub fn wall_s(&self) -> u64 {
         SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_secs())
--- a/mustardrill_runtime/src/platform.rs
+++ b/mustardrill_runtime/src/platform.rs
@@ -7,7 +7,7 @@
 use futures_util::future::BoxFuture;
 use mustardrill_core::membership::InstanceRecord;
 use mustardrill_core::ownership::LeaseId;
-use mustardrill_types::Millis;
+use mustardrill_types::{InstanceId, Millis};
 use serde::{Deserialize, Serialize};
 
 use crate::http::{CallError, HttpClient, request};
@@ -91,6 +91,10 @@
     pub instances: Vec<InstanceRecord>,
     /// Number of entries in the fleet.
     pub entries: usize,
+    /// Ids of the entries; without them customers' limits are used as far as each entry gets a
+    /// whole, equal part.
+    #[serde(default)]
+    pub entry_ids: Vec<InstanceId>,
 }
 
 /// Client of the key-value service over HTTP.
--- a/mustardrill_standins/examples/readers.rs
+++ b/mustardrill_standins/examples/readers.rs
@@ -177,7 +177,7 @@
             });
             fleet.agents.push(handle);
         }
-        list.set(InstanceListing { instances: records, entries });
+        list.set(InstanceListing { instances: records, entries, ..InstanceListing::default() });
         // The subset of each entry is large enough that every agent is in the subset of some entry.
         let subset = (agents * 3).div_ceil(entries).max(32);
         for index in 0..entries {
--- a/mustardrill_standins/src/lab.rs
+++ b/mustardrill_standins/src/lab.rs
@@ -178,7 +178,10 @@
     pub async fn publish_instances(&self) {
         let upstreams = self.engines.iter().chain(&self.plain);
         let instances = upstreams.map(|upstream| upstream.record.clone()).collect();
-        let listing = InstanceListing { instances, entries: self.entries.len() };
+        let entries = self.entries.len();
+        let entry_ids = (0..entries).map(|index| format!("entry-{index}").parse());
+        let entry_ids = entry_ids.collect::<Result<_, _>>().expect("the ids are valid");
+        let listing = InstanceListing { instances, entries, entry_ids };
         let body = serde_json::to_vec(&listing).expect("a listing is plain data");
         self.call("PUT", self.instances.address, "/v1/instances", body).await;
     }
--- a/mustardrill_standins/tests/liars.rs
+++ b/mustardrill_standins/tests/liars.rs
@@ -151,7 +151,12 @@
     let mut instances: Vec<_> =
         lab.engines.iter().chain(&lab.plain).map(|upstream| upstream.record.clone()).collect();
     instances.push(record);
-    let body = serde_json::to_vec(&InstanceListing { instances, entries: 2 }).unwrap();
+    let body = serde_json::to_vec(&InstanceListing {
+        instances,
+        entries: 2,
+        ..InstanceListing::default()
+    })
+    .unwrap();
     lab.call("PUT", lab.instances.address, "/v1/instances", body).await;
     faulty_agent
 }
