Entries that start spend no retries that no request has earned

Callers and upstreams: a retry budget of the own interface was full at the start of each life and at each entry.

Cause: the reserve was given to each budget when it was created.

Change: a budget starts empty. First attempts earn as before. The reserve is what all entries together get in ten seconds: each entry has a whole part of it, by its rank in the list of entries where parts are uneven, and its part fills with the time that it is there. An entry that does not know the number of entries yet has no part. So the sum over all lives is at most the parts times the time, however often processes start, and nothing need be remembered over a restart. An entry still saves up at most `reserve` retries, earned ones included.

What it costs: an entry that has been there for less than ten seconds has fewer retries than before, and n entries share 20 in place of 20 each. A fleet with little traffic that loses many requests at once refuses more of them.

--- a/mustardrill_core/src/entry/reducer.rs
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -107,6 +107,7 @@
 
     /// Applies one event and returns the effects to carry out, in order.
     pub fn reduce(&mut self, now: Moment, event: EntryEvent) -> Vec<EntryEffect> {
+        self.budget.fill(now, &self.roster);
         match event {
             EntryEvent::RequestArrived(incoming) => self.request_arrived(now, incoming),
             EntryEvent::CallerDisconnected(id) => self.caller_disconnected(now, id),
--- a/mustardrill_core/tests/policies.rs
+++ b/mustardrill_core/tests/policies.rs
@@ -10,8 +10,8 @@
 use mustardrill_core::roster::EntryRoster;
 use mustardrill_core::routing::{RoutingReason, RoutingSettings, RoutingTable, UpstreamReport};
 use mustardrill_types::{AttemptId, InstanceId, Millis, Moment, ResultCode};
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 fn queue(capacity: u32, length: u32, max_starts_ahead: u32) -> AdmissionQueue {
     AdmissionQueue::new(AdmissionSettings {
@@ -275,6 +275,65 @@
     }
 }
 
+/// Spends all that the budgets of one fleet give in 60 s, in which processes start again and again
+/// under the ids of the earlier ones; returns the first attempts and the retries.
+fn spend_over_lives(seed: u64, entries: usize, settings: &RetrySettings) -> (usize, usize) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let life = |index: usize| {
+        let roster = EntryRoster::new(format!("instance-{index}").parse().unwrap());
+        (RetryBudget::new(settings.clone()), roster)
+    };
+    let mut lives: Vec<_> = (0..entries).map(life).collect();
+    let restarts = random.random_range(2..300);
+    let list = ids(entries);
+    let (mut first, mut retries) = (0, 0);
+    for now in (1..=60_000).step_by(500) {
+        for (index, (budget, roster)) in lives.iter_mut().enumerate() {
+            if random.random_ratio(1, restarts) {
+                (*budget, *roster) = life(index);
+            }
+            budget.fill(Moment(now), roster);
+            if random.random_ratio(1, 4) {
+                roster.record_list(Moment(now), Millis(now), list.clone());
+            }
+            for _ in 0..random.random_range(0..3) {
+                first += 1;
+                budget.earn();
+            }
+            retries += (0..40).filter(|_| budget.spend(1)).count();
+        }
+    }
+    (first, retries)
+}
+
+#[test]
+fn entries_that_start_again_and_again_spend_more_than_the_reserve() {
+    let mut settings = RetrySettings { percent: 20, reserve: 20, attempts: 4 };
+    for seed in 0..30 {
+        let entries = [1, 2, 7, 19, 20, 36, 60][seed as usize % 7];
+        settings.percent = seed as u32 % 2 * 20;
+        let (first, retries) = spend_over_lives(seed, entries, &settings);
+        let allowed = first * settings.percent as usize / 100 + 6 * 20;
+        assert!(retries <= allowed, "seed {seed}, {entries} entries: {retries} of {allowed}");
+    }
+}
+
+#[test]
+fn entries_that_stay_cannot_spend_the_reserve_together() {
+    let settings = RetrySettings { percent: 0, reserve: 20, attempts: 4 };
+    for entries in [1, 3, 20, 36, 340] {
+        let spent = |index: usize| {
+            let mut roster = EntryRoster::new(format!("instance-{index}").parse().unwrap());
+            roster.record_list(Moment(1), Millis(1), ids(entries));
+            let mut budget = RetryBudget::new(settings.clone());
+            [1, 5_001, 30_001].iter().for_each(|now| budget.fill(Moment(*now), &roster));
+            (0..40).filter(|_| budget.spend(1)).count()
+        };
+        let all: usize = (0..entries).map(spent).sum();
+        assert_eq!(all, 20, "{entries} entries");
+    }
+}
+
 fn ids(count: usize) -> Vec<InstanceId> {
     (0..count).map(|index| format!("instance-{index}").parse().unwrap()).collect()
 }
--- a/mustardrill_standins/tests/common/mod.rs
+++ b/mustardrill_standins/tests/common/mod.rs
@@ -64,6 +64,13 @@
     (lab, digest)
 }
 
+/// A serving lab whose entries have been there long enough to spend their reserve of retries.
+pub async fn rested_lab(options: LabOptions) -> (Lab, String) {
+    let serving = serving_lab(options).await;
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    serving
+}
+
 /// Starts `rate` calls of the model a second, with a time-out of 5 s.
 pub fn callers(lab: &Lab, rate: f64) -> LoadDriver {
     callers_within(lab, rate, Duration::from_secs(5))
