A seeder does not fetch far ahead of its partners

Cause: nothing limited what a seeder fetches before its partners have got it.

Change: a seeder stops at its share of a quarter of the copy (a sixteenth with four seeders) that no partner is known to have got, chunks in flight included, and no less than its origin window. Where the partners got nothing for `stall_after` it goes on, so that silent partners don't stop it.

--- a/mustardrill_core/examples/burst.rs
+++ b/mustardrill_core/examples/burst.rs
@@ -2,10 +2,14 @@
 //! Links are modelled by the time at which they become free; no bytes are sent.
 //!
 //! `cargo run --release -p mustardrill_core --example burst -- [--agents 8,32,...] [--chunks N]
-//! [--seed N] [--copies N] [--drawers N] [--kill PERCENT]` prints, for each fleet size, the time
-//! until all instances are complete as a multiple of a lower bound, the data sent by the origin and
-//! by the instances in copies of the version, and the planner's processor time per chunk. Three simpler schemes are printed
-//! beside it, calculated in closed form.
+//! [--seed N] [--copies N] [--drawers N] [--kill PERCENT] [--kill-drawers N --kill-at PERCENT]` prints,
+//! for each fleet size, the time until all instances are complete as a multiple of a lower bound, the
+//! data sent by the origin and by the instances in copies of the version, and the planner's processor
+//! time per chunk. Three simpler schemes are printed beside it, calculated in closed form.
+//!
+//! `--kill-drawers` kills those of which the most chunks are at no other instance, once the origin
+//! has sent that part of the chunks. It prints how many of their chunks no survivor held, and how
+//! many of these were still on their way from the origin, which no planner could save.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -39,6 +43,8 @@
     chunks: u32,
     seed: u64,
     kill_percent: usize,
+    kill_drawers: usize,
+    kill_at_percent: u64,
     settings: TransferSettings,
 }
 
@@ -93,6 +99,8 @@
     peers: Vec<TransferPeer>,
     origin_free_at: u64,
     origin_sent: u64,
+    /// Of the killed drawers' chunks, how many no survivor held, and of these how many were in flight.
+    lost: Option<(u64, u64)>,
     /// Time spent in the plans, for all instances together.
     planning_time: Duration,
 }
@@ -131,6 +139,8 @@
         chunks: 500,
         seed: 1,
         kill_percent: 0,
+        kill_drawers: 0,
+        kill_at_percent: 50,
         settings: TransferSettings {
             stall_after: Millis(15 * CHUNK_MS),
             chunk_timeout: Millis(100 * CHUNK_MS),
@@ -154,6 +164,8 @@
             "--partners" => options.settings.partners = number(),
             "--sample" => options.settings.sample = number(),
             "--kill" => options.kill_percent = number(),
+            "--kill-drawers" => options.kill_drawers = number(),
+            "--kill-at" => options.kill_at_percent = number() as u64,
             other => panic!("unknown option {other}"),
         }
     }
@@ -194,6 +206,7 @@
             number_of_instance,
             origin_free_at: 0,
             origin_sent: 0,
+            lost: None,
             planning_time: Duration::ZERO,
             peers,
         };
@@ -207,6 +220,7 @@
         while let Some(Reverse((time, _, event))) = burst.queue.pop() {
             burst.now = time;
             burst.handle(event);
+            burst.kill_drawers_if_due(options);
             if burst.is_done() || time > limit {
                 break;
             }
@@ -225,6 +239,45 @@
         }
     }
 
+    fn kill_drawers_if_due(&mut self, options: &Options) {
+        let due = u64::from(options.chunks) * options.kill_at_percent / 100;
+        if options.kill_drawers == 0 || self.lost.is_some() || self.origin_sent < due {
+            return;
+        }
+        for _ in 0..options.kill_drawers {
+            let live = (0..self.instances.len()).filter(|number| !self.instances[*number].is_dead);
+            let busiest = live.max_by_key(|number| self.unshared(&[*number]).0);
+            self.instances[busiest.expect("an instance lives")].is_dead = true;
+        }
+        let killed: Vec<_> =
+            (0..self.instances.len()).filter(|number| self.instances[*number].is_dead).collect();
+        self.lost = Some(self.unshared(&killed));
+        killed.into_iter().for_each(|number| self.kill(number));
+    }
+
+    /// The chunks that only these instances hold or fetch from the origin, and how many of them are
+    /// being fetched.
+    fn unshared(&self, numbers: &[usize]) -> (u64, u64) {
+        let (mut count, mut in_flight) = (0, 0);
+        let holds = |number: &usize, index| self.instances[*number].plan.held().contains(index);
+        let fetches = |number: &usize, index| {
+            let pending = self.instances[*number].plan.pending_fetches();
+            pending.contains(&(index, ChunkSource::Origin))
+        };
+        let others: Vec<_> = (0..self.instances.len())
+            .filter(|number| !numbers.contains(number) && !self.instances[*number].is_dead)
+            .collect();
+        for index in (0..self.instances[0].plan.manifest().chunk_count()).map(ChunkIndex) {
+            let is_held = numbers.iter().any(|number| holds(number, index));
+            let is_fetched = numbers.iter().any(|number| fetches(number, index));
+            if (is_held || is_fetched) && !others.iter().any(|number| holds(number, index)) {
+                count += 1;
+                in_flight += u64::from(!is_held);
+            }
+        }
+        (count, in_flight)
+    }
+
     fn push(&mut self, time: u64, event: Event) {
         self.next_sequence += 1;
         self.queue.push(Reverse((time, self.next_sequence, event)));
@@ -425,6 +478,9 @@
             share(worst),
             share(mean)
         );
+        if let Some((lost, in_flight)) = self.lost {
+            println!("       lost chunks {lost}, in flight {in_flight}");
+        }
     }
 }
 
--- a/mustardrill_core/src/transfer/chunk_selection.rs
+++ b/mustardrill_core/src/transfer/chunk_selection.rs
@@ -9,6 +9,10 @@
 /// chunks still arrive: each fetches another copy.
 const MAX_REDUNDANT_SEEDERS: u64 = 2;
 
+/// The seeders together hold about the number of chunks divided by this that nobody else holds: if
+/// all of them die, the origin sends no more than these again.
+const UNSHARED_DIVISOR: usize = 4;
+
 /// How long before its due time a chunk is requested from the origin, so that the origin's link
 /// never idles until the next request: a few round trips.
 const ORIGIN_REQUEST_LEAD: Millis = Millis(200);
@@ -29,12 +33,27 @@
     }
 
     pub(super) fn next_origin_chunk(&mut self, now: Moment) -> Option<ChunkIndex> {
-        if now < self.origin_retry_at {
+        if now < self.origin_retry_at || self.is_ahead(now) {
             return None;
         }
         self.next_seed_chunk(now).or_else(|| self.next_unheld_chunk(now))
     }
 
+    /// Whether this instance has its share of the chunks that may be lost with the seeders: those
+    /// fetched from the origin, or being fetched, that no peer is known to have got.
+    ///
+    /// Where the peers take none for a stall interval, waiting for them would only idle the
+    /// origin's link.
+    fn is_ahead(&self, now: Moment) -> bool {
+        let has_partners = self.partners.ids().next().is_some();
+        if !has_partners || now.since(self.last_passed_on_at) >= self.settings.stall_after {
+            return false;
+        }
+        let share = self.manifest.chunk_count() as usize / UNSHARED_DIVISOR;
+        let limit = share.div_ceil(self.settings.max_seeders.max(1));
+        self.unshared.len() + self.origin_fetches() >= limit.max(self.settings.origin_window)
+    }
+
     /// The next chunk that this instance fetches as one of the seeders.
     pub(super) fn next_seed_chunk(&mut self, now: Moment) -> Option<ChunkIndex> {
         let copies = self.settings.origin_copies as u16;
--- a/mustardrill_core/src/transfer/mod.rs
+++ b/mustardrill_core/src/transfer/mod.rs
@@ -46,6 +46,10 @@
     pending: FastMap<ChunkIndex, PendingFetch>,
     mean_fetch_time: Millis,
     last_observed_at: Moment,
+    /// The chunks fetched from the origin that no peer is known to have got yet.
+    unshared: Vec<ChunkIndex>,
+    /// When a peer was last found to have got a chunk.
+    last_passed_on_at: Moment,
     origin_retry_at: Moment,
     /// No entry is asked before this time.
     relay_retry_at: Moment,
@@ -89,6 +93,8 @@
             pending: FastMap::default(),
             mean_fetch_time: Millis(settings.chunk_timeout.0 / TIMEOUT_FACTOR),
             last_observed_at: now,
+            unshared: Vec::new(),
+            last_passed_on_at: now,
             origin_retry_at: now,
             relay_retry_at: now,
             started_at: now,
@@ -151,7 +157,7 @@
         }
     }
 
-    /// Records a partner's holdings and the number of uploads that it has queued.
+    /// Records a peer's holdings and, where it is a partner, the number of uploads that it has queued.
     pub fn record_holdings(
         &mut self,
         now: Moment,
@@ -159,9 +165,14 @@
         bitmap: ChunkBitmap,
         queue: u32,
     ) {
-        for index in self.partners.record_holdings(now, id, bitmap, queue) {
-            self.record_observed(now, index);
+        let unshared = self.unshared.len();
+        // In a large fleet most of those that fetch from here are no partners of this instance.
+        self.unshared.retain(|index| !bitmap.contains(*index));
+        let added = self.partners.record_holdings(now, id, bitmap, queue);
+        if !added.is_empty() || self.unshared.len() < unshared {
+            self.last_passed_on_at = now;
         }
+        added.into_iter().for_each(|index| self.record_observed(now, index));
     }
 
     /// Records the outcome of a fetch; returns whether that fetch was still pending.
@@ -303,6 +314,9 @@
         }
         if self.held.insert(index) {
             self.missing.remove(index);
+            if *source == ChunkSource::Origin && self.partners.copies(index) == 0 {
+                self.unshared.push(index);
+            }
         }
         self.record_observed(now, index);
     }
--- a/mustardrill_core/tests/transfers.rs
+++ b/mustardrill_core/tests/transfers.rs
@@ -181,6 +181,15 @@
         }
     }
 
+    /// Number of chunks that the agent holds and no other live agent does.
+    fn unshared(&self, agent: usize) -> usize {
+        let plan = |index: usize| self.plans[index].as_ref().unwrap();
+        let is_shared = |index: &ChunkIndex| {
+            self.live_agents().any(|other| other != agent && plan(other).held().contains(*index))
+        };
+        plan(agent).held().held().iter().filter(|index| !is_shared(index)).count()
+    }
+
     fn is_complete(&self) -> bool {
         self.plans.iter().flatten().all(TransferPlan::is_complete)
     }
@@ -264,6 +273,25 @@
     assert!(simulation.origin_fetches <= CHUNKS * 2);
 }
 
+/// Kills the two seeders with the most chunks that no other agent holds, once the origin has sent
+/// `kill_at` chunks; returns how many it sends in all.
+fn sent_after_kills(agents: usize, peer_fetch_ms: u64, kill_at: u32) -> u32 {
+    let mut simulation = Simulation::new(agents, &settings());
+    simulation.peer_fetch_ms = peer_fetch_ms;
+    while simulation.origin_fetches < kill_at {
+        simulation.step();
+    }
+    for _ in 0..2 {
+        let seeder = simulation.live_agents().max_by_key(|index| simulation.unshared(*index));
+        simulation.inject(Fault::Kill(seeder.unwrap()));
+    }
+    while !simulation.is_complete() {
+        simulation.step();
+        assert!(simulation.now < 20_000, "the surviving agents never complete");
+    }
+    simulation.origin_fetches
+}
+
 /// The killed seeders had fetched chunks ahead of what they could pass on, as their peers were busy.
 #[test]
 fn the_origin_sends_more_than_a_quarter_again_after_two_busy_seeders_are_killed() {
@@ -286,6 +314,16 @@
     assert!(sent <= CHUNKS * 5 / 4, "the origin sent {sent} chunks of {CHUNKS}");
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(100), rng_seed: RngSeed::Fixed(3), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_origin_sends_at_most_a_quarter_again_after_any_two_are_killed(agents in 6..20_usize, peer_chunks in 1..9_u64, kill_at in 1..=CHUNKS) {
+        let sent = sent_after_kills(agents, peer_chunks * FETCH_MS, kill_at);
+        prop_assert!(sent <= CHUNKS * 5 / 4, "the origin sent {sent} chunks of {CHUNKS}");
+    }
+}
+
 #[test]
 fn a_sender_of_corrupt_chunks_is_ejected() {
     let manifest = Arc::new(manifest());
