Own interface: requests that full upstreams turn away wait in the entry

Callers saw 2011 with 3 s of their time left: with one upstream left that is full, its agent refused with a wait, the entry sent the request there again at once, and the retry budget gave it up 36 to 256 ms after its first attempt.

An agent's refusal now says whether its queue is full for that class (`Refusal.full`; a refusal for a near deadline is not). The upstream then gets nothing of that class or a lower one from that entry before the wait that it named is over (10 s at most, later by steps of 50 ms where there are more entries than slots). Another upstream that is not known to be full gets the request at once. Where there is none it waits in the entry, in the order of arrival, at most 8 for each slot of the upstreams, the newest of the lowest class making way; it is refused at once where its predicted wait is beyond its deadline. What waited goes back one at a time, at twice the rate of this entry's answers there. Ticks and ended attempts release it.

Why the budget holds: an attempt that was refused as full did not reach the upstream, so the one that returns after its wait takes its place and is free; one that is sent on to another upstream at once is paid for. So upstreams get no more than the first attempts and the budget, and a full one's agent gets one request for each wait (core test, 30 s, always full). A first attempt now earns as it is sent.

--- a/mustardrill_core/src/entry/mod.rs
+++ b/mustardrill_core/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod reducer;
 mod request;
 mod suspicion;
+mod waiting;
 
 pub use event::{
     AgentSync, AttemptEnd, ClaimOrder, EntryEffect, EntryEvent, EntrySettings, IncomingRequest,
