Revert "Own interface: requests that full upstreams turn away wait in the entry"

What is to be kept next time: Refusal.full, the rest by class, the free return of what never reached an upstream; what must change: a rest ends when the upstream answers a return with nothing else of this entry there, or reports free slots; lines by target; a test with a fresh entry, one refusal, then a free upstream.

--- a/mustardrill_agent/src/execute.rs
+++ b/mustardrill_agent/src/execute.rs
@@ -281,7 +281,6 @@
         code: u32::from(refusal.code.number()),
         reason: reason.to_owned(),
         retry_after_ms: refusal.retry_after.0,
-        full: refusal.is_full,
         serving: refusal.serving.into_iter().map(digest_bytes).collect(),
     }
 }
--- a/mustardrill_core/src/admission.rs
+++ b/mustardrill_core/src/admission.rs
@@ -113,7 +113,7 @@
         if is_late {
             return refusal;
         }
-        let is_full = self.is_full();
+        let is_full = self.queued() >= self.settings.queue as usize;
         let displaced = if is_full { self.displace(class) } else { None };
         if is_full && displaced.is_none() {
             return refusal;
@@ -191,11 +191,6 @@
         self.running.len()
     }
 
-    /// Whether all requests of this class and of lower ones are refused.
-    pub fn is_full_for(&self, class: RequestClass) -> bool {
-        self.is_full() && self.waiting.iter().skip(class.rank() + 1).all(VecDeque::is_empty)
-    }
-
     /// Requests that the upstream runs concurrently, as set.
     pub fn capacity(&self) -> u32 {
         self.settings.capacity
@@ -232,10 +227,6 @@
         self.running.len() < self.settings.capacity as usize
     }
 
-    fn is_full(&self) -> bool {
-        self.queued() >= self.settings.queue as usize
-    }
-
     /// Whether a start of the class has to wait for the spacing after the last start.
     fn is_held(&self, now: Moment, rank: usize) -> bool {
         let is_recent = |arrival: &Moment| {
--- a/mustardrill_core/src/agent/reducer.rs
+++ b/mustardrill_core/src/agent/reducer.rs
@@ -283,9 +283,7 @@
             self.queue.running()
         );
         if let Admission::Refused(code, retry_after) = admission {
-            let is_full = code == ResultCode::Overloaded && self.queue.is_full_for(class);
-            let refusal = AttemptRefusal { is_full, ..AttemptRefusal::new(code, retry_after) };
-            return vec![AgentEffect::Refuse(attempt, refusal)];
+            return refusal(attempt, code, retry_after);
         }
         let state = AttemptState { pinned, arrived_at: now, is_finished: false };
         self.attempts.insert(attempt, state);
@@ -293,8 +291,7 @@
             Admission::Run => vec![AgentEffect::Dispatch(attempt)],
             Admission::Displaced(other) => {
                 self.mark_finished(other);
-                let refusal = AttemptRefusal::full(self.queue.retry_after());
-                vec![AgentEffect::Refuse(other, refusal)]
+                refusal(other, ResultCode::Overloaded, self.queue.retry_after())
             }
             Admission::Queued => self.schedule_wake(now).into_iter().collect(),
             Admission::Refused(..) => Vec::new(),
--- a/mustardrill_core/src/budget.rs
+++ b/mustardrill_core/src/budget.rs
@@ -50,7 +50,7 @@
         Self { tokens: 0.0, filled_at: None, settings }
     }
 
-    /// Counts a first attempt that is sent, which adds `percent` of a retry to the budget.
+    /// Counts a first attempt, which adds `percent` of a retry to the budget.
     pub fn earn(&mut self) {
         let earned = f64::from(self.settings.percent) / 100.0;
         self.tokens = (self.tokens + earned).min(f64::from(self.settings.reserve));
@@ -70,17 +70,12 @@
         attempts < self.settings.attempts
     }
 
-    /// Whether [`spend`](Self::spend) would allow the retry.
-    pub fn can_spend(&self, attempts: u32) -> bool {
-        // Rounding must not take the last retry of a part that is full.
-        const WHOLE: f64 = 1.0 - 1e-6;
-        self.allows(attempts) && self.tokens >= WHOLE
-    }
-
     /// Takes one retry from the budget for a request that has made `attempts` attempts; returns
     /// whether the retry is allowed.
     pub fn spend(&mut self, attempts: u32) -> bool {
-        if !self.can_spend(attempts) {
+        // Rounding must not take the last retry of a part that is full.
+        const WHOLE: f64 = 1.0 - 1e-6;
+        if !self.allows(attempts) || self.tokens < WHOLE {
             return false;
         }
         self.tokens -= 1.0;
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -16,7 +16,7 @@
 mod retries;
 mod route;
 mod silence;
-pub(crate) mod statements;
+mod statements;
 mod store;
 mod versions;
 mod waiting;
--- a/mustardrill_core/src/direct/statements/mod.rs
+++ b/mustardrill_core/src/direct/statements/mod.rs
@@ -5,5 +5,5 @@
 
 pub(in crate::direct) mod conditions;
 mod record;
-pub(crate) mod rest;
+pub(in crate::direct) mod rest;
 pub(in crate::direct) mod statement;
--- a/mustardrill_core/src/entry/dispatch.rs
+++ b/mustardrill_core/src/entry/dispatch.rs
@@ -9,7 +9,6 @@
 use crate::entry::event::{AttemptEnd, EntryEffect, RequestId, SendOrder};
 use crate::entry::reducer::EntryReducer;
 use crate::entry::request::{RequestStage, RequestState};
-use crate::entry::waiting::{ChosenUpstream, UpstreamChoice};
 use crate::refusal::AttemptRefusal;
 use crate::routing::RoutingReason;
 
@@ -17,14 +16,13 @@
 const RETRY_AFTER_NO_UPSTREAM: Millis = Millis(1_000);
 
 impl EntryReducer {
-    /// Sends the next attempt of a request, or lets it wait where all its upstreams are full. The
-    /// request is rejected where its deadline has passed or no upstream can serve it.
+    /// Sends the next attempt of a request. The request is rejected where its deadline has passed
+    /// or no upstream can serve it.
     pub(super) fn send_attempt(&mut self, now: Moment, id: RequestId) -> Vec<EntryEffect> {
         self.send_attempt_preferring(now, id, None)
     }
 
-    /// Like [`Self::send_attempt`], but skips load balancing where `preferred` is a candidate and
-    /// has room.
+    /// Like [`Self::send_attempt`], but skips load balancing where `preferred` is a candidate.
     fn send_attempt_preferring(
         &mut self,
         now: Moment,
@@ -36,66 +34,22 @@
             return self.reject(now, id, ResultCode::DeadlinePassed, Millis(0));
         }
         let candidates = self.candidates(now, state);
-        let has_room = |instance: &&InstanceId| {
-            candidates.contains(instance) && self.routing.has_room(now, instance, state.class)
-        };
-        match preferred.filter(has_room) {
-            Some(instance) => {
-                let (instance, reason) = (instance.clone(), RoutingReason::Switched);
-                let chosen = ChosenUpstream { instance, reason, candidates: candidates.len() };
-                self.send_to(now, id, chosen)
+        let preferred = preferred.filter(|instance| candidates.contains(instance));
+        let chosen = match preferred {
+            Some(instance) => Some((instance.clone(), RoutingReason::Switched)),
+            None => {
+                let (tried, affinity) = (&state.tried, state.affinity.as_deref());
+                self.routing.choose(now, &candidates, tried, affinity, &mut self.random)
             }
-            None => self.send_or_wait(now, id),
-        }
-    }
-
-    /// Chooses the upstream of a request's next attempt among those that are not known to be full.
-    pub(super) fn choose_upstream(&mut self, now: Moment, id: RequestId) -> UpstreamChoice {
-        let Some(state) = self.requests.get(id) else { return UpstreamChoice::Nobody };
-        let candidates = self.candidates(now, state);
-        let is_full = |id: &&InstanceId| !self.routing.has_room(now, id, state.class);
-        let usable = self.routing.usable(now, &candidates);
-        // An ejected upstream is no better than a full one that answers.
-        if !usable.is_empty() && usable.iter().all(is_full) {
-            return UpstreamChoice::Full;
-        }
-        let open: Vec<_> = candidates.iter().filter(|id| !is_full(id)).cloned().collect();
-        let (tried, affinity) = (&state.tried, state.affinity.as_deref());
-        let chosen = self.routing.choose(now, &open, tried, affinity, &mut self.random);
-        let candidates = candidates.len();
-        chosen.map_or(UpstreamChoice::Nobody, |(instance, reason)| {
-            UpstreamChoice::Send(ChosenUpstream { instance, reason, candidates })
-        })
-    }
-
-    /// Rejects a request that no upstream can serve.
-    pub(super) fn reject_unserved(&mut self, now: Moment, id: RequestId) -> Vec<EntryEffect> {
-        if let Some(state) = self.requests.get(id) {
-            let candidates = self.candidates(now, state).len();
+        };
+        let Some((instance, reason)) = chosen else {
             info!(
-                "routing request={id} target={} candidates={candidates} decision=none",
-                state.target
+                "routing request={id} target={} candidates={} decision=none",
+                state.target,
+                candidates.len()
             );
-        }
-        self.reject(now, id, ResultCode::NoUpstream, RETRY_AFTER_NO_UPSTREAM)
-    }
-
-    /// Sends the next attempt of a request to an upstream.
-    pub(super) fn send_to(
-        &mut self,
-        now: Moment,
-        id: RequestId,
-        chosen: ChosenUpstream,
-    ) -> Vec<EntryEffect> {
-        let ChosenUpstream { instance, reason, candidates } = chosen;
-        let has_waited = self.leave_line(id);
-        let Some(state) = self.requests.get(id) else { return Vec::new() };
-        if has_waited {
-            self.routing.record_return(now, &instance, state.class);
-        }
-        if state.attempts == 0 {
-            self.budget.earn();
-        }
+            return self.reject(now, id, ResultCode::NoUpstream, RETRY_AFTER_NO_UPSTREAM);
+        };
         let pinned = self.servable_weights(&state.target, &instance);
         let address = self.members.get(&instance).map(|record| record.agent.clone());
         let attempt = AttemptId(self.random.random());
@@ -103,16 +57,15 @@
         self.routing.record_sent(&instance);
         let state = self.requests.get_mut(id).expect("the request was looked up");
         state.attempts += 1;
-        state.has_reserved_retry = false;
-        state.is_turned_away = false;
         state.tried.push(instance.clone());
         state.sent_at = now;
         state.stage = RequestStage::Sent(attempt, instance.clone());
         state.pinned = pinned;
         info!(
-            "routing request={id} attempt={attempt} target={} customer={} instance={instance} reason={reason} candidates={candidates} manifest={}",
+            "routing request={id} attempt={attempt} target={} customer={} instance={instance} reason={reason} candidates={} manifest={}",
             state.target,
             state.customer,
+            candidates.len(),
             pinned.map_or("none".into(), |digest| digest.short())
         );
         vec![EntryEffect::Send(SendOrder {
@@ -129,7 +82,7 @@
 
     /// The live upstreams of this entry's subset that can serve the request. Once answer bytes were
     /// delivered, only those with the same weights, as the answer must come from one version.
-    pub(super) fn candidates(&self, now: Moment, state: &RequestState) -> Vec<InstanceId> {
+    fn candidates(&self, now: Moment, state: &RequestState) -> Vec<InstanceId> {
         let Some(entry) = self.document.entries.get(&state.target) else { return Vec::new() };
         let Some(subset) = self.subsets.get(&entry.service) else { return Vec::new() };
         let is_available = |id: &&InstanceId| {
@@ -185,9 +138,6 @@
             state.has_resumed |= delivered > 0 && *end != AttemptEnd::Complete;
         }
         let is_healthy = matches!(end, AttemptEnd::Complete | AttemptEnd::Refused(..));
-        if *end == AttemptEnd::Complete {
-            self.routing.record_answer(now, &instance);
-        }
         self.routing.record_ended(now, &instance, is_healthy);
         match end {
             AttemptEnd::Complete => {
@@ -215,7 +165,7 @@
         instance: &InstanceId,
         refusal: &AttemptRefusal,
     ) -> Vec<EntryEffect> {
-        let AttemptRefusal { code, retry_after, is_full, serving } = refusal;
+        let AttemptRefusal { code, retry_after, serving } = refusal;
         if *code == ResultCode::Leaving {
             info!("membership instance={instance} leaving=true source=refusal request={id}");
             self.routing.record_leaving(instance);
@@ -223,10 +173,6 @@
         if !code.is_retryable() {
             return self.reject(now, id, *code, *retry_after);
         }
-        if *is_full && *retry_after > Millis(0) {
-            self.record_full(now, id, instance, *retry_after);
-            return self.send_attempt(now, id);
-        }
         if serving.is_empty() {
             return self.retry(now, id, *code, *retry_after, None);
         }
@@ -284,7 +230,7 @@
     fn reserve_retry(&mut self, now: Moment, attempt: AttemptId) -> bool {
         let Some(id) = self.requests.request_of_attempt(attempt) else { return false };
         let Some(state) = self.requests.get(id) else { return false };
-        let attempts = state.counted_attempts();
+        let attempts = state.attempts;
         if state.has_reserved_retry || state.deadline <= now || !self.has_alternative(now, state) {
             return false;
         }
@@ -297,10 +243,7 @@
 
     /// Whether an instance that can answer may run the request or the rest of it.
     fn has_alternative(&self, now: Moment, state: &RequestState) -> bool {
-        let can_run = |id: &InstanceId| {
-            self.routing.is_responsive(now, id) && self.routing.has_room(now, id, state.class)
-        };
-        self.candidates(now, state).iter().any(can_run)
+        self.candidates(now, state).iter().any(|id| self.routing.is_responsive(now, id))
     }
 
     /// Sends another attempt, or rejects the request with `code` where its deadline has passed or
@@ -317,7 +260,7 @@
         preferred: Option<&InstanceId>,
     ) -> Vec<EntryEffect> {
         let Some(state) = self.requests.get_mut(id) else { return Vec::new() };
-        let (attempts, deadline) = (state.counted_attempts(), state.deadline);
+        let (attempts, deadline) = (state.attempts, state.deadline);
         let is_free = preferred.is_some() && !state.has_switched && self.budget.allows(attempts);
         let is_reserved = std::mem::take(&mut state.has_reserved_retry);
         if deadline <= now || !(is_reserved || is_free || self.budget.spend(attempts)) {
@@ -326,7 +269,6 @@
         }
         if let Some(state) = self.requests.get_mut(id) {
             state.has_switched |= preferred.is_some();
-            state.has_reserved_retry = true;
         }
         info!(
             "retry request={id} attempts={attempts} decision=send code={code} charged={}",
@@ -367,7 +309,6 @@
 
     /// Removes a request from the table and from the customer's requests in flight.
     pub(super) fn remove_request(&mut self, id: RequestId) -> Option<RequestState> {
-        self.leave_line(id);
         let state = self.requests.remove(id)?;
         self.limits.release(&(state.customer.clone(), state.target.clone()));
         Some(state)
--- a/mustardrill_core/src/entry/mod.rs
+++ b/mustardrill_core/src/entry/mod.rs
@@ -6,7 +6,6 @@
 mod reducer;
 mod request;
 mod suspicion;
-mod waiting;
 
 pub use event::{
     AgentSync, AttemptEnd, ClaimOrder, EntryEffect, EntryEvent, EntrySettings, IncomingRequest,
--- a/mustardrill_core/src/entry/reducer.rs
+++ b/mustardrill_core/src/entry/reducer.rs
@@ -22,7 +22,6 @@
     AgentSync, ClaimOrder, EntryEffect, EntryEvent, EntrySettings, IncomingRequest, RequestId,
 };
 use crate::entry::request::{RequestStage, RequestState, RequestTable};
-use crate::entry::waiting::WaitingRequests;
 use crate::limit::{LimitTable, RoundDemand};
 use crate::membership::{InstanceRecord, MemberTable};
 use crate::quarantine::QuarantineTable;
@@ -50,7 +49,7 @@
     /// By service, the instances that this entry sends heartbeats and requests to.
     pub(super) subsets: FastMap<ServiceName, Vec<InstanceId>>,
     /// The entries that divide the limits.
-    pub(super) roster: EntryRoster,
+    roster: EntryRoster,
     /// The requests that this entry received in the last complete round, by customer and target.
     pub(super) demand: Vec<DemandRow>,
     pub(super) next_round: Moment,
@@ -60,8 +59,6 @@
     pub(super) crashes: CrashReportRelay,
     /// Suspected requests that are held until the verdict on them.
     pub(super) awaiting_verdict: Vec<RequestId>,
-    /// Requests that wait because their upstreams are full.
-    pub(super) waiting: WaitingRequests,
     /// Whether a planned shutdown has started.
     pub(super) is_draining: bool,
     pub(super) random: SmallRng,
@@ -102,7 +99,6 @@
             quarantine: QuarantineTable::new(Millis(settings.sync_every.0 * 5 / 2)),
             crashes: CrashReportRelay::default(),
             awaiting_verdict: Vec::new(),
-            waiting: WaitingRequests::default(),
             is_draining: false,
             random: SmallRng::seed_from_u64(seed),
             settings,
@@ -116,9 +112,7 @@
             EntryEvent::RequestArrived(incoming) => self.request_arrived(now, incoming),
             EntryEvent::CallerDisconnected(id) => self.caller_disconnected(now, id),
             EntryEvent::AttemptEnded(attempt, end, delivered) => {
-                let mut effects = self.attempt_ended(now, attempt, &end, delivered);
-                effects.extend(self.release_waiting(now));
-                effects
+                self.attempt_ended(now, attempt, &end, delivered)
             }
             EntryEvent::ClaimSettled(attempt, outcome) => self.claim_settled(now, attempt, outcome),
             EntryEvent::CatalogueReceived(document) => self.catalogue_received(now, document),
@@ -206,6 +200,7 @@
                 return vec![EntryEffect::Reject { id, code, retry_after }];
             }
         };
+        self.budget.earn();
         self.requests.insert(id, RequestState::new(incoming, entry.class));
         self.hold_suspect(now, id).unwrap_or_else(|| self.start_request(now, id))
     }
@@ -254,10 +249,7 @@
                 self.routing.record_ended(now, &instance, true);
                 vec![EntryEffect::Cancel(attempt)]
             }
-            RequestStage::AwaitingRoom(_) if state.may_have_run => Vec::new(),
-            RequestStage::Claiming | RequestStage::AwaitingRoom(_) => {
-                self.release_claim(now, &state).into_iter().collect()
-            }
+            RequestStage::Claiming => self.release_claim(now, &state).into_iter().collect(),
             RequestStage::AwaitingVerdict => Vec::new(),
         }
     }
@@ -455,7 +447,6 @@
         for id in self.requests.past_deadline(now) {
             effects.extend(self.deadline_passed(now, id));
         }
-        effects.extend(self.release_waiting(now));
         effects.extend(self.sync_due(now));
         effects
     }
--- a/mustardrill_core/src/entry/request.rs
+++ b/mustardrill_core/src/entry/request.rs
@@ -2,7 +2,7 @@
 
 use mustardrill_types::{
     AttemptId, CustomerName, FastMap, InstanceId, ManifestDigest, ModelName, Moment, PartId,
-    PartSet, RequestDigest, RequestKey, ServiceName,
+    PartSet, RequestDigest, RequestKey,
 };
 
 use crate::document::RequestClass;
@@ -25,10 +25,6 @@
     pub(crate) stage: RequestStage,
     /// The number of attempts sent so far.
     pub(crate) attempts: u32,
-    /// Those of them that a full upstream refused.
-    pub(crate) refused_as_full: u32,
-    /// Whether the last one was.
-    pub(crate) is_turned_away: bool,
     /// The instances that attempts were sent to, in order.
     pub(crate) tried: Vec<InstanceId>,
     /// Whether an attempt was lost after it was sent, so that it may have run.
@@ -64,8 +60,6 @@
     Claiming,
     /// The result of this attempt at this instance.
     Sent(AttemptId, InstanceId),
-    /// Room at an upstream of this service.
-    AwaitingRoom(ServiceName),
     /// The verdict on whether the request crashes upstreams and is quarantined.
     AwaitingVerdict,
 }
@@ -91,8 +85,6 @@
             affinity: incoming.affinity,
             stage: RequestStage::Claiming,
             attempts: 0,
-            refused_as_full: 0,
-            is_turned_away: false,
             tried: Vec::new(),
             may_have_run: false,
             has_switched: false,
@@ -106,18 +98,6 @@
         }
     }
 
-    /// The attempts that count towards the most that a request may make.
-    pub(crate) fn counted_attempts(&self) -> u32 {
-        self.attempts - self.refused_as_full
-    }
-
-    /// Whether the retry budget is to be charged for the next attempt. One that was refused as full
-    /// did not reach the upstream; the next one takes its place, once it has waited for its turn.
-    pub(crate) fn owes_retry(&self) -> bool {
-        let has_turn = self.is_turned_away && matches!(self.stage, RequestStage::AwaitingRoom(_));
-        self.attempts > 0 && !self.has_reserved_retry && !has_turn
-    }
-
     /// Whether the request may be run a second time.
     pub(crate) fn is_idempotent(&self) -> bool {
         self.key.is_none()
--- a/mustardrill_core/src/lib.rs
+++ b/mustardrill_core/src/lib.rs
@@ -36,5 +36,4 @@
 pub mod session;
 pub mod transfer;
 pub mod transfer_rate;
-mod upstream_room;
 pub mod wave;
--- a/mustardrill_core/src/refusal.rs
+++ b/mustardrill_core/src/refusal.rs
@@ -9,8 +9,6 @@
     pub code: ResultCode,
     /// Time after which the caller may retry.
     pub retry_after: Millis,
-    /// Whether the queue before the upstream is full, for any request of this class or a lower one.
-    pub is_full: bool,
     /// The weights that the upstream serves, where it doesn't serve those that the attempt was
     /// pinned to; empty where they are not known.
     ///
@@ -21,16 +19,11 @@
 impl AttemptRefusal {
     /// Creates a refusal without information on weights.
     pub fn new(code: ResultCode, retry_after: Millis) -> Self {
-        Self { code, retry_after, is_full: false, serving: Vec::new() }
-    }
-
-    /// Creates a refusal of an upstream whose queue is full.
-    pub fn full(retry_after: Millis) -> Self {
-        Self { is_full: true, ..Self::new(ResultCode::Overloaded, retry_after) }
+        Self { code, retry_after, serving: Vec::new() }
     }
 
     /// Creates a refusal for an attempt pinned to weights that the upstream doesn't serve.
     pub fn other_weights(retry_after: Millis, serving: Vec<ManifestDigest>) -> Self {
-        Self { serving, ..Self::new(ResultCode::NoUpstream, retry_after) }
+        Self { code: ResultCode::NoUpstream, retry_after, serving }
     }
 }
--- a/mustardrill_core/src/routing.rs
+++ b/mustardrill_core/src/routing.rs
@@ -9,10 +9,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::direct::statements::rest::return_delay;
-use crate::document::RequestClass;
 use crate::rendezvous;
-use crate::upstream_room::UpstreamRoom;
 
 /// Failures of one upstream within this time count as one: a broken connection fails all attempts
 /// on it at once.
@@ -68,7 +65,6 @@
     ejected_until: Moment,
     /// When the last ejection ends; slow start counts from here.
     readmitted_at: Option<Moment>,
-    pub(crate) room: UpstreamRoom,
 }
 
 /// The upstreams that one entry balances over.
@@ -184,9 +180,6 @@
         view.own_attempts = view.own_attempts.saturating_sub(1);
         view.attempts_since_report = view.attempts_since_report.saturating_sub(1);
         view.record_result(now, healthy, settings);
-        if view.own_attempts == 0 {
-            view.room.record_idle();
-        }
     }
 
     /// Counts a failure where the agent could not be reached outside of any attempt.
@@ -197,77 +190,6 @@
         }
     }
 
-    /// Records that an upstream refused a request of the class as full and named a wait; returns
-    /// whether a rest begins there. The entry of this rank among all entries returns after it.
-    pub fn record_full(
-        &mut self,
-        now: Moment,
-        id: &InstanceId,
-        class: RequestClass,
-        wait: Millis,
-        rank: usize,
-    ) -> bool {
-        let Some(view) = self.views.get_mut(id) else { return false };
-        let delay = return_delay(rank, view.report.capacity);
-        view.room.record_full(now, class, wait, delay)
-    }
-
-    /// Records a complete answer of an upstream.
-    pub(crate) fn record_answer(&mut self, now: Moment, id: &InstanceId) {
-        if let Some(view) = self.views.get_mut(id) {
-            view.room.record_answer(now);
-        }
-    }
-
-    /// Records that a request of the class is sent to an upstream after it waited in the entry.
-    pub(crate) fn record_return(&mut self, now: Moment, id: &InstanceId, class: RequestClass) {
-        if let Some(view) = self.views.get_mut(id) {
-            view.room.record_return(now, class);
-        }
-    }
-
-    /// Whether an upstream takes a request of the class now, as far as its refusals tell.
-    pub fn has_room(&self, now: Moment, id: &InstanceId, class: RequestClass) -> bool {
-        self.views.get(id).is_none_or(|view| view.room.opens_at(class) <= now)
-    }
-
-    /// The best upstreams among `candidates`: those that can answer and are not ejected, or else
-    /// those that can answer.
-    pub(crate) fn usable<'a>(
-        &self,
-        now: Moment,
-        candidates: &'a [InstanceId],
-    ) -> Vec<&'a InstanceId> {
-        let available: Vec<_> = candidates.iter().filter(|id| self.is_available(now, id)).collect();
-        if !available.is_empty() {
-            return available;
-        }
-        candidates.iter().filter(|id| self.is_responsive(now, id)).collect()
-    }
-
-    /// Predicts how long a request of the class waits until one of `candidates` takes it, with
-    /// `ahead` requests of this entry before it.
-    pub(crate) fn predicted_wait(
-        &self,
-        now: Moment,
-        candidates: &[InstanceId],
-        class: RequestClass,
-        ahead: usize,
-    ) -> Millis {
-        let rooms: Vec<_> =
-            candidates.iter().filter_map(|id| Some(&self.views.get(id)?.room)).collect();
-        let opens_at = rooms.iter().map(|room| room.opens_at(class)).min().unwrap_or(now);
-        let rate: f64 = rooms.iter().filter_map(|room| room.answer_rate()).sum();
-        let behind_others_ms = if rate > 0.0 { ahead as f64 / rate } else { 0.0 };
-        Millis(opens_at.since(now).0.saturating_add(behind_others_ms as u64).max(1))
-    }
-
-    /// Requests that all of `candidates` run concurrently.
-    pub(crate) fn capacity(&self, candidates: &[InstanceId]) -> usize {
-        let views = candidates.iter().filter_map(|id| self.views.get(id));
-        views.map(|view| view.report.capacity as usize).sum()
-    }
-
     /// Chooses one of `candidates`; one of `tried` is chosen only where no other is available.
     ///
     /// Returns nothing where every candidate is draining, unknown or silent for too long.
@@ -373,7 +295,6 @@
             ejections: 0,
             ejected_until: Moment(0),
             readmitted_at: None,
-            room: UpstreamRoom::default(),
         }
     }
 
--- a/mustardrill_core/tests/agents.rs
+++ b/mustardrill_core/tests/agents.rs
@@ -330,35 +330,12 @@
 }
 
 fn arrive(reducer: &mut AgentReducer, attempt: u128, version: &str) -> Vec<AgentEffect> {
-    arrive_by(reducer, attempt, version, Moment(60_000))
-}
-
-fn arrive_by(
-    reducer: &mut AgentReducer,
-    attempt: u128,
-    version: &str,
-    deadline: Moment,
-) -> Vec<AgentEffect> {
     let pinned = Some(manifest(version).digest());
-    let (attempt, class) = (AttemptId(attempt), RequestClass::Standard);
+    let (attempt, deadline) = (AttemptId(attempt), Moment(60_000));
+    let class = RequestClass::Standard;
     reducer.reduce(Moment(10), AgentEvent::RequestArrived { attempt, class, pinned, deadline })
 }
 
-#[test]
-fn a_refusal_for_a_near_deadline_counts_as_one_of_a_full_queue() {
-    let mut agent = serving("v1");
-    let is_full = |effects: &[AgentEffect]| {
-        let [AgentEffect::Refuse(_, refusal)] = effects else { panic!("{effects:?}") };
-        (refusal.code, refusal.is_full)
-    };
-    arrive(&mut agent, 0, "v1");
-    let late = arrive_by(&mut agent, 1, "v1", Moment(50));
-    assert_eq!(is_full(&late), (ResultCode::Overloaded, false));
-    (2..10).for_each(|attempt| assert_eq!(arrive(&mut agent, attempt, "v1"), []));
-    let refused = arrive(&mut agent, 10, "v1");
-    assert_eq!(is_full(&refused), (ResultCode::Overloaded, true));
-}
-
 #[test]
 fn a_request_is_not_run_under_other_weights_than_its_own() {
     let mut agent = serving("v1");
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -387,22 +387,17 @@
     number: u64,
     now: Moment,
 ) -> SendOrder {
-    let incoming = arriving_request(target, number, now + Millis(60_000));
-    order_in(reducer.reduce(now, EntryEvent::RequestArrived(incoming)))
-}
-
-/// A request for the plain service `desk`, or for a model.
-pub fn arriving_request(target: &str, number: u64, deadline: Moment) -> IncomingRequest {
-    IncomingRequest {
+    let incoming = IncomingRequest {
         id: RequestId(number),
         customer: "comedor".parse().unwrap(),
         target: target.parse().unwrap(),
         is_model: target != "desk",
         key: None,
-        deadline,
+        deadline: now + Millis(60_000),
         affinity: None,
         digest: RequestDigest(u128::from(number)),
-    }
+    };
+    order_in(reducer.reduce(now, EntryEvent::RequestArrived(incoming)))
 }
 
 /// The first attempt that is sent.
--- a/mustardrill_core/tests/policies.rs
+++ b/mustardrill_core/tests/policies.rs
@@ -145,8 +145,6 @@
     offer(&mut queue, 1, RequestClass::Standard);
     offer(&mut queue, 2, RequestClass::Background);
     offer(&mut queue, 3, RequestClass::Background);
-    let full = RequestClass::ALL.map(|class| queue.is_full_for(class));
-    assert_eq!(full, [false, false, true], "requests of the lowest class can be displaced");
     assert_eq!(offer(&mut queue, 4, RequestClass::Urgent), Admission::Displaced(AttemptId(3)));
     assert_eq!(offer(&mut queue, 5, RequestClass::Urgent), Admission::Displaced(AttemptId(2)));
     assert_eq!(offer(&mut queue, 6, RequestClass::Urgent), Admission::Displaced(AttemptId(1)));
--- a/mustardrill_entry/src/attempt.rs
+++ b/mustardrill_entry/src/attempt.rs
@@ -197,8 +197,7 @@
         Some(code) if code.is_not_run() => {
             let serving = refusal.serving.iter().filter_map(|bytes| digest_of(bytes)).collect();
             let retry_after = Millis(refusal.retry_after_ms);
-            let is_full = refusal.full;
-            AttemptEnd::Refused(AttemptRefusal { code, retry_after, is_full, serving })
+            AttemptEnd::Refused(AttemptRefusal { code, retry_after, serving })
         }
         _ => AttemptEnd::Lost,
     }
--- a/mustardrill_proto/src/generated.rs
+++ b/mustardrill_proto/src/generated.rs
@@ -125,9 +125,6 @@
     /// manifests served in place of the pinned weights; may be empty
     #[prost(bytes = "bytes", repeated, tag = "4")]
     pub serving: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
-    /// the queue is full for this class and all lower ones
-    #[prost(bool, tag = "5")]
-    pub full: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SyncRequest {
