--- a/mustardrill_core/tests/quarantine.rs
+++ b/mustardrill_core/tests/quarantine.rs
@@ -272,6 +272,28 @@
     }
 }
 
+/// A request was sent to an upstream that had crashed 400 ms before under others, by an entry that
+/// had not heard of it. That counted as a third crash under the request.
+#[test]
+fn a_run_sent_after_the_crash_of_its_upstream_counts_as_another_crash() {
+    let present = |upstream, sent, ended| crashed_run("/sound", upstream, sent, ended);
+    let reports = [
+        present(1, 347, 360),
+        crashed_run("/other", 0, 200, 330),
+        present(0, 758, 782),
+        present(2, 2_145, 2_200),
+    ];
+    for order in [[0, 1, 2, 3], [0, 2, 1, 3], [2, 3, 0, 1]] {
+        let mut table = QuarantineTable::new(Millis(80));
+        for index in order {
+            let run: CrashedRun = reports[index].clone();
+            table.record_crash(run.ended.max(START + Millis(2_200)), run);
+        }
+        let verdicts = table.take_verdicts(START + Millis(2_200) + SETTLED);
+        assert!(verdicts.is_empty(), "reports in order {order:?}");
+    }
+}
+
 #[test]
 fn two_requests_always_present_together_are_quarantined_in_the_end() {
     let mut table = QuarantineTable::new(SETTLED);
