Entries obey evacuations of data centres and regions of routes and customers

Callers saw: requests were run in data centres that the operator had emptied, and outside the regions to which a route or a customer binds them. Cause: the key of an evacuation was skipped, and `allowed_regions` was not read.

The key alone is decoded into EvacuationRequested, its removal into EvacuationEnded. The upstream table leaves the upstreams of evacuated data centres out of `staying`, on which every choice, forecast and count relies; the region of a data centre comes from the settings, and `is_permitted` filters each choice, wait and forecast of a request and is checked once more where the attempt is sent. Attempts of which nothing is written are withdrawn, what waits goes to the rest, and what nobody may serve is refused at once (2012; 2020 where no allowed region has an upstream). A request bound to full regions holds up no other in the queue.

Tests changed: literals of RouteRule, CustomerRecord and DirectSettings have the new fields; the rendering of the template in deployment.rs knows the section of data centres and checks its values.

--- a/mustardrill_core/src/direct/admit.rs
+++ b/mustardrill_core/src/direct/admit.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 
 use crate::direct::event::{DirectEffect, DirectRequest, RefusalPlan, RequestNumber};
+use crate::direct::locality::regions::RegionLimits;
 use crate::direct::placement::forecast::EngineForecast;
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::RequestState;
@@ -79,7 +80,6 @@
         let service = route.choose_service(self.random.random()).clone();
         self.record_earning_request(now, &service);
         self.silence_allowances.entry(service.clone()).or_default().record_request();
-        let customer = customer.map(|customer| (customer.name.clone(), customer.priority));
         let profile = self.engine_profile(&service);
         let large = profile.is_some_and(|it| EngineForecast::new(it).is_large(request.size));
         let state = RequestState::new(request, route, service, customer, large);
@@ -136,6 +136,7 @@
         let key = state.api_key.as_deref();
         let (route, customer) = check_access(&document, is_fresh, &state.host, &state.path, key)?;
         state.customer = customer.map(|customer| customer.name.clone());
+        state.region_limits = RegionLimits::of(route, customer);
         if !splits_to(route, &state.service) && !state.has_delivered {
             state.service = route.choose_service(self.random.random()).clone();
         }
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -18,7 +18,7 @@
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let service = state.service.clone();
         let rank = state.wait_rank(now >= self.in_time_until(state));
-        let first = self.queues.get(&service).and_then(|queue| queue.first());
+        let first = self.first_unbound(&service);
         if first.is_none_or(|first| rank < first)
             && let Some(upstream) = self.choose_upstream(now, state)
         {
@@ -41,8 +41,8 @@
         }
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let Some(target) = self.upstreams.get(&upstream) else { return Vec::new() };
-        // The request's route moved to another service while it waited.
-        if target.record.service != state.service {
+        // The configuration moved the request to another service or region while it waited.
+        if target.record.service != state.service || !self.is_permitted(state, target) {
             return self.dispatch_or_queue(now, number);
         }
         if state.deadline <= now {
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -10,6 +10,7 @@
 use crate::direct::fleet::load_broadcast::LoadUpdate;
 use crate::direct::fleet::update::FleetUpdate;
 use crate::direct::intake::report::IntakeReport;
+use crate::direct::locality::regions::RegionMap;
 use crate::direct::placement::forecast::WorkSize;
 use crate::direct::retries::retry_budget::RetryShare;
 use crate::direct::route::RepeatRule;
@@ -300,6 +301,8 @@
     pub own_id: InstanceId,
     /// The data centre of this entry.
     pub data_centre: DataCentre,
+    /// The region of each data centre.
+    pub regions: RegionMap,
     /// API keys are accepted while the configuration was confirmed as current less than this ago.
     pub freshness_limit: Millis,
     /// How long after the announcement of a newer version requests may still start on older
@@ -357,6 +360,10 @@
     pub resting: usize,
     /// Listed upstreams that limit the request rate that they accept.
     pub limited: usize,
+    /// Data centres that the operator has evacuated.
+    pub evacuations: usize,
+    /// Listed upstreams in evacuated data centres.
+    pub evacuated: usize,
     /// Requests that are not run for a while because upstreams crash while running them.
     pub quarantined: usize,
     /// Groups of prompt parts whose requests are not run for a while, for the same reason.
--- a/mustardrill_core/src/direct/fleet/update.rs
+++ b/mustardrill_core/src/direct/fleet/update.rs
@@ -72,6 +72,10 @@
     Peer(PeerRecord),
     /// The registration of an entry was removed or expired.
     PeerGone(InstanceId),
+    /// The operator requested that nothing more be sent to the upstreams of a data centre.
+    EvacuationRequested(DataCentre),
+    /// The operator took a data centre back.
+    EvacuationEnded(DataCentre),
     /// Requests are refused for this time, as they crash upstreams.
     Quarantined(QuarantineSubject, Millis),
 }
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -14,6 +14,7 @@
     ExpiredRegistration, ExpiryCause, UpstreamStart, UpstreamState,
 };
 use crate::direct::fleet::version_belief::{BeliefSource, VersionBelief};
+use crate::direct::locality::evacuation::EvacuationTable;
 use crate::direct::statements::conditions::StatedConditions;
 
 /// How long a removed upstream is remembered: longer than the age of the copies from which a store
@@ -51,6 +52,8 @@
     departed: FastMap<InstanceId, Departure>,
     /// Notices of later incarnations at the addresses of known upstreams.
     early_notices: FastMap<SocketAddr, EarlyNotice>,
+    /// The data centres to whose upstreams nothing is sent.
+    pub(crate) evacuations: EvacuationTable,
     /// The load of the peer entries at the upstreams.
     pub(crate) peer_loads: PeerLoadTotals,
 }
@@ -335,9 +338,20 @@
         ids.filter_map(|id| self.states.get(id))
     }
 
-    /// Returns the upstreams that are listed for a service and are not leaving.
+    /// Whether an upstream stands in an evacuated data centre.
+    pub(crate) fn is_evacuated(&self, state: &UpstreamState) -> bool {
+        self.evacuations.is_evacuated(&state.record.data_centre)
+    }
+
+    /// Counts the upstreams that stand in evacuated data centres.
+    pub(crate) fn evacuated_count(&self) -> usize {
+        self.states.values().filter(|state| self.is_evacuated(state)).count()
+    }
+
+    /// Returns the upstreams that are listed for a service, are not leaving and do not stand in an
+    /// evacuated data centre.
     pub(crate) fn staying(&self, service: &ServiceName) -> impl Iterator<Item = &UpstreamState> {
-        self.of_service(service).filter(|state| !state.is_leaving())
+        self.of_service(service).filter(|state| !state.is_leaving() && !self.is_evacuated(state))
     }
 
     /// Returns the upstreams that stay in a service and want no requests from this entry for a
@@ -362,7 +376,18 @@
     /// Returns the upstreams of a service that requests may be sent to now. If all of them are
     /// ejected or have crashed, those are returned instead; never one that leaves or rests.
     pub(crate) fn usable(&self, now: Moment, service: &ServiceName) -> Vec<&UpstreamState> {
-        let staying = self.staying(service);
+        self.usable_among(now, service, |_| true)
+    }
+
+    /// Returns the upstreams among the permitted ones of a service that requests may be sent to now,
+    /// as [`Self::usable`] does.
+    pub(crate) fn usable_among(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        is_permitted: impl Fn(&UpstreamState) -> bool,
+    ) -> Vec<&UpstreamState> {
+        let staying = self.staying(service).filter(|state| is_permitted(state));
         let mut available: Vec<_> = staying.collect();
         let uncertain = available.iter().filter(|state| state.may_have_shut_down()).count();
         let is_small_share = uncertain * LOST_FRACTION_DIVISOR <= available.len();
@@ -380,19 +405,15 @@
         tiers.into_iter().find(|tier| !tier.is_empty()).unwrap_or(available)
     }
 
-    /// Whether an upstream of a service is loading weights or is about to.
-    pub(crate) fn is_loading(&self, now: Moment, service: &ServiceName) -> bool {
+    /// Returns the upstreams of a service that are loading weights or are about to.
+    pub(crate) fn loading(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &UpstreamState> {
         let is_loading =
-            |state: &UpstreamState| state.paused_until.max(state.reload_expected_until) > now;
-        self.staying(service).any(is_loading)
-    }
-
-    /// Returns the number of slots of the upstreams that accept requests for a service from this
-    /// entry and do not limit the request rate.
-    pub(crate) fn unlimited_slots(&self, now: Moment, service: &ServiceName) -> u32 {
-        let unlimited =
-            self.awake(now, service).filter(|state| state.conditions.intake_limit.rate().is_none());
-        unlimited.map(|state| state.record.slots).sum()
+            move |state: &&UpstreamState| state.paused_until.max(state.reload_expected_until) > now;
+        self.staying(service).filter(is_loading)
     }
 
     /// Returns the load at an upstream: this entry's own and that of the peers that reported
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod event;
 mod fleet;
 mod intake;
+mod locality;
 mod placement;
 mod reducer;
 mod request;
@@ -29,6 +30,7 @@
 pub use fleet::load_broadcast::{LoadBroadcaster, LoadRows, LoadUpdate, WaitRows};
 pub use fleet::update::{FleetChange, FleetUpdate, PeerRecord, ServedWeights, UpstreamRecord};
 pub use intake::report::IntakeReport;
+pub use locality::regions::RegionMap;
 pub use placement::forecast::{EngineForecast, WorkSize};
 pub use reducer::DirectReducer;
 pub use retries::retry_budget::{
--- a/mustardrill_core/src/direct/placement/choice.rs
+++ b/mustardrill_core/src/direct/placement/choice.rs
@@ -37,7 +37,7 @@
         state: &RequestState,
         is_candidate: impl Fn(&UpstreamState) -> bool,
     ) -> Option<InstanceId> {
-        let usable = self.upstreams.usable(now, &state.service);
+        let usable = self.usable_upstreams(now, state);
         let fitting = usable.into_iter().filter(|upstream| {
             is_candidate(upstream)
                 && upstream
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -7,9 +7,10 @@
 
 use crate::direct::event::{DirectRequest, RequestNumber};
 use crate::direct::fleet::upstream::UpstreamStart;
+use crate::direct::locality::regions::RegionLimits;
 use crate::direct::placement::forecast::WorkSize;
 use crate::direct::retries::retry_budget::RetryGrant;
-use crate::direct::route::{RepeatRule, RouteRule};
+use crate::direct::route::{CustomerRecord, RepeatRule, RouteRule};
 use crate::direct::silence::WaitReason;
 use crate::direct::versions::superseded::SupersededAttempt;
 use crate::direct::waiting::queue::WaitRank;
@@ -27,6 +28,8 @@
     pub(crate) path: Box<str>,
     pub(crate) api_key: Option<Box<str>>,
     pub(crate) customer: Option<CustomerName>,
+    /// The regions in which it may be served.
+    pub(crate) region_limits: RegionLimits,
     pub(crate) service: ServiceName,
     pub(crate) model: Option<ModelName>,
     pub(crate) size: WorkSize,
@@ -101,12 +104,13 @@
         request: DirectRequest,
         route: &RouteRule,
         service: ServiceName,
-        customer: Option<(CustomerName, Option<u8>)>,
+        customer: Option<&CustomerRecord>,
         large: bool,
     ) -> Self {
         let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
-        let priority = customer.as_ref().and_then(|(_, priority)| *priority);
-        let customer = customer.map(|(name, _)| name);
+        let region_limits = RegionLimits::of(route, customer);
+        let priority = customer.and_then(|customer| customer.priority);
+        let customer = customer.map(|customer| customer.name.clone());
         let caller = customer.as_ref().map_or("", CustomerName::as_str);
         let content_digest = request.content_digest.0.to_be_bytes();
         let digest =
@@ -120,6 +124,7 @@
             path: request.path,
             api_key: request.api_key,
             customer,
+            region_limits,
             service,
             model: request.model,
             size: request.size,
--- a/mustardrill_core/src/direct/retries/retry.rs
+++ b/mustardrill_core/src/direct/retries/retry.rs
@@ -212,8 +212,7 @@
         }
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         if !self.may_be_served_soon(now, state) {
-            let code = ResultCode::NoUpstream;
-            return self.refuse(now, number, code, NO_UPSTREAM_RETRY);
+            return self.refuse_unplaceable(now, number);
         }
         let rank = state.wait_rank(now >= self.in_time_until(state));
         match self.choose_upstream(now, state) {
@@ -243,10 +242,10 @@
             code if state.may_have_run && code.is_not_run() => ResultCode::Unknown,
             code => code,
         };
-        let usable = self.upstreams.usable(now, &state.service);
+        let usable = self.usable_upstreams(now, &state);
         info!(
             "request={} decision=refuse code={code} cause={cause} waited={} attempts={} queue={} usable={} \
-             fitting={} leaving={} resting={} retry_after={retry_after} digest={} parts={}",
+             fitting={} leaving={} resting={} evacuated={} regions={} retry_after={retry_after} digest={} parts={}",
             state.attempt_id,
             now.since(state.arrived_at),
             state.tried_upstreams.len(),
@@ -258,6 +257,11 @@
                 .count(),
             self.upstreams.of_service(&state.service).filter(|it| it.is_leaving()).count(),
             self.upstreams.resting(now, &state.service).count(),
+            self.upstreams
+                .of_service(&state.service)
+                .filter(|it| self.upstreams.is_evacuated(it))
+                .count(),
+            if state.region_limits.is_bound() { "bound" } else { "any" },
             state.digest,
             state.parts,
         );
--- a/mustardrill_core/src/direct/route.rs
+++ b/mustardrill_core/src/direct/route.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use mustardrill_types::{
-    ByteSize, CustomerName, DataCentre, FastMap, Generation, Millis, ModelName, ServiceName,
+    ByteSize, CustomerName, DataCentre, FastMap, Generation, Millis, ModelName, RegionName,
+    ServiceName,
 };
 
 /// One generation of the configuration, always applied as a whole.
@@ -46,6 +47,8 @@
     pub attempt_limit: u32,
     /// Whether callers may omit the API key.
     pub is_public: bool,
+    /// The regions in which its requests may be served; empty for any.
+    pub allowed_regions: Box<[RegionName]>,
 }
 
 /// Whether a request may run again after an attempt that may have run.
@@ -70,6 +73,8 @@
     pub api_keys: Vec<Box<str>>,
     /// A priority that overrides the route's.
     pub priority: Option<u8>,
+    /// The regions in which the customer's requests may be served; empty for any.
+    pub allowed_regions: Box<[RegionName]>,
 }
 
 /// Limits on requests and connections of callers.
--- a/mustardrill_core/src/direct/statements/record.rs
+++ b/mustardrill_core/src/direct/statements/record.rs
@@ -98,7 +98,11 @@
     }
 
     /// Refuses the waiting requests of a service that would wait in vain.
-    fn refuse_unservable(&mut self, now: Moment, service: &ServiceName) -> Vec<DirectEffect> {
+    pub(in crate::direct) fn refuse_unservable(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+    ) -> Vec<DirectEffect> {
         let queue = self.queues.get(service);
         let waiting: Vec<_> = queue.map_or(Vec::new(), |queue| queue.iter().collect());
         let (mut effects, mut ahead) = (Vec::new(), 0);
--- a/mustardrill_core/src/direct/store/fleet_updates.rs
+++ b/mustardrill_core/src/direct/store/fleet_updates.rs
@@ -32,6 +32,7 @@
         self.membership.record_answer(now, self.settings.retry_share.window);
         if update.is_snapshot {
             self.expire_missing(now, &update, is_restored);
+            self.upstreams.evacuations.drop_missing(now, &update, is_restored);
         }
         let mut effects = if is_restored {
             self.apply_older_copy(now, time, update.changes)
@@ -49,6 +50,7 @@
         self.confirm_config(sent);
         self.remove_unreturned(now);
         self.settle_announcements(now);
+        effects.extend(self.leave_evacuated(now));
         effects.extend(self.dispatch_all_waiting(now));
         if !self.peer_generation.is_awaited(now) {
             effects.extend(self.release_all_held(now));
@@ -210,6 +212,7 @@
             .is_none_or(|limit| self.store_freshness.is_confirmed_since(limit))
         {
             self.upstreams.remove_expired(now);
+            self.upstreams.evacuations.drop_unconfirmed(now);
             for id in std::mem::take(&mut self.unconfirmed_peers) {
                 self.remove_peer(now, &id);
             }
@@ -234,6 +237,7 @@
                     if is_newer { "applied" } else { "kept" }
                 );
                 if is_newer {
+                    self.refresh_region_limits(&document);
                     self.document = Some(document);
                 }
             }
@@ -253,6 +257,12 @@
             FleetChange::VersionAnnounced(model, version) => {
                 self.record_announcement(now, &model, version, time);
             }
+            FleetChange::EvacuationRequested(data_centre) => {
+                self.begin_evacuation(now, data_centre)
+            }
+            FleetChange::EvacuationEnded(data_centre) => {
+                self.upstreams.evacuations.end(now, &data_centre)
+            }
             // Handled in `apply_changes`, which collects the effects.
             FleetChange::Quarantined(..) => {}
             FleetChange::Peer(record) => {
--- a/mustardrill_core/src/direct/waiting/queue.rs
+++ b/mustardrill_core/src/direct/waiting/queue.rs
@@ -7,6 +7,7 @@
 //! within the longest wait, so that the queue stays as short as the wait that it promises.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use mustardrill_types::Moment;
 
@@ -44,6 +45,13 @@
         self.ranks.keys().next().copied()
     }
 
+    /// The request to be sent next after `rank`; the first one where that is `None`.
+    pub fn first_after(&self, rank: Option<WaitRank>) -> Option<WaitRank> {
+        let Some(rank) = rank else { return self.first() };
+        let later = (Bound::Excluded(rank), Bound::Unbounded);
+        self.ranks.range(later).next().map(|(rank, _)| *rank)
+    }
+
     /// Moves a request to another rank; the end of its wait stays.
     pub fn replace(&mut self, rank: &WaitRank, new_rank: WaitRank) {
         if let Some(until) = self.ranks.remove(rank) {
--- a/mustardrill_core/src/direct/waiting/wait_policy.rs
+++ b/mustardrill_core/src/direct/waiting/wait_policy.rs
@@ -84,11 +84,11 @@
     /// a rest, or one whose engine is loading weights or about to. Waiting for anything else would
     /// most often be in vain.
     pub(in crate::direct) fn may_be_served_soon(&self, now: Moment, state: &RequestState) -> bool {
-        let usable = self.upstreams.usable(now, &state.service).into_iter();
+        let usable = self.usable_upstreams(now, state).into_iter();
         usable
-            .chain(self.upstreams.resting(now, &state.service))
+            .chain(self.resting_upstreams(now, state))
             .any(|upstream| self.serves_allowed_version(now, state, upstream))
-            || self.upstreams.is_loading(now, &state.service)
+            || self.is_loading_for(now, state)
     }
 
     /// The expected wait behind `ahead` other requests, where the engine profile, the limits or the
@@ -99,7 +99,7 @@
         state: &RequestState,
         ahead: usize,
     ) -> Millis {
-        let resting = self.upstreams.resting(now, &state.service);
+        let resting = self.resting_upstreams(now, state);
         let mut rest_ends: Vec<_> = resting.map(|it| it.conditions.rest.opens_at()).collect();
         rest_ends.sort_unstable();
         // Each upstream is sent one request after its rest.
@@ -111,31 +111,30 @@
     /// The expected wait at the upstreams that do not rest.
     fn expected_wait_now(&self, now: Moment, state: &RequestState, ahead: usize) -> Millis {
         let service = &state.service;
-        let mut upstreams = self.upstreams.awake(now, service).peekable();
+        let mut upstreams = self.awake_upstreams(now, state).peekable();
         if upstreams.peek().is_none() {
             return UNBOUNDED_WAIT;
         }
         if upstreams.all(|upstream| upstream.conditions.intake_limit.rate().is_some()) {
-            return self.limited_wait(now, service, ahead);
+            return self.limited_wait(now, state, ahead);
         }
         let Some(profile) = self.engine_profile(service) else {
-            let queue_limit =
-                self.upstreams.unlimited_slots(now, service) as usize * PLAIN_QUEUE_PER_SLOT;
+            let queue_limit = self.unlimited_slots(now, state) as usize * PLAIN_QUEUE_PER_SLOT;
             return if ahead >= queue_limit { UNBOUNDED_WAIT } else { Millis(0) };
         };
         let forecast = EngineForecast::new(profile);
         let service_ms = forecast.service_ms(profile.slots, forecast.usual_size());
         // Peer entries use the freed slots as well, so this entry gets its share of them.
         let entries = self.peers().len() + 1;
-        let slots = f64::from(self.upstreams.unlimited_slots(now, service));
+        let slots = f64::from(self.unlimited_slots(now, state));
         let by_slots = slots * 1_000.0 / (service_ms * entries as f64);
-        wait_at_rate(ahead + 1, by_slots + self.limited_rate(now, service))
+        wait_at_rate(ahead + 1, by_slots + self.limited_rate(now, state))
     }
 
     /// The expected wait behind `ahead` other requests where all upstreams limit their rate.
-    fn limited_wait(&self, now: Moment, service: &ServiceName, ahead: usize) -> Millis {
-        let per_second = self.limited_rate(now, service);
-        match self.next_capacity_at(now, service) {
+    fn limited_wait(&self, now: Moment, state: &RequestState, ahead: usize) -> Millis {
+        let per_second = self.limited_rate(now, state);
+        match self.next_capacity_at(now, &state.service) {
             Some(opens_at) => {
                 let wait = wait_at_rate(ahead, per_second);
                 Millis(wait.0 + opens_at.since(now).0).min(UNBOUNDED_WAIT)
@@ -146,8 +145,8 @@
 
     /// The requests per second that this entry may send to those upstreams of a service that limit
     /// their rate.
-    fn limited_rate(&self, now: Moment, service: &ServiceName) -> f64 {
-        let shares = self.upstreams.awake(now, service);
+    fn limited_rate(&self, now: Moment, state: &RequestState) -> f64 {
+        let shares = self.awake_upstreams(now, state);
         shares
             .filter_map(|it| it.conditions.intake_limit.share())
             .map(IntakeShare::per_second)
@@ -163,8 +162,8 @@
         expected: Millis,
     ) -> Vec<DirectEffect> {
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
-        let is_any_awake = self.upstreams.awake(now, &state.service).next().is_some();
-        let resting = self.upstreams.resting(now, &state.service);
+        let is_any_awake = self.awake_upstreams(now, state).next().is_some();
+        let resting = self.resting_upstreams(now, state);
         let rest_end = resting.map(|upstream| upstream.conditions.rest.opens_at()).min();
         let retry_after = match rest_end.filter(|_| !is_any_awake) {
             Some(end) => {
@@ -190,9 +189,19 @@
     ) -> Vec<DirectEffect> {
         let mut effects = Vec::new();
         self.demote_late(now, service);
-        while let Some(rank) = self.queues.get(service).and_then(|queue| queue.first()) {
+        let mut passed_over = None;
+        while let Some(rank) =
+            self.queues.get(service).and_then(|queue| queue.first_after(passed_over))
+        {
             let Some(state) = self.requests.get(&rank.number) else { break };
-            let Some(upstream) = self.choose_upstream(now, state) else { break };
+            let Some(upstream) = self.choose_upstream(now, state) else {
+                // Its regions may be full while others have capacity.
+                if state.region_limits.is_bound() {
+                    passed_over = Some(rank);
+                    continue;
+                }
+                break;
+            };
             if let Some(queue) = self.queues.get_mut(service) {
                 queue.remove(&rank);
             }
@@ -228,7 +237,11 @@
         now: Moment,
         number: RequestNumber,
     ) -> Vec<DirectEffect> {
-        self.refuse(now, number, ResultCode::NoUpstream, NO_UPSTREAM_RETRY)
+        let state = self.requests.get(&number);
+        let is_out_of_region = state.is_some_and(|state| self.is_out_of_region(state));
+        let code =
+            if is_out_of_region { ResultCode::OutsideRegions } else { ResultCode::NoUpstream };
+        self.refuse(now, number, code, NO_UPSTREAM_RETRY)
     }
 
     /// Refuses a request that found no upstream with capacity before its wait ended.
--- a/mustardrill_core/src/provisioning/reducer.rs
+++ b/mustardrill_core/src/provisioning/reducer.rs
@@ -233,8 +233,12 @@
                 }
                 FleetChange::Peer(relay) => self.relays.add(relay),
                 FleetChange::PeerGone(id) => self.relays.remove(&id),
-                // Quarantines concern requests, which this reducer does not handle.
-                FleetChange::Quarantined(..) => {}
+                // Quarantines and evacuations concern requests, which this reducer does not handle.
+                // Engines of an evacuated data centre go on loading weights, so that they hold the
+                // current ones when it is taken back.
+                FleetChange::Quarantined(..)
+                | FleetChange::EvacuationRequested(_)
+                | FleetChange::EvacuationEnded(_) => {}
             }
         }
         self.update_plan_members();
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -10,8 +10,8 @@
 use mustardrill_core::direct::{
     AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
     DirectSettings, EngineProfile, FleetChange, FleetUpdate, ModelProfile, PeerRecord, RefusalPlan,
-    RepeatRule, RequestNumber, RetryShare, RouteDocument, RouteRule, SendPlan, ServiceProfile,
-    StatedValue, UpstreamRecord, WorkSize,
+    RegionMap, RepeatRule, RequestNumber, RetryShare, RouteDocument, RouteRule, SendPlan,
+    ServiceProfile, StatedValue, UpstreamRecord, WorkSize,
 };
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::edit::{EditChange, EditRequest, FleetFacts, PublishedVersion, apply_edit};
@@ -176,6 +176,7 @@
     DirectSettings {
         own_id: "entry-1".parse().unwrap(),
         data_centre: "hall-a".parse().unwrap(),
+        regions: RegionMap::default(),
         freshness_limit: Millis(4_500),
         version_bound: Millis(7_000),
         retry_share: RetryShare { ratio: 1.0, allowance: 0.0, window: Millis(10_000) },
@@ -257,6 +258,7 @@
         priority: 1,
         attempt_limit: 2,
         is_public: true,
+        allowed_regions: Box::default(),
     }
 }
 
--- a/mustardrill_core/tests/common/silences.rs
+++ b/mustardrill_core/tests/common/silences.rs
@@ -721,6 +721,7 @@
             name: "comedor".parse().unwrap(),
             api_keys: vec![key.into()],
             priority: None,
+            allowed_regions: Box::default(),
         };
         let document = RouteDocument::new(
             Generation(self.generation),
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -42,6 +42,7 @@
         name: "comedor".parse().unwrap(),
         api_keys: keys.iter().map(|key| (*key).into()).collect(),
         priority: None,
+        allowed_regions: Box::default(),
     };
     Arc::new(RouteDocument::new(
         Generation(generation),
@@ -305,7 +306,12 @@
 
 fn customer(name: &str, keys: &[&str]) -> CustomerRecord {
     let api_keys = keys.iter().map(|key| (*key).into()).collect();
-    CustomerRecord { name: name.parse().unwrap(), api_keys, priority: None }
+    CustomerRecord {
+        name: name.parse().unwrap(),
+        api_keys,
+        priority: None,
+        allowed_regions: Box::default(),
+    }
 }
 
 #[test]
@@ -353,6 +359,7 @@
         name: "comedor".parse().unwrap(),
         api_keys: vec!["key-1".into()],
         priority: None,
+        allowed_regions: Box::default(),
     };
     let limits = CallerLimits::default();
     let document =
--- a/mustardrill_core/tests/silences.rs
+++ b/mustardrill_core/tests/silences.rs
@@ -73,6 +73,7 @@
         name: "comedor".parse().unwrap(),
         api_keys: vec![key.into()],
         priority: None,
+        allowed_regions: Box::default(),
     };
     let (generation, services) = (Generation(generation), services.into_iter().collect());
     let limits = Default::default();
--- a/mustardrill_core/tests/store_eras.rs
+++ b/mustardrill_core/tests/store_eras.rs
@@ -200,6 +200,7 @@
         name: "comedor".parse().unwrap(),
         api_keys: vec!["key".into()],
         priority: None,
+        allowed_regions: Box::default(),
     };
     let mut services = FastMap::default();
     services.insert("desk".parse().unwrap(), ServiceProfile::default());
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -362,6 +362,8 @@
             ("upstreams", status.upstreams as u64),
             ("upstreams_lapsed", status.expired as u64),
             ("upstreams_leaving", status.leaving as u64),
+            ("data_centres_evacuated", status.evacuations as u64),
+            ("upstreams_evacuated", status.evacuated as u64),
             ("upstreams_resting", status.resting as u64),
             ("upstreams_limited", status.limited as u64),
             ("requests_open", status.requests as u64),
--- a/mustardrill_entry/src/direct/config.rs
+++ b/mustardrill_entry/src/direct/config.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 
 use log::LevelFilter;
-use mustardrill_core::direct::{DirectSettings, RetryBound, RetryShare};
+use mustardrill_core::direct::{DirectSettings, RegionMap, RetryBound, RetryShare};
 use mustardrill_runtime::config::{local, name};
 use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
-use mustardrill_types::{ByteSize, Millis};
+use mustardrill_types::{ByteSize, DataCentre, Millis, RegionName};
 
 /// All settings of an entry that sends requests directly to upstreams.
 #[derive(Debug, Clone)]
@@ -74,6 +74,7 @@
         direct: DirectSettings {
             own_id: name(&mut reader, "entry", "instance"),
             data_centre: name(&mut reader, "entry", "data_centre"),
+            regions: regions(&mut reader),
             freshness_limit: Millis(revocation.0 * FRESHNESS_PERCENT / 100),
             version_bound: version,
             retry_share: retry(&mut reader),
@@ -92,6 +93,21 @@
     reader.finish(config)
 }
 
+/// The region of each data centre; the operator chooses the names.
+fn regions(reader: &mut SettingsReader) -> RegionMap {
+    let mut regions = Vec::new();
+    for key in reader.names("regions") {
+        match (key.name.parse::<DataCentre>(), key.value.parse::<RegionName>()) {
+            (Ok(data_centre), Ok(region)) => regions.push((data_centre, region)),
+            (Err(error), _) | (_, Err(error)) => {
+                let message = format!("[regions] {} = {}: {error}", key.name, key.value);
+                reader.fault(key.line, message);
+            }
+        }
+    }
+    regions.into_iter().collect()
+}
+
 fn retry(reader: &mut SettingsReader) -> RetryShare {
     let ratio: f64 = reader.bounded("bounds", "retry_ratio", 0.2, 0.0, 10.0);
     // The platform scales it with the size of the installation, which may give a fraction.
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -27,7 +27,7 @@
 }
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 29] = [
+pub const METRICS: [MetricRow; 31] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -109,6 +109,16 @@
         MetricKind::Gauge,
         "Upstreams that limit the request rate that they accept.",
     ),
+    MetricRow::new(
+        "data_centres_evacuated",
+        MetricKind::Gauge,
+        "Data centres to whose upstreams nothing is sent, by the operator's request.",
+    ),
+    MetricRow::new(
+        "upstreams_evacuated",
+        MetricKind::Gauge,
+        "Upstreams listed in evacuated data centres.",
+    ),
     MetricRow::new("generation", MetricKind::Gauge, "The configuration in force; zero for none."),
     MetricRow::new(
         "proof_age_ms",
--- a/mustardrill_standins/src/experiment/fleet.rs
+++ b/mustardrill_standins/src/experiment/fleet.rs
@@ -94,6 +94,7 @@
         priority: kind.priority,
         attempt_limit: ATTEMPT_LIMIT,
         is_public: true,
+        allowed_regions: Box::default(),
     };
     let routes = pattern.kinds.iter().enumerate().map(route).collect();
     let mut services = FastMap::default();
--- a/mustardrill_standins/tests/deployment.rs
+++ b/mustardrill_standins/tests/deployment.rs
@@ -5,7 +5,7 @@
 
 use mustardrill_entry::direct::DirectConfig;
 use mustardrill_runtime::settings::{PlatformKind, SettingsReader};
-use mustardrill_types::Millis;
+use mustardrill_types::{Millis, RegionName};
 
 /// Sample values of the fields that the platform provides on each machine.
 const VALUES: [(&str, &str); 17] = [
@@ -28,6 +28,9 @@
     ("bounds.retry_window_s", "10"),
 ];
 
+/// The region of each data centre, as the platform provides them.
+const ZONES: [(&str, &str); 2] = [("hall-a", "north"), ("hall-b", "south")];
+
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap().to_owned()
 }
@@ -41,6 +44,11 @@
     for (field, value) in VALUES.into_iter().chain([("bounds.retry_allowance", retry_allowance)]) {
         text = text.replace(&format!("{{{{{field}}}}}"), value);
     }
+    if let Some((before, rest)) = text.split_once("{{#zones}}") {
+        let (row, after) = rest.split_once("{{/zones}}").expect("the section ends");
+        let rows = ZONES.map(|(zone, region)| row.replace("{{@}}", zone).replace("{{.}}", region));
+        text = [before, &rows.concat(), after].concat();
+    }
     assert!(!text.contains("{{"), "placeholder without a value in {name}:\n{text}");
     SettingsReader::read(name, &text).unwrap()
 }
@@ -67,6 +75,10 @@
         Millis(3_000),
         "must be two heartbeats of upstreams"
     );
+    for (zone, region) in ZONES {
+        let known = config.direct.regions.region_of(&zone.parse().unwrap());
+        assert_eq!(known.map(RegionName::as_str), Some(region));
+    }
     assert!(config.linger < config.grace);
     assert_ne!(config.metrics, None);
 }
@@ -85,6 +97,16 @@
     assert!(retry.allowance > 30.0 && retry.allowance < 43.5);
 }
 
+#[test]
+fn an_invalid_region_is_reported() {
+    let text = std::fs::read_to_string(root().join("deploy/entry.ini")).unwrap();
+    assert!(text.contains("[regions]"));
+    let reader = SettingsReader::read("entry.ini", "[regions]\nhall-a = no such name\n").unwrap();
+    let faults = mustardrill_entry::direct::read(reader).settings.unwrap_err();
+    let message = faults.iter().map(ToString::to_string).find(|it| it.contains("[regions]"));
+    assert!(message.unwrap().starts_with("entry.ini:2: [regions] hall-a = no such name"));
+}
+
 #[test]
 fn the_agent_template_gives_the_expected_settings() {
     assert_eq!(render_template("deploy/agent.ini").platform("agent"), PlatformKind::Prepared);
--- a/mustardrill_types/src/code.rs
+++ b/mustardrill_types/src/code.rs
@@ -42,6 +42,8 @@
     NotCurrent,
     /// Upstreams crashed each time they ran a request with some part of this one's prompt; not run.
     PartQuarantined,
+    /// No upstream runs in a region in which the request may be served; not run.
+    OutsideRegions,
     /// The upstream or its agent was lost, so the request may or may not have run.
     Unknown,
     /// The upstream failed while it ran the request.
@@ -64,7 +66,7 @@
 
 impl ResultCode {
     /// Every code, by ascending number.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::Answered,
         Self::BadRequest,
         Self::UnknownCustomer,
@@ -80,6 +82,7 @@
         Self::Withdrawn,
         Self::NotCurrent,
         Self::PartQuarantined,
+        Self::OutsideRegions,
         Self::Unknown,
         Self::UpstreamFailed,
         Self::AnswerCut,
@@ -110,6 +113,7 @@
             Self::Withdrawn => 2017,
             Self::NotCurrent => 2018,
             Self::PartQuarantined => 2019,
+            Self::OutsideRegions => 2020,
             Self::Unknown => 3001,
             Self::UpstreamFailed => 3002,
             Self::AnswerCut => 3003,
@@ -163,7 +167,8 @@
             | Self::Leaving
             | Self::Withdrawn
             | Self::NotCurrent
-            | Self::PartQuarantined => 503,
+            | Self::PartQuarantined
+            | Self::OutsideRegions => 503,
             Self::DeadlinePassed => 504,
             Self::Unknown
             | Self::UpstreamFailed
