A cold upstream gets no more than its rate from all entries together

What callers could see: an upstream that has just started, or is cold again, crashes where the entries together send it more than it stands. Nothing kept that rate; the time left was read and dropped.

The rate of a cold upstream is shared by the machinery of stated limits (direct/intake): the lesser of both rates, one schedule. The number of senders follows from the bound in any one second, with 100 ms of catching up and 100 ms of difference between delays. An entry sends nothing there until the others count it. The period rests on registrations in their order, on answers, and on the upstream's return after it was missed; a later report of one period moves its end only earlier.

In effect only where the configuration has cold_per_s.

--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -16,6 +16,7 @@
 use crate::direct::statements::statement::{StatedValue, UpstreamStatement};
 use crate::direct::store::availability::AvailabilitySpan;
 use crate::direct::versions::table::AnnouncementReport;
+use crate::direct::warmup::limit::WarmupBound;
 use crate::quarantine::{CrashReport, QuarantineSubject};
 
 /// Identifies a request within one entry process.
@@ -332,6 +333,8 @@
     pub peer_load_timeout: Millis,
     /// The first ejection time of an unreachable upstream; doubled each further time.
     pub base_ejection: Millis,
+    /// How far the arrivals at a cold upstream may exceed its rate.
+    pub warmup_bound: WarmupBound,
 }
 
 /// The entry's state, for its operators and for the readiness check.
@@ -357,6 +360,8 @@
     pub resting: usize,
     /// Listed upstreams that limit the request rate that they accept.
     pub limited: usize,
+    /// Listed upstreams that are cold and whose service limits the rate meanwhile.
+    pub cold: usize,
     /// Requests that are not run for a while because upstreams crash while running them.
     pub quarantined: usize,
     /// Groups of prompt parts whose requests are not run for a while, for the same reason.
--- a/mustardrill_core/src/direct/fleet/update.rs
+++ b/mustardrill_core/src/direct/fleet/update.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::direct::route::RouteDocument;
+use crate::direct::warmup::period::WarmupReport;
 use crate::quarantine::QuarantineSubject;
 
 /// The registration of an upstream, written by the upstream itself.
@@ -30,6 +31,8 @@
     pub leaving: bool,
     /// The weights that it has loaded completely; empty for a plain service.
     pub serving: Vec<ServedWeights>,
+    /// What it says of its cold start.
+    pub warmup: WarmupReport,
 }
 
 /// Weights of which an engine holds all layers.
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -83,6 +83,7 @@
                 );
             }
             state.replace_record(now, record);
+            state.conditions.warmup.record_registration(now, state.record.warmup);
             if let Some(expired) = state.expired_registration.take() {
                 let span = now.since(expired.at);
                 info!("membership instance={} outcome=confirmed after={span}", state.record.id);
@@ -105,6 +106,7 @@
         let mut state = UpstreamState::new(now, record);
         self.apply_early_notice(now, &mut state);
         state.conditions = returned.map(|departure| departure.conditions).unwrap_or_default();
+        state.conditions.warmup.record_registration(now, state.record.warmup);
         self.states.insert(state.record.id.clone(), state);
     }
 
@@ -288,6 +290,11 @@
         self.states.values().filter(|state| state.conditions.intake_limit.rate().is_some()).count()
     }
 
+    /// Counts the upstreams that are cold and whose service limits the rate meanwhile.
+    pub(crate) fn cold_count(&self) -> usize {
+        self.states.values().filter(|state| state.conditions.intake_limit.is_cold()).count()
+    }
+
     pub(crate) fn get(&self, id: &InstanceId) -> Option<&UpstreamState> {
         self.states.get(id)
     }
--- a/mustardrill_core/src/direct/intake/limit.rs
+++ b/mustardrill_core/src/direct/intake/limit.rs
@@ -12,7 +12,8 @@
 
 use crate::direct::intake::report::IntakeReport;
 use crate::direct::intake::schedule::SendSchedule;
-use crate::direct::intake::share::IntakeShare;
+use crate::direct::intake::share::{IntakeShare, SendPacing};
+use crate::direct::warmup::limit::WarmupRate;
 
 /// The span over which the requests sent to a limited upstream are counted for the log.
 pub(crate) const SENT_SPAN: Millis = Millis(4_000);
@@ -24,7 +25,12 @@
 /// The limit of one upstream, and this entry's use of it.
 #[derive(Debug, Default)]
 pub(crate) struct IntakeLimit {
+    /// The rate that it has stated; `None` for any.
     rate: Option<RequestRate>,
+    /// The rate that it takes while it is cold.
+    warmup: Option<ColdLimit>,
+    /// Whether it has become cold, and this entry has had no part of its rate since.
+    is_newly_cold: bool,
     /// Number of changes of `rate` at this and other entries.
     revision: u64,
     /// When this entry learned `rate`, or an answer to it last stated it.
@@ -42,10 +48,48 @@
     sent: VecDeque<Moment>,
 }
 
+/// The rate of an upstream that is cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct ColdLimit {
+    pub(crate) rate: WarmupRate,
+    /// When it is warm.
+    pub(crate) until: Moment,
+}
+
 impl IntakeLimit {
     /// The rate in force; `None` where the upstream accepts any.
     pub(crate) fn rate(&self) -> Option<RequestRate> {
-        self.rate
+        let cold_rate = self.warmup.map(|limit| limit.rate.rate);
+        self.rate.into_iter().chain(cold_rate).min()
+    }
+
+    /// The rate in force and how it is used.
+    pub(crate) fn paced_rate(&self) -> Option<(RequestRate, SendPacing)> {
+        let rate = self.rate()?;
+        let stated = self.rate.map(SendPacing::stated);
+        let cold = self.warmup.map(|limit| limit.rate.pacing);
+        Some((rate, stated.into_iter().chain(cold).reduce(SendPacing::stricter)?))
+    }
+
+    /// Whether the upstream is cold.
+    pub(crate) fn is_cold(&self) -> bool {
+        self.warmup.is_some()
+    }
+
+    /// Sets what it takes while it is cold, or that it is warm. Returns whether it has become cold or
+    /// warm.
+    pub(crate) fn set_warmup(&mut self, now: Moment, warmup: Option<ColdLimit>) -> bool {
+        let is_change = self.warmup.is_some() != warmup.is_some();
+        if is_change && self.rate().is_none() {
+            self.schedule.start(now);
+        }
+        self.is_newly_cold = warmup.is_some() && (is_change || self.is_newly_cold);
+        self.warmup = warmup;
+        if self.rate().is_none() {
+            self.share = None;
+            self.sent.clear();
+        }
+        is_change
     }
 
     /// This entry's part of the rate.
@@ -53,8 +97,12 @@
         self.share.as_ref()
     }
 
-    /// Sets this entry's part of the rate.
-    pub(crate) fn set_share(&mut self, share: Option<IntakeShare>) {
+    /// Sets this entry's part of the rate. The senders to an upstream that has become cold start one
+    /// after the other.
+    pub(crate) fn set_share(&mut self, now: Moment, share: Option<IntakeShare>) {
+        if let Some(share) = share.as_ref().filter(|_| std::mem::take(&mut self.is_newly_cold)) {
+            self.schedule.start_at(now, share.first_delay_ms(), share.interval_ms());
+        }
         self.share = share;
     }
 
@@ -65,17 +113,26 @@
 
     /// From when on this entry may send the next request; `None` if it may not send at all.
     pub(crate) fn opens_at(&self) -> Option<Moment> {
-        if self.rate.is_none() {
+        if self.rate().is_none() {
             return Some(Moment(0));
         }
-        self.share.as_ref().map(|share| share.opens_at(&self.schedule, self.stated_at))
+        let opens_at =
+            self.share.as_ref().map(|share| share.opens_at(&self.schedule, self.stated_at));
+        match &self.warmup {
+            // Nobody has to ask a cold upstream when it is warm.
+            Some(limit) if self.rate.is_none() => {
+                let is_sender = self.share.as_ref().is_some_and(IntakeShare::is_sender);
+                opens_at.filter(|at| is_sender && *at < limit.until).or(Some(limit.until))
+            }
+            _ => opens_at,
+        }
     }
 
     /// Records that this entry sends a request. Returns how many it has sent within `SENT_SPAN`,
     /// this one included.
     pub(crate) fn record_sent(&mut self, now: Moment) -> usize {
         if let Some(share) = &self.share {
-            self.schedule.record_sent(now, share.interval_ms());
+            share.record_sent(now, &mut self.schedule);
         }
         while self.sent.front().is_some_and(|sent| now.since(*sent) >= SENT_SPAN) {
             self.sent.pop_front();
@@ -138,7 +195,7 @@
     }
 
     fn change(&mut self, now: Moment, rate: Option<RequestRate>, revision: u64) {
-        if self.rate.is_none() {
+        if self.rate().is_none() {
             self.schedule.start(now);
         }
         self.rate = rate;
@@ -146,7 +203,7 @@
         self.learned_at = now;
         self.changed_at = now;
         self.share = None;
-        if rate.is_none() {
+        if self.rate().is_none() {
             self.sent.clear();
         }
     }
--- a/mustardrill_core/src/direct/intake/share.rs
+++ b/mustardrill_core/src/direct/intake/share.rs
@@ -20,10 +20,39 @@
 /// The rate for which one more entry sends, in requests per second.
 const RATE_PER_SENDER: f64 = 2.0;
 
+/// How far an entry may fall behind its schedule and still catch up.
+const CATCH_UP_MS: f64 = 500.0;
+
 /// How long no answer may have stated the limit until an entry that is not a sender asks the
 /// upstream with a request of its own. The senders may have no requests, or be gone.
 const UNSTATED_LIMIT: Millis = Millis(10_000);
 
+/// How a rate is divided and used.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct SendPacing {
+    /// The largest number of entries that send.
+    pub(crate) senders: usize,
+    /// How far a sender may fall behind its schedule and still catch up.
+    pub(crate) catch_up_ms: f64,
+}
+
+impl SendPacing {
+    /// The pacing for a rate that an upstream has stated.
+    pub(crate) fn stated(rate: RequestRate) -> Self {
+        let rate = rate.max(LOWEST_RATE);
+        let senders = BASE_SENDERS + (rate.per_second() / RATE_PER_SENDER) as usize;
+        Self { senders, catch_up_ms: CATCH_UP_MS }
+    }
+
+    /// The pacing that satisfies both.
+    pub(crate) fn stricter(self, other: Self) -> Self {
+        Self {
+            senders: self.senders.min(other.senders),
+            catch_up_ms: self.catch_up_ms.min(other.catch_up_ms),
+        }
+    }
+}
+
 /// The part of an upstream's rate that one entry may use.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct IntakeShare {
@@ -34,12 +63,14 @@
     pub(crate) senders: usize,
     /// All entries, including this one.
     pub(crate) members: usize,
+    catch_up_ms: f64,
 }
 
 impl IntakeShare {
     /// Divides `rate` among the entries `peers` and `own_id`, as far as `own_id` is concerned.
     pub(crate) fn of(
         rate: RequestRate,
+        pacing: SendPacing,
         upstream: &InstanceId,
         own_id: &InstanceId,
         peers: &[InstanceId],
@@ -48,7 +79,8 @@
         let subject = upstream.as_str().as_bytes();
         let rank = rendezvous::rank(subject, own_id.as_str(), peers.iter().map(InstanceId::as_str));
         let members = peers.len() + 1;
-        Self { rate, rank, senders: sender_limit(rate).min(members), members }
+        let senders = pacing.senders.min(members);
+        Self { rate, rank, senders, members, catch_up_ms: pacing.catch_up_ms }
     }
 
     /// Whether this entry is one of those that send.
@@ -66,10 +98,21 @@
         1_000.0 * self.senders as f64 / self.rate.per_second()
     }
 
+    /// How long after the start of the schedule this entry sends its first request, where the senders
+    /// take turns.
+    pub(crate) fn first_delay_ms(&self) -> f64 {
+        1_000.0 * (self.rank + 1) as f64 / self.rate.per_second()
+    }
+
+    /// Records in the schedule that this entry sends a request.
+    pub(crate) fn record_sent(&self, now: Moment, schedule: &mut SendSchedule) {
+        schedule.record_sent(now, self.interval_ms(), self.catch_up_ms);
+    }
+
     /// From when on this entry may send, if the limit was last stated at `stated_at`.
     pub(crate) fn opens_at(&self, schedule: &SendSchedule, stated_at: Moment) -> Moment {
         let interval_ms = self.interval_ms();
-        let opens_at = schedule.opens_at(interval_ms);
+        let opens_at = schedule.opens_at(interval_ms, self.catch_up_ms);
         if self.is_sender() {
             return opens_at;
         }
@@ -80,8 +123,3 @@
         opens_at.max(stated_at) + Millis(unstated + turn_ms as u64)
     }
 }
-
-/// How many entries send to an upstream that accepts `rate`.
-fn sender_limit(rate: RequestRate) -> usize {
-    BASE_SENDERS + (rate.per_second() / RATE_PER_SENDER) as usize
-}
--- a/mustardrill_core/src/direct/intake/statements.rs
+++ b/mustardrill_core/src/direct/intake/statements.rs
@@ -113,15 +113,20 @@
             self.membership.record_contact(now, window);
         }
         self.live_peers = self.entry_counter.live_peers(now, window, &self.peers);
+        self.update_warmups(now);
         if self.upstreams.limited_count() == 0 {
             return;
         }
+        let is_settled = self.is_counted_by_peers(now);
         let own_id = &self.settings.own_id;
         for upstream in self.upstreams.iter_mut() {
-            let rate = upstream.conditions.intake_limit.rate().filter(|_| is_member);
-            let share = rate
-                .map(|rate| IntakeShare::of(rate, &upstream.record.id, own_id, &self.live_peers));
-            upstream.conditions.intake_limit.set_share(share);
+            let limit = &mut upstream.conditions.intake_limit;
+            let is_sharing = is_member && (is_settled || !limit.is_cold());
+            let rate = limit.paced_rate().filter(|_| is_sharing);
+            let share = rate.map(|(rate, pacing)| {
+                IntakeShare::of(rate, pacing, &upstream.record.id, own_id, &self.live_peers)
+            });
+            limit.set_share(now, share);
         }
     }
 
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -20,6 +20,7 @@
 mod store;
 mod versions;
 mod waiting;
+mod warmup;
 
 pub use event::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, EngineNotice,
@@ -47,3 +48,5 @@
 pub use store::watch_timing::WatchTiming;
 pub use versions::table::{AnnouncementReport, AnnouncementTime, VersionTable};
 pub use waiting::queue::{WaitQueue, WaitRank};
+pub use warmup::limit::{WarmupBound, WarmupLimit};
+pub use warmup::period::WarmupReport;
--- a/mustardrill_core/src/direct/placement/choice.rs
+++ b/mustardrill_core/src/direct/placement/choice.rs
@@ -53,7 +53,7 @@
         let is_any_heard = candidates.iter().any(|upstream| !upstream.is_silent());
         // The rest of a stream of which the caller has a part does not wait again.
         let late = now >= self.in_time_until(state) && !state.has_delivered;
-        let mut best: Option<(f64, &InstanceId)> = None;
+        let mut best: Option<(bool, f64, &InstanceId)> = None;
         for upstream in candidates {
             if is_any_heard && !self.may_try(now, state, upstream) {
                 continue;
@@ -83,11 +83,13 @@
                 failure_share: upstream.failure_rate,
                 tie_breaker: rendezvous::uniform_hash(state.attempt_id.as_bytes(), id.as_str()),
             });
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, id));
+            // What a cold upstream may take is kept for requests that no warm one has room for.
+            let is_cold = upstream.conditions.intake_limit.is_cold();
+            if best.is_none_or(|(cold, least, _)| (is_cold, cost) < (cold, least)) {
+                best = Some((is_cold, cost, id));
             }
         }
-        best.map(|(_, id)| id.clone())
+        best.map(|(.., id)| id.clone())
     }
 
     /// Whether a request may be sent to an upstream although another one is heard: not to a silent
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -334,6 +334,7 @@
             leaving: self.upstreams.leaving_count(),
             resting: self.upstreams.resting_count(now),
             limited: self.upstreams.limited_count(),
+            cold: self.upstreams.cold_count(),
             quarantined: self.quarantine.quarantined_count(now),
             quarantined_parts: self.quarantine.active_parts(now).len(),
             suspected_parts: self.quarantine.part_suspect_count(),
--- a/mustardrill_core/src/direct/retries/membership.rs
+++ b/mustardrill_core/src/direct/retries/membership.rs
@@ -52,6 +52,11 @@
         self.joined_at.is_some_and(|joined_at| now.since(joined_at) >= window)
     }
 
+    /// Whether the entry has been in contact for so long that the others count it.
+    pub(crate) fn is_joined(&self, now: Moment) -> bool {
+        self.since.is_some_and(|since| now.since(since) >= JOIN_SPAN)
+    }
+
     /// Whether a contact at `now` continues the present one.
     fn is_continuous(&self, now: Moment, window: Millis) -> bool {
         now.since(self.contacted_at) < Millis(window.0 / ABSENCE_DIVISOR)
--- a/mustardrill_core/src/direct/route.rs
+++ b/mustardrill_core/src/direct/route.rs
@@ -6,6 +6,8 @@
     ByteSize, CustomerName, DataCentre, FastMap, Generation, Millis, ModelName, ServiceName,
 };
 
+use crate::direct::warmup::limit::WarmupLimit;
+
 /// One generation of the configuration, always applied as a whole.
 #[derive(Debug, Default)]
 pub struct RouteDocument {
@@ -93,6 +95,8 @@
     pub engine: Option<EngineProfile>,
     /// The service's address as an origin, where it is the origin of weights.
     pub origin: Option<OriginProfile>,
+    /// What its upstreams take while they are cold; `None` where they take any rate.
+    pub warmup: Option<WarmupLimit>,
 }
 
 /// The origin, from which weights are fetched.
--- a/mustardrill_core/src/direct/statements/conditions.rs
+++ b/mustardrill_core/src/direct/statements/conditions.rs
@@ -4,6 +4,7 @@
 
 use crate::direct::intake::limit::IntakeLimit;
 use crate::direct::statements::rest::RestPeriod;
+use crate::direct::warmup::period::WarmupPeriod;
 
 /// What an incarnation has stated of itself. Kept apart from its registration, so that no
 /// registration that is renewed, read late or lost and written again undoes it.
@@ -11,6 +12,8 @@
 pub(crate) struct StatedConditions {
     /// The request rate that it accepts from all entries together.
     pub(crate) intake_limit: IntakeLimit,
+    /// Until when it is cold.
+    pub(crate) warmup: WarmupPeriod,
     /// When it first stated that it is leaving. An incarnation that leaves does not come back.
     leaving_since: Option<Moment>,
     /// For how long it wants no requests from this entry.
--- a/mustardrill_core/src/direct/statements/record.rs
+++ b/mustardrill_core/src/direct/statements/record.rs
@@ -25,6 +25,9 @@
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let RequestStage::Sent(upstream) = state.stage.clone() else { return Vec::new() };
         let attempt_id = state.attempt_id.clone();
+        if let Some(cold_for) = statement.cold_for.value {
+            self.record_cold_statement(now, &upstream, state.sent_at, cold_for);
+        }
         let mut is_news = statement.leaving.value == Some(true)
             && self.record_leaving(now, &upstream, &attempt_id);
         if let Some(rest) = statement.rest.value {
--- a/mustardrill_core/src/direct/statements/statement.rs
+++ b/mustardrill_core/src/direct/statements/statement.rs
@@ -20,6 +20,8 @@
     pub leaving: StatedValue<bool>,
     /// For how long it wants no requests from this entry, from the sending of the answer on.
     pub rest: StatedValue<Millis>,
+    /// For how long it is still cold; zero if it is warm.
+    pub cold_for: StatedValue<Millis>,
 }
 
 impl<T> Default for StatedValue<T> {
@@ -43,6 +45,9 @@
 impl UpstreamStatement {
     /// Whether the answer states nothing about its upstream.
     pub fn is_absent(&self) -> bool {
-        self.limit.is_absent() && self.leaving.is_absent() && self.rest.is_absent()
+        self.limit.is_absent()
+            && self.leaving.is_absent()
+            && self.rest.is_absent()
+            && self.cold_for.is_absent()
     }
 }
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -11,7 +11,7 @@
     AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
     DirectSettings, EngineProfile, FleetChange, FleetUpdate, ModelProfile, PeerRecord, RefusalPlan,
     RepeatRule, RequestNumber, RetryShare, RouteDocument, RouteRule, SendPlan, ServiceProfile,
-    StatedValue, UpstreamRecord, WorkSize,
+    StatedValue, UpstreamRecord, WarmupBound, WarmupReport, WorkSize,
 };
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::edit::{EditChange, EditRequest, FleetFacts, PublishedVersion, apply_edit};
@@ -189,6 +189,7 @@
         expiry_grace: Millis(2_000),
         peer_load_timeout: Millis(1_500),
         base_ejection: Millis(500),
+        warmup_bound: WarmupBound::default(),
     }
 }
 
@@ -276,17 +277,21 @@
 
 /// A configuration with a plain service whose requests are idempotent, and its upstreams.
 pub fn desk_fleet(upstreams: u16) -> Vec<FleetChange> {
+    let mut changes = vec![FleetChange::Configured(desk_document(ServiceProfile::default()))];
+    changes.extend((0..upstreams).map(|number| FleetChange::Upstream(desk(number))));
+    changes
+}
+
+/// A configuration with a plain service whose requests are idempotent.
+pub fn desk_document(profile: ServiceProfile) -> Arc<RouteDocument> {
     let route = RouteRule {
         objective: Millis(300),
         ..public_route("status", "/", "desk", RepeatRule::Idempotent)
     };
     let mut services = FastMap::default();
-    services.insert("desk".parse().unwrap(), ServiceProfile::default());
+    services.insert("desk".parse().unwrap(), profile);
     let limits = CallerLimits::default();
-    let document = RouteDocument::new(Generation(1), vec![route], services, Vec::new(), limits);
-    let mut changes = vec![FleetChange::Configured(Arc::new(document))];
-    changes.extend((0..upstreams).map(|number| FleetChange::Upstream(desk(number))));
-    changes
+    Arc::new(RouteDocument::new(Generation(1), vec![route], services, Vec::new(), limits))
 }
 
 /// The instance ID of an upstream of `desk_fleet`.
@@ -305,6 +310,7 @@
         slots: 4,
         leaving: false,
         serving: Vec::new(),
+        warmup: WarmupReport::default(),
     }
 }
 
--- a/mustardrill_core/tests/contention.rs
+++ b/mustardrill_core/tests/contention.rs
@@ -8,7 +8,7 @@
     AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectSettings,
     EngineNotice, EngineProfile, FleetChange, FleetUpdate, LoadBroadcaster, PeerLoad, RepeatRule,
     RequestNumber, RouteDocument, RouteRule, ServedWeights, ServiceProfile, UpstreamRecord,
-    WorkSize,
+    WarmupReport, WorkSize,
 };
 use mustardrill_types::{
     FastMap, Generation, InstanceId, Millis, Moment, StartStamp, StoreRevision, WeightVersion,
@@ -84,6 +84,7 @@
         slots: SLOTS,
         leaving: false,
         serving: vec![served],
+        warmup: WarmupReport::default(),
     })
 }
 
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -8,8 +8,8 @@
     AttemptOutcome, CallerLimits, ChangeCoalescer, CustomerRecord, DirectEffect, DirectEvent,
     DirectReducer, DirectRequest, DirectSettings, EngineNotice, FleetChange, FleetUpdate,
     LoadUpdate, PeerLoad, RefusalPlan, RepeatRule, RequestNumber, RetryShare, RouteDocument,
-    RouteRule, SendPlan, ServedWeights, ServiceProfile, UpstreamLoad, UpstreamRecord, WorkSize,
-    confirmation_time,
+    RouteRule, SendPlan, ServedWeights, ServiceProfile, UpstreamLoad, UpstreamRecord, WarmupReport,
+    WorkSize, confirmation_time,
 };
 use mustardrill_types::{
     FastMap, Generation, InstanceId, Millis, Moment, ResultCode, StartStamp, StoreRevision,
@@ -68,6 +68,7 @@
         slots: 4,
         leaving: false,
         serving,
+        warmup: WarmupReport::default(),
     }
 }
 
--- a/mustardrill_core/tests/provisioning.rs
+++ b/mustardrill_core/tests/provisioning.rs
@@ -8,6 +8,7 @@
 use mustardrill_core::direct::{
     CallerLimits, EngineNotice, EngineProfile, FleetChange, FleetUpdate, ModelProfile,
     OriginProfile, PeerRecord, RouteDocument, ServedWeights, ServiceProfile, UpstreamRecord,
+    WarmupReport,
 };
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
 use mustardrill_core::provisioning::{
@@ -66,6 +67,7 @@
         slots: 16,
         leaving: false,
         serving: Vec::new(),
+        warmup: WarmupReport::default(),
     })
 }
 
--- a/mustardrill_core/tests/restarts.rs
+++ b/mustardrill_core/tests/restarts.rs
@@ -7,7 +7,7 @@
 use mustardrill_core::direct::{
     AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, EngineProfile,
     FleetChange, FleetUpdate, OriginProfile, RepeatRule, RequestNumber, RouteDocument,
-    ServedWeights, ServiceProfile, UpstreamRecord, WorkSize,
+    ServedWeights, ServiceProfile, UpstreamRecord, WarmupReport, WorkSize,
 };
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
 use mustardrill_core::provisioning::{
@@ -55,6 +55,7 @@
         slots: 4,
         leaving: false,
         serving: if version > 0 { vec![served] } else { Vec::new() },
+        warmup: WarmupReport::default(),
     }
 }
 
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -363,6 +363,7 @@
             ("upstreams_lapsed", status.expired as u64),
             ("upstreams_leaving", status.leaving as u64),
             ("upstreams_resting", status.resting as u64),
+            ("upstreams_cold", status.cold as u64),
             ("upstreams_limited", status.limited as u64),
             ("requests_open", status.requests as u64),
             ("requests_waiting", status.waiting as u64),
--- a/mustardrill_entry/src/direct/attempt_statements.rs
+++ b/mustardrill_entry/src/direct/attempt_statements.rs
@@ -21,7 +21,7 @@
 
     fn log_statement(&self, status: StatusCode, statement: &UpstreamStatement) {
         let plan = &self.plan;
-        let UpstreamStatement { limit, leaving, rest } = statement;
+        let UpstreamStatement { limit, leaving, rest, cold_for } = statement;
         self.check_statement(
             "limit",
             limit,
@@ -33,6 +33,11 @@
             rest,
             "one decimal number of seconds up to 86400, such as 2.5",
         );
+        self.check_statement(
+            "cold",
+            cold_for,
+            "one decimal number of milliseconds up to 600000, such as 2500",
+        );
         if leaving.value == Some(true) || rest.value.is_some() {
             log::info!(
                 "request={} instance={} start={} status={} leaving={} rest={}",
--- a/mustardrill_entry/src/direct/config.rs
+++ b/mustardrill_entry/src/direct/config.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use log::LevelFilter;
-use mustardrill_core::direct::{DirectSettings, RetryBound, RetryShare};
+use mustardrill_core::direct::{DirectSettings, RetryBound, RetryShare, WarmupBound};
 use mustardrill_runtime::config::{local, name};
 use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
 use mustardrill_types::{ByteSize, Millis};
@@ -87,11 +87,20 @@
             expiry_grace: reader.value("platform", "lapse_grace", Millis(2_000)),
             peer_load_timeout: reader.value("entry", "peer_patience", Millis(1_500)),
             base_ejection: reader.value("upstream", "ejection", Millis(500)),
+            warmup_bound: warmup_bound(&mut reader),
         },
     };
     reader.finish(config)
 }
 
+fn warmup_bound(reader: &mut SettingsReader) -> WarmupBound {
+    let least = WarmupBound::default();
+    WarmupBound {
+        overshoot: reader.bounded("bounds", "cold_overshoot", least.overshoot, 0.0, 1_000.0),
+        tolerance: reader.bounded("bounds", "cold_tolerance", least.tolerance, 0.0, 1_000_000.0),
+    }
+}
+
 fn retry(reader: &mut SettingsReader) -> RetryShare {
     let ratio: f64 = reader.bounded("bounds", "retry_ratio", 0.2, 0.0, 10.0);
     // The platform scales it with the size of the installation, which may give a fraction.
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -27,7 +27,7 @@
 }
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 29] = [
+pub const METRICS: [MetricRow; 31] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -84,6 +84,11 @@
         MetricKind::Counter("form"),
         "Answers that ask for a time without requests, by whether the statement is valid.",
     ),
+    MetricRow::new(
+        "cold_statements",
+        MetricKind::Counter("form"),
+        "Answers that state for how long their upstream is cold, by whether it is valid.",
+    ),
     MetricRow::new(
         "part_lists",
         MetricKind::Counter("form"),
@@ -104,6 +109,11 @@
         MetricKind::Gauge,
         "Upstreams listed that want no requests from this entry for a while.",
     ),
+    MetricRow::new(
+        "upstreams_cold",
+        MetricKind::Gauge,
+        "Upstreams listed that are cold and get a limited request rate.",
+    ),
     MetricRow::new(
         "upstreams_limited",
         MetricKind::Gauge,
--- a/mustardrill_runtime/src/fleet_digest.rs
+++ b/mustardrill_runtime/src/fleet_digest.rs
@@ -8,7 +8,7 @@
 
 use mustardrill_core::direct::{
     CallerLimits, EngineProfile, FleetChange, FleetUpdate, ModelProfile, OriginProfile, PeerRecord,
-    RouteDocument, ServedWeights, ServiceProfile, UpstreamRecord,
+    RouteDocument, ServedWeights, ServiceProfile, UpstreamRecord, WarmupReport,
 };
 use mustardrill_types::{
     ByteSize, FastMap, Generation, Millis, ServiceName, StartStamp, StoreEra, StoreRevision,
@@ -274,6 +274,7 @@
         slots: 0,
         leaving: digest.leaving,
         serving,
+        warmup: WarmupReport::default(),
     })
 }
 
--- a/mustardrill_runtime/tests/fleet_digests.rs
+++ b/mustardrill_runtime/tests/fleet_digests.rs
@@ -4,7 +4,7 @@
 
 use mustardrill_core::direct::{
     CallerLimits, EngineProfile, FleetChange, FleetUpdate, ModelProfile, OriginProfile, PeerRecord,
-    RouteDocument, ServedWeights, ServiceProfile, UpstreamRecord,
+    RouteDocument, ServedWeights, ServiceProfile, UpstreamRecord, WarmupReport,
 };
 use mustardrill_runtime::fleet_digest::FleetDigest;
 use mustardrill_types::{
@@ -45,6 +45,7 @@
         slots: 0,
         leaving: true,
         serving: vec![serving],
+        warmup: WarmupReport::default(),
     }
 }
 
--- a/mustardrill_standins/src/experiment/fleet.rs
+++ b/mustardrill_standins/src/experiment/fleet.rs
@@ -4,7 +4,7 @@
 
 use mustardrill_core::direct::{
     CallerLimits, FleetChange, FleetUpdate, PeerRecord, RepeatRule, RouteDocument, RouteRule,
-    ServedWeights, ServiceProfile, UpstreamRecord,
+    ServedWeights, ServiceProfile, UpstreamRecord, WarmupReport,
 };
 use mustardrill_types::{
     DataCentre, FastMap, Generation, InstanceId, ServiceName, StartStamp, StoreRevision,
@@ -56,6 +56,7 @@
         slots: pattern.profile.slots,
         leaving: false,
         serving: vec![ServedWeights { model, version: WeightVersion(1) }],
+        warmup: WarmupReport::default(),
     }
 }
 
