--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -21,6 +21,7 @@
 mod store;
 mod versions;
 mod waiting;
+mod warmup;
 
 pub use event::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, EngineNotice,
@@ -49,3 +50,5 @@
 pub use store::watch_timing::WatchTiming;
 pub use versions::table::{AnnouncementReport, AnnouncementTime, VersionTable};
 pub use waiting::queue::{WaitQueue, WaitRank};
+pub use warmup::limit::{WarmupBound, WarmupLimit};
+pub use warmup::period::WarmupReport;
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -336,6 +336,7 @@
             limited: self.upstreams.limited_count(),
             evacuations: self.upstreams.evacuations.len(),
             evacuated: self.upstreams.evacuated_count(),
+            cold: self.upstreams.cold_count(),
             quarantined: self.quarantine.quarantined_count(now),
             quarantined_parts: self.quarantine.active_parts(now).len(),
             suspected_parts: self.quarantine.part_suspect_count(),
--- a/mustardrill_core/src/direct/route.rs
+++ b/mustardrill_core/src/direct/route.rs
@@ -7,6 +7,8 @@
     ServiceName,
 };
 
+use crate::direct::warmup::limit::WarmupLimit;
+
 /// One generation of the configuration, always applied as a whole.
 #[derive(Debug, Default)]
 pub struct RouteDocument {
@@ -98,6 +100,8 @@
     pub engine: Option<EngineProfile>,
     /// The service's address as an origin, where it is the origin of weights.
     pub origin: Option<OriginProfile>,
+    /// What its upstreams take while they are cold; `None` where they take any rate.
+    pub warmup: Option<WarmupLimit>,
 }
 
 /// The origin, from which weights are fetched.
--- a/mustardrill_core/tests/locality.rs
+++ b/mustardrill_core/tests/locality.rs
@@ -318,7 +318,8 @@
 
 #[test]
 fn requests_stay_in_the_regions_of_their_route_and_of_their_customer() {
-    let cases: [(&[&str], &[&str], Option<&str>, &[&str]); 6] = [
+    type Names = &'static [&'static str];
+    let cases: [(Names, Names, Option<&str>, Names); 6] = [
         (&["north"], &[], None, &["hall-a"]),
         (&[], &["south"], Some("key-1"), &["hall-b"]),
         // The customer's regions bind only the customer.
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -365,6 +365,7 @@
             ("data_centres_evacuated", status.evacuations as u64),
             ("upstreams_evacuated", status.evacuated as u64),
             ("upstreams_resting", status.resting as u64),
+            ("upstreams_cold", status.cold as u64),
             ("upstreams_limited", status.limited as u64),
             ("requests_open", status.requests as u64),
             ("requests_waiting", status.waiting as u64),
