A request body without end is refused at its caller's deadline

What callers saw: a caller that sent its body byte by byte, or a chunk size without end, held its connection and up to max_body_bytes for good; it got no answer. Cause: the size of a body was bounded, its time was not.

Change: it is read until the deadline that the caller states, else for the configured idle timeout, and ends with 2013 (504) then: not run.

--- a/mustardrill_entry/src/direct/callers.rs
+++ b/mustardrill_entry/src/direct/callers.rs
@@ -52,7 +52,16 @@
         };
         self.check_parts(&call);
         let limits = self.actor.ask(LimitsQuery).await.map(|reply| reply.0).unwrap_or_default();
-        let body = Limited::new(body, limits.max_body.0 as usize).collect().await;
+        let time_limit = call.timeout.unwrap_or(limits.idle_timeout);
+        let reading = Limited::new(body, limits.max_body.0 as usize).collect();
+        let Ok(body) = tokio::time::timeout(time_limit.to_std(), reading).await else {
+            log::info!(
+                "request={} decision=refuse reason=\"the request body is incomplete after {time_limit}\"",
+                call.attempt_id
+            );
+            let plan = RefusalPlan { code: ResultCode::DeadlinePassed, retry_after: Millis(0) };
+            return refusal_response(&plan, dialect);
+        };
         let Ok(body) = body else {
             log::info!(
                 "request={} decision=refuse reason=\"the request body is incomplete or larger than {}\"",
--- a/mustardrill_standins/tests/prepared/endless.rs
+++ b/mustardrill_standins/tests/prepared/endless.rs
@@ -7,7 +7,7 @@
 use futures_util::future::join_all;
 use rand::prelude::*;
 use serde_json::json;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::fleet::{Fleet, caller_request, complete_stream};
@@ -286,3 +286,32 @@
     let (received, after) = timed_call(&fleet, "long".into(), "/drafts/x").await;
     assert!(received == format!("200 {stream}"), "{} {after:?}\n{}", received.len(), fleet.logs());
 }
+
+/// A caller whose request body had no end held its connection and what it had sent for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_whose_body_has_no_end_is_held_past_its_deadline() {
+    let fleet = Fleet::start(Vec::new()).await;
+    let bodies = [("content-length: 1000", "a", SLOW), ("transfer-encoding: chunked", "0", SLOW)];
+    for (framing, piece, pause) in bodies {
+        let mut stream = TcpStream::connect(fleet.entry.address).await.unwrap();
+        let head = format!(
+            "POST /notices/x HTTP/1.1\r\nhost: drafts.example\r\nx-attempt-id: endless\r\n\
+             x-deadline-ms: 1000\r\nauthorization: Token key-1\r\n{framing}\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let (mut reader, mut writer) = stream.split();
+        let sending = async {
+            while writer.write_all(piece.as_bytes()).await.is_ok() {
+                tokio::time::sleep(pause).await;
+            }
+        };
+        let mut status = [0; 12];
+        let receiving = tokio::time::timeout(DEADLINE / 2, reader.read_exact(&mut status));
+        tokio::select! {
+            received = receiving => assert!(received.is_ok(), "{framing}: held\n{}", fleet.logs()),
+            () = sending => panic!("{framing}: closed without an answer"),
+        }
+        assert_eq!(String::from_utf8_lossy(&status), "HTTP/1.1 504", "{framing}");
+    }
+    assert_eq!(fleet.runs("endless"), 0);
+}
