--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod dispatch;
 mod event;
 mod fleet;
+mod framing;
 mod intake;
 mod locality;
 mod placement;
@@ -30,6 +31,7 @@
 };
 pub use fleet::load_broadcast::{LoadBroadcaster, LoadRows, LoadUpdate, WaitRows};
 pub use fleet::update::{FleetChange, FleetUpdate, PeerRecord, ServedWeights, UpstreamRecord};
+pub use framing::{CutReason, MAX_STRAY_BYTES, MAX_STRAY_TIME, ReadCut, ReadMeter};
 pub use intake::report::IntakeReport;
 pub use locality::regions::RegionMap;
 pub use placement::forecast::{EngineForecast, WorkSize};
