Simulation: the timer of an entry's first update fires

Saw: in a pattern with lasting overload no request was refused for its wait; callers waited until their deadline and counted as failed (8.9 % of the calls of deploy/patterns/unlike-priorities.ini, 0 refused). Cause: the effects of the first update were dropped, among them the request for a timer. The reducer asks for no later timer while an earlier one is pending, so that none ever fired. Now each entry's timer fires once at the start.

--- a/mustardrill_standins/src/experiment/simulation.rs
+++ b/mustardrill_standins/src/experiment/simulation.rs
@@ -160,6 +160,8 @@
             // Staggered, as separate processes do not broadcast in step.
             let first = entry as u64 % BROADCAST_INTERVAL.0;
             self.schedule(Millis(first), SimulationEvent::BroadcastDue { entry });
+            // The timer that the entry requested with its first update.
+            self.schedule(Millis(first), SimulationEvent::TimerFires { entry });
         }
         for (index, disturbance) in self.pattern.disturbances.iter().enumerate() {
             self.schedule(disturbance.at, SimulationEvent::DisturbanceStarts { index });
