Urgent requests no longer go behind less urgent ones under overload

Cause: a waiting request counted as late after a quarter of its objective, and lateness goes before priority, so that the kind with the tighter objective was demoted first. And the order of one queue does not bind requests that find room at once, at this entry or at another. Now, for services to which routes of unlike priorities lead: a request is late when its start would be of no use by the forecast of its first token; less urgent requests leave a part of the slots of each upstream for a second after a more urgent one lacked room; the forecast of the start takes off the arrivals of more urgent requests, shares the room by need, and uses the rate at which requests were sent while others waited; who can't start within its wait is refused on arrival, or displaced at once by a more urgent one; refusals name the forecast as the delay. Why it works: loads of upstreams are known to all entries, so slots that one entry leaves free serve urgent requests of any other, without a message; a lack that is over ends the reservation by itself. What binds: strict priority among what can be in time.

--- a/mustardrill_core/src/direct/admit.rs
+++ b/mustardrill_core/src/direct/admit.rs
@@ -84,6 +84,7 @@
         let large = profile.is_some_and(|it| EngineForecast::new(it).is_large(request.size));
         let state = RequestState::new(request, route, service, customer, large);
         self.requests.insert(number, state);
+        self.record_demand(now, number);
         self.hold_suspect(now, number).unwrap_or_else(|| self.dispatch_or_queue(now, number))
     }
 
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -17,6 +17,8 @@
     ) -> Vec<DirectEffect> {
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let service = state.service.clone();
+        self.demote_late(now, &service);
+        let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let rank = state.wait_rank(now >= self.in_time_until(state));
         let first = self.queues.get(&service).and_then(|queue| queue.first());
         if first.is_none_or(|first| rank < first)
@@ -105,6 +107,9 @@
                 superseded_attempt.usable_until.since(now),
             );
         }
+        self.record_room(now, number);
+        let Some(state) = self.requests.get(&number) else { return Vec::new() };
+        let Some(target) = self.upstreams.get(&upstream) else { return Vec::new() };
         let prefill_time = self.prefill_time(state);
         let start = target.start();
         let attempt_id = state.attempt_id.clone();
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -7,6 +7,7 @@
     RequestDigest, ResultCode, StartStamp, StoreEra, WeightVersion,
 };
 
+use crate::direct::admission::counts::AdmissionCounts;
 use crate::direct::fleet::load_broadcast::LoadUpdate;
 use crate::direct::fleet::update::FleetUpdate;
 use crate::direct::intake::report::IntakeReport;
@@ -368,4 +369,6 @@
     pub started_late: u64,
     /// Beliefs in the weights of upstreams that an answer contradicted.
     pub contradicted_beliefs: u64,
+    /// What admission decided for services whose kinds of requests differ in urgency.
+    pub admission: AdmissionCounts,
 }
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -5,6 +5,7 @@
 //! and returns effects: which upstream gets a request, which requests wait and which are refused.
 //! This module does no I/O and reads no clock.
 
+mod admission;
 mod admit;
 mod dispatch;
 mod event;
@@ -21,6 +22,7 @@
 mod versions;
 mod waiting;
 
+pub use admission::counts::AdmissionCounts;
 pub use event::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, EngineNotice,
     LoadReport, PeerLoad, RefusalPlan, RequestNumber, SendPlan, SilenceReport, StatusRow,
--- a/mustardrill_core/src/direct/placement/choice.rs
+++ b/mustardrill_core/src/direct/placement/choice.rs
@@ -53,6 +53,7 @@
         let is_any_heard = candidates.iter().any(|upstream| !upstream.is_silent());
         // The rest of a stream of which the caller has a part does not wait again.
         let late = now >= self.in_time_until(state) && !state.has_delivered;
+        let room_rule = self.room_rule(now, state, late);
         let mut best: Option<(f64, &InstanceId)> = None;
         for upstream in candidates {
             if is_any_heard && !self.may_try(now, state, upstream) {
@@ -61,11 +62,7 @@
             let id = &upstream.record.id;
             let present = self.upstreams.total_load(id);
             let slots = upstream.record.slots;
-            let limit = if late {
-                capacity::late_request_limit(slots, self.settings.late_slots_percent)
-            } else {
-                capacity::request_limit(slots, self.settings.requests_ahead)
-            };
+            let limit = room_rule.request_limit(slots);
             let room = self.free_capacity(now, present, limit, upstream);
             if room == 0 || now < self.capacity_opens_at(now, upstream, room) {
                 continue;
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -9,6 +9,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::direct::admission::counts::AdmissionCounts;
+use crate::direct::admission::demand::ServiceDemand;
 use crate::direct::event::{
     DirectEffect, DirectEvent, DirectSettings, EngineNotice, RequestNumber, StatusRow,
 };
@@ -81,6 +83,9 @@
     pub(super) contradicted_beliefs: u64,
     pub(super) requests: FastMap<RequestNumber, RequestState>,
     pub(super) queues: FastMap<ServiceName, WaitQueue>,
+    /// Demand and room of the services whose kinds of requests differ in urgency.
+    pub(super) demands: FastMap<ServiceName, ServiceDemand>,
+    pub(super) admission_counts: AdmissionCounts,
     pub(super) retry_windows: FastMap<ServiceName, RetryWindow>,
     /// Second attempts that silence alone may cause, by service.
     pub(super) silence_allowances: FastMap<ServiceName, SilenceAllowance>,
@@ -146,6 +151,8 @@
             contradicted_beliefs: 0,
             requests: FastMap::default(),
             queues: FastMap::default(),
+            demands: FastMap::default(),
+            admission_counts: AdmissionCounts::default(),
             retry_windows: FastMap::default(),
             silence_allowances: FastMap::default(),
             random: SmallRng::seed_from_u64(seed),
@@ -339,6 +346,7 @@
             suspected_parts: self.quarantine.part_suspect_count(),
             started_late: self.started_late,
             contradicted_beliefs: self.contradicted_beliefs,
+            admission: self.admission_counts,
         }
     }
 
--- a/mustardrill_core/src/direct/route.rs
+++ b/mustardrill_core/src/direct/route.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use mustardrill_types::{
-    ByteSize, CustomerName, DataCentre, FastMap, Generation, Millis, ModelName, ServiceName,
+    ByteSize, CustomerName, DataCentre, FastMap, FastSet, Generation, Millis, ModelName,
+    ServiceName,
 };
 
 /// One generation of the configuration, always applied as a whole.
@@ -19,6 +20,8 @@
     /// Indexes into `routes` by host, longest prefix first.
     by_host: FastMap<Box<str>, Vec<usize>>,
     by_key: FastMap<Box<str>, usize>,
+    /// The services to which routes of unlike priorities lead.
+    by_urgency: FastSet<ServiceName>,
 }
 
 /// Maps requests of one host and path prefix to services.
@@ -166,7 +169,8 @@
         for (index, customer) in customers.iter().enumerate() {
             by_key.extend(customer.api_keys.iter().map(|key| (key.clone(), index)));
         }
-        Self { generation, limits, routes, services, customers, by_host, by_key }
+        let by_urgency = services_of_unlike_priorities(&routes);
+        Self { generation, limits, routes, services, customers, by_host, by_key, by_urgency }
     }
 
     /// The route of `host` with the longest prefix of `path`. The port of `host` and its letter
@@ -196,6 +200,11 @@
         self.services.get(name)
     }
 
+    /// Whether routes of unlike priorities lead to a service.
+    pub fn has_unlike_priorities(&self, service: &ServiceName) -> bool {
+        self.by_urgency.contains(service)
+    }
+
     /// The origin of weights: a service that is configured as one.
     pub fn origin(&self) -> Option<&OriginProfile> {
         self.services.values().find_map(|profile| profile.origin.as_ref())
@@ -207,6 +216,19 @@
     }
 }
 
+fn services_of_unlike_priorities(routes: &[RouteRule]) -> FastSet<ServiceName> {
+    let mut first: FastMap<&ServiceName, u8> = FastMap::default();
+    let mut unlike = FastSet::default();
+    for route in routes {
+        for (service, _) in &route.service_shares {
+            if *first.entry(service).or_insert(route.priority) != route.priority {
+                unlike.insert(service.clone());
+            }
+        }
+    }
+    unlike
+}
+
 impl RouteRule {
     /// Chooses a service by its traffic weight. `random` is uniformly random over all of `u32`.
     pub fn choose_service(&self, random: u32) -> &ServiceName {
--- a/mustardrill_core/src/direct/waiting/wait_policy.rs
+++ b/mustardrill_core/src/direct/waiting/wait_policy.rs
@@ -38,7 +38,7 @@
 const PLAIN_QUEUE_PER_SLOT: usize = 2;
 
 /// The expected wait where no request can be placed.
-const UNBOUNDED_WAIT: Millis = Millis(u64::MAX / 4);
+pub(in crate::direct) const UNBOUNDED_WAIT: Millis = Millis(u64::MAX / 4);
 
 impl DirectReducer {
     /// Queues a request, or refuses it where it would wait in vain.
@@ -56,14 +56,18 @@
         }
         let expected = self.expected_wait(now, state, ahead);
         if now + expected > until {
+            self.record_refused_arrival(now, number, &rank, expected);
             return self.refuse_full(now, number, expected);
         }
         let service = state.service.clone();
-        self.queues.entry(service).or_default().push(rank, until);
+        let mut effects = Vec::new();
+        self.queues.entry(service.clone()).or_default().push(rank, until);
         if let Some(state) = self.requests.get_mut(&number) {
             state.stage = RequestStage::Waiting(rank);
         }
-        Vec::new()
+        self.record_backlog(now, &service);
+        effects.extend(self.displace_behind(now, &service, &rank));
+        effects
     }
 
     /// Until when a request waits for an upstream, whether or not it can still meet its objective.
@@ -77,7 +81,11 @@
     /// Until when a waiting request counts as able to meet its objective.
     pub(in crate::direct) fn in_time_until(&self, state: &RequestState) -> Moment {
         let share = state.objective_span().0 * u64::from(self.settings.in_time_percent) / 100;
-        state.arrived_at + Millis(share)
+        let by_share = state.arrived_at + Millis(share);
+        if self.is_by_urgency(&state.service) {
+            return by_share.max(self.useful_until(state));
+        }
+        by_share
     }
 
     /// Whether an upstream is expected to accept the request soon: one that may run it, now or after
@@ -128,7 +136,11 @@
         // Peer entries use the freed slots as well, so this entry gets its share of them.
         let entries = self.peers().len() + 1;
         let slots = f64::from(self.upstreams.unlimited_slots(now, service));
-        let by_slots = slots * 1_000.0 / (service_ms * entries as f64);
+        let profile_rate = slots * 1_000.0 / service_ms;
+        if self.is_by_urgency(service) {
+            return self.start_forecast_behind(now, state, ahead, profile_rate).expected_wait();
+        }
+        let by_slots = profile_rate / entries as f64;
         wait_at_rate(ahead + 1, by_slots + self.limited_rate(now, service))
     }
 
@@ -146,7 +158,7 @@
 
     /// The requests per second that this entry may send to those upstreams of a service that limit
     /// their rate.
-    fn limited_rate(&self, now: Moment, service: &ServiceName) -> f64 {
+    pub(in crate::direct) fn limited_rate(&self, now: Moment, service: &ServiceName) -> f64 {
         let shares = self.upstreams.awake(now, service);
         shares
             .filter_map(|it| it.conditions.intake_limit.share())
@@ -190,6 +202,7 @@
     ) -> Vec<DirectEffect> {
         let mut effects = Vec::new();
         self.demote_late(now, service);
+        self.record_backlog(now, service);
         while let Some(rank) = self.queues.get(service).and_then(|queue| queue.first()) {
             let Some(state) = self.requests.get(&rank.number) else { break };
             let Some(upstream) = self.choose_upstream(now, state) else { break };
@@ -207,7 +220,10 @@
 
     /// Moves requests that can't meet their objective any more behind those that can. Served in
     /// order of arrival alone, a queue that is slightly too long makes every request late.
-    fn demote_late(&mut self, now: Moment, service: &ServiceName) {
+    pub(in crate::direct) fn demote_late(&mut self, now: Moment, service: &ServiceName) {
+        if self.is_by_urgency(service) {
+            return self.demote_all_late(now, service);
+        }
         while let Some(rank) = self.queues.get(service).and_then(|queue| queue.first()) {
             let Some(state) = self.requests.get(&rank.number) else { break };
             if rank.late || now < self.in_time_until(state) {
@@ -240,7 +256,8 @@
         if let Some(state) = self.requests.get_mut(&number) {
             state.stage = RequestStage::Between;
         }
-        self.refuse_full(now, number, MIN_FULL_RETRY)
+        let retry = self.overdue_retry(now, number);
+        self.refuse_full(now, number, retry)
     }
 }
 
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -371,6 +371,9 @@
             ("parts_suspected", status.suspected_parts as u64),
             ("requests_begun_late", status.started_late),
             ("beliefs_contradicted", status.contradicted_beliefs),
+            ("arrivals_refused", status.admission.refused),
+            ("requests_displaced", status.admission.displaced),
+            ("requests_sent_late", status.admission.sent_late),
         ];
         for (name, value) in gauges {
             let _ = context.metrics.gauge(name, value);
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -27,7 +27,7 @@
 }
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 29] = [
+pub const METRICS: [MetricRow; 32] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -153,4 +153,19 @@
         MetricKind::Gauge,
         "Beliefs in the weights of upstreams that an answer contradicted.",
     ),
+    MetricRow::new(
+        "arrivals_refused",
+        MetricKind::Gauge,
+        "Requests of services with unlike priorities refused on arrival by the forecast.",
+    ),
+    MetricRow::new(
+        "requests_displaced",
+        MetricKind::Gauge,
+        "Waiting requests refused since more urgent ones arrived.",
+    ),
+    MetricRow::new(
+        "requests_sent_late",
+        MetricKind::Gauge,
+        "Requests of services with unlike priorities first sent past the time to be in time.",
+    ),
 ];
