--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -5,6 +5,7 @@
 //! and returns effects: which upstream gets a request, which requests wait and which are refused.
 //! This module does no I/O and reads no clock.
 
+mod admission;
 mod admit;
 mod dispatch;
 mod event;
@@ -24,6 +25,7 @@
 mod waiting;
 mod warmup;
 
+pub use admission::counts::AdmissionCounts;
 pub use event::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, EngineNotice,
     LoadReport, PeerLoad, RefusalPlan, RequestNumber, SendPlan, SilenceReport, StatusRow,
