Requests bound to the same full regions are tried once for each dispatch

Each word of a peer entry dispatches what waits. Where many requests that are bound to regions wait, each of them was compared with all upstreams again, although the first one had shown that their regions are full. Found by reading; no play showed it.

--- a/mustardrill_core/src/direct/locality/mod.rs
+++ b/mustardrill_core/src/direct/locality/mod.rs
@@ -7,6 +7,7 @@
 use mustardrill_types::{Moment, ServiceName};
 
 use crate::direct::fleet::upstream::UpstreamState;
+use crate::direct::locality::regions::RegionLimits;
 use crate::direct::reducer::DirectReducer;
 use crate::direct::request::RequestState;
 use crate::direct::waiting::queue::WaitRank;
@@ -83,6 +84,20 @@
         self.queues.get(service)?.iter().map(|(rank, _)| rank).find(is_unbound)
     }
 
+    /// The first waiting request of a service behind `passed_over`, without those that are bound to
+    /// regions which are `full`.
+    pub(in crate::direct) fn next_waiting(
+        &self,
+        service: &ServiceName,
+        passed_over: Option<WaitRank>,
+        full: &[RegionLimits],
+    ) -> Option<WaitRank> {
+        self.queues.get(service)?.behind(passed_over).find(|rank| {
+            let state = self.requests.get(&rank.number);
+            state.is_none_or(|state| !full.contains(&state.region_limits))
+        })
+    }
+
     /// Whether the request is bound to regions of which no listed upstream of its service stands in
     /// one, though it has upstreams elsewhere.
     pub(in crate::direct) fn is_out_of_region(&self, state: &RequestState) -> bool {
--- a/mustardrill_core/src/direct/waiting/queue.rs
+++ b/mustardrill_core/src/direct/waiting/queue.rs
@@ -45,11 +45,10 @@
         self.ranks.keys().next().copied()
     }
 
-    /// The request to be sent next after `rank`; the first one where that is `None`.
-    pub fn first_after(&self, rank: Option<WaitRank>) -> Option<WaitRank> {
-        let Some(rank) = rank else { return self.first() };
-        let later = (Bound::Excluded(rank), Bound::Unbounded);
-        self.ranks.range(later).next().map(|(rank, _)| *rank)
+    /// The waiting requests behind `rank` in their order; all of them where that is `None`.
+    pub fn behind(&self, rank: Option<WaitRank>) -> impl Iterator<Item = WaitRank> {
+        let start = rank.map_or(Bound::Unbounded, Bound::Excluded);
+        self.ranks.range((start, Bound::Unbounded)).map(|(rank, _)| *rank)
     }
 
     /// Moves a request to another rank; the end of its wait stays.
--- a/mustardrill_core/src/direct/waiting/wait_policy.rs
+++ b/mustardrill_core/src/direct/waiting/wait_policy.rs
@@ -189,14 +189,13 @@
     ) -> Vec<DirectEffect> {
         let mut effects = Vec::new();
         self.demote_late(now, service);
-        let mut passed_over = None;
-        while let Some(rank) =
-            self.queues.get(service).and_then(|queue| queue.first_after(passed_over))
-        {
+        // The regions of the requests that are passed over: they are full for others as well.
+        let (mut passed_over, mut full) = (None, Vec::new());
+        while let Some(rank) = self.next_waiting(service, passed_over, &full) {
             let Some(state) = self.requests.get(&rank.number) else { break };
             let Some(upstream) = self.choose_upstream(now, state) else {
-                // Its regions may be full while others have capacity.
                 if state.region_limits.is_bound() {
+                    full.push(state.region_limits.clone());
                     passed_over = Some(rank);
                     continue;
                 }
