--- a/mustardrill_core/tests/locality.rs
+++ b/mustardrill_core/tests/locality.rs
@@ -316,9 +316,18 @@
     assert!(reached.contains_key("hall-b") && !reached.contains_key("hall-a"), "{reached:?}");
 }
 
+/// The regions of the route and of the customer, a request's key, and the data centres that it may
+/// reach.
+type RegionCase = (
+    &'static [&'static str],
+    &'static [&'static str],
+    Option<&'static str>,
+    &'static [&'static str],
+);
+
 #[test]
 fn requests_stay_in_the_regions_of_their_route_and_of_their_customer() {
-    let cases: [(&[&str], &[&str], Option<&str>, &[&str]); 6] = [
+    let cases: [RegionCase; 6] = [
         (&["north"], &[], None, &["hall-a"]),
         (&[], &["south"], Some("key-1"), &["hall-b"]),
         // The customer's regions bind only the customer.
