--- a/mustardrill_core/src/direct/warmup/period.rs
+++ b/mustardrill_core/src/direct/warmup/period.rs
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Records that it could not be reached, crashed, or is no longer registered.
+    /// Records that it gets nothing for the moment and may have become cold.
     pub(crate) fn record_missed(&mut self) {
         self.is_missed = true;
     }
