--- a/mustardrill_core/src/direct/locality/mod.rs
+++ b/mustardrill_core/src/direct/locality/mod.rs
@@ -101,7 +101,8 @@
     /// Whether the request is bound to regions of which no listed upstream of its service stands in
     /// one, though it has upstreams elsewhere.
     pub(in crate::direct) fn is_out_of_region(&self, state: &RequestState) -> bool {
-        let mut staying = self.upstreams.staying(&state.service).peekable();
-        staying.peek().is_some() && staying.all(|upstream| !self.is_in_region(state, upstream))
+        // Those of an evacuated data centre come back, so they count.
+        let mut listed = self.upstreams.of_service(&state.service).peekable();
+        listed.peek().is_some() && listed.all(|upstream| !self.is_in_region(state, upstream))
     }
 }
--- a/mustardrill_core/tests/locality.rs
+++ b/mustardrill_core/tests/locality.rs
@@ -353,7 +353,7 @@
     // Its region is evacuated, but not empty of upstreams.
     let mut reducer = entry_with(&["north"], &[], vec![evacuated("hall-a")]);
     let effects = arrive(&mut reducer, 1, START, None);
-    assert!(refusal_of(&effects).code.is_not_run());
+    assert_eq!(refusal_of(&effects).code, ResultCode::NoUpstream);
 }
 
 #[test]
