--- a/mustardrill_core/src/direct/intake/share.rs
+++ b/mustardrill_core/src/direct/intake/share.rs
@@ -83,6 +83,12 @@
         Self { rate, rank, senders, members, catch_up_ms: pacing.catch_up_ms }
     }
 
+    /// The part that is safe for an entry that may not know all others, nor they it: as if there were
+    /// as many senders as the pacing allows.
+    pub(crate) fn least(self, pacing: SendPacing) -> Self {
+        Self { senders: pacing.senders, ..self }
+    }
+
     /// Whether this entry is one of those that send.
     pub(crate) fn is_sender(&self) -> bool {
         self.rank < self.senders
