The route's priority decides among customers of one priority

Now the urgency of a request is the customer's priority, then the route's; what upstreams are sent is as before. At most two kinds are left slots for. Lines of refusals name the urgency.

--- a/mustardrill_core/src/direct/admission/demand.rs
+++ b/mustardrill_core/src/direct/admission/demand.rs
@@ -1,10 +1,11 @@
-//! What an entry has lately seen of the demand for a service, by priority, and of its room.
+//! What an entry has lately seen of the demand for a service, by urgency, and of its room.
 
 use std::collections::BTreeMap;
 
 use mustardrill_types::{Millis, Moment};
 
 use crate::direct::admission::rate_window::RateWindow;
+use crate::direct::admission::urgency::Urgency;
 
 /// How long a lack of room for urgent requests counts.
 ///
@@ -18,18 +19,18 @@
 /// The demand for one service at this entry, and the room for it.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceDemand {
-    arrivals: BTreeMap<u8, RateWindow>,
+    arrivals: BTreeMap<Urgency, RateWindow>,
     sends: RateWindow,
-    /// When requests of each priority last found too little room.
-    lacks: BTreeMap<u8, Moment>,
+    /// When requests of each urgency last found too little room.
+    lacks: BTreeMap<Urgency, Moment>,
     /// Since when requests have been waiting without a pause.
     backlogged_since: Option<Moment>,
 }
 
 impl ServiceDemand {
     /// Records that a request arrived.
-    pub(crate) fn record_arrival(&mut self, now: Moment, priority: u8) {
-        self.arrivals.entry(priority).or_default().record(now);
+    pub(crate) fn record_arrival(&mut self, now: Moment, urgency: Urgency) {
+        self.arrivals.entry(urgency).or_default().record(now);
     }
 
     /// Records that a request was sent to an upstream.
@@ -44,19 +45,19 @@
     }
 
     /// Records that a request waited too long for room, or found none.
-    pub(crate) fn record_lack(&mut self, now: Moment, priority: u8) {
-        self.lacks.insert(priority, now);
+    pub(crate) fn record_lack(&mut self, now: Moment, urgency: Urgency) {
+        self.lacks.insert(urgency, now);
     }
 
-    /// How many priorities more urgent than `priority` lately found too little room.
-    pub(crate) fn lacking_above(&self, now: Moment, priority: u8) -> u32 {
-        let above = self.lacks.range(..priority);
+    /// How many kinds more urgent than `urgency` lately found too little room.
+    pub(crate) fn lacking_above(&self, now: Moment, urgency: Urgency) -> u32 {
+        let above = self.lacks.range(..urgency);
         above.filter(|(_, at)| now.since(**at) < LACK_SPAN).count() as u32
     }
 
-    /// The requests per second that arrive here and are more urgent than `priority`.
-    pub(crate) fn arrivals_above(&self, now: Moment, priority: u8) -> f64 {
-        let above = self.arrivals.range(..priority);
+    /// The requests per second that arrive here and are more urgent than `urgency`.
+    pub(crate) fn arrivals_above(&self, now: Moment, urgency: Urgency) -> f64 {
+        let above = self.arrivals.range(..urgency);
         above.map(|(_, window)| window.per_second(now)).sum()
     }
 
--- a/mustardrill_core/src/direct/admission/mod.rs
+++ b/mustardrill_core/src/direct/admission/mod.rs
@@ -9,3 +9,4 @@
 pub(in crate::direct) mod rate_window;
 pub(in crate::direct) mod room_rule;
 pub(in crate::direct) mod start_forecast;
+pub(in crate::direct) mod urgency;
--- a/mustardrill_core/src/direct/admission/policy.rs
+++ b/mustardrill_core/src/direct/admission/policy.rs
@@ -50,9 +50,9 @@
         }
         // The rest of a stream of which the caller has a part does not stand back.
         let demand = self.demands.get(&state.service).filter(|_| !state.has_delivered);
-        match demand.map_or(0, |it| it.lacking_above(now, state.priority)) {
+        match demand.map_or(0, |it| it.lacking_above(now, state.urgency)) {
             0 => RoomRule::InTime { ahead: self.settings.requests_ahead },
-            priorities => RoomRule::Reserved { priorities },
+            kinds => RoomRule::Reserved { kinds },
         }
     }
 
@@ -60,8 +60,8 @@
     pub(in crate::direct) fn record_demand(&mut self, now: Moment, number: RequestNumber) {
         let Some(state) = self.requests.get(&number) else { return };
         if self.is_by_urgency(&state.service) {
-            let (service, priority) = (state.service.clone(), state.priority);
-            self.demands.entry(service).or_default().record_arrival(now, priority);
+            let (service, urgency) = (state.service.clone(), state.urgency);
+            self.demands.entry(service).or_default().record_arrival(now, urgency);
         }
     }
 
@@ -75,12 +75,12 @@
         let is_late = now >= self.in_time_until(state);
         let patience = Millis(state.objective_span().0 / LACK_FRACTION);
         let is_lacking = is_first && now.since(state.arrived_at) >= patience;
-        let (service, priority) = (state.service.clone(), state.priority);
+        let (service, urgency) = (state.service.clone(), state.urgency);
         self.admission_counts.sent_late += u64::from(is_first && is_late);
         let demand = self.demands.entry(service).or_default();
         demand.record_sent(now);
         if is_lacking {
-            demand.record_lack(now, priority);
+            demand.record_lack(now, urgency);
         }
     }
 
@@ -100,13 +100,14 @@
         let demand = self.demands.entry(service.clone()).or_default();
         let observed = demand.observed_rate(now).unwrap_or(-1.0);
         info!(
-            "request={} decision=refuse-arrival ahead={} rate={observed} urgent={} \
+            "request={} decision=refuse-arrival urgency={} ahead={} rate={observed} urgent={} \
              expected={expected}",
             state.attempt_id,
+            state.urgency,
             self.queues.get(&service).map_or(0, |queue| queue.ahead(rank)),
-            demand.arrivals_above(now, rank.priority),
+            demand.arrivals_above(now, rank.urgency),
         );
-        demand.record_lack(now, rank.priority);
+        demand.record_lack(now, rank.urgency);
         self.admission_counts.refused += 1;
     }
 
@@ -148,7 +149,7 @@
         StartForecast {
             ahead,
             per_second: observed.unwrap_or(by_profile + self.limited_rate(now, service)),
-            urgent_per_second: demand.map_or(0.0, |it| it.arrivals_above(now, state.priority)),
+            urgent_per_second: demand.map_or(0.0, |it| it.arrivals_above(now, state.urgency)),
         }
     }
 
@@ -171,8 +172,9 @@
             let expected = self.expected_wait(now, state, ahead);
             if waiting_rank > *rank && now + expected > until {
                 info!(
-                    "request={} decision=displace ahead={ahead} expected={expected} limit={}",
+                    "request={} decision=displace urgency={} ahead={ahead} expected={expected} limit={}",
                     state.attempt_id,
+                    state.urgency,
                     until.since(now)
                 );
                 self.admission_counts.displaced += 1;
@@ -199,7 +201,7 @@
                 state.stage = RequestStage::Waiting(late_rank);
             }
             if let Some(demand) = self.demands.get_mut(service) {
-                demand.record_lack(now, rank.priority);
+                demand.record_lack(now, rank.urgency);
             }
         }
     }
--- a/mustardrill_core/src/direct/admission/room_rule.rs
+++ b/mustardrill_core/src/direct/admission/room_rule.rs
@@ -3,11 +3,15 @@
 use crate::direct::placement::capacity;
 
 /// The share of an upstream's slots, in percent, that requests leave free for each more urgent
-/// priority that lately found too little room.
+/// kind that lately found too little room.
 ///
 /// One or two slots of an engine are enough: those that become free in the time of a round trip.
 const RESERVED_PERCENT: u32 = 15;
 
+/// For how many more urgent kinds slots are left free at most; with many kinds hardly any room would
+/// be left to the others.
+const MAX_KINDS: u32 = 2;
+
 /// Which slots of an upstream a request may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RoomRule {
@@ -16,10 +20,10 @@
         /// Requests beyond the slots.
         ahead: u32,
     },
-    /// What `priorities` more urgent priorities leave.
+    /// What `kinds` more urgent kinds leave.
     Reserved {
         /// Their number.
-        priorities: u32,
+        kinds: u32,
     },
     /// The share of the slots for requests that are late already.
     Late {
@@ -33,8 +37,8 @@
     pub(crate) fn request_limit(self, slots: u32) -> u32 {
         match self {
             Self::InTime { ahead } => capacity::request_limit(slots, ahead),
-            Self::Reserved { priorities } => {
-                let reserved = (slots * RESERVED_PERCENT / 100).max(1) * priorities;
+            Self::Reserved { kinds } => {
+                let reserved = (slots * RESERVED_PERCENT / 100).max(1) * kinds.min(MAX_KINDS);
                 slots.saturating_sub(reserved).max(1)
             }
             Self::Late { percent } => capacity::late_request_limit(slots, percent),
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -79,7 +79,7 @@
             silence_timeout: self.settings.silence_timeout,
             repeat_rule: state.repeat_rule,
             has_delivered: state.has_delivered,
-            priority: state.priority,
+            priority: state.urgency.priority,
             is_limited: target.conditions.intake_limit.rate().is_some(),
         };
         let belief = target.belief(state.model.as_ref());
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -23,6 +23,7 @@
 mod waiting;
 
 pub use admission::counts::AdmissionCounts;
+pub use admission::urgency::Urgency;
 pub use event::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, EngineNotice,
     LoadReport, PeerLoad, RefusalPlan, RequestNumber, SendPlan, SilenceReport, StatusRow,
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -5,6 +5,7 @@
     WeightVersion,
 };
 
+use crate::direct::admission::urgency::Urgency;
 use crate::direct::event::{DirectRequest, RequestNumber};
 use crate::direct::fleet::upstream::UpstreamStart;
 use crate::direct::placement::forecast::WorkSize;
@@ -35,7 +36,7 @@
     /// The prefill time still counted as pending at its upstream.
     pub(crate) pending_prefill: Millis,
     pub(crate) repeat_rule: RepeatRule,
-    pub(crate) priority: u8,
+    pub(crate) urgency: Urgency,
     pub(crate) attempt_limit: u32,
     pub(crate) arrived_at: Moment,
     /// When the last attempt was sent.
@@ -126,7 +127,10 @@
             large,
             pending_prefill: Millis(0),
             repeat_rule: route.repeat_rule,
-            priority: priority.unwrap_or(route.priority),
+            urgency: Urgency {
+                priority: priority.unwrap_or(route.priority),
+                route_priority: route.priority,
+            },
             attempt_limit: route.attempt_limit.max(1),
             arrived_at: request.arrived_at,
             sent_at: request.arrived_at,
@@ -177,8 +181,8 @@
 
     /// The queue position, by whether the request can still meet its objective.
     pub(crate) fn wait_rank(&self, late: bool) -> WaitRank {
-        let Self { priority, large, number, .. } = *self;
-        WaitRank { late, priority, large, since: self.arrived_at, number }
+        let Self { urgency, large, number, .. } = *self;
+        WaitRank { late, urgency, large, since: self.arrived_at, number }
     }
 
     /// The latency objective, counted from the arrival.
--- a/mustardrill_core/src/direct/waiting/queue.rs
+++ b/mustardrill_core/src/direct/waiting/queue.rs
@@ -10,6 +10,7 @@
 
 use mustardrill_types::Moment;
 
+use crate::direct::admission::urgency::Urgency;
 use crate::direct::event::RequestNumber;
 
 /// The sort key of a waiting request; the least goes first.
@@ -17,8 +18,8 @@
 pub struct WaitRank {
     /// Whether the request can't meet its objective any more.
     pub late: bool,
-    /// The request's priority; zero is the most urgent.
-    pub priority: u8,
+    /// How urgent the request is.
+    pub urgency: Urgency,
     /// Whether its work is much more than a usual request's.
     pub large: bool,
     /// When the request arrived.
--- a/mustardrill_core/tests/admission.rs
+++ b/mustardrill_core/tests/admission.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 
 use mustardrill_core::direct::{
-    AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectSettings,
-    EngineProfile, FleetChange, FleetUpdate, LoadUpdate, PeerLoad, RepeatRule, RequestNumber,
-    RouteDocument, RouteRule, ServedWeights, ServiceProfile, UpstreamRecord, WorkSize,
+    AttemptOutcome, CallerLimits, CustomerRecord, DirectEffect, DirectEvent, DirectReducer,
+    DirectRequest, DirectSettings, EngineProfile, FleetChange, FleetUpdate, LoadUpdate, PeerLoad,
+    RepeatRule, RequestNumber, RouteDocument, RouteRule, ServedWeights, ServiceProfile,
+    UpstreamRecord, WorkSize,
 };
 use mustardrill_types::{
     FastMap, Generation, Millis, Moment, StartStamp, StoreRevision, WeightVersion,
@@ -16,6 +17,8 @@
 
 const START: Moment = Moment(100_000);
 const SLOTS: u32 = 12;
+/// The key of a customer whose priority takes precedence over those of the routes.
+const KEY: &str = "k1";
 const SIZE: WorkSize = WorkSize { prompt_tokens: 900, answer_tokens: 112 };
 /// The routes in order of urgency; the least urgent one has the widest objective.
 const ROUTES: [(&str, u64); 3] = [("/urgent/", 400), ("/usual/", 400), ("/spare/", 800)];
@@ -45,7 +48,12 @@
     let pool = ServiceProfile { engine: Some(engine), ..ServiceProfile::default() };
     services.insert("pool".parse().unwrap(), pool);
     let limits = CallerLimits::default();
-    Arc::new(RouteDocument::new(Generation(1), routes, services, Vec::new(), limits))
+    let customer = CustomerRecord {
+        name: "growers".parse().unwrap(),
+        api_keys: vec![KEY.into()],
+        priority: Some(1),
+    };
+    Arc::new(RouteDocument::new(Generation(1), routes, services, vec![customer], limits))
 }
 
 /// An entry with `engines` engines.
@@ -83,7 +91,10 @@
     // A configuration that is confirmed all the time.
     let confirmed = DirectEvent::StoreAnswered(FleetUpdate::default(), now);
     let mut effects = reducer.reduce(now, confirmed);
-    let request = common::direct_request(number, ROUTES[route].0, SIZE, now);
+    let request = DirectRequest {
+        api_key: Some(KEY.into()),
+        ..common::direct_request(number, ROUTES[route].0, SIZE, now)
+    };
     effects.extend(reducer.reduce(now, DirectEvent::RequestArrived(request)));
     for number in sent(&effects) {
         reducer.reduce(now, DirectEvent::AnswerStarted(RequestNumber(number), None, None));
@@ -133,6 +144,18 @@
     assert_eq!(sent(&effects), [21]);
 }
 
+/// All requests of these tests are of customers with one priority, which takes precedence.
+#[test]
+fn priority_of_customers_hid_which_routes_are_urgent() {
+    let mut reducer = entry([0, 1, 2], 1);
+    fill(&mut reducer, 2);
+    [(20, 2), (21, 1), (22, 0)].into_iter().for_each(|(number, route)| {
+        drop(arrive(&mut reducer, START, number, route));
+    });
+    let order = (1..=3).flat_map(|number| sent(&end(&mut reducer, START + Millis(40), number)));
+    assert_eq!(order.collect::<Vec<_>>(), [22, 21, 20]);
+}
+
 #[test]
 fn late_request_waits_for_those_in_time_whatever_its_priority() {
     let mut reducer = entry([0, 1, 2], 1);
