--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -26,6 +26,7 @@
 mod warmup;
 
 pub use admission::counts::AdmissionCounts;
+pub use admission::urgency::Urgency;
 pub use event::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, EngineNotice,
     LoadReport, PeerLoad, RefusalPlan, RequestNumber, SendPlan, SilenceReport, StatusRow,
