An upstream that states that work takes longer is used less while it does

What callers saw: on a deployment whose engines share machines with others, answers come late on engines that are slowed down for some hundred milliseconds, though others have room.

Cause: the load header's fourth figure says how long work takes there now; it was not read, and placement counted requests only.

What is built: the figure is decoded (the other three hold where it is missing, malformed or zero). Each entry estimates the pace of an upstream from the newest statement, which counts less with its age, and from how late answers start. Statements travel with the load rows that are broadcast anyway; entries of an earlier build skip them. The cost of an upstream has the extra time to the first event at its pace, and its pending prefill counts as longer. Without a stated pace the estimate is 1.0 and the cost is the one of before.

Existing tests: fields were added to `LoadReport`, `LoadUpdate` and `SendPlan`, so tests that build them name the new fields; no check was changed.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -65,6 +65,7 @@
             if weights < newest { self.start_forecast(state, target) } else { Millis(0) };
         let superseded_attempt =
             weights.and_then(|version| self.superseded_attempt(state, version, forecast));
+        let paced_start = self.paced_start(now, state, target);
         let plan = SendPlan {
             upstream: upstream.clone(),
             start: target.record.start,
@@ -79,11 +80,12 @@
             has_delivered: state.has_delivered,
             priority: state.priority,
             is_limited: target.conditions.intake_limit.rate().is_some(),
+            paced_start,
         };
         let belief = target.belief(state.model.as_ref());
         info!(
             "request={} decision=send instance={upstream} waited={} attempt={} present={} pinned={} \
-             evidence={} digest={} parts={} believed={} source={} known_for={}",
+             evidence={} digest={} parts={} believed={} source={} known_for={} {} expected_start={paced_start}",
             state.attempt_id,
             now.since(state.arrived_at),
             state.tried_upstreams.len() + 1,
@@ -95,6 +97,7 @@
             believed.map_or(0, |version| version.0),
             belief.source,
             now.since(belief.since),
+            target.pace.view(now),
         );
         if let Some(superseded_attempt) = &superseded_attempt {
             info!(
@@ -125,6 +128,7 @@
             state.demanded_version = pinned_version;
             state.expected_version = weights;
             state.start_forecast = forecast;
+            state.paced_start = paced_start;
             state.tried_upstreams.push(upstream);
             state.stage = RequestStage::Sent(start);
         }
@@ -153,6 +157,9 @@
         let is_contradicted =
             self.upstreams.record_answer_start(now, sent_at, &upstream, load, model, version);
         self.contradicted_beliefs += u64::from(is_contradicted);
+        if let Some(target) = self.upstreams.incarnation_mut(&upstream) {
+            target.pace.record_start(now, state.paced_start, now.since(sent_at));
+        }
         // One that accepts a request after a rest is sent one more at a time.
         let target = self.upstreams.get(&upstream.id);
         if target.is_some_and(|target| target.conditions.rest.is_returning(now)) {
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -11,6 +11,7 @@
 use crate::direct::fleet::update::FleetUpdate;
 use crate::direct::intake::report::IntakeReport;
 use crate::direct::placement::forecast::WorkSize;
+use crate::direct::placement::pace::WorkPace;
 use crate::direct::retries::retry_budget::RetryShare;
 use crate::direct::route::RepeatRule;
 use crate::direct::statements::statement::{StatedValue, UpstreamStatement};
@@ -136,6 +137,10 @@
     pub waiting: u32,
     /// Requests that the upstream can run concurrently.
     pub slots: u32,
+    /// How long work takes there, where the upstream states it.
+    pub pace: Option<WorkPace>,
+    /// How long ago the report arrived.
+    pub age: Millis,
 }
 
 /// The load that one entry has placed on an upstream.
@@ -282,6 +287,8 @@
     pub priority: u8,
     /// Whether the upstream limits the request rate that it accepts.
     pub is_limited: bool,
+    /// When its answer should start, counted from sending; zero where the upstream states no pace.
+    pub paced_start: Millis,
 }
 
 /// Why a request is refused, and when to retry.
--- a/mustardrill_core/src/direct/fleet/load_broadcast.rs
+++ b/mustardrill_core/src/direct/fleet/load_broadcast.rs
@@ -9,6 +9,7 @@
 use mustardrill_types::{FastMap, InstanceId, Millis, Moment, ServiceName};
 
 use crate::direct::event::UpstreamLoad;
+use crate::direct::placement::pace::PaceReport;
 
 /// Delay before decreases are sent. It is shorter than the time in which a full engine completes
 /// its next request; overestimating a load for that long costs less than overloading the engine.
@@ -24,7 +25,7 @@
 pub type WaitRows = Vec<(ServiceName, u32)>;
 
 /// A load update for the peer entries.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct LoadUpdate {
     /// The load at each upstream that is listed.
     pub rows: LoadRows,
@@ -32,18 +33,27 @@
     pub is_snapshot: bool,
     /// The queued requests of every service; always complete.
     pub waiting: WaitRows,
+    /// What some of the listed upstreams have just stated of their pace.
+    pub paces: Vec<PaceReport>,
 }
 
 impl LoadUpdate {
+    /// Adds the paces that are known of the listed upstreams. They cause no update of their own: an
+    /// answer that states a pace changes the load as well.
+    pub fn with_paces(self, known: &[PaceReport]) -> Self {
+        Self { paces: paces_of(&self.rows, known), ..self }
+    }
+
     /// Splits the update into parts of at most `limit` rows, which must be applied in this order:
     /// only the first one may be a snapshot.
     pub fn split(self, limit: usize) -> Vec<Self> {
-        let Self { rows, is_snapshot, waiting } = self;
+        let Self { rows, is_snapshot, waiting, paces } = self;
         let rest = rows.get(limit..).unwrap_or_default().chunks(limit.max(1));
         let part = |rows: &[_], is_snapshot| Self {
             rows: rows.to_vec(),
             is_snapshot,
             waiting: waiting.clone(),
+            paces: paces_of(rows, &paces),
         };
         let rest = rest.map(|rows| part(rows, false));
         let first = part(&rows[..limit.min(rows.len())], is_snapshot);
@@ -51,6 +61,12 @@
     }
 }
 
+/// The paces of the upstreams in `rows`.
+fn paces_of(rows: &[(InstanceId, UpstreamLoad)], known: &[PaceReport]) -> Vec<PaceReport> {
+    let listed = known.iter().filter(|report| rows.iter().any(|(id, _)| *id == report.upstream));
+    listed.cloned().collect()
+}
+
 /// Tracks the load that was last sent to the peers and produces the next update.
 #[derive(Debug, Default)]
 pub struct LoadBroadcaster {
@@ -72,7 +88,7 @@
         let current: FastMap<_, _> = rows.iter().cloned().collect();
         let update = if now.since(self.snapshot_at) >= SNAPSHOT_INTERVAL {
             self.snapshot_at = now;
-            LoadUpdate { rows, is_snapshot: true, waiting: waiting.clone() }
+            LoadUpdate { rows, is_snapshot: true, waiting: waiting.clone(), paces: Vec::new() }
         } else {
             let changed = self.changed_rows(&current);
             let has_increased = changed.iter().any(|(id, load)| self.is_increase(id, *load));
@@ -83,7 +99,12 @@
             if !is_new || !is_due {
                 return None;
             }
-            LoadUpdate { rows: changed, is_snapshot: false, waiting: waiting.clone() }
+            LoadUpdate {
+                rows: changed,
+                is_snapshot: false,
+                waiting: waiting.clone(),
+                paces: Vec::new(),
+            }
         };
         self.sent_loads = current;
         self.sent_waiting = waiting;
--- a/mustardrill_core/src/direct/fleet/upstream.rs
+++ b/mustardrill_core/src/direct/fleet/upstream.rs
@@ -8,6 +8,7 @@
 use crate::direct::event::{AttemptOutcome, UpstreamLoad};
 use crate::direct::fleet::update::{ServedWeights, UpstreamRecord};
 use crate::direct::fleet::version_belief::{BeliefSource, VersionBelief};
+use crate::direct::placement::pace::PaceEstimate;
 use crate::direct::silence::SilencePeriod;
 use crate::direct::statements::conditions::StatedConditions;
 
@@ -94,6 +95,8 @@
     cooldowns: u32,
     /// Set while it sends nothing although requests wait for it.
     silence: Option<SilencePeriod>,
+    /// How long work takes there.
+    pub(crate) pace: PaceEstimate,
     /// What it has stated of itself in its answers.
     pub(crate) conditions: StatedConditions,
     /// Set once its registration has expired, if the upstream may still be running.
@@ -176,6 +179,7 @@
             cooldown_until: Moment(0),
             cooldowns: 0,
             silence: None,
+            pace: PaceEstimate::default(),
             conditions: StatedConditions::default(),
             expired_registration: None,
         }
@@ -235,6 +239,11 @@
         }
     }
 
+    /// How long work takes there compared with usual; 1.0 where nothing is known.
+    pub(crate) fn pace(&self, now: Moment) -> f64 {
+        self.pace.factor(now)
+    }
+
     /// Whether it sends nothing although requests wait for it.
     pub(crate) fn is_silent(&self) -> bool {
         self.silence.is_some()
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -14,6 +14,7 @@
     ExpiredRegistration, ExpiryCause, UpstreamStart, UpstreamState,
 };
 use crate::direct::fleet::version_belief::{BeliefSource, VersionBelief};
+use crate::direct::placement::pace::{PaceReport, PaceSource};
 use crate::direct::statements::conditions::StatedConditions;
 
 /// How long a removed upstream is remembered: longer than the age of the copies from which a store
@@ -413,6 +414,24 @@
         }
     }
 
+    /// Records what upstreams stated to a peer entry.
+    pub(crate) fn record_peer_paces(&mut self, now: Moment, reports: Vec<PaceReport>) {
+        for report in reports {
+            if let Some(state) = self.states.get_mut(&report.upstream) {
+                state.pace.record_stated(now - report.age, report.pace, PaceSource::Peer);
+            }
+        }
+    }
+
+    /// What upstreams have just stated to this entry.
+    pub(crate) fn pace_reports(&self, now: Moment) -> Vec<PaceReport> {
+        let reports = self.states.iter().filter_map(|(id, state)| {
+            let (pace, age) = state.pace.report(now)?;
+            Some(PaceReport { upstream: id.clone(), pace, age })
+        });
+        reports.collect()
+    }
+
     /// Records that a request with a prefill of `prefill_time` was sent to an upstream.
     pub(crate) fn record_sent(&mut self, start: &UpstreamStart, prefill_time: Millis) {
         if let Some(state) = self.incarnation_mut(start) {
@@ -467,6 +486,9 @@
         state.record_acceptance(now);
         if let Some(load) = load {
             state.record.slots = load.slots;
+            if let Some(pace) = load.pace {
+                state.pace.record_stated(now - load.age, pace, PaceSource::Own);
+            }
         }
         let answered = model.zip(version);
         answered.is_some_and(|(model, version)| {
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -30,6 +30,7 @@
 pub use fleet::update::{FleetChange, FleetUpdate, PeerRecord, ServedWeights, UpstreamRecord};
 pub use intake::report::IntakeReport;
 pub use placement::forecast::{EngineForecast, WorkSize};
+pub use placement::pace::{PaceReport, ParsePaceError, WorkPace};
 pub use reducer::DirectReducer;
 pub use retries::retry_budget::{
     AllowancePart, RetryBound, RetryDecision, RetryGrant, RetryPayment, RetryShare, RetryWindow,
--- a/mustardrill_core/src/direct/placement/choice.rs
+++ b/mustardrill_core/src/direct/placement/choice.rs
@@ -53,6 +53,7 @@
         let is_any_heard = candidates.iter().any(|upstream| !upstream.is_silent());
         // The rest of a stream of which the caller has a part does not wait again.
         let late = now >= self.in_time_until(state) && !state.has_delivered;
+        let profile = self.engine_profile(&state.service);
         let mut best: Option<(f64, &InstanceId)> = None;
         for upstream in candidates {
             if is_any_heard && !self.may_try(now, state, upstream) {
@@ -80,6 +81,10 @@
                 slots,
                 pending_prefill: present.pending_prefill,
                 is_remote: upstream.record.data_centre != self.settings.data_centre,
+                pace: upstream.pace(now),
+                own_start: profile.map_or(Millis(0), |profile| {
+                    EngineForecast::new(profile).time_to_first_token(present.requests, state.size)
+                }),
                 failure_share: upstream.failure_rate,
                 tie_breaker: rendezvous::uniform_hash(state.attempt_id.as_bytes(), id.as_str()),
             });
@@ -100,10 +105,12 @@
 
     /// Records a peer entry's load, and notes which full upstreams have capacity again because of
     /// it.
-    pub(in crate::direct) fn record_peer_load(&mut self, now: Moment, load: PeerLoad) {
+    pub(in crate::direct) fn record_peer_load(&mut self, now: Moment, mut load: PeerLoad) {
         let reported_ids: Vec<_> = load.update.rows.iter().map(|(id, _)| id.clone()).collect();
         let full_before: Vec<_> =
             reported_ids.into_iter().filter(|id| !self.has_capacity(now, id)).collect();
+        let paces = std::mem::take(&mut load.update.paces);
+        self.upstreams.record_peer_paces(now, paces);
         self.upstreams.peer_loads.apply_update(now, load);
         for id in full_before {
             if self.has_capacity(now, &id) {
@@ -131,14 +138,16 @@
     ) -> u32 {
         let free_slots =
             limit.saturating_sub(present.requests).min(upstream.conditions.rest.room());
-        if upstream.cooldown_until > now || present.pending_prefill > self.settings.prefill_limit {
+        // What is pending takes longer at an upstream that is slow now.
+        let pending = Millis((present.pending_prefill.0 as f64 * upstream.pace(now)) as u64);
+        if upstream.cooldown_until > now || pending > self.settings.prefill_limit {
             return 0;
         }
         let Some(profile) = self.engine_profile(&upstream.record.service) else {
             return free_slots;
         };
         let usual_prefill = EngineForecast::new(profile).prefill_ms(profile.mean_prompt).max(1.0);
-        let prefill_left = self.settings.prefill_limit.0.saturating_sub(present.pending_prefill.0);
+        let prefill_left = self.settings.prefill_limit.0.saturating_sub(pending.0);
         free_slots.min(((prefill_left as f64 / usual_prefill) as u32).saturating_add(1))
     }
 
@@ -242,6 +251,25 @@
         Millis(START_FORECAST_FACTOR * (forecast.0 + present.pending_prefill.0))
     }
 
+    /// When the request should start at an upstream that states its pace, counted from its sending;
+    /// zero where nothing is stated or no profile allows a forecast.
+    pub(in crate::direct) fn paced_start(
+        &self,
+        now: Moment,
+        state: &RequestState,
+        upstream: &UpstreamState,
+    ) -> Millis {
+        let profile = self.engine_profile(&state.service);
+        let Some(profile) = profile.filter(|_| upstream.pace.sample().is_some()) else {
+            return Millis(0);
+        };
+        let present = self.upstreams.total_load(&upstream.record.id);
+        let forecast =
+            EngineForecast::new(profile).time_to_first_token(present.requests, state.size);
+        let usual = (forecast.0 + present.pending_prefill.0) as f64;
+        Millis((usual * upstream.pace(now)).ceil() as u64)
+    }
+
     /// How long the request occupies an engine that has the load `present`.
     fn service_time(&self, state: &RequestState, present: UpstreamLoad) -> Millis {
         let Some(profile) = self.engine_profile(&state.service) else { return Millis(0) };
--- a/mustardrill_core/src/direct/placement/mod.rs
+++ b/mustardrill_core/src/direct/placement/mod.rs
@@ -4,3 +4,4 @@
 pub(in crate::direct) mod choice;
 pub(in crate::direct) mod forecast;
 pub(in crate::direct) mod load_slot;
+pub(in crate::direct) mod pace;
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -17,6 +17,7 @@
 use crate::direct::fleet::update::{FleetChange, FleetUpdate, PeerRecord};
 use crate::direct::fleet::upstream_table::UpstreamTable;
 use crate::direct::intake::report::IntakeBroadcaster;
+use crate::direct::placement::pace::PaceReport;
 use crate::direct::request::{RequestStage, RequestState};
 use crate::direct::retries::crash_broadcast::CrashBroadcaster;
 use crate::direct::retries::membership::AllowanceMembership;
@@ -263,6 +264,11 @@
         counted.filter(|(own, _)| own.requests > 0).map(|(own, id)| (id, own)).collect()
     }
 
+    /// What upstreams have just stated of their pace, for the broadcast to peers.
+    pub fn pace_reports(&self, now: Moment) -> Vec<PaceReport> {
+        self.upstreams.pace_reports(now)
+    }
+
     /// How many requests wait here for each service, for the broadcast to peers.
     pub fn waiting_counts(&self) -> WaitRows {
         let nonempty = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -75,6 +75,9 @@
     pub(crate) expected_version: Option<WeightVersion>,
     /// How long after its sending the current attempt was expected to start.
     pub(crate) start_forecast: Millis,
+    /// How long after its sending the current attempt should start, by the pace of its upstream;
+    /// zero where that states none.
+    pub(crate) paced_start: Millis,
     /// Whether the answer to the current attempt has started.
     pub(crate) has_started: bool,
     /// Whether the answer to the current attempt stated which request rate its upstream accepts.
@@ -148,6 +151,7 @@
             demanded_version: None,
             expected_version: None,
             start_forecast: Millis(0),
+            paced_start: Millis(0),
             has_started: false,
             has_stated_intake: false,
             superseded_attempt: None,
--- a/mustardrill_core/tests/budgets.rs
+++ b/mustardrill_core/tests/budgets.rs
@@ -132,7 +132,7 @@
 fn entries_heard_from_count_even_where_the_store_does_not_list_them() {
     let mut reducer = entry_of(1);
     for index in 1..36 {
-        let update = LoadUpdate { rows: Vec::new(), is_snapshot: true, waiting: Vec::new() };
+        let update = LoadUpdate { rows: Vec::new(), is_snapshot: true, ..LoadUpdate::default() };
         let load = PeerLoad { from: entry_id(index), update };
         reducer.reduce(START, DirectEvent::PeerLoadReceived(load));
     }
--- a/mustardrill_core/tests/common/retries.rs
+++ b/mustardrill_core/tests/common/retries.rs
@@ -306,7 +306,7 @@
             for entry in self.entries.iter_mut().filter(|it| receivers.contains(&it.id)) {
                 if reaches(entry) {
                     let update =
-                        LoadUpdate { rows: Vec::new(), is_snapshot: true, waiting: Vec::new() };
+                        LoadUpdate { rows: Vec::new(), is_snapshot: true, ..LoadUpdate::default() };
                     let load = PeerLoad { from: from.clone(), update };
                     entry.reducer.reduce(now, DirectEvent::PeerLoadReceived(load));
                 }
--- a/mustardrill_core/tests/common/silences.rs
+++ b/mustardrill_core/tests/common/silences.rs
@@ -296,6 +296,7 @@
                 rows: self.entries[from].outstanding_load(),
                 is_snapshot: true,
                 waiting: self.entries[from].waiting_counts(),
+                paces: self.entries[from].pace_reports(Moment(self.now)),
             };
             for to in (0..self.entries.len()).filter(|to| *to != from) {
                 let load = PeerLoad { from: entry_id(from), update: update.clone() };
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -385,7 +385,7 @@
         update: LoadUpdate {
             rows: vec![("u1".parse().unwrap(), load)],
             is_snapshot: true,
-            waiting: Vec::new(),
+            ..LoadUpdate::default()
         },
     };
     reducer.reduce(START, DirectEvent::PeerLoadReceived(peer_load));
@@ -407,7 +407,12 @@
         let load = UpstreamLoad { requests, pending_prefill: Millis(0) };
         let rows = vec![("u1".parse().unwrap(), load)];
         let waiting = waiting.iter().map(|(name, count)| (name.parse().unwrap(), *count));
-        let update = LoadUpdate { rows, is_snapshot: true, waiting: waiting.collect() };
+        let update = LoadUpdate {
+            rows,
+            is_snapshot: true,
+            waiting: waiting.collect(),
+            ..LoadUpdate::default()
+        };
         DirectEvent::PeerLoadReceived(PeerLoad { from: "entry-2".parse().unwrap(), update })
     };
     reducer.reduce(START, peer_load(9, &[]));
@@ -675,7 +680,7 @@
     let mut full = entry(&[upstream("u1", "pool", 1)]);
     let rows =
         vec![("u1".parse().unwrap(), UpstreamLoad { requests: 16, pending_prefill: Millis(70) })];
-    let update = LoadUpdate { rows, is_snapshot: true, waiting: Vec::new() };
+    let update = LoadUpdate { rows, is_snapshot: true, ..LoadUpdate::default() };
     full.reduce(START, DirectEvent::StoreAnswered(fleet_update(vec![announced]), START));
     full.reduce(late, DirectEvent::StoreAnswered(fleet_update(Vec::new()), late));
     let from = "entry-2".parse().unwrap();
--- a/mustardrill_core/tests/load_broadcast.rs
+++ b/mustardrill_core/tests/load_broadcast.rs
@@ -1,7 +1,9 @@
 //! Load updates between entries: increases are sent at once, decreases after a delay, unchanged
 //! loads only in snapshots.
 
-use mustardrill_core::direct::{LoadBroadcaster, LoadRows, LoadUpdate, UpstreamLoad};
+use mustardrill_core::direct::{
+    LoadBroadcaster, LoadRows, LoadUpdate, PaceReport, UpstreamLoad, WorkPace,
+};
 use mustardrill_types::{FastMap, InstanceId, Millis, Moment};
 use proptest::prelude::*;
 
@@ -44,14 +46,27 @@
 fn a_load_update_with_many_upstreams_is_split_into_parts() {
     let ids: Vec<_> = (0..120).map(|number| format!("u{number}")).collect();
     let all = rows(&ids.iter().map(|id| (id.as_str(), 1)).collect::<Vec<_>>());
-    let update = LoadUpdate { rows: all.clone(), is_snapshot: true, waiting: Vec::new() };
+    let update = LoadUpdate { rows: all.clone(), is_snapshot: true, ..LoadUpdate::default() };
     let parts = update.split(50);
     assert_eq!(parts.iter().map(|part| part.is_snapshot).collect::<Vec<_>>(), [true, false, false]);
     assert_eq!(parts.into_iter().flat_map(|part| part.rows).collect::<LoadRows>(), all);
-    let empty = LoadUpdate { rows: Vec::new(), is_snapshot: true, waiting: Vec::new() };
+    let empty = LoadUpdate { rows: Vec::new(), is_snapshot: true, ..LoadUpdate::default() };
     assert_eq!(empty.clone().split(50), [empty], "an empty snapshot is sent, too");
 }
 
+#[test]
+fn a_pace_travels_without_the_load_of_its_upstream() {
+    let pace = WorkPace::from_percent(250).unwrap();
+    let report = |id: &str| PaceReport { upstream: id.parse().unwrap(), pace, age: Millis(5) };
+    let known: Vec<_> = ["u1", "u2", "u9"].map(report).into();
+    let rows = rows(&[("u1", 1), ("u2", 1), ("u3", 1)]);
+    let update = LoadUpdate { rows, is_snapshot: true, ..LoadUpdate::default() };
+    let update = update.with_paces(&known);
+    assert_eq!(update.paces, known[..2], "only those of listed upstreams are sent");
+    let paces = update.split(1).into_iter().map(|part| part.paces).collect::<Vec<_>>();
+    assert_eq!(paces, [vec![report("u1")], vec![report("u2")], vec![]], "each with its row");
+}
+
 proptest! {
     /// A peer that merges all updates knows the load as it was when the last one was sent.
     #[test]
--- a/mustardrill_core/tests/versions.rs
+++ b/mustardrill_core/tests/versions.rs
@@ -65,7 +65,7 @@
     let now = START + after;
     reducer.reduce(now, DirectEvent::StoreAnswered(fleet_update(Vec::new()), now));
     let rows = vec![("u1".parse().unwrap(), load)];
-    let update = LoadUpdate { rows, is_snapshot: true, waiting: Vec::new() };
+    let update = LoadUpdate { rows, is_snapshot: true, ..LoadUpdate::default() };
     reducer.reduce(
         now,
         DirectEvent::PeerLoadReceived(PeerLoad { from: "entry-2".parse().unwrap(), update }),
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -8,8 +8,8 @@
 use kameo::prelude::*;
 use mustardrill_core::direct::{
     AnnouncementReport, AvailabilitySpan, CallerLimits, DirectEffect, DirectEvent, DirectReducer,
-    DirectRequest, FleetChange, FleetUpdate, IntakeReport, LoadRows, OriginProfile, PeerRecord,
-    RefusalPlan, RequestNumber, SendPlan, StatusRow, WaitRows,
+    DirectRequest, FleetChange, FleetUpdate, IntakeReport, LoadRows, OriginProfile, PaceReport,
+    PeerRecord, RefusalPlan, RequestNumber, SendPlan, StatusRow, WaitRows,
 };
 use mustardrill_core::quarantine::CrashReport;
 use mustardrill_runtime::adapters::{CallDialect, ChunkOrigin, FleetSource};
@@ -126,6 +126,7 @@
     pub(crate) peers: Vec<PeerRecord>,
     pub(crate) outstanding: LoadRows,
     pub(crate) waiting: WaitRows,
+    pub(crate) paces: Vec<PaceReport>,
     pub(crate) crash_reports: Vec<CrashReport>,
     pub(crate) intake_reports: Vec<IntakeReport>,
     /// How often to ask peers for their availability; `None` while there is no need.
@@ -276,6 +277,7 @@
             peers: self.reducer.peers().to_vec(),
             outstanding: self.reducer.outstanding_load(),
             waiting: self.reducer.waiting_counts(),
+            paces: self.reducer.pace_reports(self.context.clock.now()),
             intake_reports: self.reducer.due_intake_reports(self.context.clock.now()),
             crash_reports: self.reducer.due_crash_reports(self.context.clock.now()),
             query_interval: self.reducer.peer_query_interval(self.context.clock.now()),
--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -77,6 +77,7 @@
 /// An upstream's answer whose head was accepted.
 struct AcceptedAnswer {
     head: hyper::http::response::Parts,
+    sent_at: Moment,
     /// When the head arrived.
     head_at: Moment,
     connection: UpstreamConnection,
@@ -234,6 +235,7 @@
                 let has_started = false;
                 let answer = AcceptedAnswer {
                     head,
+                    sent_at,
                     head_at,
                     connection,
                     success,
@@ -281,7 +283,23 @@
             );
         }
         let version = context.adapters.dialect.read_part_version(part).or(answer.version);
-        self.task.report(DirectEvent::AnswerStarted(self.number, answer.load, version)).await;
+        let load = answer.load.map(|load| LoadReport { age: after_head, ..load });
+        self.count_start(context.clock.now().since(answer.sent_at));
+        self.task.report(DirectEvent::AnswerStarted(self.number, load, version)).await;
+    }
+
+    /// Counts how a start compares with its forecast, where the upstream states its pace.
+    fn count_start(&self, after: Millis) {
+        if self.plan.paced_start == Millis(0) {
+            return;
+        }
+        let forecast = self.plan.paced_start.0;
+        let label = match after.0 {
+            after if after > forecast * 2 => "later",
+            after if after * 2 < forecast => "earlier",
+            _ => "forecast",
+        };
+        let _ = self.task.context.metrics.count(&format!("paced_starts.{label}"), 1);
     }
 
     /// Reads a refusal to its end, so that its connection can be reused.
--- a/mustardrill_entry/src/direct/gossip.rs
+++ b/mustardrill_entry/src/direct/gossip.rs
@@ -7,14 +7,12 @@
 
 use kameo::prelude::*;
 use log::warn;
-use mustardrill_core::direct::{
-    DirectEvent, LoadBroadcaster, LoadUpdate, PeerLoad, PeerRecord, UpstreamLoad,
-};
+use mustardrill_core::direct::{DirectEvent, LoadBroadcaster, LoadUpdate, PeerLoad, PeerRecord};
 use mustardrill_runtime::datagram::{
     DATAGRAM_LIMIT, Datagram, IntakeRow, LoadRow, VersionRow, WaitRow, split_crash_rows,
 };
 use mustardrill_runtime::wire::{crash_message, crash_report};
-use mustardrill_types::{Millis, ModelName, Moment, StartStamp, WeightVersion};
+use mustardrill_types::{ModelName, Moment, StartStamp, WeightVersion};
 
 use crate::direct::actor::{DirectActor, DirectContext, Event, GossipQuery};
 use crate::direct::availability::{self, AvailabilityQuerier};
@@ -23,9 +21,9 @@
 /// requests at an upstream, they send theirs there as well.
 const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Upstreams per datagram. A row takes 20 to 25 bytes, so that such a datagram passes every link
-/// without fragmentation.
-const LOAD_ROWS_PER_DATAGRAM: usize = 50;
+/// Upstreams per datagram. A row takes 20 to 25 bytes, and 5 more with a pace, so that such a
+/// datagram passes every link without fragmentation.
+const LOAD_ROWS_PER_DATAGRAM: usize = 40;
 
 /// Limits of upstreams per datagram: a row takes 40 bytes, or 90 with the longest names.
 const INTAKE_ROWS_PER_DATAGRAM: usize = 14;
@@ -123,23 +121,21 @@
             notice: engine.notice(),
         });
     }
-    let loads = datagram.loads.into_iter();
-    let rows = loads.filter_map(|row| Some((row.upstream.parse().ok()?, load_of(&row))));
+    let paces = datagram.loads.iter().filter_map(LoadRow::pace_report).collect();
+    let loads = datagram.loads.iter();
+    let rows = loads.filter_map(|row| Some((row.upstream.parse().ok()?, row.load())));
     let waiting = datagram.waiting.into_iter();
     let waiting = waiting.filter_map(|row| Some((row.service.parse().ok()?, row.count)));
     let update = LoadUpdate {
         rows: rows.collect(),
         is_snapshot: !datagram.partial,
         waiting: waiting.collect(),
+        paces,
     };
     let load = PeerLoad { from: datagram.from.parse().ok()?, update };
     Some(DirectEvent::PeerLoadReceived(load))
 }
 
-fn load_of(row: &LoadRow) -> UpstreamLoad {
-    UpstreamLoad { requests: row.outstanding, pending_prefill: Millis(u64::from(row.prefill_ms)) }
-}
-
 async fn broadcast(actor: ActorRef<DirectActor>, context: Arc<DirectContext>) {
     let (mut broadcaster, mut querier) =
         (LoadBroadcaster::default(), AvailabilityQuerier::default());
@@ -165,6 +161,7 @@
         let Some(update) = broadcaster.next_update(now, reply.outstanding, reply.waiting) else {
             continue;
         };
+        let update = update.with_paces(&reply.paces);
         for part in update.split(LOAD_ROWS_PER_DATAGRAM) {
             send_to_all(&context, &reply.peers, &load_datagram(&context, &part).to_bytes()).await;
         }
@@ -180,10 +177,9 @@
 fn load_datagram(context: &DirectContext, update: &LoadUpdate) -> Datagram {
     let mut datagram = Datagram::new(&context.config.direct.own_id);
     datagram.partial = !update.is_snapshot;
-    let rows = update.rows.iter().map(|(id, load)| LoadRow {
-        upstream: id.to_string(),
-        outstanding: load.requests,
-        prefill_ms: load.pending_prefill.0 as u32,
+    let rows = update.rows.iter().map(|(id, load)| {
+        let pace = update.paces.iter().find(|report| report.upstream == *id);
+        LoadRow::new(id, load, pace)
     });
     datagram.loads = rows.collect();
     let waiting = update.waiting.iter();
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -27,7 +27,7 @@
 }
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 29] = [
+pub const METRICS: [MetricRow; 30] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -64,6 +64,11 @@
         MetricKind::Histogram,
         "Milliseconds from an answer's head to its first part.",
     ),
+    MetricRow::new(
+        "paced_starts",
+        MetricKind::Counter("start"),
+        "Starts at upstreams that state their pace, by whether they came by half earlier than forecast, or later than twice that.",
+    ),
     MetricRow::new(
         "relay_bytes",
         MetricKind::Counter("kind"),
--- a/mustardrill_runtime/src/datagram.rs
+++ b/mustardrill_runtime/src/datagram.rs
@@ -6,7 +6,8 @@
 use std::net::SocketAddr;
 
 use mustardrill_core::direct::{
-    AnnouncementReport, AnnouncementTime, AvailabilitySpan, EngineNotice, IntakeReport,
+    AnnouncementReport, AnnouncementTime, AvailabilitySpan, EngineNotice, IntakeReport, PaceReport,
+    UpstreamLoad, WorkPace,
 };
 use mustardrill_proto::CrashRow;
 use mustardrill_types::{
@@ -163,6 +164,13 @@
     /// Estimated prefill time of the requests whose answer has not started, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub prefill_ms: u32,
+    /// Pace that the upstream has just stated to the entry, in percent of usual; `None` if it has
+    /// stated none, and from entries of an earlier build.
+    #[prost(uint32, optional, tag = "4")]
+    pub pace: Option<u32>,
+    /// Age of that statement, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub pace_age_ms: u32,
 }
 
 /// Which weights an engine serves or is about to load.
@@ -312,6 +320,34 @@
     }
 }
 
+impl LoadRow {
+    /// Encodes the load at an upstream with what it has just stated of its pace.
+    pub fn new(upstream: &InstanceId, load: &UpstreamLoad, pace: Option<&PaceReport>) -> Self {
+        Self {
+            upstream: upstream.to_string(),
+            outstanding: load.requests,
+            prefill_ms: load.pending_prefill.0 as u32,
+            pace: pace.map(|report| report.pace.percent()),
+            pace_age_ms: pace.map_or(0, |report| report.age.0 as u32),
+        }
+    }
+
+    /// Decodes the load.
+    pub fn load(&self) -> UpstreamLoad {
+        let pending_prefill = Millis(u64::from(self.prefill_ms));
+        UpstreamLoad { requests: self.outstanding, pending_prefill }
+    }
+
+    /// Decodes the pace; `None` if there is none or the upstream's id is invalid.
+    pub fn pace_report(&self) -> Option<PaceReport> {
+        Some(PaceReport {
+            pace: WorkPace::from_percent(self.pace?)?,
+            upstream: self.upstream.parse().ok()?,
+            age: Millis(u64::from(self.pace_age_ms)),
+        })
+    }
+}
+
 impl IntakeRow {
     /// Encodes a report.
     pub fn new(report: &IntakeReport) -> Self {
