--- a/mustardrill_core/src/direct/placement/capacity.rs
+++ b/mustardrill_core/src/direct/placement/capacity.rs
@@ -121,7 +121,7 @@
     usual + (candidate.pace - 1.0) * work(candidate)
 }
 
-/// What the request and those before it take at an upstream of usual pace, in the unit of [`cost`].
+/// What the start of the request takes at an upstream of usual pace, in the unit of [`cost`].
 fn work(candidate: &CandidateLoad) -> f64 {
     (candidate.pending_prefill.0 + candidate.own_start.0) as f64 / PREFILL_SCALE_MS
 }
--- a/mustardrill_core/src/direct/placement/choice.rs
+++ b/mustardrill_core/src/direct/placement/choice.rs
@@ -138,16 +138,14 @@
     ) -> u32 {
         let free_slots =
             limit.saturating_sub(present.requests).min(upstream.conditions.rest.room());
-        // What is pending takes longer at an upstream that is slow now.
-        let pending = Millis((present.pending_prefill.0 as f64 * upstream.pace(now)) as u64);
-        if upstream.cooldown_until > now || pending > self.settings.prefill_limit {
+        if upstream.cooldown_until > now || present.pending_prefill > self.settings.prefill_limit {
             return 0;
         }
         let Some(profile) = self.engine_profile(&upstream.record.service) else {
             return free_slots;
         };
         let usual_prefill = EngineForecast::new(profile).prefill_ms(profile.mean_prompt).max(1.0);
-        let prefill_left = self.settings.prefill_limit.0.saturating_sub(pending.0);
+        let prefill_left = self.settings.prefill_limit.0.saturating_sub(present.pending_prefill.0);
         free_slots.min(((prefill_left as f64 / usual_prefill) as u32).saturating_add(1))
     }
 
