--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -38,6 +38,7 @@
 pub use intake::report::IntakeReport;
 pub use locality::regions::RegionMap;
 pub use placement::forecast::{EngineForecast, WorkSize};
+pub use placement::pace::{PaceReport, ParsePaceError, WorkPace};
 pub use reducer::DirectReducer;
 pub use retries::retry_budget::{
     AllowancePart, RetryBound, RetryDecision, RetryGrant, RetryPayment, RetryShare, RetryWindow,
--- a/mustardrill_core/src/direct/placement/choice.rs
+++ b/mustardrill_core/src/direct/placement/choice.rs
@@ -54,6 +54,7 @@
         // The rest of a stream of which the caller has a part does not wait again.
         let late = now >= self.in_time_until(state) && !state.has_delivered;
         let room_rule = self.room_rule(now, state, late);
+        let profile = self.engine_profile(&state.service);
         let mut best: Option<(bool, f64, &InstanceId)> = None;
         for upstream in candidates {
             if is_any_heard && !self.may_try(now, state, upstream) {
@@ -77,6 +78,10 @@
                 slots,
                 pending_prefill: present.pending_prefill,
                 is_remote: upstream.record.data_centre != self.settings.data_centre,
+                pace: upstream.pace(now),
+                own_start: profile.map_or(Millis(0), |profile| {
+                    EngineForecast::new(profile).time_to_first_token(present.requests, state.size)
+                }),
                 failure_share: upstream.failure_rate,
                 tie_breaker: rendezvous::uniform_hash(state.attempt_id.as_bytes(), id.as_str()),
             });
@@ -99,10 +104,12 @@
 
     /// Records a peer entry's load, and notes which full upstreams have capacity again because of
     /// it.
-    pub(in crate::direct) fn record_peer_load(&mut self, now: Moment, load: PeerLoad) {
+    pub(in crate::direct) fn record_peer_load(&mut self, now: Moment, mut load: PeerLoad) {
         let reported_ids: Vec<_> = load.update.rows.iter().map(|(id, _)| id.clone()).collect();
         let full_before: Vec<_> =
             reported_ids.into_iter().filter(|id| !self.has_capacity(now, id)).collect();
+        let paces = std::mem::take(&mut load.update.paces);
+        self.upstreams.record_peer_paces(now, paces);
         self.upstreams.peer_loads.apply_update(now, load);
         for id in full_before {
             if self.has_capacity(now, &id) {
@@ -241,6 +248,25 @@
         Millis(START_FORECAST_FACTOR * (forecast.0 + present.pending_prefill.0))
     }
 
+    /// When the request should start at an upstream that states its pace, counted from its sending;
+    /// zero where nothing is stated or no profile allows a forecast.
+    pub(in crate::direct) fn paced_start(
+        &self,
+        now: Moment,
+        state: &RequestState,
+        upstream: &UpstreamState,
+    ) -> Millis {
+        let profile = self.engine_profile(&state.service);
+        let Some(profile) = profile.filter(|_| upstream.pace.sample().is_some()) else {
+            return Millis(0);
+        };
+        let present = self.upstreams.total_load(&upstream.record.id);
+        let forecast =
+            EngineForecast::new(profile).time_to_first_token(present.requests, state.size);
+        let usual = (forecast.0 + present.pending_prefill.0) as f64;
+        Millis((usual * upstream.pace(now)).ceil() as u64)
+    }
+
     /// How long the request occupies an engine that has the load `present`.
     fn service_time(&self, state: &RequestState, present: UpstreamLoad) -> Millis {
         let Some(profile) = self.engine_profile(&state.service) else { return Millis(0) };
--- a/mustardrill_core/tests/admission.rs
+++ b/mustardrill_core/tests/admission.rs
@@ -232,7 +232,8 @@
         for index in 0..5 {
             let waiting = vec![("pool".parse().unwrap(), peer_waiting)];
             let waiting = if peer_waiting > 0 { waiting } else { Vec::new() };
-            let update = LoadUpdate { rows: Vec::new(), is_snapshot: true, waiting };
+            let update =
+                LoadUpdate { rows: Vec::new(), paces: Vec::new(), is_snapshot: true, waiting };
             let from = format!("entry-{}", index + 2).parse().unwrap();
             reducer.reduce(START, DirectEvent::PeerLoadReceived(PeerLoad { from, update }));
         }
