Arrivals reorder the queue only where kinds differ in urgency

Cause: with the order by urgency each arrival moved late requests back in the queues of all services; before, only dispatching did. Services whose routes have one priority are to be served as before.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -17,7 +17,9 @@
     ) -> Vec<DirectEffect> {
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let service = state.service.clone();
-        self.demote_late(now, &service);
+        if self.is_by_urgency(&service) {
+            self.demote_all_late(now, &service);
+        }
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let rank = state.wait_rank(now >= self.in_time_until(state));
         let first = self.first_unbound(&service);
