Soak: data centres are evacuated and taken back, beside faults

Seeds from 1000000 on play a kind of their own; lower seeds keep kind and random sequence. Workers stand in two data centres, one at a time is evacuated for 1 to 4 s. From 2 s after the store has it until it is taken back, no request of an undisturbed entry may arrive there; the line of a seed says how many were judged.

--- a/mustardrill_standins/tests/prepared/fleet.rs
+++ b/mustardrill_standins/tests/prepared/fleet.rs
@@ -197,8 +197,8 @@
     } else {
         json!([])
     };
-    let entry = json!({"service": service, "address": address, "zone": "hall-a", "version": "v1",
-        "slots": 16, "state": "ready", "cold_remaining_ms": 0, "models": models, "sequence": 1,
+    let entry = json!({"service": service, "address": address, "zone": worker.data_centre(),
+        "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0, "models": models, "sequence": 1,
         "born": worker.born()});
     store.write(&format!("servers/{}", worker.id), &entry);
 }
--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod crash;
 mod endless;
+mod evacuation;
 mod fleet;
 mod framing;
 mod leaving;
--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -6,6 +6,7 @@
 
 mod bounds;
 mod endings;
+mod evacuations;
 
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
@@ -27,6 +28,7 @@
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, block_in_place};
 
+use self::evacuations::Evacuation;
 use crate::crash::{
     CRASHES_UNTIL_QUARANTINE, CRASHING_PATH, ENGINE_RESTART_DELAY, LATE_RUNS_LIMIT,
 };
@@ -82,6 +84,12 @@
 /// Seeds that CI runs with workers that fall silent.
 const SILENCES_SEEDS: [u64; 3] = [48, 112, 304];
 
+/// Seeds that CI runs with evacuations.
+const EVACUATIONS_SEEDS: [u64; 3] = [1_000_001, 1_000_002, 1_000_003];
+
+/// Seeds from this one on run with evacuations; all lower ones belong to the other kinds.
+const FIRST_EVACUATIONS_SEED: u64 = 1_000_000;
+
 /// Range of the length of a silence, in milliseconds.
 const SILENCE_LENGTHS_MS: std::ops::Range<u64> = 300..3_000;
 
@@ -176,7 +184,7 @@
 /// answers.
 const WAITING_CALLERS: u64 = 18;
 
-/// Number of entries: in a standard run, and where each start is judged.
+/// Number of entries: in a standard run, and where each start is judged or a data centre evacuated.
 const ENTRIES: [usize; 2] = [2, 4];
 const ENGINES: u8 = 3;
 const DESKS: u8 = 2;
@@ -205,16 +213,20 @@
     /// entries, agents and configurations change in series. Each start of a request is judged by
     /// the time at which the store accepted the newer version, with no store disturbance excused.
     VersionBounds,
+    /// The operator evacuates one of two data centres and takes it back, in series. Every request
+    /// is judged by where it arrived.
+    Evacuations,
 }
 
 impl SoakKind {
     /// Odd seeds run with late weights, every second even one with a limited worker, every eighth
     /// seed with failing workers, every sixteenth with stating ones, every 32nd with a crashing part
     /// and every 64th, from 48 on, with silences and, from 16 on, with judged starts, except those that were in `SEEDS` before these
-    /// kinds existed: they run as they did then.
+    /// kinds existed: they run as they did then. Seeds from a million on run with evacuations.
     fn of(seed: u64) -> Self {
         match seed % 8 {
             _ if SEEDS.contains(&seed) => Self::Standard,
+            _ if seed >= FIRST_EVACUATIONS_SEED => Self::Evacuations,
             1 | 3 | 5 | 7 => Self::LateWeights,
             2 | 6 => Self::LimitedWorker,
             4 => Self::FailingWorkers,
@@ -227,7 +239,7 @@
     }
 
     fn entries(self) -> usize {
-        ENTRIES[usize::from(self == Self::VersionBounds)]
+        ENTRIES[usize::from(matches!(self, Self::VersionBounds | Self::Evacuations))]
     }
 
     /// Whether the weights are announced at the beginning, and requests wait for newer ones.
@@ -244,7 +256,8 @@
             | Self::StatingWorkers
             | Self::CrashingPart
             | Self::Silences
-            | Self::VersionBounds => VERSION_BOUND,
+            | Self::VersionBounds
+            | Self::Evacuations => VERSION_BOUND,
             Self::LateWeights => LATE_WEIGHTS_VERSION_BOUND,
         }
     }
@@ -286,6 +299,8 @@
     EndWrongReport(usize),
     /// Makes the store answer at once.
     EndStoreDelays,
+    /// The operator takes an evacuated data centre back.
+    TakeBack(&'static str),
 }
 
 /// A period in which an entry may lack what its peers know.
@@ -357,6 +372,8 @@
     /// Periods in which the store was unavailable or links to it were disturbed. The version bound
     /// is counted outside of them; links of plain workers and engines have no influence on it.
     store_disturbances: Vec<Disturbance>,
+    /// Evacuations that the operator requested.
+    evacuations: Vec<Evacuation>,
     /// Announced versions, with the time at which the store accepted each.
     announcements: Vec<(u64, Instant)>,
     /// Restarted entries, with the times.
@@ -428,6 +445,10 @@
         }
         let engines: Vec<_> =
             (0..ENGINES).map(|place| Worker::new(&format!("i-{place}"), 1)).collect();
+        let desks: Vec<_> = (0..DESKS).map(|at| Worker::new(&format!("i-desk-{at}"), 0)).collect();
+        if kind == SoakKind::Evacuations {
+            evacuations::place_workers(&engines, &desks);
+        }
         let (crash_sender, crashes) = mpsc::unbounded_channel();
         let (mut engine_links, mut engine_servers) = (Vec::new(), Vec::new());
         for (place, engine) in engines.iter().enumerate() {
@@ -448,6 +469,8 @@
             let name = format!("agent-{place}");
             let link = store_links[kind.entries()].address;
             let settings = agent_settings(&name, ip, engine_link.address, link);
+            let own = format!("data_centre = {}", engine.data_centre());
+            let settings = settings.replace("data_centre = hall-a", &own);
             let settings = bounds::agent_settings(kind, seed, place, settings);
             engine_servers.push(at.address);
             engine_links.push((engine_link.address, Some(engine_link)));
@@ -455,7 +478,6 @@
             processes.push(ManagedProcess { program, name, settings, starts: 0, process: None });
             stand_ins.push(at);
         }
-        let desks: Vec<_> = (0..DESKS).map(|at| Worker::new(&format!("i-desk-{at}"), 0)).collect();
         // Long enough that a fault of a link or an entry hits calls in progress.
         desks.iter().for_each(|desk| desk.set_answer_delay(Duration::from_millis(20)));
         let mut desk_links = Vec::new();
@@ -491,6 +513,7 @@
             recovery_actions: Vec::new(),
             entry_disturbances: Vec::new(),
             store_disturbances: Vec::new(),
+            evacuations: Vec::new(),
             announcements: Vec::new(),
             starts: Vec::new(),
             entry_addresses: Vec::new(),
@@ -787,6 +810,7 @@
     }
 
     fn rewrite_operator_keys(&self) {
+        self.rewrite_evacuations();
         let keys: &[&str] = if self.revoked.is_some() { &["key-1"] } else { &["key-1", "key-2"] };
         let document = configuration(self.generation, self.origin_address, keys);
         self.store.write("op/config", &document);
@@ -1138,6 +1162,7 @@
                     self.engines[place].set_reported_version(0)
                 }
                 RecoveryAction::EndStoreDelays => self.store.set_delays(0, None),
+                RecoveryAction::TakeBack(data_centre) => self.take_back(data_centre),
             }
         }
     }
@@ -1326,7 +1351,8 @@
                 | SoakKind::FailingWorkers
                 | SoakKind::StatingWorkers
                 | SoakKind::CrashingPart
-                | SoakKind::Silences => ("/drafts/x".to_owned(), CRASHING_PATH),
+                | SoakKind::Silences
+                | SoakKind::Evacuations => ("/drafts/x".to_owned(), CRASHING_PATH),
                 SoakKind::LateWeights | SoakKind::VersionBounds => {
                     (format!("/drafts/x?caller={number}"), "/drafts/x")
                 }
@@ -1394,6 +1420,7 @@
         violations.extend(self.runs_after_deregistration(outcomes));
         violations.extend(self.late_starts(outcomes).0);
         violations.extend(self.requests_against_statements(outcomes));
+        violations.extend(self.requests_to_evacuated(outcomes).0);
         if let Some((count, bound)) = self.limited_requests(outcomes)
             && count > bound
         {
@@ -1587,7 +1614,11 @@
             } else {
                 soak.inject_fault();
             }
-            next = Instant::now() + Duration::from_millis(soak.random.random_range(50..600));
+            let pauses_ms = match soak.kind {
+                SoakKind::Evacuations => evacuations::FAULT_PAUSES_MS,
+                _ => 50..600,
+            };
+            next = Instant::now() + Duration::from_millis(soak.random.random_range(pauses_ms));
         }
         // Answer faults are injected all the while, about four times a second at another worker.
         let has_answer_faults = soak.kind != SoakKind::VersionBounds;
@@ -1600,6 +1631,9 @@
         if soak.kind == SoakKind::Silences {
             soak.inject_silences();
         }
+        if soak.kind == SoakKind::Evacuations {
+            soak.inject_evacuation();
+        }
         if soak.kind.has_late_weights() && soak.delay_random.random_range(0..8) == 0 {
             let engine = soak.delay_random.random_range(0..soak.engines.len());
             soak.change_start_delay(engine);
@@ -1659,7 +1693,7 @@
     };
     let summary = format!(
         "seed {seed} {:?}: {} faults, {} requests, 200: {}, 503: {}, 502: {}, 401: {}, {} started after a \
-         bound, limited {:?}, retries {:?}, said to leave and to rest {:?}, crashes under requests {}, endings {:?}, recovered in {} ms",
+         bound, {} in evacuations judged, limited {:?}, retries {:?}, said to leave and to rest {:?}, crashes under requests {}, endings {:?}, recovered in {} ms",
         soak.kind,
         soak.faults.len(),
         outcomes.len(),
@@ -1668,6 +1702,7 @@
         count(502),
         count(401),
         soak.late_starts(&outcomes).1,
+        soak.requests_to_evacuated(&outcomes).1,
         soak.limited_requests(&outcomes),
         soak.retries_at_desks(&outcomes),
         soak.statement_counts(),
@@ -1757,6 +1792,14 @@
     }
 }
 
+/// Runs the CI seeds with evacuations in parallel to the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_seeded_soak_with_evacuations_keeps_the_promises() {
+    if number("SOAK_SEED").is_none() {
+        run_seeds(&EVACUATIONS_SEEDS).await;
+    }
+}
+
 async fn run_seeds(seeds: &[u64]) {
     let span = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(DEFAULT_FAULT_SECONDS));
     let mut failed = Vec::new();
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -171,6 +171,8 @@
     crash: Option<CrashTrigger>,
     crash_runs: Vec<(String, Instant)>,
     born: u64,
+    /// The data centre that registrations name.
+    data_centre: &'static str,
 }
 
 /// What the requests that crash a worker have in common.
@@ -241,6 +243,7 @@
             crash: None,
             crash_runs: Vec::new(),
             born: FIRST_BORN_MS,
+            data_centre: "hall-a",
         };
         Self { id: id.into(), state: Arc::new(Mutex::new(state)) }
     }
@@ -252,6 +255,15 @@
         worker
     }
 
+    /// Makes later registrations name another data centre than `hall-a`.
+    pub fn set_data_centre(&self, data_centre: &'static str) {
+        self.state.lock().unwrap().data_centre = data_centre;
+    }
+
+    pub fn data_centre(&self) -> &'static str {
+        self.state.lock().unwrap().data_centre
+    }
+
     pub fn set_fault(&self, fault: WorkerFault, count: u32) {
         let mut state = self.state.lock().unwrap();
         state.fault = fault;
