--- a/mustardrill_core/src/quarantine/mod.rs
+++ b/mustardrill_core/src/quarantine/mod.rs
@@ -29,7 +29,7 @@
 use crate::quarantine::evidence::CrashEvidence;
 pub use crate::quarantine::part_quarantines::PartBlock;
 use crate::quarantine::part_quarantines::PartQuarantines;
-use crate::quarantine::part_suspects::{CrashId, PartSuspects, PartVerdict, is_after_crash};
+use crate::quarantine::part_suspects::{CrashId, PartSuspects, PartVerdict};
 pub use crate::quarantine::report::{CrashReport, CrashedRun, QuarantineSubject, VerdictSource};
 use crate::quarantine::sound_parts::SoundParts;
 
@@ -126,16 +126,6 @@
 
     /// Records a run during which the upstream crashed; returns whether it was not known yet.
     pub fn record_crash(&mut self, now: Moment, run: CrashedRun) -> bool {
-        if self.part_suspects.is_sent_after_crash(&run) {
-            info!(
-                "quarantine digest={} instance={} start={} outcome=ignored reason=sent-after-crash",
-                run.digest, run.upstream, run.start
-            );
-            return false;
-        }
-        if self.part_suspects.advance_crash(&run) {
-            self.drop_runs_after_crash(&run);
-        }
         if self.suspects.get(&run.digest).is_some_and(|record| record.contains(&run)) {
             return false;
         }
@@ -390,18 +380,6 @@
         });
     }
 
-    /// Drops the runs that were sent to the incarnation of `first` after that run had ended with its
-    /// crash.
-    fn drop_runs_after_crash(&mut self, first: &CrashedRun) {
-        let settle = self.settle;
-        self.suspects.retain(|_, record| {
-            record.runs.retain(|run| {
-                !run.is_same_crash(first) || !is_after_crash(run.sent, first.ended, settle)
-            });
-            !record.runs.is_empty()
-        });
-    }
-
     /// Whether another request that was present at the crash is at least as likely the cause.
     fn is_explained(&self, now: Moment, run: &CrashedRun, evidence: CrashEvidence) -> bool {
         self.suspects.iter().any(|(digest, other)| {
--- a/mustardrill_core/src/quarantine/part_suspects.rs
+++ b/mustardrill_core/src/quarantine/part_suspects.rs
@@ -39,10 +39,6 @@
 /// Time between crashes that have different reasons: a loss of power is observed within less.
 const MOMENT_GAP: Millis = Millis(50);
 
-/// For how long requests may be sent to an upstream that has crashed; one that takes them later was
-/// wrongly reported as crashed.
-const STALE_START_SPAN: Millis = Millis(8_000);
-
 /// Interval at which expired records are dropped; a crash is reported many times.
 const EXPIRY_INTERVAL: Millis = Millis(1_000);
 
@@ -73,12 +69,11 @@
 /// One crash, and what was present at it.
 #[derive(Debug)]
 struct CrashRecord {
-    /// When the first of its runs ended, by the reports so far.
     ended: Moment,
     /// When the last of its runs ended, by the reports so far.
     last_ended: Moment,
-    /// The requests that were running, with the moment when each was first sent.
-    contents: FastMap<RequestDigest, Moment>,
+    /// The requests that were running.
+    contents: FastSet<RequestDigest>,
     /// Whether any of them has parts that may be the cause.
     has_parts: bool,
 }
@@ -137,12 +132,11 @@
         let record = self.crashes.entry(crash.clone()).or_insert_with(|| CrashRecord {
             ended: run.ended,
             last_ended: run.ended,
-            contents: FastMap::default(),
+            contents: FastSet::default(),
             has_parts: false,
         });
         record.last_ended = record.last_ended.max(run.ended);
-        let sent = record.contents.entry(run.digest).or_insert(run.sent);
-        *sent = run.sent.min(*sent);
+        record.contents.insert(run.digest);
         record.has_parts |= !run.parts.is_empty();
         let suspects = run.parts.iter().filter(|part| !sound.is_sound(*part, run.ended));
         let parts: PartSet = suspects.collect();
@@ -164,32 +158,6 @@
         }
     }
 
-    /// Whether a run was sent after its upstream had crashed, so that it did not cause the crash.
-    pub(super) fn is_sent_after_crash(&self, run: &CrashedRun) -> bool {
-        let record = self.crashes.get(&(run.upstream.clone(), run.start));
-        record.is_some_and(|record| is_after_crash(run.sent, record.ended, self.settle))
-    }
-
-    /// Moves a known crash to the end of `run` where that is earlier, and forgets the runs that were
-    /// sent after it. Returns whether the crash was moved.
-    pub(super) fn advance_crash(&mut self, run: &CrashedRun) -> bool {
-        let crash = (run.upstream.clone(), run.start);
-        let settle = self.settle;
-        let Some(record) = self.crashes.get_mut(&crash) else { return false };
-        if record.ended <= run.ended {
-            return false;
-        }
-        record.ended = run.ended;
-        record.contents.retain(|_, sent| !is_after_crash(*sent, run.ended, settle));
-        self.records.retain(|_, runs| {
-            runs.retain(|known| {
-                known.crash != crash || !is_after_crash(known.sent, run.ended, settle)
-            });
-            !runs.is_empty()
-        });
-        true
-    }
-
     /// Forgets the crashes of parts that have been answered; returns those that had any.
     pub(super) fn clear(&mut self, parts: &PartSet, sound: &SoundParts) -> PartSet {
         let is_cleared = |part: &PartId| {
@@ -430,12 +398,6 @@
     }
 }
 
-/// Whether a request that was sent at `sent` found its upstream crashed already. Moments that other
-/// entries reported are up to `settle` late.
-pub(super) fn is_after_crash(sent: Moment, crashed: Moment, settle: Millis) -> bool {
-    sent > crashed + settle && sent <= crashed + STALE_START_SPAN
-}
-
 /// How many of the crashes happened at moments that are `MOMENT_GAP` apart.
 fn distinct_moments(spans: &[(Moment, Moment)]) -> usize {
     let mut ended: Vec<_> = spans.iter().map(|(_, ended)| *ended).collect();
