--- a/mustardrill_standins/tests/crashes.rs
+++ b/mustardrill_standins/tests/crashes.rs
@@ -64,7 +64,7 @@
         }
         let other =
             draft(&lab, entry, None, "another prompt").await.expect("the other call is answered");
-        assert_eq!(other.headers["mustardrill-code"], "1000");
+        assert_eq!(other.headers["mustardrill-code"], "1000", "{}", lab.logs());
     }
     assert_eq!(crash_count(&mut lab), before);
 }
