--- a/mustardrill_standins/tests/deployment.rs
+++ b/mustardrill_standins/tests/deployment.rs
@@ -3,6 +3,7 @@
 
 use std::path::{Path, PathBuf};
 
+use mustardrill_core::direct::WarmupBound;
 use mustardrill_entry::direct::DirectConfig;
 use mustardrill_runtime::settings::{PlatformKind, SettingsReader};
 use mustardrill_types::{Millis, RegionName};
@@ -31,6 +32,10 @@
 /// The region of each data centre, as the platform provides them.
 const ZONES: [(&str, &str); 2] = [("hall-a", "north"), ("hall-b", "south")];
 
+/// Fields that only platforms with cold upstreams provide, and a value for them.
+const OPTIONAL_FIELDS: [&str; 2] = ["bounds.cold_overshoot", "bounds.cold_tolerance"];
+const OPTIONAL_VALUE: &str = "1.5";
+
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap().to_owned()
 }
@@ -49,10 +54,22 @@
         let rows = ZONES.map(|(zone, region)| row.replace("{{@}}", zone).replace("{{.}}", region));
         text = [before, &rows.concat(), after].concat();
     }
+    for field in OPTIONAL_FIELDS {
+        text = render_optional(&text, field, OPTIONAL_VALUE);
+    }
     assert!(!text.contains("{{"), "placeholder without a value in {name}:\n{text}");
     SettingsReader::read(name, &text).unwrap()
 }
 
+/// Renders the section of a field that not every platform provides.
+fn render_optional(text: &str, field: &str, value: &str) -> String {
+    let (begin, end) = (format!("{{{{#{field}}}}}"), format!("{{{{/{field}}}}}"));
+    let Some((before, rest)) = text.split_once(&begin) else { return text.to_owned() };
+    let (section, after) = rest.split_once(&end).expect("the section ends");
+    let section = section.replace(&format!("{{{{{field}}}}}"), value);
+    [before, &section, after].concat()
+}
+
 fn entry_config() -> DirectConfig {
     let outcome = mustardrill_entry::direct::read(render_template("deploy/entry.ini"));
     assert_eq!(outcome.warnings, []);
@@ -79,6 +96,7 @@
         let known = config.direct.regions.region_of(&zone.parse().unwrap());
         assert_eq!(known.map(RegionName::as_str), Some(region));
     }
+    assert_eq!(config.direct.warmup_bound, WarmupBound { overshoot: 1.5, tolerance: 1.5 });
     assert!(config.linger < config.grace);
     assert_ne!(config.metrics, None);
 }
