Simplify what the parts for hard load computed twice

No behaviour changes. Read over the whole change: - Which upstreams have crashed was collected as a set of ids ten times a second; the loop that uses it reads the state itself. - Evacuations were asked for twice of each candidate; the send still asks once more. The guard of regions takes out the check itself. - The start of a request at usual pace was forecast in three places, and for candidates without a stated pace in vain. - Waiting requests ahead of a new one had a forecast each before those behind it were displaced. - Two readers of spans in headers were one but for the unit. - dispatch looked its request and target up once more than needed; is_by_urgency is ranks_by_urgency; demote_late is private again.

--- a/mustardrill_core/src/direct/admission/policy.rs
+++ b/mustardrill_core/src/direct/admission/policy.rs
@@ -22,7 +22,7 @@
 
 impl DirectReducer {
     /// Whether the kinds of requests of a service differ in urgency.
-    pub(in crate::direct) fn is_by_urgency(&self, service: &ServiceName) -> bool {
+    pub(in crate::direct) fn ranks_by_urgency(&self, service: &ServiceName) -> bool {
         self.document.as_ref().is_some_and(|it| it.has_unlike_priorities(service))
     }
 
@@ -59,7 +59,7 @@
     /// Records that a request arrived for a service whose kinds differ in urgency.
     pub(in crate::direct) fn record_demand(&mut self, now: Moment, number: RequestNumber) {
         let Some(state) = self.requests.get(&number) else { return };
-        if self.is_by_urgency(&state.service) {
+        if self.ranks_by_urgency(&state.service) {
             let (service, urgency) = (state.service.clone(), state.urgency);
             self.demands.entry(service).or_default().record_arrival(now, urgency);
         }
@@ -68,7 +68,7 @@
     /// Records that a request is sent; its wait may show a lack of room.
     pub(in crate::direct) fn record_room(&mut self, now: Moment, number: RequestNumber) {
         let Some(state) = self.requests.get(&number) else { return };
-        if !self.is_by_urgency(&state.service) {
+        if !self.ranks_by_urgency(&state.service) {
             return;
         }
         let is_first = state.tried_upstreams.is_empty();
@@ -93,7 +93,7 @@
         expected: Millis,
     ) {
         let Some(state) = self.requests.get(&number) else { return };
-        if !self.is_by_urgency(&state.service) {
+        if !self.ranks_by_urgency(&state.service) {
             return;
         }
         let service = state.service.clone();
@@ -115,7 +115,7 @@
     /// to start.
     pub(in crate::direct) fn overdue_retry(&self, now: Moment, number: RequestNumber) -> Millis {
         let Some(state) = self.requests.get(&number) else { return MIN_FULL_RETRY };
-        if !self.is_by_urgency(&state.service) {
+        if !self.ranks_by_urgency(&state.service) {
             return MIN_FULL_RETRY;
         }
         let ahead = self.queues.get(&state.service).map_or(0, |queue| queue.len());
@@ -161,16 +161,16 @@
         service: &ServiceName,
         rank: &WaitRank,
     ) -> Vec<DirectEffect> {
-        if !self.is_by_urgency(service) {
+        if !self.ranks_by_urgency(service) {
             return Vec::new();
         }
         let Some(queue) = self.queues.get(service) else { return Vec::new() };
-        let waiting: Vec<_> = queue.iter().collect();
-        let (mut effects, mut ahead) = (Vec::new(), 0);
-        for (waiting_rank, until) in waiting {
+        let behind: Vec<_> = queue.behind(Some(*rank)).collect();
+        let (mut effects, mut ahead) = (Vec::new(), queue.ahead(rank) + 1);
+        for (waiting_rank, until) in behind {
             let Some(state) = self.requests.get(&waiting_rank.number) else { continue };
             let expected = self.expected_wait(now, state, ahead);
-            if waiting_rank > *rank && now + expected > until {
+            if now + expected > until {
                 info!(
                     "request={} decision=displace urgency={} ahead={ahead} expected={expected} limit={}",
                     state.attempt_id,
--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -17,7 +17,7 @@
     ) -> Vec<DirectEffect> {
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let service = state.service.clone();
-        if self.is_by_urgency(&service) {
+        if self.ranks_by_urgency(&service) {
             self.demote_all_late(now, &service);
         }
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
@@ -55,6 +55,7 @@
         if !self.confirm_grant(now, number) {
             return self.refuse_full(now, number, MIN_FULL_RETRY);
         }
+        self.record_room(now, number);
         let Some(state) = self.requests.get(&number) else { return Vec::new() };
         let Some(target) = self.upstreams.get(&upstream) else { return Vec::new() };
         let address = target.record.address;
@@ -112,9 +113,6 @@
                 superseded_attempt.usable_until.since(now),
             );
         }
-        self.record_room(now, number);
-        let Some(state) = self.requests.get(&number) else { return Vec::new() };
-        let Some(target) = self.upstreams.get(&upstream) else { return Vec::new() };
         let prefill_time = self.prefill_time(state);
         let start = target.start();
         let attempt_id = state.attempt_id.clone();
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -4,7 +4,7 @@
 
 use log::info;
 use mustardrill_types::{
-    FastMap, FastSet, InstanceId, Millis, ModelName, Moment, ServiceName, StartStamp, WeightVersion,
+    FastMap, InstanceId, Millis, ModelName, Moment, ServiceName, StartStamp, WeightVersion,
 };
 
 use crate::direct::event::{AttemptOutcome, EngineNotice, LoadReport, UpstreamLoad};
@@ -294,14 +294,6 @@
         self.states.values().filter(|state| state.conditions.intake_limit.rate().is_some()).count()
     }
 
-    /// Returns the upstreams that this entry does not send to for the moment and that may have become
-    /// cold meanwhile. An ejection or a lapsed registration is no sign of that: whole fleets are
-    /// unreachable or unregistered for a moment, and limiting all of them takes room from callers.
-    pub(crate) fn missed(&self, now: Moment) -> FastSet<InstanceId> {
-        let missed = self.states.values().filter(|state| state.crashed_until > now);
-        missed.map(|state| state.record.id.clone()).collect()
-    }
-
     /// Counts the upstreams that are cold and whose service limits the rate meanwhile.
     pub(crate) fn cold_count(&self) -> usize {
         self.states.values().filter(|state| state.conditions.intake_limit.is_cold()).count()
--- a/mustardrill_core/src/direct/locality/mod.rs
+++ b/mustardrill_core/src/direct/locality/mod.rs
@@ -13,8 +13,8 @@
 use crate::direct::waiting::queue::WaitRank;
 
 impl DirectReducer {
-    /// Whether a request may be sent to an upstream: a hard filter wherever an upstream is counted,
-    /// waited for or chosen.
+    /// Whether a request may be sent to an upstream, checked once more when it is sent. Upstreams
+    /// that are counted, waited for or chosen come without those in evacuated data centres.
     pub(in crate::direct) fn is_permitted(
         &self,
         state: &RequestState,
@@ -36,8 +36,7 @@
         now: Moment,
         state: &RequestState,
     ) -> Vec<&UpstreamState> {
-        let is_permitted = |upstream: &UpstreamState| self.is_permitted(state, upstream);
-        self.upstreams.usable_among(now, &state.service, is_permitted)
+        self.upstreams.usable_among(now, &state.service, |it| self.is_in_region(state, it))
     }
 
     /// The permitted upstreams that want no requests from this entry for a while.
@@ -47,7 +46,7 @@
         state: &RequestState,
     ) -> impl Iterator<Item = &UpstreamState> {
         let resting = self.upstreams.resting(now, &state.service);
-        resting.filter(|upstream| self.is_permitted(state, upstream))
+        resting.filter(|upstream| self.is_in_region(state, upstream))
     }
 
     /// The permitted upstreams that accept requests from this entry.
@@ -57,7 +56,7 @@
         state: &RequestState,
     ) -> impl Iterator<Item = &UpstreamState> {
         let awake = self.upstreams.awake(now, &state.service);
-        awake.filter(|upstream| self.is_permitted(state, upstream))
+        awake.filter(|upstream| self.is_in_region(state, upstream))
     }
 
     /// The number of slots of the permitted upstreams that accept requests from this entry and do
@@ -70,8 +69,8 @@
 
     /// Whether a permitted upstream is loading weights or is about to.
     pub(in crate::direct) fn is_loading_for(&self, now: Moment, state: &RequestState) -> bool {
-        let loading = self.upstreams.loading(now, &state.service);
-        loading.into_iter().any(|upstream| self.is_permitted(state, upstream))
+        let mut loading = self.upstreams.loading(now, &state.service);
+        loading.any(|upstream| self.is_in_region(state, upstream))
     }
 
     /// The first waiting request of a service that is bound to no regions. It goes before later ones
@@ -92,7 +91,7 @@
         passed_over: Option<WaitRank>,
         full: &[RegionLimits],
     ) -> Option<WaitRank> {
-        self.queues.get(service)?.behind(passed_over).find(|rank| {
+        self.queues.get(service)?.behind(passed_over).map(|(rank, _)| rank).find(|rank| {
             let state = self.requests.get(&rank.number);
             state.is_none_or(|state| !full.contains(&state.region_limits))
         })
--- a/mustardrill_core/src/direct/placement/capacity.rs
+++ b/mustardrill_core/src/direct/placement/capacity.rs
@@ -80,8 +80,8 @@
     pub(crate) is_remote: bool,
     /// How long work takes there compared with usual.
     pub(crate) pace: f64,
-    /// When the request would start there at usual pace, with no prefill ahead of it.
-    pub(crate) own_start: Millis,
+    /// When the request would start there at usual pace; zero where the pace is usual.
+    pub(crate) usual_start: Millis,
     /// The share of its recent answers that failed.
     pub(crate) failure_share: f64,
     /// A pseudo-random number in [0, 1), different for each pair of request and upstream.
@@ -118,10 +118,6 @@
     let prefill = candidate.pending_prefill.0 as f64 / PREFILL_SCALE_MS;
     let spread = candidate.tie_breaker * EQUAL_LOAD_REQUESTS / f64::from(candidate.slots.max(1));
     let usual = slots_taken + prefill + remote + candidate.failure_share * FAILURE_PENALTY + spread;
-    usual + (candidate.pace - 1.0) * work(candidate)
-}
-
-/// What the start of the request takes at an upstream of usual pace, in the unit of [`cost`].
-fn work(candidate: &CandidateLoad) -> f64 {
-    (candidate.pending_prefill.0 + candidate.own_start.0) as f64 / PREFILL_SCALE_MS
+    let start = candidate.usual_start.0 as f64 / PREFILL_SCALE_MS;
+    usual + (candidate.pace - 1.0) * start
 }
--- a/mustardrill_core/src/direct/placement/choice.rs
+++ b/mustardrill_core/src/direct/placement/choice.rs
@@ -54,7 +54,6 @@
         // The rest of a stream of which the caller has a part does not wait again.
         let late = now >= self.in_time_until(state) && !state.has_delivered;
         let room_rule = self.room_rule(now, state, late);
-        let profile = self.engine_profile(&state.service);
         let mut best: Option<(bool, f64, &InstanceId)> = None;
         for upstream in candidates {
             if is_any_heard && !self.may_try(now, state, upstream) {
@@ -79,9 +78,11 @@
                 pending_prefill: present.pending_prefill,
                 is_remote: upstream.record.data_centre != self.settings.data_centre,
                 pace: upstream.pace(now),
-                own_start: profile.map_or(Millis(0), |profile| {
-                    EngineForecast::new(profile).time_to_first_token(present.requests, state.size)
-                }),
+                usual_start: if upstream.pace.is_stated() {
+                    self.usual_start(state, present)
+                } else {
+                    Millis(0)
+                },
                 failure_share: upstream.failure_rate,
                 tie_breaker: rendezvous::uniform_hash(state.attempt_id.as_bytes(), id.as_str()),
             });
@@ -241,11 +242,17 @@
         state: &RequestState,
         upstream: &UpstreamState,
     ) -> Millis {
-        let Some(profile) = self.engine_profile(&state.service) else { return Millis(0) };
         let present = self.upstreams.total_load(&upstream.record.id);
+        Millis(START_FORECAST_FACTOR * self.usual_start(state, present).0)
+    }
+
+    /// The time to first token of a request sent now to an engine of usual pace that has the load
+    /// `present`; zero where no profile allows a forecast.
+    fn usual_start(&self, state: &RequestState, present: UpstreamLoad) -> Millis {
+        let Some(profile) = self.engine_profile(&state.service) else { return Millis(0) };
         let forecast =
             EngineForecast::new(profile).time_to_first_token(present.requests, state.size);
-        Millis(START_FORECAST_FACTOR * (forecast.0 + present.pending_prefill.0))
+        Millis(forecast.0 + present.pending_prefill.0)
     }
 
     /// When the request should start at an upstream that states its pace, counted from its sending;
@@ -256,14 +263,11 @@
         state: &RequestState,
         upstream: &UpstreamState,
     ) -> Millis {
-        let profile = self.engine_profile(&state.service);
-        let Some(profile) = profile.filter(|_| upstream.pace.sample().is_some()) else {
+        if !upstream.pace.is_stated() {
             return Millis(0);
-        };
+        }
         let present = self.upstreams.total_load(&upstream.record.id);
-        let forecast =
-            EngineForecast::new(profile).time_to_first_token(present.requests, state.size);
-        let usual = (forecast.0 + present.pending_prefill.0) as f64;
+        let usual = self.usual_start(state, present).0 as f64;
         Millis((usual * upstream.pace(now)).ceil() as u64)
     }
 
--- a/mustardrill_core/src/direct/placement/pace.rs
+++ b/mustardrill_core/src/direct/placement/pace.rs
@@ -172,9 +172,9 @@
         stated_factor * slowed.max(1.0)
     }
 
-    /// The last stated pace, from whomever it came.
-    pub(crate) fn sample(&self) -> Option<PaceSample> {
-        self.stated
+    /// Whether the upstream has stated its pace, to this entry or to a peer.
+    pub(crate) fn is_stated(&self) -> bool {
+        self.stated.is_some()
     }
 
     /// The estimate with its source, for log lines.
--- a/mustardrill_core/src/direct/route.rs
+++ b/mustardrill_core/src/direct/route.rs
@@ -23,7 +23,7 @@
     by_host: FastMap<Box<str>, Vec<usize>>,
     by_key: FastMap<Box<str>, usize>,
     /// The services to which routes of unlike priorities lead.
-    by_urgency: FastSet<ServiceName>,
+    unlike_services: FastSet<ServiceName>,
 }
 
 /// Maps requests of one host and path prefix to services.
@@ -177,8 +177,8 @@
         for (index, customer) in customers.iter().enumerate() {
             by_key.extend(customer.api_keys.iter().map(|key| (key.clone(), index)));
         }
-        let by_urgency = services_of_unlike_priorities(&routes);
-        Self { generation, limits, routes, services, customers, by_host, by_key, by_urgency }
+        let unlike_services = services_of_unlike_priorities(&routes);
+        Self { generation, limits, routes, services, customers, by_host, by_key, unlike_services }
     }
 
     /// The route of `host` with the longest prefix of `path`. The port of `host` and its letter
@@ -210,7 +210,7 @@
 
     /// Whether routes of unlike priorities lead to a service.
     pub fn has_unlike_priorities(&self, service: &ServiceName) -> bool {
-        self.by_urgency.contains(service)
+        self.unlike_services.contains(service)
     }
 
     /// The origin of weights: a service that is configured as one.
--- a/mustardrill_core/src/direct/waiting/queue.rs
+++ b/mustardrill_core/src/direct/waiting/queue.rs
@@ -46,10 +46,11 @@
         self.ranks.keys().next().copied()
     }
 
-    /// The waiting requests behind `rank` in their order; all of them where that is `None`.
-    pub fn behind(&self, rank: Option<WaitRank>) -> impl Iterator<Item = WaitRank> {
+    /// The waiting requests behind `rank` in their order, each with the end of its wait; all of them
+    /// where that is `None`.
+    pub fn behind(&self, rank: Option<WaitRank>) -> impl Iterator<Item = (WaitRank, Moment)> {
         let start = rank.map_or(Bound::Unbounded, Bound::Excluded);
-        self.ranks.range((start, Bound::Unbounded)).map(|(rank, _)| *rank)
+        self.ranks.range((start, Bound::Unbounded)).map(|(rank, until)| (*rank, *until))
     }
 
     /// Moves a request to another rank; the end of its wait stays.
@@ -71,7 +72,7 @@
 
     /// The waiting requests in their order, each with the end of its wait.
     pub fn iter(&self) -> impl Iterator<Item = (WaitRank, Moment)> {
-        self.ranks.iter().map(|(rank, until)| (*rank, *until))
+        self.behind(None)
     }
 
     /// How many requests wait.
--- a/mustardrill_core/src/direct/waiting/wait_policy.rs
+++ b/mustardrill_core/src/direct/waiting/wait_policy.rs
@@ -60,14 +60,12 @@
             return self.refuse_full(now, number, expected);
         }
         let service = state.service.clone();
-        let mut effects = Vec::new();
         self.queues.entry(service.clone()).or_default().push(rank, until);
         if let Some(state) = self.requests.get_mut(&number) {
             state.stage = RequestStage::Waiting(rank);
         }
         self.record_backlog(now, &service);
-        effects.extend(self.displace_behind(now, &service, &rank));
-        effects
+        self.displace_behind(now, &service, &rank)
     }
 
     /// Until when a request waits for an upstream, whether or not it can still meet its objective.
@@ -82,7 +80,7 @@
     pub(in crate::direct) fn in_time_until(&self, state: &RequestState) -> Moment {
         let share = state.objective_span().0 * u64::from(self.settings.in_time_percent) / 100;
         let by_share = state.arrived_at + Millis(share);
-        if self.is_by_urgency(&state.service) {
+        if self.ranks_by_urgency(&state.service) {
             return by_share.max(self.useful_until(state));
         }
         by_share
@@ -136,7 +134,7 @@
         let entries = self.peers().len() + 1;
         let slots = f64::from(self.unlimited_slots(now, state));
         let profile_rate = slots * 1_000.0 / service_ms;
-        if self.is_by_urgency(service) {
+        if self.ranks_by_urgency(service) {
             return self.start_forecast_behind(now, state, ahead, profile_rate).expected_wait();
         }
         let by_slots = profile_rate / entries as f64;
@@ -228,8 +226,8 @@
 
     /// Moves requests that can't meet their objective any more behind those that can. Served in
     /// order of arrival alone, a queue that is slightly too long makes every request late.
-    pub(in crate::direct) fn demote_late(&mut self, now: Moment, service: &ServiceName) {
-        if self.is_by_urgency(service) {
+    fn demote_late(&mut self, now: Moment, service: &ServiceName) {
+        if self.ranks_by_urgency(service) {
             return self.demote_all_late(now, service);
         }
         while let Some(rank) = self.queues.get(service).and_then(|queue| queue.first()) {
--- a/mustardrill_core/src/direct/warmup/period.rs
+++ b/mustardrill_core/src/direct/warmup/period.rs
@@ -60,11 +60,8 @@
     }
 
     /// What the present period rests on, for the log.
-    pub(crate) fn source_name(&self) -> Box<str> {
-        match self.source {
-            Some(source) if !self.is_missed => source.to_string().into(),
-            _ => WarmupSource::Return.to_string().into(),
-        }
+    pub(crate) fn source(&self) -> WarmupSource {
+        self.source.filter(|_| !self.is_missed).unwrap_or(WarmupSource::Return)
     }
 
     fn is_cold(&self, now: Moment) -> bool {
--- a/mustardrill_core/src/direct/warmup/record.rs
+++ b/mustardrill_core/src/direct/warmup/record.rs
@@ -29,13 +29,11 @@
     /// Sets what each upstream takes, by whether it is cold.
     pub(in crate::direct) fn update_warmups(&mut self, now: Moment) {
         let Some(document) = &self.document else { return };
-        let missed = self.upstreams.missed(now);
         for upstream in self.upstreams.iter_mut() {
             let profile = document.service(&upstream.record.service);
             let limit = profile.and_then(|profile| profile.warmup);
             if let Some(limit) = &limit {
-                let is_missed = missed.contains(&upstream.record.id);
-                record_presence(now, upstream, limit, is_missed);
+                record_presence(now, upstream, limit);
             }
             let cold_limit = limit.and_then(|limit| {
                 let until = upstream.conditions.warmup.cold_until(now, limit.duration)?;
@@ -51,13 +49,12 @@
 
 /// Notes whether an upstream is gone for the moment, or is back: it may have become cold meanwhile,
 /// and its registration tells so later than its first answers.
-fn record_presence(
-    now: Moment,
-    upstream: &mut UpstreamState,
-    limit: &WarmupLimit,
-    is_missed: bool,
-) {
-    if is_missed {
+///
+/// Only a crash counts. An ejection or a lapsed registration is no sign that one may be cold: whole
+/// fleets are unreachable or unregistered for a moment, and limiting all of them takes room from
+/// callers.
+fn record_presence(now: Moment, upstream: &mut UpstreamState, limit: &WarmupLimit) {
+    if upstream.crashed_until > now {
         upstream.conditions.warmup.record_missed();
     } else {
         upstream.conditions.warmup.record_return(now, limit.duration);
@@ -72,7 +69,7 @@
              source={}",
             rate.rate,
             rate.pacing.senders,
-            upstream.conditions.warmup.source_name(),
+            upstream.conditions.warmup.source(),
         ),
         None => info!("warmup instance={id} start={start} outcome=warm"),
     }
