--- a/mustardrill_core/tests/admission.rs
+++ b/mustardrill_core/tests/admission.rs
@@ -5,12 +5,9 @@
 use mustardrill_core::direct::{
     AttemptOutcome, CallerLimits, CustomerRecord, DirectEffect, DirectEvent, DirectReducer,
     DirectRequest, DirectSettings, EngineProfile, FleetChange, FleetUpdate, LoadUpdate, PeerLoad,
-    RepeatRule, RequestNumber, RouteDocument, RouteRule, ServedWeights, ServiceProfile,
-    UpstreamRecord, WarmupReport, WorkSize,
-};
-use mustardrill_types::{
-    FastMap, Generation, Millis, Moment, StartStamp, StoreRevision, WeightVersion,
+    RepeatRule, RequestNumber, RouteDocument, RouteRule, ServiceProfile, WorkSize,
 };
+use mustardrill_types::{FastMap, Generation, Millis, Moment, StoreRevision};
 use proptest::prelude::*;
 
 mod common;
@@ -70,18 +67,7 @@
 }
 
 fn engine(index: u8) -> FleetChange {
-    let served = ServedWeights { model: "m".parse().unwrap(), version: WeightVersion(1) };
-    FleetChange::Upstream(UpstreamRecord {
-        id: format!("u{index}").parse().unwrap(),
-        start: StartStamp(1),
-        service: "pool".parse().unwrap(),
-        address: ([10, 0, 0, index], 8_000).into(),
-        data_centre: "hall-a".parse().unwrap(),
-        slots: SLOTS,
-        leaving: false,
-        serving: vec![served],
-        warmup: WarmupReport::default(),
-    })
+    common::pool_engine(index, SLOTS)
 }
 
 fn arrive(
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -11,7 +11,8 @@
     AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
     DirectSettings, EngineProfile, FleetChange, FleetUpdate, ModelProfile, PeerRecord, RefusalPlan,
     RegionMap, RepeatRule, RequestNumber, RetryShare, RouteDocument, RouteRule, SendPlan,
-    ServiceProfile, StatedValue, UpstreamRecord, WarmupBound, WarmupReport, WorkSize,
+    ServedWeights, ServiceProfile, StatedValue, UpstreamRecord, WarmupBound, WarmupReport,
+    WorkSize,
 };
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::edit::{EditChange, EditRequest, FleetFacts, PublishedVersion, apply_edit};
@@ -25,7 +26,7 @@
 use mustardrill_core::transfer::TransferSettings;
 use mustardrill_types::{
     ByteSize, EditId, FastMap, Generation, InstanceId, ManifestDigest, Millis, Moment,
-    RequestDigest, StartStamp, StoreEra, StoreRevision,
+    RequestDigest, StartStamp, StoreEra, StoreRevision, WeightVersion,
 };
 
 /// The digest of version v1.
@@ -416,3 +417,24 @@
     });
     orders.expect("an attempt is sent")
 }
+
+/// The n-th engine of the service `pool`.
+pub fn pool_engine(index: u8, slots: u32) -> FleetChange {
+    let served = ServedWeights { model: "m".parse().unwrap(), version: WeightVersion(1) };
+    FleetChange::Upstream(UpstreamRecord {
+        id: format!("u{index}").parse().unwrap(),
+        start: StartStamp(1),
+        service: "pool".parse().unwrap(),
+        address: pool_address(index),
+        data_centre: "hall-a".parse().unwrap(),
+        slots,
+        leaving: false,
+        serving: vec![served],
+        warmup: WarmupReport::default(),
+    })
+}
+
+/// Where the n-th engine of the service `pool` listens.
+pub fn pool_address(index: u8) -> SocketAddr {
+    ([10, 0, 0, index], 8_000).into()
+}
--- a/mustardrill_core/tests/contention.rs
+++ b/mustardrill_core/tests/contention.rs
@@ -1,17 +1,15 @@
 //! Several entries compete for the slots of one engine; their load broadcasts take time to arrive.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use mustardrill_core::direct::{
     AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectSettings,
     EngineNotice, EngineProfile, FleetChange, FleetUpdate, LoadBroadcaster, PeerLoad, RepeatRule,
-    RequestNumber, RouteDocument, RouteRule, ServedWeights, ServiceProfile, UpstreamRecord,
-    WarmupReport, WorkSize,
+    RequestNumber, RouteDocument, RouteRule, ServiceProfile, WorkSize,
 };
 use mustardrill_types::{
-    FastMap, Generation, InstanceId, Millis, Moment, StartStamp, StoreRevision, WeightVersion,
+    FastMap, Generation, InstanceId, Millis, Moment, StoreRevision, WeightVersion,
 };
 
 mod common;
@@ -74,22 +72,7 @@
 
 /// The n-th engine; all entries share the first one.
 fn engine(index: u8) -> FleetChange {
-    let served = ServedWeights { model: "m".parse().unwrap(), version: WeightVersion(1) };
-    FleetChange::Upstream(UpstreamRecord {
-        id: format!("u{index}").parse().unwrap(),
-        start: StartStamp(1),
-        service: "pool".parse().unwrap(),
-        address: address(index),
-        data_centre: "hall-a".parse().unwrap(),
-        slots: SLOTS,
-        leaving: false,
-        serving: vec![served],
-        warmup: WarmupReport::default(),
-    })
-}
-
-fn address(index: u8) -> SocketAddr {
-    ([10, 0, 0, index], 8_000).into()
+    common::pool_engine(index, SLOTS)
 }
 
 /// An event that reaches an entry later than it was sent, kept by its millisecond of arrival.
@@ -214,7 +197,7 @@
 /// The notice that the agent of the n-th engine sends.
 fn engine_notice(index: u8, notice: EngineNotice) -> DirectEvent {
     DirectEvent::EngineNoticeReceived {
-        address: address(index),
+        address: common::pool_address(index),
         model: "m".parse().unwrap(),
         start: Some(common::desk(0).start),
         notice,
--- a/mustardrill_standins/tests/prepared/endless.rs
+++ b/mustardrill_standins/tests/prepared/endless.rs
@@ -184,6 +184,16 @@
     faults
 }
 
+/// What was wrong with shapes of plain answers, beside a sound upstream and alone.
+async fn faults_of_plain(shapes: &'static [EndlessShape]) -> Vec<String> {
+    let mut faults = Vec::new();
+    for shape in shapes {
+        faults.extend(faults_beside(shape, "/status/x").await);
+        faults.extend(faults_alone(shape).await);
+    }
+    faults
+}
+
 /// What was wrong with the bytes taken, if anything.
 async fn taking_fault(
     fleet: &Fleet,
@@ -201,22 +211,14 @@
 /// came in series.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_head_without_end_holds_a_caller_until_its_deadline() {
-    let mut faults = Vec::new();
-    for shape in &HEADS {
-        faults.extend(faults_beside(shape, "/status/x").await);
-        faults.extend(faults_alone(shape).await);
-    }
+    let faults = faults_of_plain(&HEADS).await;
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
 /// The zeros of a chunk size held a caller past its deadline.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_without_end_holds_a_caller_until_its_deadline() {
-    let mut faults = Vec::new();
-    for shape in &BODIES {
-        faults.extend(faults_beside(shape, "/status/x").await);
-        faults.extend(faults_alone(shape).await);
-    }
+    let faults = faults_of_plain(&BODIES).await;
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
