--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -20,9 +20,10 @@
 use crate::direct::activity::UpstreamActivity;
 use crate::direct::answer::AnswerPart;
 use crate::direct::connections::{SendFailure, UpstreamConnection};
-use crate::direct::event_splitter::{EventOrderError, EventSplitter, has_event_line};
+use crate::direct::event_splitter::{EventSplitter, has_event_line};
 use crate::direct::gated_stream::SendGate;
 use crate::direct::request_task::RequestTask;
+use crate::direct::stream_part::{StreamPart, next_part};
 
 /// The largest answer that is buffered completely before it is forwarded.
 const BUFFERED_ANSWER_LIMIT: usize = 8 << 20;
@@ -87,12 +88,6 @@
     has_started: bool,
 }
 
-/// What arrived of a stream, and the events that are complete with it.
-struct StreamPart {
-    data: Bytes,
-    events: Result<Option<Bytes>, EventOrderError>,
-}
-
 /// One attempt of a request.
 pub(crate) struct Attempt<'a> {
     pub(crate) task: &'a RequestTask,
@@ -296,20 +291,6 @@
         self.task.report(DirectEvent::AnswerStarted(self.number, load, version)).await;
     }
 
-    /// Counts how a start compares with its forecast, where the upstream states its pace.
-    fn count_start(&self, after: Millis) {
-        if self.plan.paced_start == Millis(0) {
-            return;
-        }
-        let forecast = self.plan.paced_start.0;
-        let label = match after.0 {
-            after if after > forecast * 2 => "later",
-            after if after * 2 < forecast => "earlier",
-            _ => "forecast",
-        };
-        let _ = self.task.context.metrics.count(&format!("paced_starts.{label}"), 1);
-    }
-
     /// Reads a refusal to its end, so that its connection can be reused.
     async fn drain_refusal(&self, response: Response<Incoming>, connection: UpstreamConnection) {
         const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
@@ -417,20 +398,6 @@
         self.classify_lost().await
     }
 
-    /// Logs and counts that the connection was closed for what its upstream sent, if it was.
-    fn report_cut(&self, gate: &SendGate) {
-        let Some(cut) = gate.cut() else { return };
-        log::warn!(
-            "request={} instance={} outcome=cut reason={} bytes={} for={}",
-            self.task.caller_request_id,
-            self.plan.upstream,
-            cut.reason,
-            cut.stray_bytes,
-            cut.stray_time
-        );
-        let _ = self.task.context.metrics.count(&format!("cuts.{}", cut.reason), 1);
-    }
-
     async fn classify_lost(&self) -> AttemptOutcome {
         let crashed = refuses_connections(self.plan.address).await;
         AttemptOutcome::Lost { delivered: self.task.sink.has_started(), crashed }
@@ -505,26 +472,6 @@
     }
 }
 
-/// Waits for the next part of a stream: complete events or comments, or the beginning of the first
-/// event. What only continues an event is no such part: it may go on without end.
-async fn next_part(
-    body: &mut Incoming,
-    splitter: &mut EventSplitter,
-    has_started: bool,
-) -> Option<Result<StreamPart, hyper::Error>> {
-    loop {
-        let data = match body.frame().await? {
-            Ok(frame) => frame.into_data().unwrap_or_default(),
-            Err(error) => return Some(Err(error)),
-        };
-        let events = splitter.push(&data);
-        let is_beginning = splitter.has_event() && !has_started;
-        if is_beginning || splitter.is_complete() || !matches!(events, Ok(None)) {
-            return Some(Ok(StreamPart { data, events }));
-        }
-    }
-}
-
 /// An attempt whose answer was delivered as complete.
 fn whole_attempt(is_delimited: bool) -> AttemptOutcome {
     if is_delimited { AttemptOutcome::Whole } else { AttemptOutcome::Undelimited }
--- a/mustardrill_entry/src/direct/mod.rs
+++ b/mustardrill_entry/src/direct/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod answer_sink;
 mod attempt;
+mod attempt_counts;
 mod attempt_statements;
 mod availability;
 mod callers;
@@ -19,6 +20,7 @@
 mod reachability;
 mod relay;
 mod request_task;
+mod stream_part;
 mod watch;
 
 pub use actor::{DirectHandle, PlatformAdapters, spawn};
