--- a/review/cases.rs
+++ b/review/cases.rs
@@ -415,3 +415,152 @@
     }
     HELD
 }
+
+/// A model worker without an agent, which adopts versions when the case says so.
+struct PlainEngine {
+    id: String,
+    version: AtomicU64,
+    runs: Arc<Mutex<BTreeMap<String, Vec<String>>>>,
+}
+
+fn start_plain_engine(
+    id: &str,
+    runs: &Arc<Mutex<BTreeMap<String, Vec<String>>>>,
+) -> (Arc<PlainEngine>, SocketAddr) {
+    let engine = Arc::new(PlainEngine {
+        id: id.into(),
+        version: AtomicU64::new(1),
+        runs: runs.clone(),
+    });
+    let served = engine.clone();
+    let address = serve(ENGINE_IP, move |call| {
+        let (id, version) = (&*served.id, served.version.load(Ordering::SeqCst));
+        if call.path() == "/health" {
+            return answer(200, &[("X-Instance-Id", id)], b"");
+        }
+        if call.path() == "/v1/report" {
+            let fields = engine_fields(version);
+            return json_answer(200, &format!("{{\"phase\":\"prefill_decode\",{fields},\"busy\":false,\"sequence\":0,\"queued\":0,\"active\":0}}"));
+        }
+        let attempt = call.header("x-attempt-id").unwrap_or("").to_string();
+        let is_other = call.header("x-expected-instance").is_some_and(|it| it != id)
+            || call.header("x-expected-version").is_some_and(|it| it != version.to_string());
+        if is_other {
+            return answer(421, &[("X-Instance-Id", id)], b"");
+        }
+        served.runs.lock().unwrap().entry(attempt.clone()).or_default().push(id.to_string());
+        let mut text = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\
+             X-Attempt-Id: {attempt}\r\nX-Server-Signature: s.{id}.{attempt}\r\n\
+             X-Weight-Versions: {version}\r\n\r\n"
+        );
+        let event = "id: 1\ndata: token\n\n";
+        let _ = write!(text, "{:x}\r\n{event}\r\n0\r\n\r\n", event.len());
+        text.into_bytes()
+    });
+    (engine, address)
+}
+
+/// A machine freezes as it sends a stream that may run once, near the end of its weights' time.
+fn stalled_send(bench: &Arc<Bench>, has_trouble: bool) -> i32 {
+    const ENTRIES: usize = 100;
+    const BUSY: usize = 12;
+    const ROUNDS: usize = 11;
+    let (store, store_address) = Store::start();
+    let runs: Arc<Mutex<BTreeMap<String, Vec<String>>>> = Arc::default();
+    let engines: Vec<_> = (0..8).map(|n| start_plain_engine(&format!("i-engine-{n}"), &runs)).collect();
+    for (engine, address) in &engines {
+        let (store, engine, address) = (store.clone(), engine.clone(), *address);
+        thread::spawn(move || {
+            for sequence in 1.. {
+                let version = engine.version.load(Ordering::SeqCst);
+                store.write(
+                    &format!("servers/{}", engine.id),
+                    &format!(
+                        "{{\"service\":\"pool\",\"address\":\"{address}\",\"zone\":\"hall-a\",\
+                         \"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0,\
+                         \"phase\":\"prefill_decode\",{},\"sequence\":{sequence}}}",
+                        engine_fields(version)
+                    ),
+                );
+                for _ in 0..24 {
+                    pause(50);
+                    if engine.version.load(Ordering::SeqCst) != version {
+                        break;
+                    }
+                }
+            }
+        });
+    }
+    let parts = ConfigParts {
+        version: 10,
+        idle_routes: 10,
+        keys: &["key-a"],
+        origin: None,
+        desk_is_public: false,
+    };
+    let text = config(&parts).replace("\"stream_resumption\":true,", "").replace("\"slots\":16", "\"slots\":64");
+    store.write("op/config", &text);
+    let agent_port = free_port(ENGINE_IP);
+    let mut entries = Vec::new();
+    for number in 0..ENTRIES {
+        let listen = free_port(ENTRY_IP);
+        let name = format!("edge-a-{number}");
+        let process = bench.spawn("mustardrill-entry", &name, &entry_settings(&name, store_address, agent_port, listen));
+        let address: SocketAddr = format!("{ENTRY_IP}:{listen}").parse().unwrap();
+        entries.push((name, process, address));
+    }
+    pause(5_000);
+    let sent = Arc::new(Mutex::new(BTreeMap::new()));
+    for (name, _, address) in entries.iter().take(BUSY) {
+        for client in 0..5 {
+            let (sent, name, address) = (sent.clone(), name.clone(), *address);
+            thread::spawn(move || {
+                let mut channel = Channel::new(address);
+                channel.body = vec![b'x'; 50_000];
+                for number in 0.. {
+                    let attempt = format!("{name}-{client}-{number}");
+                    let status = channel.call("/drafts/x", &attempt, "key-a", DRAFT_HEADERS).map_or(0, |it| it.0);
+                    sent.lock().unwrap().insert(attempt, status);
+                    if status != 200 {
+                        pause(50);
+                    }
+                }
+            });
+        }
+    }
+    pause(2_000);
+    for round in 0..ROUNDS as u64 {
+        let version = round + 2;
+        store.write(&format!("op/version/{MODEL}"), &format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}"));
+        bench.note(format!("version {version} is named; {} requests sent", sent.lock().unwrap().len()));
+        pause(6_200);
+        for (name, process, _) in entries.iter().take(BUSY) {
+            if has_trouble {
+                bench.signal(name, *process, "STOP");
+                pause(3);
+            }
+        }
+        pause(1_300);
+        engines.iter().for_each(|it| it.0.version.store(version, Ordering::SeqCst));
+        pause(700);
+        for (name, process, _) in entries.iter().take(BUSY) {
+            if has_trouble {
+                bench.signal(name, *process, "CONT");
+            }
+        }
+        pause(500);
+    }
+    let (sent, runs) = (sent.lock().unwrap(), runs.lock().unwrap());
+    let (mut broken, mut statuses) = (0, BTreeMap::new());
+    for (attempt, status) in sent.iter() {
+        *statuses.entry(*status).or_insert(0) += 1;
+        let places = runs.get(attempt).cloned().unwrap_or_default();
+        if places.len() > 1 || (*status == 503 && !places.is_empty()) {
+            broken += 1;
+            bench.note(format!("BROKEN: {attempt} answered {status}, ran {places:?}"));
+        }
+    }
+    bench.note(format!("requests by status: {statuses:?}"));
+    if broken > 0 { BROKEN } else { HELD }
+}
--- a/review/standins.rs
+++ b/review/standins.rs
@@ -41,6 +41,7 @@
         "public-key" => public_key(&bench, has_trouble),
         "late-refusal" => late_refusal(&bench, has_trouble),
         "spoilt-list" => spoilt_list(&bench, has_trouble),
+        "stalled-send" => stalled_send(&bench, has_trouble),
         _ => COULD_NOT_RUN,
     }));
     let code = played.unwrap_or(COULD_NOT_RUN);
@@ -85,7 +86,11 @@
     fn spawn(&self, program: &str, name: &str, settings: &str) -> u32 {
         let path = self.scratch.join(format!("{name}.conf"));
         std::fs::write(&path, settings).expect("a settings file");
-        let log = std::fs::File::create(self.scratch.join(format!("{name}.log"))).unwrap();
+        let log = if std::env::var("KEEP_LOGS").is_ok() {
+            std::fs::File::create(self.scratch.join(format!("{name}.log"))).unwrap()
+        } else {
+            std::fs::File::options().write(true).open("/dev/null").unwrap()
+        };
         let child = Command::new(format!("target/release/{program}"))
             .args(["--settings", path.to_str().unwrap()])
             .stdin(Stdio::null())
@@ -278,11 +283,12 @@
 struct Channel {
     address: SocketAddr,
     stream: Option<BufReader<TcpStream>>,
+    body: Vec<u8>,
 }
 
 impl Channel {
     fn new(address: SocketAddr) -> Self {
-        Self { address, stream: None }
+        Self { address, stream: None, body: b"hi".to_vec() }
     }
 
     /// Sends a request; returns status, headers and body.
@@ -316,7 +322,8 @@
         let reader = self.stream.as_mut().expect("connected above");
         let mut head = format!(
             "POST {path} HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: {attempt}\r\n\
-             X-Deadline-Ms: 6000\r\nContent-Length: 2\r\n"
+             X-Deadline-Ms: 6000\r\nContent-Length: {}\r\n",
+            self.body.len()
         );
         if !key.is_empty() {
             let _ = write!(head, "Authorization: Token {key}\r\n");
@@ -324,7 +331,9 @@
         extra.iter().for_each(|(name, value)| {
             let _ = write!(head, "{name}: {value}\r\n");
         });
-        reader.get_mut().write_all((head + "\r\nhi").as_bytes())?;
+        let mut bytes = (head + "\r\n").into_bytes();
+        bytes.extend_from_slice(&self.body);
+        reader.get_mut().write_all(&bytes)?;
         let (first, headers) =
             read_head(reader)?.ok_or(io::Error::from(io::ErrorKind::UnexpectedEof))?;
         let status = first.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or(0);
