--- a/review/cases.rs
+++ b/review/cases.rs
@@ -72,7 +72,7 @@
     if broken > 0 { BROKEN } else { HELD }
 }
 
-/// Case 1. The store gives one entry no response for 9 s. Meanwhile the operator changes the config
+/// Case 2. The store gives one entry no response for 9 s. Meanwhile the operator changes the config
 /// a dozen times, and takes a key away.
 fn revoked_key(bench: &Arc<Bench>, has_trouble: bool) -> i32 {
     const IDLE_ROUTES: usize = 1_400;
@@ -116,7 +116,7 @@
     judge_revocation(bench, &sent, &runs, revoked_at)
 }
 
-/// Case 3. A key is taken away; its clients go on with it on a route that is public.
+/// A key is taken away; its clients go on with it on a route that is public.
 fn public_key(bench: &Arc<Bench>, has_trouble: bool) -> i32 {
     let (store, store_address) = Store::start();
     let runs = Runs::default();
@@ -147,7 +147,7 @@
     on_keyed.max(judge_revocation(bench, &open, &runs, changed_at))
 }
 
-/// Case 2. Pieces are read back before the order to load; the machine stands still meanwhile.
+/// Case 3. Pieces are read back before the order to load; the machine stands still meanwhile.
 fn spoilt_weights(bench: &Arc<Bench>, has_trouble: bool) -> i32 {
     const FREEZE_MS: u64 = 4_000;
     const SPOILT: usize = 10;
@@ -207,3 +207,126 @@
     }
     HELD
 }
+
+/// A small generator of random numbers below 1.
+struct Random(Mutex<u64>);
+
+impl Random {
+    fn next(&self) -> f64 {
+        let mut state = self.0.lock().unwrap();
+        *state ^= *state << 13;
+        *state ^= *state >> 7;
+        *state ^= *state << 17;
+        (*state >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// An application worker that sheds requests while its slots are taken by others, and that, while
+/// `is_faulty`, sends a share of its answers a second time, at the point where the next answer on the
+/// channel is expected.
+fn start_shedding_worker(
+    bench: &Arc<Bench>,
+    id: &'static str,
+    seed: u64,
+    runs: &Runs,
+    is_faulty: &Arc<AtomicBool>,
+) -> SocketAddr {
+    const DOUBLED_SHARE: f64 = 0.03;
+    let (bench, runs, is_faulty) = (bench.clone(), runs.clone(), is_faulty.clone());
+    let random = Random(Mutex::new(seed * 7_919 + 1));
+    serve_channels(ENTRY_IP, move |call, last_answer| {
+        if call.path() == "/health" {
+            return (Vec::new(), answer(200, &[("X-Instance-Id", id)], b""));
+        }
+        let attempt = call.header("x-attempt-id").unwrap_or("").to_string();
+        let is_doubled = is_faulty.load(Ordering::SeqCst)
+            && !last_answer.is_empty()
+            && random.next() < DOUBLED_SHARE;
+        let early = if is_doubled { last_answer.to_vec() } else { Vec::new() };
+        if is_doubled {
+            let text = String::from_utf8_lossy(last_answer);
+            let first = text.lines().next().unwrap_or("").to_string();
+            bench.note(format!("{id} sends its last answer ({first}) again as {attempt} arrives"));
+        }
+        // Other callers have its slots for half of each 200 ms.
+        let is_full = ((bench.now() * 10.0) as u64 + seed) % 2 == 0;
+        if is_full {
+            // As `fleetbench wire` shows it: "a server sheds".
+            return (early, answer(503, &[("X-Not-Executed", "1")], b""));
+        }
+        pause(15);
+        (early, run_request(&bench, id, &runs, &call))
+    })
+}
+
+/// Case 1. Workers that shed now and then send some answers a second time.
+fn late_refusal(bench: &Arc<Bench>, has_trouble: bool) -> i32 {
+    let (store, store_address) = Store::start();
+    let runs = Runs::default();
+    let is_faulty = Arc::new(AtomicBool::new(false));
+    // Three of the five workers double answers.
+    let sound = Arc::new(AtomicBool::new(false));
+    let workers = [("i-desk-1", 1), ("i-desk-2", 2), ("i-desk-3", 3), ("i-desk-4", 4), ("i-desk-5", 5)];
+    for (id, seed) in workers {
+        let fault = if seed <= 3 { &is_faulty } else { &sound };
+        let address = start_shedding_worker(bench, id, seed, &runs, fault);
+        register(&store, id, "desk", address, None);
+    }
+    let parts = ConfigParts {
+        version: 10,
+        idle_routes: 10,
+        keys: &["key-a", "key-b"],
+        origin: None,
+        desk_is_public: false,
+    };
+    store.write("op/config", &config(&parts));
+    let entry = start_entry(bench, store_address, free_port(ENTRY_IP), "/notices/x");
+    let once = start_clients(bench, entry, "/notices/x", "key-a", 8);
+    let twice = start_clients(bench, entry, "/claims/x", "key-b", 8);
+    pause(2_000);
+    let mut broken = 0;
+    for _ in 0..4 {
+        bench.note("workers begin to double answers");
+        is_faulty.store(has_trouble, Ordering::SeqCst);
+        pause(5_000);
+        is_faulty.store(false, Ordering::SeqCst);
+        bench.note("workers double no more answers");
+        pause(1_500);
+    }
+    let runs = runs.lock().unwrap();
+    for sent in [&once, &twice] {
+        let sent = sent.lock().unwrap();
+        let mut statuses = BTreeMap::new();
+        for request in sent.iter() {
+            *statuses.entry(request.status).or_insert(0) += 1;
+            let ran: Vec<_> = runs.iter().filter(|run| run.attempt == request.attempt).collect();
+            let places: Vec<_> =
+                ran.iter().map(|run| format!("{} at {:.3} s", run.worker, run.at)).collect();
+            if request.status == 502 || (request.status == 200 && ran.len() != 1) {
+                bench.note(format!(
+                    "{} sent at {:.3} s, answered {}, ran: {places:?}",
+                    request.attempt, request.at, request.status
+                ));
+            }
+            if matches!(request.status, 408 | 421 | 429 | 503) && !ran.is_empty() {
+                broken += 1;
+                bench.note(format!(
+                    "BROKEN (REFUSED): {} sent at {:.3} s, answered {}, ran: {places:?}",
+                    request.attempt, request.at, request.status
+                ));
+            }
+            if ran.len() > 1 {
+                broken += 1;
+                bench.note(format!(
+                    "BROKEN (TWICE): {} sent at {:.3} s, answered {}, ran: {places:?}",
+                    request.attempt, request.at, request.status
+                ));
+            }
+        }
+        bench.note(format!(
+            "requests by status: {statuses:?}; those not listed above were answered 200 and ran once, or \
+             503 and did not run"
+        ));
+    }
+    if broken > 0 { BROKEN } else { HELD }
+}
--- a/review/standins.rs
+++ b/review/standins.rs
@@ -39,6 +39,7 @@
         "revoked-key" => revoked_key(&bench, has_trouble),
         "spoilt-weights" => spoilt_weights(&bench, has_trouble),
         "public-key" => public_key(&bench, has_trouble),
+        "late-refusal" => late_refusal(&bench, has_trouble),
         _ => COULD_NOT_RUN,
     }));
     let code = played.unwrap_or(COULD_NOT_RUN);
@@ -235,6 +236,15 @@
 
 /// Serves calls at a free port of `ip`; a handler returns the bytes of the whole answer.
 fn serve(ip: &str, handler: impl Fn(Call) -> Vec<u8> + Send + Sync + 'static) -> SocketAddr {
+    serve_channels(ip, move |call, _| (Vec::new(), handler(call)))
+}
+
+/// Like [`serve`]. The handler also gets the answer before on the same channel; it returns bytes that
+/// are sent as soon as the request is in, and the bytes of the answer.
+fn serve_channels(
+    ip: &str,
+    handler: impl Fn(Call, &[u8]) -> (Vec<u8>, Vec<u8>) + Send + Sync + 'static,
+) -> SocketAddr {
     let listener = TcpListener::bind((ip, 0)).expect("a free port");
     let address = listener.local_addr().unwrap();
     let handler = Arc::new(handler);
@@ -245,14 +255,17 @@
                 let _ = stream.set_nodelay(true);
                 let mut writer = stream.try_clone().unwrap();
                 let mut reader = BufReader::new(stream);
+                let mut last_answer = Vec::new();
                 while let Ok(Some((first, headers))) = read_head(&mut reader) {
                     let Ok(body) = read_body(&mut reader, &headers) else { return };
                     let mut words = first.split(' ').map(str::to_string);
                     let (Some(method), Some(target)) = (words.next(), words.next()) else { return };
-                    let bytes = handler(Call { method, target, headers, body });
-                    if writer.write_all(&bytes).is_err() {
+                    let call = Call { method, target, headers, body };
+                    let (early, bytes) = handler(call, &last_answer);
+                    if writer.write_all(&early).and_then(|()| writer.write_all(&bytes)).is_err() {
                         return;
                     }
+                    last_answer = bytes;
                 }
             });
         }
@@ -916,6 +929,7 @@
     let public = if parts.desk_is_public { ",\"public\":true" } else { "" };
     let mut routes = vec![
         route("notices", "/notices/", "non_idempotent", "desk", ",\"max_attempts\":1"),
+        route("claims", "/claims/", "non_idempotent", "desk", ",\"max_attempts\":2"),
         route("open", "/open/", "non_idempotent", "desk", &format!(",\"max_attempts\":1{public}")),
         route(
             "drafts",
