--- a/review/cases.rs
+++ b/review/cases.rs
@@ -147,15 +147,15 @@
     on_keyed.max(judge_revocation(bench, &open, &runs, changed_at))
 }
 
-/// Case 3. Pieces are read back before the order to load; the machine stands still meanwhile.
+/// Pieces are read back before the order to load; the machine stands still meanwhile.
 fn spoilt_weights(bench: &Arc<Bench>, has_trouble: bool) -> i32 {
     const FREEZE_MS: u64 = 4_000;
     const SPOILT: usize = 10;
     let (store, store_address) = Store::start();
     let runs = Runs::default();
-    let origin = start_origin(bench);
-    let (engine, engine_address) = Engine::start(bench, &runs);
-    register(&store, ENGINE_ID, "pool", engine_address, Some(engine.clone()));
+    let origin = start_origin(bench, &Arc::default());
+    let (engine, engine_address) = Engine::start(bench, &runs, ENGINE_IP);
+    register(&store, "", "pool", engine_address, Some(engine.clone()));
     let parts = ConfigParts {
         version: 10,
         idle_routes: 10,
@@ -221,17 +221,23 @@
     }
 }
 
-/// An application worker that sheds requests while its slots are taken by others, and that, while
-/// `is_faulty`, sends a share of its answers a second time, at the point where the next answer on the
-/// channel is expected.
-fn start_shedding_worker(
+/// Additional bytes after a complete response: what `fleetbench wire` prints of "a server sheds" and of
+/// "another server has the address", with the length that it leaves out. Neither bears an id.
+const STRAY_BYTES: [&str; 2] = [
+    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: i-02d9e6b4\r\nContent-Length: 0\r\n\r\n",
+];
+
+/// An application worker that runs each request in 15 ms. While `is_faulty`, a share of its answers are
+/// followed by additional bytes, which come late: where the next answer on the channel is expected.
+fn start_garbling_worker(
     bench: &Arc<Bench>,
     id: &'static str,
     seed: u64,
     runs: &Runs,
     is_faulty: &Arc<AtomicBool>,
 ) -> SocketAddr {
-    const DOUBLED_SHARE: f64 = 0.03;
+    const SPOILT_SHARE: f64 = 0.03;
     let (bench, runs, is_faulty) = (bench.clone(), runs.clone(), is_faulty.clone());
     let random = Random(Mutex::new(seed * 7_919 + 1));
     serve_channels(ENTRY_IP, move |call, last_answer| {
@@ -239,37 +245,31 @@
             return (Vec::new(), answer(200, &[("X-Instance-Id", id)], b""));
         }
         let attempt = call.header("x-attempt-id").unwrap_or("").to_string();
-        let is_doubled = is_faulty.load(Ordering::SeqCst)
+        let is_spoilt = is_faulty.load(Ordering::SeqCst)
             && !last_answer.is_empty()
-            && random.next() < DOUBLED_SHARE;
-        let early = if is_doubled { last_answer.to_vec() } else { Vec::new() };
-        if is_doubled {
-            let text = String::from_utf8_lossy(last_answer);
-            let first = text.lines().next().unwrap_or("").to_string();
-            bench.note(format!("{id} sends its last answer ({first}) again as {attempt} arrives"));
-        }
-        // Other callers have its slots for half of each 200 ms.
-        let is_full = ((bench.now() * 10.0) as u64 + seed) % 2 == 0;
-        if is_full {
-            // As `fleetbench wire` shows it: "a server sheds".
-            return (early, answer(503, &[("X-Not-Executed", "1")], b""));
+            && random.next() < SPOILT_SHARE;
+        let stray = STRAY_BYTES[usize::from(random.next() < 0.5)];
+        if is_spoilt {
+            let first = stray.lines().next().unwrap_or("");
+            bench.note(format!("{id} sends stray bytes ({first}) as {attempt} arrives"));
         }
         pause(15);
-        (early, run_request(&bench, id, &runs, &call))
+        let ran = run_request(&bench, id, &runs, &call);
+        (if is_spoilt { stray.as_bytes().to_vec() } else { Vec::new() }, ran)
     })
 }
 
-/// Case 1. Workers that shed now and then send some answers a second time.
+/// Case 1. Workers send additional bytes after some of their answers.
 fn late_refusal(bench: &Arc<Bench>, has_trouble: bool) -> i32 {
     let (store, store_address) = Store::start();
     let runs = Runs::default();
     let is_faulty = Arc::new(AtomicBool::new(false));
-    // Three of the five workers double answers.
+    // Three of the five workers are faulty.
     let sound = Arc::new(AtomicBool::new(false));
     let workers = [("i-desk-1", 1), ("i-desk-2", 2), ("i-desk-3", 3), ("i-desk-4", 4), ("i-desk-5", 5)];
     for (id, seed) in workers {
         let fault = if seed <= 3 { &is_faulty } else { &sound };
-        let address = start_shedding_worker(bench, id, seed, &runs, fault);
+        let address = start_garbling_worker(bench, id, seed, &runs, fault);
         register(&store, id, "desk", address, None);
     }
     let parts = ConfigParts {
@@ -286,11 +286,11 @@
     pause(2_000);
     let mut broken = 0;
     for _ in 0..4 {
-        bench.note("workers begin to double answers");
+        bench.note("three workers send additional bytes");
         is_faulty.store(has_trouble, Ordering::SeqCst);
         pause(5_000);
         is_faulty.store(false, Ordering::SeqCst);
-        bench.note("workers double no more answers");
+        bench.note("no worker does");
         pause(1_500);
     }
     let runs = runs.lock().unwrap();
@@ -330,3 +330,88 @@
     }
     if broken > 0 { BROKEN } else { HELD }
 }
+
+/// Case 3. All machines lose power; as they recover, one answer of the origin has a wrong digit.
+fn spoilt_list(bench: &Arc<Bench>, has_trouble: bool) -> i32 {
+    const ENGINES: [&str; 3] = ["127.0.0.2", "127.0.0.3", "127.0.0.4"];
+    const ENTRIES: [&str; 2] = ["edge-a-1", "edge-a-2"];
+    const RECOVERY_MS: u64 = 12_000;
+    let (store, store_address) = Store::start();
+    let runs = Runs::default();
+    let spoils_list = Arc::new(AtomicBool::new(false));
+    let origin = start_origin(bench, &spoils_list);
+    let engines = ENGINES.map(|ip| Engine::start(bench, &runs, ip));
+    for (engine, address) in &engines {
+        register(&store, "", "pool", *address, Some(engine.clone()));
+    }
+    let parts = ConfigParts {
+        version: 10,
+        idle_routes: 10,
+        keys: &["key-a"],
+        origin: Some(origin),
+        desk_is_public: false,
+    };
+    store.write("op/config", &config(&parts));
+    let agent_port = loop {
+        let port = free_port(ENGINES[0]);
+        if ENGINES.iter().all(|ip| TcpListener::bind((*ip, port)).is_ok()) {
+            break port;
+        }
+    };
+    let entries =
+        ENTRIES.map(|name| start_entry_named(bench, name, store_address, agent_port, "/drafts/x"));
+    let start_agents = || {
+        for (engine, address) in &engines {
+            let settings = agent_settings(store_address, agent_port, *address);
+            bench.spawn("mustardrill-agent", &format!("agent-of-{}", engine.name), &settings);
+        }
+    };
+    start_agents();
+    let send = |name: &str, for_ms: u64| {
+        let until = bench.now() + for_ms as f64 / 1_000.0;
+        let (mut served, mut sent, mut statuses) = (0, 0, BTreeMap::new());
+        let mut channels = entries.map(Channel::new);
+        while bench.now() < until {
+            let attempt = format!("{name}-{sent}");
+            let channel = &mut channels[sent % ENTRIES.len()];
+            let answered = channel.call("/drafts/x", &attempt, "key-a", DRAFT_HEADERS);
+            let status = answered.map_or(0, |answer| answer.0);
+            served += usize::from(status == 200);
+            sent += 1;
+            *statuses.entry(status).or_insert(0) += 1;
+            pause(50);
+        }
+        let ran = runs.lock().unwrap().iter().filter(|it| it.attempt.starts_with(name)).count();
+        bench.note(format!("{name}: {sent} requests sent, {ran} ran, answered by status: {statuses:?}"));
+        (sent, served)
+    };
+    let before = send("before", 4_000);
+    if before.1 * 4 < before.0 {
+        return COULD_NOT_RUN;
+    }
+    bench.note("all machines lose power");
+    engines.iter().for_each(|(engine, _)| engine.is_frozen.store(true, Ordering::SeqCst));
+    for child in bench.children.lock().unwrap().iter_mut() {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+    let old_ids = engines.each_ref().map(|(engine, _)| engine.id());
+    engines.iter().for_each(|(engine, _)| engine.lose_power());
+    pause(1_200);
+    old_ids.iter().for_each(|id| store.remove(&format!("servers/{id}")));
+    spoils_list.store(has_trouble, Ordering::SeqCst);
+    engines.iter().for_each(|(engine, _)| engine.is_frozen.store(false, Ordering::SeqCst));
+    for (name, address) in ENTRIES.iter().zip(&entries) {
+        let settings = entry_settings(name, store_address, agent_port, address.port());
+        bench.spawn("mustardrill-entry", name, &settings);
+    }
+    start_agents();
+    bench.note("the machines are back");
+    pause(RECOVERY_MS);
+    let after = send("after", 20_000);
+    if after.1 * 4 < after.0 {
+        bench.note("BROKEN: less than a quarter is served, from 12 s on after the machines are back");
+        return BROKEN;
+    }
+    HELD
+}
