--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -157,154 +157,6 @@
     i32::from(is_broken)
 }
 
-// ---------------------------------------------------------------- a spoilt manifest
-
-const RECOVERY_MS: u64 = 12_000;
-
-/// Everything loses power right after a change of the config; when it is back, the origin spoils
-/// one digit in one of its answers.
-fn manifest(case: &Case) -> i32 {
-    let (network, record) = (&case.network, &case.record);
-    let store = Store::new(20_000);
-    let origin = Origin::new();
-    let _origin_server = origin.listen(network.at(2, 8_001), record.clone());
-    origin.digests(1);
-    origin.digests(2);
-    let mut stores = Vec::new();
-    let mut store_of = |machine: u8| {
-        let server = store.listen(network.at(machine, 8_007), Arc::default());
-        let address = server.address;
-        stores.push(server);
-        address
-    };
-    let mut engines = Vec::new();
-    let mut sides = Vec::new();
-    for (place, (zone, _)) in ZONES.iter().enumerate() {
-        let machine = 20 + place as u8;
-        let app = network.at(machine, 8_001);
-        let id = format!("i-first-{place}");
-        engines.push(Engine::start(&id, app, zone, "mustard-pool", &origin, &store, record));
-        let name = format!("side-{zone}-1");
-        sides.push(side_fields(&name, network.ip(machine), zone, store_of(machine), "mustard-pool", app));
-    }
-    let mut edges = Vec::new();
-    for (place, (zone, _)) in ZONES.iter().take(2).enumerate() {
-        let machine = 10 + place as u8;
-        edges.push(edge_fields(&format!("edge-{zone}-1"), network.ip(machine), zone, store_of(machine)));
-    }
-    let routes = [route_json(
-        1,
-        &Route {
-            prefix: "/drafts/",
-            kind: "streaming",
-            service: "mustard-pool".into(),
-            timeout_ms: 6_000,
-            max_attempts: 2,
-            public: false,
-        },
-    )];
-    store.write("op/config", &config(1, &routes, Some(network.at(2, 8_001)), &[]));
-    let start_all = || -> Vec<Process> {
-        let agents = sides.iter().map(|fields| Process::start(&case.folder, "agent", fields));
-        let entries = edges.iter().map(|fields| Process::start(&case.folder, "entry", fields));
-        agents.chain(entries).collect()
-    };
-    let mut processes = start_all();
-    for place in 0..2 {
-        if !wait_ready(network.ip(10 + place), now_ms() + 10_000) {
-            return cannot_run(case, "an entry did not become ready");
-        }
-    }
-
-    // Clients: a request every 100 ms at each entry.
-    let stop = Arc::new(AtomicBool::new(false));
-    let outcomes: Arc<Mutex<Vec<(u64, bool)>>> = Arc::default();
-    let mut clients = Vec::new();
-    for place in 0..2u8 {
-        let (stop, outcomes, record) = (stop.clone(), outcomes.clone(), record.clone());
-        let entry = network.at(10 + place, 8_005);
-        clients.push(std::thread::spawn(move || {
-            let mut number = 0;
-            while !stop.load(Ordering::SeqCst) {
-                number += 1;
-                let attempt = format!("{place}{number:015x}");
-                let (outcomes, record) = (outcomes.clone(), record.clone());
-                std::thread::spawn(move || {
-                    let sent = now_ms();
-                    let headers = [
-                        ("Host", "dossier.example"),
-                        ("X-Attempt-Id", &*attempt),
-                        ("X-Deadline-Ms", "6000"),
-                        ("X-Model", "m0"),
-                        ("X-Token-Usage", "300,48"),
-                        ("Authorization", "Token key-1"),
-                    ];
-                    let seen = request(entry, "POST", "/drafts/x", &headers, b"draft", 7_000);
-                    let is_served = seen.status == 200
-                        && seen.whole
-                        && seen.body == complete_stream().as_bytes();
-                    record.line(format!(
-                        "client {attempt} sent at {sent} ms, status {}, served {is_served}",
-                        seen.status
-                    ));
-                    outcomes.lock().unwrap().push((sent, is_served));
-                });
-                sleep_ms(100);
-            }
-        }));
-    }
-    let share = |from: u64, to: u64| {
-        let outcomes = outcomes.lock().unwrap();
-        let sent: Vec<_> = outcomes.iter().filter(|(sent, _)| (from..to).contains(sent)).collect();
-        let served = sent.iter().filter(|(_, served)| *served).count();
-        (served, sent.len())
-    };
-
-    let calm_from = now_ms() + 1_000;
-    sleep_until(calm_from + 5_000);
-    let calm_to = now_ms();
-    let confirmed = store.write("op/version/m0", "{\"model\":\"m0\",\"version\":2}");
-    record.say(format!("the operator names version 2, confirmed at {confirmed} ms"));
-    record.say("final fault: all machines lose power");
-    processes.iter_mut().for_each(Process::kill);
-    engines.iter().for_each(Engine::power_off);
-    if case.trouble {
-        origin.spoil_manifests.store(1, Ordering::SeqCst);
-    }
-    sleep_ms(1_200);
-    for (place, engine) in engines.iter().enumerate() {
-        engine.power_on(&format!("i-second-{place}"));
-    }
-    processes = start_all();
-    let back = now_ms();
-    record.say("all machines are back");
-    // Workers write their entries about every 1,200 ms.
-    let judged_from = back + RECOVERY_MS;
-    let judged_to = judged_from + 25_000;
-    while now_ms() < judged_to + 500 {
-        sleep_ms(1_200);
-        engines.iter().for_each(Engine::register);
-    }
-    stop.store(true, Ordering::SeqCst);
-    clients.into_iter().for_each(|client| client.join().unwrap());
-    sleep_ms(500);
-    let versions: Vec<u64> = engines.iter().map(Engine::version).collect();
-    let (served_before, sent_before) = share(calm_from, calm_to);
-    let (served_after, sent_after) = share(judged_from, judged_to);
-    let answers = origin.answers.load(Ordering::SeqCst);
-    let spoilt = origin.spoilt.load(Ordering::SeqCst);
-    record.say(format!("before the fault {served_before} of {sent_before} requests are served"));
-    record.say(format!(
-        "sent later than recovery_s after the return: {served_after} of {sent_after} are served; the engines hold versions {versions:?}"
-    ));
-    record.say(format!("the origin spoilt {spoilt} of its {answers} answers"));
-    if served_before * 4 < sent_before || sent_after == 0 {
-        return cannot_run(case, "too few requests were served before the fault");
-    }
-    drop(processes);
-    verdict(case, served_after * 4 < sent_after, "RECOVER")
-}
-
 // ---------------------------------------------------------------- an answer that comes twice
 
 /// A worker that is full rejects a request, and sends that answer a second time, late, at the point
@@ -732,6 +584,202 @@
     verdict(case, late > 0, "CONFIG")
 }
 
+// ---------------------------------------------------------------- a check that has grown old
+
+/// A machine stands still for 4 s while its agent reads the staged pieces back; one of those that it
+/// has read turns bad meanwhile.
+fn stale(case: &Case) -> i32 {
+    const FREEZE_MS: u64 = 4_000;
+    const PIECE: usize = 10;
+    let (network, record) = (&case.network, &case.record);
+    let store = Store::new(20_000);
+    let origin = Origin::new();
+    let _origin_server = origin.listen(network.at(2, 8_001), record.clone());
+    origin.digests(1);
+    origin.digests(2);
+    let entry_store = store.listen(network.at(10, 8_007), Arc::default());
+    let side_store = store.listen(network.at(20, 8_007), Arc::default());
+    let zone = ZONES[0].0;
+    let app = network.at(20, 8_001);
+    let engine = Engine::start("i-pool-1", app, zone, "mustard-pool", &origin, &store, record);
+    let route = Route {
+        prefix: "/drafts/",
+        kind: "streaming",
+        service: "mustard-pool".into(),
+        timeout_ms: 6_000,
+        max_attempts: 2,
+        public: false,
+    };
+    store.write("op/config", &config(1, &[route_json(1, &route)], Some(network.at(2, 8_001)), &[]));
+    let fields = edge_fields("edge-gc-hall-a-1", network.ip(10), zone, entry_store.address);
+    let entry = Process::start(&case.folder, "entry", &fields);
+    if !wait_ready(network.ip(10), now_ms() + 10_000) {
+        return cannot_run(case, "the entry did not become ready");
+    }
+    let fields =
+        side_fields("side-gc-hall-a-1", network.ip(20), zone, side_store.address, "mustard-pool", app);
+    let agent = Process::start(&case.folder, "agent", &fields);
+    sleep_ms(2_000);
+    let named = store.write("op/version/m0", "{\"model\":\"m0\",\"version\":2}");
+    record.say(format!("version 2 is named at {named} ms"));
+    // All pieces are staged by then, and the agent reads them back before its order.
+    let until = now_ms() + 15_000;
+    while !engine.is_staged(2) {
+        if now_ms() > until {
+            return cannot_run(case, "version 2 was not staged");
+        }
+        sleep_ms(1);
+    }
+    engine.reset_read_back();
+    while engine.read_back() < 40 {
+        if now_ms() > until {
+            return cannot_run(case, "the agent did not read the pieces back");
+        }
+        std::hint::spin_loop();
+    }
+    if engine.has_order() {
+        return cannot_run(case, "the order came too soon");
+    }
+    engine.spoil(PIECE);
+    if case.trouble {
+        engine.freeze(true);
+        agent.signal("STOP");
+        record.say("the machine of the agent and its worker stands still");
+        sleep_ms(FREEZE_MS);
+        engine.freeze(false);
+        agent.signal("CONT");
+        record.say("it goes on");
+    }
+    let until = now_ms() + 15_000;
+    while engine.version() != 2 && now_ms() < until {
+        sleep_ms(20);
+        if (now_ms() - named) % 1_200 < 20 {
+            engine.register();
+        }
+    }
+    engine.register();
+    sleep_ms(1_500);
+    let mut made = 0;
+    for number in 0..5 {
+        let attempt = format!("{number:016x}");
+        let headers = [
+            ("Host", "dossier.example"),
+            ("X-Attempt-Id", &*attempt),
+            ("X-Deadline-Ms", "6000"),
+            ("X-Model", "m0"),
+            ("X-Token-Usage", "300,48"),
+            ("Authorization", "Token key-1"),
+        ];
+        let seen = request(network.at(10, 8_005), "POST", "/drafts/x", &headers, b"draft", 7_000);
+        record.line(format!("client {attempt}: status {}", seen.status));
+        made += usize::from(seen.status == 200 && seen.header("x-weight-versions") == Some("2"));
+    }
+    let taken = engine.taken_bad();
+    let is_broken = made > 0 && taken.iter().any(|(_, age)| *age > 3_000);
+    for (index, age) in &taken {
+        record.say(format!("the worker took piece {index}, which had been bad for {age} ms"));
+    }
+    record.say(format!("{made} of 5 requests got tokens of version 2"));
+    drop((entry, agent));
+    if made == 0 {
+        return cannot_run(case, "nothing was served on version 2");
+    }
+    verdict(case, is_broken, "WHOLE")
+}
+
+// ---------------------------------------------------------------- many large bodies
+
+/// The memory of an `edge` machine; a process that exceeds it is killed (DEPLOY.md).
+const MEMORY_MB: u64 = 260;
+const BODY_BYTES: usize = 4_194_304;
+
+fn resident_mb(process: &Process) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or("0 0");
+    line.split_whitespace().nth(1).and_then(|kb| kb.parse::<u64>().ok()).unwrap_or(0) / 1_024
+}
+
+/// Many clients send bodies as large as the config allows, at once.
+fn memory(case: &Case) -> i32 {
+    let (network, record) = (&case.network, &case.record);
+    let store = Store::new(20_000);
+    let store_server = store.listen(network.at(10, 8_007), Arc::default());
+    let desks: Vec<Plain> = (1..=3)
+        .map(|number| {
+            let id = format!("i-desk-{number}");
+            let address = network.at(30 + number, 8_001);
+            let desk = Plain::new(&id, address, "gc-hall-a", "renewal-desk", (6, 24), &store, record);
+            desk.start(&id, None);
+            desk.set_work_ms(60);
+            desk
+        })
+        .collect();
+    let route = Route {
+        prefix: "/notices/",
+        kind: "non_idempotent",
+        service: "renewal-desk".into(),
+        timeout_ms: 6_000,
+        max_attempts: 1,
+        public: false,
+    };
+    store.write("op/config", &config(1, &[route_json(1, &route)], None, &[("renewal-desk", 100)]));
+    let fields = edge_fields("edge-gc-hall-a-1", network.ip(10), "gc-hall-a", store_server.address);
+    let mut entry = Process::start(&case.folder, "entry", &fields);
+    if !wait_ready(network.ip(10), now_ms() + 10_000) {
+        return cannot_run(case, "the entry did not become ready");
+    }
+    let front = network.at(10, 8_005);
+    let outcomes: Arc<Mutex<Vec<(String, u16)>>> = Arc::default();
+    let send = |attempt: String, body: Arc<Vec<u8>>| {
+        let (outcomes, record) = (outcomes.clone(), record.clone());
+        std::thread::spawn(move || {
+            let headers = [
+                ("Host", "dossier.example"),
+                ("X-Attempt-Id", &*attempt),
+                ("X-Deadline-Ms", "6000"),
+                ("Authorization", "Token key-1"),
+            ];
+            let seen = request(front, "POST", "/notices/x", &headers, &body, 8_000);
+            record.line(format!("client {attempt}, {} bytes, status {}", body.len(), seen.status));
+            outcomes.lock().unwrap().push((attempt, seen.status));
+        })
+    };
+    let small = Arc::new(vec![b'x'; 600]);
+    let large = Arc::new(vec![b'x'; if case.trouble { BODY_BYTES } else { 600 }]);
+    let mut threads = Vec::new();
+    let (mut most, mut was_killed) = (0, false);
+    for number in 0..600 {
+        threads.push(send(format!("0a{number:014x}"), small.clone()));
+        if number == 100 {
+            for number in 0..100 {
+                threads.push(send(format!("0b{number:014x}"), large.clone()));
+            }
+        }
+        let until = now_ms() + 20;
+        while now_ms() < until && !was_killed {
+            let resident = resident_mb(&entry);
+            most = most.max(resident);
+            if resident > MEMORY_MB {
+                record.say(format!("the entry has {resident} MB; the platform kills it"));
+                entry.kill();
+                was_killed = true;
+            }
+            sleep_ms(5);
+        }
+        if was_killed {
+            break;
+        }
+    }
+    threads.into_iter().for_each(|thread| drop(thread.join()));
+    let runs: Vec<String> =
+        desks.iter().flat_map(Plain::runs).map(|(_, attempt)| attempt).collect();
+    let outcomes = outcomes.lock().unwrap();
+    let lost = outcomes.iter().filter(|(attempt, status)| *status == 0 && runs.contains(attempt)).count();
+    record.say(format!("at most {most} MB; {lost} requests ran and got no answer"));
+    drop(entry);
+    verdict(case, was_killed && lost > 3, "LOST")
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let (name, folder) = (arguments[1].clone(), arguments[2].clone());
@@ -745,8 +793,9 @@
     };
     case.record.say(format!("case {name}, trouble {trouble}"));
     let code = match &*name {
-        "manifest" => manifest(&case),
         "twice" => twice(&case),
+        "memory" => memory(&case),
+        "stale" => stale(&case),
         "unread" => unread(&case),
         "late" => late(&case),
         "born" => born(&case),
