--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -687,6 +687,74 @@
     verdict(case, is_broken, "WHOLE")
 }
 
+// ---------------------------------------------------------------- the last tenant is taken away
+
+/// The operator takes all keys away, with the tenants that held them.
+fn tenants(case: &Case) -> i32 {
+    let (network, record) = (&case.network, &case.record);
+    let store = Store::new(20_000);
+    let store_server = store.listen(network.at(10, 8_007), Arc::default());
+    let desk =
+        Plain::new("i-desk-1", network.at(31, 8_001), "gc-hall-a", "renewal-desk", (6, 24), &store, record);
+    desk.start("i-desk-1", None);
+    let route = Route {
+        prefix: "/notices/",
+        kind: "non_idempotent",
+        service: "renewal-desk".into(),
+        timeout_ms: 2_500,
+        max_attempts: 1,
+        public: false,
+    };
+    let routes = [route_json(1, &route)];
+    let tenant = "{\"name\":\"comedor\",\"api_keys\":[\"key-1\"]}";
+    let first = config(1, &routes, None, &[("renewal-desk", 100)]);
+    store.write("op/config", &first);
+    let fields = edge_fields("edge-gc-hall-a-1", network.ip(10), "gc-hall-a", store_server.address);
+    let entry = Process::start(&case.folder, "entry", &fields);
+    if !wait_ready(network.ip(10), now_ms() + 10_000) {
+        return cannot_run(case, "the entry did not become ready");
+    }
+    let front = network.at(10, 8_005);
+    let ask = |attempt: &str, key: &str| {
+        let key = format!("Token {key}");
+        let headers = [
+            ("Host", "dossier.example"),
+            ("X-Attempt-Id", attempt),
+            ("X-Deadline-Ms", "2500"),
+            ("Authorization", &*key),
+        ];
+        let seen = request(front, "POST", "/notices/x", &headers, b"notice", 3_000);
+        record.line(format!("client {attempt} with {key}: status {}", seen.status));
+        seen.status
+    };
+    let before = (ask("a1", "key-1"), ask("a2", "never-a-key"));
+    if before != (200, 401) {
+        return cannot_run(case, "the keys were not checked before");
+    }
+    // With TROUBLE=0 the tenant stays, with another key.
+    let rest = if case.trouble { String::new() } else { tenant.replace("key-1", "key-2") };
+    let second = config(4, &routes, None, &[("renewal-desk", 100)]).replace(tenant, &rest);
+    let confirmed = store.write("op/config", &second);
+    record.say(format!("config 4 takes key-1 away, confirmed at {confirmed} ms; tenants: [{rest}]"));
+    let (mut late, mut never) = (0, 0);
+    for number in 0..80 {
+        let (attempt, other) = (format!("b{number}"), format!("c{number}"));
+        let sent = now_ms();
+        ask(&attempt, "key-1");
+        ask(&other, "never-a-key");
+        let runs = desk.runs();
+        let ran = |attempt: &str| runs.iter().any(|(_, run)| run == attempt);
+        late += usize::from(ran(&attempt) && sent > confirmed + 5_000);
+        never += usize::from(ran(&other));
+        sleep_ms(250);
+    }
+    record.say(format!(
+        "{late} requests with key-1, sent later than revocation_ms after that, ran; {never} ran with a key that no config ever held"
+    ));
+    drop(entry);
+    verdict(case, late + never > 0, "CONFIG and ROUTE")
+}
+
 // ---------------------------------------------------------------- many large bodies
 
 /// The memory of an `edge` machine; a process that exceeds it is killed (DEPLOY.md).
@@ -794,6 +862,7 @@
     case.record.say(format!("case {name}, trouble {trouble}"));
     let code = match &*name {
         "twice" => twice(&case),
+        "tenants" => tenants(&case),
         "memory" => memory(&case),
         "stale" => stale(&case),
         "unread" => unread(&case),
