Logs of a weight check and a load order carry their times

- outcome=read-back with the chunks found whole and the time that it took
- the order's answer with its time, and its acceptance where only the engine's report shows it
- call=stage or call=read-back where a chunk waits for a silent engine

No decision changes.

--- a/mustardrill_agent/src/provisioning/effects.rs
+++ b/mustardrill_agent/src/provisioning/effects.rs
@@ -228,7 +228,9 @@
             }
             StagingOutcome::Unanswered if !is_silent => {
                 is_silent = true;
-                log::warn!("chunk version={version} index={index} decision=wait reason=silent");
+                log::warn!(
+                    "chunk version={version} index={index} call=stage decision=wait reason=silent"
+                );
             }
             StagingOutcome::Unanswered => {}
         }
@@ -284,6 +286,7 @@
     list: Arc<ChunkList>,
 ) {
     tokio::spawn(async move {
+        let started_at = context.clock.now();
         let total = list.digests.len() as u32;
         let mut verified = ChunkBitmap::empty(total);
         for index in (0..total).map(ChunkIndex) {
@@ -292,6 +295,11 @@
                 verified.insert(index);
             }
         }
+        log::info!(
+            "weights version={version} outcome=read-back whole={} of={total} took={}",
+            verified.count(),
+            context.clock.now().since(started_at)
+        );
         let _ = actor.tell(Event(ProvisioningEvent::StagedVerified(version, verified))).await;
     });
 }
@@ -310,7 +318,9 @@
             StagedChunk::Missing => return None,
             StagedChunk::Unanswered if !is_silent => {
                 is_silent = true;
-                log::warn!("chunk version={version} index={index} decision=wait reason=silent");
+                log::warn!(
+                    "chunk version={version} index={index} call=read-back decision=wait reason=silent"
+                );
             }
             StagedChunk::Unanswered => {}
         }
@@ -325,9 +335,15 @@
     sequence: u64,
 ) {
     tokio::spawn(async move {
+        let sent_at = context.clock.now();
         let answer = context.adapters.engine.load(&version.model, version.version, sequence).await;
-        if answer != OrderAnswer::Taken {
-            log::warn!("order version={version} sequence={sequence} outcome=\"{answer}\"");
+        let took = context.clock.now().since(sent_at);
+        if answer == OrderAnswer::Taken {
+            log::info!("order version={version} sequence={sequence} outcome=answered took={took}");
+        } else {
+            log::warn!(
+                "order version={version} sequence={sequence} outcome=\"{answer}\" took={took}"
+            );
         }
         let outcome = match answer {
             OrderAnswer::Taken => LoadOrderOutcome::Accepted,
--- a/mustardrill_core/src/provisioning/engine.rs
+++ b/mustardrill_core/src/provisioning/engine.rs
@@ -32,7 +32,7 @@
             info!("engine start={} sequence={} outcome=restarted", view.start, view.sequence);
             self.discard_load_order();
         }
-        self.confirm_load_order(&view);
+        self.confirm_load_order(now, &view);
         let served = before.map(|before| before.serving).unwrap_or_default();
         if served != view.serving
             && let Some(now_served) = view.serving.first()
--- a/mustardrill_core/src/provisioning/load_order.rs
+++ b/mustardrill_core/src/provisioning/load_order.rs
@@ -216,9 +216,12 @@
     }
 
     /// Recognises from the engine's order count that it accepted an order whose response was lost.
-    pub(super) fn confirm_load_order(&mut self, view: &EngineView) {
-        if let Some(ProvisioningStage::Loading(_, order)) = &mut self.stage {
-            order.accepted |= view.sequence > order.sequence;
+    pub(super) fn confirm_load_order(&mut self, now: Moment, view: &EngineView) {
+        let Some(ProvisioningStage::Loading(_, order)) = &mut self.stage else { return };
+        if !order.accepted && view.sequence > order.sequence {
+            order.accepted = true;
+            let age = now.since(order.since);
+            info!("order sequence={} outcome=reported-accepted age={age}", order.sequence);
         }
     }
 
