--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod crash;
+mod damaged_weights;
 mod endless;
 mod evacuation;
 mod fleet;
@@ -14,6 +15,7 @@
 mod rewound;
 mod silences;
 mod soak;
+mod staged_weights;
 mod statements;
 mod store;
 mod versions;
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -1,6 +1,5 @@
 //! Stand-ins of the prepared platform's workers and origin after its published interface.
 
-use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -23,16 +22,14 @@
 use sha2::{Digest, Sha256};
 use tokio::sync::mpsc;
 
+use crate::staged_weights::{LAYERS, LayerOrder, OrderEffect, StagedWeights};
+
 /// Number of chunks of each version.
 pub const CHUNKS: u32 = 12;
 
 /// Number of events in a complete answer.
 pub const EVENTS: u64 = 6;
 
-/// Loads within this time of a chunk's corruption are not held against the agent, by the platform's
-/// rules: no agent can check a chunk at the very moment at which it is loaded.
-const CORRUPTION_GRACE: Duration = Duration::from_secs(3);
-
 /// Start time of a worker's first incarnation, in Unix milliseconds.
 const FIRST_BORN_MS: u64 = 1_700_000_000_000;
 
@@ -58,6 +55,26 @@
     Fail,
 }
 
+/// A call of an agent to its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StagingCall {
+    /// A staged chunk is read back.
+    ReadBack(u32),
+    /// A load is ordered.
+    Order,
+}
+
+/// Chunks that turn bad as an agent makes a call, and a silence of the engine that begins with it. The
+/// engine carries the call out when the silence ends, even if the connection has closed.
+#[derive(Debug, Clone)]
+pub struct StagingFault {
+    pub call: StagingCall,
+    /// The fault strikes once all chunks of this version are staged.
+    pub version: u64,
+    pub damaged: Vec<u32>,
+    pub silence: Duration,
+}
+
 /// Where in an answer a worker falls silent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SilencePlace {
@@ -124,15 +141,20 @@
 }
 
 struct WorkerState {
-    version: u64,
     sequence: u64,
-    staged: BTreeMap<u32, Bytes>,
-    /// When a staged chunk was last corrupted.
-    corrupted_at: Option<Instant>,
+    weights: StagedWeights,
     /// For each load, whether all chunks were those of its version.
     loads: Vec<bool>,
-    /// Incomplete loads outside `CORRUPTION_GRACE`.
+    /// Loads after which a layer was unsound.
     bad_loads: u32,
+    /// Requests that were answered with an unsound layer.
+    damaged_runs: Vec<String>,
+    staging_fault: Option<StagingFault>,
+    /// How long the engine takes to return a staged chunk.
+    read_back_time: Duration,
+    /// How long a load takes after the order; the engine accepts no requests meanwhile.
+    load_time: Duration,
+    busy_until: Option<Instant>,
     runs: Vec<(String, Instant)>,
     /// Callers' requests that were received, started or not.
     arrivals: Vec<(String, Instant)>,
@@ -212,14 +234,16 @@
 
 impl Worker {
     pub fn new(id: &str, version: u64) -> Self {
-        let staged = (0..CHUNKS).map(|index| (index, chunk(version, index))).collect();
         let state = WorkerState {
-            version,
             sequence: 0,
-            staged,
-            corrupted_at: None,
+            weights: StagedWeights::new(version),
             loads: Vec::new(),
             bad_loads: 0,
+            damaged_runs: Vec::new(),
+            staging_fault: None,
+            read_back_time: Duration::ZERO,
+            load_time: Duration::ZERO,
+            busy_until: None,
             runs: Vec::new(),
             arrivals: Vec::new(),
             request_starts: Vec::new(),
@@ -250,9 +274,7 @@
 
     /// Creates a worker without weights and without staged chunks.
     pub fn empty(id: &str) -> Self {
-        let worker = Self::new(id, 0);
-        worker.state.lock().unwrap().staged.clear();
-        worker
+        Self::new(id, 0)
     }
 
     /// Makes later registrations name another data centre than `hall-a`.
@@ -371,8 +393,15 @@
         self.state.lock().unwrap().crash = Some(crash);
     }
 
+    /// The version of the weights that the engine holds, or of a part of them; zero without any.
     pub fn version(&self) -> u64 {
-        self.state.lock().unwrap().version
+        self.state.lock().unwrap().weights.held().0
+    }
+
+    /// Whether the engine accepts requests for its model: it is not loading, and holds all layers.
+    fn accepts_requests(&self) -> bool {
+        let state = self.state.lock().unwrap();
+        !state.is_loading() && (state.weights.is_whole() || state.weights.held().0 == 0)
     }
 
     /// Makes the engine report at least this version, whatever it holds.
@@ -383,7 +412,7 @@
     /// The version that reports and registrations state.
     pub fn reported_version(&self) -> u64 {
         let state = self.state.lock().unwrap();
-        state.version.max(state.reported_version)
+        state.weights.held().0.max(state.reported_version)
     }
 
     pub fn loads(&self) -> Vec<bool> {
@@ -395,6 +424,29 @@
         self.state.lock().unwrap().bad_loads
     }
 
+    /// Requests that were answered with a layer that had been taken with a damaged chunk.
+    pub fn damaged_runs(&self) -> Vec<String> {
+        self.state.lock().unwrap().damaged_runs.clone()
+    }
+
+    /// Lets a fault strike at the next call of its kind.
+    pub fn set_staging_fault(&self, fault: StagingFault) {
+        self.state.lock().unwrap().staging_fault = Some(fault);
+    }
+
+    /// Whether the fault that was set last has not struck yet.
+    pub fn has_staging_fault(&self) -> bool {
+        self.state.lock().unwrap().staging_fault.is_some()
+    }
+
+    pub fn set_read_back_time(&self, time: Duration) {
+        self.state.lock().unwrap().read_back_time = time;
+    }
+
+    pub fn set_load_time(&self, time: Duration) {
+        self.state.lock().unwrap().load_time = time;
+    }
+
     pub fn runs(&self) -> Vec<String> {
         self.timed_runs().into_iter().map(|(run, _)| run).collect()
     }
@@ -415,40 +467,62 @@
 
     /// Replaces a staged chunk by invalid bytes.
     pub fn corrupt_chunk(&self, index: u32) {
-        let mut state = self.state.lock().unwrap();
-        state.staged.insert(index, Bytes::from_static(b"bad"));
-        state.corrupted_at = Some(Instant::now());
+        self.state.lock().unwrap().weights.damage(index);
+    }
+
+    /// Lets the staging fault strike if it is one of this call, and waits out its silence.
+    async fn suffer_staging_fault(&self, call: StagingCall) {
+        let silence = {
+            let mut state = self.state.lock().unwrap();
+            let fault = state.staging_fault.clone().filter(|fault| fault.call == call);
+            let Some(fault) = fault.filter(|fault| state.weights.is_staged(fault.version)) else {
+                return;
+            };
+            state.staging_fault = None;
+            fault.damaged.iter().for_each(|index| state.weights.damage(*index));
+            state.silent_until = Some(Instant::now() + fault.silence);
+            fault.silence
+        };
+        tokio::time::sleep(silence).await;
     }
 
     fn report(&self) -> AnyResponse {
         let state = self.state.lock().unwrap();
-        let version = state.version.max(state.reported_version);
+        let (held, from, target) = state.weights.held();
+        let version = held.max(state.reported_version);
         let (models, layers) = if version > 0 {
             (
                 json!([{"name": "m0", "version": version, "adapters": []}]),
-                json!([{"from": 0, "target": 16, "version": version}]),
+                json!([{"from": from, "target": target, "version": version}]),
             )
         } else {
             (json!([]), json!([]))
         };
         let body = json!({"phase": "prefill_decode", "models": models, "layers": layers,
-            "born": state.born, "busy": false, "sequence": state.sequence, "queued": 0, "active": 0});
+            "born": state.born, "busy": state.is_loading(), "sequence": state.sequence, "queued": 0,
+            "active": 0});
         json_response(StatusCode::OK, &body)
     }
 
     fn order(&self, body: &[u8]) -> AnyResponse {
         let order: serde_json::Value = serde_json::from_slice(body).unwrap();
         let mut state = self.state.lock().unwrap();
-        if order["precondition"] != state.sequence {
+        if order["precondition"] != state.sequence || state.is_loading() {
             return text_response(StatusCode::CONFLICT, "");
         }
-        let version = order["version"].as_u64().unwrap();
-        let is_complete = (0..CHUNKS).all(|it| state.staged.get(&it) == Some(&chunk(version, it)));
-        let is_excused = state.corrupted_at.is_some_and(|at| at.elapsed() < CORRUPTION_GRACE);
+        let layer = |name: &str| order[name].as_u64().map(|layer| layer as u32);
+        let layer_order = LayerOrder {
+            version: order["version"].as_u64().unwrap(),
+            from: layer("from").unwrap_or(0),
+            target: layer("target").unwrap_or(LAYERS),
+        };
+        let OrderEffect::Taken { is_complete } = state.weights.load(layer_order) else {
+            return text_response(StatusCode::OK, "");
+        };
         state.loads.push(is_complete);
-        state.bad_loads += u32::from(!is_complete && !is_excused);
+        state.bad_loads += u32::from(!state.weights.is_sound_throughout());
         state.sequence += 1;
-        state.version = version;
+        state.busy_until = Some(Instant::now() + state.load_time);
         text_response(StatusCode::ACCEPTED, "")
     }
 
@@ -463,14 +537,22 @@
             return self.report();
         }
         if path == "/v1/order" {
-            return self.order(&body);
+            let worker = self.clone();
+            let accepting = tokio::spawn(async move {
+                worker.suffer_staging_fault(StagingCall::Order).await;
+                worker.order(&body)
+            });
+            return accepting.await.unwrap();
         }
         if path.starts_with("/v1/stage-put/") {
-            self.state.lock().unwrap().staged.insert(index.unwrap(), body);
+            self.state.lock().unwrap().weights.put(index.unwrap(), body);
             return text_response(StatusCode::OK, "");
         }
         if path.starts_with("/v1/stage-get/") {
-            let staged = self.state.lock().unwrap().staged.get(&index.unwrap()).cloned();
+            self.suffer_staging_fault(StagingCall::ReadBack(index.unwrap())).await;
+            let read_back_time = self.state.lock().unwrap().read_back_time;
+            pause(read_back_time).await;
+            let staged = self.state.lock().unwrap().weights.get(index.unwrap());
             return match staged {
                 Some(bytes) => Response::new(buffered_body(bytes)),
                 None => text_response(StatusCode::NOT_FOUND, ""),
@@ -488,9 +570,14 @@
         if expected.is_some_and(|expected| expected != self.version()) {
             return text_response(StatusCode::MISDIRECTED_REQUEST, "");
         }
+        let model = text("x-model").is_some();
+        if model && !self.accepts_requests() {
+            let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "");
+            response.headers_mut().insert("x-not-executed", "1".parse().unwrap());
+            return response;
+        }
         assert_eq!(text("authorization"), None, "a worker must not receive the caller's key");
         let attempt = text("x-attempt-id").unwrap();
-        let model = text("x-model").is_some();
         let (fault, delay, sends_head_first) = {
             let mut state = self.state.lock().unwrap();
             let fault = if state.rest.is_some() {
@@ -512,7 +599,7 @@
         }
         let (version, answer_delay, intake_limit, crash, silences) = {
             let mut state = self.state.lock().unwrap();
-            let (now, version) = (Instant::now(), state.version);
+            let (now, version) = (Instant::now(), state.weights.held().0);
             if fault != WorkerFault::NotExecuted && !sends_head_first {
                 state.record_start(&attempt, &tenant, model);
             }
@@ -724,13 +811,20 @@
 impl WorkerState {
     /// Records that a request starts now.
     fn record_start(&mut self, attempt: &str, tenant: &str, model: bool) {
-        let (at, version) = (Instant::now(), self.version);
+        let (at, version) = (Instant::now(), self.weights.held().0);
         self.runs.push((format!("{attempt} {tenant}"), at));
         if model {
             self.request_starts.push(RequestStart { attempt: attempt.to_owned(), version, at });
+            if !self.weights.is_sound_throughout() {
+                self.damaged_runs.push(attempt.to_owned());
+            }
         }
     }
 
+    fn is_loading(&self) -> bool {
+        self.busy_until.is_some_and(|until| until > Instant::now())
+    }
+
     /// The silences of the answer that starts.
     fn next_silences(&mut self) -> Vec<AnswerSilence> {
         let (silences, left) = &mut self.silences;
