--- a/mustardrill_agent/src/main.rs
+++ b/mustardrill_agent/src/main.rs
@@ -102,6 +102,7 @@
     let client = HttpClient::open(CONNECT_TIMEOUT);
     let adapters = PlatformAdapters {
         fleet_source: Box::new(PlatformStore::open(client.clone(), config.store)),
+        load_register: Box::new(PlatformStore::open(client.clone(), config.store)),
         engine: Box::new(PlatformEngine::open(client, config.settings.engine)),
         origin: Box::new(PlatformOrigin::open(CONNECT_TIMEOUT)),
     };
--- a/mustardrill_agent/src/provisioning/actor.rs
+++ b/mustardrill_agent/src/provisioning/actor.rs
@@ -5,13 +5,15 @@
 
 use cadence::{Gauged, StatsdClient};
 use kameo::prelude::*;
-use mustardrill_core::manifest::Manifest;
+use mustardrill_core::manifest::{ChunkBitmap, Manifest};
 use mustardrill_core::provisioning::{
     EntryDirectory, ProvisioningEffect, ProvisioningEvent, ProvisioningReducer, ProvisioningStatus,
     VersionId,
 };
 use mustardrill_core::transfer::ChunkSource;
-use mustardrill_runtime::adapters::{ChunkList, ChunkOrigin, EngineControl, FleetSource};
+use mustardrill_runtime::adapters::{
+    ChunkList, ChunkOrigin, EngineControl, FleetSource, LoadRegister,
+};
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::exposition::{MetricHandler, MetricRegistry};
 use mustardrill_runtime::http::{HttpClient, HttpServer};
@@ -23,14 +25,18 @@
 
 use crate::provisioning::config::ProvisioningConfig;
 use crate::provisioning::early_chunks::EarlyChunkBuffer;
+use crate::provisioning::load_records::{self, LoadRecorder};
 use crate::provisioning::metrics::METRICS;
 use crate::provisioning::peers::PeerHandler;
+use crate::provisioning::staging::{self, ReadPurpose, ReadTask, StagingGate};
 use crate::provisioning::{effects, peers, watch};
 
 /// The adapters through which the agent reaches the platform.
 pub struct PlatformAdapters {
     /// Reads the fleet from the store.
     pub fleet_source: Box<dyn FleetSource>,
+    /// Records the loads of the engine in the store.
+    pub load_register: Box<dyn LoadRegister>,
     /// Controls the engine on the same machine.
     pub engine: Box<dyn EngineControl>,
     /// Fetches chunk lists and chunks from the origin.
@@ -56,6 +62,8 @@
     pub(crate) metrics: StatsdClient,
     /// Verified chunks that wait for the engine to answer for the first time.
     pub(crate) early_chunks: EarlyChunkBuffer,
+    /// Closed while staged chunks are read back and loaded.
+    pub(crate) staging_gate: StagingGate,
     /// The entries read last, with their addresses.
     pub(crate) entries: Mutex<EntryDirectory>,
     /// How many engine notices have been sent to the entries.
@@ -71,11 +79,22 @@
     chunk_lists: FastMap<VersionId, Arc<ChunkList>>,
     /// Cancels the fetches in progress, by chunk and source.
     fetches: FastMap<(ChunkIndex, Box<str>), CancellationToken>,
+    load_recorder: LoadRecorder,
+    /// How many times staged chunks were to be read back.
+    read_rounds: u64,
 }
 
 /// Passes an event to the reducer.
 pub(crate) struct Event(pub(crate) ProvisioningEvent);
 
+/// The staged chunks were read back; these are intact.
+pub(crate) struct StagedRead {
+    /// The round that it is the result of.
+    pub(crate) round: u64,
+    pub(crate) version: VersionId,
+    pub(crate) intact: ChunkBitmap,
+}
+
 /// A chunk list that was fetched; `None` where no source had it.
 pub(crate) struct ChunkListFetched(pub(crate) VersionId, pub(crate) Option<ChunkList>);
 
@@ -137,12 +156,16 @@
                 peers::send_holdings(context, &version, to, &bitmap, wants_reply);
             }
             ProvisioningEffect::VerifyStaged(version) => {
-                let Some(list) = self.chunk_lists.get(&version).cloned() else { return };
-                effects::verify_staged(context, actor, version, list);
+                self.read_back(version, ReadPurpose::Order, actor);
             }
-            ProvisioningEffect::OrderLoad(version, sequence) => {
-                effects::order_load(context, actor, version, sequence);
+            ProvisioningEffect::VerifyLoaded(version) => {
+                self.read_back(version, ReadPurpose::Proof, actor);
             }
+            ProvisioningEffect::OrderLoad(version, layers, sequence) => {
+                effects::order_load(context, actor, version, layers, sequence);
+            }
+            ProvisioningEffect::ReadLoadRecord => self.load_recorder.read(),
+            ProvisioningEffect::WriteLoadRecord(record) => self.load_recorder.write(record),
             ProvisioningEffect::NotifyEntries(model, start, notice) => {
                 effects::notify_entries(context, model, start, notice);
             }
@@ -153,6 +176,15 @@
     }
 }
 
+impl ProvisioningActor {
+    fn read_back(&mut self, version: VersionId, purpose: ReadPurpose, actor: ActorRef<Self>) {
+        let Some(list) = self.chunk_lists.get(&version).cloned() else { return };
+        self.read_rounds += 1;
+        let task = ReadTask { version, list, purpose, round: self.read_rounds };
+        staging::verify_staged(self.context.clone(), actor, task);
+    }
+}
+
 fn fetch_key(index: ChunkIndex, source: &ChunkSource) -> (ChunkIndex, Box<str>) {
     (index, source.to_string().into())
 }
@@ -166,6 +198,18 @@
     }
 }
 
+impl Message<StagedRead> for ProvisioningActor {
+    type Reply = ();
+
+    async fn handle(&mut self, read: StagedRead, context: &mut Context<Self, ()>) {
+        // The result of an earlier round may be from before a load.
+        if read.round == self.read_rounds {
+            let actor = context.actor_ref().clone();
+            self.reduce(ProvisioningEvent::StagedVerified(read.version, read.intact), &actor);
+        }
+    }
+}
+
 impl Message<ChunkListFetched> for ProvisioningActor {
     type Reply = ();
 
@@ -286,12 +330,21 @@
         uploads: UploadQueue::new(link_mbps * UPLOAD_SHARE),
         metrics: metric_registry.client(),
         early_chunks: EarlyChunkBuffer::new(),
+        staging_gate: StagingGate::default(),
         entries: Mutex::default(),
         engine_notices: AtomicU64::default(),
         halt: halt.clone(),
     });
     let (chunk_lists, fetches) = (FastMap::default(), FastMap::default());
-    let state = ProvisioningActor { reducer, context: context.clone(), chunk_lists, fetches };
+    let (load_recorder, recorder_inputs) = LoadRecorder::new();
+    let state = ProvisioningActor {
+        reducer,
+        context: context.clone(),
+        chunk_lists,
+        fetches,
+        load_recorder,
+        read_rounds: 0,
+    };
     let actor = ProvisioningActor::spawn_with_mailbox(state, mailbox::unbounded());
     if let Some(address) = context.config.metrics {
         HttpServer::bind(address, Box::new(MetricHandler(metric_registry)), halt.clone()).await?;
@@ -301,6 +354,7 @@
     let handler = Box::new(PeerHandler::new(actor.clone(), context.clone()));
     HttpServer::bind(listen, handler, halt.clone()).await?;
     peers::spawn_receiver(actor.clone(), context.clone());
+    load_records::spawn(recorder_inputs, actor.clone(), context.clone());
     watch::spawn(actor, context);
     Ok(ProvisioningHandle { halt })
 }
--- a/mustardrill_agent/src/provisioning/effects.rs
+++ b/mustardrill_agent/src/provisioning/effects.rs
@@ -9,22 +9,20 @@
 use cadence::Counted;
 use hyper::StatusCode;
 use kameo::prelude::*;
-use mustardrill_core::direct::{EngineNotice, PeerRecord};
-use mustardrill_core::manifest::ChunkBitmap;
+use mustardrill_core::direct::{EngineNotice, PeerRecord, ServedWeights};
 use mustardrill_core::provisioning::{
-    LoadOrderOutcome, ManifestSource, ProvisioningEvent, VersionId,
+    LayerRange, LoadOrderOutcome, ManifestSource, ProvisioningEvent, VersionId,
 };
 use mustardrill_core::transfer::{ChunkFetch, ChunkSource, FetchOutcome};
-use mustardrill_runtime::adapters::{
-    ChunkList, FleetPart, OrderAnswer, StagedChunk, StagingOutcome,
-};
+use mustardrill_runtime::adapters::{ChunkList, FleetPart, OrderAnswer};
 use mustardrill_runtime::datagram::{Datagram, EngineRow};
 use mustardrill_runtime::http::request;
 use mustardrill_runtime::peer_call::PeerCall;
-use mustardrill_types::{ChunkIndex, ModelName, StartStamp};
+use mustardrill_types::{ModelName, StartStamp};
 use tokio_util::sync::CancellationToken;
 
 use crate::provisioning::actor::{ChunkListFetched, Event, ProvisioningActor, ProvisioningContext};
+use crate::provisioning::staging::stage_chunk;
 use crate::provisioning::{fleet, peers};
 
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -160,12 +158,13 @@
 }
 
 async fn fetch_and_stage(
-    context: &ProvisioningContext,
+    context: &Arc<ProvisioningContext>,
     actor: &ActorRef<ProvisioningActor>,
     list: &ChunkList,
     task: &ChunkFetchTask,
 ) -> FetchOutcome {
     let ChunkFetchTask { version, fetch, .. } = task;
+    context.staging_gate.open(version).await;
     let fetched = tokio::time::timeout(fetch.timeout.to_std(), fetch_bytes(context, task)).await;
     let bytes = match fetched.unwrap_or(Err(FetchOutcome::Failed)) {
         Ok(bytes) => bytes,
@@ -210,33 +209,6 @@
     }
 }
 
-/// Stages a chunk and returns whether the engine has stored it. Repeats it while the engine is
-/// silent: the chunk would only be fetched again.
-async fn stage_chunk(
-    context: &ProvisioningContext,
-    version: &VersionId,
-    index: ChunkIndex,
-    bytes: &Bytes,
-) -> bool {
-    let mut is_silent = false;
-    loop {
-        match context.adapters.engine.stage(&version.model, index, bytes.clone()).await {
-            StagingOutcome::Staged => return true,
-            StagingOutcome::Failed => {
-                log::warn!("chunk version={version} index={index} outcome=not-staged");
-                return false;
-            }
-            StagingOutcome::Unanswered if !is_silent => {
-                is_silent = true;
-                log::warn!(
-                    "chunk version={version} index={index} call=stage decision=wait reason=silent"
-                );
-            }
-            StagingOutcome::Unanswered => {}
-        }
-    }
-}
-
 /// The label of the outcome in the metric `chunk_draws`.
 fn metric_label(outcome: &FetchOutcome) -> &'static str {
     match outcome {
@@ -278,65 +250,18 @@
     Err(FetchOutcome::Busy(Vec::new()))
 }
 
-/// Reads all staged chunks back from the engine and reports which of them pass verification.
-pub(crate) fn verify_staged(
-    context: Arc<ProvisioningContext>,
-    actor: ActorRef<ProvisioningActor>,
-    version: VersionId,
-    list: Arc<ChunkList>,
-) {
-    tokio::spawn(async move {
-        let started_at = context.clock.now();
-        let total = list.digests.len() as u32;
-        let mut verified = ChunkBitmap::empty(total);
-        for index in (0..total).map(ChunkIndex) {
-            let Some(bytes) = read_staged(&context, &version, index).await else { continue };
-            if context.adapters.origin.verifies(&list, index, &bytes) {
-                verified.insert(index);
-            }
-        }
-        log::info!(
-            "weights version={version} outcome=read-back whole={} of={total} took={}",
-            verified.count(),
-            context.clock.now().since(started_at)
-        );
-        let _ = actor.tell(Event(ProvisioningEvent::StagedVerified(version, verified))).await;
-    });
-}
-
-/// Reads a staged chunk back; `None` if the engine does not have it. Waits while the engine is
-/// silent, as the chunks of an engine that goes on are not lost.
-async fn read_staged(
-    context: &ProvisioningContext,
-    version: &VersionId,
-    index: ChunkIndex,
-) -> Option<Bytes> {
-    let mut is_silent = false;
-    loop {
-        match context.adapters.engine.staged(&version.model, index).await {
-            StagedChunk::Held(bytes) => return Some(bytes),
-            StagedChunk::Missing => return None,
-            StagedChunk::Unanswered if !is_silent => {
-                is_silent = true;
-                log::warn!(
-                    "chunk version={version} index={index} call=read-back decision=wait reason=silent"
-                );
-            }
-            StagedChunk::Unanswered => {}
-        }
-    }
-}
-
-/// Orders the engine to load the staged version.
+/// Orders the engine to hold these layers of the staged version, or all.
 pub(crate) fn order_load(
     context: Arc<ProvisioningContext>,
     actor: ActorRef<ProvisioningActor>,
     version: VersionId,
+    layers: Option<LayerRange>,
     sequence: u64,
 ) {
     tokio::spawn(async move {
         let sent_at = context.clock.now();
-        let answer = context.adapters.engine.load(&version.model, version.version, sequence).await;
+        let weights = ServedWeights { model: version.model.clone(), version: version.version };
+        let answer = context.adapters.engine.load(&weights, layers, sequence).await;
         let took = context.clock.now().since(sent_at);
         if answer == OrderAnswer::Taken {
             log::info!("order version={version} sequence={sequence} outcome=answered took={took}");
@@ -347,6 +272,7 @@
         }
         let outcome = match answer {
             OrderAnswer::Taken => LoadOrderOutcome::Accepted,
+            OrderAnswer::InEffect => LoadOrderOutcome::InEffect,
             OrderAnswer::Conflict => LoadOrderOutcome::Rejected,
             OrderAnswer::Unknown(_) => LoadOrderOutcome::Unknown,
         };
--- a/mustardrill_agent/src/provisioning/mod.rs
+++ b/mustardrill_agent/src/provisioning/mod.rs
@@ -6,8 +6,10 @@
 mod early_chunks;
 mod effects;
 mod fleet;
+mod load_records;
 mod metrics;
 mod peers;
+mod staging;
 mod watch;
 
 pub use actor::{PlatformAdapters, ProvisioningHandle, spawn};
--- a/mustardrill_agent/tests/common/mod.rs
+++ b/mustardrill_agent/tests/common/mod.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 
+use futures_util::future::BoxFuture;
 use log::LevelFilter;
 use mustardrill_agent::provisioning::ProvisioningConfig;
+use mustardrill_core::direct::LoadRecord;
 use mustardrill_core::provisioning::{ProvisioningSettings, RolloutSettings};
 use mustardrill_core::transfer::TransferSettings;
-use mustardrill_runtime::adapters::StoreError;
-use mustardrill_types::Millis;
+use mustardrill_runtime::adapters::{LoadRegister, StoreError, StoredLoad};
+use mustardrill_types::{Millis, StoreRevision};
 
 /// The result of a call to a store that is unavailable.
 pub fn unavailable<T>() -> Result<T, StoreError> {
@@ -40,6 +42,23 @@
     }
 }
 
+/// A register without records that takes each write.
+pub struct EmptyRegister;
+
+impl LoadRegister for EmptyRegister {
+    fn read(&self, _: SocketAddr) -> BoxFuture<'_, Result<StoredLoad, StoreError>> {
+        Box::pin(async { Ok(StoredLoad { record: None, revision: StoreRevision(0) }) })
+    }
+
+    fn write<'a>(
+        &'a self,
+        _: &'a LoadRecord,
+        known: StoreRevision,
+    ) -> BoxFuture<'a, Result<Option<StoreRevision>, StoreError>> {
+        Box::pin(async move { Ok(Some(StoreRevision(known.0 + 1))) })
+    }
+}
+
 /// An address with a free port; it is tried with TCP and taken to be free for UDP as well.
 pub fn free_port() -> SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
--- a/mustardrill_agent/tests/engine_notices.rs
+++ b/mustardrill_agent/tests/engine_notices.rs
@@ -14,6 +14,7 @@
     CallerLimits, EngineNotice, EngineProfile, FleetChange, FleetUpdate, ModelProfile, PeerRecord,
     RouteDocument, ServedWeights, ServiceProfile, WatchTiming,
 };
+use mustardrill_core::provisioning::LayerRange;
 use mustardrill_core::quarantine::QuarantineSubject;
 use mustardrill_runtime::adapters::{
     ChunkList, ChunkOrigin, EngineControl, EngineState, FleetPart, FleetScope, FleetSource,
@@ -107,8 +108,8 @@
 
     fn load<'a>(
         &'a self,
-        _: &'a ModelName,
-        _: WeightVersion,
+        _: &'a ServedWeights,
+        _: Option<LayerRange>,
         _: u64,
     ) -> BoxFuture<'a, OrderAnswer> {
         Box::pin(async { OrderAnswer::Conflict })
@@ -170,6 +171,7 @@
             is_configuration_read: is_configuration_read.clone(),
             entry_reads: AtomicUsize::new(0),
         }),
+        load_register: Box::new(common::EmptyRegister),
         engine: Box::new(LoadingEngine { is_configuration_read, polls: AtomicUsize::new(0) }),
         origin: Box::new(UnavailableOrigin),
     };
--- a/mustardrill_agent/tests/silent_engine.rs
+++ b/mustardrill_agent/tests/silent_engine.rs
@@ -205,6 +205,7 @@
     let listen = free_port();
     let adapters = PlatformAdapters {
         fleet_source: Box::new(FixedStore(listen)),
+        load_register: Box::new(common::EmptyRegister),
         engine: Box::new(PlatformEngine::open(client, server.address)),
         origin: Box::new(CountingOrigin(sent.clone())),
     };
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -232,6 +232,19 @@
     /// The engine accepts requests and serves this version.
     #[display("serving:{_0}")]
     Serving(WeightVersion),
+    /// The same, after a load whose chunks were proven intact; the number is that of the load.
+    #[display("proven:{_0}")]
+    Proven(WeightVersion, u64),
+}
+
+impl EngineNotice {
+    /// The version that the engine serves by this notice.
+    pub fn served_version(self) -> Option<WeightVersion> {
+        match self {
+            Self::Serving(version) | Self::Proven(version, _) => Some(version),
+            Self::UpdatePending | Self::LoadingIn(_) | Self::Loading => None,
+        }
+    }
 }
 
 /// An output of the reducer, which the entry carries out.
@@ -377,6 +390,8 @@
     pub evacuated: usize,
     /// Listed upstreams that are cold and whose service limits the rate meanwhile.
     pub cold: usize,
+    /// Engines whose latest load is not proven to have taken intact chunks.
+    pub unproven_loads: usize,
     /// Requests that are not run for a while because upstreams crash while running them.
     pub quarantined: usize,
     /// Groups of prompt parts whose requests are not run for a while, for the same reason.
--- a/mustardrill_core/src/direct/fleet/update.rs
+++ b/mustardrill_core/src/direct/fleet/update.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::direct::route::RouteDocument;
+use crate::direct::versions::load_record::LoadRecord;
 use crate::direct::warmup::period::WarmupReport;
 use crate::quarantine::QuarantineSubject;
 
@@ -79,6 +80,8 @@
     EvacuationRequested(DataCentre),
     /// The operator took a data centre back.
     EvacuationEnded(DataCentre),
+    /// An agent recorded a load of its engine, or the outcome of one.
+    LoadRecorded(LoadRecord),
     /// Requests are refused for this time, as they crash upstreams.
     Quarantined(QuarantineSubject, Millis),
 }
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -17,6 +17,7 @@
 use crate::direct::locality::evacuation::EvacuationTable;
 use crate::direct::placement::pace::{PaceReport, PaceSource};
 use crate::direct::statements::conditions::StatedConditions;
+use crate::direct::versions::load_record::{LoadRecord, LoadTable};
 
 /// How long a removed upstream is remembered: longer than the age of the copies from which a store
 /// is restored.
@@ -55,6 +56,8 @@
     early_notices: FastMap<SocketAddr, EarlyNotice>,
     /// The data centres to whose upstreams nothing is sent.
     pub(crate) evacuations: EvacuationTable,
+    /// The loads that agents have recorded.
+    pub(crate) loads: LoadTable,
     /// The load of the peer entries at the upstreams.
     pub(crate) peer_loads: PeerLoadTotals,
 }
@@ -134,7 +137,7 @@
              outcome=other-start",
             known.id, known.start
         );
-        if let EngineNotice::Serving(version) = notice
+        if let Some(version) = notice.served_version()
             && start > known.start
         {
             let served = ServedWeights { model: model.clone(), version };
@@ -144,6 +147,15 @@
         false
     }
 
+    /// The record of an agent about the latest load of a model at an upstream, if there is one.
+    pub(crate) fn load_record(
+        &self,
+        upstream: &UpstreamState,
+        model: &ModelName,
+    ) -> Option<&LoadRecord> {
+        self.loads.get(upstream.record.address, upstream.record.start, model)
+    }
+
     /// Applies a notice of an incarnation that was received before its registration.
     fn apply_early_notice(&mut self, now: Moment, state: &mut UpstreamState) {
         let Some(early) = self.early_notices.remove(&state.record.address) else { return };
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -54,6 +54,7 @@
 pub use store::freshness::{FreshnessClock, confirmation_time};
 pub use store::reader::{ReadOutcome, StoreReader};
 pub use store::watch_timing::WatchTiming;
+pub use versions::load_record::{LoadRecord, LoadState};
 pub use versions::table::{AnnouncementReport, AnnouncementTime, VersionTable};
 pub use waiting::queue::{WaitQueue, WaitRank};
 pub use warmup::limit::{WarmupBound, WarmupLimit};
--- a/mustardrill_core/src/direct/placement/choice.rs
+++ b/mustardrill_core/src/direct/placement/choice.rs
@@ -197,7 +197,8 @@
         opening_times.filter(|opens_at| *opens_at > now).min()
     }
 
-    /// Whether an upstream serves weights that the request may run on.
+    /// Whether an upstream serves weights that the request may run on, and nothing leaves their load
+    /// in doubt.
     pub(in crate::direct) fn serves_allowed_version(
         &self,
         now: Moment,
@@ -212,6 +213,10 @@
         if state.pinned_version.is_some_and(|pinned| version != pinned) {
             return false;
         }
+        let load = self.upstreams.load_record(upstream, model);
+        if load.is_some_and(|load| !load.allows(version)) {
+            return false;
+        }
         if self.versions.newest(model).is_none_or(|newest| version >= newest) {
             return true;
         }
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -32,6 +32,7 @@
 use crate::direct::store::freshness::FreshnessClock;
 use crate::direct::store::generation_report::GenerationReport;
 use crate::direct::versions::announcements::AnnouncementInquiry;
+use crate::direct::versions::load_record::LoadRecord;
 use crate::direct::versions::superseded::UnstartedAttempts;
 use crate::direct::versions::table::{AnnouncementReport, VersionTable};
 use crate::direct::waiting::held_requests::HeldRequests;
@@ -226,6 +227,11 @@
             }
             DirectEvent::CrashReportReceived(report) => self.receive_crash_report(now, report),
             DirectEvent::EngineNoticeReceived { address, model, start, notice } => {
+                if let EngineNotice::Proven(version, number) = notice {
+                    let start = start.unwrap_or_default();
+                    let record = LoadRecord::proven(address, start, number, &model, version);
+                    self.upstreams.loads.apply(record);
+                }
                 if !self.upstreams.accepts_notice(now, address, &model, start, notice) {
                     return Vec::new();
                 }
@@ -236,7 +242,7 @@
                     }
                     EngineNotice::LoadingIn(after) => state.reload_at = Some(now + after),
                     EngineNotice::Loading => state.paused_until = now + LOADING_TIMEOUT,
-                    EngineNotice::Serving(version) => {
+                    EngineNotice::Serving(version) | EngineNotice::Proven(version, _) => {
                         state.record_resume(now, &model, version, start)
                     }
                 }
@@ -350,6 +356,7 @@
             evacuations: self.upstreams.evacuations.len(),
             evacuated: self.upstreams.evacuated_count(),
             cold: self.upstreams.cold_count(),
+            unproven_loads: self.upstreams.loads.unproven_count(),
             quarantined: self.quarantine.quarantined_count(now),
             quarantined_parts: self.quarantine.active_parts(now).len(),
             suspected_parts: self.quarantine.part_suspect_count(),
--- a/mustardrill_core/src/direct/store/coalescing.rs
+++ b/mustardrill_core/src/direct/store/coalescing.rs
@@ -129,7 +129,7 @@
         is_service_lost
     }
 
-    /// Records a change and returns whether it is more than new served weights of a known upstream.
+    /// Records a change and returns whether it is more than news of the weights of a known upstream.
     fn record_change(&mut self, change: &FleetChange) -> bool {
         match change {
             FleetChange::Upstream(record) => {
@@ -143,6 +143,7 @@
                 self.known_upstreams.remove(id);
                 true
             }
+            FleetChange::LoadRecorded(_) => false,
             _ => true,
         }
     }
--- a/mustardrill_core/src/direct/store/fleet_updates.rs
+++ b/mustardrill_core/src/direct/store/fleet_updates.rs
@@ -257,6 +257,7 @@
             FleetChange::VersionAnnounced(model, version) => {
                 self.record_announcement(now, &model, version, time);
             }
+            FleetChange::LoadRecorded(record) => self.upstreams.loads.apply(record),
             FleetChange::EvacuationRequested(data_centre) => {
                 self.begin_evacuation(now, data_centre)
             }
--- a/mustardrill_core/src/direct/versions/demand.rs
+++ b/mustardrill_core/src/direct/versions/demand.rs
@@ -18,6 +18,10 @@
 impl DirectReducer {
     /// The version that an attempt at `target` demands. While an older one is allowed, nothing is
     /// demanded of an engine whose answer has contradicted the belief, until it reports again.
+    ///
+    /// An engine that its agent loads may hold a newer version whose load is not proven. It is always
+    /// asked for the believed one, and so is an engine that is believed to hold the initial version,
+    /// as its first load may not be known here yet.
     pub(in crate::direct) fn demanded_version(
         &self,
         now: Moment,
@@ -29,8 +33,9 @@
         }
         let model = state.model.as_ref()?;
         let believed = target.served_version(model)?;
-        let is_demanded =
-            believed > INITIAL_VERSION && target.belief(Some(model)).is_uncontradicted();
+        let is_demanded = believed == INITIAL_VERSION
+            || target.belief(Some(model)).is_uncontradicted()
+            || self.upstreams.load_record(target, model).is_some();
         let is_older_forbidden = || {
             let oldest_allowed = self.oldest_allowed_version(now, state, target);
             oldest_allowed.is_some_and(|oldest| oldest > INITIAL_VERSION)
--- a/mustardrill_core/src/direct/versions/mod.rs
+++ b/mustardrill_core/src/direct/versions/mod.rs
@@ -3,5 +3,6 @@
 
 pub(in crate::direct) mod announcements;
 pub(in crate::direct) mod demand;
+pub(in crate::direct) mod load_record;
 pub(in crate::direct) mod superseded;
 pub(in crate::direct) mod table;
--- a/mustardrill_core/src/provisioning/engine.rs
+++ b/mustardrill_core/src/provisioning/engine.rs
@@ -3,7 +3,7 @@
 use log::info;
 use mustardrill_types::Moment;
 
-use crate::direct::{AnnouncementTime, EngineNotice};
+use crate::direct::AnnouncementTime;
 use crate::provisioning::event::{EngineView, ProvisioningEffect};
 use crate::provisioning::reducer::{ProvisioningReducer, ProvisioningStage, version_id_of};
 
@@ -20,8 +20,14 @@
         if self.last_engine_view.is_none() && self.stage.is_some() {
             self.first_response(now, &view);
         }
+        let is_first = self.last_engine_view.is_none();
         let is_restart =
             self.last_engine_view.as_ref().is_some_and(|last| view.is_restart_of(last));
+        if is_first || is_restart {
+            self.ledger.begin_incarnation(&view);
+        } else {
+            self.ledger.observe(&view);
+        }
         self.last_engine_view = Some(view.clone());
         self.record_served(&view);
         let is_known = before.is_some() && !is_restart && !view.serving.is_empty();
@@ -32,16 +38,21 @@
             info!("engine start={} sequence={} outcome=restarted", view.start, view.sequence);
             self.discard_load_order();
         }
-        self.confirm_load_order(now, &view);
+        effects.extend(self.confirm_load_order(now, &view));
+        if let Some(ProvisioningStage::AwaitingSlot(..) | ProvisioningStage::VerifyingStaged(_)) =
+            self.stage
+        {
+            self.ledger.record_complete(view.sequence);
+        }
         let served = before.map(|before| before.serving).unwrap_or_default();
         if served != view.serving
             && let Some(now_served) = view.serving.first()
         {
             let version = version_id_of(now_served);
             info!("engine serving={version} sequence={} outcome=changed", view.sequence);
-            let notice = EngineNotice::Serving(version.version);
-            let start = Some(view.start);
-            effects.push(ProvisioningEffect::NotifyEntries(version.model, start, notice));
+            if self.ledger.is_proven(&version) {
+                effects.push(self.notify_serving(&version));
+            }
         }
         self.engine = Some(view);
         effects
--- a/mustardrill_core/src/provisioning/event.rs
+++ b/mustardrill_core/src/provisioning/event.rs
@@ -7,7 +7,7 @@
     ChunkIndex, DataCentre, InstanceId, Millis, ModelName, ServiceName, StartStamp, WeightVersion,
 };
 
-use crate::direct::{EngineNotice, FleetUpdate, PeerRecord, ServedWeights};
+use crate::direct::{EngineNotice, FleetUpdate, LoadRecord, PeerRecord, ServedWeights};
 use crate::manifest::{ChunkBitmap, Manifest};
 use crate::provisioning::rollout::RolloutSettings;
 use crate::transfer::{ChunkFetch, ChunkSource, FetchOutcome, TransferSettings};
@@ -22,6 +22,15 @@
     pub version: WeightVersion,
 }
 
+/// A range of a model's layers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LayerRange {
+    /// The first layer.
+    pub first: u32,
+    /// The layer behind the last one.
+    pub end: u32,
+}
+
 /// A place from which a version's manifest can be fetched.
 #[derive(Debug, derive_more::Display, Clone, PartialEq, Eq)]
 pub enum ManifestSource {
@@ -74,6 +83,10 @@
     FetchEnded(VersionId, ChunkIndex, ChunkSource, FetchOutcome),
     /// The staged chunks were read back and verified; these are intact.
     StagedVerified(VersionId, ChunkBitmap),
+    /// The record of the engine's latest load was read from the store; `None` if there is none.
+    LoadRecordRead(Option<LoadRecord>),
+    /// The store holds this record.
+    LoadRecordStored(LoadRecord),
     /// A load order ended, with a response or without one.
     LoadOrderEnded(VersionId, LoadOrderOutcome),
     /// Timer tick.
@@ -86,6 +99,9 @@
     /// The engine has accepted the order.
     #[display("taken")]
     Accepted,
+    /// The engine has nothing to do for it: it holds the weights already.
+    #[display("in-effect")]
+    InEffect,
     /// The engine has rejected the order and will never run it.
     #[display("refused")]
     Rejected,
@@ -136,11 +152,17 @@
         /// Whether the receivers are asked for their holdings in return.
         wants_reply: bool,
     },
-    /// Read all staged chunks back and verify them.
+    /// Read all staged chunks back and verify them, so that none was read long ago.
     VerifyStaged(VersionId),
-    /// Order the engine to load the staged version, provided that it has accepted this many orders
-    /// so far.
-    OrderLoad(VersionId, u64),
+    /// Read all staged chunks back after the engine took them, and verify them.
+    VerifyLoaded(VersionId),
+    /// Order the engine to hold all layers of the staged version, or these, provided that it has
+    /// accepted this many orders so far.
+    OrderLoad(VersionId, Option<LayerRange>, u64),
+    /// Read the record of the engine's latest load from the store.
+    ReadLoadRecord,
+    /// Write a record to the store, until it is stored or another one is to be written.
+    WriteLoadRecord(LoadRecord),
     /// Send the entries a notice about the engine, with the incarnation whose report it rests on.
     NotifyEntries(ModelName, Option<StartStamp>, EngineNotice),
     /// Drop the manifest of a version that is no longer wanted.
--- a/mustardrill_core/src/provisioning/fetching.rs
+++ b/mustardrill_core/src/provisioning/fetching.rs
@@ -27,8 +27,12 @@
             );
             let chunk_count = plan.manifest().chunk_count();
             self.staged = Some((wanted.clone(), chunk_count));
+            self.record_complete_copy();
             return (Some(ProvisioningStage::AwaitingSlot(plan, now)), Vec::new());
         }
+        if !self.may_stage(wanted) {
+            return (Some(ProvisioningStage::FetchingChunks(plan)), Vec::new());
+        }
         let overdue = plan.expire_fetches(now).into_iter();
         let mut effects: Vec<_> =
             overdue.map(|(index, source)| ProvisioningEffect::CancelFetch(index, source)).collect();
--- /dev/null
+++ b/mustardrill_core/src/provisioning/load_ledger.rs
@@ -0,0 +1,201 @@
+//! What an agent knows of its engine's loads: which one is recorded in the store, and which weights
+//! are proven to have been taken from intact chunks.
+//!
+//! An engine takes the staged chunks as they are when it accepts an order, at a moment that the agent
+//! doesn't learn. A chunk that turns bad stays bad until it is staged again. A load is therefore
+//! proven by reading all chunks back after it, provided that none was staged since.
+
+use std::net::SocketAddr;
+
+use mustardrill_types::{ModelName, StartStamp, WeightVersion};
+
+use crate::direct::{LoadRecord, LoadState, ServedWeights};
+use crate::provisioning::event::{EngineView, VersionId};
+
+/// The record in the store, as far as known.
+#[derive(Debug, Default, PartialEq, Eq)]
+enum StoredRecord {
+    #[default]
+    Unread,
+    BeingRead,
+    Read,
+}
+
+/// Loads of the engine of one agent.
+#[derive(Debug, Default)]
+pub(super) struct LoadLedger {
+    stored: StoredRecord,
+    /// The record that was read or written last.
+    latest: Option<LoadRecord>,
+    /// Whether the store holds `latest`.
+    is_stored: bool,
+    /// The weights of the current incarnation that are proven.
+    proven: Option<ServedWeights>,
+    /// Nothing was staged since the engine had accepted this number of orders.
+    unchanged_since: Option<u64>,
+    /// An order may still be accepted whose outcome this process does not know.
+    pub(super) has_pending_order: bool,
+    /// The engine holds, or is about to hold, weights that can't be proven any more.
+    pub(super) needs_reload: bool,
+}
+
+impl LoadLedger {
+    /// Whether weights are proven to have been taken from intact chunks.
+    pub(super) fn is_proven(&self, weights: &VersionId) -> bool {
+        self.proven.as_ref().is_some_and(|proven| {
+            proven.model == weights.model && proven.version == weights.version
+        })
+    }
+
+    /// Whether the record of an earlier agent process has been read.
+    pub(super) fn is_read(&self) -> bool {
+        self.stored == StoredRecord::Read
+    }
+
+    /// Whether the record is to be read now; once until it has been.
+    pub(super) fn begin_read(&mut self) -> bool {
+        if self.stored != StoredRecord::Unread {
+            return false;
+        }
+        self.stored = StoredRecord::BeingRead;
+        true
+    }
+
+    /// Handles the first report of an engine incarnation. An incarnation that has accepted no order
+    /// holds what it started with.
+    pub(super) fn begin_incarnation(&mut self, view: &EngineView) {
+        self.proven = view.serving.first().filter(|_| view.sequence == 0).cloned();
+        self.unchanged_since = None;
+        self.has_pending_order = false;
+        self.needs_reload = false;
+    }
+
+    /// Handles a later report. An engine that serves newer weights than the proven ones no longer
+    /// holds these.
+    pub(super) fn observe(&mut self, view: &EngineView) {
+        if view.sequence == 0 {
+            self.proven = view.serving.first().cloned();
+        }
+        let is_newer = |proven: &mut ServedWeights| {
+            let mut serving = view.serving.iter();
+            serving.any(|it| it.model == proven.model && it.version > proven.version)
+        };
+        self.proven.take_if(is_newer);
+    }
+
+    /// Applies the record that an earlier agent process left, to the weights that the engine holds.
+    /// Without a record of this incarnation, nothing speaks against them.
+    pub(super) fn apply_read(&mut self, record: Option<LoadRecord>, view: Option<&EngineView>) {
+        self.stored = StoredRecord::Read;
+        self.is_stored = true;
+        self.latest = record;
+        let state = self.latest.as_ref().map(|latest| latest.state);
+        self.has_pending_order |= state.is_some_and(|state| state != LoadState::Proven);
+        let Some(view) = view else { return };
+        let Some(served) = view.serving.first().filter(|_| self.proven.is_none()) else { return };
+        match self.latest.as_ref().filter(|it| it.is_about(view.start, &served.model)) {
+            Some(record) if !record.allows(served.version) => {
+                let is_ordered =
+                    record.version == served.version && record.state == LoadState::Ordered;
+                // The earlier process staged nothing after it had recorded the order, unless it
+                // recorded the damage first.
+                self.unchanged_since = view.sequence.checked_sub(1).filter(|_| is_ordered);
+                self.needs_reload = !is_ordered;
+            }
+            _ => self.proven = Some(served.clone()),
+        }
+    }
+
+    /// Records that the store holds a record.
+    pub(super) fn record_stored(&mut self, record: &LoadRecord) {
+        self.is_stored |= self.latest.as_ref() == Some(record);
+    }
+
+    /// Records that a chunk is about to be staged.
+    pub(super) fn record_staging(&mut self) {
+        self.unchanged_since = None;
+    }
+
+    /// Records that all chunks are staged while the engine has accepted `sequence` orders.
+    pub(super) fn record_complete(&mut self, sequence: u64) {
+        self.unchanged_since.get_or_insert(sequence);
+    }
+
+    /// Whether nothing was staged since a report of the engine.
+    pub(super) fn is_unchanged(&self) -> bool {
+        self.unchanged_since.is_some()
+    }
+
+    /// Whether the engine's last load took the copy that is staged now.
+    pub(super) fn is_copy_of_load(&self, sequence: u64) -> bool {
+        !self.needs_reload && self.unchanged_since.is_some_and(|since| since < sequence)
+    }
+
+    /// Records that an order for `weights` is about to be given, or that its outcome can't be
+    /// proven. Returns the record to be stored, if it is not the latest one.
+    pub(super) fn record_order(
+        &mut self,
+        engine: SocketAddr,
+        start: StartStamp,
+        weights: &VersionId,
+    ) -> Option<LoadRecord> {
+        let state = if self.needs_reload { LoadState::Damaged } else { LoadState::Ordered };
+        if self.is_proven(weights) {
+            // The engine lost these weights and is to take them again.
+            self.proven = None;
+        }
+        let proven_before = self.proven_version(&weights.model).filter(|_| !self.needs_reload);
+        let number = self.latest.as_ref().map_or(0, |latest| latest.number) + 1;
+        let VersionId { model, version } = weights.clone();
+        let record = LoadRecord { engine, start, number, model, version, proven_before, state };
+        let is_same = self.latest.as_ref().is_some_and(|latest| {
+            LoadRecord { number: latest.number, ..record.clone() } == *latest
+        });
+        (!is_same).then(|| self.replace(record))
+    }
+
+    /// Whether the store holds the record of an order for `weights`.
+    pub(super) fn is_order_stored(&self, start: StartStamp, weights: &VersionId) -> bool {
+        let latest = self.latest.as_ref().filter(|_| self.is_stored);
+        latest.is_some_and(|latest| {
+            latest.state != LoadState::Proven
+                && latest.start == start
+                && latest.model == weights.model
+                && latest.version == weights.version
+                && (latest.state == LoadState::Damaged) == self.needs_reload
+        })
+    }
+
+    /// Records that the weights of the latest load are proven, and returns the record to be stored.
+    pub(super) fn record_proof(&mut self, weights: &VersionId) -> Option<LoadRecord> {
+        let VersionId { model, version } = weights.clone();
+        self.proven = Some(ServedWeights { model, version });
+        self.needs_reload = false;
+        self.has_pending_order = false;
+        let latest = self.latest.clone().filter(|latest| latest.version == version)?;
+        let proven = LoadRecord { proven_before: None, state: LoadState::Proven, ..latest };
+        Some(self.replace(proven))
+    }
+
+    /// The number of the load that gave the engine its proven weights; `None` if it started with
+    /// them.
+    pub(super) fn proven_load(&self, weights: &VersionId) -> Option<u64> {
+        let latest = self.latest.as_ref().filter(|latest| {
+            latest.state == LoadState::Proven
+                && latest.version == weights.version
+                && latest.model == weights.model
+        })?;
+        Some(latest.number)
+    }
+
+    fn proven_version(&self, model: &ModelName) -> Option<WeightVersion> {
+        let proven = self.proven.as_ref().filter(|proven| proven.model == *model)?;
+        Some(proven.version)
+    }
+
+    fn replace(&mut self, record: LoadRecord) -> LoadRecord {
+        self.is_stored = false;
+        self.latest = Some(record.clone());
+        record
+    }
+}
--- a/mustardrill_core/src/provisioning/load_order.rs
+++ b/mustardrill_core/src/provisioning/load_order.rs
@@ -1,14 +1,14 @@
 //! Decides when the engine is ordered to load the staged version, and handles the outcome.
 
+use std::collections::VecDeque;
+
 use log::{info, warn};
 use mustardrill_types::{Millis, ModelName, Moment};
 
-use crate::direct::{EngineNotice, ServedWeights};
+use crate::direct::EngineNotice;
 use crate::manifest::ChunkBitmap;
-use crate::provisioning::event::{EngineView, LoadOrderOutcome, ProvisioningEffect, VersionId};
-use crate::provisioning::reducer::{
-    LOAD_ORDER_TIMEOUT, LoadOrder, ProvisioningReducer, ProvisioningStage,
-};
+use crate::provisioning::event::{LayerRange, ProvisioningEffect, VersionId};
+use crate::provisioning::reducer::{ProvisioningReducer, ProvisioningStage, version_id_of};
 use crate::provisioning::rollout::RolloutWindow;
 use crate::transfer::TransferPlan;
 
@@ -19,6 +19,35 @@
 /// A load slot that has moved by less than this is not reported again.
 const MIN_SLOT_CHANGE: Millis = Millis(100);
 
+/// A load order that was sent.
+#[derive(Debug, Clone)]
+pub(super) struct LoadOrder {
+    pub(super) since: Moment,
+    /// Number of orders that the engine had accepted before.
+    pub(super) sequence: u64,
+    pub(super) phase: OrderPhase,
+    /// The layers that the engine is to hold; `None` stands for all.
+    pub(super) layers: Option<LayerRange>,
+    /// The layers of the orders that follow this one.
+    pub(super) steps: VecDeque<Option<LayerRange>>,
+}
+
+/// How far a load order has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OrderPhase {
+    /// Sent; the engine may accept it at any moment, with the copy that is staged then.
+    Sent,
+    /// Rejected; the engine will never accept it.
+    Rejected,
+    /// Accepted; further orders follow once the engine reports that it has carried it out, and that
+    /// it has accepted this many orders.
+    Accepted(u64),
+    /// The last order is accepted, and the staged copy is read back to prove the load.
+    Verifying,
+    /// The engine took intact chunks.
+    Proven,
+}
+
 impl ProvisioningReducer {
     /// Whether provisioning continues with the current version although a newer one was announced.
     ///
@@ -35,8 +64,8 @@
         }
         match stage {
             ProvisioningStage::FetchingManifest { .. } => return false,
-            // The staged copy must stay unchanged until the engine has accepted the order.
-            ProvisioningStage::Loading(_, order) => return !order.accepted,
+            // The staged copy must stay unchanged until the load is proven.
+            ProvisioningStage::Loading(_, order) => return order.phase != OrderPhase::Proven,
             _ => {}
         }
         let pending = self.newer_manifest.as_ref().filter(|pending| pending.version == *newer);
@@ -100,6 +129,9 @@
         }
         let slot = self.load_slot(wanted, staged);
         if slot <= now {
+            if !self.may_order(wanted) {
+                return (Some(ProvisioningStage::AwaitingSlot(plan, staged)), Vec::new());
+            }
             return (
                 Some(ProvisioningStage::VerifyingStaged(plan)),
                 self.start_verification(wanted),
@@ -137,7 +169,11 @@
             return Vec::new();
         }
         match self.stage.take() {
+            Some(ProvisioningStage::InspectingStaged(_)) if self.proves_load(version, intact) => {
+                self.finish_proof(version)
+            }
             Some(ProvisioningStage::InspectingStaged(mut plan)) => {
+                self.ledger.needs_reload |= self.serves(version);
                 intact.held().into_iter().for_each(|index| plan.record_intact(now, index));
                 info!("weights version={version} outcome=inspected whole={}", intact.count());
                 self.staged = None;
@@ -147,6 +183,11 @@
             Some(ProvisioningStage::VerifyingStaged(plan)) => {
                 self.order_load(now, version, intact, plan)
             }
+            Some(ProvisioningStage::Loading(plan, order))
+                if order.phase == OrderPhase::Verifying =>
+            {
+                self.load_verified(version, intact, plan, order)
+            }
             other => {
                 self.stage = other;
                 Vec::new()
@@ -166,6 +207,7 @@
             warn!("weights version={version} outcome=spoilt chunks={}", damaged.len());
             damaged.into_iter().for_each(|index| plan.record_damaged(index));
             self.staged = None;
+            self.ledger.record_staging();
             self.stage = Some(ProvisioningStage::FetchingChunks(plan));
             return self.cancel_pause();
         }
@@ -174,12 +216,15 @@
             return Vec::new();
         };
         let sequence = engine.sequence;
-        info!("order version={version} sequence={sequence} decision=load");
-        self.stage = Some(ProvisioningStage::Loading(
-            plan,
-            LoadOrder { since: now, sequence, accepted: false },
-        ));
-        vec![ProvisioningEffect::OrderLoad(version.clone(), sequence)]
+        let mut steps = self.load_steps(version);
+        let layers = steps.pop_front().flatten();
+        info!(
+            "order version={version} sequence={sequence} decision=load steps_left={}",
+            steps.len()
+        );
+        let order = LoadOrder { since: now, sequence, phase: OrderPhase::Sent, layers, steps };
+        self.stage = Some(ProvisioningStage::Loading(plan, order));
+        vec![ProvisioningEffect::OrderLoad(version.clone(), layers, sequence)]
     }
 
     /// Starts verifying the staged chunks before the order, and notifies the entries that the
@@ -205,46 +250,19 @@
         ProvisioningEffect::NotifyEntries(model, start, notice)
     }
 
-    /// Notifies the entries that the engine continues with the version that it serves.
-    fn cancel_pause(&self) -> Vec<ProvisioningEffect> {
-        let served = self.engine.as_ref().and_then(|engine| engine.serving.first());
-        let notify = |served: &ServedWeights| {
-            let notice = EngineNotice::Serving(served.version);
-            self.notify_entries(served.model.clone(), notice)
+    /// Notifies the entries that the engine serves proven weights.
+    pub(super) fn notify_serving(&self, weights: &VersionId) -> ProvisioningEffect {
+        let notice = match self.ledger.proven_load(weights) {
+            Some(number) => EngineNotice::Proven(weights.version, number),
+            None => EngineNotice::Serving(weights.version),
         };
-        served.map(notify).into_iter().collect()
+        self.notify_entries(weights.model.clone(), notice)
     }
 
-    /// Recognises from the engine's order count that it accepted an order whose response was lost.
-    pub(super) fn confirm_load_order(&mut self, now: Moment, view: &EngineView) {
-        let Some(ProvisioningStage::Loading(_, order)) = &mut self.stage else { return };
-        if !order.accepted && view.sequence > order.sequence {
-            order.accepted = true;
-            let age = now.since(order.since);
-            info!("order sequence={} outcome=reported-accepted age={age}", order.sequence);
-        }
-    }
-
-    pub(super) fn load_answered(
-        &mut self,
-        now: Moment,
-        version: &VersionId,
-        outcome: LoadOrderOutcome,
-    ) -> Vec<ProvisioningEffect> {
-        info!("order version={version} outcome={outcome}");
-        if self.wanted.as_ref() != Some(version) {
-            return Vec::new();
-        }
-        if let Some(ProvisioningStage::Loading(_, order)) = &mut self.stage {
-            match outcome {
-                LoadOrderOutcome::Accepted => order.accepted = true,
-                // The engine accepted another order or restarted: read its state again, then repeat
-                // the order.
-                LoadOrderOutcome::Rejected => order.since = now - LOAD_ORDER_TIMEOUT,
-                // The order may still be accepted, with whatever is staged at that moment.
-                LoadOrderOutcome::Unknown => {}
-            }
-        }
-        Vec::new()
+    /// Notifies the entries that the engine continues with the version that it serves.
+    fn cancel_pause(&self) -> Vec<ProvisioningEffect> {
+        let served = self.engine.as_ref().and_then(|engine| engine.serving.first());
+        let proven = served.map(version_id_of).filter(|served| self.ledger.is_proven(served));
+        proven.map(|served| self.notify_serving(&served)).into_iter().collect()
     }
 }
--- a/mustardrill_core/src/provisioning/mod.rs
+++ b/mustardrill_core/src/provisioning/mod.rs
@@ -9,7 +9,9 @@
 mod event;
 mod fetching;
 mod holdings;
+mod load_ledger;
 mod load_order;
+mod load_proof;
 mod pending_manifest;
 mod reducer;
 mod rollout;
@@ -17,7 +19,7 @@
 
 pub use entry_directory::EntryDirectory;
 pub use event::{
-    EngineView, HoldingsReport, LoadOrderOutcome, ManifestSource, ProvisioningEffect,
+    EngineView, HoldingsReport, LayerRange, LoadOrderOutcome, ManifestSource, ProvisioningEffect,
     ProvisioningEvent, ProvisioningSettings, ProvisioningStatus, VersionId,
 };
 pub use reducer::ProvisioningReducer;
--- a/mustardrill_core/src/provisioning/reducer.rs
+++ b/mustardrill_core/src/provisioning/reducer.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use log::{info, warn};
+use log::info;
 use mustardrill_types::{
     ChunkIndex, FastMap, InstanceId, Millis, ModelName, Moment, WeightVersion,
 };
@@ -11,14 +11,15 @@
 use rand::{Rng, SeedableRng};
 
 use crate::direct::{
-    AnnouncementTime, EngineNotice, FleetChange, FleetUpdate, RouteDocument, UpstreamRecord,
-    VersionTable,
+    AnnouncementTime, FleetChange, FleetUpdate, RouteDocument, UpstreamRecord, VersionTable,
 };
 use crate::manifest::Manifest;
 use crate::provisioning::event::{
     EngineView, ProvisioningEffect, ProvisioningEvent, ProvisioningSettings, ProvisioningStatus,
     VersionId,
 };
+use crate::provisioning::load_ledger::LoadLedger;
+use crate::provisioning::load_order::LoadOrder;
 use crate::provisioning::pending_manifest::PendingManifest;
 use crate::relays::RelayTable;
 use crate::transfer::{TransferPeer, TransferPlan};
@@ -43,20 +44,10 @@
     AwaitingSlot(Box<TransferPlan>, Moment),
     /// The staged chunks are being verified before the load order.
     VerifyingStaged(Box<TransferPlan>),
-    /// The engine was ordered to load them.
+    /// The engine was ordered to load them; ends once it serves them and the load is proven.
     Loading(Box<TransferPlan>, LoadOrder),
 }
 
-/// A load order that was sent.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct LoadOrder {
-    pub(super) since: Moment,
-    /// Number of orders that the engine had accepted before.
-    pub(super) sequence: u64,
-    /// Whether the engine has accepted it; from then on the staged copy may be overwritten.
-    pub(super) accepted: bool,
-}
-
 /// The provisioning state of one agent.
 #[derive(Debug)]
 pub struct ProvisioningReducer {
@@ -77,6 +68,8 @@
     pub(super) last_engine_view: Option<EngineView>,
     pub(super) wanted: Option<VersionId>,
     pub(super) stage: Option<ProvisioningStage>,
+    /// What is known of the engine's loads.
+    pub(super) ledger: LoadLedger,
     /// The version of which all chunks are staged, and their number.
     pub(super) staged: Option<(VersionId, u32)>,
     pub(super) holdings_sent_at: Moment,
@@ -112,6 +105,7 @@
             last_engine_view: None,
             wanted: None,
             stage: None,
+            ledger: LoadLedger::default(),
             staged: None,
             holdings_sent_at: Moment(0),
             awaited_when_sent: 0,
@@ -153,6 +147,14 @@
             ProvisioningEvent::StagedVerified(version, intact) => {
                 self.staged_verified(now, &version, &intact)
             }
+            ProvisioningEvent::LoadRecordRead(record) => {
+                self.ledger.apply_read(record, self.engine.as_ref());
+                Vec::new()
+            }
+            ProvisioningEvent::LoadRecordStored(record) => {
+                self.ledger.record_stored(&record);
+                Vec::new()
+            }
             ProvisioningEvent::LoadOrderEnded(version, outcome) => {
                 self.load_answered(now, &version, outcome)
             }
@@ -233,10 +235,12 @@
                 }
                 FleetChange::Peer(relay) => self.relays.add(relay),
                 FleetChange::PeerGone(id) => self.relays.remove(&id),
-                // Quarantines and evacuations concern requests, which this reducer does not handle.
-                // Engines of an evacuated data centre go on loading weights, so that they hold the
-                // current ones when it is taken back.
-                FleetChange::Quarantined(..)
+                // The record of the agent's own engine is read when it is needed. Quarantines and
+                // evacuations concern requests, which this reducer does not handle. Engines of an
+                // evacuated data centre go on loading weights, so that they hold the current ones
+                // when it is taken back.
+                FleetChange::LoadRecorded(_)
+                | FleetChange::Quarantined(..)
                 | FleetChange::EvacuationRequested(_)
                 | FleetChange::EvacuationEnded(_) => {}
             }
@@ -338,6 +342,7 @@
         let (next_stage, effects_of_stage) = self.advance_stage(now, &wanted, stage);
         self.stage = next_stage;
         effects.extend(effects_of_stage);
+        effects.extend(self.record_order(&wanted));
         effects.extend(self.send_holdings(now, &wanted));
         effects
     }
@@ -354,17 +359,21 @@
         let serves = serving.iter().any(|served| version_id_of(served) == target);
         let served =
             serving.first().map_or("none".into(), |served| version_id_of(served).to_string());
+        let is_proven = serves && self.ledger.is_proven(&target);
+        if serves && !is_proven && !self.ledger.is_read() {
+            // The record of an earlier process tells whether the load that it ordered is proven.
+            return self.read_load_record();
+        }
         if self.wanted.as_ref() == Some(&target) && self.stage.is_some() {
-            if !serves {
+            if !is_proven {
                 return Vec::new();
             }
             self.stage = None;
             self.inspects_staged = false;
             info!("weights version={target} outcome=served");
-            let notice = EngineNotice::Serving(target.version);
-            return vec![self.notify_entries(target.model, notice)];
+            return vec![self.notify_serving(&target)];
         }
-        if serves {
+        if is_proven {
             self.wanted = Some(target);
             return Vec::new();
         }
@@ -375,6 +384,10 @@
             self.plan().map(TransferPlan::pending_fetches).unwrap_or_default().into_iter();
         let cancel = |(index, source)| ProvisioningEffect::CancelFetch(index, source);
         let mut effects: Vec<_> = cancelled.map(cancel).collect();
+        if self.wanted.as_ref() != Some(&target) {
+            // All layers of another version are taken anew.
+            self.ledger.needs_reload = false;
+        }
         if let Some(previous) =
             self.wanted.replace(target.clone()).filter(|previous| *previous != target)
         {
@@ -410,19 +423,14 @@
             ProvisioningStage::AwaitingSlot(plan, staged) => {
                 self.await_load_slot(now, wanted, plan, staged)
             }
-            ProvisioningStage::Loading(plan, order)
-                if now.since(order.since) > LOAD_ORDER_TIMEOUT && self.is_engine_idle() =>
-            {
-                warn!("order version={wanted} outcome=overdue");
-                (Some(ProvisioningStage::AwaitingSlot(plan, now)), Vec::new())
-            }
+            ProvisioningStage::Loading(plan, order) => self.advance_load(now, wanted, plan, order),
             stage => (Some(stage), Vec::new()),
         }
     }
 
     /// Whether the engine answers and carries out no order. It may be silent for seconds, and takes
     /// as long for an order as its running requests take.
-    fn is_engine_idle(&self) -> bool {
+    pub(super) fn is_engine_idle(&self) -> bool {
         self.engine.as_ref().is_some_and(|engine| !engine.busy)
     }
 
@@ -475,11 +483,13 @@
         }
         // From the first chunk on, the staged copy no longer is the earlier version.
         self.staged = None;
+        self.ledger.record_staging();
         self.stage = Some(ProvisioningStage::FetchingChunks(Box::new(plan)));
         Vec::new()
     }
 }
 
+/// The weights that an engine serves, as a version.
 pub(super) fn version_id_of(served: &crate::direct::ServedWeights) -> VersionId {
     VersionId { model: served.model.clone(), version: served.version }
 }
--- a/mustardrill_core/tests/beliefs.rs
+++ b/mustardrill_core/tests/beliefs.rs
@@ -203,7 +203,8 @@
     for start in [0, 2].map(StartStamp) {
         let mut reducer = entry();
         notify_of_start(&mut reducer, START + Millis(1_000), 2, Some(start));
-        assert_eq!(send(&mut reducer, START + Millis(1_000), 1).pinned_version, None, "{start}");
+        let plan = send(&mut reducer, START + Millis(1_000), 1);
+        assert_eq!(plan.pinned_version, Some(WeightVersion(1)), "{start}");
     }
 }
 
@@ -214,7 +215,7 @@
     let now = START + Millis(1_000);
     notify_of_start(&mut reducer, now, 2, None);
     answer(&mut reducer, now, vec![FleetChange::Upstream(engine_with(1))]);
-    assert_eq!(send(&mut reducer, now, 1).pinned_version, None);
+    assert_eq!(send(&mut reducer, now, 1).pinned_version, Some(WeightVersion(1)));
 }
 
 /// The attempt was sent to the start before, which may still run it.
@@ -244,7 +245,7 @@
     assert_eq!(send(&mut reducer, now, 1).pinned_version, Some(WeightVersion(2)));
     let reborn = UpstreamRecord { start: StartStamp(2), ..engine_with(1) };
     answer(&mut reducer, now, vec![FleetChange::Upstream(reborn)]);
-    assert_eq!(send(&mut reducer, now, 2).pinned_version, None);
+    assert_eq!(send(&mut reducer, now, 2).pinned_version, Some(WeightVersion(1)));
 }
 
 /// The engine holds two models and has the newer weights of one of them. The belief in it ended with
@@ -352,5 +353,6 @@
     let started = DirectEvent::AnswerStarted(RequestNumber(1), None, Some(WeightVersion(1)));
     reducer.reduce(now + Millis(40), started);
     assert_eq!(reducer.status(now).contradicted_beliefs, 2, "by the refusal and by the answer");
-    assert_eq!(send(&mut reducer, now + Millis(50), 2).pinned_version, None);
+    let plan = send(&mut reducer, now + Millis(50), 2);
+    assert_eq!(plan.pinned_version, Some(WeightVersion(1)));
 }
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -9,10 +9,10 @@
 use mustardrill_core::catalogue::{EntryDraft, parse_drafts};
 use mustardrill_core::direct::{
     AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
-    DirectSettings, EngineProfile, FleetChange, FleetUpdate, ModelProfile, PeerRecord, RefusalPlan,
-    RegionMap, RepeatRule, RequestNumber, RetryShare, RouteDocument, RouteRule, SendPlan,
-    ServedWeights, ServiceProfile, StatedValue, UpstreamRecord, WarmupBound, WarmupReport,
-    WorkSize,
+    DirectSettings, EngineProfile, FleetChange, FleetUpdate, LoadRecord, ModelProfile, PeerRecord,
+    RefusalPlan, RegionMap, RepeatRule, RequestNumber, RetryShare, RouteDocument, RouteRule,
+    SendPlan, ServedWeights, ServiceProfile, StatedValue, UpstreamRecord, WarmupBound,
+    WarmupReport, WorkSize,
 };
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::edit::{EditChange, EditRequest, FleetFacts, PublishedVersion, apply_edit};
@@ -21,7 +21,10 @@
     SendOrder,
 };
 use mustardrill_core::membership::{InstanceRecord, MemberSettings};
-use mustardrill_core::provisioning::{ProvisioningSettings, RolloutSettings};
+use mustardrill_core::provisioning::{
+    ProvisioningEffect, ProvisioningEvent, ProvisioningReducer, ProvisioningSettings,
+    RolloutSettings,
+};
 use mustardrill_core::routing::{RoutingSettings, UpstreamReport};
 use mustardrill_core::transfer::TransferSettings;
 use mustardrill_types::{
@@ -438,3 +441,58 @@
 pub fn pool_address(index: u8) -> SocketAddr {
     ([10, 0, 0, index], 8_000).into()
 }
+
+/// A provisioning reducer whose store answers at once.
+#[derive(Debug)]
+pub struct StoredReducer {
+    reducer: ProvisioningReducer,
+    /// The load record that the store holds.
+    pub record: Option<LoadRecord>,
+}
+
+impl std::ops::Deref for StoredReducer {
+    type Target = ProvisioningReducer;
+
+    fn deref(&self) -> &Self::Target {
+        &self.reducer
+    }
+}
+
+impl StoredReducer {
+    pub fn new(settings: ProvisioningSettings, seed: u64) -> Self {
+        Self { reducer: ProvisioningReducer::new(settings, seed), record: None }
+    }
+
+    /// An agent that starts while the store holds a record of an earlier process.
+    pub fn with_record(settings: ProvisioningSettings, record: LoadRecord) -> Self {
+        Self { reducer: ProvisioningReducer::new(settings, 1), record: Some(record) }
+    }
+
+    /// Handles an event; reads and writes of load records are carried out.
+    pub fn reduce(&mut self, now: Moment, event: ProvisioningEvent) -> Vec<ProvisioningEffect> {
+        let mut effects = self.reducer.reduce(now, event);
+        let mut next = 0;
+        while let Some(effect) = effects.get(next).cloned() {
+            next += 1;
+            let answer = match effect {
+                ProvisioningEffect::ReadLoadRecord => {
+                    ProvisioningEvent::LoadRecordRead(self.record.clone())
+                }
+                ProvisioningEffect::WriteLoadRecord(record) => {
+                    self.record = Some(record.clone());
+                    ProvisioningEvent::LoadRecordStored(record)
+                }
+                _ => continue,
+            };
+            effects.extend(self.reducer.reduce(now, answer));
+        }
+        let is_record = |effect: &ProvisioningEffect| {
+            matches!(
+                effect,
+                ProvisioningEffect::ReadLoadRecord | ProvisioningEffect::WriteLoadRecord(_)
+            )
+        };
+        effects.retain(|effect| !is_record(effect));
+        effects
+    }
+}
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -947,7 +947,9 @@
         let effects = end_attempt(&mut reducer, START, 1, outcome);
         let plans = sent_plans(&effects);
         let [plan] = plans[..] else { panic!("{outcome:?}: {effects:?}") };
-        assert_eq!((plan.upstream != first, plan.pinned_version), (true, None), "{outcome:?}");
+        // The other engine is asked for its own weights.
+        let other = Some(WeightVersion(3 - version.0));
+        assert_eq!((plan.upstream != first, plan.pinned_version), (true, other), "{outcome:?}");
     }
 }
 
--- a/mustardrill_core/tests/provisioning.rs
+++ b/mustardrill_core/tests/provisioning.rs
@@ -13,8 +13,7 @@
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
 use mustardrill_core::provisioning::{
     EngineView, EntryDirectory, HoldingsReport, LoadOrderOutcome, ManifestSource,
-    ProvisioningEffect, ProvisioningEvent, ProvisioningReducer, ProvisioningSettings,
-    RolloutWindow, VersionId,
+    ProvisioningEffect, ProvisioningEvent, ProvisioningSettings, RolloutWindow, VersionId,
 };
 use mustardrill_core::transfer::{ChunkSource, FetchOutcome, TransferSettings};
 use mustardrill_types::{
@@ -24,6 +23,8 @@
 
 mod common;
 
+use common::StoredReducer;
+
 const START: Moment = Moment(50_000);
 const TOTAL: u32 = 8;
 fn document() -> Arc<RouteDocument> {
@@ -130,8 +131,8 @@
 }
 
 /// An agent alone in its service, whose engine serves version 1.
-fn agent() -> ProvisioningReducer {
-    let mut reducer = ProvisioningReducer::new(common::provisioning_settings(), 3);
+fn agent() -> StoredReducer {
+    let mut reducer = StoredReducer::new(common::provisioning_settings(), 3);
     let changes = vec![FleetChange::Configured(document()), upstream("i-1", 1)];
     reducer.reduce(START, fleet(changes, true));
     reducer.reduce(START, engine_state(1, 0));
@@ -140,7 +141,7 @@
 
 /// Completes every fetch that the reducer starts, at `now`, until it starts no more.
 fn complete_fetches(
-    reducer: &mut ProvisioningReducer,
+    reducer: &mut StoredReducer,
     now: Moment,
     number: u64,
     mut effects: Vec<ProvisioningEffect>,
@@ -179,7 +180,7 @@
 #[test]
 fn an_agent_that_starts_with_outdated_announcements_keeps_newer_weights() {
     for announcements in [vec![announced(2)], Vec::new()] {
-        let mut reducer = ProvisioningReducer::new(common::provisioning_settings(), 3);
+        let mut reducer = StoredReducer::new(common::provisioning_settings(), 3);
         let mut changes = vec![FleetChange::Configured(document()), upstream("i-1", 1)];
         changes.extend(announcements);
         reducer.reduce(START, fleet(changes, true));
@@ -199,7 +200,7 @@
 /// As above, but the newer version is never announced here: the engine's own report is sufficient.
 #[test]
 fn a_restarted_engine_gets_no_older_version_than_it_served() {
-    let mut reducer = ProvisioningReducer::new(common::provisioning_settings(), 3);
+    let mut reducer = StoredReducer::new(common::provisioning_settings(), 3);
     let changes = vec![FleetChange::Configured(document()), upstream("i-1", 1), announced(2)];
     reducer.reduce(START, fleet(changes, true));
     reducer.reduce(START, engine_state(3, 1));
@@ -210,7 +211,7 @@
 
 #[test]
 fn an_empty_engine_loads_without_waiting_for_a_slot() {
-    let mut reducer = ProvisioningReducer::new(common::provisioning_settings(), 3);
+    let mut reducer = StoredReducer::new(common::provisioning_settings(), 3);
     let changes = vec![FleetChange::Configured(document()), upstream("i-1", 1)];
     reducer.reduce(START, fleet(changes, true));
     let effects = reducer.reduce(START, engine_state(0, 0));
@@ -227,7 +228,7 @@
     assert!(effects.contains(&ProvisioningEffect::VerifyStaged(version(1))), "{effects:?}");
     let effects =
         reducer.reduce(START, ProvisioningEvent::StagedVerified(version(1), all_chunks()));
-    assert!(effects.contains(&ProvisioningEffect::OrderLoad(version(1), 0)), "{effects:?}");
+    assert!(effects.contains(&ProvisioningEffect::OrderLoad(version(1), None, 0)), "{effects:?}");
 }
 
 /// An agent reads the peers that need an announced version from an entry, which may have been cut
@@ -249,7 +250,7 @@
 }
 
 /// An agent that has version 2 staged.
-fn agent_with_staged_version() -> ProvisioningReducer {
+fn agent_with_staged_version() -> StoredReducer {
     let mut reducer = agent();
     let effects = reducer.reduce(START, fleet(vec![announced(2)], false));
     assert!(effects.contains(&ProvisioningEffect::ReadPeers));
@@ -264,7 +265,7 @@
 
 /// An agent that has ordered the load of version 2 in its slot after verification, and the time of
 /// that slot.
-fn agent_with_load_order() -> (ProvisioningReducer, Moment) {
+fn agent_with_load_order() -> (StoredReducer, Moment) {
     let mut reducer = agent_with_staged_version();
     let slot = START + common::ROLLOUT.first;
     reducer.reduce(slot, ProvisioningEvent::Tick);
@@ -308,9 +309,14 @@
         effects.iter().any(|it| matches!(it, ProvisioningEffect::OrderLoad(..))),
         "{effects:?}"
     );
-    reducer.reduce(slot, ProvisioningEvent::LoadOrderEnded(version(2), LoadOrderOutcome::Accepted));
+    let effects = reducer
+        .reduce(slot, ProvisioningEvent::LoadOrderEnded(version(2), LoadOrderOutcome::Accepted));
+    assert!(effects.contains(&ProvisioningEffect::VerifyLoaded(version(2))), "{effects:?}");
     let effects = reducer.reduce(slot + Millis(900), engine_state(2, 1));
-    let notice = EngineNotice::Serving(WeightVersion(2));
+    assert_eq!(effects, [], "entries were told of weights whose load is not proven");
+    let read = ProvisioningEvent::StagedVerified(version(2), all_chunks());
+    let effects = reducer.reduce(slot + Millis(910), read);
+    let notice = EngineNotice::Proven(WeightVersion(2), 1);
     assert!(effects.contains(&ProvisioningEffect::NotifyEntries(
         "m".parse().unwrap(),
         Some(StartStamp(0)),
@@ -374,11 +380,11 @@
     assert!(effects.contains(&ProvisioningEffect::VerifyStaged(version(2))), "{effects:?}");
     let effects = reducer
         .reduce(slot + Millis(80), ProvisioningEvent::StagedVerified(version(2), all_chunks()));
-    assert!(effects.contains(&ProvisioningEffect::OrderLoad(version(2), 3)), "{effects:?}");
+    assert!(effects.contains(&ProvisioningEffect::OrderLoad(version(2), None, 3)), "{effects:?}");
 }
 
 #[test]
-fn the_staged_copy_is_kept_until_the_engine_accepts_the_order() {
+fn the_staged_copy_is_kept_until_its_load_is_proven() {
     let (mut reducer, slot) = agent_with_load_order();
     let mut effects = reducer.reduce(slot, fleet(vec![announced(3)], false));
     effects.extend(reducer.reduce(slot, manifest_received(3)));
@@ -389,6 +395,10 @@
     let mut effects = reducer
         .reduce(slot, ProvisioningEvent::LoadOrderEnded(version(2), LoadOrderOutcome::Accepted));
     effects.extend(reducer.reduce(slot, ProvisioningEvent::Tick));
+    assert!(started_fetches(&effects).is_empty(), "the load can't be proven: {effects:?}");
+    let mut effects =
+        reducer.reduce(slot, ProvisioningEvent::StagedVerified(version(2), all_chunks()));
+    effects.extend(reducer.reduce(slot, ProvisioningEvent::Tick));
     assert!(!started_fetches(&effects).is_empty(), "{effects:?}");
 }
 
@@ -411,7 +421,11 @@
         "a fetched chunk would overwrite a staged one: {effects:?}"
     );
     // The engine's order count shows that it accepted the order, and with it the staged copy.
-    let mut effects = reducer.reduce(late + Millis(100), engine_state(1, 1));
+    let effects = reducer.reduce(late + Millis(100), engine_state(1, 1));
+    assert!(effects.contains(&ProvisioningEffect::VerifyLoaded(version(2))), "{effects:?}");
+    assert!(started_fetches(&effects).is_empty(), "{effects:?}");
+    let read = ProvisioningEvent::StagedVerified(version(2), all_chunks());
+    let mut effects = reducer.reduce(late + Millis(110), read);
     effects.extend(reducer.reduce(late + Millis(125), ProvisioningEvent::Tick));
     assert!(!started_fetches(&effects).is_empty(), "{effects:?}");
 }
@@ -434,7 +448,7 @@
     assert!(effects.contains(&ProvisioningEffect::VerifyStaged(version(2))), "{effects:?}");
     let now = slot + Millis(5_500);
     let effects = reducer.reduce(now, ProvisioningEvent::StagedVerified(version(2), all_chunks()));
-    assert!(effects.contains(&ProvisioningEffect::OrderLoad(version(2), 0)), "{effects:?}");
+    assert!(effects.contains(&ProvisioningEffect::OrderLoad(version(2), None, 0)), "{effects:?}");
 }
 
 /// Guards against a second load, for which the engine would take no requests once more. It first
@@ -443,6 +457,7 @@
 fn an_engine_that_was_still_busy_with_an_order_got_it_again() {
     let (mut reducer, slot) = agent_with_load_order();
     reducer.reduce(slot, ProvisioningEvent::LoadOrderEnded(version(2), LoadOrderOutcome::Accepted));
+    reducer.reduce(slot, ProvisioningEvent::StagedVerified(version(2), all_chunks()));
     let busy = |is_busy| {
         let mut event = engine_state(1, 1);
         if let ProvisioningEvent::EnginePolled(Some(view)) = &mut event {
@@ -483,7 +498,7 @@
     reducer.reduce(slot + Millis(60), manifest_received(3));
     let effects = reducer
         .reduce(slot + Millis(90), ProvisioningEvent::StagedVerified(version(2), all_chunks()));
-    assert!(effects.contains(&ProvisioningEffect::OrderLoad(version(2), 0)), "{effects:?}");
+    assert!(effects.contains(&ProvisioningEffect::OrderLoad(version(2), None, 0)), "{effects:?}");
 }
 
 /// Three of four engines skipped version 2, so they have less time to load version 3 than the one
@@ -492,6 +507,7 @@
 fn engines_with_the_newer_of_two_superseded_versions_load_last() {
     let (mut reducer, slot) = agent_with_load_order();
     reducer.reduce(slot, ProvisioningEvent::LoadOrderEnded(version(2), LoadOrderOutcome::Accepted));
+    reducer.reduce(slot, ProvisioningEvent::StagedVerified(version(2), all_chunks()));
     reducer.reduce(slot + Millis(900), engine_state(2, 1));
     let second = START + Millis(4_000);
     reducer.reduce(slot + Millis(900), ProvisioningEvent::Tick);
@@ -577,7 +593,7 @@
 /// A dead seeder delays its chunks by one timeout in total, not by one timeout each.
 #[test]
 fn all_chunks_of_a_dead_seeder_are_fetched_by_the_next_one_at_once() {
-    let mut reducer = ProvisioningReducer::new(
+    let mut reducer = StoredReducer::new(
         ProvisioningSettings {
             transfer: TransferSettings {
                 uses_primary_holders: true,
@@ -657,7 +673,7 @@
     let mut asking = 0;
     for host in 1..=FLEET {
         let own_id = format!("10.0.0.{host}").parse().unwrap();
-        let mut reducer = ProvisioningReducer::new(
+        let mut reducer = StoredReducer::new(
             ProvisioningSettings { own_id, ..common::provisioning_settings() },
             u64::from(host),
         );
@@ -680,7 +696,7 @@
 /// delay it.
 #[test]
 fn a_version_announced_before_the_agent_started_is_loaded_without_a_slot() {
-    let mut reducer = ProvisioningReducer::new(common::provisioning_settings(), 3);
+    let mut reducer = StoredReducer::new(common::provisioning_settings(), 3);
     let changes = vec![FleetChange::Configured(document()), upstream("i-1", 1), announced(2)];
     reducer.reduce(START, fleet(changes, true));
     reducer.reduce(START, engine_state(1, 0));
@@ -692,7 +708,7 @@
     reducer.reduce(after_fetch, ProvisioningEvent::Tick);
     let effects =
         reducer.reduce(after_fetch, ProvisioningEvent::StagedVerified(version(2), all_chunks()));
-    assert!(effects.contains(&ProvisioningEffect::OrderLoad(version(2), 0)), "{effects:?}");
+    assert!(effects.contains(&ProvisioningEffect::OrderLoad(version(2), None, 0)), "{effects:?}");
 }
 
 /// Engines added long after an announcement request the manifest from agents that loaded the
@@ -765,7 +781,7 @@
 /// Agents that fetch from one origin, which serves one request at a time, and from each other
 /// without delay.
 struct SharedOrigin {
-    agents: Vec<(InstanceId, ProvisioningReducer)>,
+    agents: Vec<(InstanceId, StoredReducer)>,
     requested: VecDeque<(usize, ChunkIndex)>,
     held: Vec<ChunkBitmap>,
     sent: u32,
@@ -791,7 +807,7 @@
                 transfer,
                 ..common::provisioning_settings()
             };
-            let mut reducer = ProvisioningReducer::new(settings, u64::from(host));
+            let mut reducer = StoredReducer::new(settings, u64::from(host));
             reducer.reduce(START, fleet(changes.to_vec(), true));
             reducer.reduce(START, engine_state(1, 0));
             reducer.reduce(START, manifest_received(2));
--- a/mustardrill_core/tests/restarts.rs
+++ b/mustardrill_core/tests/restarts.rs
@@ -11,8 +11,7 @@
 };
 use mustardrill_core::manifest::{ChunkBitmap, Manifest};
 use mustardrill_core::provisioning::{
-    EngineView, LoadOrderOutcome, ManifestSource, ProvisioningEffect, ProvisioningEvent,
-    ProvisioningReducer, VersionId,
+    EngineView, LoadOrderOutcome, ManifestSource, ProvisioningEffect, ProvisioningEvent, VersionId,
 };
 use mustardrill_core::transfer::FetchOutcome;
 use mustardrill_types::{
@@ -23,6 +22,8 @@
 
 mod common;
 
+use common::StoredReducer;
+
 const START: Moment = Moment(100_000);
 
 fn document() -> Arc<RouteDocument> {
@@ -161,8 +162,8 @@
 }
 
 /// An agent whose engine has accepted the order to load version 2.
-fn agent_with_accepted_order() -> (ProvisioningReducer, Moment) {
-    let mut reducer = ProvisioningReducer::new(common::provisioning_settings(), 3);
+fn agent_with_accepted_order() -> (StoredReducer, Moment) {
+    let mut reducer = StoredReducer::new(common::provisioning_settings(), 3);
     let changes = vec![FleetChange::Configured(document())];
     let snapshot = FleetUpdate {
         changes,
@@ -192,7 +193,7 @@
                 ProvisioningEffect::VerifyStaged(version) => {
                     ProvisioningEvent::StagedVerified(version, ChunkBitmap::full(2))
                 }
-                ProvisioningEffect::OrderLoad(version, _) => {
+                ProvisioningEffect::OrderLoad(version, _, _) => {
                     reducer.reduce(
                         now,
                         ProvisioningEvent::LoadOrderEnded(version, LoadOrderOutcome::Accepted),
@@ -243,8 +244,8 @@
 }
 
 /// An agent that has just started and has fetched version 1, while its engine does not answer yet.
-fn agent_without_engine() -> ProvisioningReducer {
-    let mut reducer = ProvisioningReducer::new(common::provisioning_settings(), 3);
+fn agent_without_engine() -> StoredReducer {
+    let mut reducer = StoredReducer::new(common::provisioning_settings(), 3);
     reducer.reduce(START, ProvisioningEvent::EnginePolled(None));
     let changes = vec![FleetChange::Configured(document())];
     let snapshot = FleetUpdate {
@@ -305,7 +306,7 @@
 
 #[test]
 fn a_restarted_peer_stays_when_its_former_registration_ends() {
-    let mut reducer = ProvisioningReducer::new(common::provisioning_settings(), 3);
+    let mut reducer = StoredReducer::new(common::provisioning_settings(), 3);
     let peer = |id| UpstreamRecord {
         address: SocketAddr::from(([10, 0, 0, 7], 8_001)),
         ..record(id, 1, 1)
--- a/mustardrill_core/tests/silences.rs
+++ b/mustardrill_core/tests/silences.rs
@@ -654,9 +654,7 @@
 
 #[test]
 fn a_stream_of_which_the_caller_has_a_part_goes_on_with_other_weights() {
-    for (delivered, versions, expected) in
-        [(true, [1, 2], None), (true, [1, 1], Some(WeightVersion(1))), (false, [1, 2], None)]
-    {
+    for (delivered, versions) in [(true, [1, 2]), (true, [1, 1]), (false, [1, 2])] {
         let mut entry = Entry::of_engines(&versions, RepeatRule::StreamResumable);
         let first = entry.send_to_model(1).upstream;
         let version = WeightVersion(versions[usize::from(first != common::desk_id(0))]);
@@ -665,7 +663,10 @@
         if delivered && versions[0] != versions[1] {
             assert_eq!(entry.report(FIRST, report), []);
         } else {
-            assert_eq!(entry.send_backup(FIRST, report).pinned_version, expected);
+            // The other engine is asked for its own weights.
+            let other = versions[usize::from(first == common::desk_id(0))];
+            let pinned = entry.send_backup(FIRST, report).pinned_version;
+            assert_eq!(pinned, Some(WeightVersion(other)));
         }
     }
 }
@@ -737,7 +738,7 @@
 #[test]
 fn schedules_lack_what_they_are_to_prove() {
     let mut total: BTreeMap<_, u64> = BTreeMap::new();
-    for seed in 0..60 {
+    for seed in 0..120 {
         for (name, count) in SilenceSimulation::play([1, 4, 36][seed as usize % 3], seed) {
             *total.entry(name).or_default() += count;
         }
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -366,6 +366,7 @@
             ("upstreams_leaving", status.leaving as u64),
             ("data_centres_evacuated", status.evacuations as u64),
             ("upstreams_evacuated", status.evacuated as u64),
+            ("loads_unproven", status.unproven_loads as u64),
             ("upstreams_resting", status.resting as u64),
             ("upstreams_cold", status.cold as u64),
             ("upstreams_limited", status.limited as u64),
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -27,7 +27,7 @@
 }
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 37] = [
+pub const METRICS: [MetricRow; 38] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -134,6 +134,11 @@
         MetricKind::Gauge,
         "Upstreams listed in evacuated data centres.",
     ),
+    MetricRow::new(
+        "loads_unproven",
+        MetricKind::Gauge,
+        "Engines whose latest load is not proven to have taken intact chunks.",
+    ),
     MetricRow::new("generation", MetricKind::Gauge, "The configuration in force; zero for none."),
     MetricRow::new(
         "proof_age_ms",
--- a/mustardrill_runtime/src/adapters.rs
+++ b/mustardrill_runtime/src/adapters.rs
@@ -9,9 +9,10 @@
 use futures_util::future::BoxFuture;
 use hyper::{HeaderMap, Request, StatusCode, Uri, http};
 use mustardrill_core::direct::{
-    DirectRequest, FleetUpdate, LoadReport, PeerRecord, RequestNumber, SendPlan, ServedWeights,
-    UpstreamStatement, WatchTiming,
+    DirectRequest, FleetUpdate, LoadRecord, LoadReport, PeerRecord, RequestNumber, SendPlan,
+    ServedWeights, UpstreamStatement, WatchTiming,
 };
+use mustardrill_core::provisioning::LayerRange;
 use mustardrill_core::quarantine::QuarantineSubject;
 use mustardrill_types::{
     ChunkIndex, Millis, ModelName, Moment, ResultCode, StartStamp, StoreEra, StoreRevision,
@@ -33,6 +34,9 @@
     /// The lease has ended, or belongs to another process since the store was restored.
     #[display("the lease has ended")]
     LeaseGone,
+    /// An item that the write depends on has changed; nothing was written.
+    #[display("the item has changed")]
+    Conflict,
     /// The store was restored from an older copy since, or the answer dates from before that.
     #[display("the store was restored from an older copy")]
     EraChanged,
@@ -116,6 +120,30 @@
     ) -> BoxFuture<'a, Result<(), StoreError>>;
 }
 
+/// A load record as it is stored.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredLoad {
+    /// The record; `None` if there is none, or it cannot be decoded.
+    pub record: Option<LoadRecord>,
+    /// Revision of the item at its last change; zero if there is no item.
+    pub revision: StoreRevision,
+}
+
+/// Access to the records of load orders in the platform's store.
+pub trait LoadRegister: Send + Sync {
+    /// Reads the record of the latest load of an engine.
+    fn read(&self, engine: SocketAddr) -> BoxFuture<'_, Result<StoredLoad, StoreError>>;
+
+    /// Writes a record if the item has not changed since the revision `known`, and returns the new
+    /// revision, or `None` if it has changed. A write without an answer may take effect later, but
+    /// not after another one.
+    fn write<'a>(
+        &'a self,
+        record: &'a LoadRecord,
+        known: StoreRevision,
+    ) -> BoxFuture<'a, Result<Option<StoreRevision>, StoreError>>;
+}
+
 /// Classification of an upstream's answer by its status and headers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AnswerKind {
@@ -196,9 +224,12 @@
 /// An engine's answer to an order.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub enum OrderAnswer {
-    /// The engine has started to carry it out, or the order is already in effect.
+    /// The engine has started to carry it out.
     #[display("taken")]
     Taken,
+    /// The engine has nothing to do for it.
+    #[display("in-effect")]
+    InEffect,
     /// The order was refused because it does not match the engine's state.
     #[display("conflict")]
     Conflict,
@@ -234,12 +265,12 @@
     /// Reads the engine's state; `None` if it does not answer.
     fn state(&self) -> BoxFuture<'_, Option<EngineState>>;
 
-    /// Orders the engine to load the staged version. The order is conditional: it applies only if
-    /// the engine has accepted `sequence` orders so far.
+    /// Orders the engine to hold `layers` of the staged version, or all of them. The order is
+    /// conditional: it applies only if the engine has accepted `sequence` orders so far.
     fn load<'a>(
         &'a self,
-        model: &'a ModelName,
-        version: WeightVersion,
+        weights: &'a ServedWeights,
+        layers: Option<LayerRange>,
         sequence: u64,
     ) -> BoxFuture<'a, OrderAnswer>;
 
--- a/mustardrill_runtime/src/datagram.rs
+++ b/mustardrill_runtime/src/datagram.rs
@@ -194,6 +194,10 @@
     /// Start of the engine's incarnation; agents of an earlier build send none.
     #[prost(uint64, optional, tag = "6")]
     pub start: Option<u64>,
+    /// The number of the load by which it got the version, if the chunks of that load were proven
+    /// intact; zero otherwise.
+    #[prost(uint64, tag = "7")]
+    pub proven_load: u64,
 }
 
 /// Chunks of a version that an agent holds.
@@ -387,10 +391,16 @@
             EngineNotice::UpdatePending => (true, 0, 0),
             EngineNotice::LoadingIn(after) => (true, 0, after.0.max(1)),
             EngineNotice::Loading => (false, 0, 0),
-            EngineNotice::Serving(version) => (false, version.0, 0),
+            EngineNotice::Serving(version) | EngineNotice::Proven(version, _) => {
+                (false, version.0, 0)
+            }
+        };
+        let proven_load = match notice {
+            EngineNotice::Proven(_, number) => number,
+            _ => 0,
         };
         let start = start.map(|start| start.0);
-        Self { address, update_pending, model, version, loading_in_ms, start }
+        Self { address, update_pending, model, version, loading_in_ms, start, proven_load }
     }
 
     /// Returns the notice that the row encodes.
@@ -399,6 +409,9 @@
             (true, 0, _) => EngineNotice::UpdatePending,
             (true, after, _) => EngineNotice::LoadingIn(Millis(after)),
             (false, _, 0) => EngineNotice::Loading,
+            (false, _, version) if self.proven_load > 0 => {
+                EngineNotice::Proven(WeightVersion(version), self.proven_load)
+            }
             (false, _, version) => EngineNotice::Serving(WeightVersion(version)),
         }
     }
--- a/mustardrill_runtime/src/fleet_digest.rs
+++ b/mustardrill_runtime/src/fleet_digest.rs
@@ -57,6 +57,9 @@
     /// Size of a chunk in bytes.
     #[prost(uint64, tag = "3")]
     pub chunk_size: u64,
+    /// Number of layers of the model; zero from entries of an earlier build.
+    #[prost(uint32, tag = "4")]
+    pub layers: u32,
 }
 
 /// A model with a number whose meaning depends on the field that contains it.
@@ -213,6 +216,7 @@
         models: models.collect(),
         chunks: engine.chunks,
         chunk_size: engine.chunk_size.0,
+        layers: engine.layers,
     }
 }
 
@@ -223,7 +227,8 @@
         models.push(ModelProfile { name, load_time: Millis(model.number) });
     }
     let chunk_size = ByteSize(digest.chunk_size);
-    Some(EngineProfile { models, chunks: digest.chunks, chunk_size, ..EngineProfile::default() })
+    let EngineDigest { chunks, layers, .. } = *digest;
+    Some(EngineProfile { models, chunks, chunk_size, layers, ..EngineProfile::default() })
 }
 
 fn origin_digest(origin: &OriginProfile) -> OriginDigest {
--- a/mustardrill_standins/tests/prepared/damaged_weights.rs
+++ b/mustardrill_standins/tests/prepared/damaged_weights.rs
@@ -3,9 +3,10 @@
 
 use std::time::Duration;
 
+use mustardrill_standins::process::daemon;
 use serde_json::json;
 
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, agent_settings, entry_settings, register};
 use crate::worker::{CHUNKS, StagingCall, StagingFault, Worker};
 
 /// Longer than the time for which the platform's rules excuse a damaged chunk.
@@ -70,12 +71,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_chunk_that_turned_bad_while_the_order_waited_made_tokens() {
     let fleet = announce_after(|engine| {
-        engine.set_staging_fault(StagingFault {
-            call: StagingCall::Order,
-            version: 2,
-            damaged: vec![5],
-            silence: LONG_SILENCE,
-        });
+        engine.set_staging_fault(held_order());
     })
     .await;
     assert_whole(&fleet).await;
@@ -96,3 +92,42 @@
     .await;
     assert_whole(&fleet).await;
 }
+
+/// The order of an engine that holds it for `LONG_SILENCE`, while a chunk turns bad.
+fn held_order() -> StagingFault {
+    StagingFault { call: StagingCall::Order, version: 2, damaged: vec![5], silence: LONG_SILENCE }
+}
+
+/// The agent that gave the order is killed before the engine accepts it, and the next one knows of it
+/// from the store only.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_load_ordered_by_a_killed_agent_made_tokens() {
+    let mut fleet = announce_after(|engine| engine.set_staging_fault(held_order())).await;
+    let has_struck = async || !fleet.engines[0].has_staging_fault();
+    fleet.wait_until("the order is held", has_struck).await;
+    fleet.agents[0].kill();
+    let (store, engine) = (fleet.stand_ins[0].address, fleet.stand_ins[2].address);
+    let settings = agent_settings("agent-0", fleet.network.machine_ip(10), engine, store);
+    fleet.agents[0] = daemon(&fleet.folder, "mustardrill-agent", "agent-0-next", &settings);
+    assert_whole(&fleet).await;
+}
+
+/// The entry starts while the load is in doubt, and learns of the new weights from the registration of
+/// the engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_load_in_doubt_made_tokens_at_an_entry_that_had_just_started() {
+    let mut fleet = announce_after(|engine| engine.set_staging_fault(held_order())).await;
+    let engine = &fleet.engines[0];
+    fleet.wait_until("the order is held", async || !engine.has_staging_fault()).await;
+    // The proof takes long enough for the entry to start before it.
+    engine.set_read_back_time(Duration::from_millis(350));
+    fleet.wait_until("the engine has accepted", async || engine.version() == 2).await;
+    let address = fleet.stand_ins[2].address;
+    register(&fleet.store, engine, address, "pool");
+    fleet.entry.kill();
+    let store = fleet.stand_ins[0].address;
+    let settings = entry_settings("entry-1", fleet.network.machine_ip(3), store);
+    fleet.entry = daemon(&fleet.folder, "mustardrill-entry", "entry-next", &settings);
+    fleet.wait_until("the entry is ready", async || fleet.is_ready().await).await;
+    assert_whole(&fleet).await;
+}
--- a/mustardrill_standins/tests/prepared/store.rs
+++ b/mustardrill_standins/tests/prepared/store.rs
@@ -171,6 +171,15 @@
         self.changed.notify_waiters();
     }
 
+    /// Whether no item of a condition has changed since the revision that it names.
+    fn holds(&self, conditions: &Value) -> bool {
+        let state = self.state.lock().unwrap();
+        conditions.as_array().unwrap().iter().all(|row| {
+            let item = state.items.get(row["key"].as_str().unwrap());
+            item.map_or(0, |(_, revision)| *revision) == row["revision"].as_u64().unwrap()
+        })
+    }
+
     pub fn is_available(&self) -> bool {
         self.mode() == StoreMode::Available
     }
@@ -263,11 +272,14 @@
             "/v1/kv-txn" => {
                 let body = request.into_body().collect().await.unwrap().to_bytes();
                 let change: Value = serde_json::from_slice(&body).unwrap();
+                if !self.holds(&change["precondition"]) {
+                    return json_response(StatusCode::PRECONDITION_FAILED, &json!({"entries": []}));
+                }
                 for row in change["write"].as_array().unwrap() {
                     let value = row["value"].as_str().unwrap().to_owned();
                     self.put(row["key"].as_str().unwrap(), value);
                 }
-                json_response(StatusCode::OK, &json!({"revision": 1}))
+                json_response(StatusCode::OK, &json!({"revision": self.revision()}))
             }
             path if path.starts_with("/v1/kv-keep/") => {
                 let mut state = self.state.lock().unwrap();
