The soak judges layers, and damages chunks at the calls of a load

Chunks turn bad as an engine returns another one or accepts an order, up to half a second late. A request that runs on a layer taken with a damaged chunk breaks a promise, for however short a time the chunk had been damaged.

--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -40,7 +40,10 @@
 use crate::network::TestNetwork;
 use crate::statements::{LEAVING_BOUND, REST_REQUEST_LIMIT, requests_in_rest};
 use crate::store::{Store, StoreMode, StoreSnapshot};
-use crate::worker::{CrashCause, CrashTrigger, Origin, Worker, WorkerFault, WorkerStatement};
+use crate::worker::{
+    CrashCause, CrashTrigger, Origin, StagingCall, StagingFault, Worker, WorkerFault,
+    WorkerStatement,
+};
 
 /// Seeds that CI runs: those that once failed, with the cause, and two more.
 /// - 220: a version was announced while the store was silent. Agents, whose calls hung for 13 s,
@@ -635,7 +638,9 @@
             }
             9 => {
                 let engine = self.random.random_range(0..self.engines.len());
-                self.engines[engine].corrupt_chunk(self.random.random_range(0..12));
+                let chunk = self.random.random_range(0..12);
+                self.engines[engine].corrupt_chunk(chunk);
+                self.damage_at_load(engine, chunk);
                 None
             }
             _ => {
@@ -1453,9 +1458,25 @@
         if self.engines.iter().any(|engine| engine.bad_loads() > 0) {
             violations.push("an engine was ordered to load incomplete weights".into());
         }
+        let damaged: usize = self.engines.iter().map(|engine| engine.damaged_runs().len()).sum();
+        if damaged > 0 {
+            violations.push(format!("{damaged} requests ran on layers of damaged chunks"));
+        }
         violations
     }
 
+    /// Lets a chunk turn bad as the engine returns another one or accepts its next load, up to half a
+    /// second late.
+    fn damage_at_load(&self, engine: usize, chunk: u32) {
+        let call = match chunk % 3 {
+            0 => StagingCall::Order,
+            _ => StagingCall::ReadBack((chunk + 5) % 12),
+        };
+        let silence = Duration::from_millis(u64::from(chunk) * 50);
+        let fault = StagingFault { call, version: self.version, damaged: vec![chunk], silence };
+        self.engines[engine].set_staging_fault(fault);
+    }
+
     /// Whether each entry serves and each engine has the newest weights.
     async fn is_recovered(&self, client: &HttpClient, number: u32) -> bool {
         let newest = self.engines.iter().all(|engine| engine.version() == self.version);
--- a/mustardrill_standins/tests/prepared/staged_weights.rs
+++ b/mustardrill_standins/tests/prepared/staged_weights.rs
@@ -40,7 +40,9 @@
 #[derive(Debug, Clone, Copy)]
 struct TakenLayer {
     version: u64,
-    /// Whether each of its chunks was intact, or had been damaged within `CORRUPTION_GRACE`.
+    /// Whether each of its chunks was intact.
+    is_intact: bool,
+    /// The same, where chunks damaged within `CORRUPTION_GRACE` are excused.
     is_sound: bool,
 }
 
@@ -58,7 +60,8 @@
     pub fn new(version: u64) -> Self {
         let chunks =
             (0..CHUNKS).filter(|_| version > 0).map(|index| (index, chunk(version, index)));
-        let layer = (version > 0).then_some(TakenLayer { version, is_sound: true });
+        let layer =
+            (version > 0).then_some(TakenLayer { version, is_intact: true, is_sound: true });
         Self {
             chunks: chunks.collect(),
             damaged_since: BTreeMap::new(),
@@ -98,9 +101,11 @@
                 self.layers[layer as usize] = None;
             } else if missing.contains(&layer) {
                 let chunks = layer * CHUNKS / LAYERS..((layer + 1) * CHUNKS).div_ceil(LAYERS);
-                is_complete &= chunks.clone().all(|index| self.is_intact(order.version, index));
-                let is_sound = chunks.clone().all(|index| self.is_sound(order.version, index));
-                self.layers[layer as usize] = Some(TakenLayer { version: order.version, is_sound });
+                let version = order.version;
+                let is_intact = chunks.clone().all(|index| self.is_intact(version, index));
+                let is_sound = chunks.clone().all(|index| self.is_sound(version, index));
+                is_complete &= is_intact;
+                self.layers[layer as usize] = Some(TakenLayer { version, is_intact, is_sound });
             }
         }
         OrderEffect::Taken { is_complete }
@@ -134,7 +139,12 @@
         self.layers.iter().all(Option::is_some)
     }
 
-    /// Whether a token that is made now is made with sound layers only.
+    /// Whether a token that is made now is made with layers of intact chunks only.
+    pub fn is_intact_throughout(&self) -> bool {
+        self.layers.iter().flatten().all(|layer| layer.is_intact)
+    }
+
+    /// Whether the platform's rules excuse all layers that are held.
     pub fn is_sound_throughout(&self) -> bool {
         self.layers.iter().flatten().all(|layer| layer.is_sound)
     }
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -424,7 +424,8 @@
         self.state.lock().unwrap().bad_loads
     }
 
-    /// Requests that were answered with a layer that had been taken with a damaged chunk.
+    /// Requests that were answered with a layer that had been taken with a damaged chunk, for however
+    /// short a time it had been damaged.
     pub fn damaged_runs(&self) -> Vec<String> {
         self.state.lock().unwrap().damaged_runs.clone()
     }
@@ -815,7 +816,7 @@
         self.runs.push((format!("{attempt} {tenant}"), at));
         if model {
             self.request_starts.push(RequestStart { attempt: attempt.to_owned(), version, at });
-            if !self.weights.is_sound_throughout() {
+            if !self.weights.is_intact_throughout() {
                 self.damaged_runs.push(attempt.to_owned());
             }
         }
