Attempts at silent upstreams are withdrawn before their callers leave

What callers saw: nothing wrong in their answers.

Cause: the entry did close its connection within 5 ms of the caller's leaving, by FIN, also in the silence. The design lacked the rule that a request's time ends when its caller leaves, which for a stream without a part is not its deadline.

Change: a route tells how long callers wait for the first part (platform: two seconds, four objectives or eight gaps of a stream). A silence is reported once more 100 ms before the caller leaves, by that or by the timeout that it states; if then nothing has come, from the upstream on any connection within the silence timeout either, the attempt is withdrawn and the caller answered 3001 while it still waits and may ask again. No attempt is repeated so late. A route's timeout alone ends nothing sooner.

Elsewhere: a second attempt that is sent late is reported at that moment too, from half of the silence timeout on. Second attempts need 300 ms before it. An upstream counts as heard if that was within the silence timeout, not at any time since the attempt was sent.

Their stand-in configuration states a gap of 750 ms instead of 300 ms, for which callers wait up to their deadline, as those tests' callers do; no other use of the gap exists.

--- a/mustardrill_core/src/direct/dispatch.rs
+++ b/mustardrill_core/src/direct/dispatch.rs
@@ -81,6 +81,7 @@
             deadline: state.deadline,
             start_by: superseded_attempt.map(|attempt| attempt.start_by()),
             silence_timeout: self.settings.silence_timeout,
+            silence_limit: state.first_part_limit(),
             repeat_rule: state.repeat_rule,
             has_delivered: state.has_delivered,
             priority: state.urgency.priority,
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -127,7 +127,8 @@
     pub delivered: bool,
     /// Whether the upstream accepts a new connection.
     pub is_reachable: bool,
-    /// Whether it has sent something to another request meanwhile.
+    /// Whether it has sent something to another request meanwhile, within the last
+    /// `silence_timeout`.
     pub is_upstream_heard: bool,
 }
 
@@ -282,6 +283,9 @@
     /// How long the upstream may send nothing, before and within its answer, until that is
     /// reported.
     pub silence_timeout: Millis,
+    /// When a silence is reported once more, as the caller is about to leave without a part of the
+    /// answer.
+    pub silence_limit: Option<Moment>,
     /// Whether the caller has received events of the answer, which the attempt continues.
     pub has_delivered: bool,
     /// Whether the request may run again after an attempt that may have run.
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -16,6 +16,9 @@
 use crate::direct::versions::superseded::SupersededAttempt;
 use crate::direct::waiting::queue::WaitRank;
 
+/// The time that an answer needs at least: the delivery to its caller, and the delays of a busy entry.
+const MIN_ANSWER_TIME: Millis = Millis(100);
+
 /// An admitted request, from its admission until its caller is gone.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestState {
@@ -47,6 +50,8 @@
     /// Until this moment an answer, or a stream's first event, has its full value.
     pub(crate) objective_until: Moment,
     pub(crate) deadline: Moment,
+    /// When the caller leaves if it has no part of the answer, as far as that is known.
+    pub(crate) first_part_until: Option<Moment>,
     pub(crate) stage: RequestStage,
     /// Upstreams to which attempts were sent.
     pub(crate) tried_upstreams: Vec<InstanceId>,
@@ -112,6 +117,7 @@
         large: bool,
     ) -> Self {
         let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
+        let patience = request.timeout.into_iter().chain(route.patience).min();
         let region_limits = RegionLimits::of(route, customer);
         let priority = customer.and_then(|customer| customer.priority);
         let customer = customer.map(|customer| customer.name.clone());
@@ -144,6 +150,7 @@
             sent_at: request.arrived_at,
             objective_until: request.arrived_at + route.objective,
             deadline: request.arrived_at + timeout,
+            first_part_until: patience.map(|patience| request.arrived_at + patience),
             stage: RequestStage::Between,
             tried_upstreams: Vec::new(),
             attempts_reached: 0,
@@ -205,6 +212,18 @@
         !self.is_resumed && !self.has_delivered
     }
 
+    /// The moment from which no attempt can answer before the caller leaves, where it has no part of
+    /// the answer.
+    pub(crate) fn first_part_limit(&self) -> Option<Moment> {
+        let until = self.first_part_until.filter(|_| !self.has_delivered)?;
+        Some(until - MIN_ANSWER_TIME)
+    }
+
+    /// Whether an attempt could no longer answer before the caller leaves.
+    pub(crate) fn is_too_late(&self, now: Moment) -> bool {
+        self.deadline <= now || self.first_part_limit().is_some_and(|limit| limit <= now)
+    }
+
     /// Whether another attempt is allowed after one that may have run.
     pub(crate) fn is_repeatable(&self) -> bool {
         match self.repeat_rule {
--- a/mustardrill_core/src/direct/retries/retry.rs
+++ b/mustardrill_core/src/direct/retries/retry.rs
@@ -114,7 +114,7 @@
         number: RequestNumber,
     ) -> bool {
         let Some(state) = self.requests.get(&number) else { return false };
-        if state.attempts_reached >= state.attempt_limit || state.deadline <= now {
+        if state.attempts_reached >= state.attempt_limit || state.is_too_late(now) {
             return false;
         }
         let service = state.service.clone();
--- a/mustardrill_core/src/direct/route.rs
+++ b/mustardrill_core/src/direct/route.rs
@@ -45,6 +45,9 @@
     pub objective: Millis,
     /// The longest gap between events of a stream that still counts as in time.
     pub event_gap: Millis,
+    /// How long callers wait for the first part of an answer before they leave; `None` where that is
+    /// their timeout.
+    pub patience: Option<Millis>,
     /// The priority; zero is the most urgent.
     pub priority: u8,
     /// To how many upstreams a request may be sent.
--- a/mustardrill_core/src/direct/silence/backup.rs
+++ b/mustardrill_core/src/direct/silence/backup.rs
@@ -13,7 +13,7 @@
 /// A silence after which an upstream that accepts connections is not expected to go on soon.
 const LONG_SILENCE: Millis = Millis(3_000);
 
-/// The time that must be left before the caller's deadline.
+/// The time that must be left before the caller leaves.
 const MIN_TIME_LEFT: Millis = Millis(300);
 
 /// Why a second attempt is worth sending.
@@ -79,10 +79,14 @@
         let RequestStage::Sent(upstream) = state.stage.clone() else { return Vec::new() };
         state.has_delivered |= report.delivered;
         if !report.is_upstream_heard
+            && report.silent_for >= self.settings.silence_timeout
             && let Some(target) = self.upstreams.incarnation_mut(&upstream)
         {
             target.record_silence(now);
         }
+        if let Some(withdrawal) = self.withdraw_too_late(now, number, report) {
+            return vec![withdrawal];
+        }
         let decision = self.choose_backup(now, number, report).and_then(|choice| {
             let evidence = choice.evidence;
             let plan = self.send_backup(now, choice);
@@ -96,6 +100,29 @@
         }
     }
 
+    /// Withdraws an attempt that can no longer answer before its caller leaves, as the upstream would
+    /// run it later for nobody. The caller is told as long as it still waits.
+    fn withdraw_too_late(
+        &self,
+        now: Moment,
+        number: RequestNumber,
+        report: SilenceReport,
+    ) -> Option<DirectEffect> {
+        let state = self.requests.get(&number)?;
+        let has_answer = state.has_started || state.has_delivered;
+        if has_answer || report.is_upstream_heard || !state.is_too_late(now) {
+            return None;
+        }
+        info!(
+            "request={} instance={} silent_for={} decision=withdraw reason=too-late waited={}",
+            state.attempt_id,
+            state.tried_upstreams.last().map_or("none", InstanceId::as_str),
+            report.silent_for,
+            now.since(state.arrived_at),
+        );
+        Some(DirectEffect::Withdraw(number))
+    }
+
     /// Logs a decision on a silent attempt, unless it was the same at the last report.
     fn log_decision(
         &mut self,
@@ -162,7 +189,7 @@
         if state.attempts_reached + 1 >= state.attempt_limit {
             return Err(WaitReason::AttemptsUsed);
         }
-        if now + MIN_TIME_LEFT >= state.deadline {
+        if state.is_too_late(now + MIN_TIME_LEFT) {
             return Err(WaitReason::Deadline);
         }
         if state.is_trial || self.is_suspect(now, state) {
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -257,6 +257,7 @@
         timeout: Millis(6_000),
         objective: Millis(400),
         event_gap: Millis(300),
+        patience: None,
         priority: 1,
         attempt_limit: 2,
         is_public: true,
--- a/mustardrill_core/tests/silences.rs
+++ b/mustardrill_core/tests/silences.rs
@@ -5,12 +5,13 @@
 use common::{cases, desk, desk_request, direct_settings, engine_profile, public_route};
 use mustardrill_core::direct::{
     AttemptOutcome, CustomerRecord, DirectEffect, DirectEvent, DirectReducer, DirectRequest,
-    DirectSettings, FleetChange, FleetUpdate, RepeatRule, RequestNumber, RetryShare, RouteDocument,
-    RouteRule, SendPlan, ServedWeights, ServiceProfile, SilenceReport, StatedValue, UpstreamRecord,
+    DirectSettings, FleetChange, FleetUpdate, RefusalPlan, RepeatRule, RequestNumber, RetryShare,
+    RouteDocument, RouteRule, SendPlan, ServedWeights, ServiceProfile, SilenceReport, StatedValue,
+    UpstreamRecord,
 };
 use mustardrill_core::quarantine::{CrashReport, CrashedRun, QuarantineSubject};
 use mustardrill_types::{
-    Generation, InstanceId, Millis, Moment, PartId, PartSet, RequestDigest, StartStamp,
+    Generation, InstanceId, Millis, Moment, PartId, PartSet, RequestDigest, ResultCode, StartStamp,
     StoreRevision, WeightVersion,
 };
 use proptest::prelude::*;
@@ -294,6 +295,60 @@
     }
 }
 
+/// How long callers of the route in the tests below wait for the first part.
+const PATIENCE: Millis = Millis(2_400);
+
+/// An entry with a silent first request, `age` after that arrived.
+fn impatient_entry(repeat_rule: RepeatRule, age: u64) -> Entry {
+    let route = RouteRule { patience: Some(PATIENCE), ..route(repeat_rule, 3) };
+    let mut entry = Entry::with_budget(3, route, 100.0);
+    entry.send(1);
+    entry.wait(age);
+    entry
+}
+
+#[test]
+fn an_attempt_waits_at_a_silent_upstream_until_its_caller_leaves() {
+    use RepeatRule::{StreamOnce, StreamResumable};
+    for repeat_rule in [StreamOnce, StreamResumable] {
+        let mut entry = impatient_entry(repeat_rule, 2_300);
+        assert_eq!(entry.report(FIRST, BRIEF), [DirectEffect::Withdraw(FIRST)], "{repeat_rule:?}");
+        let plan = RefusalPlan { code: ResultCode::Unknown, retry_after: Millis(0) };
+        let effects = entry.end(FIRST, AttemptOutcome::Withdrawn { sent: true });
+        assert_eq!(effects, [DirectEffect::Refuse(FIRST, plan)], "{repeat_rule:?}");
+        entry.leave(FIRST);
+    }
+}
+
+#[test]
+fn a_lost_attempt_is_repeated_for_a_caller_that_is_about_to_leave() {
+    let mut entry = impatient_entry(RepeatRule::StreamResumable, 2_300);
+    let lost = AttemptOutcome::Lost { delivered: false, crashed: false };
+    assert!(matches!(entry.end(FIRST, lost)[..], [DirectEffect::Refuse(..)]));
+}
+
+#[test]
+fn a_request_that_can_still_be_answered_is_withdrawn_from_a_silent_upstream() {
+    let heard = SilenceReport { is_upstream_heard: true, ..BRIEF };
+    let delivered = SilenceReport { delivered: true, ..BRIEF };
+    for (age, report) in [(2_299, BRIEF), (2_300, heard), (2_300, delivered)] {
+        let mut entry = impatient_entry(RepeatRule::StreamOnce, age);
+        assert_eq!(entry.report(FIRST, report), [], "{report:?} after {age} ms");
+        entry.leave(FIRST);
+    }
+}
+
+#[test]
+fn a_silence_is_not_reported_before_the_caller_leaves() {
+    let route = RouteRule { patience: Some(PATIENCE), ..route(RepeatRule::StreamOnce, 3) };
+    let plan = Entry::with_budget(3, route, 100.0).send(1);
+    assert_eq!(plan.silence_limit, Some(START + Millis(2_300)));
+    assert_eq!(
+        Entry::new(3, RepeatRule::StreamOnce).send(1).silence_limit,
+        Some(START + Millis(5_900))
+    );
+}
+
 #[test]
 fn a_suspected_request_is_sent_to_a_second_upstream() {
     let mut entry = Entry::new(4, RepeatRule::Idempotent);
--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -19,6 +19,7 @@
 
 use crate::direct::activity::UpstreamActivity;
 use crate::direct::answer::AnswerPart;
+use crate::direct::attempt_counts::outcome_label;
 use crate::direct::connections::{SendFailure, UpstreamConnection};
 use crate::direct::event_splitter::{EventSplitter, has_event_line};
 use crate::direct::gated_stream::SendGate;
@@ -129,10 +130,12 @@
         let waiting_since = clock.now();
         // Summed up from the pauses, as a process that was suspended has heard nothing meanwhile.
         let mut silent_for = Millis(0);
-        let mut pause = self.plan.silence_timeout;
+        let timeout = self.plan.silence_timeout;
+        let (mut pause, mut is_reachable) =
+            (self.report_pause(timeout, Millis(timeout.0 / 2)), true);
         tokio::pin!(awaited);
         loop {
-            let is_reachable = tokio::select! {
+            is_reachable = tokio::select! {
                 biased;
                 arrived = &mut awaited => {
                     if is_sign(&arrived) {
@@ -144,7 +147,7 @@
                     }
                     return arrived;
                 }
-                is_reachable = self.probe_after(pause) => is_reachable,
+                probed = self.probe_after(pause) => probed.unwrap_or(is_reachable),
             };
             if !self.stage.is_silent.swap(true, Ordering::Relaxed) {
                 let _ = self.task.context.metrics.count("silences.begun", 1);
@@ -154,18 +157,35 @@
                 silent_for,
                 delivered: self.task.sink.has_started(),
                 is_reachable,
-                is_upstream_heard: self.activity.is_heard_after(waiting_since),
+                is_upstream_heard: self
+                    .activity
+                    .is_heard_after(waiting_since + Millis(silent_for.0.saturating_sub(timeout.0))),
             };
             self.task.report(DirectEvent::AttemptSilent(self.number, report)).await;
-            pause = SILENCE_REPORT_INTERVAL;
+            pause = self.report_pause(SILENCE_REPORT_INTERVAL, Millis(1));
         }
     }
 
-    /// Returns after a pause whether the upstream accepts a connection.
-    async fn probe_after(&self, pause: Millis) -> bool {
+    /// How long to wait until a silence is reported: `regular`, or until the caller is about to leave
+    /// without a part of the answer, where at least `shortest` is left.
+    fn report_pause(&self, regular: Millis, shortest: Millis) -> Millis {
+        let has_part = self.stage.is_wait_over() || self.task.sink.has_started();
+        let limit = self.plan.silence_limit.filter(|_| !has_part);
+        let until_limit = limit.map(|limit| limit.since(self.task.context.clock.now()));
+        let until_limit = until_limit.filter(|until_limit| *until_limit >= shortest);
+        until_limit.map_or(regular, |until_limit| regular.min(until_limit))
+    }
+
+    /// Returns after a pause whether the upstream accepts a connection; `None` where the caller is
+    /// about to leave, so that there is no time to find out.
+    async fn probe_after(&self, pause: Millis) -> Option<bool> {
         tokio::time::sleep(pause.to_std()).await;
         let context = &self.task.context;
-        context.probes.is_reachable(context.clock.now(), self.plan.address).await
+        let now = context.clock.now();
+        if self.plan.silence_limit.is_some_and(|limit| limit <= now) {
+            return None;
+        }
+        Some(context.probes.is_reachable(now, self.plan.address).await)
     }
 
     async fn try_upstream(&self, failure: &mut Option<FailedAnswer>) -> AttemptOutcome {
@@ -476,18 +496,3 @@
 fn whole_attempt(is_delimited: bool) -> AttemptOutcome {
     if is_delimited { AttemptOutcome::Whole } else { AttemptOutcome::Undelimited }
 }
-
-/// The value of the `outcome` label of the metric `attempts`.
-fn outcome_label(outcome: AttemptOutcome) -> &'static str {
-    match outcome {
-        AttemptOutcome::Whole => "whole",
-        AttemptOutcome::Undelimited => "undelimited",
-        AttemptOutcome::Failed => "failed",
-        AttemptOutcome::Full => "full",
-        AttemptOutcome::Misdirected => "misdirected",
-        AttemptOutcome::NotSent => "not_sent",
-        AttemptOutcome::Withdrawn { .. } => "withdrawn",
-        AttemptOutcome::Lost { crashed: true, .. } => "crashed",
-        AttemptOutcome::Lost { .. } => "lost",
-    }
-}
--- a/mustardrill_entry/src/direct/attempt_counts.rs
+++ b/mustardrill_entry/src/direct/attempt_counts.rs
@@ -1,6 +1,7 @@
 //! What an attempt counts of its start and of its connection's end.
 
 use cadence::Counted;
+use mustardrill_core::direct::AttemptOutcome;
 use mustardrill_types::Millis;
 
 use crate::direct::attempt::Attempt;
@@ -35,3 +36,18 @@
         let _ = self.task.context.metrics.count(&format!("cuts.{}", cut.reason), 1);
     }
 }
+
+/// The value of the `outcome` label of the metric `attempts`.
+pub(crate) fn outcome_label(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Whole => "whole",
+        AttemptOutcome::Undelimited => "undelimited",
+        AttemptOutcome::Failed => "failed",
+        AttemptOutcome::Full => "full",
+        AttemptOutcome::Misdirected => "misdirected",
+        AttemptOutcome::NotSent => "not_sent",
+        AttemptOutcome::Withdrawn { .. } => "withdrawn",
+        AttemptOutcome::Lost { crashed: true, .. } => "crashed",
+        AttemptOutcome::Lost { .. } => "lost",
+    }
+}
--- a/mustardrill_standins/src/experiment/fleet.rs
+++ b/mustardrill_standins/src/experiment/fleet.rs
@@ -92,6 +92,7 @@
         timeout: kind.deadline,
         objective: kind.objective,
         event_gap: kind.gap,
+        patience: None,
         priority: kind.priority,
         attempt_limit: ATTEMPT_LIMIT,
         is_public: true,
--- a/mustardrill_standins/tests/prepared/fleet.rs
+++ b/mustardrill_standins/tests/prepared/fleet.rs
@@ -207,7 +207,7 @@
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({"name": name, "host": "drafts.example", "prefix": prefix, "kind": kind,
             "timeout_ms": 6000, "target_latency_ms": 400, "priority": 1, "service": service,
-            "max_attempts": 2, "public": false, "stream_resumption": true, "target_gap_ms": 300})
+            "max_attempts": 2, "public": false, "stream_resumption": true, "target_gap_ms": 750})
     };
     json!({"version": version,
         "routes": [route("drafts", "/drafts/", "streaming", "pool"),
--- a/mustardrill_standins/tests/prepared/silences.rs
+++ b/mustardrill_standins/tests/prepared/silences.rs
@@ -356,3 +356,50 @@
     assert!(other.is_empty(), "{} of {STREAMS}: {:#?}", other.len(), &other[..other.len().min(9)]);
     assert!(more < 0.02, "{runs} runs of {STREAMS} streams");
 }
+
+/// The gap limit for which callers leave 2.4 s after they sent a request.
+const SHORT_GAP_MS: u64 = 300;
+
+/// A fleet whose callers leave if they have no part of a stream after 2.4 s.
+async fn impatient_fleet(engines: usize, silence: AnswerSilence) -> Fleet {
+    let fleet = silent_fleet(engines, &[silence]).await;
+    reconfigure(&fleet, &["key-1", "key-2"], |document| {
+        document["routes"][0]["target_gap_ms"] = SHORT_GAP_MS.into();
+    });
+    let is_applied = async || fleet.logs().contains("generation=2");
+    fleet.wait_until("the entry has the configuration", is_applied).await;
+    fleet
+}
+
+/// An engine that stands still runs the request once it goes on, whatever happened to the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_leaves_while_its_request_waits_at_engines_that_stand_still() {
+    for engines in [1, 2] {
+        let fleet = impatient_fleet(engines, silence(BeforeHead, 4_000)).await;
+        let sent = Instant::now();
+        let received = view(&fleet, "held", "/drafts/x").await;
+        let took = sent.elapsed();
+        let logs = fleet.logs();
+        assert!(received.starts_with("502 {\"code\":3001"), "{received} after {took:?}\n{logs}");
+        let span = Duration::from_millis(2_200)..Duration::from_millis(2_400);
+        assert!(span.contains(&took), "{took:?}\n{logs}");
+        let is_closed = async || fleet.engines.iter().all(|it| it.dropped("held").is_some());
+        fleet.wait_until("all connections of the request are closed", is_closed).await;
+        assert!(sent.elapsed() < Duration::from_millis(2_600), "{:?}\n{logs}", sent.elapsed());
+        assert_eq!(fleet.runs("held"), engines);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_below_the_patience_of_callers_costs_an_answer() {
+    let fleet = impatient_fleet(1, silence(BeforeHead, 2_000)).await;
+    assert_answered(&fleet, "kept", "/drafts/x").await;
+    assert_eq!(fleet.runs("kept"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_which_the_caller_has_a_part_is_withdrawn() {
+    let fleet = impatient_fleet(1, silence(BeforeEvent(3), 4_000)).await;
+    assert_answered(&fleet, "begun", "/drafts/x").await;
+    assert_eq!(fleet.runs("begun"), 1);
+}
