Only what shows its end proves a configuration to be the newest

Cause: "newest" was concluded from the arrival of an answer, not from what it shows. (a) A watch with changes does not show whether it ends with the newest one; the store ends an answer at about a megabyte and the reader continues from `at`. (b) A list that is there, but empty, was read like a missing one. (c) A configuration that could not be decoded was dropped, and the answer that had brought it confirmed the one before.

Mechanism: an update says whether the store may have held more (`may_continue`: any watch with changes). Such an update is applied and confirms nothing: not the configuration, not the time before which a version was not announced, not that a missing registration is gone. The last is asked for (a range without items, whose `at` is the store's revision) when no proof came for 750 ms; while the reader is behind it, it reads on without a pause. Contact with the store, which any answer shows, has a clock of its own.

A configuration that still cannot be decoded is a change of its own (ConfigurationUnreadable): its keys replace the known ones where they can be read, unknown keys and routes are answered 503 and not 401 or 404, and nothing confirms the configuration in force until a later one can be decoded. The log (`outcome=unreadable`), the metric `config_unreadable` and the status tell.

Others name the new field of FleetUpdate by its default.

--- a/mustardrill_agent/tests/common/mod.rs
+++ b/mustardrill_agent/tests/common/mod.rs
@@ -59,6 +59,12 @@
             Box::pin(std::future::pending())
         }
 
+        fn read_revision(
+            &self,
+        ) -> BoxFuture<'_, Result<(StoreRevision, mustardrill_types::StoreEra), StoreError>> {
+            Box::pin(async { unavailable() })
+        }
+
         fn register<'a>(
             &'a self,
             _: &'a PeerRecord,
--- a/mustardrill_core/src/direct/admit.rs
+++ b/mustardrill_core/src/direct/admit.rs
@@ -63,10 +63,16 @@
         held.flat_map(|request| self.release_held(now, request)).collect()
     }
 
-    /// Whether the configuration is confirmed as current and no peer reports a newer one.
-    pub(super) fn is_current(&self, now: Moment, document: &RouteDocument) -> bool {
-        self.config_freshness.is_fresh(now, self.settings.freshness_limit)
-            && self.peer_generation.allows(now, document.generation)
+    /// What is known of a configuration: when it was confirmed as current, and whether peers or the
+    /// store show a newer one.
+    pub(super) fn config_standing(&self, now: Moment, document: &RouteDocument) -> ConfigStanding {
+        let is_confirmed = self.config_freshness.is_fresh(now, self.settings.freshness_limit)
+            && self.peer_generation.allows(now, document.generation);
+        match (is_confirmed, &self.unreadable_config) {
+            (false, _) => ConfigStanding::Unconfirmed,
+            (true, Some(_)) => ConfigStanding::Superseded,
+            (true, None) => ConfigStanding::Newest,
+        }
     }
 
     fn begin_request(
@@ -117,10 +123,10 @@
             RefusalPlan { code, retry_after: if is_stale { NOT_CURRENT_RETRY } else { Millis(0) } }
         };
         let document = document.ok_or(refuse(ResultCode::NotCurrent))?;
-        let is_fresh = self.is_current(now, document);
+        let standing = self.config_standing(now, document);
         let allowed = check_access(
             document,
-            is_fresh,
+            standing,
             &request.host,
             &request.path,
             request.api_key.as_deref(),
@@ -132,10 +138,10 @@
     /// Assigns it to another service or customer where its route or its key now belongs to another.
     pub(super) fn readmit(&mut self, now: Moment, number: RequestNumber) -> Result<(), ResultCode> {
         let document = self.document.clone().ok_or(ResultCode::NotCurrent)?;
-        let is_fresh = self.is_current(now, &document);
+        let standing = self.config_standing(now, &document);
         let Some(state) = self.requests.get_mut(&number) else { return Err(ResultCode::Withdrawn) };
         let key = state.api_key.as_deref();
-        let (route, customer) = check_access(&document, is_fresh, &state.host, &state.path, key)?;
+        let (route, customer) = check_access(&document, standing, &state.host, &state.path, key)?;
         state.customer = customer.map(|customer| customer.name.clone());
         state.region_limits = RegionLimits::of(route, customer);
         if !splits_to(route, &state.service) && !state.has_delivered {
@@ -145,24 +151,35 @@
     }
 }
 
-/// Checks the caller and the path. `is_fresh` tells whether the configuration is confirmed as
-/// current.
+/// What is known of the configuration in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::direct) enum ConfigStanding {
+    /// It is confirmed as the newest one.
+    Newest,
+    /// There is a newer one that cannot be decoded; until lately this one was the newest.
+    Superseded,
+    /// Any of its keys may have been revoked since it was last confirmed.
+    Unconfirmed,
+}
+
+/// Checks the caller and the path.
 pub(in crate::direct) fn check_access<'a>(
     document: &'a RouteDocument,
-    is_fresh: bool,
+    standing: ConfigStanding,
     host: &str,
     path: &str,
     key: Option<&str>,
 ) -> Result<(&'a RouteRule, Option<&'a CustomerRecord>), ResultCode> {
     // The newest configuration may know what this older one does not.
-    let unknown = |code| if is_fresh { code } else { ResultCode::NotCurrent };
+    let is_newest = standing == ConfigStanding::Newest;
+    let unknown = |code| if is_newest { code } else { ResultCode::NotCurrent };
     let route = document.route(host, path).ok_or(unknown(ResultCode::UnknownModel))?;
     let customer = key.and_then(|key| document.customer(key));
-    if customer.is_none() && !route.is_public && document.has_customers() {
+    if customer.is_none() && !route.is_public && document.requires_keys() {
         return Err(unknown(ResultCode::UnknownCustomer));
     }
     // A key may have been revoked since the configuration was last confirmed.
-    if customer.is_some() && !is_fresh {
+    if customer.is_some() && standing == ConfigStanding::Unconfirmed {
         return Err(ResultCode::NotCurrent);
     }
     Ok((route, customer))
--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 
 use mustardrill_types::{
-    CustomerName, DataCentre, Generation, InstanceId, Millis, ModelName, Moment, PartSet,
+    CustomerLabel, DataCentre, Generation, InstanceId, Millis, ModelName, Moment, PartSet,
     RequestDigest, ResultCode, StartStamp, StoreEra, WeightVersion,
 };
 
@@ -189,6 +189,8 @@
     AttemptEnded(RequestNumber, AttemptOutcome),
     /// The store answered a call that was sent at the given moment.
     StoreAnswered(FleetUpdate, Moment),
+    /// Everything that the store held at this moment has been applied, though it may hold more now.
+    StoreReadThrough(Moment),
     /// A call to the store failed or timed out.
     StoreFailed,
     /// A peer entry broadcast its load.
@@ -272,7 +274,7 @@
     /// How many connections to the upstream this entry may keep; 0 where no limit is configured.
     pub connection_limit: u32,
     /// The calling customer; `None` on a public route without a key.
-    pub customer: Option<CustomerName>,
+    pub customer: Option<CustomerLabel>,
     /// The version that must produce the answer, where only that one is allowed.
     pub pinned_version: Option<WeightVersion>,
     /// When the caller's timeout ends.
@@ -355,6 +357,8 @@
     pub generation: Option<Generation>,
     /// How long ago the configuration was confirmed as current.
     pub confirmed_ago: Option<Millis>,
+    /// Whether the store holds a newer configuration that cannot be decoded.
+    pub is_config_unreadable: bool,
     /// The store's era, which changes when it is restored from an older copy.
     pub era: StoreEra,
     /// Upstreams that the entry lists, including expired ones.
--- a/mustardrill_core/src/direct/fleet/update.rs
+++ b/mustardrill_core/src/direct/fleet/update.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 
 use mustardrill_types::{
-    DataCentre, InstanceId, Millis, ModelName, ServiceName, StartStamp, StoreEra, StoreRevision,
-    WeightVersion,
+    DataCentre, Generation, InstanceId, Millis, ModelName, ServiceName, StartStamp, StoreEra,
+    StoreRevision, WeightVersion,
 };
 
-use crate::direct::route::RouteDocument;
+use crate::direct::route::{CustomerRecord, RouteDocument};
 use crate::direct::warmup::period::WarmupReport;
 use crate::quarantine::QuarantineSubject;
 
@@ -57,11 +57,22 @@
     pub link_mbps: u32,
 }
 
+/// A configuration that cannot be decoded as a whole, with the parts that can be.
+#[derive(Debug, Clone, Default)]
+pub struct UnreadableConfiguration {
+    /// The generation; `None` if it is among what cannot be decoded.
+    pub generation: Option<Generation>,
+    /// The customers and their keys; `None` if the list cannot be decoded or is missing.
+    pub customers: Option<Vec<CustomerRecord>>,
+}
+
 /// One change read from the store.
 #[derive(Debug, Clone)]
 pub enum FleetChange {
     /// The operator wrote a configuration.
     Configured(Arc<RouteDocument>),
+    /// The operator wrote a configuration that cannot be decoded.
+    ConfigurationUnreadable(UnreadableConfiguration),
     /// An upstream registered, or its registration changed.
     Upstream(UpstreamRecord),
     /// The registration of an upstream was removed or expired.
@@ -94,4 +105,7 @@
     pub era: StoreEra,
     /// Whether this is a snapshot: what it does not contain does not exist.
     pub is_snapshot: bool,
+    /// Whether the store may have held further changes when it made this update. The answer to a
+    /// watch does not show whether it ends with the newest change.
+    pub may_continue: bool,
 }
--- a/mustardrill_core/src/direct/intake/statements.rs
+++ b/mustardrill_core/src/direct/intake/statements.rs
@@ -140,7 +140,7 @@
     /// Whether this entry has lately been in contact with the store or with most entries. Without
     /// that the others may divide its share among themselves.
     pub(in crate::direct) fn is_in_contact(&self, now: Moment) -> bool {
-        self.store_freshness.is_fresh(now, CONTACT_TIMEOUT)
+        self.store_contact.is_fresh(now, CONTACT_TIMEOUT)
             || self.entry_counter.has_majority(now, CONTACT_TIMEOUT, &self.peers)
     }
 
--- a/mustardrill_core/src/direct/locality/regions.rs
+++ b/mustardrill_core/src/direct/locality/regions.rs
@@ -2,7 +2,7 @@
 
 use mustardrill_types::{DataCentre, FastMap, RegionName};
 
-use crate::direct::admit::check_access;
+use crate::direct::admit::{ConfigStanding, check_access};
 use crate::direct::reducer::DirectReducer;
 use crate::direct::route::{CustomerRecord, RouteDocument, RouteRule};
 
@@ -56,7 +56,8 @@
     pub(in crate::direct) fn refresh_region_limits(&mut self, document: &RouteDocument) {
         for state in self.requests.values_mut() {
             let key = state.api_key.as_deref();
-            let access = check_access(document, true, &state.host, &state.path, key);
+            let access =
+                check_access(document, ConfigStanding::Newest, &state.host, &state.path, key);
             if let Ok((route, customer)) = access {
                 state.region_limits = RegionLimits::of(route, customer);
             }
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -33,7 +33,9 @@
     UpstreamLoad,
 };
 pub use fleet::load_broadcast::{LoadBroadcaster, LoadRows, LoadUpdate, WaitRows};
-pub use fleet::update::{FleetChange, FleetUpdate, PeerRecord, ServedWeights, UpstreamRecord};
+pub use fleet::update::{
+    FleetChange, FleetUpdate, PeerRecord, ServedWeights, UnreadableConfiguration, UpstreamRecord,
+};
 pub use framing::{CutReason, MAX_STRAY_BYTES, MAX_STRAY_TIME, ReadCut, ReadMeter};
 pub use intake::report::IntakeReport;
 pub use locality::regions::RegionMap;
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -11,12 +11,13 @@
 
 use crate::direct::admission::counts::AdmissionCounts;
 use crate::direct::admission::demand::ServiceDemand;
+use crate::direct::admit::ConfigStanding;
 use crate::direct::event::{
     DirectEffect, DirectEvent, DirectSettings, EngineNotice, RequestNumber, StatusRow,
 };
 use crate::direct::fleet::entry_counter::EntryCounter;
 use crate::direct::fleet::load_broadcast::{LoadRows, WaitRows};
-use crate::direct::fleet::update::{FleetChange, FleetUpdate, PeerRecord};
+use crate::direct::fleet::update::{FleetChange, FleetUpdate, PeerRecord, UnreadableConfiguration};
 use crate::direct::fleet::upstream_table::UpstreamTable;
 use crate::direct::intake::report::IntakeBroadcaster;
 use crate::direct::placement::pace::PaceReport;
@@ -68,8 +69,12 @@
     pub(super) document: Option<Arc<RouteDocument>>,
     /// When the store last answered.
     pub(super) store_freshness: FreshnessClock,
+    /// When the store last answered at all.
+    pub(super) store_contact: FreshnessClock,
     /// When the configuration in force was last known to be the operator's newest.
     pub(super) config_freshness: FreshnessClock,
+    /// A newer configuration than the one in force that cannot be decoded.
+    pub(super) unreadable_config: Option<UnreadableConfiguration>,
     /// Until this moment a store restored from an older copy may lack what the operator wrote.
     pub(super) store_incomplete_until: Moment,
     pub(super) upstreams: UpstreamTable,
@@ -142,7 +147,9 @@
             settings,
             document: None,
             store_freshness: FreshnessClock::default(),
+            store_contact: FreshnessClock::default(),
             config_freshness: FreshnessClock::default(),
+            unreadable_config: None,
             store_incomplete_until: Moment(0),
             upstreams: UpstreamTable::default(),
             versions: VersionTable::default(),
@@ -203,6 +210,7 @@
             DirectEvent::AttemptWon(number) => self.settle_race(now, number),
             DirectEvent::AttemptEnded(number, outcome) => self.finish_attempt(now, number, outcome),
             DirectEvent::StoreAnswered(update, sent) => self.apply_fleet_update(now, update, sent),
+            DirectEvent::StoreReadThrough(moment) => self.confirm_read(now, moment),
             DirectEvent::StoreFailed => self.record_store_failure(now),
             DirectEvent::PeerLoadReceived(load) => {
                 self.entry_counter.record_activity(now, &load.from);
@@ -325,13 +333,15 @@
             revision: self.store_revision,
             era: self.store_era,
             is_snapshot: true,
+            may_continue: false,
         }
     }
 
     /// Whether the load balancer should send callers here: the configuration is confirmed as
     /// current.
     pub fn is_ready(&self, now: Moment) -> bool {
-        self.document.as_ref().is_some_and(|document| self.is_current(now, document))
+        let standing = self.document.as_ref().map(|document| self.config_standing(now, document));
+        standing.is_some_and(|standing| standing != ConfigStanding::Unconfirmed)
     }
 
     /// The entry's state for operators and the readiness check.
@@ -339,6 +349,7 @@
         StatusRow {
             generation: self.document.as_ref().map(|document| document.generation),
             confirmed_ago: self.config_freshness.age(now),
+            is_config_unreadable: self.unreadable_config.is_some(),
             era: self.store_era,
             upstreams: self.upstreams.len(),
             expired: self.upstreams.expired_count(),
--- a/mustardrill_core/src/direct/request.rs
+++ b/mustardrill_core/src/direct/request.rs
@@ -1,7 +1,7 @@
 //! The state of a request in progress at an entry.
 
 use mustardrill_types::{
-    CustomerName, InstanceId, Millis, ModelName, Moment, PartSet, RequestDigest, ServiceName,
+    CustomerLabel, InstanceId, Millis, ModelName, Moment, PartSet, RequestDigest, ServiceName,
     WeightVersion,
 };
 
@@ -28,7 +28,7 @@
     pub(crate) host: Box<str>,
     pub(crate) path: Box<str>,
     pub(crate) api_key: Option<Box<str>>,
-    pub(crate) customer: Option<CustomerName>,
+    pub(crate) customer: Option<CustomerLabel>,
     /// The regions in which it may be served.
     pub(crate) region_limits: RegionLimits,
     pub(crate) service: ServiceName,
@@ -115,7 +115,7 @@
         let region_limits = RegionLimits::of(route, customer);
         let priority = customer.and_then(|customer| customer.priority);
         let customer = customer.map(|customer| customer.name.clone());
-        let caller = customer.as_ref().map_or("", CustomerName::as_str);
+        let caller = customer.as_ref().map_or("", CustomerLabel::as_str);
         let content_digest = request.content_digest.0.to_be_bytes();
         let digest =
             RequestDigest::of(&[route.host.as_bytes(), caller.as_bytes(), &content_digest]);
--- a/mustardrill_core/src/direct/route.rs
+++ b/mustardrill_core/src/direct/route.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 
 use mustardrill_types::{
-    ByteSize, CustomerName, DataCentre, FastMap, FastSet, Generation, Millis, ModelName,
+    ByteSize, CustomerLabel, DataCentre, FastMap, FastSet, Generation, Millis, ModelName,
     RegionName, ServiceName,
 };
 
 use crate::direct::warmup::limit::WarmupLimit;
 
 /// One generation of the configuration, always applied as a whole.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct RouteDocument {
     /// The generation; a newer configuration has a higher one.
     pub generation: Generation,
@@ -19,6 +19,7 @@
     routes: Vec<RouteRule>,
     services: FastMap<ServiceName, ServiceProfile>,
     customers: Vec<CustomerRecord>,
+    requires_keys: bool,
     /// Indexes into `routes` by host, longest prefix first.
     by_host: FastMap<Box<str>, Vec<usize>>,
     by_key: FastMap<Box<str>, usize>,
@@ -72,7 +73,7 @@
 #[derive(Debug, Clone)]
 pub struct CustomerRecord {
     /// The customer's name, forwarded to upstreams.
-    pub name: CustomerName,
+    pub name: CustomerLabel,
     /// The customer's API keys.
     pub api_keys: Vec<Box<str>>,
     /// A priority that overrides the route's.
@@ -158,7 +159,8 @@
 }
 
 impl RouteDocument {
-    /// Builds the indexes by host and by key.
+    /// Builds the indexes by host and by key. Without customers callers need no keys, unless
+    /// [`Self::with_customers`] sets the empty list.
     pub fn new(
         generation: Generation,
         routes: Vec<RouteRule>,
@@ -173,12 +175,28 @@
         for indexes in by_host.values_mut() {
             indexes.sort_by_key(|index| std::cmp::Reverse(routes[*index].prefix.len()));
         }
-        let mut by_key = FastMap::default();
+        let unlike_services = services_of_unlike_priorities(&routes);
+        let document = Self {
+            generation,
+            limits,
+            routes,
+            services,
+            by_host,
+            unlike_services,
+            ..Self::default()
+        };
+        if customers.is_empty() { document } else { document.with_customers(customers) }
+    }
+
+    /// Replaces the customers, of which there may be none. Callers need keys from then on.
+    pub fn with_customers(mut self, customers: Vec<CustomerRecord>) -> Self {
+        self.by_key.clear();
         for (index, customer) in customers.iter().enumerate() {
-            by_key.extend(customer.api_keys.iter().map(|key| (key.clone(), index)));
+            self.by_key.extend(customer.api_keys.iter().map(|key| (key.clone(), index)));
         }
-        let unlike_services = services_of_unlike_priorities(&routes);
-        Self { generation, limits, routes, services, customers, by_host, by_key, unlike_services }
+        self.customers = customers;
+        self.requires_keys = true;
+        self
     }
 
     /// The route of `host` with the longest prefix of `path`. The port of `host` and its letter
@@ -198,9 +216,9 @@
         self.by_key.get(key).map(|index| &self.customers[*index])
     }
 
-    /// Whether any customer is configured; without customers callers need no keys.
-    pub fn has_customers(&self) -> bool {
-        !self.customers.is_empty()
+    /// Whether callers need keys: there is a list of customers, if only an empty one.
+    pub fn requires_keys(&self) -> bool {
+        self.requires_keys
     }
 
     /// The profile of a service; `None` where the configuration does not list it.
--- a/mustardrill_core/src/direct/silence/backup.rs
+++ b/mustardrill_core/src/direct/silence/backup.rs
@@ -218,9 +218,9 @@
     /// Whether the configuration in force admits the request to the service that it is at.
     fn is_still_admitted(&self, now: Moment, state: &RequestState) -> bool {
         let Some(document) = &self.document else { return false };
-        let is_fresh = self.is_current(now, document);
+        let standing = self.config_standing(now, document);
         let key = state.api_key.as_deref();
-        let access = check_access(document, is_fresh, &state.host, &state.path, key);
+        let access = check_access(document, standing, &state.host, &state.path, key);
         access.is_ok_and(|(route, _)| splits_to(route, &state.service))
     }
 
--- a/mustardrill_core/src/direct/store/cursor.rs
+++ b/mustardrill_core/src/direct/store/cursor.rs
@@ -40,6 +40,11 @@
         self.revision
     }
 
+    /// Whether the position belongs to this era of the store.
+    pub fn is_of(&self, era: StoreEra) -> bool {
+        self.applied_era == Some(era)
+    }
+
     /// Drops the position because the store no longer has the changes after it.
     pub fn reset(&mut self) {
         self.revision = None;
--- a/mustardrill_core/src/direct/store/fleet_updates.rs
+++ b/mustardrill_core/src/direct/store/fleet_updates.rs
@@ -1,21 +1,26 @@
 //! Applies the store's answers, and its failure to answer, to the state of an entry.
 
 use std::net::IpAddr;
+use std::sync::Arc;
 
 use log::{info, warn};
 use mustardrill_types::{FastSet, InstanceId, Moment};
 
 use crate::direct::event::DirectEffect;
-use crate::direct::fleet::update::{FleetChange, FleetUpdate, UpstreamRecord};
+use crate::direct::fleet::update::{
+    FleetChange, FleetUpdate, UnreadableConfiguration, UpstreamRecord,
+};
 use crate::direct::fleet::upstream::ExpiryCause;
 use crate::direct::reducer::DirectReducer;
+use crate::direct::route::RouteDocument;
 use crate::direct::store::availability::StoreOutage;
 use crate::direct::store::freshness::{FreshnessClock, earliest_restore_time};
 use crate::direct::versions::table::AnnouncementTime;
 
 impl DirectReducer {
     /// Applies an update from the store. `sent` is when the call was sent, or a later moment for
-    /// which its answer confirms the configuration as current.
+    /// which its answer confirms the configuration as current. An update that may continue confirms
+    /// nothing.
     pub(in crate::direct) fn apply_fleet_update(
         &mut self,
         now: Moment,
@@ -25,7 +30,7 @@
         let was_unavailable = std::mem::take(&mut self.is_store_unreachable);
         self.record_availability(now, sent, was_unavailable);
         let is_restored = self.detect_restore(now, &update);
-        let is_first_read = self.store_freshness.last_confirmed().is_none();
+        let is_first_read = self.store_contact.last_confirmed().is_none();
         self.store_revision = update.revision;
         self.store_era = update.era;
         let time = self.announcement_time(now);
@@ -45,13 +50,31 @@
         if is_first_read && !self.peers.is_empty() {
             self.peer_generation.start_wait(now);
         }
-        self.store_freshness.confirm(sent);
+        self.store_contact.confirm(sent);
+        if !update.may_continue {
+            effects.extend(self.confirm_read(now, sent));
+            return effects;
+        }
         self.update_shares(now);
-        self.confirm_config(sent);
-        self.remove_unreturned(now);
         self.settle_announcements(now);
         effects.extend(self.leave_evacuated(now));
         effects.extend(self.dispatch_all_waiting(now));
+        effects
+    }
+
+    /// Records that everything the store held at `moment` has been applied.
+    pub(in crate::direct) fn confirm_read(
+        &mut self,
+        now: Moment,
+        moment: Moment,
+    ) -> Vec<DirectEffect> {
+        self.store_freshness.confirm(moment);
+        self.update_shares(now);
+        self.confirm_config(moment);
+        self.remove_unreturned(now);
+        self.settle_announcements(now);
+        let mut effects = self.leave_evacuated(now);
+        effects.extend(self.dispatch_all_waiting(now));
         if !self.peer_generation.is_awaited(now) {
             effects.extend(self.release_all_held(now));
         }
@@ -77,7 +100,7 @@
     /// and records the restore.
     fn detect_restore(&mut self, now: Moment, update: &FleetUpdate) -> bool {
         let is_restored = update.is_snapshot
-            && self.store_freshness.last_confirmed().is_some()
+            && self.store_contact.last_confirmed().is_some()
             && update.era > self.store_era;
         if is_restored {
             warn!(
@@ -85,7 +108,7 @@
                 update.era, self.store_era, update.revision, self.store_revision
             );
             self.store_availability
-                .record_restore(earliest_restore_time(now, self.store_freshness.last_confirmed()));
+                .record_restore(earliest_restore_time(now, self.store_contact.last_confirmed()));
             self.store_incomplete_until = now + self.settings.expiry_grace;
         }
         is_restored
@@ -93,9 +116,9 @@
 
     /// Records that the store held the newest configuration at `sent`. A store restored from an
     /// older copy may lack a configuration that no entry had read, until the operator has written
-    /// again.
+    /// again. One that cannot be decoded may have revoked any key of the one in force.
     fn confirm_config(&mut self, sent: Moment) {
-        if sent >= self.store_incomplete_until {
+        if sent >= self.store_incomplete_until && self.unreadable_config.is_none() {
             self.config_freshness.confirm(sent);
         }
     }
@@ -227,19 +250,9 @@
 
     fn apply_change(&mut self, now: Moment, time: AnnouncementTime, change: FleetChange) {
         match change {
-            FleetChange::Configured(document) => {
-                let current = self.document.as_ref().map(|document| document.generation);
-                let is_newer = current.is_none_or(|generation| document.generation > generation);
-                info!(
-                    "config generation={} before={} outcome={}",
-                    document.generation,
-                    current.unwrap_or_default(),
-                    if is_newer { "applied" } else { "kept" }
-                );
-                if is_newer {
-                    self.refresh_region_limits(&document);
-                    self.document = Some(document);
-                }
+            FleetChange::Configured(document) => self.apply_configuration(document),
+            FleetChange::ConfigurationUnreadable(unreadable) => {
+                self.record_unreadable_configuration(unreadable)
             }
             FleetChange::Upstream(record) => {
                 let is_served = self.is_service_configured(&record);
@@ -276,6 +289,46 @@
         }
     }
 
+    fn apply_configuration(&mut self, document: Arc<RouteDocument>) {
+        let current = self.document.as_ref().map(|document| document.generation);
+        let is_newer = current.is_none_or(|generation| document.generation > generation);
+        info!(
+            "config generation={} before={} outcome={}",
+            document.generation,
+            current.unwrap_or_default(),
+            if is_newer { "applied" } else { "kept" }
+        );
+        // Of a generation that could not be decoded either, the order of the store decides.
+        let unreadable = self.unreadable_config.as_ref().and_then(|it| it.generation);
+        if unreadable.is_none_or(|generation| document.generation >= generation) {
+            self.unreadable_config = None;
+        }
+        if is_newer {
+            self.refresh_region_limits(&document);
+            self.document = Some(document);
+        }
+    }
+
+    /// Records a configuration that cannot be decoded, and applies its keys where those can be.
+    fn record_unreadable_configuration(&mut self, unreadable: UnreadableConfiguration) {
+        let current = self.document.as_ref().map(|document| document.generation);
+        if unreadable.generation.is_some_and(|generation| Some(generation) <= current) {
+            return;
+        }
+        warn!(
+            "config generation={} before={} outcome=unreadable keys={}",
+            unreadable.generation.map_or("unknown".into(), |generation| generation.to_string()),
+            current.unwrap_or_default(),
+            if unreadable.customers.is_some() { "applied" } else { "unknown" }
+        );
+        if let (Some(document), Some(customers)) = (&self.document, &unreadable.customers) {
+            let document = RouteDocument::clone(document).with_customers(customers.clone());
+            self.refresh_region_limits(&document);
+            self.document = Some(Arc::new(document));
+        }
+        self.unreadable_config = Some(unreadable);
+    }
+
     /// Records that the store does not answer, and releases the requests that are held for its
     /// answer.
     pub(in crate::direct) fn record_store_failure(&mut self, now: Moment) -> Vec<DirectEffect> {
--- a/mustardrill_core/src/provisioning/reducer.rs
+++ b/mustardrill_core/src/provisioning/reducer.rs
@@ -233,10 +233,13 @@
                 }
                 FleetChange::Peer(relay) => self.relays.add(relay),
                 FleetChange::PeerGone(id) => self.relays.remove(&id),
-                // Quarantines and evacuations concern requests, which this reducer does not handle.
+                // A new configuration rarely concerns the loading of weights, so the one before
+                // stays in use. Quarantines and evacuations concern requests, which this reducer
+                // does not handle.
                 // Engines of an evacuated data centre go on loading weights, so that they hold the
                 // current ones when it is taken back.
-                FleetChange::Quarantined(..)
+                FleetChange::ConfigurationUnreadable(_)
+                | FleetChange::Quarantined(..)
                 | FleetChange::EvacuationRequested(_)
                 | FleetChange::EvacuationEnded(_) => {}
             }
--- a/mustardrill_core/tests/common/intake.rs
+++ b/mustardrill_core/tests/common/intake.rs
@@ -284,6 +284,7 @@
             revision: StoreRevision(self.now.0),
             era: StoreEra::default(),
             is_snapshot,
+            ..FleetUpdate::default()
         };
         self.reduce(place, DirectEvent::StoreAnswered(update, self.now));
     }
--- a/mustardrill_core/tests/common/mod.rs
+++ b/mustardrill_core/tests/common/mod.rs
@@ -62,7 +62,7 @@
     era: u64,
 ) {
     let (revision, era) = (StoreRevision(1), StoreEra(era));
-    let update = FleetUpdate { changes, revision, era, is_snapshot };
+    let update = FleetUpdate { changes, revision, era, is_snapshot, ..FleetUpdate::default() };
     reducer.reduce(now, DirectEvent::StoreAnswered(update, now));
 }
 
--- a/mustardrill_core/tests/common/warmups.rs
+++ b/mustardrill_core/tests/common/warmups.rs
@@ -7,9 +7,7 @@
     FleetUpdate, RequestNumber, ServiceProfile, StatedValue, UpstreamRecord, UpstreamStatement,
     WarmupBound, WarmupLimit, WarmupReport,
 };
-use mustardrill_types::{
-    InstanceId, Millis, Moment, RequestRate, StartStamp, StoreEra, StoreRevision,
-};
+use mustardrill_types::{InstanceId, Millis, Moment, RequestRate, StartStamp, StoreRevision};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -266,8 +264,7 @@
         }
         entry.heard_at = self.now;
         let revision = StoreRevision(self.now.0);
-        let update =
-            FleetUpdate { changes, revision, era: StoreEra::default(), is_snapshot: false };
+        let update = FleetUpdate { changes, revision, ..FleetUpdate::default() };
         self.reduce(place, DirectEvent::StoreAnswered(update, self.now));
     }
 
--- a/mustardrill_core/tests/departures.rs
+++ b/mustardrill_core/tests/departures.rs
@@ -253,14 +253,21 @@
         let Some(read) = read else {
             let listed = (0..UPSTREAMS).filter(|number| self.listed[usize::from(*number)]);
             let changes = listed.map(registration).collect();
-            return Some(FleetUpdate { changes, revision, era, is_snapshot: true });
+            return Some(FleetUpdate {
+                changes,
+                revision,
+                era,
+                is_snapshot: true,
+                ..FleetUpdate::default()
+            });
         };
         let changes = self.changes.get(read.0 as usize..)?;
         let changes = changes.iter().map(|(number, listed)| match listed {
             true => registration(*number),
             false => FleetChange::UpstreamGone(desk_id(*number)),
         });
-        Some(FleetUpdate { changes: changes.collect(), revision, era, is_snapshot: false })
+        let changes = changes.collect();
+        Some(FleetUpdate { changes, revision, era, ..FleetUpdate::default() })
     }
 }
 
--- a/mustardrill_core/tests/locality.rs
+++ b/mustardrill_core/tests/locality.rs
@@ -111,6 +111,7 @@
         revision: mustardrill_types::StoreRevision(2),
         era: mustardrill_types::StoreEra(1),
         is_snapshot: false,
+        ..mustardrill_core::direct::FleetUpdate::default()
     };
     without_timers(reducer.reduce(now, DirectEvent::StoreAnswered(update, now)))
 }
@@ -508,6 +509,7 @@
             revision: mustardrill_types::StoreRevision(2),
             era: mustardrill_types::StoreEra(self.era),
             is_snapshot,
+            ..mustardrill_core::direct::FleetUpdate::default()
         };
         self.reducer.reduce(self.now, DirectEvent::StoreAnswered(update, self.now))
     }
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -360,6 +360,7 @@
         let gauges = [
             ("generation", status.generation.map_or(0, |generation| generation.0)),
             ("proof_age_ms", status.confirmed_ago.map_or(0, |age| age.0)),
+            ("config_unreadable", u64::from(status.is_config_unreadable)),
             ("store_era", status.era.0),
             ("upstreams", status.upstreams as u64),
             ("upstreams_lapsed", status.expired as u64),
--- a/mustardrill_entry/src/direct/metrics.rs
+++ b/mustardrill_entry/src/direct/metrics.rs
@@ -27,7 +27,7 @@
 }
 
 /// Every metric with its kind and the help text that is exported with it.
-pub const METRICS: [MetricRow; 37] = [
+pub const METRICS: [MetricRow; 38] = [
     MetricRow::new("requests", MetricKind::Counter("code"), "Requests answered, by result code."),
     MetricRow::new(
         "request_ms",
@@ -140,6 +140,11 @@
         MetricKind::Gauge,
         "Milliseconds since it was proved to be the newest.",
     ),
+    MetricRow::new(
+        "config_unreadable",
+        MetricKind::Gauge,
+        "Whether the store holds a newer configuration that cannot be decoded.",
+    ),
     MetricRow::new(
         "store_era",
         MetricKind::Gauge,
--- a/mustardrill_entry/src/direct/watch.rs
+++ b/mustardrill_entry/src/direct/watch.rs
@@ -7,11 +7,12 @@
 use kameo::prelude::*;
 use log::{info, warn};
 use mustardrill_core::direct::{
-    ChangeCoalescer, DirectEvent, FleetUpdate, PeerRecord, StoreReader, WatchTiming,
+    ChangeCoalescer, DirectEvent, FleetUpdate, NextRead, PeerRecord, ReadOutcome, StoreReader,
+    WatchTiming,
 };
 use mustardrill_runtime::adapters::{FleetScope, StoreError};
 use mustardrill_runtime::backoff::RetryBackoff;
-use mustardrill_types::{Millis, StoreRevision};
+use mustardrill_types::{Millis, Moment, StoreRevision};
 use tokio::sync::Notify;
 
 use crate::direct::actor::{DirectActor, DirectContext, Event};
@@ -56,7 +57,7 @@
         let sent_at = context.clock.now();
         let (usual, grace) = (context.config.watch, context.config.direct.expiry_grace);
         let timing = reader.next_watch(sent_at, usual, grace, rand::random());
-        match read_store(&context, reader.revision(), timing).await {
+        let read_result = match read_store(&context, reader.revision(), timing).await {
             Ok(update) => {
                 backoff.answered();
                 let now = context.clock.now();
@@ -69,14 +70,13 @@
                     store_recovered.notify_one();
                 }
                 let next = coalescer.next_read(now, &update);
-                let _ = actor
-                    .tell(Event(DirectEvent::StoreAnswered(update, outcome.confirmed_at)))
-                    .await;
-                tokio::time::sleep(next.pause.to_std()).await;
-                if next.is_snapshot {
-                    reader.reset();
-                }
+                apply_update(&actor, update, outcome).await;
+                finish_read(&actor, &context, &mut reader, next).await
             }
+            Err(error) => Err(error),
+        };
+        match read_result {
+            Ok(()) => {}
             Err(error @ (StoreError::HistoryGone | StoreError::EraChanged)) => {
                 info!(
                     "store outcome=read-anew reason=\"{error}\" revision={}",
@@ -98,6 +98,39 @@
     }
 }
 
+async fn apply_update(actor: &ActorRef<DirectActor>, update: FleetUpdate, outcome: ReadOutcome) {
+    let _ = actor.tell(Event(DirectEvent::StoreAnswered(update, outcome.confirmed_at))).await;
+    confirm_read(actor, outcome.read_through).await;
+}
+
+/// Asks whether everything has been read, where no answer has shown that for a while, and pauses
+/// before the next read unless there is more.
+async fn finish_read(
+    actor: &ActorRef<DirectActor>,
+    context: &DirectContext,
+    reader: &mut StoreReader,
+    next: NextRead,
+) -> Result<(), StoreError> {
+    let asked_at = context.clock.now();
+    if reader.is_proof_due(asked_at) {
+        let (revision, era) = context.adapters.fleet_source.read_revision().await?;
+        confirm_read(actor, reader.record_revision(asked_at, era, revision)).await;
+    }
+    if !reader.is_behind() {
+        tokio::time::sleep(next.pause.to_std()).await;
+    }
+    if next.is_snapshot {
+        reader.reset();
+    }
+    Ok(())
+}
+
+async fn confirm_read(actor: &ActorRef<DirectActor>, read_through: Option<Moment>) {
+    if let Some(moment) = read_through {
+        let _ = actor.tell(Event(DirectEvent::StoreReadThrough(moment))).await;
+    }
+}
+
 async fn read_store(
     context: &DirectContext,
     revision: Option<StoreRevision>,
--- a/mustardrill_runtime/src/adapters.rs
+++ b/mustardrill_runtime/src/adapters.rs
@@ -80,7 +80,7 @@
     fn read_part(&self, part: FleetPart) -> BoxFuture<'_, Result<FleetUpdate, StoreError>>;
 
     /// Waits for changes after revision `after`; the update is empty if there were none within
-    /// the time that `timing` allows.
+    /// the time that `timing` allows. An update with changes may continue.
     fn read_changes(
         &self,
         scope: FleetScope,
@@ -88,6 +88,9 @@
         timing: WatchTiming,
     ) -> BoxFuture<'_, Result<FleetUpdate, StoreError>>;
 
+    /// Reads the store's present revision and its era.
+    fn read_revision(&self) -> BoxFuture<'_, Result<(StoreRevision, StoreEra), StoreError>>;
+
     /// Registers an entry under a new lease that ends `span` after its last renewal.
     fn register<'a>(
         &'a self,
--- a/mustardrill_runtime/src/fleet_digest.rs
+++ b/mustardrill_runtime/src/fleet_digest.rs
@@ -190,7 +190,7 @@
             changes.push(FleetChange::Peer(entry_record(entry)?));
         }
         let (revision, era) = (StoreRevision(self.at), StoreEra(self.era));
-        Some(FleetUpdate { changes, revision, era, is_snapshot: true })
+        Some(FleetUpdate { changes, revision, era, is_snapshot: true, may_continue: false })
     }
 
     /// Encodes the digest for sending.
--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod network;
 mod parts;
+mod revocations;
 mod rewound;
 mod silences;
 mod soak;
--- a/mustardrill_standins/tests/prepared/store.rs
+++ b/mustardrill_standins/tests/prepared/store.rs
@@ -58,6 +58,8 @@
     delays: Option<(StdRng, std::ops::Range<u64>)>,
     /// Number of restores from a copy; sent in the header `store-era`.
     era: u64,
+    /// The most changes in one answer to a watch; the reader continues from its `at`.
+    watch_limit: usize,
     /// Number of the latest lease granted.
     last_lease: u64,
     revision: u64,
@@ -77,6 +79,7 @@
             mode: StoreMode::Available,
             delays: None,
             era: 0,
+            watch_limit: usize::MAX,
             last_lease: 0,
             revision: 1,
             items: BTreeMap::new(),
@@ -99,6 +102,11 @@
         self.state.lock().unwrap().delays = delays;
     }
 
+    /// Limits the changes in one answer to a watch.
+    pub fn set_watch_limit(&self, limit: usize) {
+        self.state.lock().unwrap().watch_limit = limit;
+    }
+
     fn next_delay(&self) -> Duration {
         let mut state = self.state.lock().unwrap();
         let delays = state.delays.as_mut();
@@ -207,11 +215,15 @@
         }
         let found =
             state.history.iter().filter(|(at, key, _)| *at > after && key.starts_with(prefix));
-        let events = found.map(|(at, key, value)| match value {
+        let mut found: Vec<_> = found.collect();
+        let is_cut = found.len() > state.watch_limit;
+        found.truncate(state.watch_limit);
+        let end = found.last().filter(|_| is_cut).map_or(state.revision, |(at, ..)| *at);
+        let events = found.into_iter().map(|(at, key, value)| match value {
             Some(value) => json!({"key": key, "value": value, "revision": at}),
             None => json!({"key": key, "revision": at, "deleted": true}),
         });
-        Some((events.collect(), state.revision))
+        Some((events.collect(), end))
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> AnyResponse {
--- a/mustardrill_types/src/id.rs
+++ b/mustardrill_types/src/id.rs
@@ -129,6 +129,30 @@
     CustomerName,
     "customer name"
 );
+/// The name of a customer in a configuration that other programs write: any text that a header can
+/// carry unchanged.
+#[derive(Debug, Display, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CustomerLabel(Box<str>);
+
+impl CustomerLabel {
+    /// The name as a string slice.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl FromStr for CustomerLabel {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        const RULE: &str = "some text without control characters or spaces around it";
+        if text.is_empty() || text.trim() != text || text.chars().any(char::is_control) {
+            return Err(ParseIdError { value: text.into(), kind: "customer name", rule: RULE });
+        }
+        Ok(Self(text.into()))
+    }
+}
+
 name_type!(
     /// The name of a data centre.
     DataCentre,
--- a/mustardrill_types/src/lib.rs
+++ b/mustardrill_types/src/lib.rs
@@ -11,9 +11,9 @@
 
 pub use code::ResultCode;
 pub use id::{
-    AttemptId, ChunkIndex, CustomerName, DataCentre, EditId, FencingNumber, Generation, InstanceId,
-    ManifestDigest, ModelName, RegionName, RequestDigest, RequestKey, ServiceName, StartStamp,
-    StoreEra, StoreRevision, VersionName, WeightVersion,
+    AttemptId, ChunkIndex, CustomerLabel, CustomerName, DataCentre, EditId, FencingNumber,
+    Generation, InstanceId, ManifestDigest, ModelName, RegionName, RequestDigest, RequestKey,
+    ServiceName, StartStamp, StoreEra, StoreRevision, VersionName, WeightVersion,
 };
 pub use map::{FastMap, FastSet};
 pub use prompt::{ParsePartError, PartId, PartSet};
