A key that no customer holds is refused on public routes, too

Callers with a key that had been taken away went on being served on a `public` route, without X-Tenant. So public means that the key may be left out, not that it may be wrong.

Replaced assertion: revoked_key_is_refused_on_a_route_that_became_public asserted the contrary of its name, that the request is sent without a customer. It now asserts that nothing is sent and that the refusal is UnknownCustomer; it failed on the code before.

--- a/mustardrill_core/src/direct/admit.rs
+++ b/mustardrill_core/src/direct/admit.rs
@@ -175,7 +175,8 @@
     let unknown = |code| if is_newest { code } else { ResultCode::NotCurrent };
     let route = document.route(host, path).ok_or(unknown(ResultCode::UnknownModel))?;
     let customer = key.and_then(|key| document.customer(key));
-    if customer.is_none() && !route.is_public && document.requires_keys() {
+    let needs_key = key.is_some() || !route.is_public;
+    if customer.is_none() && needs_key && document.requires_keys() {
         return Err(unknown(ResultCode::UnknownCustomer));
     }
     // A key may have been revoked since the configuration was last confirmed.
--- a/mustardrill_core/src/direct/route.rs
+++ b/mustardrill_core/src/direct/route.rs
@@ -50,7 +50,7 @@
     pub priority: u8,
     /// To how many upstreams a request may be sent.
     pub attempt_limit: u32,
-    /// Whether callers may omit the API key.
+    /// Whether callers may omit the API key. A key that is sent must be valid all the same.
     pub is_public: bool,
     /// The regions in which its requests may be served; empty for any.
     pub allowed_regions: Box<[RegionName]>,
--- a/mustardrill_core/tests/direct.rs
+++ b/mustardrill_core/tests/direct.rs
@@ -330,8 +330,11 @@
     let public = RouteRule { is_public: true, ..keyed.clone() };
     let customers = vec![customer("comedor", &["key-2"])];
     let effects = reconfigure_while_waiting(keyed, Some("key-1"), public, customers);
-    let customers: Vec<_> = sent_plans(&effects).iter().map(|plan| plan.customer.clone()).collect();
-    assert_eq!(customers, [None], "{effects:?}");
+    assert_eq!(sent_plans(&effects), Vec::<&SendPlan>::new());
+    assert_matches!(
+        refusals(&effects)[..],
+        [RefusalPlan { code: ResultCode::UnknownCustomer, .. }]
+    );
 }
 
 #[test]
