--- a/mustardrill_core/src/provisioning/reducer.rs
+++ b/mustardrill_core/src/provisioning/reducer.rs
@@ -235,11 +235,13 @@
                 }
                 FleetChange::Peer(relay) => self.relays.add(relay),
                 FleetChange::PeerGone(id) => self.relays.remove(&id),
-                // The record of the agent's own engine is read when it is needed. Quarantines and
-                // evacuations concern requests, which this reducer does not handle. Engines of an
-                // evacuated data centre go on loading weights, so that they hold the current ones
-                // when it is taken back.
-                FleetChange::LoadRecorded(_)
+                // A new configuration rarely concerns the loading of weights, so the one before
+                // stays in use. The record of the agent's own engine is read when it is needed.
+                // Quarantines and evacuations concern requests, which this reducer does not handle.
+                // Engines of an evacuated data centre go on loading weights, so that they hold the
+                // current ones when it is taken back.
+                FleetChange::ConfigurationUnreadable(_)
+                | FleetChange::LoadRecorded(_)
                 | FleetChange::Quarantined(..)
                 | FleetChange::EvacuationRequested(_)
                 | FleetChange::EvacuationEnded(_) => {}
