A worker that starts again with a lower start stamp is believed

Callers lost requests: a worker that crashed and started again under its id, as its machine's clock jumped back meanwhile, wrote a lower `born`; all that it registered from then on was taken for delayed writes of an earlier life.

Rule: a stamp is a time of day and orders two lives only as far as the clock does. What orders them where the stamp may not is who goes on: a life that registers twice, with a growing sequence, while the listed one does not, is the later one. A late write is one registration, or is answered by the next heartbeat of the life that is listed. A higher stamp counts at once as before, unless that life was replaced by a lower one.

--- a/mustardrill_core/src/direct/fleet/mod.rs
+++ b/mustardrill_core/src/direct/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The state of upstreams and peer entries as seen by one entry.
 
 pub(in crate::direct) mod entry_counter;
+pub(in crate::direct) mod incarnation_order;
 pub(in crate::direct) mod load_broadcast;
 pub(in crate::direct) mod own_listing;
 pub(in crate::direct) mod peer_loads;
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::direct::event::{AttemptOutcome, EngineNotice, LoadReport, UpstreamLoad};
+use crate::direct::fleet::incarnation_order::IncarnationOrder;
 use crate::direct::fleet::peer_loads::PeerLoadTotals;
 use crate::direct::fleet::update::{ServedWeights, UpstreamRecord};
 use crate::direct::fleet::upstream::{
@@ -51,6 +52,7 @@
     /// Upstreams that were removed lately, so that an older copy of the store does not list them
     /// again.
     departed: FastMap<InstanceId, Departure>,
+    incarnation_order: IncarnationOrder,
     /// Notices of later incarnations at the addresses of known upstreams.
     early_notices: FastMap<SocketAddr, EarlyNotice>,
     /// The data centres to whose upstreams nothing is sent.
@@ -60,18 +62,21 @@
 }
 
 impl UpstreamTable {
-    /// Applies a registration. A delayed one of an earlier incarnation is ignored; one of a later
-    /// incarnation replaces all state of the earlier one.
+    /// Applies a registration. One of a later incarnation replaces all state of the earlier one;
+    /// one that may be a delayed write of an earlier incarnation is ignored.
     ///
     /// `is_served` says whether the configuration names its service. A registration for any other
     /// service may come from a foreign writer and replaces no upstream at the same address.
     pub(crate) fn register(&mut self, now: Moment, mut record: UpstreamRecord, is_served: bool) {
         if let Some(known) = self.states.get(&record.id).map(|state| &state.record) {
-            if record.start < known.start {
+            let is_same = record.start == known.start;
+            if is_same {
+                self.incarnation_order.record_listed(&record.id);
+            } else if !self.incarnation_order.is_later(known.start, &record) {
                 info!("membership instance={} start={} outcome=kept", record.id, record.start);
                 return;
             }
-            if record.start > known.start || record.service != known.service {
+            if !is_same || record.service != known.service {
                 info!("membership instance={} start={} outcome=anew", record.id, record.start);
                 self.remove_departed(now, &record.id);
             }
@@ -257,6 +262,9 @@
                     || departure.conditions.rest.is_resting(now)
             });
             self.departed.insert(record.id, departure);
+            let (states, departed) = (&self.states, &self.departed);
+            let is_known = |id: &InstanceId| states.contains_key(id) || departed.contains_key(id);
+            self.incarnation_order.retain(is_known);
         }
     }
 
