--- a/mustardrill_core/src/direct/event.rs
+++ b/mustardrill_core/src/direct/event.rs
@@ -192,6 +192,8 @@
     StoreAnswered(FleetUpdate, Moment),
     /// Everything that the store held at this moment has been applied, though it may hold more now.
     StoreReadThrough(Moment),
+    /// The list of entries in the store names this entry, or does not.
+    OwnListingRead(bool),
     /// A call to the store failed or timed out.
     StoreFailed,
     /// A peer entry broadcast its load.
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -55,6 +55,9 @@
 pub use store::cursor::{CursorVerdict, StoreCursor};
 pub use store::freshness::{FreshnessClock, confirmation_time};
 pub use store::reader::{ReadOutcome, StoreReader};
+pub use store::registration::{
+    HeldItem, LeaseGrant, OwnListing, RegistrationCall, RegistrationKeeper, RegistrationWrite,
+};
 pub use store::watch_timing::WatchTiming;
 pub use versions::load_record::{LoadRecord, LoadState};
 pub use versions::table::{AnnouncementReport, AnnouncementTime, VersionTable};
