An answer that may belong to another request no longer promises "not run"

What callers saw: a request that may run once was answered 503 and had run, or ran at two upstreams, after an upstream had sent a refusal too many on a kept connection: one without an id, or a late copy of the refusal of the same request's first sending, which bears the right id.

Cause: any 421, and any answer with X-Not-Executed, was believed without an id, and a repeated request could go out on the connection on which its id had been answered before. The design lacked the rule that an answer belongs to an attempt only if something proves it: an id that no earlier sending on that connection bore.

The fix: - a refusal without an id is believed only on a connection that has carried nothing before; elsewhere the attempt is lost, as it is after another id - a request remembers its connections and takes none of them again, whatever ended the earlier attempt (a refusal, a 500, a resumed stream; a withdrawn attempt closes its connection) - 408, 429 and 503 with the own id and without X-Not-Executed were passed on, though the upstream states no promise by them; such an attempt is lost as well

Looked at as well: answers that come before the request was written whole bear the id, or came on a connection of their own, so nothing else needs to tell them apart; bytes that come between two requests are refused by the HTTP library.

Changed tests: `answers_are_classified_by_status_and_headers` and `the_refusal_of_another_request_is_taken_for_this_one` name the connection's history, the former also asserts that refusals without an id are not believed on a kept one.

--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -173,9 +173,9 @@
         let runs_once = !plan.repeat_rule.is_repeatable();
         let context = &self.task.context;
         let (now, pool) = (context.clock.now(), &context.pool);
-        let Some(connection) = pool.take(now, &plan.upstream, plan.address, runs_once).await else {
-            return AttemptOutcome::NotSent;
-        };
+        let used = &self.task.used_connections;
+        let taken = pool.take(now, &plan.upstream, plan.address, runs_once, used).await;
+        let Some(connection) = taken else { return AttemptOutcome::NotSent };
         // Nothing else sets the gate of this attempt.
         let _ = stage.gate.set(connection.gate());
         stage.is_sent.store(true, Ordering::Relaxed);
@@ -207,7 +207,7 @@
         let last_event = self.task.sink.last_event();
         let request = dialect.write_request(head, plan, remaining, last_event.as_deref());
         let request = request.map(|()| Full::new(body.clone()));
-        let reused = connection.is_reused();
+        let history = connection.history();
         let sent_at = context.clock.now();
         let response = self.wait_for(connection.send(request, plan.start_by), Result::is_ok).await;
         if response.is_err() {
@@ -219,7 +219,7 @@
             Err(SendFailure::TooLate) => return Err(AttemptOutcome::Withdrawn { sent: false }),
             Err(SendFailure::Broken(error)) => {
                 log::info!(
-                    "request={} instance={} reused={reused} outcome=broken reason=\"{error}\"",
+                    "request={} instance={} connection={history:?} outcome=broken reason=\"{error}\"",
                     self.task.caller_request_id,
                     plan.upstream
                 );
@@ -228,7 +228,7 @@
             }
         };
         connection.gate().record_head();
-        let kind = dialect.read_answer(head, response.status(), response.headers());
+        let kind = dialect.read_answer(head, history, response.status(), response.headers());
         match kind {
             AnswerKind::Answer { success, load, version } => {
                 let head_at = self.task.context.clock.now();
@@ -250,7 +250,7 @@
             }
             AnswerKind::Foreign => {
                 log::warn!(
-                    "request={} instance={} outcome=foreign status={}",
+                    "request={} instance={} connection={history:?} outcome=foreign status={}",
                     self.task.caller_request_id,
                     plan.upstream,
                     response.status()
--- a/mustardrill_entry/src/direct/callers.rs
+++ b/mustardrill_entry/src/direct/callers.rs
@@ -18,6 +18,7 @@
 use crate::direct::actor::{DirectActor, DirectContext, LimitsQuery, ReadyQuery};
 use crate::direct::answer::{PART_BUFFER, refusal_response, respond};
 use crate::direct::answer_sink::AnswerSink;
+use crate::direct::connections::UsedConnections;
 use crate::direct::request_task::RequestTask;
 
 /// Answers callers' requests and the load balancer's readiness probes.
@@ -81,6 +82,7 @@
             head,
             body,
             sink: AnswerSink::new(sender),
+            used_connections: UsedConnections::default(),
         };
         tokio::spawn(task.run(call));
         let (code, response) = respond(parts, dialect).await;
--- a/mustardrill_entry/src/direct/connections.rs
+++ b/mustardrill_entry/src/direct/connections.rs
@@ -1,6 +1,7 @@
 //! A pool of HTTP/1 connections to upstreams, each used for one request at a time.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use hyper::client::conn::http1;
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
+use mustardrill_runtime::adapters::ConnectionHistory;
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::http::{KEEPALIVE_INTERVAL, KEEPALIVE_PROBES};
 use mustardrill_types::{FastMap, InstanceId, Millis, Moment};
@@ -42,9 +44,29 @@
 /// upstream closes the connection while such a request is under way, its outcome is unknown.
 const MAX_IDLE_TIME_RUNS_ONCE: Millis = Millis(500);
 
+/// Identifies a connection of this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ConnectionNumber(u64);
+
+/// The connections on which a request has been sent. It is not sent again on any of them: its id
+/// would not tell a late copy of the first answer from the second one.
+#[derive(Debug, Default)]
+pub(crate) struct UsedConnections(Mutex<Vec<ConnectionNumber>>);
+
+impl UsedConnections {
+    fn record(&self, number: ConnectionNumber) {
+        self.0.lock().expect("no lock holder panics").push(number);
+    }
+
+    fn contains(&self, number: ConnectionNumber) -> bool {
+        self.0.lock().expect("no lock holder panics").contains(&number)
+    }
+}
+
 /// An open connection to an upstream, with the gate that bounds its writes in time.
 #[derive(Debug)]
 pub(crate) struct UpstreamConnection {
+    number: ConnectionNumber,
     sender: http1::SendRequest<Full<Bytes>>,
     gate: Arc<SendGate>,
     /// Drives the connection; dropping it closes the connection.
@@ -56,6 +78,8 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
     clock: ProcessClock,
+    /// The number of the next connection.
+    next_number: AtomicU64,
     idle: Mutex<FastMap<InstanceId, Vec<IdleConnection>>>,
 }
 
@@ -79,25 +103,32 @@
 
 impl ConnectionPool {
     pub(crate) fn new(clock: ProcessClock) -> Self {
-        Self { clock, idle: Mutex::default() }
+        Self { clock, next_number: AtomicU64::new(0), idle: Mutex::default() }
     }
 
-    /// Returns an idle connection to the upstream or a new one; `None` if connecting fails. Set
-    /// `runs_once` for a request that may run at most once.
+    /// Returns an idle connection to the upstream that is not in `used`, to which it is added, or a
+    /// new one; `None` if connecting fails. Set `runs_once` for a request that may run at most once.
     pub(crate) async fn take(
         &self,
         now: Moment,
         upstream: &InstanceId,
         address: SocketAddr,
         runs_once: bool,
+        used: &UsedConnections,
     ) -> Option<UpstreamConnection> {
-        if let Some(connection) = self.take_idle(now, upstream, runs_once) {
-            return Some(connection);
-        }
-        let connected = connect(address, self.clock).await.inspect_err(|error| {
-            log::debug!("connection instance={upstream} outcome=failed reason=\"{error}\"");
-        });
-        connected.ok()
+        let connection = match self.take_idle(now, upstream, runs_once, used) {
+            Some(connection) => connection,
+            None => {
+                let number = ConnectionNumber(self.next_number.fetch_add(1, Ordering::Relaxed));
+                let connected = connect(number, address, self.clock).await;
+                let connected = connected.inspect_err(|error| {
+                    log::debug!("connection instance={upstream} outcome=failed reason=\"{error}\"");
+                });
+                connected.ok()?
+            }
+        };
+        used.record(connection.number);
+        Some(connection)
     }
 
     fn take_idle(
@@ -105,13 +136,15 @@
         now: Moment,
         upstream: &InstanceId,
         runs_once: bool,
+        used: &UsedConnections,
     ) -> Option<UpstreamConnection> {
         let mut idle = self.idle.lock().expect("no lock holder panics");
         let connections = idle.get_mut(upstream)?;
         connections.retain(|it| it.reusable_until > now && !it.connection.sender.is_closed());
-        let index = connections
-            .iter()
-            .rposition(|it| !runs_once || now.since(it.idle_since) < MAX_IDLE_TIME_RUNS_ONCE)?;
+        let index = connections.iter().rposition(|it| {
+            let is_fresh = !runs_once || now.since(it.idle_since) < MAX_IDLE_TIME_RUNS_ONCE;
+            is_fresh && !used.contains(it.connection.number)
+        })?;
         Some(connections.swap_remove(index).connection)
     }
 
@@ -172,9 +205,9 @@
         self.gate.clone()
     }
 
-    /// Whether it carried an earlier request.
-    pub(crate) fn is_reused(&self) -> bool {
-        self.reused
+    /// What it carried before its current request.
+    pub(crate) fn history(&self) -> ConnectionHistory {
+        if self.reused { ConnectionHistory::Reused } else { ConnectionHistory::Unused }
     }
 
     /// Waits up to 20 ms for the end of the last answer; returns whether the connection can be
@@ -185,7 +218,11 @@
     }
 }
 
-async fn connect(address: SocketAddr, clock: ProcessClock) -> std::io::Result<UpstreamConnection> {
+async fn connect(
+    number: ConnectionNumber,
+    address: SocketAddr,
+    clock: ProcessClock,
+) -> std::io::Result<UpstreamConnection> {
     let stream = open_stream(address).await?;
     stream.set_nodelay(true)?;
     detect_dead_peer(&stream)?;
@@ -201,7 +238,7 @@
         }
     });
     let driver = AbortOnDropHandle::new(driver);
-    Ok(UpstreamConnection { sender, gate, _driver: driver, reused: false })
+    Ok(UpstreamConnection { number, sender, gate, _driver: driver, reused: false })
 }
 
 /// Whether an upstream accepts a new connection, which is closed at once.
--- a/mustardrill_entry/src/direct/request_task.rs
+++ b/mustardrill_entry/src/direct/request_task.rs
@@ -18,6 +18,7 @@
 use crate::direct::answer::AnswerPart;
 use crate::direct::answer_sink::AnswerSink;
 use crate::direct::attempt::{Attempt, AttemptEnd, AttemptStage, FailedAnswer};
+use crate::direct::connections::UsedConnections;
 
 /// A request's content, and where its answer goes.
 pub(crate) struct RequestTask {
@@ -29,6 +30,7 @@
     pub(crate) head: http::request::Parts,
     pub(crate) body: Bytes,
     pub(crate) sink: AnswerSink,
+    pub(crate) used_connections: UsedConnections,
 }
 
 /// An attempt that has not ended.
--- a/mustardrill_runtime/src/adapters.rs
+++ b/mustardrill_runtime/src/adapters.rs
@@ -116,6 +116,16 @@
     ) -> BoxFuture<'a, Result<(), StoreError>>;
 }
 
+/// What a connection has carried before the request whose answer is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionHistory {
+    /// Nothing, so that whatever arrives is about this request.
+    Unused,
+    /// Earlier requests, whose upstream may send more answers than it got requests. No earlier
+    /// sending bore the id of this request.
+    Reused,
+}
+
 /// Classification of an upstream's answer by its status and headers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AnswerKind {
@@ -124,7 +134,7 @@
     /// The upstream is not the requested instance or lacks the requested weights, and did not run
     /// the request.
     Misdirected,
-    /// The answer belongs to another request or must not be passed on.
+    /// The answer is not shown to belong to this request, or must not be passed on.
     Foreign,
     /// The answer to the request, whether successful or not.
     Answer {
@@ -160,10 +170,12 @@
         after: Option<&str>,
     ) -> Request<()>;
 
-    /// Classifies an upstream's answer to the request with the head `request_head`.
+    /// Classifies an upstream's answer to the request with the head `request_head`, which came on a
+    /// connection with the given history.
     fn read_answer(
         &self,
         request_head: &http::request::Parts,
+        history: ConnectionHistory,
         status: StatusCode,
         headers: &HeaderMap,
     ) -> AnswerKind;
--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -1,6 +1,7 @@
 //! Runs entry and agents as processes against stand-ins of the prepared platform and checks what
 //! callers and workers observe.
 
+mod answers;
 mod callers;
 mod crash;
 mod damaged_weights;
