A request that the kernel was given counts as sent, whatever the clock says afterwards

Cause: `GatedStream::write` hands a request with a deadline to the kernel and then reads the clock again. If that says "too late", the write failed without being recorded, and the attempt ended as Withdrawn { sent: false }. The kernel may have sent the bytes by itself by then. A request of which an earlier part had left ended in the same way.

The fix: the write is recorded at the gate before the clock is read again, and whether a failed attempt was sent is read from the gate, which lets nothing pass any more once it has answered "not sent". An attempt whose bytes were given to the kernel ends as Withdrawn { sent: true }; one whose connection broke before any byte was given to the kernel as not sent. An answer that came in spite of a refused write is read as any other.

Looked at as well: attempts that end at the deadline or are withdrawn count as sent from the moment they have a connection; WithdrawUnsent asks the gate; a message that the HTTP library gives back has reached no connection.

--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -216,7 +216,7 @@
         let response = match response {
             Ok(response) => response,
             Err(SendFailure::NotSent) => return Err(AttemptOutcome::NotSent),
-            Err(SendFailure::TooLate) => return Err(AttemptOutcome::Withdrawn { sent: false }),
+            Err(SendFailure::TooLate { sent }) => return Err(AttemptOutcome::Withdrawn { sent }),
             Err(SendFailure::Broken(error)) => {
                 log::info!(
                     "request={} instance={} connection={history:?} outcome=broken reason=\"{error}\"",
--- a/mustardrill_entry/src/direct/connections.rs
+++ b/mustardrill_entry/src/direct/connections.rs
@@ -96,7 +96,10 @@
     /// Nothing of the request was sent.
     NotSent,
     /// Its write deadline passed before it was sent completely.
-    TooLate,
+    TooLate {
+        /// Whether the kernel was given a part of the request.
+        sent: bool,
+    },
     /// The connection broke after the request, or a part of it, was sent.
     Broken(hyper::Error),
 }
@@ -191,12 +194,13 @@
         }
         self.gate.start_request(write_by);
         let sent = self.sender.try_send_request(request).await;
-        if self.gate.has_refused() {
-            return Err(SendFailure::TooLate);
-        }
-        sent.map_err(|mut failure| match failure.take_message() {
-            Some(_) => SendFailure::NotSent,
-            None => SendFailure::Broken(failure.into_error()),
+        sent.map_err(|mut failure| {
+            // The gate lets nothing pass any more where nothing has passed it.
+            let is_unsent = failure.take_message().is_some() || self.gate.withdraw_unwritten();
+            if self.gate.has_refused() {
+                return SendFailure::TooLate { sent: !is_unsent };
+            }
+            if is_unsent { SendFailure::NotSent } else { SendFailure::Broken(failure.into_error()) }
         })
     }
 
--- a/mustardrill_entry/src/direct/gated_stream.rs
+++ b/mustardrill_entry/src/direct/gated_stream.rs
@@ -115,7 +115,7 @@
     }
 
     /// Withdraws the request unless a part of it has been written; returns whether it is withdrawn.
-    pub(crate) fn withdraw_unwritten(&self) -> bool {
+    pub fn withdraw_unwritten(&self) -> bool {
         let mut stage = self.stage.lock().expect("no lock holder panics");
         if *stage == WriteStage::Unwritten {
             *stage = WriteStage::Withdrawn;
@@ -176,19 +176,18 @@
             return gate.write(|| write(Pin::new(stream)));
         }
         gate.check_deadline(clock.now())?;
-        gate.write(|| {
-            let is_held = set_held(stream, true);
-            let written = write(Pin::new(&mut *stream));
-            if !is_held {
-                return written;
-            }
-            if let Err(error) = gate.check_deadline(clock.now()) {
-                discard(stream);
-                return Poll::Ready(Err(error));
-            }
-            set_held(stream, false);
-            written
-        })
+        let is_held = set_held(stream, true);
+        // Recorded before the clock is read again: what the kernel was given may leave at any time.
+        let written = gate.write(|| write(Pin::new(&mut *stream)));
+        if !is_held {
+            return written;
+        }
+        if let Err(error) = gate.check_deadline(clock.now()) {
+            discard(stream);
+            return Poll::Ready(Err(error));
+        }
+        set_held(stream, false);
+        written
     }
 }
 
--- a/mustardrill_entry/tests/gated_stream.rs
+++ b/mustardrill_entry/tests/gated_stream.rs
@@ -130,3 +130,30 @@
     drop(stream);
     assert_eq!(upstream.join().unwrap(), REQUEST.repeat(2));
 }
+
+/// The kernel may send what it holds before it is discarded. The request was taken for one that can't
+/// have run, and its caller was told so.
+#[tokio::test]
+async fn a_request_that_the_kernel_was_given_counts_as_not_sent() {
+    let clock = JumpingClock { readings_in_time: 1, readings: AtomicUsize::new(0) };
+    let (mut stream, gate, upstream) = connect(Box::new(clock), receive_all).await;
+    gate.start_request(Some(WRITE_BY));
+    assert_eq!(stream.write(REQUEST).await.unwrap_err().kind(), ErrorKind::TimedOut);
+    assert!(!gate.withdraw_unwritten(), "the kernel was given the request");
+    drop(stream);
+    upstream.join().unwrap();
+}
+
+/// Its clock was read too late before the first write.
+#[tokio::test]
+async fn a_request_that_the_kernel_was_not_given_is_withdrawn_and_stays_so() {
+    let clock = JumpingClock { readings_in_time: 0, readings: AtomicUsize::new(0) };
+    let (mut stream, gate, upstream) = connect(Box::new(clock), receive_all).await;
+    gate.start_request(Some(WRITE_BY));
+    assert_eq!(stream.write(REQUEST).await.unwrap_err().kind(), ErrorKind::TimedOut);
+    assert!(gate.withdraw_unwritten());
+    gate.start_request(None);
+    assert_eq!(stream.write(REQUEST).await.unwrap_err().kind(), ErrorKind::ConnectionAborted);
+    drop(stream);
+    assert_eq!(upstream.join().unwrap(), b"");
+}
