A load is proven, or repeated, whatever comes late

- an order based on a report from before the last accepted one took a known damage for proven
- chunks staged anew after an order without an answer, then a killed agent: the successor proved the load
- a record read late, after this process had staged: the same
- an engine that restarted during the check got an order without a record of that incarnation
- a load number used twice: entries ignored the newer record
- a record read while one poll had no answer condemned a proven load
- a reload without a layer count was ordered without end
- a reload of an engine that nobody may use waited for a rollout slot

Cause: the ledger took the order count of the last report for the present one, the record said ordered from the start of a transfer on, and answers of the store and reports of the engine were taken to come at once.

Now the count is at least what the engine has answered; a record is written once all chunks are staged, so ordered does mean that nothing was staged since; damage found while an order may be out is recorded as such; the record of an earlier process is judged once both it and a report are known; what a restart or a late write changed is looked at again before an order. Only the layers of damaged chunks are taken anew where these are known.

In provisioning one test looks at the effects of the last fetch in place of the next tick, as the check starts at once.

--- a/mustardrill_agent/src/provisioning/load_records.rs
+++ b/mustardrill_agent/src/provisioning/load_records.rs
@@ -111,7 +111,10 @@
                 revision = stored.revision;
                 if stored.record.as_ref() != Some(&record) {
                     info!("load record=changed revision={revision}");
-                    continue;
+                    // What is written next follows from it.
+                    let read = ProvisioningEvent::LoadRecordRead(stored.record);
+                    let _ = actor.tell(Event(read)).await;
+                    return revision;
                 }
                 Some(revision)
             }
--- a/mustardrill_core/src/direct/versions/load_record.rs
+++ b/mustardrill_core/src/direct/versions/load_record.rs
@@ -82,9 +82,13 @@
     /// Applies a record of an agent, from the store or from the agent itself, unless a later one is
     /// known.
     pub(crate) fn apply(&mut self, record: LoadRecord) {
-        let known = self.records.get(&record.engine);
-        if known.is_some_and(|known| (known.number, known.state) >= (record.number, record.state)) {
-            return;
+        if let Some(known) = self.records.get(&record.engine) {
+            let is_other_incarnation = known.start != record.start;
+            let is_known = (known.number, known.state) >= (record.number, record.state);
+            // A write of a killed agent that came late may bear the same number.
+            if known.number > record.number || (is_known && !is_other_incarnation) {
+                return;
+            }
         }
         info!(
             "load engine={} start={} number={} version={}:{} outcome={}",
--- a/mustardrill_core/src/provisioning/engine.rs
+++ b/mustardrill_core/src/provisioning/engine.rs
@@ -28,6 +28,7 @@
         } else {
             self.ledger.observe(&view);
         }
+        self.ledger.settle(&view);
         self.last_engine_view = Some(view.clone());
         self.record_served(&view);
         let is_known = before.is_some() && !is_restart && !view.serving.is_empty();
@@ -36,7 +37,7 @@
         }
         if is_restart {
             info!("engine start={} sequence={} outcome=restarted", view.start, view.sequence);
-            self.discard_load_order();
+            self.discard_load_order(now);
         }
         effects.extend(self.confirm_load_order(now, &view));
         if let Some(ProvisioningStage::AwaitingSlot(..) | ProvisioningStage::VerifyingStaged(_)) =
@@ -86,11 +87,15 @@
 
     /// Stops waiting for a load order that the engine's previous incarnation took: the current one
     /// holds no weights and knows of no order.
-    fn discard_load_order(&mut self) {
+    fn discard_load_order(&mut self, now: Moment) {
         self.stage = match self.stage.take() {
             Some(ProvisioningStage::Loading(plan, order)) => {
                 Some(ProvisioningStage::AwaitingSlot(plan, order.since))
             }
+            // The order is to be recorded for the new incarnation first.
+            Some(ProvisioningStage::VerifyingStaged(plan)) => {
+                Some(ProvisioningStage::AwaitingSlot(plan, now))
+            }
             other => other,
         };
     }
--- a/mustardrill_core/src/provisioning/fetching.rs
+++ b/mustardrill_core/src/provisioning/fetching.rs
@@ -52,6 +52,7 @@
             };
             match address {
                 Some(address) => {
+                    self.ledger.record_staging();
                     effects.push(ProvisioningEffect::FetchChunk(wanted.clone(), fetch, address));
                 }
                 None => {
--- a/mustardrill_core/src/provisioning/load_ledger.rs
+++ b/mustardrill_core/src/provisioning/load_ledger.rs
@@ -10,7 +10,7 @@
 use mustardrill_types::{ModelName, StartStamp, WeightVersion};
 
 use crate::direct::{LoadRecord, LoadState, ServedWeights};
-use crate::provisioning::event::{EngineView, VersionId};
+use crate::provisioning::event::{EngineView, LayerRange, VersionId};
 
 /// The record in the store, as far as known.
 #[derive(Debug, Default, PartialEq, Eq)]
@@ -29,6 +29,12 @@
     latest: Option<LoadRecord>,
     /// Whether the store holds `latest`.
     is_stored: bool,
+    /// Whether the record that was read has been applied to the weights that the engine holds.
+    is_settled: bool,
+    /// Whether this process has staged a chunk.
+    has_staged: bool,
+    /// The number of orders that the engine is known to have accepted, by its answers.
+    accepted: u64,
     /// The weights of the current incarnation that are proven.
     proven: Option<ServedWeights>,
     /// Nothing was staged since the engine had accepted this number of orders.
@@ -37,6 +43,8 @@
     pub(super) has_pending_order: bool,
     /// The engine holds, or is about to hold, weights that can't be proven any more.
     pub(super) needs_reload: bool,
+    /// The layers that are to be taken anew; all where it is not known which are damaged.
+    pub(super) reload_layers: Option<LayerRange>,
 }
 
 impl LoadLedger {
@@ -68,6 +76,8 @@
         self.unchanged_since = None;
         self.has_pending_order = false;
         self.needs_reload = false;
+        self.reload_layers = None;
+        self.accepted = view.sequence;
     }
 
     /// Handles a later report. An engine that serves newer weights than the proven ones no longer
@@ -83,20 +93,35 @@
         self.proven.take_if(is_newer);
     }
 
-    /// Applies the record that an earlier agent process left, to the weights that the engine holds.
-    /// Without a record of this incarnation, nothing speaks against them.
+    /// Applies a record that was read: that of an earlier agent process, or one that it wrote late.
     pub(super) fn apply_read(&mut self, record: Option<LoadRecord>, view: Option<&EngineView>) {
+        self.is_settled |= self.is_read();
         self.stored = StoredRecord::Read;
         self.is_stored = true;
         self.latest = record;
         let state = self.latest.as_ref().map(|latest| latest.state);
         self.has_pending_order |= state.is_some_and(|state| state != LoadState::Proven);
-        let Some(view) = view else { return };
-        let Some(served) = view.serving.first().filter(|_| self.proven.is_none()) else { return };
+        if let Some(view) = view {
+            self.settle(view);
+        }
+    }
+
+    /// Judges the weights that the engine holds by the record that an earlier process left, once both
+    /// are known. Without a record of this incarnation, nothing speaks against them.
+    pub(super) fn settle(&mut self, view: &EngineView) {
+        if !self.is_read() || self.is_settled {
+            return;
+        }
+        let Some(served) = view.serving.first() else { return };
+        self.is_settled = true;
+        if self.proven.is_some() {
+            return;
+        }
         match self.latest.as_ref().filter(|it| it.is_about(view.start, &served.model)) {
             Some(record) if !record.allows(served.version) => {
-                let is_ordered =
-                    record.version == served.version && record.state == LoadState::Ordered;
+                let is_ordered = record.version == served.version
+                    && record.state == LoadState::Ordered
+                    && !self.has_staged;
                 // The earlier process staged nothing after it had recorded the order, unless it
                 // recorded the damage first.
                 self.unchanged_since = view.sequence.checked_sub(1).filter(|_| is_ordered);
@@ -111,14 +136,35 @@
         self.is_stored |= self.latest.as_ref() == Some(record);
     }
 
+    /// The record of the proven weights, if the store holds one that speaks against them.
+    pub(super) fn reaffirm(&mut self, engine: SocketAddr, start: StartStamp) -> Option<LoadRecord> {
+        let ServedWeights { model, version } = self.proven.clone()?;
+        let latest = self.latest.as_ref().filter(|latest| latest.is_about(start, &model))?;
+        let number = latest.number + 1;
+        let is_denied = !latest.allows(version);
+        let record = LoadRecord::proven(engine, start, number, &model, version);
+        is_denied.then(|| self.replace(record))
+    }
+
     /// Records that a chunk is about to be staged.
     pub(super) fn record_staging(&mut self) {
         self.unchanged_since = None;
+        self.has_staged = true;
     }
 
     /// Records that all chunks are staged while the engine has accepted `sequence` orders.
     pub(super) fn record_complete(&mut self, sequence: u64) {
-        self.unchanged_since.get_or_insert(sequence);
+        self.unchanged_since.get_or_insert(sequence.max(self.accepted));
+    }
+
+    /// Records that the engine answered that it accepted an order, its `sequence`th.
+    pub(super) fn record_accepted(&mut self, sequence: u64) {
+        self.accepted = self.accepted.max(sequence);
+    }
+
+    /// Whether a report of the engine is from after all orders that it is known to have accepted.
+    pub(super) fn is_current(&self, view: &EngineView) -> bool {
+        view.sequence >= self.accepted
     }
 
     /// Whether nothing was staged since a report of the engine.
@@ -171,6 +217,7 @@
         let VersionId { model, version } = weights.clone();
         self.proven = Some(ServedWeights { model, version });
         self.needs_reload = false;
+        self.reload_layers = None;
         self.has_pending_order = false;
         let latest = self.latest.clone().filter(|latest| latest.version == version)?;
         let proven = LoadRecord { proven_before: None, state: LoadState::Proven, ..latest };
@@ -195,6 +242,7 @@
 
     fn replace(&mut self, record: LoadRecord) -> LoadRecord {
         self.is_stored = false;
+        self.is_settled = true;
         self.latest = Some(record.clone());
         record
     }
--- a/mustardrill_core/src/provisioning/load_order.rs
+++ b/mustardrill_core/src/provisioning/load_order.rs
@@ -30,6 +30,8 @@
     pub(super) layers: Option<LayerRange>,
     /// The layers of the orders that follow this one.
     pub(super) steps: VecDeque<Option<LayerRange>>,
+    /// Whether it is one of the orders that make the engine take layers anew.
+    pub(super) is_reload: bool,
 }
 
 /// How far a load order has come.
@@ -127,7 +129,8 @@
         if self.engine.is_none() {
             return (Some(ProvisioningStage::AwaitingSlot(plan, staged)), Vec::new());
         }
-        let slot = self.load_slot(wanted, staged);
+        // No request waits for an engine whose weights nobody may use.
+        let slot = if self.ledger.needs_reload { now } else { self.load_slot(wanted, staged) };
         if slot <= now {
             if !self.may_order(wanted) {
                 return (Some(ProvisioningStage::AwaitingSlot(plan, staged)), Vec::new());
@@ -173,7 +176,9 @@
                 self.finish_proof(version)
             }
             Some(ProvisioningStage::InspectingStaged(mut plan)) => {
-                self.ledger.needs_reload |= self.serves(version);
+                let is_damaged = Some(intact.count()) != self.expected_chunk_count();
+                let may_be_taken = self.ledger.has_pending_order && is_damaged;
+                self.ledger.needs_reload |= self.serves(version) || may_be_taken;
                 intact.held().into_iter().for_each(|index| plan.record_intact(now, index));
                 info!("weights version={version} outcome=inspected whole={}", intact.count());
                 self.staged = None;
@@ -208,10 +213,13 @@
             damaged.into_iter().for_each(|index| plan.record_damaged(index));
             self.staged = None;
             self.ledger.record_staging();
+            // An order without an answer may still take the damaged chunks.
+            self.ledger.needs_reload |= self.ledger.has_pending_order;
             self.stage = Some(ProvisioningStage::FetchingChunks(plan));
             return self.cancel_pause();
         }
-        let Some(engine) = &self.engine else {
+        let engine = self.engine.as_ref().filter(|_| self.may_order(version));
+        let Some(engine) = engine else {
             self.stage = Some(ProvisioningStage::AwaitingSlot(plan, now));
             return Vec::new();
         };
@@ -222,7 +230,9 @@
             "order version={version} sequence={sequence} decision=load steps_left={}",
             steps.len()
         );
-        let order = LoadOrder { since: now, sequence, phase: OrderPhase::Sent, layers, steps };
+        let is_reload = !steps.is_empty();
+        let phase = OrderPhase::Sent;
+        let order = LoadOrder { since: now, sequence, phase, layers, steps, is_reload };
         self.stage = Some(ProvisioningStage::Loading(plan, order));
         vec![ProvisioningEffect::OrderLoad(version.clone(), layers, sequence)]
     }
--- a/mustardrill_core/src/provisioning/load_proof.rs
+++ b/mustardrill_core/src/provisioning/load_proof.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use log::{info, warn};
-use mustardrill_types::Moment;
+use mustardrill_types::{ChunkIndex, Moment};
 
 use crate::manifest::ChunkBitmap;
 use crate::provisioning::event::{
@@ -31,19 +31,23 @@
     /// Entries use no weights whose load is recorded and not proven. A registration that tells of
     /// the new weights is written after the record, so an entry that knows of them knows the record.
     pub(super) fn record_order(&mut self, wanted: &VersionId) -> Vec<ProvisioningEffect> {
-        let is_due = match &self.stage {
-            None
-            | Some(ProvisioningStage::FetchingManifest { .. } | ProvisioningStage::Loading(..)) => {
-                false
-            }
-            Some(_) => true,
-        };
-        let Some(start) = self.engine.as_ref().map(|engine| engine.start).filter(|_| is_due) else {
+        let Some(start) = self.engine.as_ref().map(|engine| engine.start) else {
             return Vec::new();
         };
         if !self.ledger.is_read() {
             return self.read_load_record();
         }
+        // Chunks are staged no more where a record of an order is stored, unless it tells of damage.
+        let is_due = match &self.stage {
+            Some(ProvisioningStage::AwaitingSlot(..) | ProvisioningStage::VerifyingStaged(_)) => {
+                true
+            }
+            Some(ProvisioningStage::FetchingChunks(_)) => self.ledger.needs_reload,
+            _ => false,
+        };
+        if !is_due {
+            return Vec::new();
+        }
         let record = self.ledger.record_order(self.settings.engine, start, wanted);
         record.map(ProvisioningEffect::WriteLoadRecord).into_iter().collect()
     }
@@ -59,6 +63,7 @@
     pub(super) fn may_order(&self, wanted: &VersionId) -> bool {
         self.is_order_recorded(wanted)
             && self.ledger.is_unchanged()
+            && self.engine.as_ref().is_some_and(|engine| self.ledger.is_current(engine))
             && (!self.ledger.needs_reload || self.is_engine_idle())
     }
 
@@ -78,13 +83,21 @@
 
     /// The layers of each order of a load; `None` stands for all.
     ///
-    /// An engine takes no layer again that it holds already. It gives up one half and takes it anew,
-    /// then the other half.
+    /// An engine takes no layer again that it holds already. It gives up the damaged ones and takes
+    /// them anew; where these are all, one half and then the other half.
     pub(super) fn load_steps(&self, version: &VersionId) -> VecDeque<Option<LayerRange>> {
         let layers = self.layer_count().unwrap_or(0);
         if !self.ledger.needs_reload || !self.serves(version) || layers < 2 {
             return [None].into();
         }
+        let all = LayerRange { first: 0, end: layers };
+        let damaged = self.ledger.reload_layers.unwrap_or(all);
+        if damaged.first > 0 {
+            return [Some(LayerRange { end: damaged.first, ..all }), None].into();
+        }
+        if damaged.end < layers {
+            return [Some(LayerRange { first: damaged.end, ..all }), None].into();
+        }
         let middle = layers / 2;
         let first_half = Some(LayerRange { first: 0, end: middle });
         let second_half = Some(LayerRange { first: middle, end: layers });
@@ -182,6 +195,7 @@
         match outcome {
             LoadOrderOutcome::Accepted => {
                 let sequence = order.sequence + 1;
+                self.ledger.record_accepted(sequence);
                 self.order_accepted(sequence)
             }
             LoadOrderOutcome::InEffect => self.order_in_effect(version),
@@ -193,7 +207,10 @@
                 Vec::new()
             }
             // The order may still be accepted, with whatever is staged at that moment.
-            LoadOrderOutcome::Unknown => Vec::new(),
+            LoadOrderOutcome::Unknown => {
+                self.ledger.has_pending_order = true;
+                Vec::new()
+            }
         }
     }
 
@@ -207,11 +224,12 @@
         if is_given_up || self.ledger.is_copy_of_load(sequence) {
             return self.order_accepted(sequence);
         }
-        if let Some(ProvisioningStage::Loading(plan, order)) = self.stage.take() {
-            warn!("order version={version} outcome=unproven decision=reload");
-            self.ledger.needs_reload = true;
-            self.stage = Some(ProvisioningStage::AwaitingSlot(plan, order.since));
+        warn!("order version={version} outcome=unproven decision=reload");
+        if let Some(ProvisioningStage::Loading(_, order)) = &mut self.stage {
+            // Repeated once it is overdue: an engine that can't give up layers would answer the same.
+            order.phase = OrderPhase::Rejected;
         }
+        self.ledger.needs_reload = true;
         Vec::new()
     }
 
@@ -240,12 +258,18 @@
         order: LoadOrder,
     ) -> Vec<ProvisioningEffect> {
         let damaged: Vec<_> = intact.added_in(plan.held());
+        if damaged.is_empty() && self.ledger.needs_reload && !order.is_reload {
+            warn!("weights version={version} outcome=unproven decision=reload");
+            self.stage = Some(ProvisioningStage::AwaitingSlot(plan, order.since));
+            return Vec::new();
+        }
         if damaged.is_empty() {
             let order = LoadOrder { phase: OrderPhase::Proven, ..order };
             self.stage = Some(ProvisioningStage::Loading(plan, order));
             return self.finish_proof(version);
         }
         warn!("weights version={version} outcome=loaded-spoilt chunks={}", damaged.len());
+        self.ledger.reload_layers = self.layers_of(&damaged).filter(|_| !order.is_reload);
         damaged.into_iter().for_each(|index| plan.record_damaged(index));
         self.staged = None;
         self.ledger.record_staging();
@@ -253,4 +277,22 @@
         self.stage = Some(ProvisioningStage::FetchingChunks(plan));
         Vec::new()
     }
+
+    /// The range of layers that are taken from any of these chunks.
+    fn layers_of(&self, chunks: &[ChunkIndex]) -> Option<LayerRange> {
+        let (layers, total) = (self.layer_count()?, self.expected_chunk_count()?);
+        let (first, last) = (chunks.iter().min()?, chunks.iter().max()?);
+        let first = first.0 * layers / total.max(1);
+        let end = ((last.0 + 1) * layers).div_ceil(total.max(1));
+        Some(LayerRange { first, end: end.min(layers) })
+    }
+
+    /// Writes the record of proven weights anew where the store holds one that speaks against them.
+    pub(super) fn reaffirm_proof(&mut self) -> Vec<ProvisioningEffect> {
+        let Some(start) = self.engine.as_ref().map(|engine| engine.start) else {
+            return Vec::new();
+        };
+        let record = self.ledger.reaffirm(self.settings.engine, start);
+        record.map(ProvisioningEffect::WriteLoadRecord).into_iter().collect()
+    }
 }
--- a/mustardrill_core/src/provisioning/reducer.rs
+++ b/mustardrill_core/src/provisioning/reducer.rs
@@ -149,7 +149,7 @@
             }
             ProvisioningEvent::LoadRecordRead(record) => {
                 self.ledger.apply_read(record, self.engine.as_ref());
-                Vec::new()
+                self.reaffirm_proof()
             }
             ProvisioningEvent::LoadRecordStored(record) => {
                 self.ledger.record_stored(&record);
@@ -389,6 +389,7 @@
         if self.wanted.as_ref() != Some(&target) {
             // All layers of another version are taken anew.
             self.ledger.needs_reload = false;
+            self.ledger.reload_layers = None;
         }
         if let Some(previous) =
             self.wanted.replace(target.clone()).filter(|previous| *previous != target)
--- a/mustardrill_core/tests/load_proofs.rs
+++ b/mustardrill_core/tests/load_proofs.rs
@@ -106,6 +106,16 @@
 impl Machine {
     /// Starts an agent beside an engine that serves `serving` and has accepted `sequence` orders.
     fn start(serving: u64, sequence: u64, stored: Option<LoadRecord>) -> Self {
+        Self::start_with(serving, sequence, stored, Vec::new())
+    }
+
+    /// The same, where chunks turn bad just before the engine takes the first order.
+    fn start_with(
+        serving: u64,
+        sequence: u64,
+        stored: Option<LoadRecord>,
+        damage_at_order: Vec<ChunkIndex>,
+    ) -> Self {
         let settings = common::provisioning_settings();
         let reducer = match stored {
             Some(stored) => StoredReducer::with_record(settings, stored),
@@ -121,7 +131,7 @@
             staged: 0,
             orders: Vec::new(),
             notices: Vec::new(),
-            damage_at_order: Vec::new(),
+            damage_at_order,
             taken_damaged: [false; 2],
         };
         let changes = vec![FleetChange::Configured(document()), announced(2)];
@@ -239,9 +249,9 @@
 /// The chunk was intact when the order was given, and bad when the engine accepted it.
 #[test]
 fn a_load_that_took_a_damaged_chunk_is_used() {
-    let mut machine = Machine::start(1, 0, None);
-    machine.damage_at_order = vec![ChunkIndex(2)];
-    machine.wait(Millis(8_000));
+    let damaged = vec![ChunkIndex(0), ChunkIndex(3)];
+    let mut machine = Machine::start_with(1, 0, None, damaged);
+    machine.wait(Millis(12_000));
     let halves = [
         Some(LayerRange { first: 0, end: LAYERS / 2 }),
         None,
@@ -254,6 +264,16 @@
     assert!(machine.is_vouched());
 }
 
+/// One chunk belongs to the layers 8 to 11 of 16.
+#[test]
+fn a_load_that_took_one_damaged_chunk_gives_up_all_layers() {
+    let mut machine = Machine::start_with(1, 0, None, vec![ChunkIndex(2)]);
+    machine.wait(Millis(8_000));
+    assert_eq!(machine.orders[1..], [Some(LayerRange { first: 0, end: LAYERS / 2 }), None]);
+    assert_eq!(machine.taken_damaged[1..], [false]);
+    assert!(machine.is_vouched());
+}
+
 /// The agent that gave the order was killed before it had proven the load.
 #[test]
 fn a_load_ordered_by_an_agent_that_was_killed_is_used() {
--- a/mustardrill_core/tests/provisioning.rs
+++ b/mustardrill_core/tests/provisioning.rs
@@ -139,15 +139,16 @@
     reducer
 }
 
-/// Completes every fetch that the reducer starts, at `now`, until it starts no more.
+/// Completes every fetch that the reducer starts, at `now`, until it starts no more; returns the
+/// effects of the last ones.
 fn complete_fetches(
     reducer: &mut StoredReducer,
     now: Moment,
     number: u64,
     mut effects: Vec<ProvisioningEffect>,
-) {
+) -> Vec<ProvisioningEffect> {
     for _ in 0..10 * TOTAL {
-        let Some((index, source)) = started_fetches(&effects).first().cloned() else { return };
+        let Some((index, source)) = started_fetches(&effects).first().cloned() else { break };
         let mut rest = started_fetches(&effects).split_off(1);
         effects.clear();
         rest.insert(0, (index, source));
@@ -161,6 +162,7 @@
             effects.extend(reducer.reduce(now, ended));
         }
     }
+    effects
 }
 
 fn all_chunks() -> ChunkBitmap {
@@ -223,8 +225,7 @@
     found.insert(ChunkIndex(2));
     let effects = reducer.reduce(START, ProvisioningEvent::StagedVerified(version(1), found));
     assert!(started_fetches(&effects).iter().all(|(index, _)| *index != ChunkIndex(2)));
-    complete_fetches(&mut reducer, START, 1, effects);
-    let effects = reducer.reduce(START, ProvisioningEvent::Tick);
+    let effects = complete_fetches(&mut reducer, START, 1, effects);
     assert!(effects.contains(&ProvisioningEffect::VerifyStaged(version(1))), "{effects:?}");
     let effects =
         reducer.reduce(START, ProvisioningEvent::StagedVerified(version(1), all_chunks()));
