--- a/mustardrill_core/tests/load_interleavings.rs
+++ b/mustardrill_core/tests/load_interleavings.rs
@@ -1,84 +1,28 @@
 //! Loads whose orders, reports, records and read-backs come late, or not at all.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
-use std::sync::Arc;
 
 use mustardrill_core::direct::{
-    CallerLimits, DirectEffect, DirectEvent, DirectReducer, EngineNotice, EngineProfile,
-    FleetChange, FleetUpdate, LoadRecord, LoadState, OriginProfile, RepeatRule, RouteDocument,
-    ServedWeights, ServiceProfile, UpstreamRecord, WarmupReport, WorkSize,
+    DirectEffect, DirectEvent, DirectReducer, EngineNotice, FleetChange, FleetUpdate, LoadRecord,
+    LoadState, WorkSize,
 };
-use mustardrill_core::manifest::{ChunkBitmap, Manifest};
+use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_core::provisioning::{
     EngineView, LayerRange, LoadOrderOutcome, ProvisioningEffect, ProvisioningEvent,
     ProvisioningReducer, VersionId,
 };
 use mustardrill_core::transfer::FetchOutcome;
-use mustardrill_types::{
-    ByteSize, ChunkIndex, FastMap, Generation, ManifestDigest, Millis, Moment, StartStamp,
-    StoreRevision, WeightVersion,
-};
+use mustardrill_types::{ChunkIndex, Millis, Moment, StartStamp, StoreRevision, WeightVersion};
 
 mod common;
+#[path = "common/loads.rs"]
+mod loads;
 
-const START: Moment = Moment(50_000);
-const CHUNKS: u32 = 4;
-
-fn engine_address() -> SocketAddr {
-    common::provisioning_settings().engine
-}
-
-fn document(layers: u32) -> Arc<RouteDocument> {
-    let engine = EngineProfile {
-        chunks: CHUNKS,
-        layers,
-        chunk_size: ByteSize(1_000),
-        ..common::engine_profile()
-    };
-    let route = common::public_route("drafts", "/", "pool", RepeatRule::StreamResumable);
-    let mut services = FastMap::default();
-    let pool = ServiceProfile { engine: Some(engine), ..ServiceProfile::default() };
-    services.insert("pool".parse().unwrap(), pool);
-    let origin = OriginProfile {
-        address: SocketAddr::from(([172, 20, 0, 3], 8006)),
-        data_centre: "hall-b".parse().unwrap(),
-        link_mbps: 0.0,
-        connection_limit: 0,
-    };
-    let records = ServiceProfile { origin: Some(origin), ..ServiceProfile::default() };
-    services.insert("records".parse().unwrap(), records);
-    Arc::new(RouteDocument::new(
-        Generation(1),
-        vec![route],
-        services,
-        Vec::new(),
-        CallerLimits::default(),
-    ))
-}
-
-fn served(number: u64) -> Vec<ServedWeights> {
-    let version = WeightVersion(number);
-    (number > 0)
-        .then(|| ServedWeights { model: "m".parse().unwrap(), version })
-        .into_iter()
-        .collect()
-}
-
-fn record(start: u64, number: u64, load: u64, before: u64, state: LoadState) -> LoadRecord {
-    LoadRecord {
-        engine: engine_address(),
-        start: StartStamp(start),
-        number,
-        model: "m".parse().unwrap(),
-        version: WeightVersion(load),
-        proven_before: (before > 0).then_some(WeightVersion(before)),
-        state,
-    }
-}
+use loads::{CHUNKS, document, engine_record, load_record, manifest_of, served};
 
+const START: Moment = Moment(50_000);
 /// An agent, its engine and the store, where each answers only when told to.
-struct Bench {
+struct DelayedMachine {
     reducer: ProvisioningReducer,
     now: Moment,
     queue: VecDeque<ProvisioningEvent>,
@@ -106,7 +50,7 @@
     notices: Vec<EngineNotice>,
 }
 
-impl Bench {
+impl DelayedMachine {
     fn new(engine: EngineView, stored: Option<LoadRecord>) -> Self {
         Self {
             reducer: ProvisioningReducer::new(common::provisioning_settings(), 3),
@@ -208,14 +152,8 @@
     fn carry_out(&mut self, effect: ProvisioningEffect) {
         match effect {
             ProvisioningEffect::FetchManifest(version, _) => {
-                let manifest = Manifest {
-                    model: "m".parse().unwrap(),
-                    version: version.version.to_string().parse().unwrap(),
-                    size: ByteSize(u64::from(CHUNKS)),
-                    chunk_size: ByteSize(1),
-                    chunks: (0..CHUNKS as u8).map(|index| ManifestDigest([index; 32])).collect(),
-                };
-                self.event(ProvisioningEvent::ManifestFetched(version, Some(manifest.into())));
+                let manifest = Some(manifest_of(&version));
+                self.event(ProvisioningEvent::ManifestFetched(version, manifest));
             }
             ProvisioningEffect::FetchChunk(version, fetch, _) => {
                 self.fetched += 1;
@@ -319,104 +257,99 @@
 /// The engine restarts while its chunks are read back before the order; the store is away then.
 #[test]
 fn restart_during_the_check_orders_without_a_record() {
-    let mut bench = Bench::new(engine(10, 0, 1), None);
-    bench.begin(16);
-    bench.holds_reads = true;
-    bench.wait(6_000);
-    assert!(bench.read_waits.is_some(), "the check goes on");
-    bench.store_answers = false;
-    bench.engine = engine(20, 0, 0);
-    bench.poll();
-    bench.finish_read();
-    bench.wait(1_000);
-    assert_eq!(bench.unrecorded_orders, 0, "{:?} stored={:?}", bench.orders, bench.stored);
+    let mut machine = DelayedMachine::new(engine(10, 0, 1), None);
+    machine.begin(16);
+    machine.holds_reads = true;
+    machine.wait(6_000);
+    assert!(machine.read_waits.is_some(), "the check goes on");
+    machine.store_answers = false;
+    machine.engine = engine(20, 0, 0);
+    machine.poll();
+    machine.finish_read();
+    machine.wait(1_000);
+    assert_eq!(machine.unrecorded_orders, 0, "{:?} stored={:?}", machine.orders, machine.stored);
 }
 
 /// An order without an answer; a chunk turns bad; the engine takes the order late; the agent finds
 /// the chunk and stages it anew, and is killed.
 #[test]
 fn successor_proves_a_copy_that_was_repaired_after_a_late_order() {
-    let mut bench = Bench::new(engine(10, 0, 1), None);
-    bench.holds_orders = true;
-    bench.begin(16);
-    while bench.held.is_empty() {
-        bench.wait(100);
+    let mut machine = DelayedMachine::new(engine(10, 0, 1), None);
+    machine.holds_orders = true;
+    machine.begin(16);
+    while machine.held.is_empty() {
+        machine.wait(100);
     }
-    bench.wait(3_500);
-    bench.bad = vec![2];
+    machine.wait(3_500);
+    machine.bad = vec![2];
     // The order is overdue; the check finds the chunk.
-    bench.may_fetch = false;
-    bench.wait(1_500);
-    assert!(bench.fetched > 0, "the chunk is to be fetched again");
-    bench.take_held();
-    assert!(bench.took_bad);
-    bench.may_fetch = true;
+    machine.may_fetch = false;
+    machine.wait(1_500);
+    assert!(machine.fetched > 0, "the chunk is to be fetched again");
+    machine.take_held();
+    assert!(machine.took_bad);
+    machine.may_fetch = true;
     // Staged anew in this tick, or in one of the next.
     let mut ticks = 0;
-    while !bench.bad.is_empty() && ticks < 1_000 {
-        bench.now = bench.now + Millis(5);
-        bench.event(ProvisioningEvent::Tick);
+    while !machine.bad.is_empty() && ticks < 1_000 {
+        machine.now = machine.now + Millis(5);
+        machine.event(ProvisioningEvent::Tick);
         ticks += 1;
     }
-    println!("ticks={ticks} stored={:?}", bench.stored);
-    assert!(bench.bad.is_empty());
-    bench.holds_orders = false;
-    bench.succeed();
-    bench.wait(300);
-    println!("stored={:?} orders={:?} notices={:?}", bench.stored, bench.orders, bench.notices);
-    assert!(!bench.is_vouched(), "a load of a damaged chunk is proven: {:?}", bench.stored);
+    assert!(machine.bad.is_empty());
+    machine.holds_orders = false;
+    machine.succeed();
+    machine.wait(300);
+    assert!(!machine.is_vouched(), "a load of a damaged chunk is proven: {:?}", machine.stored);
 }
 
 /// The agent starts while an order of its predecessor is carried out, and reads the record late:
 /// meanwhile it has staged the damaged chunk anew.
 #[test]
 fn record_read_late_proves_a_copy_that_was_repaired() {
-    let ordered = record(10, 1, 2, 1, LoadState::Ordered);
+    let ordered = load_record(10, 1, 2, 1, LoadState::Ordered);
     // Accepted, with a damaged chunk; it still serves version 1 to the end of what it runs.
-    let mut bench = Bench::new(engine(10, 1, 1), Some(ordered));
-    bench.engine.busy = true;
-    bench.bad = vec![2];
-    bench.took_bad = true;
-    bench.store_answers = false;
-    bench.begin(16);
-    bench.wait(2_000);
-    assert!(bench.bad.is_empty(), "staged anew before the record is read");
-    bench.engine = engine(10, 1, 2);
-    bench.wait(500);
-    bench.store_answers = true;
-    bench.wait(100);
-    bench.wait(200);
-    println!("stored={:?} orders={:?} notices={:?}", bench.stored, bench.orders, bench.notices);
-    assert!(!bench.is_vouched(), "a load of a damaged chunk is proven: {:?}", bench.stored);
+    let mut machine = DelayedMachine::new(engine(10, 1, 1), Some(ordered));
+    machine.engine.busy = true;
+    machine.bad = vec![2];
+    machine.took_bad = true;
+    machine.store_answers = false;
+    machine.begin(16);
+    machine.wait(2_000);
+    assert!(machine.bad.is_empty(), "staged anew before the record is read");
+    machine.engine = engine(10, 1, 2);
+    machine.wait(500);
+    machine.store_answers = true;
+    machine.wait(100);
+    machine.wait(200);
+    assert!(!machine.is_vouched(), "a load of a damaged chunk is proven: {:?}", machine.stored);
 }
 
 /// The record of a proven load is read while one poll has no answer.
 #[test]
 fn record_read_while_the_engine_is_silent_condemns_a_proven_load() {
-    let proven = record(10, 1, 2, 0, LoadState::Proven);
-    let mut bench = Bench::new(engine(10, 1, 2), Some(proven));
-    bench.store_answers = false;
-    bench.begin(16);
-    bench.event(ProvisioningEvent::EnginePolled(None));
-    bench.store_answers = true;
-    bench.store();
-    bench.poll();
-    bench.wait(8_000);
-    println!("stored={:?} orders={:?}", bench.stored, bench.orders);
-    let is_condemned = bench.stored.as_ref().is_some_and(|it| it.state == LoadState::Damaged);
-    assert!(!is_condemned && bench.orders.is_empty(), "a proven load is repeated");
+    let proven = load_record(10, 1, 2, 0, LoadState::Proven);
+    let mut machine = DelayedMachine::new(engine(10, 1, 2), Some(proven));
+    machine.store_answers = false;
+    machine.begin(16);
+    machine.event(ProvisioningEvent::EnginePolled(None));
+    machine.store_answers = true;
+    machine.store();
+    machine.poll();
+    machine.wait(8_000);
+    let is_condemned = machine.stored.as_ref().is_some_and(|it| it.state == LoadState::Damaged);
+    assert!(!is_condemned && machine.orders.is_empty(), "a proven load is repeated");
 }
 
 /// A configuration without the number of layers.
 #[test]
 fn reload_without_a_layer_count_loops() {
-    let damaged = record(10, 2, 2, 0, LoadState::Damaged);
-    let mut bench = Bench::new(engine(10, 1, 2), Some(damaged));
-    bench.took_bad = true;
-    bench.begin(1);
-    bench.wait(20_000);
-    println!("orders={} stored={:?}", bench.orders.len(), bench.stored);
-    assert!(bench.orders.len() < 10, "{} orders in 20 s", bench.orders.len());
+    let damaged = load_record(10, 2, 2, 0, LoadState::Damaged);
+    let mut machine = DelayedMachine::new(engine(10, 1, 2), Some(damaged));
+    machine.took_bad = true;
+    machine.begin(1);
+    machine.wait(20_000);
+    assert!(machine.orders.len() < 10, "{} orders in 20 s", machine.orders.len());
 }
 
 /// The write of a killed agent takes effect after its successor has read the record; both
@@ -424,25 +357,14 @@
 #[test]
 fn entry_ignores_a_record_whose_number_was_used_before() {
     let mut entry = DirectReducer::new(common::direct_settings(), 7);
-    let upstream = |start, number| UpstreamRecord {
-        id: "u1".parse().unwrap(),
-        start: StartStamp(start),
-        service: "pool".parse().unwrap(),
-        address: engine_address(),
-        data_centre: "hall-a".parse().unwrap(),
-        slots: 4,
-        leaving: false,
-        serving: served(number),
-        warmup: WarmupReport::default(),
-    };
     let mut read = |changes| {
         let update = FleetUpdate { changes, ..FleetUpdate::default() };
         entry.reduce(START, DirectEvent::StoreAnswered(update, START));
     };
-    read(vec![FleetChange::Configured(document(16)), FleetChange::Upstream(upstream(10, 1))]);
-    read(vec![FleetChange::LoadRecorded(record(10, 6, 2, 1, LoadState::Ordered))]);
-    read(vec![FleetChange::LoadRecorded(record(20, 6, 2, 0, LoadState::Ordered))]);
-    read(vec![FleetChange::Upstream(upstream(20, 2))]);
+    read(vec![FleetChange::Configured(document(16)), FleetChange::Upstream(engine_record(10, 1))]);
+    read(vec![FleetChange::LoadRecorded(load_record(10, 6, 2, 1, LoadState::Ordered))]);
+    read(vec![FleetChange::LoadRecorded(load_record(20, 6, 2, 0, LoadState::Ordered))]);
+    read(vec![FleetChange::Upstream(engine_record(20, 2))]);
     let size = WorkSize { prompt_tokens: 300, answer_tokens: 36 };
     let request = common::direct_request(1, "/x", size, START);
     let effects = entry.reduce(START, DirectEvent::RequestArrived(request));
@@ -454,47 +376,44 @@
 /// names the sequence from before the first one, and the poll is taken for its acceptance.
 #[test]
 fn order_on_an_old_report_proves_the_damaged_load() {
-    let mut bench = Bench::new(engine(10, 0, 1), None);
-    bench.begin(16);
-    bench.strikes = true;
-    while bench.orders.is_empty() {
-        bench.now = bench.now + Millis(25);
-        bench.event(ProvisioningEvent::Tick);
-        bench.store();
+    let mut machine = DelayedMachine::new(engine(10, 0, 1), None);
+    machine.begin(16);
+    machine.strikes = true;
+    while machine.orders.is_empty() {
+        machine.now = machine.now + Millis(25);
+        machine.event(ProvisioningEvent::Tick);
+        machine.store();
     }
     for _ in 0..3 {
-        bench.now = bench.now + Millis(25);
-        bench.event(ProvisioningEvent::Tick);
-        bench.store();
+        machine.now = machine.now + Millis(25);
+        machine.event(ProvisioningEvent::Tick);
+        machine.store();
     }
-    assert!(bench.took_bad);
-    println!("orders={:?} stored={:?}", bench.orders, bench.stored);
-    bench.wait(1_000);
-    println!("orders={:?} stored={:?} {:?}", bench.orders, bench.stored, bench.notices);
-    assert!(!bench.is_vouched(), "a load of a damaged chunk is proven");
+    assert!(machine.took_bad);
+    machine.wait(1_000);
+    assert!(!machine.is_vouched(), "a load of a damaged chunk is proven");
 }
 
 /// An engine that no entry may use waits for the slot that spreads the pauses of engines in use.
 #[test]
 fn reload_of_an_unused_engine_waits_for_a_slot() {
-    let mut bench = Bench::new(engine(10, 0, 1), None);
+    let mut machine = DelayedMachine::new(engine(10, 0, 1), None);
     let update =
         |changes, is_snapshot| FleetUpdate { changes, is_snapshot, ..FleetUpdate::default() };
     let configured = vec![FleetChange::Configured(document(16))];
-    bench.event(ProvisioningEvent::FleetUpdated(update(configured, true)));
-    bench.poll();
+    machine.event(ProvisioningEvent::FleetUpdated(update(configured, true)));
+    machine.poll();
     let announced = FleetChange::VersionAnnounced("m".parse().unwrap(), WeightVersion(2));
-    bench.event(ProvisioningEvent::FleetUpdated(update(vec![announced], false)));
-    bench.strikes = true;
-    while bench.orders.is_empty() {
-        bench.wait(100);
+    machine.event(ProvisioningEvent::FleetUpdated(update(vec![announced], false)));
+    machine.strikes = true;
+    while machine.orders.is_empty() {
+        machine.wait(100);
     }
-    let found_at = bench.now;
-    bench.strikes = false;
-    while bench.orders.len() < 2 {
-        bench.wait(100);
+    let found_at = machine.now;
+    machine.strikes = false;
+    while machine.orders.len() < 2 {
+        machine.wait(100);
     }
-    let waited = bench.now.since(found_at);
-    println!("first={} waited={waited} of {:?}", found_at.since(START), common::ROLLOUT);
+    let waited = machine.now.since(found_at);
     assert!(waited <= Millis(500), "the reload is ordered {waited} after the damage was found");
 }
--- a/mustardrill_core/tests/load_proofs.rs
+++ b/mustardrill_core/tests/load_proofs.rs
@@ -1,72 +1,32 @@
 //! Weights whose load is not proven to have taken intact chunks: what agents do about them, and that
 //! entries use none.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-
 use mustardrill_core::direct::{
-    AttemptOutcome, CallerLimits, DirectEffect, DirectEvent, DirectReducer, EngineNotice,
-    EngineProfile, FleetChange, FleetUpdate, LoadRecord, LoadState, OriginProfile, RepeatRule,
-    RouteDocument, ServedWeights, ServiceProfile, UpstreamRecord, WarmupReport, WorkSize,
+    AttemptOutcome, DirectEffect, DirectEvent, DirectReducer, EngineNotice, FleetChange,
+    FleetUpdate, LoadRecord, LoadState, WorkSize,
 };
-use mustardrill_core::manifest::{ChunkBitmap, Manifest};
+use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_core::provisioning::{
     EngineView, LayerRange, LoadOrderOutcome, ProvisioningEffect, ProvisioningEvent,
     ProvisioningReducer, VersionId,
 };
 use mustardrill_core::transfer::FetchOutcome;
-use mustardrill_types::{
-    ByteSize, ChunkIndex, FastMap, Generation, ManifestDigest, Millis, Moment, StartStamp,
-    StoreRevision, WeightVersion,
-};
+use mustardrill_types::{ChunkIndex, Millis, Moment, StartStamp, StoreRevision, WeightVersion};
 
 mod common;
+#[path = "common/loads.rs"]
+mod loads;
 
 use common::StoredReducer;
+use loads::{CHUNKS, document, engine_address, engine_record, load_record, manifest_of, served};
 
 const START: Moment = Moment(50_000);
-const CHUNKS: u32 = 4;
 const LAYERS: u32 = 16;
 
-fn engine_address() -> SocketAddr {
-    common::provisioning_settings().engine
-}
-
-fn document() -> Arc<RouteDocument> {
-    let engine = EngineProfile {
-        chunks: CHUNKS,
-        layers: LAYERS,
-        chunk_size: ByteSize(1_000),
-        ..common::engine_profile()
-    };
-    let route = common::public_route("drafts", "/", "pool", RepeatRule::StreamResumable);
-    let mut services = FastMap::default();
-    let pool = ServiceProfile { engine: Some(engine), ..ServiceProfile::default() };
-    services.insert("pool".parse().unwrap(), pool);
-    let origin = OriginProfile {
-        address: SocketAddr::from(([172, 20, 0, 3], 8006)),
-        data_centre: "hall-b".parse().unwrap(),
-        link_mbps: 0.0,
-        connection_limit: 0,
-    };
-    let records = ServiceProfile { origin: Some(origin), ..ServiceProfile::default() };
-    services.insert("records".parse().unwrap(), records);
-    let limits = CallerLimits::default();
-    Arc::new(RouteDocument::new(Generation(1), vec![route], services, Vec::new(), limits))
-}
-
 fn version(number: u64) -> VersionId {
     VersionId { model: "m".parse().unwrap(), version: WeightVersion(number) }
 }
 
-fn served(number: u64) -> Vec<ServedWeights> {
-    let version = WeightVersion(number);
-    (number > 0)
-        .then(|| ServedWeights { model: "m".parse().unwrap(), version })
-        .into_iter()
-        .collect()
-}
-
 fn snapshot(changes: Vec<FleetChange>) -> FleetUpdate {
     FleetUpdate { changes, revision: StoreRevision(1), is_snapshot: true, ..FleetUpdate::default() }
 }
@@ -75,18 +35,6 @@
     FleetChange::VersionAnnounced("m".parse().unwrap(), WeightVersion(number))
 }
 
-fn record(number: u64, load: u64, before: u64, state: LoadState) -> LoadRecord {
-    LoadRecord {
-        engine: engine_address(),
-        start: StartStamp(0),
-        number,
-        model: "m".parse().unwrap(),
-        version: WeightVersion(load),
-        proven_before: (before > 0).then_some(WeightVersion(before)),
-        state,
-    }
-}
-
 /// An engine and its agent: the chunks staged beside it, and the orders that it was given.
 struct Machine {
     reducer: StoredReducer,
@@ -134,7 +82,7 @@
             damage_at_order,
             taken_damaged: [false; 2],
         };
-        let changes = vec![FleetChange::Configured(document()), announced(2)];
+        let changes = vec![FleetChange::Configured(document(LAYERS)), announced(2)];
         machine.event(ProvisioningEvent::FleetUpdated(snapshot(changes)));
         machine.poll();
         machine
@@ -162,14 +110,8 @@
     fn carry_out(&mut self, effect: ProvisioningEffect) {
         match effect {
             ProvisioningEffect::FetchManifest(version, _) => {
-                let manifest = Manifest {
-                    model: "m".parse().unwrap(),
-                    version: version.version.to_string().parse().unwrap(),
-                    size: ByteSize(u64::from(CHUNKS)),
-                    chunk_size: ByteSize(1),
-                    chunks: (0..CHUNKS as u8).map(|index| ManifestDigest([index; 32])).collect(),
-                };
-                let fetched = ProvisioningEvent::ManifestFetched(version, Some(manifest.into()));
+                let manifest = Some(manifest_of(&version));
+                let fetched = ProvisioningEvent::ManifestFetched(version, manifest);
                 self.event(fetched);
             }
             ProvisioningEffect::FetchChunk(version, fetch, _) => {
@@ -277,7 +219,7 @@
 /// The agent that gave the order was killed before it had proven the load.
 #[test]
 fn a_load_ordered_by_an_agent_that_was_killed_is_used() {
-    let ordered = record(4, 2, 1, LoadState::Ordered);
+    let ordered = load_record(0, 4, 2, 1, LoadState::Ordered);
     let mut intact = Machine::start(2, 1, Some(ordered.clone()));
     intact.wait(Millis(1_000));
     assert_eq!((intact.orders.len(), intact.staged), (0, 0), "the copy proves the load");
@@ -295,7 +237,7 @@
 /// The former agent had staged the chunk anew, so the copy looks as if it had been intact.
 #[test]
 fn a_copy_that_was_repaired_after_its_load_proves_it() {
-    let damaged = record(5, 2, 0, LoadState::Damaged);
+    let damaged = load_record(0, 5, 2, 0, LoadState::Damaged);
     let mut machine = Machine::start(2, 1, Some(damaged));
     machine.taken_damaged = [true, true];
     machine.wait(Millis(8_000));
@@ -307,7 +249,7 @@
 #[test]
 fn a_load_is_ordered_before_its_record_is_stored() {
     let mut reducer = ProvisioningReducer::new(common::provisioning_settings(), 3);
-    let changes = vec![FleetChange::Configured(document()), announced(2)];
+    let changes = vec![FleetChange::Configured(document(LAYERS)), announced(2)];
     let engine = EngineView { serving: served(1), ..EngineView::default() };
     let events = [
         ProvisioningEvent::FleetUpdated(snapshot(changes)),
@@ -323,15 +265,8 @@
         for effect in waiting {
             let event = match effect {
                 ProvisioningEffect::FetchManifest(version, _) => {
-                    let chunks = (0..CHUNKS as u8).map(|index| ManifestDigest([index; 32]));
-                    let manifest = Manifest {
-                        model: "m".parse().unwrap(),
-                        version: "2".parse().unwrap(),
-                        size: ByteSize(u64::from(CHUNKS)),
-                        chunk_size: ByteSize(1),
-                        chunks: chunks.collect(),
-                    };
-                    ProvisioningEvent::ManifestFetched(version, Some(manifest.into()))
+                    let manifest = Some(manifest_of(&version));
+                    ProvisioningEvent::ManifestFetched(version, manifest)
                 }
                 ProvisioningEffect::FetchChunk(version, fetch, _) => ProvisioningEvent::FetchEnded(
                     version,
@@ -360,25 +295,11 @@
     assert!(effects.contains(&ProvisioningEffect::VerifyStaged(version(2))), "{effects:?}");
 }
 
-fn engine_record(number: u64) -> UpstreamRecord {
-    UpstreamRecord {
-        id: "u1".parse().unwrap(),
-        start: StartStamp(0),
-        service: "pool".parse().unwrap(),
-        address: engine_address(),
-        data_centre: "hall-a".parse().unwrap(),
-        slots: 4,
-        leaving: false,
-        serving: served(number),
-        warmup: WarmupReport::default(),
-    }
-}
-
 /// An entry with one engine, which is registered with version 1.
 fn entry() -> DirectReducer {
     let mut reducer = DirectReducer::new(common::direct_settings(), 7);
     let changes =
-        vec![FleetChange::Configured(document()), FleetChange::Upstream(engine_record(1))];
+        vec![FleetChange::Configured(document(LAYERS)), FleetChange::Upstream(engine_record(0, 1))];
     read(&mut reducer, START, changes);
     reducer
 }
@@ -407,10 +328,10 @@
 fn an_entry_uses_weights_whose_load_is_not_proven() {
     let mut entry = entry();
     assert_eq!(demanded(&mut entry, START, 1), Some(WeightVersion(1)));
-    let ordered = record(1, 2, 1, LoadState::Ordered);
+    let ordered = load_record(0, 1, 2, 1, LoadState::Ordered);
     read(&mut entry, START, vec![FleetChange::LoadRecorded(ordered.clone())]);
     assert_eq!(demanded(&mut entry, START, 2), Some(WeightVersion(1)), "it holds these yet");
-    read(&mut entry, START, vec![FleetChange::Upstream(engine_record(2))]);
+    read(&mut entry, START, vec![FleetChange::Upstream(engine_record(0, 2))]);
     assert_eq!(entry.status(START).unproven_loads, 1);
     assert_eq!(demanded(&mut entry, START, 3), None);
     let proven = LoadRecord { state: LoadState::Proven, proven_before: None, ..ordered };
@@ -422,7 +343,7 @@
 #[test]
 fn an_older_record_follows_a_proof() {
     let mut entry = entry();
-    let ordered = record(3, 2, 1, LoadState::Ordered);
+    let ordered = load_record(0, 3, 2, 1, LoadState::Ordered);
     let notice = |reducer: &mut DirectReducer, load| {
         reducer.reduce(
             START,
@@ -437,7 +358,7 @@
     notice(&mut entry, 3);
     read(&mut entry, START, vec![FleetChange::LoadRecorded(ordered)]);
     assert_eq!(demanded(&mut entry, START, 1), Some(WeightVersion(2)));
-    let damaged = record(4, 2, 0, LoadState::Damaged);
+    let damaged = load_record(0, 4, 2, 0, LoadState::Damaged);
     read(&mut entry, START, vec![FleetChange::LoadRecorded(damaged)]);
     notice(&mut entry, 3);
     assert_eq!(demanded(&mut entry, START, 2), None, "the proof is of an earlier load");
@@ -447,7 +368,7 @@
 #[test]
 fn a_refused_version_is_not_demanded_any_more() {
     let mut entry = entry();
-    let ordered = record(1, 2, 1, LoadState::Ordered);
+    let ordered = load_record(0, 1, 2, 1, LoadState::Ordered);
     read(&mut entry, START, vec![FleetChange::LoadRecorded(ordered)]);
     let size = WorkSize { prompt_tokens: 300, answer_tokens: 36 };
     let request = common::direct_request(1, "/x", size, START);
