Loads are recorded with rising numbers after the store lost its records

The store had been restored from an older copy, the agents found no record and began with number 1 again, and the entries, which knew number 2 or more, ignored these (trace: load record=changed revision=0, then number=1).

An agent now counts on from the greatest number that it has read or written, and an entry takes a record of a newer version of the same incarnation whatever its number, as versions never fall within one.

--- a/mustardrill_core/src/direct/versions/load_record.rs
+++ b/mustardrill_core/src/direct/versions/load_record.rs
@@ -85,8 +85,14 @@
         if let Some(known) = self.records.get(&record.engine) {
             let is_other_incarnation = known.start != record.start;
             let is_known = (known.number, known.state) >= (record.number, record.state);
+            // A store that was restored from an older copy may have lost the numbers; versions never
+            // fall within one incarnation.
+            let is_newer_version = !is_other_incarnation
+                && known.model == record.model
+                && known.version < record.version;
             // A write of a killed agent that came late may bear the same number.
-            if known.number > record.number || (is_known && !is_other_incarnation) {
+            let is_outdated = known.number > record.number || (is_known && !is_other_incarnation);
+            if is_outdated && !is_newer_version {
                 return;
             }
         }
--- a/mustardrill_core/src/provisioning/load_ledger.rs
+++ b/mustardrill_core/src/provisioning/load_ledger.rs
@@ -27,6 +27,9 @@
     stored: StoredRecord,
     /// The record that was read or written last.
     latest: Option<LoadRecord>,
+    /// The greatest number of a record that was read or written. A store that is restored from an
+    /// older copy may have lost it.
+    last_number: u64,
     /// Whether the store holds `latest`.
     is_stored: bool,
     /// Whether the record that was read has been applied to the weights that the engine holds.
@@ -99,6 +102,7 @@
         self.stored = StoredRecord::Read;
         self.is_stored = true;
         self.latest = record;
+        self.count_record();
         let state = self.latest.as_ref().map(|latest| latest.state);
         self.has_pending_order |= state.is_some_and(|state| state != LoadState::Proven);
         if let Some(view) = view {
@@ -140,7 +144,7 @@
     pub(super) fn reaffirm(&mut self, engine: SocketAddr, start: StartStamp) -> Option<LoadRecord> {
         let ServedWeights { model, version } = self.proven.clone()?;
         let latest = self.latest.as_ref().filter(|latest| latest.is_about(start, &model))?;
-        let number = latest.number + 1;
+        let number = self.last_number + 1;
         let is_denied = !latest.allows(version);
         let record = LoadRecord::proven(engine, start, number, &model, version);
         is_denied.then(|| self.replace(record))
@@ -191,7 +195,7 @@
             self.proven = None;
         }
         let proven_before = self.proven_version(&weights.model).filter(|_| !self.needs_reload);
-        let number = self.latest.as_ref().map_or(0, |latest| latest.number) + 1;
+        let number = self.last_number + 1;
         let VersionId { model, version } = weights.clone();
         let record = LoadRecord { engine, start, number, model, version, proven_before, state };
         let is_same = self.latest.as_ref().is_some_and(|latest| {
@@ -244,6 +248,12 @@
         self.is_stored = false;
         self.is_settled = true;
         self.latest = Some(record.clone());
+        self.count_record();
         record
     }
+
+    fn count_record(&mut self) {
+        let number = self.latest.as_ref().map_or(0, |latest| latest.number);
+        self.last_number = self.last_number.max(number);
+    }
 }
--- a/mustardrill_core/tests/load_proofs.rs
+++ b/mustardrill_core/tests/load_proofs.rs
@@ -364,6 +364,31 @@
     assert_eq!(demanded(&mut entry, START, 2), None, "the proof is of an earlier load");
 }
 
+/// The store was restored from a copy without the records, so that their numbers begin anew.
+#[test]
+fn a_load_after_the_records_were_lost_is_ignored() {
+    let mut entry = entry();
+    read(&mut entry, START, vec![FleetChange::Upstream(engine_record(0, 2))]);
+    let proven = load_record(0, 7, 2, 0, LoadState::Proven);
+    read(&mut entry, START, vec![FleetChange::LoadRecorded(proven)]);
+    let later = load_record(0, 1, 3, 0, LoadState::Proven);
+    let changes =
+        vec![FleetChange::LoadRecorded(later), FleetChange::Upstream(engine_record(0, 3))];
+    read(&mut entry, START, changes);
+    assert_eq!(demanded(&mut entry, START, 1), Some(WeightVersion(3)));
+
+    let mut machine = Machine::start(1, 0, None);
+    machine.wait(Millis(8_000));
+    let number = machine.reducer.record.take().unwrap().number;
+    machine.event(ProvisioningEvent::LoadRecordRead(None));
+    machine.event(ProvisioningEvent::FleetUpdated(FleetUpdate {
+        changes: vec![announced(3)],
+        ..FleetUpdate::default()
+    }));
+    machine.wait(Millis(12_000));
+    assert!(machine.reducer.record.as_ref().unwrap().number > number);
+}
+
 /// The entry has not heard that the engine loaded newer weights; these may be damaged.
 #[test]
 fn a_refused_version_is_not_demanded_any_more() {
