--- a/mustardrill_standins/tests/prepared/rewound.rs
+++ b/mustardrill_standins/tests/prepared/rewound.rs
@@ -104,7 +104,7 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
         fleet.renew_desk(0);
         let took = fleet.wait_until("the worker is known", is_served).await;
-        assert!(took < Duration::from_millis(300), "{round}: {took:?}");
+        assert!(took < Duration::from_millis(300), "{round}: {took:?}\n{}", fleet.logs());
         fleet.store.remove(desks[0]);
         fleet.wait_until("the worker is gone", async || !is_served().await).await;
         tokio::time::sleep(Duration::from_millis(300)).await;
