A report from before an order revokes no proof

Found in a last read of the change. An agent proves a load by the order's answer and a read-back, which may both come before the next report of the engine. A report that was made before the order and arrives after the proof named no accepted order, so the weights from before counted as the proven ones again: the agent took the engine for unproven until the order was overdue, 4 s later, and ordered once more. Reports older than the last answer are now ignored there, as they already are where an order is based on one.

--- a/mustardrill_core/src/provisioning/load_ledger.rs
+++ b/mustardrill_core/src/provisioning/load_ledger.rs
@@ -86,7 +86,8 @@
     /// Handles a later report. An engine that serves newer weights than the proven ones no longer
     /// holds these.
     pub(super) fn observe(&mut self, view: &EngineView) {
-        if view.sequence == 0 {
+        // Without an order the engine holds what others gave it.
+        if view.sequence == 0 && self.is_current(view) {
             self.proven = view.serving.first().cloned();
         }
         let is_newer = |proven: &mut ServedWeights| {
--- a/mustardrill_core/tests/load_interleavings.rs
+++ b/mustardrill_core/tests/load_interleavings.rs
@@ -394,6 +394,24 @@
     assert!(!machine.is_vouched(), "a load of a damaged chunk is proven");
 }
 
+/// A report from before the order arrives after the proof.
+#[test]
+fn a_late_report_revokes_a_proof() {
+    let mut machine = DelayedMachine::new(engine(10, 0, 1), None);
+    let early = machine.engine.clone();
+    machine.begin(16);
+    while !machine.is_vouched() {
+        machine.now = machine.now + Millis(25);
+        machine.event(ProvisioningEvent::Tick);
+        machine.store();
+    }
+    assert_eq!(machine.orders, [None]);
+    machine.event(ProvisioningEvent::EnginePolled(Some(early)));
+    machine.wait(1_000);
+    assert!(machine.reducer.status().serving, "{:?}", machine.stored);
+    assert_eq!(machine.orders, [None]);
+}
+
 /// An engine that no entry may use waits for the slot that spreads the pauses of engines in use.
 #[test]
 fn reload_of_an_unused_engine_waits_for_a_slot() {
