Orders of a load are built in one place, and a reload is cancelled in one

Read again as a whole: the first order and those that follow it were built and logged twice, the two fields of a reload were cleared in three places, select_version searched the served weights beside serves, and the first report was asked for twice. No behaviour changes; log lines and effects are the same, and no test is touched.

--- a/mustardrill_agent/src/provisioning/actor.rs
+++ b/mustardrill_agent/src/provisioning/actor.rs
@@ -174,9 +174,7 @@
             }
         }
     }
-}
 
-impl ProvisioningActor {
     fn read_back(&mut self, version: VersionId, purpose: ReadPurpose, actor: ActorRef<Self>) {
         let Some(list) = self.chunk_lists.get(&version).cloned() else { return };
         self.read_rounds += 1;
--- a/mustardrill_core/src/provisioning/engine.rs
+++ b/mustardrill_core/src/provisioning/engine.rs
@@ -17,10 +17,10 @@
         self.is_engine_polled = true;
         let Some(view) = view else { return Vec::new() };
         let mut effects = Vec::new();
-        if self.last_engine_view.is_none() && self.stage.is_some() {
+        let is_first = self.last_engine_view.is_none();
+        if is_first && self.stage.is_some() {
             self.first_response(now, &view);
         }
-        let is_first = self.last_engine_view.is_none();
         let is_restart =
             self.last_engine_view.as_ref().is_some_and(|last| view.is_restart_of(last));
         if is_first || is_restart {
--- a/mustardrill_core/src/provisioning/load_ledger.rs
+++ b/mustardrill_core/src/provisioning/load_ledger.rs
@@ -78,8 +78,7 @@
         self.proven = view.serving.first().filter(|_| view.sequence == 0).cloned();
         self.unchanged_since = None;
         self.has_pending_order = false;
-        self.needs_reload = false;
-        self.reload_layers = None;
+        self.cancel_reload();
         self.accepted = view.sequence;
     }
 
@@ -221,8 +220,7 @@
     pub(super) fn record_proof(&mut self, weights: &VersionId) -> Option<LoadRecord> {
         let VersionId { model, version } = weights.clone();
         self.proven = Some(ServedWeights { model, version });
-        self.needs_reload = false;
-        self.reload_layers = None;
+        self.cancel_reload();
         self.has_pending_order = false;
         let latest = self.latest.clone().filter(|latest| latest.version == version)?;
         let proven = LoadRecord { proven_before: None, state: LoadState::Proven, ..latest };
@@ -240,6 +238,12 @@
         Some(latest.number)
     }
 
+    /// Records that no layers have to be taken anew.
+    pub(super) fn cancel_reload(&mut self) {
+        self.needs_reload = false;
+        self.reload_layers = None;
+    }
+
     fn proven_version(&self, model: &ModelName) -> Option<WeightVersion> {
         let proven = self.proven.as_ref().filter(|proven| proven.model == *model)?;
         Some(proven.version)
--- a/mustardrill_core/src/provisioning/load_order.rs
+++ b/mustardrill_core/src/provisioning/load_order.rs
@@ -34,6 +34,26 @@
     pub(super) is_reload: bool,
 }
 
+impl LoadOrder {
+    /// The next of the orders that a load consists of; `None` after the last one.
+    pub(super) fn next(
+        now: Moment,
+        sequence: u64,
+        mut steps: VecDeque<Option<LayerRange>>,
+        is_reload: bool,
+    ) -> Option<Self> {
+        let layers = steps.pop_front()?;
+        Some(Self { since: now, sequence, phase: OrderPhase::Sent, layers, steps, is_reload })
+    }
+
+    /// The effect that gives it to the engine.
+    pub(super) fn effect(&self, version: &VersionId) -> ProvisioningEffect {
+        let (sequence, steps_left) = (self.sequence, self.steps.len());
+        info!("order version={version} sequence={sequence} decision=load steps_left={steps_left}");
+        ProvisioningEffect::OrderLoad(version.clone(), self.layers, sequence)
+    }
+}
+
 /// How far a load order has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum OrderPhase {
@@ -223,18 +243,14 @@
             self.stage = Some(ProvisioningStage::AwaitingSlot(plan, now));
             return Vec::new();
         };
-        let sequence = engine.sequence;
-        let mut steps = self.load_steps(version);
-        let layers = steps.pop_front().flatten();
-        info!(
-            "order version={version} sequence={sequence} decision=load steps_left={}",
-            steps.len()
-        );
-        let is_reload = !steps.is_empty();
-        let phase = OrderPhase::Sent;
-        let order = LoadOrder { since: now, sequence, phase, layers, steps, is_reload };
+        let steps = self.load_steps(version);
+        let is_reload = steps.len() > 1;
+        let Some(order) = LoadOrder::next(now, engine.sequence, steps, is_reload) else {
+            return Vec::new();
+        };
+        let effect = order.effect(version);
         self.stage = Some(ProvisioningStage::Loading(plan, order));
-        vec![ProvisioningEffect::OrderLoad(version.clone(), layers, sequence)]
+        vec![effect]
     }
 
     /// Starts verifying the staged chunks before the order, and notifies the entries that the
--- a/mustardrill_core/src/provisioning/load_proof.rs
+++ b/mustardrill_core/src/provisioning/load_proof.rs
@@ -116,7 +116,7 @@
         now: Moment,
         wanted: &VersionId,
         plan: Box<TransferPlan>,
-        mut order: LoadOrder,
+        order: LoadOrder,
     ) -> (Option<ProvisioningStage>, Vec<ProvisioningEffect>) {
         let is_idle = self.is_engine_idle();
         let sequence = self.engine.as_ref().map_or(0, |engine| engine.sequence);
@@ -125,16 +125,10 @@
         if is_carried_out
             && is_idle
             && self.serves(wanted)
-            && let Some(layers) = order.steps.pop_front()
+            && let Some(next) = LoadOrder::next(now, sequence, order.steps.clone(), order.is_reload)
         {
-            info!(
-                "order version={wanted} sequence={sequence} decision=load steps_left={}",
-                order.steps.len()
-            );
-            let phase = OrderPhase::Sent;
-            let order = LoadOrder { since: now, sequence, phase, layers, ..order };
-            let effect = ProvisioningEffect::OrderLoad(wanted.clone(), layers, sequence);
-            return (Some(ProvisioningStage::Loading(plan, order)), vec![effect]);
+            let effect = next.effect(wanted);
+            return (Some(ProvisioningStage::Loading(plan, next)), vec![effect]);
         }
         // A proof waits for the staged copy to be read back, however long the engine is silent.
         let is_overdue = order.phase != OrderPhase::Verifying
--- a/mustardrill_core/src/provisioning/reducer.rs
+++ b/mustardrill_core/src/provisioning/reducer.rs
@@ -357,10 +357,9 @@
         if self.engine.is_none() && !engine_is_starting {
             return Vec::new();
         }
-        let serving = self.engine.as_ref().map_or(&[][..], |engine| &engine.serving);
-        let serves = serving.iter().any(|served| version_id_of(served) == target);
-        let served =
-            serving.first().map_or("none".into(), |served| version_id_of(served).to_string());
+        let serves = self.serves(&target);
+        let serving = self.engine.as_ref().and_then(|engine| engine.serving.first());
+        let served = serving.map_or("none".into(), |served| version_id_of(served).to_string());
         let is_proven = serves && self.ledger.is_proven(&target);
         if serves && !is_proven && !self.ledger.is_read() {
             // The record of an earlier process tells whether the load that it ordered is proven.
@@ -388,8 +387,7 @@
         let mut effects: Vec<_> = cancelled.map(cancel).collect();
         if self.wanted.as_ref() != Some(&target) {
             // All layers of another version are taken anew.
-            self.ledger.needs_reload = false;
-            self.ledger.reload_layers = None;
+            self.ledger.cancel_reload();
         }
         if let Some(previous) =
             self.wanted.replace(target.clone()).filter(|previous| *previous != target)
