The stand-in worker names the request that it refuses while it loads

An entry believes such a refusal on a new connection only, so that on a kept one the attempt counted as lost (outcome=foreign) and a request that may run once was answered 502. That is a fault of the stand-in; refusals without an id stay tested by prepared answers::a_stray_refusal_without_an_id_is_taken_for_the_answer.

No check is changed.

--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -575,6 +575,7 @@
         if model && !self.accepts_requests() {
             let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "");
             response.headers_mut().insert("x-not-executed", "1".parse().unwrap());
+            response.headers_mut().insert("x-attempt-id", head.headers["x-attempt-id"].clone());
             return response;
         }
         assert_eq!(text("authorization"), None, "a worker must not receive the caller's key");
