A reload is announced once the engine accepts requests again

What callers saw: an engine that had taken a damaged chunk takes its layers anew, and accepts nothing meanwhile. Its entries were told that the load is proven while the engine was still busy with the last order, and sent requests that it turned away or held until it was done.

Cause: an engine reports the version all the while it takes layers anew, so the proof (the copy read back intact after the last order) ended the load in select_version before the engine had carried that order out. A first load doesn't have this, as the engine reports its new version only when it is done.

Evidence: load_interleavings a_load_is_vouched_for_while_the_engine_is_busy_with_it fails without the change (notices hold the proof while busy is set) and passes with it; load_interleavings, load_proofs and provisioning pass.

Why it works: a reload stays in its last stage until a report from after all accepted orders shows an idle engine. A restart of the engine ends the stage as before, and the record of the proof is written at once as before.

--- a/mustardrill_core/src/provisioning/load_proof.rs
+++ b/mustardrill_core/src/provisioning/load_proof.rs
@@ -22,6 +22,13 @@
         serving.map(version_id_of).any(|served| served == *version)
     }
 
+    /// Whether the engine takes layers anew of a version that it reports all the while.
+    pub(super) fn is_reloading(&self) -> bool {
+        let is_done = |engine: &EngineView| !engine.busy && self.ledger.is_current(engine);
+        matches!(&self.stage, Some(ProvisioningStage::Loading(_, order)) if order.is_reload)
+            && !self.engine.as_ref().is_some_and(is_done)
+    }
+
     pub(super) fn read_load_record(&mut self) -> Vec<ProvisioningEffect> {
         self.ledger.begin_read().then_some(ProvisioningEffect::ReadLoadRecord).into_iter().collect()
     }
--- a/mustardrill_core/src/provisioning/reducer.rs
+++ b/mustardrill_core/src/provisioning/reducer.rs
@@ -366,7 +366,7 @@
             return self.read_load_record();
         }
         if self.wanted.as_ref() == Some(&target) && self.stage.is_some() {
-            if !is_proven {
+            if !is_proven || self.is_reloading() {
                 return Vec::new();
             }
             self.stage = None;
--- a/mustardrill_core/tests/load_interleavings.rs
+++ b/mustardrill_core/tests/load_interleavings.rs
@@ -29,6 +29,8 @@
     is_handling: bool,
     holds_part: bool,
     strikes: bool,
+    /// The engine is busy after an order, until the test says otherwise.
+    loads_take_time: bool,
     engine: EngineView,
     store_answers: bool,
     stored: Option<LoadRecord>,
@@ -59,6 +61,7 @@
             is_handling: false,
             holds_part: false,
             strikes: false,
+            loads_take_time: false,
             engine,
             store_answers: true,
             stored,
@@ -198,6 +201,7 @@
                     self.event(ProvisioningEvent::LoadOrderEnded(version, outcome));
                 } else {
                     let outcome = self.take(&version, layers, sequence);
+                    self.engine.busy |= self.loads_take_time;
                     self.event(ProvisioningEvent::LoadOrderEnded(version, outcome));
                 }
             }
@@ -394,6 +398,26 @@
     assert!(!machine.is_vouched(), "a load of a damaged chunk is proven");
 }
 
+/// An engine that takes layers anew reports the version all the while, and accepts no requests.
+#[test]
+fn a_load_is_vouched_for_while_the_engine_is_busy_with_it() {
+    let damaged = load_record(10, 2, 2, 0, LoadState::Damaged);
+    let mut machine = DelayedMachine::new(engine(10, 1, 2), Some(damaged));
+    machine.begin(16);
+    machine.loads_take_time = true;
+    while machine.orders.len() < 4 {
+        machine.engine.busy = false;
+        machine.wait(100);
+    }
+    machine.wait(300);
+    assert!(machine.engine.busy);
+    let proof = EngineNotice::Proven(WeightVersion(2), 2);
+    assert!(!machine.notices.contains(&proof), "the engine accepts no requests yet");
+    machine.engine.busy = false;
+    machine.wait(100);
+    assert!(machine.notices.contains(&proof), "{:?}", machine.notices);
+}
+
 /// A report from before the order arrives after the proof.
 #[test]
 fn a_late_report_revokes_a_proof() {
