Answers that end early are tested at every length of their head

The operators' report: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. It can't happen here, as far as it was played: hyper reports an incomplete message at the end of the connection, whatever part of the head it has, and the attempt counts as lost.

--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod callers;
 mod crash;
+mod cut_answers;
 mod damaged_weights;
 mod endless;
 mod evacuation;
