--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod callers;
+mod chunk_lists;
 mod crash;
 mod cut_answers;
 mod damaged_weights;
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -926,6 +926,8 @@
 #[derive(Clone, Default)]
 pub struct Origin {
     sent: Arc<AtomicU32>,
+    /// How many of the next chunk lists have a wrong digit.
+    spoilt_lists: Arc<AtomicU32>,
 }
 
 impl Origin {
@@ -933,6 +935,18 @@
         self.sent.load(Ordering::SeqCst)
     }
 
+    /// Lets the next `count` chunk lists have a wrong digit, a different one in each.
+    pub fn spoil_lists(&self, count: u32) {
+        self.spoilt_lists.store(count, Ordering::SeqCst);
+    }
+
+    /// The place of the digit to spoil, if the next list is to be spoilt.
+    fn take_spoilt_list(&self) -> Option<usize> {
+        let order = Ordering::SeqCst;
+        let taken = self.spoilt_lists.fetch_update(order, order, |count| count.checked_sub(1));
+        taken.ok().map(|count| count as usize)
+    }
+
     fn answer(&self, request: &Request<Incoming>) -> Result<AnyResponse, Infallible> {
         let uri = request.uri();
         let version: u64 = query_parameter(uri, "version").unwrap().parse().unwrap();
@@ -942,7 +956,11 @@
                 let bytes = Sha256::digest(chunk(version, index));
                 bytes.iter().map(|byte| format!("{byte:02x}")).collect::<String>()
             };
-            let digests: Vec<_> = (0..CHUNKS).map(digest).collect();
+            let mut digests: Vec<_> = (0..CHUNKS).map(digest).collect();
+            if let Some(place) = self.take_spoilt_list() {
+                let digit = if digests[3].as_bytes()[place] == b'0' { "1" } else { "0" };
+                digests[3].replace_range(place..=place, digit);
+            }
             let body = json!({"model": model, "version": version, "chunk_bytes": 1_600,
                 "layers": 16, "digests": digests});
             return Ok(json_response(StatusCode::OK, &body));
