A restored store is asked for its revision soon after its configuration counts

What callers saw: after the store was restored from an older copy, requests were held for 0.5 to 0.8 s although a worker had registered again and the store answered all the while.

Cause: for two seconds after a restore (expiry_grace) no answer confirms the configuration. Since an answer with changes never does, and the store is asked for its revision only where the last proof is 750 ms old. A proof from just before the end of those two seconds confirmed nothing and put the next one off, past the limit of freshness.

Why it works: in the 750 ms after the grace a proof is due 100 ms after the last one. That is seven calls at most for each entry and restore.

--- a/mustardrill_core/src/direct/store/reader.rs
+++ b/mustardrill_core/src/direct/store/reader.rs
@@ -12,6 +12,10 @@
 /// the time, no watch shows that it was read to its end.
 const PROOF_INTERVAL: Millis = Millis(750);
 
+/// The same in the moment from which the configuration of a restored store counts as complete:
+/// proofs from before do not confirm it.
+const RESTORED_PROOF_INTERVAL: Millis = Millis(100);
+
 /// The read state of an entry that watches the store.
 #[derive(Debug, Default)]
 pub struct StoreReader {
@@ -20,6 +24,8 @@
     freshness: FreshnessClock,
     /// The last moment at which the store held nothing beyond the position.
     proved: FreshnessClock,
+    /// When the store's last restore from an older copy was detected.
+    restored_at: Option<Moment>,
     goal: Option<ReadGoal>,
 }
 
@@ -79,6 +85,7 @@
         };
         let is_recovered = self.watch_scheduler.record_answer(now, !unchanged) | returned;
         if returned {
+            self.restored_at = Some(now);
             self.watch_scheduler
                 .record_restore(earliest_restore_time(now, self.freshness.last_confirmed()));
         }
@@ -93,11 +100,19 @@
         Some(ReadOutcome { confirmed_at, read_through, is_recovered })
     }
 
-    /// Whether to ask the store for its revision, as no answer has shown its end for a while.
-    pub fn is_proof_due(&self, now: Moment) -> bool {
+    /// Whether to ask the store for its revision, as no answer has shown its end for a while. A
+    /// restored store may lack a configuration for `grace`.
+    pub fn is_proof_due(&self, now: Moment, grace: Millis) -> bool {
         self.goal.is_none()
             && self.revision().is_some()
-            && !self.proved.is_fresh(now, PROOF_INTERVAL)
+            && !self.proved.is_fresh(now, self.proof_interval(now, grace))
+    }
+
+    fn proof_interval(&self, now: Moment, grace: Millis) -> Millis {
+        let complete_at = self.restored_at.map(|restored_at| restored_at + grace);
+        let is_just_complete =
+            complete_at.is_some_and(|at| now >= at && now.since(at) < PROOF_INTERVAL);
+        if is_just_complete { RESTORED_PROOF_INTERVAL } else { PROOF_INTERVAL }
     }
 
     /// Records the store's revision in answer to a call that was sent at `asked_at`. Returns that
--- a/mustardrill_core/tests/config_news.rs
+++ b/mustardrill_core/tests/config_news.rs
@@ -84,6 +84,9 @@
     assert_eq!(reducer.announcements(back)[0].time.effective_at(), START);
 }
 
+/// The time for which a restored store may lack a configuration.
+const GRACE: Millis = Millis(2_000);
+
 fn reader() -> StoreReader {
     let mut reader = StoreReader::default();
     let first = FleetUpdate { is_snapshot: true, ..update(Vec::new(), 10, false) };
@@ -100,17 +103,36 @@
 #[test]
 fn a_changing_store_is_never_read_to_its_end() {
     let mut reader = reader();
-    assert!(!reader.is_proof_due(START + Millis(700)));
+    assert!(!reader.is_proof_due(START + Millis(700), GRACE));
     let behind = START + LONG;
     assert_eq!(read_through(&mut reader, behind, &update(Vec::new(), 12, true)), None);
-    assert!(reader.is_proof_due(behind));
+    assert!(reader.is_proof_due(behind, GRACE));
     assert_eq!(reader.record_revision(behind, StoreEra(0), StoreRevision(15)), None);
-    assert!(reader.is_behind() && !reader.is_proof_due(behind));
+    assert!(reader.is_behind() && !reader.is_proof_due(behind, GRACE));
     let later = behind + Millis(20);
     assert_eq!(read_through(&mut reader, later, &update(Vec::new(), 14, true)), None);
     // Everything that the store held when it was asked has been read, whatever came since.
     assert_eq!(read_through(&mut reader, later, &update(Vec::new(), 18, true)), Some(behind));
-    assert!(!reader.is_behind() && !reader.is_proof_due(later));
+    assert!(!reader.is_behind() && !reader.is_proof_due(later, GRACE));
+}
+
+/// A proof from just before the end of the grace delayed the next one, and requests were held although
+/// the restored store had answered all the while.
+#[test]
+fn a_proof_that_confirms_nothing_delays_the_next_one() {
+    let mut reader = reader();
+    let timing = WatchTiming { wait: Millis(0), answer_timeout: Millis(0) };
+    let restored = update(Vec::new(), 8, false);
+    let restored = FleetUpdate { is_snapshot: true, era: StoreEra(1), ..restored };
+    assert!(reader.record_answer(START, START, timing, &restored).is_some());
+    let complete_at = START + GRACE;
+    let asked_at = complete_at - Millis(10);
+    reader.record_revision(asked_at, StoreEra(1), StoreRevision(8));
+    assert!(!reader.is_proof_due(complete_at, GRACE));
+    assert!(reader.is_proof_due(complete_at + Millis(100), GRACE));
+    let proved_at = complete_at + Millis(800);
+    reader.record_revision(proved_at, StoreEra(1), StoreRevision(8));
+    assert!(!reader.is_proof_due(proved_at + Millis(100), GRACE));
 }
 
 #[test]
--- a/mustardrill_entry/src/direct/watch.rs
+++ b/mustardrill_entry/src/direct/watch.rs
@@ -114,7 +114,7 @@
     next: NextRead,
 ) -> Result<(), StoreError> {
     let asked_at = context.clock.now();
-    if reader.is_proof_due(asked_at) {
+    if reader.is_proof_due(asked_at, context.config.direct.expiry_grace) {
         let (revision, era) = context.adapters.fleet_source.read_revision().await?;
         confirm_read(actor, reader.record_revision(asked_at, era, revision)).await;
     }
