One lost packet no longer hides that an upstream crashed in its answer

Cause: refuses_connections made one attempt of 50 ms, and no answer counts as a process that lives on.

Why it works: the check of an answer without a length is made up to three times, 50 ms each, and ends with the first reply, so that nothing changes where packets arrive. The check after a broken answer, which delays a second attempt, is made once as before. A machine that stays dark after the end of its answer is still taken to live on.

--- a/mustardrill_agent/src/upstream.rs
+++ b/mustardrill_agent/src/upstream.rs
@@ -132,7 +132,8 @@
     fn has_ended(&self) -> BoxFuture<'_, bool> {
         Box::pin(async move {
             match self.address {
-                Some(address) => refuses_connections(address).await,
+                // No packet is lost on the way to the own machine.
+                Some(address) => refuses_connections(address, 1).await,
                 None => false,
             }
         })
--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -33,6 +33,10 @@
 /// upstream.
 const SILENCE_REPORT_INTERVAL: Millis = Millis(400);
 
+/// How often an upstream is asked whether it has crashed before an answer without a length counts as
+/// complete: a packet may get lost, and the caller would get a part of an answer as a success.
+const END_CHECK_ATTEMPTS: u32 = 3;
+
 /// An upstream's complete error answer.
 pub(crate) type FailedAnswer = (StatusCode, HeaderMap, Bytes);
 
@@ -350,7 +354,7 @@
         let AcceptedAnswer { head, connection, success, .. } = answer;
         let headers = head.headers.clone();
         let is_delimited = is_delimited(&headers);
-        if !is_delimited && refuses_connections(self.plan.address).await {
+        if !is_delimited && refuses_connections(self.plan.address, END_CHECK_ATTEMPTS).await {
             self.log_end_by_crash(None);
             return AttemptOutcome::Lost { delivered: false, crashed: true };
         }
@@ -419,7 +423,7 @@
     }
 
     async fn classify_lost(&self) -> AttemptOutcome {
-        let crashed = refuses_connections(self.plan.address).await;
+        let crashed = refuses_connections(self.plan.address, 1).await;
         AttemptOutcome::Lost { delivered: self.task.sink.has_started(), crashed }
     }
 
@@ -482,7 +486,7 @@
         }
         let headers = &answer.head.headers;
         let is_delimited = is_delimited(headers);
-        if !is_delimited && refuses_connections(self.plan.address).await {
+        if !is_delimited && refuses_connections(self.plan.address, END_CHECK_ATTEMPTS).await {
             self.log_end_by_crash(splitter.last_id());
             return AttemptOutcome::Lost { delivered: true, crashed: true };
         }
--- a/mustardrill_runtime/src/http.rs
+++ b/mustardrill_runtime/src/http.rs
@@ -222,14 +222,20 @@
 }
 
 /// Whether the machine refuses connections to `address`, so that the process that listened there
-/// has ended.
+/// has ended. Asks again, up to `attempts` times in all, while the machine does not answer.
 ///
 /// Returns `false` if the connection is accepted, and also if the machine does not answer.
-pub async fn refuses_connections(address: SocketAddr) -> bool {
+pub async fn refuses_connections(address: SocketAddr, attempts: u32) -> bool {
     // A caller who lost an answer waits for this check. A refusal takes one round trip.
     const TIMEOUT: Duration = Duration::from_millis(50);
-    let connected = tokio::time::timeout(TIMEOUT, tokio::net::TcpStream::connect(address)).await;
-    matches!(connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+    for _ in 0..attempts {
+        let connecting = tokio::net::TcpStream::connect(address);
+        if let Ok(connected) = tokio::time::timeout(TIMEOUT, connecting).await {
+            let refused = std::io::ErrorKind::ConnectionRefused;
+            return connected.is_err_and(|error| error.kind() == refused);
+        }
+    }
+    false
 }
 
 /// Whether the end of an answer is marked by its length or its last chunk, and not only by the end
