Bodies that find no room in an entry's memory are refused before they are read

Cause: an entry read every body at once and kept it until its answer, whatever memory it had.

The fix: the bodies in progress take a third of [entry] memory_mb (from limits.memory_mb, 256 without it); bodies over 64 KiB leave a quarter of that to smaller ones. What finds no room is refused at once with 2011 (503, not run) and Retry-After 0.5 s; its body is read and dropped, so that the answer isn't lost to a reset. A body without a stated length counts as the largest.

The guard is new and not tried yet.

--- /dev/null
+++ b/mustardrill_core/src/direct/body_budget.rs
@@ -0,0 +1,42 @@
+//! Bounds the memory that the bodies of requests in progress take.
+
+use mustardrill_types::ByteSize;
+
+/// The part of an entry's memory that bodies may take, as a divisor: a body exists twice for a moment
+/// once it has been read, and the rest of the process needs memory as well.
+const MEMORY_DIVISOR: u64 = 3;
+
+/// Bodies up to this size may fill the budget; larger ones leave a quarter of it to them.
+const SMALL_BODY: ByteSize = ByteSize(64 << 10);
+
+/// The memory reserved for bodies.
+#[derive(Debug)]
+pub struct BodyBudget {
+    limit: ByteSize,
+    reserved: ByteSize,
+}
+
+impl BodyBudget {
+    /// The budget of an entry that may use `memory` in all.
+    pub fn of_memory(memory: ByteSize) -> Self {
+        Self { limit: ByteSize(memory.0 / MEMORY_DIVISOR), reserved: ByteSize(0) }
+    }
+
+    /// Reserves room for a body of `size`; returns `false` where there is too little.
+    pub fn reserve(&mut self, size: ByteSize) -> bool {
+        let is_small = size <= SMALL_BODY;
+        let limit = if is_small { self.limit.0 } else { self.limit.0 - self.limit.0 / 4 };
+        let reserved = self.reserved.0.saturating_add(size.0);
+        // A request without a body takes no room.
+        let is_admitted = size.0 == 0 || reserved <= limit;
+        if is_admitted {
+            self.reserved = ByteSize(reserved);
+        }
+        is_admitted
+    }
+
+    /// Releases the room of a body for which it was reserved.
+    pub fn release(&mut self, size: ByteSize) {
+        self.reserved = ByteSize(self.reserved.0.saturating_sub(size.0));
+    }
+}
--- a/mustardrill_core/src/direct/mod.rs
+++ b/mustardrill_core/src/direct/mod.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod admit;
+mod body_budget;
 mod dispatch;
 mod event;
 mod fleet;
@@ -27,6 +28,7 @@
 
 pub use admission::counts::AdmissionCounts;
 pub use admission::urgency::Urgency;
+pub use body_budget::BodyBudget;
 pub use event::{
     AttemptOutcome, DirectEffect, DirectEvent, DirectRequest, DirectSettings, EngineNotice,
     LoadReport, PeerLoad, RefusalPlan, RequestNumber, SendPlan, SilenceReport, StatusRow,
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -7,9 +7,9 @@
 use cadence::{Counted, Gauged, StatsdClient};
 use kameo::prelude::*;
 use mustardrill_core::direct::{
-    AnnouncementReport, AvailabilitySpan, CallerLimits, DirectEffect, DirectEvent, DirectReducer,
-    DirectRequest, FleetChange, FleetUpdate, IntakeReport, LoadRows, OriginProfile, PaceReport,
-    PeerRecord, RefusalPlan, RequestNumber, SendPlan, StatusRow, WaitRows,
+    AnnouncementReport, AvailabilitySpan, BodyBudget, CallerLimits, DirectEffect, DirectEvent,
+    DirectReducer, DirectRequest, FleetChange, FleetUpdate, IntakeReport, LoadRows, OriginProfile,
+    PaceReport, PeerRecord, RefusalPlan, RequestNumber, SendPlan, StatusRow, WaitRows,
 };
 use mustardrill_core::quarantine::CrashReport;
 use mustardrill_runtime::adapters::{CallDialect, ChunkOrigin, FleetSource};
@@ -22,6 +22,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::direct::activity::ActivityTable;
+use crate::direct::body_memory::BodyMemory;
 use crate::direct::callers::CallerHandler;
 use crate::direct::config::DirectConfig;
 use crate::direct::connections::ConnectionPool;
@@ -62,6 +63,7 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) probes: ReachabilityProbes,
     pub(crate) activity: ActivityTable,
+    pub(crate) body_memory: BodyMemory,
     pub(crate) metrics: StatsdClient,
     /// Datagrams to and from peer entries and agents.
     pub(crate) socket: UdpSocket,
@@ -405,6 +407,7 @@
         pool: ConnectionPool::new(clock),
         probes: ReachabilityProbes::default(),
         activity: ActivityTable::default(),
+        body_memory: BodyMemory::open(BodyBudget::of_memory(config.memory)),
         metrics: metric_registry.client(),
         socket: UdpSocket::bind(config.peer_listen).await?,
         is_draining: AtomicBool::new(false),
--- a/mustardrill_entry/src/direct/callers.rs
+++ b/mustardrill_entry/src/direct/callers.rs
@@ -7,20 +7,26 @@
 use cadence::{Counted, Timed};
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode, http};
 use kameo::prelude::*;
 use mustardrill_core::direct::{DirectRequest, RefusalPlan, RequestNumber};
 use mustardrill_runtime::http::{AnyResponse, HttpHandler, text_response};
-use mustardrill_types::{Millis, PartSet, RequestDigest, ResultCode};
+use mustardrill_types::{ByteSize, Millis, PartSet, RequestDigest, ResultCode};
 use tokio::sync::mpsc;
 
 use crate::direct::actor::{DirectActor, DirectContext, LimitsQuery, ReadyQuery};
 use crate::direct::answer::{PART_BUFFER, refusal_response, respond};
 use crate::direct::answer_sink::AnswerSink;
+use crate::direct::body_memory::BodyReservation;
 use crate::direct::connections::UsedConnections;
 use crate::direct::request_task::RequestTask;
 
+/// Refusal of a request for whose body there is no memory. It is short of it for as long as a few
+/// requests take.
+const BODY_REFUSAL: RefusalPlan =
+    RefusalPlan { code: ResultCode::Overloaded, retry_after: Millis(500) };
+
 /// Answers callers' requests and the load balancer's readiness probes.
 #[derive(Clone)]
 pub(crate) struct CallerHandler {
@@ -54,6 +60,11 @@
         self.check_parts(&call);
         let limits = self.actor.ask(LimitsQuery).await.map(|reply| reply.0).unwrap_or_default();
         let time_limit = call.timeout.unwrap_or(limits.idle_timeout);
+        let Some(reservation) = self.reserve_body(&body, limits.max_body) else {
+            log::info!("request={} decision=refuse reason=no-memory-for-body", call.attempt_id);
+            tokio::spawn(tokio::time::timeout(time_limit.to_std(), discard(body)));
+            return refusal_response(&BODY_REFUSAL, dialect);
+        };
         let reading = Limited::new(body, limits.max_body.0 as usize).collect();
         let Ok(body) = tokio::time::timeout(time_limit.to_std(), reading).await else {
             log::info!(
@@ -81,6 +92,7 @@
             caller_request_id: call.attempt_id.clone(),
             head,
             body,
+            _body_reservation: reservation,
             sink: AnswerSink::new(sender),
             used_connections: UsedConnections::default(),
         };
@@ -92,6 +104,12 @@
         self.close_if_draining(response)
     }
 
+    /// Reserves memory for a body of the stated length, or of the largest one where none is stated.
+    fn reserve_body(&self, body: &Incoming, largest: ByteSize) -> Option<BodyReservation> {
+        let stated = body.size_hint().upper().map_or(largest, ByteSize);
+        self.context.body_memory.reserve(stated.min(largest))
+    }
+
     /// Counts a request that lists the parts of its prompt, and logs a malformed list.
     fn check_parts(&self, call: &DirectRequest) {
         let stated = &call.shared_parts;
@@ -128,6 +146,12 @@
     }
 }
 
+/// Reads a body and drops it: a connection that is closed with unread bytes is reset, and the caller
+/// might lose the answer.
+async fn discard(mut body: Incoming) {
+    while let Some(Ok(_)) = body.frame().await {}
+}
+
 fn content_digest(head: &http::request::Parts, body: &[u8]) -> RequestDigest {
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
     RequestDigest::of(&[head.method.as_str().as_bytes(), path.as_bytes(), body])
--- a/mustardrill_entry/src/direct/mod.rs
+++ b/mustardrill_entry/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod attempt_counts;
 mod attempt_statements;
 mod availability;
+mod body_memory;
 mod callers;
 mod config;
 mod connections;
--- a/mustardrill_entry/src/direct/request_task.rs
+++ b/mustardrill_entry/src/direct/request_task.rs
@@ -18,6 +18,7 @@
 use crate::direct::answer::AnswerPart;
 use crate::direct::answer_sink::AnswerSink;
 use crate::direct::attempt::{Attempt, AttemptEnd, AttemptStage, FailedAnswer};
+use crate::direct::body_memory::BodyReservation;
 use crate::direct::connections::UsedConnections;
 
 /// A request's content, and where its answer goes.
@@ -29,6 +30,8 @@
     pub(crate) caller_request_id: Box<str>,
     pub(crate) head: http::request::Parts,
     pub(crate) body: Bytes,
+    /// Held for as long as the body is.
+    pub(crate) _body_reservation: BodyReservation,
     pub(crate) sink: AnswerSink,
     pub(crate) used_connections: UsedConnections,
 }
--- a/mustardrill_standins/tests/prepared/callers.rs
+++ b/mustardrill_standins/tests/prepared/callers.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::StatusCode;
+use mustardrill_standins::process::daemon;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, caller_request, entry_settings};
 use crate::framing::{RawUpstream, events, fleet_without_desks, wait_for_registration};
 use crate::worker::SilencePlace::BeforeHead;
 use crate::worker::{AnswerSilence, Worker};
@@ -97,3 +101,34 @@
     let ids = text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse::<usize>().ok());
     assert!(ids.eq(1..=LARGE_STREAM_BYTES / 1_000), "{} bytes received", received.len());
 }
+
+/// An entry kept as many of the largest bodies as callers sent, and was killed for its memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_bodies_take_more_than_the_memory_of_an_entry() {
+    const BODY: Bytes = Bytes::from_static(&[b'x'; 4_194_304]);
+    let fleet = Fleet::start(Vec::new()).await;
+    let settings =
+        entry_settings("entry-2", fleet.network.machine_ip(4), fleet.stand_ins[0].address);
+    // Room for one of the bodies.
+    let settings = settings.replace("linger", "memory_mb = 32\nlinger");
+    let entry = daemon(&fleet.folder, "mustardrill-entry", "entry-2", &settings);
+    let call = async |attempt: String, body: Bytes| {
+        let mut call = caller_request(entry.address, &attempt, "/notices/x", "key-1");
+        *call.body_mut() = Full::new(body);
+        let answer = fleet.client.call(call, Duration::from_secs(10), 1_000_000).await;
+        answer.unwrap_or_else(|error| panic!("{attempt}: {error}\n{}", fleet.logs())).status
+    };
+    let is_served = async || call("w".into(), Bytes::new()).await == StatusCode::OK;
+    fleet.wait_until("the entry serves", is_served).await;
+    let large = (0..8).map(|number| call(format!("large-{number}"), BODY));
+    let statuses = futures_util::future::join_all(large).await;
+    for (number, status) in statuses.iter().enumerate() {
+        let runs = usize::from(*status == StatusCode::OK);
+        assert!(runs == 1 || *status == StatusCode::SERVICE_UNAVAILABLE, "{status}");
+        assert_eq!(fleet.runs(&format!("large-{number}")), runs, "{status}\n{}", fleet.logs());
+    }
+    assert!(statuses.contains(&StatusCode::OK), "{statuses:?}\n{}", fleet.logs());
+    assert!(statuses.contains(&StatusCode::SERVICE_UNAVAILABLE), "{statuses:?}");
+    assert_eq!(call("small".into(), Bytes::from_static(b"x")).await, StatusCode::OK);
+    assert_eq!(call("large-again".into(), BODY).await, StatusCode::OK, "{}", fleet.logs());
+}
