A body without a stated length keeps only the room that it needs

Until it is read such a body counts as the largest one; while its request runs it now counts as what was read. Without this, sixteen requests with bodies in chunks, however small, had others refused for as long as they ran.

Evidence: prepared callers::large_bodies_take_more_than_the_memory_of_an_entry, which sends four of them beside each other to an entry with room for one, fails without the change (503) and passes with it.

--- a/mustardrill_entry/src/direct/body_memory.rs
+++ b/mustardrill_entry/src/direct/body_memory.rs
@@ -26,10 +26,23 @@
         let is_reserved = self.0.lock().expect("no lock holder panics").reserve(size);
         is_reserved.then(|| BodyReservation { memory: self.clone(), size })
     }
+
+    fn release(&self, size: ByteSize) {
+        self.0.lock().expect("no lock holder panics").release(size);
+    }
+}
+
+impl BodyReservation {
+    /// Releases what a body that has been read does not need, as its length was not stated.
+    pub(crate) fn shrink_to(&mut self, size: ByteSize) {
+        let unused = ByteSize(self.size.0.saturating_sub(size.0));
+        self.memory.release(unused);
+        self.size = ByteSize(self.size.0 - unused.0);
+    }
 }
 
 impl Drop for BodyReservation {
     fn drop(&mut self) {
-        self.memory.0.lock().expect("no lock holder panics").release(self.size);
+        self.memory.release(self.size);
     }
 }
--- a/mustardrill_entry/src/direct/callers.rs
+++ b/mustardrill_entry/src/direct/callers.rs
@@ -60,7 +60,7 @@
         self.check_parts(&call);
         let limits = self.actor.ask(LimitsQuery).await.map(|reply| reply.0).unwrap_or_default();
         let time_limit = call.timeout.unwrap_or(limits.idle_timeout);
-        let Some(reservation) = self.reserve_body(&body, limits.max_body) else {
+        let Some(mut reservation) = self.reserve_body(&body, limits.max_body) else {
             log::info!("request={} decision=refuse reason=no-memory-for-body", call.attempt_id);
             tokio::spawn(tokio::time::timeout(time_limit.to_std(), discard(body)));
             return refusal_response(&BODY_REFUSAL, dialect);
@@ -83,6 +83,7 @@
             return bad_request_response(dialect);
         };
         let body = body.to_bytes();
+        reservation.shrink_to(ByteSize(body.len() as u64));
         call.content_digest = content_digest(&head, &body);
         let (sender, parts) = mpsc::channel(PART_BUFFER);
         let task = RequestTask {
--- a/mustardrill_standins/tests/prepared/callers.rs
+++ b/mustardrill_standins/tests/prepared/callers.rs
@@ -130,5 +130,23 @@
     assert!(statuses.contains(&StatusCode::OK), "{statuses:?}\n{}", fleet.logs());
     assert!(statuses.contains(&StatusCode::SERVICE_UNAVAILABLE), "{statuses:?}");
     assert_eq!(call("small".into(), Bytes::from_static(b"x")).await, StatusCode::OK);
+    // A request whose body has no stated length waits at its upstream without the room of a large one.
+    fleet.desks.iter().for_each(|desk| desk.set_answer_delay(Duration::from_millis(500)));
+    let mut unstated = Vec::new();
+    for number in 0..4 {
+        let mut stream = TcpStream::connect(entry.address).await.unwrap();
+        let request = format!(
+            "POST /notices/x HTTP/1.1\r\nhost: drafts.example\r\nx-attempt-id: unstated-{number}\r\n\
+             x-deadline-ms: 6000\r\nauthorization: Token key-1\r\nconnection: close\r\n\
+             transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        unstated.push(stream);
+    }
+    for stream in &mut unstated {
+        let received = read_rest(stream).await;
+        assert!(received.contains("200 OK"), "{received}");
+    }
     assert_eq!(call("large-again".into(), BODY).await, StatusCode::OK, "{}", fleet.logs());
 }
