--- a/mustardrill_core/src/direct/store/reader.rs
+++ b/mustardrill_core/src/direct/store/reader.rs
@@ -12,8 +12,8 @@
 /// the time, no watch shows that it was read to its end.
 const PROOF_INTERVAL: Millis = Millis(750);
 
-/// The same in the moment from which the configuration of a restored store counts as complete:
-/// proofs from before do not confirm it.
+/// The same just after the configuration of a restored store counts as complete, as earlier proofs
+/// do not confirm it.
 const RESTORED_PROOF_INTERVAL: Millis = Millis(100);
 
 /// The read state of an entry that watches the store.
--- a/mustardrill_entry/src/direct/callers.rs
+++ b/mustardrill_entry/src/direct/callers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use bytes::Bytes;
 use cadence::{Counted, Timed};
 use futures_util::future::BoxFuture;
 use http_body_util::{BodyExt, Limited};
@@ -22,10 +23,8 @@
 use crate::direct::connections::UsedConnections;
 use crate::direct::request_task::RequestTask;
 
-/// Refusal of a request for whose body there is no memory. It is short of it for as long as a few
-/// requests take.
-const BODY_REFUSAL: RefusalPlan =
-    RefusalPlan { code: ResultCode::Overloaded, retry_after: Millis(500) };
+/// When a caller may retry for whose body there was no memory: some requests have ended by then.
+const BODY_RETRY: Millis = Millis(500);
 
 /// Answers callers' requests and the load balancer's readiness probes.
 #[derive(Clone)]
@@ -58,32 +57,10 @@
             }
         };
         self.check_parts(&call);
-        let limits = self.actor.ask(LimitsQuery).await.map(|reply| reply.0).unwrap_or_default();
-        let time_limit = call.timeout.unwrap_or(limits.idle_timeout);
-        let Some(mut reservation) = self.reserve_body(&body, limits.max_body) else {
-            log::info!("request={} decision=refuse reason=no-memory-for-body", call.attempt_id);
-            tokio::spawn(tokio::time::timeout(time_limit.to_std(), discard(body)));
-            return refusal_response(&BODY_REFUSAL, dialect);
-        };
-        let reading = Limited::new(body, limits.max_body.0 as usize).collect();
-        let Ok(body) = tokio::time::timeout(time_limit.to_std(), reading).await else {
-            log::info!(
-                "request={} decision=refuse reason=\"the request body is incomplete after {time_limit}\"",
-                call.attempt_id
-            );
-            let plan = RefusalPlan { code: ResultCode::DeadlinePassed, retry_after: Millis(0) };
-            return refusal_response(&plan, dialect);
-        };
-        let Ok(body) = body else {
-            log::info!(
-                "request={} decision=refuse reason=\"the request body is incomplete or larger than {}\"",
-                call.attempt_id,
-                limits.max_body
-            );
-            return bad_request_response(dialect);
+        let (body, reservation) = match self.read_body(&call, body).await {
+            Ok(read) => read,
+            Err(plan) => return refusal_response(&plan, dialect),
         };
-        let body = body.to_bytes();
-        reservation.shrink_to(ByteSize(body.len() as u64));
         call.content_digest = content_digest(&head, &body);
         let (sender, parts) = mpsc::channel(PART_BUFFER);
         let task = RequestTask {
@@ -105,6 +82,38 @@
         self.close_if_draining(response)
     }
 
+    /// Reads the body of a request into memory that is reserved for it; the error is the refusal.
+    async fn read_body(
+        &self,
+        call: &DirectRequest,
+        body: Incoming,
+    ) -> Result<(Bytes, BodyReservation), RefusalPlan> {
+        let limits = self.actor.ask(LimitsQuery).await.map(|reply| reply.0).unwrap_or_default();
+        let time_limit = call.timeout.unwrap_or(limits.idle_timeout);
+        let refuse = |code, reason: std::fmt::Arguments<'_>| {
+            log::info!("request={} decision=refuse reason=\"{reason}\"", call.attempt_id);
+            RefusalPlan { code, retry_after: Millis(0) }
+        };
+        let Some(mut reservation) = self.reserve_body(&body, limits.max_body) else {
+            tokio::spawn(tokio::time::timeout(time_limit.to_std(), discard(body)));
+            let plan = refuse(ResultCode::Overloaded, format_args!("no memory for the body"));
+            return Err(RefusalPlan { retry_after: BODY_RETRY, ..plan });
+        };
+        let reading = Limited::new(body, limits.max_body.0 as usize).collect();
+        let read = tokio::time::timeout(time_limit.to_std(), reading).await.map_err(|_| {
+            let reason = format_args!("the request body is incomplete after {time_limit}");
+            refuse(ResultCode::DeadlinePassed, reason)
+        })?;
+        let body = read.map_err(|_| {
+            let limit = limits.max_body;
+            let reason = format_args!("the request body is incomplete or larger than {limit}");
+            refuse(ResultCode::BadRequest, reason)
+        })?;
+        let body = body.to_bytes();
+        reservation.shrink_to(ByteSize(body.len() as u64));
+        Ok((body, reservation))
+    }
+
     /// Reserves memory for a body of the stated length, or of the largest one where none is stated.
     fn reserve_body(&self, body: &Incoming, largest: ByteSize) -> Option<BodyReservation> {
         let stated = body.size_hint().upper().map_or(largest, ByteSize);
