--- a/mustardrill_standins/tests/deployment.rs
+++ b/mustardrill_standins/tests/deployment.rs
@@ -6,7 +6,7 @@
 use mustardrill_core::direct::WarmupBound;
 use mustardrill_entry::direct::DirectConfig;
 use mustardrill_runtime::settings::{PlatformKind, SettingsReader};
-use mustardrill_types::{Millis, RegionName};
+use mustardrill_types::{ByteSize, Millis, RegionName};
 
 /// Sample values of the fields that the platform provides on each machine.
 const VALUES: [(&str, &str); 17] = [
@@ -32,9 +32,12 @@
 /// The region of each data centre, as the platform provides them.
 const ZONES: [(&str, &str); 2] = [("hall-a", "north"), ("hall-b", "south")];
 
-/// Fields that only platforms with cold upstreams provide, and a value for them.
-const OPTIONAL_FIELDS: [&str; 2] = ["bounds.cold_overshoot", "bounds.cold_tolerance"];
-const OPTIONAL_VALUE: &str = "1.5";
+/// Fields that not every platform provides, with values.
+const OPTIONAL_FIELDS: [(&str, &str); 3] = [
+    ("bounds.cold_overshoot", "1.5"),
+    ("bounds.cold_tolerance", "1.5"),
+    ("limits.memory_mb", "260.5"),
+];
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap().to_owned()
@@ -59,8 +62,8 @@
         let rows = ZONES.map(|(zone, region)| row.replace("{{@}}", zone).replace("{{.}}", region));
         text = [before, &rows.concat(), after].concat();
     }
-    for field in OPTIONAL_FIELDS {
-        text = render_optional(&text, field, OPTIONAL_VALUE);
+    for (field, value) in OPTIONAL_FIELDS {
+        text = render_optional(&text, field, value);
     }
     assert!(!text.contains("{{"), "placeholder without a value in {name}:\n{text}");
     SettingsReader::read(name, &text).unwrap()
@@ -102,6 +105,7 @@
         assert_eq!(known.map(RegionName::as_str), Some(region));
     }
     assert_eq!(config.direct.warmup_bound, WarmupBound { overshoot: 1.5, tolerance: 1.5 });
+    assert_eq!(config.memory, ByteSize(260_500_000));
     assert!(config.linger < config.grace);
     assert_ne!(config.metrics, None);
 }
