--- a/mustardrill_standins/tests/prepared/answers.rs
+++ b/mustardrill_standins/tests/prepared/answers.rs
@@ -4,12 +4,11 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::fleet::Fleet;
-use crate::framing::{fleet_without_desks, read_head, wait_for_registration};
+use crate::framing::{fleet_without_desks, read_head, register_raw, wait_for_registration};
 
 /// Where an upstream sends an answer that belongs to no request.
 #[derive(Debug, Clone, Copy)]
@@ -30,10 +29,7 @@
     /// Starts it and registers it at the fleet's store.
     async fn start(fleet: &Fleet, stray: StrayAnswer) -> Self {
         let listener = TcpListener::bind((fleet.network.machine_ip(92), 0)).await.unwrap();
-        let entry = json!({"service": "desk", "address": listener.local_addr().unwrap(),
-            "zone": "hall-a", "version": "v1", "slots": 16, "state": "ready",
-            "cold_remaining_ms": 0, "models": [], "sequence": 1, "born": 1_700_000_000_000_u64});
-        fleet.store.write("servers/i-stray", &entry);
+        register_raw(fleet, "i-stray", "desk", listener.local_addr().unwrap());
         let runs = Arc::<Mutex<Vec<String>>>::default();
         let all_runs = runs.clone();
         tokio::spawn(async move {
--- a/mustardrill_standins/tests/prepared/cut_answers.rs
+++ b/mustardrill_standins/tests/prepared/cut_answers.rs
@@ -6,12 +6,11 @@
 
 use mustardrill_types::FastSet;
 use rustix::net::sockopt;
-use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::fleet::{Fleet, caller_request, complete_stream};
-use crate::framing::{fleet_without_desks, read_head, wait_for_registration};
+use crate::framing::{fleet_without_desks, read_head, register_raw, wait_for_registration};
 
 /// How an answer marks its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,7 +70,7 @@
 
 impl CuttingUpstream {
     /// Starts it and registers it at the fleet's store for `service`. It cuts the answer to an
-    /// attempt `cut-N-...` after N bytes, and writes all others whole.
+    /// attempt `cut-N` after N bytes, and writes all others whole.
     async fn start(
         fleet: &Fleet,
         service: &'static str,
@@ -79,12 +78,7 @@
         close: CloseKind,
     ) -> Self {
         let listener = TcpListener::bind((fleet.network.machine_ip(93), 0)).await.unwrap();
-        let models = json!([{"name": "m0", "version": 1, "adapters": []}]);
-        let entry = json!({"service": service, "address": listener.local_addr().unwrap(),
-            "zone": "hall-a", "version": "v1", "slots": 64, "state": "ready",
-            "cold_remaining_ms": 0, "models": if service == "pool" { models } else { json!([]) },
-            "sequence": 1, "born": 1_700_000_000_000_u64});
-        fleet.store.write("servers/i-cut", &entry);
+        register_raw(fleet, "i-cut", service, listener.local_addr().unwrap());
         let cut = Arc::<Mutex<FastSet<String>>>::default();
         let all_cut = cut.clone();
         tokio::spawn(async move {
--- a/mustardrill_standins/tests/prepared/endless.rs
+++ b/mustardrill_standins/tests/prepared/endless.rs
@@ -6,12 +6,13 @@
 
 use futures_util::future::join_all;
 use rand::prelude::*;
-use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::fleet::{Fleet, caller_request, complete_stream};
-use crate::framing::{RawUpstream, events, fleet_without_desks, read_head, wait_for_registration};
+use crate::framing::{
+    RawUpstream, events, fleet_without_desks, read_head, register_raw, wait_for_registration,
+};
 use crate::worker::Worker;
 
 /// The deadline that callers state.
@@ -77,12 +78,7 @@
 impl EndlessUpstream {
     async fn start(fleet: &Fleet, shape: &'static EndlessShape, service: &str) -> Self {
         let listener = TcpListener::bind((fleet.network.machine_ip(91), 0)).await.unwrap();
-        let models = json!([{"name": "m0", "version": 1, "adapters": []}]);
-        let entry = json!({"service": service, "address": listener.local_addr().unwrap(),
-            "zone": "hall-a", "version": "v1", "slots": 16, "state": "ready",
-            "cold_remaining_ms": 0, "models": if service == "pool" { models } else { json!([]) },
-            "sequence": 1, "born": 1_700_000_000_000_u64});
-        fleet.store.write("servers/i-endless", &entry);
+        register_raw(fleet, "i-endless", service, listener.local_addr().unwrap());
         let (calls, most_taken) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
         let (call_counter, taken_counter) = (calls.clone(), most_taken.clone());
         tokio::spawn(async move {
--- a/mustardrill_standins/tests/prepared/framing.rs
+++ b/mustardrill_standins/tests/prepared/framing.rs
@@ -1,6 +1,7 @@
 //! Answers that come with neither a length nor chunks and end with their connection, from upstreams
 //! that live on and from upstreams that crash.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -34,12 +35,7 @@
         let service = if answer.content_type == "text/event-stream" { "pool" } else { "desk" };
         let listener = TcpListener::bind((fleet.network.machine_ip(90), 0)).await.unwrap();
         let address = listener.local_addr().unwrap();
-        let models = json!([{"name": "m0", "version": 1, "adapters": []}]);
-        let entry = json!({"service": service, "address": address, "zone": "hall-a",
-            "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0,
-            "models": if service == "pool" { models } else { json!([]) }, "sequence": 1,
-            "born": 1_700_000_000_000_u64});
-        fleet.store.write(&format!("servers/{id}"), &entry);
+        register_raw(fleet, id, service, address);
         let calls = Arc::new(AtomicUsize::new(0));
         let (up_sender, is_up) = watch::channel(true);
         let counter = calls.clone();
@@ -74,6 +70,17 @@
     }
 }
 
+/// Registers an upstream without a [`Worker`](crate::worker::Worker) behind it; an engine serves
+/// version 1.
+pub fn register_raw(fleet: &Fleet, id: &str, service: &str, address: SocketAddr) {
+    let models = json!([{"name": "m0", "version": 1, "adapters": []}]);
+    let entry = json!({"service": service, "address": address, "zone": "hall-a",
+        "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0,
+        "models": if service == "pool" { models } else { json!([]) }, "sequence": 1,
+        "born": 1_700_000_000_000_u64});
+    fleet.store.write(&format!("servers/{id}"), &entry);
+}
+
 pub async fn read_head(stream: &mut TcpStream) -> Option<String> {
     let (mut head, mut byte) = (Vec::new(), [0; 1]);
     while !head.ends_with(b"\r\n\r\n") {
