Chunk lists are confirmed in the core, not in platform/

Whether a list of the origin is believed is a decision, and platform/ only translates. ListConfirmation (core) judges an answer by the earlier ones, ConfirmedOrigin (runtime) reads until two agree; the platform's client reads a list once, over a connection of its own, as before.

--- a/mustardrill_agent/src/main.rs
+++ b/mustardrill_agent/src/main.rs
@@ -7,6 +7,7 @@
 use mustardrill_agent::provisioning::{self, PlatformAdapters, ProvisioningConfig};
 use mustardrill_agent::{AgentConfig, config};
 use mustardrill_platform::{PlatformEngine, PlatformOrigin, PlatformStore};
+use mustardrill_runtime::confirmed_origin::ConfirmedOrigin;
 use mustardrill_runtime::http::HttpClient;
 use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
 use mustardrill_runtime::{logging, signal};
@@ -104,7 +105,7 @@
         fleet_source: Box::new(PlatformStore::open(client.clone(), config.store)),
         load_register: Box::new(PlatformStore::open(client.clone(), config.store)),
         engine: Box::new(PlatformEngine::open(client, config.settings.engine)),
-        origin: Box::new(PlatformOrigin::open(CONNECT_TIMEOUT)),
+        origin: Box::new(ConfirmedOrigin::open(Box::new(PlatformOrigin::open(CONNECT_TIMEOUT)))),
     };
     let listen = config.listen;
     let handle = match provisioning::spawn(config, adapters).await {
--- a/mustardrill_core/src/lib.rs
+++ b/mustardrill_core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod entry;
 pub mod ini_file;
 pub mod limit;
+pub mod list_confirmation;
 pub mod manifest;
 pub mod membership;
 pub mod ownership;
--- a/mustardrill_entry/src/main.rs
+++ b/mustardrill_entry/src/main.rs
@@ -7,6 +7,7 @@
 use mustardrill_entry::direct::{self, DirectConfig, PlatformAdapters};
 use mustardrill_entry::{EntryConfig, config, explain, operator_client};
 use mustardrill_platform::{PlatformDialect, PlatformOrigin, PlatformStore};
+use mustardrill_runtime::confirmed_origin::ConfirmedOrigin;
 use mustardrill_runtime::http::HttpClient;
 use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
 use mustardrill_runtime::{logging, signal};
@@ -134,7 +135,7 @@
     let adapters = PlatformAdapters {
         fleet_source: Box::new(PlatformStore::open(client, config.store)),
         dialect: Box::new(PlatformDialect),
-        origin: Box::new(PlatformOrigin::open(CONNECT_TIMEOUT)),
+        origin: Box::new(ConfirmedOrigin::open(Box::new(PlatformOrigin::open(CONNECT_TIMEOUT)))),
     };
     let listen = config.listen;
     let handle = match direct::spawn(config, adapters).await {
--- a/mustardrill_runtime/src/lib.rs
+++ b/mustardrill_runtime/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod backoff;
 pub mod clock;
 pub mod config;
+pub mod confirmed_origin;
 pub mod datagram;
 pub mod exposition;
 pub mod fleet_digest;
