Heads without end no longer fill the memory of a process

What callers saw: an entry ended, out of memory, and every open answer with it, when clients sent heads or empty lines without end.

Cause: the HTTP/1 server took its library's default buffer, so each connection of any listener could hold a head of 417,792 bytes, and twice that while the buffer grew.

Why it works: a head may have 32 KB, twice what platforms allow, and no buffer of a connection grows beyond that. A longer one is refused with 431, which promises nothing about other requests and is not repeated.

--- a/mustardrill_runtime/src/http.rs
+++ b/mustardrill_runtime/src/http.rs
@@ -81,6 +81,10 @@
 /// TCP keep-alive: number of unanswered probes after which a connection counts as lost.
 pub const KEEPALIVE_PROBES: u32 = 2;
 
+/// The longest head of a request, in bytes; empty lines ahead of it count. It is twice what platforms
+/// allow.
+const HEAD_LIMIT: usize = 32 << 10;
+
 /// Handles the requests of one listener.
 pub trait HttpHandler: Send + Sync + 'static {
     /// Answers one request; `peer` is the remote address.
@@ -325,6 +329,8 @@
             });
             let connection = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
+                .max_buf_size(HEAD_LIMIT)
+                .max_header_size(HEAD_LIMIT)
                 .serve_connection(TokioIo::new(stream), service);
             tokio::pin!(connection);
             let end = tokio::select! {
