Client connections no longer take all descriptors and memory

What callers saw: connections were refused or hung, and upstreams and the store could not be reached, when clients opened connections and sent nothing, or little, on any listener of any process.

Cause: each listener accepted what the kernel gave it. Nothing counted the connections of a process, and when descriptors ran out the process failed at its own calls as well.

Why it works: `ConnectionTable` in the core admits a connection only where descriptors (a half is for clients) and memory (a sixth) are left. Otherwise the connection that has waited longest for a request is closed first, at the listener with the most connections, so that a crowd pushes out its own; one on which a request is served never is. What is closed carries no request, so no promise is broken. Heads that need more than the first buffer are counted, the agents' gRPC listener too, and clients that read nothing for 30 s are closed.

New settings: `descriptors` (default: what the system allows), `unread` (30s) and, where it was missing, `memory_mb`; the deploy templates state the machine's. The configuration's `max_header_bytes`, `header_timeout_ms` and `idle_timeout_ms` hold for callers where they exceed the defaults.

--- a/mustardrill_agent/src/actor.rs
+++ b/mustardrill_agent/src/actor.rs
@@ -16,8 +16,10 @@
 use mustardrill_core::quarantine::CrashReport;
 use mustardrill_core::refusal::AttemptRefusal;
 use mustardrill_runtime::agents::AgentPool;
+use mustardrill_runtime::client_connections::ClientConnections;
 use mustardrill_runtime::clock::{ProcessClock, spawn_ticks};
-use mustardrill_runtime::http::{HttpClient, HttpServer};
+use mustardrill_runtime::http::HttpClient;
+use mustardrill_runtime::http_server::HttpServer;
 use mustardrill_runtime::metrics;
 use mustardrill_runtime::origin::HttpOrigin;
 use mustardrill_runtime::platform::{HttpInstanceList, HttpKeyValue};
@@ -274,22 +276,25 @@
 /// cannot be bound.
 pub async fn spawn(config: AgentConfig) -> std::io::Result<AgentHandle> {
     let halt = CancellationToken::new();
+    let clock = ProcessClock::start();
+    let limits = config.process.connections();
+    let clients = ClientConnections::open(Box::new(clock), limits, halt.clone());
     let store = Arc::<ChunkStore>::default();
     let weights = Box::new(WeightsHandler { store: store.clone() });
     let actor_cell = Arc::new(std::sync::OnceLock::new());
     let handler = Box::new(StatusHandler { weights, actor: actor_cell.clone() });
-    let local = HttpServer::bind(config.local_listen, handler, halt.clone()).await?;
+    let local = HttpServer::bind(config.local_listen, handler, &clients, halt.clone()).await?;
     let listener = tokio::net::TcpListener::bind(config.listen).await?;
     let address = listener.local_addr()?;
 
-    let context = Arc::new(open_context(&config, store, &local, halt.clone())?);
+    let context = Arc::new(open_context(&config, clock, store, &local, halt.clone())?);
     let seed = rand::random();
     let reducer = AgentReducer::new(context.clock.now(), config.agent.clone(), seed);
     let (pending_verdicts, pending_claims) = (FastMap::default(), FastMap::default());
     let state = AgentActor { reducer, context: context.clone(), pending_verdicts, pending_claims };
     let actor = AgentActor::spawn_with_mailbox(state, mailbox::unbounded());
     let _ = actor_cell.set(actor.clone());
-    server::spawn(listener, actor.clone(), context.clone());
+    server::spawn(listener, clients, actor.clone(), context.clone());
     let ticked_actor = actor.clone();
     spawn_ticks(config.tick_interval, halt.clone(), move || {
         let actor = ticked_actor.clone();
@@ -339,6 +344,7 @@
 
 fn open_context(
     config: &AgentConfig,
+    clock: ProcessClock,
     store: Arc<ChunkStore>,
     local: &HttpServer,
     halt: CancellationToken,
@@ -347,7 +353,6 @@
     let client = HttpClient::open(CONNECT_TIMEOUT);
     let owner = &config.agent.owner;
     let (platform, timeout) = (&config.platform, config.platform.timeout);
-    let clock = ProcessClock::start();
     let incarnations = IncarnationCounter::new(clock.wall_s() * 1_000);
     Ok(AgentContext {
         own: config.agent.own.id.clone(),
--- a/mustardrill_agent/src/config.rs
+++ b/mustardrill_agent/src/config.rs
@@ -8,7 +8,7 @@
 use mustardrill_core::claim::ClaimSettings;
 use mustardrill_core::ownership::OwnerSettings;
 use mustardrill_core::transfer::{TransferPeer, TransferSettings};
-use mustardrill_runtime::config::{PlatformConfig, address, local, name};
+use mustardrill_runtime::config::{PlatformConfig, ProcessLimits, address, local, name};
 use mustardrill_runtime::settings::{SettingsOutcome, SettingsReader};
 use mustardrill_types::{ByteRate, ByteSize, Millis};
 
@@ -35,6 +35,8 @@
     pub metrics: Option<SocketAddr>,
     /// Least severe level that is logged.
     pub log: LevelFilter,
+    /// What the process may use of its machine, besides the weights that it stages.
+    pub process: ProcessLimits,
     /// How long a planned stop waits for requests in progress.
     pub drain_timeout: Millis,
     /// Settings of the reducer.
@@ -55,6 +57,7 @@
         upload_limit: reader.bounded("weights", "uploads", 4, 1, 1_000),
         metrics: reader.optional("agent", "metrics"),
         log: reader.value("agent", "log", LevelFilter::Info),
+        process: ProcessLimits::read(&mut reader, "agent", 1_024.0),
         drain_timeout: reader.value("agent", "drain", Millis(30_000)),
         agent: AgentSettings {
             own: TransferPeer {
--- a/mustardrill_agent/src/provisioning/actor.rs
+++ b/mustardrill_agent/src/provisioning/actor.rs
@@ -14,9 +14,11 @@
 use mustardrill_runtime::adapters::{
     ChunkList, ChunkOrigin, EngineControl, FleetSource, LoadRegister,
 };
+use mustardrill_runtime::client_connections::ClientConnections;
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::exposition::{MetricHandler, MetricRegistry};
-use mustardrill_runtime::http::{HttpClient, HttpServer};
+use mustardrill_runtime::http::HttpClient;
+use mustardrill_runtime::http_server::HttpServer;
 use mustardrill_runtime::upload::UploadQueue;
 use mustardrill_types::{ChunkIndex, FastMap};
 use tokio::net::UdpSocket;
@@ -319,8 +321,11 @@
         config.settings.engine,
         config.store
     );
+    let clock = ProcessClock::start();
+    let limits = config.process.connections();
+    let clients = ClientConnections::open(Box::new(clock), limits, halt.clone());
     let context = Arc::new(ProvisioningContext {
-        clock: ProcessClock::start(),
+        clock,
         config,
         adapters,
         peer_client: HttpClient::open(effects::CONNECT_TIMEOUT),
@@ -345,12 +350,13 @@
     };
     let actor = ProvisioningActor::spawn_with_mailbox(state, mailbox::unbounded());
     if let Some(address) = context.config.metrics {
-        HttpServer::bind(address, Box::new(MetricHandler(metric_registry)), halt.clone()).await?;
+        let handler = Box::new(MetricHandler(metric_registry));
+        HttpServer::bind(address, handler, &clients, halt.clone()).await?;
         let updating = update_gauges(actor.clone(), context.clone());
         tokio::spawn(halt.clone().run_until_cancelled_owned(updating));
     }
     let handler = Box::new(PeerHandler::new(actor.clone(), context.clone()));
-    HttpServer::bind(listen, handler, halt.clone()).await?;
+    HttpServer::bind(listen, handler, &clients, halt.clone()).await?;
     peers::spawn_receiver(actor.clone(), context.clone());
     load_records::spawn(recorder_inputs, actor.clone(), context.clone());
     watch::spawn(actor, context);
--- a/mustardrill_agent/src/provisioning/config.rs
+++ b/mustardrill_agent/src/provisioning/config.rs
@@ -5,7 +5,7 @@
 use log::LevelFilter;
 use mustardrill_core::provisioning::{ProvisioningSettings, RolloutSettings};
 use mustardrill_core::transfer::TransferSettings;
-use mustardrill_runtime::config::{local, name};
+use mustardrill_runtime::config::{ProcessLimits, local, name};
 use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
 use mustardrill_types::Millis;
 
@@ -29,6 +29,8 @@
     pub engine_poll_interval: Millis,
     /// Bandwidth of the machine's link, in Mbit/s.
     pub link_mbps: f64,
+    /// What the process may use of its machine.
+    pub process: ProcessLimits,
     /// Settings of the reducer.
     pub settings: ProvisioningSettings,
 }
@@ -59,6 +61,7 @@
         watch_time: reader.value("platform", "watch", Millis(4_000)),
         engine_poll_interval: reader.value("upstream", "look_every", Millis(250)),
         link_mbps: reader.bounded("weights", "link_mbps", 1_000.0, 0.1, 1_000_000.0),
+        process: ProcessLimits::read(&mut reader, "agent", 128.0),
         settings: ProvisioningSettings {
             own_id,
             data_centre: name(&mut reader, "agent", "data_centre"),
--- a/mustardrill_agent/src/server.rs
+++ b/mustardrill_agent/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use futures_util::stream::{self, Stream};
 use kameo::prelude::*;
 use log::warn;
 use mustardrill_core::agent::AgentEvent;
@@ -12,6 +13,9 @@
 use mustardrill_proto as proto;
 use mustardrill_proto::agent_server::{Agent, AgentServer};
 use mustardrill_runtime::agents::{MESSAGE_LIMIT, STREAM_WINDOW};
+use mustardrill_runtime::client_connections::ClientConnections;
+use mustardrill_runtime::client_stream::ClosableStream;
+use mustardrill_runtime::http_server::accept_client;
 use mustardrill_runtime::wire::{
     attempt_of, catalogue_of, claim_message, crash_message, crash_report, demand_message,
     demand_row, digest_bytes, digest_of, key_of,
@@ -20,7 +24,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio_stream::wrappers::ReceiverStream;
-use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 
 use crate::actor::{
@@ -39,6 +42,7 @@
 /// Serves calls on `listener` until the agent halts.
 pub(crate) fn spawn(
     listener: TcpListener,
+    clients: ClientConnections,
     actor: ActorRef<AgentActor>,
     context: Arc<AgentContext>,
 ) {
@@ -52,7 +56,7 @@
         .http2_max_pending_accept_reset_streams(Some(RESET_LIMIT))
         .add_service(service);
     tokio::spawn(async move {
-        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+        let incoming = admitted_streams(listener, clients);
         tokio::select! {
             result = server.serve_with_incoming(incoming) => {
                 if let Err(error) = result {
@@ -64,6 +68,21 @@
     });
 }
 
+/// The connections of entries and agents that are admitted.
+fn admitted_streams(
+    listener: TcpListener,
+    clients: ClientConnections,
+) -> impl Stream<Item = std::io::Result<ClosableStream>> {
+    let number = clients.add_listener();
+    stream::unfold((listener, clients), move |(listener, clients)| async move {
+        loop {
+            if let Some((stream, _, admitted)) = accept_client(&listener, &clients, number).await {
+                return Some((Ok(ClosableStream::new(stream, admitted)), (listener, clients)));
+            }
+        }
+    })
+}
+
 struct AgentService {
     actor: ActorRef<AgentActor>,
     context: Arc<AgentContext>,
--- a/mustardrill_agent/tests/common/mod.rs
+++ b/mustardrill_agent/tests/common/mod.rs
@@ -9,7 +9,8 @@
 use mustardrill_core::provisioning::{ProvisioningSettings, RolloutSettings};
 use mustardrill_core::transfer::TransferSettings;
 use mustardrill_runtime::adapters::{LoadRegister, StoreError, StoredLoad};
-use mustardrill_types::{Millis, StoreRevision};
+use mustardrill_runtime::config::ProcessLimits;
+use mustardrill_types::{ByteSize, Millis, StoreRevision};
 
 /// The result of a call to a store that is unavailable.
 pub fn unavailable<T>() -> Result<T, StoreError> {
@@ -29,6 +30,11 @@
         watch_time: Millis(4_000),
         engine_poll_interval: Millis(25),
         link_mbps: 1_000.0,
+        process: ProcessLimits {
+            memory: ByteSize(128_000_000),
+            descriptors: 1_024,
+            write_timeout: Millis(30_000),
+        },
         settings: ProvisioningSettings {
             own_id: listen.ip().to_string().parse().unwrap(),
             data_centre: "hall-a".parse().unwrap(),
--- a/mustardrill_agent/tests/silent_engine.rs
+++ b/mustardrill_agent/tests/silent_engine.rs
@@ -22,9 +22,11 @@
 use mustardrill_runtime::adapters::{
     ChunkList, ChunkOrigin, FleetPart, FleetScope, FleetSource, LeaseGrant, StoreError,
 };
+use mustardrill_runtime::client_connections::ClientConnections;
 use mustardrill_runtime::http::{
-    AnyResponse, HttpClient, HttpHandler, HttpServer, query_parameter, text_response,
+    AnyResponse, HttpClient, HttpHandler, query_parameter, text_response,
 };
+use mustardrill_runtime::http_server::HttpServer;
 use mustardrill_types::{
     ByteSize, ChunkIndex, FastMap, Generation, Millis, ModelName, StoreRevision, WeightVersion,
 };
@@ -199,7 +201,8 @@
     });
     let stop = CancellationToken::new();
     let handler = Box::new(EngineHandler(engine.clone()));
-    let server = HttpServer::bind("127.0.0.1:0".parse().unwrap(), handler, stop).await.unwrap();
+    let (listen, clients) = ("127.0.0.1:0".parse().unwrap(), ClientConnections::unlimited());
+    let server = HttpServer::bind(listen, handler, &clients, stop).await.unwrap();
     let sent = Arc::new(AtomicUsize::new(0));
     let client = HttpClient::open(Duration::from_millis(300));
     let listen = free_port();
--- a/mustardrill_core/src/direct/route.rs
+++ b/mustardrill_core/src/direct/route.rs
@@ -92,6 +92,8 @@
     pub max_header: ByteSize,
     /// The maximum size of a request body.
     pub max_body: ByteSize,
+    /// How long a caller may take to send the head of a request.
+    pub header_timeout: Millis,
     /// How long an idle connection is kept open.
     pub idle_timeout: Millis,
 }
@@ -290,6 +292,7 @@
         Self {
             max_header: ByteSize(16_384),
             max_body: ByteSize(4_194_304),
+            header_timeout: Millis(10_000),
             idle_timeout: Millis(15_000),
         }
     }
--- a/mustardrill_core/src/lib.rs
+++ b/mustardrill_core/src/lib.rs
@@ -11,6 +11,7 @@
 mod check;
 pub mod chunk_assignment;
 pub mod claim;
+pub mod connections;
 pub mod coordinator;
 pub mod crash_report_relay;
 pub mod demand;
--- a/mustardrill_entry/src/actor.rs
+++ b/mustardrill_entry/src/actor.rs
@@ -11,8 +11,10 @@
 use mustardrill_core::edit::FleetFacts;
 use mustardrill_core::entry::{EntryEffect, EntryEvent, EntryReducer, IncomingRequest, RequestId};
 use mustardrill_runtime::agents::AgentPool;
+use mustardrill_runtime::client_connections::ClientConnections;
 use mustardrill_runtime::clock::{ProcessClock, spawn_ticks};
-use mustardrill_runtime::http::{HttpClient, HttpServer};
+use mustardrill_runtime::http::HttpClient;
+use mustardrill_runtime::http_server::HttpServer;
 use mustardrill_runtime::metrics;
 use mustardrill_runtime::origin::HttpOrigin;
 use mustardrill_runtime::platform::{HttpInstanceList, HttpKeyValue};
@@ -241,10 +243,14 @@
     let state = EntryActor { reducer, context: context.clone(), requests, attempts };
     let actor = EntryActor::spawn_with_mailbox(state, mailbox::unbounded());
 
+    let limits = config.process.connections();
+    let clients = ClientConnections::open(Box::new(context.clock), limits, halt.clone());
     let handler = Box::new(CallerHandler::new(actor.clone(), context.clone()));
-    let caller_server = HttpServer::bind(config.listen, handler, stop_callers.clone()).await?;
+    let caller_server =
+        HttpServer::bind(config.listen, handler, &clients, stop_callers.clone()).await?;
     let handler = Box::new(OperatorHandler::new(actor.clone(), context.clone()));
-    let operator_server = HttpServer::bind(config.operator_listen, handler, halt.clone()).await?;
+    let operator_server =
+        HttpServer::bind(config.operator_listen, handler, &clients, halt.clone()).await?;
     let tick_actor = actor.clone();
     spawn_ticks(config.tick, halt.clone(), move || {
         let actor = tick_actor.clone();
--- a/mustardrill_entry/src/config.rs
+++ b/mustardrill_entry/src/config.rs
@@ -6,7 +6,7 @@
 use mustardrill_core::budget::RetrySettings;
 use mustardrill_core::entry::EntrySettings;
 use mustardrill_core::routing::RoutingSettings;
-use mustardrill_runtime::config::{PlatformConfig, local, name};
+use mustardrill_runtime::config::{PlatformConfig, ProcessLimits, local, name};
 use mustardrill_runtime::settings::{SettingsOutcome, SettingsReader};
 use mustardrill_types::{ByteSize, CustomerName, Millis};
 
@@ -25,6 +25,8 @@
     pub metrics: Option<SocketAddr>,
     /// The least severe level that is logged.
     pub log: LevelFilter,
+    /// What the process may use of its machine.
+    pub process: ProcessLimits,
     /// How long a planned stop waits for requests in progress.
     pub drain: Millis,
     /// Customers, who may call, and operators, who may edit.
@@ -109,6 +111,7 @@
         tick: reader.value("entry", "tick", Millis(10)),
         metrics: reader.optional("entry", "metrics"),
         log: reader.value("entry", "log", LevelFilter::Info),
+        process: ProcessLimits::read(&mut reader, "entry", 1_024.0),
         drain: reader.value("entry", "drain", Millis(30_000)),
         access: access(&mut reader),
         callers: callers(&mut reader),
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -13,9 +13,10 @@
 };
 use mustardrill_core::quarantine::CrashReport;
 use mustardrill_runtime::adapters::{CallDialect, ChunkOrigin, FleetSource};
+use mustardrill_runtime::client_connections::ClientConnections;
 use mustardrill_runtime::clock::ProcessClock;
 use mustardrill_runtime::exposition::{MetricHandler, MetricRegistry};
-use mustardrill_runtime::http::HttpServer;
+use mustardrill_runtime::http_server::HttpServer;
 use mustardrill_types::{FastMap, Generation, Millis, Moment};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -23,6 +24,7 @@
 
 use crate::direct::activity::ActivityTable;
 use crate::direct::body_memory::BodyMemory;
+use crate::direct::caller_policy::CallerPolicy;
 use crate::direct::callers::CallerHandler;
 use crate::direct::config::DirectConfig;
 use crate::direct::connections::ConnectionPool;
@@ -407,7 +409,7 @@
         pool: ConnectionPool::new(clock),
         probes: ReachabilityProbes::default(),
         activity: ActivityTable::default(),
-        body_memory: BodyMemory::open(BodyBudget::of_memory(config.memory)),
+        body_memory: BodyMemory::open(BodyBudget::of_memory(config.process.memory)),
         metrics: metric_registry.client(),
         socket: UdpSocket::bind(config.peer_listen).await?,
         is_draining: AtomicBool::new(false),
@@ -423,19 +425,25 @@
         record_writes: RecordWrites::default(),
     };
     let actor = DirectActor::spawn_with_mailbox(state, mailbox::unbounded());
+    let limits = config.process.connections();
+    let clients = ClientConnections::open(Box::new(clock), limits, halt.clone());
     let handler = CallerHandler::new(actor.clone(), context.clone());
+    let ready_handler = Box::new(handler.clone());
     let ready =
-        HttpServer::bind(config.ready_listen, Box::new(handler.clone()), halt.clone()).await?;
+        HttpServer::bind(config.ready_listen, ready_handler, &clients, halt.clone()).await?;
+    let policy = Box::new(CallerPolicy::new(actor.clone()));
+    let (handler, stop) = (Box::new(handler), stop_callers.clone());
     let caller_server =
-        HttpServer::bind(config.listen, Box::new(handler), stop_callers.clone()).await?;
+        HttpServer::bind_with_policy(config.listen, handler, policy, &clients, stop).await?;
     if let Some(address) = config.metrics {
-        HttpServer::bind(address, Box::new(MetricHandler(metric_registry)), halt.clone()).await?;
+        let handler = Box::new(MetricHandler(metric_registry));
+        HttpServer::bind(address, handler, &clients, halt.clone()).await?;
         let gauge_updates = update_gauges(actor.clone(), context.clone());
         tokio::spawn(halt.clone().run_until_cancelled_owned(gauge_updates));
     }
     gossip::spawn(actor.clone(), context.clone());
     let relay = ChunkRelay::new(actor.clone(), context.clone());
-    HttpServer::bind(config.peer_listen, Box::new(relay), halt.clone()).await?;
+    HttpServer::bind(config.peer_listen, Box::new(relay), &clients, halt.clone()).await?;
     watch::spawn(actor.clone(), context.clone());
     let (address, ready_address) = (caller_server.address, ready.address);
     log::info!("start instance={} address={address} store={}", config.direct.own_id, config.store);
--- a/mustardrill_entry/src/direct/config.rs
+++ b/mustardrill_entry/src/direct/config.rs
@@ -5,7 +5,7 @@
 
 use log::LevelFilter;
 use mustardrill_core::direct::{DirectSettings, RegionMap, RetryBound, RetryShare, WarmupBound};
-use mustardrill_runtime::config::{local, name};
+use mustardrill_runtime::config::{ProcessLimits, local, name};
 use mustardrill_runtime::settings::{PlatformKind, SettingsOutcome, SettingsReader};
 use mustardrill_types::{ByteSize, DataCentre, Millis, RegionName};
 
@@ -35,8 +35,8 @@
     pub linger: Millis,
     /// Bandwidth of the machine's network link, in Mbit/s.
     pub link_mbps: f64,
-    /// How much memory the process may use.
-    pub memory: ByteSize,
+    /// What the process may use of its machine.
+    pub process: ProcessLimits,
     /// How much memory an entry uses to cache the weights that it relays.
     pub relay_memory: ByteSize,
     /// Settings of the reducer.
@@ -72,7 +72,7 @@
         grace: reader.value("bounds", "grace", Millis(8_000)),
         linger: reader.value("entry", "linger", Millis(2_600)),
         link_mbps: reader.bounded("weights", "link_mbps", 1_000.0, 0.1, 1_000_000.0),
-        memory: memory(&mut reader),
+        process: ProcessLimits::read(&mut reader, "entry", 256.0),
         relay_memory: reader.value("weights", "relay_memory", ByteSize(16 << 20)),
         direct: DirectSettings {
             own_id: name(&mut reader, "entry", "instance"),
@@ -97,12 +97,6 @@
     reader.finish(config)
 }
 
-/// The memory that the process may use, which platforms state in megabytes, perhaps with a fraction.
-fn memory(reader: &mut SettingsReader) -> ByteSize {
-    let megabytes = reader.bounded("entry", "memory_mb", 256.0, 16.0, 1_000_000.0);
-    ByteSize((megabytes * 1_000_000.0) as u64)
-}
-
 /// The region of each data centre; the operator chooses the names.
 fn regions(reader: &mut SettingsReader) -> RegionMap {
     let mut regions = Vec::new();
--- a/mustardrill_entry/src/direct/mod.rs
+++ b/mustardrill_entry/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod attempt_statements;
 mod availability;
 mod body_memory;
+mod caller_policy;
 mod callers;
 mod config;
 mod connections;
--- a/mustardrill_runtime/src/config.rs
+++ b/mustardrill_runtime/src/config.rs
@@ -5,8 +5,10 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+use mustardrill_core::connections::ConnectionLimits;
 use mustardrill_core::membership::MemberSettings;
-use mustardrill_types::Millis;
+use mustardrill_types::{ByteSize, Millis};
+use rustix::process::{Resource, getrlimit};
 
 use crate::settings::SettingsReader;
 
@@ -45,6 +47,41 @@
     }
 }
 
+/// What the process may use of its machine, and how long it waits for clients that do not read.
+#[derive(Debug, Clone, Copy)]
+pub struct ProcessLimits {
+    /// The memory of the process.
+    pub memory: ByteSize,
+    /// Descriptors that it may have open.
+    pub descriptors: usize,
+    /// A connection whose client reads nothing of an answer for this long is closed.
+    pub write_timeout: Millis,
+}
+
+impl ProcessLimits {
+    /// Reads `memory_mb`, `descriptors` and `unread` of a section; the memory is `megabytes` where
+    /// none is stated, and the descriptors are what the operating system allows.
+    pub fn read(reader: &mut SettingsReader, section: &str, megabytes: f64) -> Self {
+        let megabytes = reader.bounded(section, "memory_mb", megabytes, 16.0, 1_000_000.0);
+        const MOST_DESCRIPTORS: f64 = 1e9;
+        let allowed = getrlimit(Resource::Nofile).current;
+        let allowed = allowed.map_or(MOST_DESCRIPTORS, |allowed| allowed as f64);
+        let allowed = allowed.min(MOST_DESCRIPTORS);
+        // Platforms may scale their limits, which gives fractions.
+        let descriptors = reader.bounded(section, "descriptors", allowed, 64.0, MOST_DESCRIPTORS);
+        Self {
+            memory: ByteSize((megabytes * 1_000_000.0) as u64),
+            descriptors: descriptors as usize,
+            write_timeout: reader.value(section, "unread", Millis(30_000)),
+        }
+    }
+
+    /// What all client connections of the process may take together.
+    pub fn connections(&self) -> ConnectionLimits {
+        ConnectionLimits::of_process(self.memory, self.descriptors, self.write_timeout)
+    }
+}
+
 /// Reads a mandatory address; reports a fault to `reader` if it is missing or malformed.
 pub fn address(reader: &mut SettingsReader, section: &str, key: &str) -> Box<str> {
     reader.required(section, key, "IP:PORT", local()).to_string().into()
--- a/mustardrill_runtime/src/http.rs
+++ b/mustardrill_runtime/src/http.rs
@@ -1,9 +1,8 @@
-//! HTTP client and server on top of hyper, used towards the platform, the origin, upstreams,
-//! callers and operators.
+//! HTTP client on top of hyper, used towards the platform, the origin and upstreams, and the answers
+//! of servers.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -13,14 +12,10 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use tokio::net::TcpListener;
-use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 /// A streamed body ended early; the connection is closed.
 #[derive(Debug, Display, Error)]
@@ -81,10 +76,6 @@
 /// TCP keep-alive: number of unanswered probes after which a connection counts as lost.
 pub const KEEPALIVE_PROBES: u32 = 2;
 
-/// The longest head of a request, in bytes; empty lines ahead of it count. It is twice what platforms
-/// allow.
-const HEAD_LIMIT: usize = 32 << 10;
-
 /// Handles the requests of one listener.
 pub trait HttpHandler: Send + Sync + 'static {
     /// Answers one request; `peer` is the remote address.
@@ -95,15 +86,6 @@
     ) -> BoxFuture<'static, AnyResponse>;
 }
 
-/// HTTP server on one listening socket.
-#[derive(Debug)]
-pub struct HttpServer {
-    /// Address at which it listens, with the port that was assigned if the requested one was zero.
-    pub address: SocketAddr,
-    tracker: TaskTracker,
-    stop: CancellationToken,
-}
-
 impl HttpClient {
     /// Creates a client that gives up connecting after `connect_timeout`, and closes connections
     /// that are idle for 20 s.
@@ -199,32 +181,6 @@
     }
 }
 
-impl HttpServer {
-    /// Listens at `address` and serves requests with `handler` until `stop` is cancelled.
-    ///
-    /// After that it accepts no connections, and open ones are closed once their current request
-    /// is answered.
-    pub async fn bind(
-        address: SocketAddr,
-        handler: Box<dyn HttpHandler>,
-        stop: CancellationToken,
-    ) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
-        let tracker = TaskTracker::new();
-        let handler: std::sync::Arc<dyn HttpHandler> = handler.into();
-        tokio::spawn(accept_connections(listener, handler, stop.clone(), tracker.clone()));
-        Ok(Self { address, tracker, stop })
-    }
-
-    /// Waits until the server was stopped and its last connection is closed.
-    pub async fn drained(&self) {
-        self.stop.cancelled().await;
-        self.tracker.close();
-        self.tracker.wait().await;
-    }
-}
-
 /// Whether the machine refuses connections to `address`, so that the process that listened there
 /// has ended. Asks again, up to `attempts` times in all, while the machine does not answer.
 ///
@@ -294,60 +250,3 @@
     let pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
     pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
 }
-
-async fn accept_connections(
-    listener: TcpListener,
-    handler: std::sync::Arc<dyn HttpHandler>,
-    stop: CancellationToken,
-    tracker: TaskTracker,
-) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
-        };
-        let Ok((stream, peer)) = accepted else {
-            // Most likely the process is out of file descriptors; wait until some are closed.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let stop = stop.clone();
-        tracker.spawn(async move {
-            let is_answering = std::sync::Arc::new(AtomicBool::new(false));
-            let answering = is_answering.clone();
-            let service = service_fn(move |request| {
-                let answer = handler.handle(request, peer);
-                let answering = answering.clone();
-                async move {
-                    answering.store(true, Ordering::Relaxed);
-                    let answer = answer.await;
-                    answering.store(false, Ordering::Relaxed);
-                    Ok::<_, Infallible>(answer)
-                }
-            });
-            let connection = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .max_buf_size(HEAD_LIMIT)
-                .max_header_size(HEAD_LIMIT)
-                .serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            let end = tokio::select! {
-                end = &mut connection => end,
-                () = stop.cancelled() => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
-                }
-            };
-            let reason = end.err().map_or("end of stream".into(), |error| error.to_string());
-            if is_answering.load(Ordering::Relaxed) {
-                log::info!(
-                    "connection peer={peer} outcome=closed-before-answer reason=\"{reason}\""
-                );
-            } else {
-                log::debug!("connection peer={peer} outcome=closed reason=\"{reason}\"");
-            }
-        });
-    }
-}
--- a/mustardrill_runtime/src/lib.rs
+++ b/mustardrill_runtime/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod adapters;
 pub mod agents;
 pub mod backoff;
+pub mod client_connections;
+pub mod client_stream;
 pub mod clock;
 pub mod config;
 pub mod confirmed_origin;
@@ -12,6 +14,7 @@
 pub mod fleet_digest;
 pub mod headers;
 pub mod http;
+pub mod http_server;
 pub mod logging;
 pub mod metrics;
 pub mod origin;
--- a/mustardrill_standins/src/lib.rs
+++ b/mustardrill_standins/src/lib.rs
@@ -23,7 +23,9 @@
 
 use std::net::SocketAddr;
 
-use mustardrill_runtime::http::{HttpHandler, HttpServer};
+use mustardrill_runtime::client_connections::ClientConnections;
+use mustardrill_runtime::http::HttpHandler;
+use mustardrill_runtime::http_server::HttpServer;
 use tokio_util::sync::CancellationToken;
 
 /// A running stand-in; dropping it stops the server.
@@ -41,7 +43,8 @@
         handler: Box<dyn HttpHandler>,
     ) -> std::io::Result<Self> {
         let stop = CancellationToken::new();
-        let server = HttpServer::bind(address, handler, stop.clone()).await?;
+        let clients = ClientConnections::unlimited();
+        let server = HttpServer::bind(address, handler, &clients, stop.clone()).await?;
         Ok(Self { address: server.address, stop })
     }
 
--- a/mustardrill_standins/tests/deployment.rs
+++ b/mustardrill_standins/tests/deployment.rs
@@ -33,10 +33,11 @@
 const ZONES: [(&str, &str); 2] = [("hall-a", "north"), ("hall-b", "south")];
 
 /// Fields that not every platform provides, with values.
-const OPTIONAL_FIELDS: [(&str, &str); 3] = [
+const OPTIONAL_FIELDS: [(&str, &str); 4] = [
     ("bounds.cold_overshoot", "1.5"),
     ("bounds.cold_tolerance", "1.5"),
     ("limits.memory_mb", "260.5"),
+    ("limits.file_descriptors", "4200"),
 ];
 
 fn root() -> PathBuf {
@@ -105,7 +106,8 @@
         assert_eq!(known.map(RegionName::as_str), Some(region));
     }
     assert_eq!(config.direct.warmup_bound, WarmupBound { overshoot: 1.5, tolerance: 1.5 });
-    assert_eq!(config.memory, ByteSize(260_500_000));
+    assert_eq!(config.process.memory, ByteSize(260_500_000));
+    assert_eq!(config.process.descriptors, 4_200);
     assert!(config.linger < config.grace);
     assert_ne!(config.metrics, None);
 }
