Bodies no longer fill the memory of an entry of the own interface

What callers saw: an entry of the own interface ended, out of memory, when clients sent large bodies, finished or not. An unfinished body was waited for without end.

Cause: the budget for bodies was built for the prepared platform only, and reading had no time limit.

Why it works: the own interface reads bodies as the prepared platform does: into reserved memory, a third of `memory_mb`, until the request's deadline. A request that finds no room is refused with 2011 and one whose body comes too late with 2013; neither has run.

--- a/mustardrill_entry/src/actor.rs
+++ b/mustardrill_entry/src/actor.rs
@@ -7,6 +7,7 @@
 
 use cadence::Gauged;
 use kameo::prelude::*;
+use mustardrill_core::direct::BodyBudget;
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::edit::FleetFacts;
 use mustardrill_core::entry::{EntryEffect, EntryEvent, EntryReducer, IncomingRequest, RequestId};
@@ -23,6 +24,7 @@
 
 use crate::agent_clocks::AgentClocks;
 use crate::attempt::RequestIo;
+use crate::body_memory::BodyMemory;
 use crate::callers::CallerHandler;
 use crate::config::EntryConfig;
 use crate::context::EntryContext;
@@ -305,6 +307,7 @@
         agent_clocks: AgentClocks::default(),
         access: config.access.clone(),
         callers: config.callers.clone(),
+        body_memory: BodyMemory::open(BodyBudget::of_memory(config.process.memory)),
         edits: config.edits.clone(),
         metrics: metrics::open("mustardrill.entry", config.metrics)?,
         halt,
--- a/mustardrill_entry/src/attempt.rs
+++ b/mustardrill_entry/src/attempt.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use tonic::Status;
 
+use crate::body_memory::BodyReservation;
 use crate::context::EntryContext;
 
 /// Parts of an answer that are buffered for a slow caller.
@@ -42,6 +43,8 @@
     pub(crate) path: Box<str>,
     pub(crate) headers: Vec<proto::Header>,
     pub(crate) body: Bytes,
+    /// Held for as long as the body is.
+    pub(crate) _body_reservation: BodyReservation,
     pub(crate) is_idempotent: bool,
     pub(crate) deadline: Moment,
     pub(crate) parts: mpsc::Sender<CallerPart>,
--- a/mustardrill_entry/src/callers.rs
+++ b/mustardrill_entry/src/callers.rs
@@ -8,7 +8,7 @@
 use cadence::{Counted, Timed};
 use futures_util::future::BoxFuture;
 use futures_util::stream;
-use http_body_util::{BodyExt, Limited, StreamBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
@@ -26,6 +26,7 @@
 
 use crate::actor::{EntryActor, Event, StartRequest};
 use crate::attempt::{CallerPart, PART_BUFFER, RequestIo};
+use crate::body_memory::BodyError;
 use crate::context::EntryContext;
 
 /// Response header with the result code of every answer.
@@ -44,6 +45,9 @@
 /// Response header with the time after which to retry in milliseconds, finer than `Retry-After`.
 const RETRY_AFTER_MS_HEADER: &str = "mustardrill-retry-after-ms";
 
+/// When a caller may retry for whose body there was no memory: some requests have ended by then.
+const BODY_RETRY: Millis = Millis(500);
+
 /// Answers callers' requests and health checks.
 pub(crate) struct CallerHandler {
     service: Arc<CallerService>,
@@ -59,6 +63,7 @@
 struct Refusal {
     code: ResultCode,
     message: Box<str>,
+    retry_after: Millis,
 }
 
 /// The parameters of a request, read from its head.
@@ -98,7 +103,7 @@
                 Ok(response) => response,
                 Err(refusal) => {
                     let _ = service.context.metrics.count("requests", 1);
-                    rejection_response(refusal.code, &refusal.message, Millis(0))
+                    rejection_response(refusal.code, &refusal.message, refusal.retry_after)
                 }
             }
         })
@@ -110,11 +115,10 @@
         let arrived = self.context.clock.now();
         let (head, body) = request.into_parts();
         let call = self.read_call(arrived, &head.uri, &head.headers)?;
-        let limit = self.context.callers.body_limit.0 as usize;
-        let body = Limited::new(body, limit).collect().await.map_err(|_| {
-            refusal(ResultCode::BadRequest, format!("the body was cut or is above {limit} bytes"))
-        })?;
-        let body = body.to_bytes();
+        let remaining = call.deadline.since(arrived);
+        let limit = self.context.callers.body_limit;
+        let read = self.context.body_memory.read(body, limit, remaining).await;
+        let (body, reservation) = read.map_err(|error| body_refusal(&error))?;
         let affinity = self.affinity(&call, &head.headers, &body);
         let digest = RequestDigest::of(&[
             call.customer.as_str().as_bytes(),
@@ -130,6 +134,7 @@
             path: call.path,
             headers: forwarded_headers(&head.headers),
             body,
+            _body_reservation: reservation,
             is_idempotent: call.key.is_none(),
             deadline: call.deadline,
             parts: sender,
@@ -331,5 +336,14 @@
 }
 
 fn refusal(code: ResultCode, message: impl Into<Box<str>>) -> Refusal {
-    Refusal { code, message: message.into() }
+    Refusal { code, message: message.into(), retry_after: Millis(0) }
+}
+
+fn body_refusal(error: &BodyError) -> Refusal {
+    let (code, retry_after) = match error {
+        BodyError::NoMemory => (ResultCode::Overloaded, BODY_RETRY),
+        BodyError::TooSlow(_) => (ResultCode::DeadlinePassed, Millis(0)),
+        BodyError::Invalid(_) => (ResultCode::BadRequest, Millis(0)),
+    };
+    Refusal { code, message: error.to_string().into(), retry_after }
 }
--- a/mustardrill_entry/src/context.rs
+++ b/mustardrill_entry/src/context.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::agent_clocks::AgentClocks;
+use crate::body_memory::BodyMemory;
 use crate::config::{AccessConfig, CallerConfig, EditConfig};
 
 /// The key of the catalogue in the platform's key-value service.
@@ -26,6 +27,7 @@
     pub(crate) agent_clocks: AgentClocks,
     pub(crate) access: AccessConfig,
     pub(crate) callers: CallerConfig,
+    pub(crate) body_memory: BodyMemory,
     pub(crate) edits: EditConfig,
     pub(crate) metrics: StatsdClient,
     pub(crate) halt: CancellationToken,
