Callers that read slowly no longer hold up those of the own interface

What callers saw: an entry of the own interface ended, out of memory, and requests to an agent got no answer, when clients read long answers slowly.

Cause: an attempt waited for its caller with its gRPC stream unread. All attempts at an agent share one connection, whose window two unread answers filled, so that the others, and heartbeats, waited for the slowest caller. What the callers' connections had not sent was not counted.

Evidence: 40 clients read 4 kB of answers of 3.9 MB, on machines of 96 MB. That requests hang by the window is read from the code; the test fails by its memory bound first.

It waits only where none is left, until the connection that has held an answer longest unread, over a second, is closed.

--- a/mustardrill_entry/src/attempt.rs
+++ b/mustardrill_entry/src/attempt.rs
@@ -1,7 +1,6 @@
 //! Runs one attempt: sends a request to an agent and forwards the answer to the caller.
 
 use std::error::Error;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -11,17 +10,15 @@
 use mustardrill_core::refusal::AttemptRefusal;
 use mustardrill_proto as proto;
 use mustardrill_proto::execute_frame::Part;
+use mustardrill_runtime::client_connections::ClientConnection;
 use mustardrill_runtime::wire::{attempt_bytes, digest_bytes, digest_of};
-use mustardrill_types::{Millis, Moment, ResultCode, StartStamp};
+use mustardrill_types::{ByteSize, Millis, Moment, ResultCode, StartStamp};
 use tokio::sync::mpsc;
 use tonic::Status;
 
 use crate::body_memory::BodyReservation;
 use crate::context::EntryContext;
 
-/// Parts of an answer that are buffered for a slow caller.
-pub(crate) const PART_BUFFER: usize = 16;
-
 /// One part of the answer to a caller.
 #[derive(Debug)]
 pub(crate) enum CallerPart {
@@ -45,9 +42,13 @@
     pub(crate) body: Bytes,
     /// Held for as long as the body is.
     pub(crate) _body_reservation: BodyReservation,
+    /// The caller's connection, for which the memory of the answer is reserved.
+    pub(crate) client: ClientConnection,
     pub(crate) is_idempotent: bool,
     pub(crate) deadline: Moment,
-    pub(crate) parts: mpsc::Sender<CallerPart>,
+    /// Parts for the caller, whose bytes are in reserved memory. They don't wait for a slow caller
+    /// here: its attempt would hold up all others on the same connection to the agent.
+    pub(crate) parts: mpsc::UnboundedSender<CallerPart>,
     /// Bytes of the answer's body sent to the caller.
     pub(crate) delivered: AtomicU64,
 }
@@ -56,13 +57,10 @@
 struct AttemptFailure(AttemptEnd);
 
 impl RequestIo {
-    /// Answers the caller that there is no answer, in a task of its own.
-    pub(crate) fn reject(self: Arc<Self>, code: ResultCode, retry_after: Millis) {
-        // The buffer of a slow caller may be full: this task waits for it, so that the actor does
-        // not.
-        tokio::spawn(async move {
-            let _ = self.parts.send(CallerPart::Reject(code, retry_after)).await;
-        });
+    /// Answers the caller that there is no answer.
+    pub(crate) fn reject(&self, code: ResultCode, retry_after: Millis) {
+        // A send fails if the caller is gone, which `CallerGuard` reports to the reducer.
+        let _ = self.parts.send(CallerPart::Reject(code, retry_after));
     }
 
     pub(crate) fn delivered(&self) -> u64 {
@@ -111,9 +109,10 @@
             Some(Part::Head(found)) => head = Some(found),
             Some(Part::Data(data)) => {
                 hasher.update(&data);
-                deliver_head(io, head.take()).await?;
+                deliver_head(io, head.take())?;
                 let length = data.len() as u64;
-                deliver(io, CallerPart::Data(data)).await?;
+                let data = reserve(io, data).await?;
+                deliver(io, CallerPart::Data(data))?;
                 io.delivered.fetch_add(length, Ordering::AcqRel);
             }
             Some(Part::End(end)) => {
@@ -122,8 +121,8 @@
                 if !is_whole {
                     return Err(AttemptFailure(AttemptEnd::Lost));
                 }
-                deliver_head(io, head.take()).await?;
-                deliver(io, CallerPart::End).await?;
+                deliver_head(io, head.take())?;
+                deliver(io, CallerPart::End)?;
                 read_stream_end(&mut frames).await;
                 return Ok(());
             }
@@ -151,19 +150,27 @@
 
 /// Sends the head of an answer. It goes out only with the first bytes, so that another upstream may
 /// answer until then. The head of a resumed answer was sent by the first attempt.
-async fn deliver_head(
-    io: &RequestIo,
-    head: Option<proto::ExecuteHead>,
-) -> Result<(), AttemptFailure> {
+fn deliver_head(io: &RequestIo, head: Option<proto::ExecuteHead>) -> Result<(), AttemptFailure> {
     match head {
-        Some(head) if io.delivered() == 0 => deliver(io, CallerPart::Head(head)).await,
+        Some(head) if io.delivered() == 0 => deliver(io, CallerPart::Head(head)),
         _ => Ok(()),
     }
 }
 
-async fn deliver(io: &RequestIo, part: CallerPart) -> Result<(), AttemptFailure> {
+/// Moves bytes of the answer into memory that is reserved for the caller's connection.
+async fn reserve(io: &RequestIo, data: Bytes) -> Result<Bytes, AttemptFailure> {
+    let reservation = io.client.reserve_answer(ByteSize(data.len() as u64)).await;
+    let reservation = reservation.map_err(|error| {
+        log::warn!("request path={} outcome=cut reason=\"{error}\"", io.path);
+        AttemptFailure(AttemptEnd::Lost)
+    })?;
+    // A part that shares its memory with others would hold all of it.
+    Ok(reservation.attach(Bytes::copy_from_slice(&data)))
+}
+
+fn deliver(io: &RequestIo, part: CallerPart) -> Result<(), AttemptFailure> {
     // A send fails if the caller is gone, which `CallerGuard` reports to the reducer.
-    io.parts.send(part).await.map_err(|_| AttemptFailure(AttemptEnd::Lost))
+    io.parts.send(part).map_err(|_| AttemptFailure(AttemptEnd::Lost))
 }
 
 fn execute_request(
--- a/mustardrill_entry/src/callers.rs
+++ b/mustardrill_entry/src/callers.rs
@@ -15,6 +15,7 @@
 use kameo::prelude::*;
 use mustardrill_core::entry::{EntryEvent, IncomingRequest, RequestId};
 use mustardrill_proto as proto;
+use mustardrill_runtime::client_connections::ClientConnection;
 use mustardrill_runtime::headers;
 use mustardrill_runtime::http::{
     AnyBody, AnyResponse, HttpHandler, TruncatedBodyError, json_response, text_response,
@@ -25,7 +26,7 @@
 use tokio::sync::mpsc;
 
 use crate::actor::{EntryActor, Event, StartRequest};
-use crate::attempt::{CallerPart, PART_BUFFER, RequestIo};
+use crate::attempt::{CallerPart, RequestIo};
 use crate::body_memory::BodyError;
 use crate::context::EntryContext;
 
@@ -113,6 +114,8 @@
 impl CallerService {
     async fn answer(&self, request: Request<Incoming>) -> Result<AnyResponse, Refusal> {
         let arrived = self.context.clock.now();
+        let client = request.extensions().get::<ClientConnection>().cloned();
+        let client = client.expect("the server names the connection of each request");
         let (head, body) = request.into_parts();
         let call = self.read_call(arrived, &head.uri, &head.headers)?;
         let remaining = call.deadline.since(arrived);
@@ -126,7 +129,7 @@
             head.uri.path_and_query().map_or("", |path| path.as_str()).as_bytes(),
             &body,
         ]);
-        let (sender, parts) = mpsc::channel(PART_BUFFER);
+        let (sender, parts) = mpsc::unbounded_channel();
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
         let io = RequestIo {
             model: if call.is_model { call.target.as_str().into() } else { "".into() },
@@ -135,6 +138,7 @@
             headers: forwarded_headers(&head.headers),
             body,
             _body_reservation: reservation,
+            client,
             is_idempotent: call.key.is_none(),
             deadline: call.deadline,
             parts: sender,
@@ -211,7 +215,10 @@
     headers.get(AUTHORIZATION)?.to_str().ok()?.strip_prefix("Bearer ")
 }
 
-async fn respond(mut parts: mpsc::Receiver<CallerPart>, mut guard: CallerGuard) -> AnyResponse {
+async fn respond(
+    mut parts: mpsc::UnboundedReceiver<CallerPart>,
+    mut guard: CallerGuard,
+) -> AnyResponse {
     match parts.recv().await {
         Some(CallerPart::Head(head)) => {
             let mut response = Response::new(streamed_body(parts, guard));
@@ -242,7 +249,7 @@
 
 /// Streams the answer as it arrives. An answer that is cut ends with an error, which the caller's
 /// HTTP library reports.
-fn streamed_body(parts: mpsc::Receiver<CallerPart>, guard: CallerGuard) -> AnyBody {
+fn streamed_body(parts: mpsc::UnboundedReceiver<CallerPart>, guard: CallerGuard) -> AnyBody {
     let frames = stream::unfold(Some((parts, guard)), |state| async move {
         let (mut parts, mut guard) = state?;
         match parts.recv().await {
