Datagrams with made-up senders no longer fill an entry's memory

What callers saw: an entry on the prepared platform ended, out of memory, when its peer port got datagrams without end, each with another sender.

Cause: an entry kept the load that each sender reported, at whatever upstreams it named, for 1.5 s, and counted each sender as an entry for 10 s. Datagrams were also read without waiting for the reducer, whose queue has no bound.

Evidence: 200,000 datagrams of 70 rows, each from another sender, to an entry of 64 MB.

The next datagram is read when the last one has been handled, in agents too; the kernel drops what comes faster.

Not bounded yet, by reading: the records of proven loads that datagrams name for addresses of no engine.

--- a/mustardrill_agent/src/provisioning/peers.rs
+++ b/mustardrill_agent/src/provisioning/peers.rs
@@ -139,7 +139,8 @@
         match context.socket.recv_from(&mut buffer).await {
             Ok((length, _)) => {
                 if let Some(event) = Datagram::read(&buffer[..length]).and_then(event_of) {
-                    let _ = actor.tell(Event(event)).await;
+                    // Waits until it is handled: the kernel drops what comes faster.
+                    let _ = actor.ask(Event(event)).await;
                 }
             }
             Err(error) => {
--- a/mustardrill_core/src/direct/fleet/entry_counter.rs
+++ b/mustardrill_core/src/direct/fleet/entry_counter.rs
@@ -9,6 +9,10 @@
 
 use crate::direct::fleet::update::PeerRecord;
 
+/// The most entries that are told apart by their messages alone: a fleet has fewer, but a message may
+/// name any sender.
+const MAX_SENDERS: usize = 1_024;
+
 /// Time of the last sign of life of each peer entry.
 #[derive(Debug, Default)]
 pub(crate) struct EntryCounter {
@@ -16,6 +20,23 @@
 }
 
 impl EntryCounter {
+    /// Records a message; returns `false` where its sender is neither known nor `registered` and there
+    /// are too many others.
+    pub(crate) fn record_message(
+        &mut self,
+        now: Moment,
+        id: &InstanceId,
+        registered: &[PeerRecord],
+    ) -> bool {
+        let is_known = self.last_seen.len() < MAX_SENDERS
+            || self.last_seen.contains_key(id)
+            || registered.iter().any(|peer| peer.id == *id);
+        if is_known {
+            self.record_activity(now, id);
+        }
+        is_known
+    }
+
     /// Records a sign of life: a message from the peer, or the end of its registration.
     pub(crate) fn record_activity(&mut self, now: Moment, id: &InstanceId) {
         match self.last_seen.get_mut(id) {
--- a/mustardrill_core/src/direct/intake/statements.rs
+++ b/mustardrill_core/src/direct/intake/statements.rs
@@ -58,7 +58,9 @@
         from: &InstanceId,
         reports: &[IntakeReport],
     ) -> Vec<DirectEffect> {
-        self.entry_counter.record_activity(now, from);
+        if !self.entry_counter.record_message(now, from, &self.peers) {
+            return Vec::new();
+        }
         let mut has_changed = false;
         for report in reports {
             let start = UpstreamStart { id: report.upstream.clone(), start: report.start };
--- a/mustardrill_core/src/direct/placement/choice.rs
+++ b/mustardrill_core/src/direct/placement/choice.rs
@@ -106,6 +106,8 @@
     /// Records a peer entry's load, and notes which full upstreams have capacity again because of
     /// it.
     pub(in crate::direct) fn record_peer_load(&mut self, now: Moment, mut load: PeerLoad) {
+        // The next snapshot brings the load of an upstream that is not known yet.
+        load.update.rows.retain(|(id, _)| self.upstreams.get(id).is_some());
         let reported_ids: Vec<_> = load.update.rows.iter().map(|(id, _)| id.clone()).collect();
         let full_before: Vec<_> =
             reported_ids.into_iter().filter(|id| !self.has_capacity(now, id)).collect();
--- a/mustardrill_core/src/direct/reducer.rs
+++ b/mustardrill_core/src/direct/reducer.rs
@@ -222,7 +222,9 @@
             }
             DirectEvent::StoreFailed => self.record_store_failure(now),
             DirectEvent::PeerLoadReceived(load) => {
-                self.entry_counter.record_activity(now, &load.from);
+                if !self.entry_counter.record_message(now, &load.from, &self.peers) {
+                    return Vec::new();
+                }
                 self.record_peer_load(now, load);
                 self.dispatch_all_waiting(now)
             }
--- a/mustardrill_entry/src/direct/gossip.rs
+++ b/mustardrill_entry/src/direct/gossip.rs
@@ -88,7 +88,8 @@
             continue;
         }
         for event in events_of(now, datagram) {
-            let _ = actor.tell(Event(event)).await;
+            // Waits until it is handled: the kernel drops what comes faster.
+            let _ = actor.ask(Event(event)).await;
         }
     }
 }
--- a/mustardrill_standins/tests/clients/prepared.rs
+++ b/mustardrill_standins/tests/clients/prepared.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use mustardrill_runtime::datagram::{Datagram, LoadRow};
 use mustardrill_standins::process::{LabProcess, daemon};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::crowd::{
     ENDLESS_HEADS, EndlessInput, connect, ordinary_status, request_slowly, send_endless,
@@ -299,3 +300,23 @@
     machines.wait_until_served("/notices/x").await;
     machines.check(input.name, &meter);
 }
+
+/// An entry kept the load that each sender of a datagram reported, whether it is a peer or not.
+#[tokio::test(flavor = "multi_thread")]
+async fn datagrams_of_many_senders_take_more_than_the_memory_of_an_entry() {
+    let _run = exclusive_run().await;
+    let mut machines = SmallMachines::start(BOUNDS).await;
+    let meter = ProcessMeter::open(&machines.entry);
+    let socket = UdpSocket::bind((machines.fleet.network.machine_ip(6), 0)).await.unwrap();
+    for sender in 0..SENDERS * 1_000 {
+        let mut datagram = Datagram::new(&format!("entry-{sender}").parse().unwrap());
+        let row = |row| LoadRow { upstream: format!("i-{sender}-{row}"), ..LoadRow::default() };
+        datagram.loads = (0..70).map(row).collect();
+        let _ = socket.send_to(&datagram.to_bytes(), machines.entry_peers).await;
+        if sender % 50 == 0 {
+            tokio::task::yield_now().await;
+        }
+    }
+    machines.wait_until_served("/notices/x").await;
+    machines.check("datagrams", &meter);
+}
