Large requests no longer fill the memory of an agent

What callers saw: an agent of the own interface could end, out of memory, when several entries sent it large requests at once: each message may have 80 MB and was read whole before anything decided on it.

Evidence: 40 clients each send a request of 3.9 MB to an agent of 96 MB.

Why it works: messages are read into reserved memory, a third of `memory_mb`, which an attempt holds until it ends. A request that finds no room is refused before its handler has seen it, with metadata that says so, and the entry answers 2011 or tries elsewhere; any other failed call still counts as one that may have run. At the default of 1,024 MB the 40 requests that an agent takes at a time fit at their limit of 4 MB.

--- a/mustardrill_agent/src/actor.rs
+++ b/mustardrill_agent/src/actor.rs
@@ -10,6 +10,7 @@
 use mustardrill_core::agent::{AgentEffect, AgentEvent, AgentReducer, WeightsProgress};
 use mustardrill_core::claim::{ClaimEffect, ClaimOutcome};
 use mustardrill_core::demand::DemandRow;
+use mustardrill_core::direct::BodyBudget;
 use mustardrill_core::document::{CatalogueDocument, RequestClass};
 use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_core::ownership::LeaseId;
@@ -294,7 +295,8 @@
     let state = AgentActor { reducer, context: context.clone(), pending_verdicts, pending_claims };
     let actor = AgentActor::spawn_with_mailbox(state, mailbox::unbounded());
     let _ = actor_cell.set(actor.clone());
-    server::spawn(listener, clients, actor.clone(), context.clone());
+    let budget = BodyBudget::of_memory(config.process.memory);
+    server::spawn(listener, clients, budget, actor.clone(), context.clone());
     let ticked_actor = actor.clone();
     spawn_ticks(config.tick_interval, halt.clone(), move || {
         let actor = ticked_actor.clone();
--- a/mustardrill_agent/src/execute.rs
+++ b/mustardrill_agent/src/execute.rs
@@ -22,6 +22,7 @@
 
 use crate::actor::{AdmissionVerdict, Admit, AgentActor, Event};
 use crate::context::AgentContext;
+use crate::message_memory::MessageReservation;
 use crate::upstream::{EXPECTED_WEIGHTS_HEADER, PRIORITY_HEADER, RESUME_HEADER, WEIGHTS_HEADER};
 
 /// How many frames are buffered for a slow entry; then the answer is read no further.
@@ -34,14 +35,17 @@
 /// Frames of one attempt's answer.
 type FrameSender = mpsc::Sender<Result<proto::ExecuteFrame, Status>>;
 
-/// Starts an attempt and returns the receiver of its frames.
+/// Starts an attempt and returns the receiver of its frames. The memory of its request is released
+/// when it ends.
 pub(crate) fn spawn(
     actor: ActorRef<AgentActor>,
     context: Arc<AgentContext>,
     request: proto::ExecuteRequest,
+    reservation: Option<Arc<MessageReservation>>,
 ) -> mpsc::Receiver<Result<proto::ExecuteFrame, Status>> {
     let (sender, receiver) = mpsc::channel(FRAME_BUFFER);
     tokio::spawn(async move {
+        let _reservation = reservation;
         let Some(attempt) = attempt_of(&request.attempt) else {
             let _ = sender.send(Err(Status::invalid_argument("attempt"))).await;
             return;
--- a/mustardrill_agent/src/lib.rs
+++ b/mustardrill_agent/src/lib.rs
@@ -10,6 +10,7 @@
 mod execute;
 mod incarnation;
 mod link;
+mod message_memory;
 mod server;
 mod status;
 mod store;
--- a/mustardrill_agent/src/server.rs
+++ b/mustardrill_agent/src/server.rs
@@ -8,6 +8,7 @@
 use mustardrill_core::agent::AgentEvent;
 use mustardrill_core::claim::ClaimOutcome;
 use mustardrill_core::demand::DemandRow;
+use mustardrill_core::direct::BodyBudget;
 use mustardrill_core::document::CatalogueDocument;
 use mustardrill_core::manifest::ChunkBitmap;
 use mustardrill_proto as proto;
@@ -32,6 +33,7 @@
 };
 use crate::context::AgentContext;
 use crate::execute;
+use crate::message_memory::{BudgetedService, MessageMemory, MessageReservation};
 
 /// The number of calls that a client may give up before the agent has accepted them.
 ///
@@ -43,13 +45,16 @@
 pub(crate) fn spawn(
     listener: TcpListener,
     clients: ClientConnections,
+    budget: BodyBudget,
     actor: ActorRef<AgentActor>,
     context: Arc<AgentContext>,
 ) {
     let halt = context.halt.clone();
+    let memory = MessageMemory::open(budget);
     let service = AgentServer::new(AgentService { actor, context })
         .max_decoding_message_size(MESSAGE_LIMIT)
         .max_encoding_message_size(MESSAGE_LIMIT);
+    let service = BudgetedService::new(service, memory);
     let server = tonic::transport::Server::builder()
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(STREAM_WINDOW * 2)
@@ -152,7 +157,9 @@
         &self,
         request: Request<proto::ExecuteRequest>,
     ) -> Result<Response<Self::ExecuteStream>, Status> {
-        let frames = execute::spawn(self.actor.clone(), self.context.clone(), request.into_inner());
+        let reservation = request.extensions().get::<Arc<MessageReservation>>().cloned();
+        let (actor, context) = (self.actor.clone(), self.context.clone());
+        let frames = execute::spawn(actor, context, request.into_inner(), reservation);
         Ok(Response::new(ReceiverStream::new(frames)))
     }
 
--- a/mustardrill_entry/src/attempt.rs
+++ b/mustardrill_entry/src/attempt.rs
@@ -10,6 +10,7 @@
 use mustardrill_core::refusal::AttemptRefusal;
 use mustardrill_proto as proto;
 use mustardrill_proto::execute_frame::Part;
+use mustardrill_runtime::agents::NOT_RUN_METADATA;
 use mustardrill_runtime::client_connections::ClientConnection;
 use mustardrill_runtime::wire::{attempt_bytes, digest_bytes, digest_of};
 use mustardrill_types::{ByteSize, Millis, Moment, ResultCode, StartStamp};
@@ -19,6 +20,9 @@
 use crate::body_memory::BodyReservation;
 use crate::context::EntryContext;
 
+/// When to retry a request for which its agent had no memory: some requests have ended by then.
+const MEMORY_RETRY: Millis = Millis(500);
+
 /// One part of the answer to a caller.
 #[derive(Debug)]
 pub(crate) enum CallerPart {
@@ -213,8 +217,13 @@
     }
 }
 
-/// Classifies a failed call. Only a connect error proves that nothing was sent.
+/// Classifies a failed call. Only a connect error proves that nothing was sent, and only the agent's
+/// word that nothing was run.
 fn end_of_status(status: &Status) -> AttemptEnd {
+    if status.metadata().contains_key(NOT_RUN_METADATA) {
+        let refusal = AttemptRefusal::new(ResultCode::Overloaded, MEMORY_RETRY);
+        return AttemptEnd::Refused(refusal);
+    }
     let mut source = status.source();
     while let Some(error) = source {
         if error.is::<tonic::ConnectError>() {
--- a/mustardrill_runtime/src/agents.rs
+++ b/mustardrill_runtime/src/agents.rs
@@ -13,6 +13,9 @@
 /// HTTP/2 flow-control window of a stream in bytes, large enough for a typical chunk.
 pub const STREAM_WINDOW: u32 = 4 << 20;
 
+/// Metadata with which an agent refuses a request that it has not read, and so has not run.
+pub const NOT_RUN_METADATA: &str = "mustardrill-not-run";
+
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Channels to agents by address, shared by all calls to the same agent.
--- a/mustardrill_standins/tests/clients/own.rs
+++ b/mustardrill_standins/tests/clients/own.rs
@@ -3,6 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::future::join_all;
+use mustardrill_proto::ExecuteRequest;
+use mustardrill_runtime::agents::AgentPool;
 use mustardrill_standins::lab::{CUSTOMER_TOKEN, Lab, LabOptions};
 use mustardrill_standins::process::LabProcess;
 
@@ -131,3 +135,31 @@
         meter.check("long answers", BOUNDS);
     }
 }
+
+/// Requests of many entries at once, each with a body within the limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_requests_of_entries_take_more_than_the_memory_of_an_agent() {
+    let _run = exclusive_run().await;
+    let lab = start_lab().await;
+    let agent = &lab.plain[0].agent;
+    let meter = ProcessMeter::open(agent);
+    let body = Bytes::from(vec![b'x'; LARGE_BYTES]);
+    let calls = (0..LARGE).map(async |number| {
+        let mut client = AgentPool::default().client(&agent.address.to_string()).unwrap();
+        let request = ExecuteRequest {
+            attempt: Bytes::copy_from_slice(&[number as u8; 16]),
+            remaining_ms: 5_000,
+            method: "POST".into(),
+            path: "/file".into(),
+            body: body.clone(),
+            ..ExecuteRequest::default()
+        };
+        // The answer stays unread.
+        let answer = client.execute(request).await;
+        wait_for_reading().await;
+        drop(answer);
+    });
+    join_all(calls).await;
+    wait_until_served(&lab).await;
+    meter.check("large requests", BOUNDS);
+}
