--- a/mustardrill_entry/src/body_memory.rs
+++ b/mustardrill_entry/src/body_memory.rs
@@ -40,7 +40,7 @@
     }
 
     /// Reserves room for a body; `None` where there is too little.
-    pub(crate) fn reserve(&self, size: ByteSize) -> Option<BodyReservation> {
+    fn reserve(&self, size: ByteSize) -> Option<BodyReservation> {
         let is_reserved = self.0.lock().expect("no lock holder panics").reserve(size);
         is_reserved.then(|| BodyReservation { memory: self.clone(), size })
     }
@@ -72,7 +72,7 @@
 
 impl BodyReservation {
     /// Releases what a body that has been read does not need, as its length was not stated.
-    pub(crate) fn shrink_to(&mut self, size: ByteSize) {
+    fn shrink_to(&mut self, size: ByteSize) {
         let unused = ByteSize(self.size.0.saturating_sub(size.0));
         self.memory.release(unused);
         self.size = ByteSize(self.size.0 - unused.0);
