Body refusals, requests' connections and waits for memory: once, and simpler

Read again after the landing; behaviour is as it was. - Both interfaces mapped the errors of a body to refusals with the same code and the same wait: `BodyError::refusal` is one place. - Both took the connection out of a request's extensions: `ClientConnection::of`. - A wait for a release needs no pinned and enabled future: one that has been made gets `notify_waiters`, as tokio documents.

--- a/mustardrill_core/src/direct/fleet/entry_counter.rs
+++ b/mustardrill_core/src/direct/fleet/entry_counter.rs
@@ -28,13 +28,13 @@
         id: &InstanceId,
         registered: &[PeerRecord],
     ) -> bool {
-        let is_known = self.last_seen.len() < MAX_SENDERS
+        let is_accepted = self.last_seen.len() < MAX_SENDERS
             || self.last_seen.contains_key(id)
             || registered.iter().any(|peer| peer.id == *id);
-        if is_known {
+        if is_accepted {
             self.record_activity(now, id);
         }
-        is_known
+        is_accepted
     }
 
     /// Records a sign of life: a message from the peer, or the end of its registration.
--- a/mustardrill_entry/src/body_memory.rs
+++ b/mustardrill_entry/src/body_memory.rs
@@ -6,8 +6,11 @@
 use derive_more::Display;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use mustardrill_core::direct::BodyBudget;
-use mustardrill_types::{ByteSize, Millis};
+use mustardrill_core::direct::{BodyBudget, RefusalPlan};
+use mustardrill_types::{ByteSize, Millis, ResultCode};
+
+/// When a caller may retry for whose body there was no memory: some requests have ended by then.
+const BODY_RETRY: Millis = Millis(500);
 
 /// The shared budget.
 #[derive(Debug, Clone)]
@@ -34,6 +37,18 @@
     Invalid(ByteSize),
 }
 
+impl BodyError {
+    /// The refusal of a request whose body was not read; it has not run.
+    pub(crate) fn refusal(&self) -> RefusalPlan {
+        let (code, retry_after) = match self {
+            Self::NoMemory => (ResultCode::Overloaded, BODY_RETRY),
+            Self::TooSlow(_) => (ResultCode::DeadlinePassed, Millis(0)),
+            Self::Invalid(_) => (ResultCode::BadRequest, Millis(0)),
+        };
+        RefusalPlan { code, retry_after }
+    }
+}
+
 impl BodyMemory {
     pub(crate) fn open(budget: BodyBudget) -> Self {
         Self(Arc::new(Mutex::new(budget)))
--- a/mustardrill_entry/src/callers.rs
+++ b/mustardrill_entry/src/callers.rs
@@ -13,6 +13,7 @@
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use kameo::prelude::*;
+use mustardrill_core::direct::RefusalPlan;
 use mustardrill_core::entry::{EntryEvent, IncomingRequest, RequestId};
 use mustardrill_proto as proto;
 use mustardrill_runtime::client_connections::ClientConnection;
@@ -46,9 +47,6 @@
 /// Response header with the time after which to retry in milliseconds, finer than `Retry-After`.
 const RETRY_AFTER_MS_HEADER: &str = "mustardrill-retry-after-ms";
 
-/// When a caller may retry for whose body there was no memory: some requests have ended by then.
-const BODY_RETRY: Millis = Millis(500);
-
 /// Answers callers' requests and health checks.
 pub(crate) struct CallerHandler {
     service: Arc<CallerService>,
@@ -114,8 +112,7 @@
 impl CallerService {
     async fn answer(&self, request: Request<Incoming>) -> Result<AnyResponse, Refusal> {
         let arrived = self.context.clock.now();
-        let client = request.extensions().get::<ClientConnection>().cloned();
-        let client = client.expect("the server names the connection of each request");
+        let client = ClientConnection::of(&request);
         let (head, body) = request.into_parts();
         let call = self.read_call(arrived, &head.uri, &head.headers)?;
         let remaining = call.deadline.since(arrived);
@@ -347,10 +344,6 @@
 }
 
 fn body_refusal(error: &BodyError) -> Refusal {
-    let (code, retry_after) = match error {
-        BodyError::NoMemory => (ResultCode::Overloaded, BODY_RETRY),
-        BodyError::TooSlow(_) => (ResultCode::DeadlinePassed, Millis(0)),
-        BodyError::Invalid(_) => (ResultCode::BadRequest, Millis(0)),
-    };
+    let RefusalPlan { code, retry_after } = error.refusal();
     Refusal { code, message: error.to_string().into(), retry_after }
 }
--- a/mustardrill_entry/src/direct/caller_policy.rs
+++ b/mustardrill_entry/src/direct/caller_policy.rs
@@ -33,8 +33,8 @@
     }
 }
 
-/// A connection may live on when a configuration allows more, so that the usual limits of a listener
-/// are the least.
+/// The limits of a configuration, but no less than those of other listeners: a connection keeps its
+/// limits when a newer configuration allows more.
 fn listener_limits(limits: &CallerLimits) -> ListenerLimits {
     let least = ListenerLimits::default();
     let head = ByteSize(limits.max_header.0.saturating_add(REQUEST_LINE.0));
--- a/mustardrill_entry/src/direct/callers.rs
+++ b/mustardrill_entry/src/direct/callers.rs
@@ -16,16 +16,13 @@
 use mustardrill_types::{Millis, PartSet, RequestDigest, ResultCode};
 use tokio::sync::mpsc;
 
-use crate::body_memory::{BodyError, BodyReservation};
+use crate::body_memory::BodyReservation;
 use crate::direct::actor::{DirectActor, DirectContext, LimitsQuery, ReadyQuery};
 use crate::direct::answer::{PART_BUFFER, refusal_response, respond};
 use crate::direct::answer_sink::AnswerSink;
 use crate::direct::connections::UsedConnections;
 use crate::direct::request_task::RequestTask;
 
-/// When a caller may retry for whose body there was no memory: some requests have ended by then.
-const BODY_RETRY: Millis = Millis(500);
-
 /// Answers callers' requests and the load balancer's readiness probes.
 #[derive(Clone)]
 pub(crate) struct CallerHandler {
@@ -46,8 +43,7 @@
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             return text_response(status, "");
         }
-        let client = request.extensions().get::<ClientConnection>().cloned();
-        let client = client.expect("the server names the connection of each request");
+        let client = ClientConnection::of(&request);
         let arrived = self.context.clock.now();
         let number = RequestNumber(self.next_number.fetch_add(1, Ordering::Relaxed));
         let (head, body) = request.into_parts();
@@ -96,12 +92,7 @@
         let read = self.context.body_memory.read(body, limits.max_body, time_limit).await;
         read.map_err(|error| {
             log::info!("request={} decision=refuse reason=\"{error}\"", call.attempt_id);
-            let (code, retry_after) = match error {
-                BodyError::NoMemory => (ResultCode::Overloaded, BODY_RETRY),
-                BodyError::TooSlow(_) => (ResultCode::DeadlinePassed, Millis(0)),
-                BodyError::Invalid(_) => (ResultCode::BadRequest, Millis(0)),
-            };
-            RefusalPlan { code, retry_after }
+            error.refusal()
         })
     }
 
--- a/mustardrill_runtime/src/client_connections.rs
+++ b/mustardrill_runtime/src/client_connections.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use hyper::Request;
 use mustardrill_core::connections::{
     ConnectionLimits, ConnectionNumber, ConnectionTable, ListenerNumber, MemoryVerdict, OpenVerdict,
 };
@@ -85,19 +86,7 @@
         limits: ConnectionLimits,
         halt: CancellationToken,
     ) -> Self {
-        let table = ConnectionTable::new(limits);
-        let state = ConnectionState {
-            table,
-            closers: FastMap::default(),
-            listeners: 0,
-            closed: 0,
-            refused: 0,
-        };
-        let connections = Self(Arc::new(SharedConnections {
-            clock,
-            state: Mutex::new(state),
-            released: Notify::new(),
-        }));
+        let connections = Self::new(clock, limits);
         let expiring = connections.clone();
         tokio::spawn(halt.run_until_cancelled_owned(async move {
             loop {
@@ -111,11 +100,19 @@
 
     /// Opens the table of a process whose clients are trusted.
     pub fn unlimited() -> Self {
-        let clock = Box::new(ProcessClock::start());
-        // Without a limit nothing expires.
-        let halt = CancellationToken::new();
-        halt.cancel();
-        Self::open(clock, ConnectionLimits::UNLIMITED, halt)
+        Self::new(Box::new(ProcessClock::start()), ConnectionLimits::UNLIMITED)
+    }
+
+    fn new(clock: Box<dyn MonotonicClock>, limits: ConnectionLimits) -> Self {
+        let state = ConnectionState {
+            table: ConnectionTable::new(limits),
+            closers: FastMap::default(),
+            listeners: 0,
+            closed: 0,
+            refused: 0,
+        };
+        let (state, released) = (Mutex::new(state), Notify::new());
+        Self(Arc::new(SharedConnections { clock, state, released }))
     }
 
     /// Returns the number of a new listener, whose connections are admitted here.
@@ -129,10 +126,8 @@
     /// is to be closed.
     pub async fn admit(&self, listener: ListenerNumber) -> Option<AdmittedConnection> {
         loop {
-            // Enabled first, so that no release between the decision and the wait is missed.
+            // Made first, so that no release between the decision and the wait is missed.
             let released = self.0.released.notified();
-            tokio::pin!(released);
-            released.as_mut().enable();
             match self.0.decide_open(listener) {
                 OpenVerdict::Admit(number) => return Some(self.admitted(number)),
                 OpenVerdict::Refuse => {
@@ -217,6 +212,14 @@
 }
 
 impl ClientConnection {
+    /// The connection on which a server has received a request.
+    ///
+    /// Panics for a request of another origin.
+    pub fn of<B>(request: &Request<B>) -> Self {
+        let client = request.extensions().get::<Self>().cloned();
+        client.expect("the server names the connection of each request")
+    }
+
     /// Records that the head of a request is complete.
     pub fn begin_request(&self) {
         self.shared.lock().table.begin_request(self.number);
@@ -259,8 +262,6 @@
     ) -> Result<AnswerReservation, AnswerTooLargeError> {
         loop {
             let released = self.shared.released.notified();
-            tokio::pin!(released);
-            released.as_mut().enable();
             match self.decide_answer(size) {
                 MemoryVerdict::Reserved => {
                     return Ok(AnswerReservation { client: self.clone(), size });
