--- a/mustardrill_standins/tests/prepared/pages.rs
+++ b/mustardrill_standins/tests/prepared/pages.rs
@@ -1,11 +1,18 @@
 //! Lists of the store that are longer than one page, with items of other writers among them.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use assert_matches::assert_matches;
+use futures_util::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::{Request, StatusCode};
 use mustardrill_core::direct::{FleetChange, FleetUpdate};
 use mustardrill_platform::PlatformStore;
 use mustardrill_runtime::adapters::{FleetPart, FleetSource, StoreError};
-use mustardrill_runtime::http::HttpClient;
+use mustardrill_runtime::http::{AnyResponse, HttpClient, HttpHandler, text_response};
 use mustardrill_standins::StandIn;
 use mustardrill_standins::process::daemon;
 use serde_json::{Value, json};
@@ -120,6 +127,41 @@
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
+/// A store that answers every call with the same text.
+#[derive(Clone)]
+struct FixedAnswer {
+    text: String,
+    calls: Arc<AtomicUsize>,
+}
+
+impl HttpHandler for FixedAnswer {
+    fn handle(&self, _: Request<Incoming>, _: SocketAddr) -> BoxFuture<'static, AnyResponse> {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        let answer = text_response(StatusCode::OK, self.text.clone());
+        Box::pin(async move { answer })
+    }
+}
+
+/// Reads the upstreams from a store that always answers with this page; counts its calls.
+async fn read_fixed_page(page: &str) -> (Result<FleetUpdate, StoreError>, usize) {
+    let network = TestNetwork::open();
+    let store = FixedAnswer { text: page.into(), calls: Arc::default() };
+    let server = listen(network.machine_ip(1), Box::new(store.clone())).await;
+    let client = PlatformStore::open(HttpClient::open(Duration::from_secs(1)), server.address);
+    let reading = client.read_part(FleetPart::Upstreams);
+    let read_result = tokio::time::timeout(Duration::from_secs(2), reading).await;
+    (read_result.expect("the read ends"), store.calls.load(Ordering::SeqCst))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_repeats_a_page_is_called_without_end() {
+    let page =
+        r#"{"entries":[{"key":"servers/i-1","value":"","revision":2}],"has_more":true,"at":3}"#;
+    let (read_result, calls) = read_fixed_page(page).await;
+    assert_matches!(read_result, Err(StoreError::Unavailable { .. }));
+    assert_eq!(calls, 2);
+}
+
 /// Starts the entry and the agents again, all at once.
 fn restart_all(fleet: &mut Fleet) {
     let store = fleet.stand_ins[0].address;
