--- a/mustardrill_standins/tests/prepared/pages.rs
+++ b/mustardrill_standins/tests/prepared/pages.rs
@@ -162,6 +162,22 @@
     assert_eq!(calls, 2);
 }
 
+/// JSON spells such a key as a lone surrogate.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_is_no_unicode_text_makes_a_list_unreadable() {
+    // The value is {"service":"pool","address":"10.0.0.1:8080","zone":"hall-a","version":"v1",
+    // "slots":16,"state":"ready","cold_remaining_ms":0,"sequence":1}.
+    let value = "eyJzZXJ2aWNlIjoicG9vbCIsImFkZHJlc3MiOiIxMC4wLjAuMTo4MDgwIiwiem9uZSI6ImhhbGwtYSIs\
+                 InZlcnNpb24iOiJ2MSIsInNsb3RzIjoxNiwic3RhdGUiOiJyZWFkeSIsImNvbGRfcmVtYWluaW5nX21z\
+                 IjowLCJzZXF1ZW5jZSI6MX0=";
+    let page = format!(
+        r#"{{"entries":[{{"key":"servers/\udc41","value":"e30=","revision":2}},
+            {{"key":"servers/i-1","value":"{value}","revision":3}}],"has_more":false,"at":3}}"#
+    );
+    let (read_result, _) = read_fixed_page(&page).await;
+    assert_eq!(upstream_ids(&read_result.unwrap()), ["i-1"]);
+}
+
 /// Starts the entry and the agents again, all at once.
 fn restart_all(fleet: &mut Fleet) {
     let store = fleet.stand_ins[0].address;
