One odd row no longer makes the platform's instance list unreadable

Fix: rows are decoded one by one, and one that can't be is skipped with a log line. Names are checked when they are decoded from documents, as they are when they are read from text; before, a document could bring any text as a name.

--- a/mustardrill_runtime/src/platform.rs
+++ b/mustardrill_runtime/src/platform.rs
@@ -1,5 +1,6 @@
 //! Clients of the platform's key-value service and instance list, behind traits.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,7 +9,9 @@
 use mustardrill_core::membership::InstanceRecord;
 use mustardrill_core::ownership::LeaseId;
 use mustardrill_types::{InstanceId, Millis};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::http::{CallError, HttpClient, request};
 
@@ -113,6 +116,16 @@
     timeout: Duration,
 }
 
+/// The instance list with its rows undecoded.
+#[derive(Debug, Deserialize)]
+struct ListingRows<'a> {
+    #[serde(borrow)]
+    instances: Vec<&'a RawValue>,
+    entries: usize,
+    #[serde(borrow, default)]
+    entry_ids: Vec<&'a RawValue>,
+}
+
 #[derive(Serialize, Deserialize)]
 struct LeaseBody {
     lease: u64,
@@ -225,11 +238,39 @@
                 let reason = format!("status {}", answer.status).into();
                 return Err(CallError::NoAnswer { reason });
             }
-            serde_json::from_slice(&answer.body).map_err(|_| CallError::BadBody)
+            read_listing(&answer.body).map_err(|error| {
+                log::warn!("instances outcome=unreadable reason=\"{error}\"");
+                CallError::BadBody
+            })
         })
     }
 }
 
+/// Decodes the instance list. Rows that cannot be decoded are logged and skipped, so that they do
+/// not hide the others.
+fn read_listing(body: &[u8]) -> Result<InstanceListing, serde_json::Error> {
+    let text = String::from_utf8_lossy(body);
+    let rows: ListingRows<'_> = serde_json::from_str(&text)?;
+    let has_agent = |record: &InstanceRecord| {
+        let is_valid = record.agent.parse::<SocketAddr>().is_ok_and(|address| address.port() > 0);
+        if !is_valid {
+            let InstanceRecord { id, agent, .. } = record;
+            log::warn!("instances row={id} outcome=skipped agent={agent:?} expected=ip:port");
+        }
+        is_valid
+    };
+    Ok(InstanceListing {
+        instances: rows.instances.into_iter().filter_map(read_row).filter(has_agent).collect(),
+        entries: rows.entries,
+        entry_ids: rows.entry_ids.into_iter().filter_map(read_row).collect(),
+    })
+}
+
+fn read_row<T: DeserializeOwned>(row: &RawValue) -> Option<T> {
+    let decoded = serde_json::from_str(row.get());
+    decoded.inspect_err(|error| log::warn!("instances outcome=skipped reason=\"{error}\"")).ok()
+}
+
 fn revision_of(answer: &crate::http::BufferedResponse) -> Result<u64, KeyValueError> {
     let header = answer.headers.get(REVISION_HEADER).and_then(|value| value.to_str().ok());
     let revision = header.and_then(|text| text.parse().ok());
--- a/mustardrill_types/src/id.rs
+++ b/mustardrill_types/src/id.rs
@@ -21,6 +21,7 @@
     ($(#[$doc:meta])* $name:ident, $kind:literal) => {
         $(#[$doc])*
         #[derive(Debug, Display, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String")]
         pub struct $name(Box<str>);
 
         impl $name {
@@ -30,6 +31,14 @@
             }
         }
 
+        impl TryFrom<String> for $name {
+            type Error = ParseIdError;
+
+            fn try_from(text: String) -> Result<Self, ParseIdError> {
+                text.parse()
+            }
+        }
+
         impl FromStr for $name {
             type Err = ParseIdError;
 
