Foreign items that change, and a catalogue watch that ends at once, no longer cause calls without pause

Found in the review: each change of an item that means nothing here answered the watch of every entry at once, so that the pace of the calls lay with whoever rewrites such an item; and the own interface's watch of the catalogue had the same loop without pause as the store's.

Fix: after changes that mean nothing the next watch waits until 50 ms after the last call. A catalogue watch that ends early without a change counts as a failure for the backoff. An answer whose revision goes back counts as one without news; the time of the call counts towards the pause.

The catalogue's watch has no test of its own.

--- a/mustardrill_core/src/direct/store/read_pacing.rs
+++ b/mustardrill_core/src/direct/store/read_pacing.rs
@@ -12,6 +12,10 @@
 /// The longest pause. A reader must notice within this time that the store is sound again.
 const MAX_PAUSE: Millis = Millis(640);
 
+/// The pause after changes by other writers that mean nothing here, however often they are made. A
+/// change that means something is read later by at most this time.
+const FOREIGN_PAUSE: Millis = Millis(50);
+
 /// Chooses the pause before the next call. It doubles with each answer that brings nothing, and
 /// ends with the first that does.
 #[derive(Debug, Default)]
@@ -30,16 +34,19 @@
         read: Option<StoreRevision>,
         update: &FleetUpdate,
     ) -> Millis {
-        if update.is_snapshot || read.is_none() {
-            return Millis(0);
-        }
+        let Some(read) = read.filter(|_| !update.is_snapshot) else { return Millis(0) };
         let is_early = elapsed.0 * 2 < timing.wait.0;
-        let is_empty = !update.may_continue || read == Some(update.revision);
-        if is_early && is_empty {
-            return self.record_idle_answer();
-        }
-        self.idle_answers = 0;
-        Millis(0)
+        let is_news = update.may_continue && update.revision > read;
+        let pause = if !is_early {
+            self.idle_answers = 0;
+            Millis(0)
+        } else if !is_news {
+            self.record_idle_answer()
+        } else {
+            self.idle_answers = 0;
+            if update.changes.is_empty() { FOREIGN_PAUSE } else { Millis(0) }
+        };
+        Millis(pause.0.saturating_sub(elapsed.0))
     }
 
     /// Records an answer that cannot be used, after which the store is read anew.
--- a/mustardrill_entry/src/watch.rs
+++ b/mustardrill_entry/src/watch.rs
@@ -30,6 +30,7 @@
         let mut is_unavailable = false;
         let mut wait = Millis(0);
         while !context.halt.is_cancelled() {
+            let (asked_at, asked_wait) = (context.clock.now(), wait);
             let watched = tokio::select! {
                 watched = context.key_value.watch(CATALOGUE_KEY, known_revision, wait) => watched,
                 () = context.halt.cancelled() => return,
@@ -48,11 +49,18 @@
                 wait = Millis(0);
                 continue;
             };
-            backoff.answered();
             is_unavailable = false;
             if value.revision == known_revision {
+                // A service that does not wait for changes must not be called without pause.
+                if context.clock.now().since(asked_at) < Millis(asked_wait.0 / 2) {
+                    let pause = backoff.failed(&mut rand::rng());
+                    tokio::time::sleep(pause.to_std()).await;
+                } else {
+                    backoff.answered();
+                }
                 continue;
             }
+            backoff.answered();
             known_revision = value.revision;
             match CatalogueDocument::decode(&value.bytes) {
                 Ok(document) => {
