Tests: the return of all entries and agents, played with the real processes

Nothing played a return of all machines at once beyond items with odd names at the end of a page. The new prepared tests kill two entries and three agents (and, in some scenarios, take the power from the workers), start them again, send each kind of request every 80 ms and check rule RECOVER as stated: of the requests sent later than 12 s after the return at least a quarter is served, here for each kind.

Scenarios: starts at once and one after the other, workers that return empty under new ids, lists of several pages with odd names, 2,000 to 8,000 foreign items, 120 registrations, 400 routes and tenants, answers after 200 to 260 ms, reads limited to 64 a second for five processes, a store that is down, silent, or refuses half of the machines for 4 to 15 s, registrations that come back after 2 s, chunks that take 40 ms each and are wrong at first, a configuration or version right before the loss, and callers that go on.

--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -18,6 +18,8 @@
 mod network;
 mod pages;
 mod parts;
+
+mod returns;
 mod revocations;
 mod rewound;
 mod silences;
