A stopping entry passes on nothing that might outlast its grace

What callers saw: late in the grace of a planned stop, requests were taken and passed on like all others. When the process ended, streams among them were cut, and requests that may run once had run without their answer (502 at best).

Cause: after the linger no connection was accepted and none kept, but a request whose head or body came slowly was read to its end then and passed on, however late; and a request that waited for a worker since the linger was sent when one got free, up to half a second before the end. A linger longer than the grace (2.6 s by default) left no time at all: the platform killed the process under its requests.

The core decides by the time: StopSchedule says until when all requests are taken (the linger, half of the grace at most), that later only those are taken which end in time by their deadline, when nothing starts any more (the last sixth), by when each has its answer and when the process exits. Refusals before the reducer carry Connection: close as well now.

--- a/mustardrill_core/src/lib.rs
+++ b/mustardrill_core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod ownership;
 pub mod partner;
 pub mod placement;
+pub mod planned_stop;
 pub mod provisioning;
 pub mod quarantine;
 pub mod refusal;
--- a/mustardrill_entry/src/direct/actor.rs
+++ b/mustardrill_entry/src/direct/actor.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use cadence::{Counted, Gauged, StatsdClient};
 use kameo::prelude::*;
@@ -11,6 +10,7 @@
     DirectReducer, DirectRequest, FleetChange, FleetUpdate, IntakeReport, LoadRows, OriginProfile,
     PaceReport, PeerRecord, RefusalPlan, RequestNumber, SendPlan, StatusRow, WaitRows,
 };
+use mustardrill_core::planned_stop::StopSchedule;
 use mustardrill_core::quarantine::CrashReport;
 use mustardrill_runtime::adapters::{CallDialect, ChunkOrigin, FleetSource};
 use mustardrill_runtime::body_memory::BodyMemory;
@@ -29,6 +29,7 @@
 use crate::direct::config::DirectConfig;
 use crate::direct::connections::ConnectionPool;
 use crate::direct::metrics::{METRICS, UpstreamLabels};
+use crate::direct::planned_stop::PlannedStop;
 use crate::direct::quarantine_records::{RecordChange, RecordWrites};
 use crate::direct::reachability::ReachabilityProbes;
 use crate::direct::relay::ChunkRelay;
@@ -69,10 +70,7 @@
     pub(crate) metrics: StatsdClient,
     /// Datagrams to and from peer entries and agents.
     pub(crate) socket: UdpSocket,
-    /// Set when a planned stop has started.
-    pub(crate) is_draining: AtomicBool,
-    /// Cancelled shortly before a planned stop ends: requests without an answer are refused.
-    pub(crate) refuse_unanswered: CancellationToken,
+    pub(crate) stop: PlannedStop,
     pub(crate) halt: CancellationToken,
 }
 
@@ -332,8 +330,7 @@
     type Reply = bool;
 
     async fn handle(&mut self, _: ReadyQuery, _: &mut Context<Self, bool>) -> bool {
-        let is_draining = self.context.is_draining.load(Ordering::Relaxed);
-        !is_draining && self.reducer.is_ready(self.context.clock.now())
+        !self.context.stop.has_begun() && self.reducer.is_ready(self.context.clock.now())
     }
 }
 
@@ -412,8 +409,7 @@
         body_memory: BodyMemory::open(BodyBudget::of_memory(config.process.memory)),
         metrics: metric_registry.client(),
         socket: UdpSocket::bind(config.peer_listen).await?,
-        is_draining: AtomicBool::new(false),
-        refuse_unanswered: CancellationToken::new(),
+        stop: PlannedStop::default(),
         halt: halt.clone(),
     });
     let reducer = DirectReducer::new(config.direct.clone(), rand::random());
@@ -451,42 +447,44 @@
 }
 
 impl DirectHandle {
-    /// Fails the readiness probe, serves for `linger` until the load balancer sends no more
-    /// callers, finishes the requests in progress and ends. Requests that arrive late are served
-    /// like all others; those still running shortly before `grace` is over are aborted.
+    /// Fails the readiness probe, serves until the load balancer sends no more callers, finishes the
+    /// requests in progress and ends. [`StopSchedule`] tells what is taken and refused meanwhile.
     pub async fn stop(&self) {
-        let config = &self.context.config;
-        self.context.is_draining.store(true, Ordering::Relaxed);
+        let DirectContext { config, clock, stop, .. } = &*self.context;
+        let schedule = StopSchedule::begin(clock.now(), config.linger, config.grace);
+        stop.begin(schedule);
         log::info!(
             "stop instance={} linger={} grace={}",
             config.direct.own_id,
             config.linger,
             config.grace
         );
-        tokio::time::sleep(config.linger.to_std()).await;
+        tokio::time::sleep(schedule.intake_end.since(clock.now()).to_std()).await;
         self.stop_callers.cancel();
-        // Left for the exit of the process, so that the platform does not have to kill it.
-        const EXIT_MARGIN: mustardrill_types::Millis = mustardrill_types::Millis(300);
-        let remaining = mustardrill_types::Millis(
-            config.grace.0.saturating_sub(config.linger.0 + EXIT_MARGIN.0),
-        );
-        let is_drained = self.wait_until_drained(remaining).await;
+        let is_drained = self.wait_until_drained(&schedule).await;
         log::info!("end instance={} drained={is_drained}", config.direct.own_id);
         self.halt();
     }
 
-    /// Waits for the end of the requests in progress. Those without an answer are refused shortly
-    /// before `limit` is over. Returns whether all have ended.
-    async fn wait_until_drained(&self, limit: Millis) -> bool {
-        const REFUSAL_TIME: Millis = Millis(200);
-        let until_refusal = Millis(limit.0.saturating_sub(REFUSAL_TIME.0));
-        for pause in [until_refusal, REFUSAL_TIME] {
-            if tokio::time::timeout(pause.to_std(), self.caller_server.drained()).await.is_ok() {
+    /// Waits for the end of the requests in progress, and refuses those that have not been sent or
+    /// answered when it is time. Returns whether all have ended.
+    async fn wait_until_drained(&self, schedule: &StopSchedule) -> bool {
+        let DirectContext { clock, stop, .. } = &*self.context;
+        let refusals = [
+            (schedule.last_start, &stop.refuse_unsent),
+            (schedule.answer_by, &stop.refuse_unanswered),
+        ];
+        for (at, refusal) in refusals {
+            if self.is_drained_within(at.since(clock.now())).await {
                 return true;
             }
-            self.context.refuse_unanswered.cancel();
+            refusal.cancel();
         }
-        false
+        self.is_drained_within(schedule.exit_at.since(clock.now())).await
+    }
+
+    async fn is_drained_within(&self, limit: Millis) -> bool {
+        tokio::time::timeout(limit.to_std(), self.caller_server.drained()).await.is_ok()
     }
 
     /// Ends at once, aborting requests in progress.
--- a/mustardrill_entry/src/direct/answer.rs
+++ b/mustardrill_entry/src/direct/answer.rs
@@ -60,6 +60,11 @@
 const TASK_ENDED_REFUSAL: RefusalPlan =
     RefusalPlan { code: ResultCode::Unknown, retry_after: Millis(0) };
 
+/// Refusal of a request that has not run and would not end before the process does. Its caller may
+/// try another entry at once.
+pub(crate) const LEAVING_REFUSAL: RefusalPlan =
+    RefusalPlan { code: ResultCode::Leaving, retry_after: Millis(1) };
+
 /// Builds the response of a refusal: its code, whether the request ran, and when to retry.
 pub(crate) fn refusal_response(plan: &RefusalPlan, dialect: &dyn CallDialect) -> AnyResponse {
     let (status, headers) = dialect.write_refusal(plan.code, plan.retry_after);
--- a/mustardrill_entry/src/direct/callers.rs
+++ b/mustardrill_entry/src/direct/callers.rs
@@ -19,7 +19,7 @@
 use tokio::sync::mpsc;
 
 use crate::direct::actor::{DirectActor, DirectContext, LimitsQuery, ReadyQuery};
-use crate::direct::answer::{PART_BUFFER, refusal_response, respond};
+use crate::direct::answer::{LEAVING_REFUSAL, PART_BUFFER, refusal_response, respond};
 use crate::direct::answer_sink::AnswerSink;
 use crate::direct::connections::UsedConnections;
 use crate::direct::request_task::RequestTask;
@@ -44,6 +44,12 @@
             let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             return text_response(status, "");
         }
+        let response = self.answer_call(request).await;
+        self.close_if_draining(response)
+    }
+
+    async fn answer_call(&self, request: Request<Incoming>) -> AnyResponse {
+        let dialect = &*self.context.adapters.dialect;
         let client = ClientConnection::of(&request);
         let arrived = self.context.clock.now();
         let number = RequestNumber(self.next_number.fetch_add(1, Ordering::Relaxed));
@@ -60,6 +66,9 @@
             Ok(read) => read,
             Err(plan) => return refusal_response(&plan, dialect),
         };
+        if !self.admits_late(&call) {
+            return refusal_response(&LEAVING_REFUSAL, dialect);
+        }
         call.content_digest = content_digest(&head, &body);
         let (sender, parts) = mpsc::channel(PART_BUFFER);
         let task = RequestTask {
@@ -79,7 +88,19 @@
         let took = self.context.clock.now().since(arrived).0;
         let _ = self.context.metrics.count(&format!("requests.{code}"), 1);
         let _ = self.context.metrics.time("request_ms", took);
-        self.close_if_draining(response)
+        response
+    }
+
+    /// Whether a planned stop leaves time for a request that was read.
+    fn admits_late(&self, call: &DirectRequest) -> bool {
+        let deadline = call.timeout.map(|timeout| call.arrived_at + timeout);
+        let is_admitted = self.context.stop.admits(self.context.clock.now(), deadline);
+        if !is_admitted {
+            let code = LEAVING_REFUSAL.code;
+            log::info!("request={} decision=refuse code={code} cause=stop", call.attempt_id);
+            let _ = self.context.metrics.count(&format!("requests.{code}"), 1);
+        }
+        is_admitted
     }
 
     /// Reads the body of a request into memory that is reserved for it; the error is the refusal.
@@ -118,7 +139,7 @@
     /// Asks the caller to close its connection if this entry is draining, so that its next request
     /// goes to another entry.
     fn close_if_draining(&self, mut response: AnyResponse) -> AnyResponse {
-        if self.context.is_draining.load(Ordering::Relaxed) {
+        if self.context.stop.has_begun() {
             let close = hyper::header::HeaderValue::from_static("close");
             response.headers_mut().insert(hyper::header::CONNECTION, close);
         }
--- a/mustardrill_entry/src/direct/mod.rs
+++ b/mustardrill_entry/src/direct/mod.rs
@@ -18,6 +18,7 @@
 mod gated_stream;
 mod gossip;
 mod metrics;
+mod planned_stop;
 mod quarantine_records;
 mod reachability;
 mod registration;
--- a/mustardrill_entry/src/direct/request_task.rs
+++ b/mustardrill_entry/src/direct/request_task.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 
 use crate::direct::actor::{DirectActor, DirectContext, Event, RequestCommand, StartRequest};
-use crate::direct::answer::AnswerPart;
+use crate::direct::answer::{AnswerPart, LEAVING_REFUSAL};
 use crate::direct::answer_sink::AnswerSink;
 use crate::direct::attempt::{Attempt, AttemptEnd, AttemptStage, FailedAnswer};
 use crate::direct::connections::UsedConnections;
@@ -106,7 +106,7 @@
                         return RequestEnd::Answered;
                     }
                 }
-                () = self.refusal_due() => return self.refuse_at_stop(was_sent).await,
+                () = self.refusal_due(was_sent) => return self.refuse_at_stop(was_sent).await,
                 command = commands.recv() => {
                     let Some((number, command)) = command else {
                         log::warn!("request={} outcome=abandoned", self.caller_request_id);
@@ -136,8 +136,8 @@
 
     /// Waits until a planned stop leaves no more time for an answer; never returns if one has begun by
     /// then.
-    async fn refusal_due(&self) {
-        self.context.refuse_unanswered.cancelled().await;
+    async fn refusal_due(&self, was_sent: bool) {
+        self.context.stop.refusal_due(was_sent).await;
         if self.sink.has_part() {
             std::future::pending().await
         }
@@ -145,11 +145,14 @@
 
     /// Refuses the request, as the process ends before its answer could.
     async fn refuse_at_stop(&self, was_sent: bool) -> RequestEnd {
-        let code = if was_sent { ResultCode::Unknown } else { ResultCode::Withdrawn };
+        let plan = if was_sent {
+            RefusalPlan { code: ResultCode::Unknown, retry_after: Millis(0) }
+        } else {
+            LEAVING_REFUSAL
+        };
+        let code = plan.code;
         log::info!("request={} decision=refuse code={code} cause=stop", self.caller_request_id);
-        self.sink
-            .send_last(AnswerPart::Refused(RefusalPlan { code, retry_after: Millis(0) }))
-            .await;
+        self.sink.send_last(AnswerPart::Refused(plan)).await;
         RequestEnd::Refused
     }
 
