--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -19,6 +19,7 @@
 mod pages;
 mod parts;
 mod returns;
+mod planned_stops;
 mod revocations;
 mod rewound;
 mod silences;
