Events without end no longer end an entry on the prepared platform

Callers saw: an entry ended by itself, and the requests of all its clients with it, while upstreams sent events that never ended.

Cause: the buffer of an event that is not complete was bounded for each answer (512 kB without progress, and as much again as it doubles), and not for the process. `AnswerBuffer` reserved the memory of plain answers; of streams only complete events were reserved, after they had been received.

Change: `StreamReader` reserves before it takes bytes in, from the same budget as plain answers; complete events take their part of the reservation with them. Where there is no memory the attempt waits, which is no silence of its upstream, for 2 s if it holds some itself; then it is broken off like any lost attempt. An answer that grows counts as a whole (`BodyBudget::grow`), so that it leaves the last quarter to small ones; until now it grew by parts that counted as small. Events and what follows them no longer share one buffer, which each kept for the other.

Ordinary requests are served while the crowd is there.

--- a/mustardrill_core/src/connections.rs
+++ b/mustardrill_core/src/connections.rs
@@ -213,10 +213,21 @@
         number: ConnectionNumber,
         size: ByteSize,
     ) -> MemoryVerdict {
-        if !self.answers.fits(size) {
+        self.grow_answer(now, number, ByteSize(0), size)
+    }
+
+    /// Reserves memory for a further part, of `size`, of what holds `held` already.
+    pub fn grow_answer(
+        &mut self,
+        now: Moment,
+        number: ConnectionNumber,
+        held: ByteSize,
+        size: ByteSize,
+    ) -> MemoryVerdict {
+        if !self.answers.fits(ByteSize(held.0.saturating_add(size.0))) {
             return MemoryVerdict::TooLarge;
         }
-        if !self.answers.reserve(size) {
+        if !self.answers.grow(held, size) {
             return match self.longest_holder(now).filter(|victim| *victim != number) {
                 Some(victim) => MemoryVerdict::CloseFirst(self.begin_close(victim)),
                 None => MemoryVerdict::Wait,
--- a/mustardrill_core/src/direct/body_budget.rs
+++ b/mustardrill_core/src/direct/body_budget.rs
@@ -50,6 +50,17 @@
         is_admitted
     }
 
+    /// Reserves room for a further `part` of a body that holds `held`; returns `false`, with `held`
+    /// still reserved, where there is too little. A large body that grows leaves room to small ones.
+    pub fn grow(&mut self, held: ByteSize, part: ByteSize) -> bool {
+        self.release(held);
+        let is_admitted = self.reserve(ByteSize(held.0.saturating_add(part.0)));
+        if !is_admitted {
+            self.reserved.0 += held.0;
+        }
+        is_admitted
+    }
+
     /// Releases the room of a body for which it was reserved.
     pub fn release(&mut self, size: ByteSize) {
         self.reserved = ByteSize(self.reserved.0.saturating_sub(size.0));
--- a/mustardrill_core/tests/connections.rs
+++ b/mustardrill_core/tests/connections.rs
@@ -103,6 +103,23 @@
     assert_eq!(table.expire(at(11) + UNREAD_TIMEOUT), [], "it is being closed");
 }
 
+/// Answers of unknown length grew by parts that each counted as small.
+#[test]
+fn an_answer_that_grows_takes_the_room_of_small_ones() {
+    const PART: ByteSize = ByteSize(60_000);
+    let mut table = table(100);
+    let (growing, small) = (admit(&mut table, at(0), CALLERS), admit(&mut table, at(0), CALLERS));
+    let mut held = ByteSize(0);
+    while table.grow_answer(at(1), growing, held, PART) == MemoryVerdict::Reserved {
+        held.0 += PART.0;
+    }
+    assert_eq!(table.reserve_answer(at(2), small, SMALL), MemoryVerdict::Reserved, "{held}");
+    // What a refused growth had reserved stays reserved.
+    assert_ne!(table.reserve_answer(at(3), small, LARGE), MemoryVerdict::Reserved);
+    table.release_answer(growing, held);
+    assert_eq!(table.reserve_answer(at(4), small, LARGE), MemoryVerdict::Reserved);
+}
+
 #[test]
 fn large_heads_fill_the_memory() {
     let mut table = table(1_000);
@@ -125,7 +142,7 @@
     /// Whatever clients do, the limits hold, and what was reserved is released.
     #[test]
     fn connections_and_memory_stay_within_their_limits(
-        steps in prop::collection::vec((0..6_u8, 0..12_usize, 1..3_000_000_u64), 1..300)
+        steps in prop::collection::vec((0..7_u8, 0..12_usize, 1..3_000_000_u64), 1..300)
     ) {
         let mut table = table(8);
         let (mut open, mut reserved) = (Vec::new(), Vec::new());
@@ -147,6 +164,14 @@
                     MemoryVerdict::CloseFirst(number) => to_close = Some(number),
                     MemoryVerdict::Wait | MemoryVerdict::TooLarge => {}
                 },
+                (5, Some(_)) => if let Some((number, held)) = reserved.last_mut() {
+                    let size = ByteSize(size);
+                    match table.grow_answer(now, *number, ByteSize(*held), size) {
+                        MemoryVerdict::Reserved => *held += size.0,
+                        MemoryVerdict::CloseFirst(number) => to_close = Some(number),
+                        MemoryVerdict::Wait | MemoryVerdict::TooLarge => {}
+                    }
+                },
                 (_, _) => if let Some((number, size)) = reserved.pop() {
                     table.release_answer(number, ByteSize(size));
                 },
--- a/mustardrill_entry/src/direct/answer_buffer.rs
+++ b/mustardrill_entry/src/direct/answer_buffer.rs
@@ -14,9 +14,8 @@
 /// before it.
 const FIRST_RESERVATION: ByteSize = ByteSize(16 << 10);
 
-/// How long an answer without a stated length waits for more memory: another one may wait for what
-/// this one holds.
-const GROWTH_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long an answer that holds memory waits for more: another one may wait for what this one holds.
+pub(super) const GROWTH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why there is no memory for an answer.
 #[derive(Debug, Display, Error)]
@@ -25,27 +24,26 @@
     #[display("{_0}; state more memory_mb")]
     TooLarge(AnswerTooLargeError),
     /// Other answers take it.
-    #[display("no memory for more of an answer without a stated length")]
+    #[display("no memory for more of an answer")]
     Occupied,
 }
 
 /// The bytes received so far.
-pub(crate) struct AnswerBuffer<'a> {
-    client: &'a ClientConnection,
+pub(crate) struct AnswerBuffer {
     bytes: BytesMut,
     reservation: AnswerReservation,
 }
 
-impl<'a> AnswerBuffer<'a> {
+impl AnswerBuffer {
     /// Waits until there is memory for the stated length of an answer, or for its first part.
     pub(crate) async fn open(
-        client: &'a ClientConnection,
+        client: &ClientConnection,
         body: &Incoming,
     ) -> Result<Self, AnswerMemoryError> {
         let size = body.size_hint().exact().map_or(FIRST_RESERVATION, ByteSize);
         let reservation = client.reserve_answer(size).await.map_err(AnswerMemoryError::TooLarge)?;
         let bytes = BytesMut::with_capacity(reservation.size().0 as usize);
-        Ok(Self { client, bytes, reservation })
+        Ok(Self { bytes, reservation })
     }
 
     /// Adds a part, once there is memory for it.
@@ -54,10 +52,9 @@
         let reserved = self.reservation.size();
         if length > reserved.0 {
             let missing = ByteSize((length - reserved.0).max(reserved.0));
-            let growth = self.client.reserve_answer(missing);
-            let growth = tokio::time::timeout(GROWTH_TIMEOUT, growth).await;
+            let growth = tokio::time::timeout(GROWTH_TIMEOUT, self.reservation.grow(missing)).await;
             let growth = growth.map_err(|_| AnswerMemoryError::Occupied)?;
-            self.reservation.merge(growth.map_err(AnswerMemoryError::TooLarge)?);
+            growth.map_err(AnswerMemoryError::TooLarge)?;
             self.bytes.reserve(self.reservation.size().0 as usize - self.bytes.len());
         }
         self.bytes.extend_from_slice(part);
--- a/mustardrill_entry/src/direct/attempt.rs
+++ b/mustardrill_entry/src/direct/attempt.rs
@@ -15,17 +15,17 @@
 };
 use mustardrill_runtime::adapters::AnswerKind;
 use mustardrill_runtime::http::{is_delimited, refuses_connections};
-use mustardrill_types::{ByteSize, Millis, Moment, WeightVersion};
+use mustardrill_types::{Millis, Moment, WeightVersion};
 
 use crate::direct::activity::UpstreamActivity;
 use crate::direct::answer::AnswerPart;
-use crate::direct::answer_buffer::AnswerBuffer;
+use crate::direct::answer_buffer::{AnswerBuffer, AnswerMemoryError};
 use crate::direct::attempt_counts::outcome_label;
 use crate::direct::connections::{SendFailure, UpstreamConnection};
-use crate::direct::event_splitter::{EventSplitter, has_event_line};
+use crate::direct::event_splitter::has_event_line;
 use crate::direct::gated_stream::SendGate;
 use crate::direct::request_task::RequestTask;
-use crate::direct::stream_part::{StreamPart, next_part};
+use crate::direct::stream_part::{StreamPart, StreamReader};
 
 /// The largest answer that is buffered completely before it is forwarded.
 const BUFFERED_ANSWER_LIMIT: usize = 8 << 20;
@@ -423,11 +423,10 @@
         self.classify_lost().await
     }
 
-    /// Ends an attempt whose answer has a part for which there is never enough memory.
-    fn too_large(&self, size: ByteSize) -> AttemptOutcome {
+    /// Ends an attempt for whose answer there is no memory.
+    fn drop_for_memory(&self, error: &AnswerMemoryError) -> AttemptOutcome {
         log::warn!(
-            "request={} instance={} outcome=dropped reason=\"a part of its answer has {size}; state \
-             more memory_mb\"",
+            "request={} instance={} outcome=dropped reason=\"{error}\"",
             self.task.caller_request_id,
             self.plan.upstream
         );
@@ -440,28 +439,29 @@
     }
 
     /// Forwards the events of a stream as they arrive.
-    async fn forward_stream(
-        &self,
-        mut answer: AcceptedAnswer,
-        mut body: Incoming,
-    ) -> AttemptOutcome {
-        let mut splitter = EventSplitter::after(self.task.sink.last_event());
+    async fn forward_stream(&self, mut answer: AcceptedAnswer, body: Incoming) -> AttemptOutcome {
+        let last_event = self.task.sink.last_event();
+        let mut reader = StreamReader::open(body, &self.task.client, last_event);
         let is_resumed = self.task.sink.has_started();
         loop {
             let has_started = answer.has_started;
-            let awaited = next_part(&mut body, &mut splitter, has_started);
-            let Some(part) = self.wait_for(awaited, |part| matches!(part, Some(Ok(_)))).await
-            else {
-                break;
-            };
-            let StreamPart { data, events: pushed } = match part {
-                Ok(part) => part,
+            let awaited = reader.next_part(has_started);
+            let is_sign = |part: &_| matches!(part, Some(Ok(StreamPart::Received(..))));
+            let Some(part) = self.wait_for(awaited, is_sign).await else { break };
+            let (data, pushed) = match part {
+                Ok(StreamPart::Received(data, events)) => (data, events),
+                Ok(StreamPart::Unreserved) => {
+                    if let Err(error) = reader.wait_for_memory().await {
+                        return self.drop_for_memory(&error);
+                    }
+                    continue;
+                }
                 Err(error) => {
                     log::info!(
                         "request={} instance={} outcome=broken last={:?} reason=\"{error}\"",
                         self.task.caller_request_id,
                         self.plan.upstream,
-                        splitter.last_id()
+                        reader.splitter.last_id()
                     );
                     return self.classify_broken(&answer).await;
                 }
@@ -470,21 +470,19 @@
                 Ok(Some(events)) if has_event_line(events) => {
                     answer.connection.gate().record_progress();
                 }
-                _ if splitter.is_complete() => answer.connection.gate().record_sign(),
+                _ if reader.splitter.is_complete() => answer.connection.gate().record_sign(),
                 _ => {}
             }
-            if !answer.has_started && splitter.has_event() {
+            if !answer.has_started && reader.splitter.has_event() {
                 self.report_answer_start(&mut answer, &data).await;
             }
             match pushed {
                 Ok(Some(events)) => {
-                    let size = ByteSize(events.len() as u64);
-                    let Ok(reservation) = self.task.client.reserve_answer(size).await else {
-                        return self.too_large(size);
-                    };
-                    let events = reservation.attach(events);
                     let head = (answer.head.status, &answer.head.headers);
-                    self.task.sink.send_events(self.number, head, events, splitter.last_id()).await;
+                    self.task
+                        .sink
+                        .send_events(self.number, head, events, reader.splitter.last_id())
+                        .await;
                 }
                 Ok(None) => {}
                 Err(_) => {
@@ -492,19 +490,19 @@
                         "request={} instance={} outcome=disordered last={:?}",
                         self.task.caller_request_id,
                         self.plan.upstream,
-                        splitter.last_id()
+                        reader.splitter.last_id()
                     );
                     return self.lost();
                 }
             }
         }
-        if !splitter.is_complete() || !(is_resumed || splitter.has_event()) {
+        if !reader.splitter.is_complete() || !(is_resumed || reader.splitter.has_event()) {
             return self.classify_broken(&answer).await;
         }
         let headers = &answer.head.headers;
         let is_delimited = is_delimited(headers);
         if !is_delimited && refuses_connections(self.plan.address, END_CHECK_ATTEMPTS).await {
-            self.log_end_by_crash(splitter.last_id());
+            self.log_end_by_crash(reader.splitter.last_id());
             return AttemptOutcome::Lost { delivered: true, crashed: true };
         }
         self.task.sink.send_end(self.number, AnswerPart::End).await;
--- a/mustardrill_entry/src/direct/event_splitter.rs
+++ b/mustardrill_entry/src/direct/event_splitter.rs
@@ -1,13 +1,13 @@
 //! Splits a streamed answer into complete server-sent events, so that no caller is sent part of
 //! one.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
 /// Holds the bytes of an event that is not complete yet, the id of the last complete event, and
 /// whether any byte of an event was received.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
-    pending: BytesMut,
+    pending: Vec<u8>,
     /// Whether the last line so far is a comment that is not complete.
     is_in_comment: bool,
     last_id: Option<Box<str>>,
@@ -30,7 +30,11 @@
         self.pending.extend_from_slice(bytes);
         self.has_event = self.has_event || self.begins_event(bytes);
         let Some(end) = last_event_end(&self.pending, searched) else { return Ok(None) };
-        let events = self.pending.split_to(end).freeze();
+        // Neither part keeps the other's memory.
+        let rest = self.pending.split_off(end);
+        let mut events = std::mem::replace(&mut self.pending, rest);
+        events.shrink_to_fit();
+        let events = Bytes::from(events);
         if !self.has_event {
             return Ok(None);
         }
@@ -53,6 +57,16 @@
         begins_event
     }
 
+    /// The bytes of the event that is not complete.
+    pub(crate) fn pending_length(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// The memory that they take.
+    pub(crate) fn pending_capacity(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Continues a stream after the event with the id `last_id`.
     pub(crate) fn after(last_id: Option<Box<str>>) -> Self {
         Self { last_id, ..Self::default() }
--- a/mustardrill_runtime/src/client_connections.rs
+++ b/mustardrill_runtime/src/client_connections.rs
@@ -260,23 +260,14 @@
         &self,
         size: ByteSize,
     ) -> Result<AnswerReservation, AnswerTooLargeError> {
-        loop {
-            let released = self.shared.released.notified();
-            match self.decide_answer(size) {
-                MemoryVerdict::Reserved => {
-                    return Ok(AnswerReservation { client: self.clone(), size });
-                }
-                MemoryVerdict::TooLarge => return Err(AnswerTooLargeError { size }),
-                MemoryVerdict::CloseFirst(number) => self.shared.close(number, "no-memory"),
-                MemoryVerdict::Wait => {}
-            }
-            let _ = tokio::time::timeout(RETRY_INTERVAL, released).await;
-        }
+        let mut reservation = self.reserve_nothing();
+        reservation.grow(size).await?;
+        Ok(reservation)
     }
 
-    fn decide_answer(&self, size: ByteSize) -> MemoryVerdict {
-        let now = self.shared.clock.now();
-        self.shared.lock().table.reserve_answer(now, self.number, size)
+    /// A reservation that grows with what is received of an answer.
+    pub fn reserve_nothing(&self) -> AnswerReservation {
+        AnswerReservation { client: self.clone(), size: ByteSize(0) }
     }
 }
 
@@ -286,10 +277,48 @@
         self.size
     }
 
-    /// Adds another reservation of the same connection.
-    pub fn merge(&mut self, mut other: Self) {
-        // Nothing is left for `other` to release.
-        self.size.0 += std::mem::take(&mut other.size).0;
+    /// Reserves memory for a further part, once there is enough.
+    pub async fn grow(&mut self, part: ByteSize) -> Result<(), AnswerTooLargeError> {
+        let shared = self.client.shared.clone();
+        loop {
+            let released = shared.released.notified();
+            if self.try_grow(part)? {
+                return Ok(());
+            }
+            let _ = tokio::time::timeout(RETRY_INTERVAL, released).await;
+        }
+    }
+
+    /// Reserves memory for a further part; returns `false` where there is too little now.
+    pub fn try_grow(&mut self, part: ByteSize) -> Result<bool, AnswerTooLargeError> {
+        let ClientConnection { shared, number } = &self.client;
+        let now = shared.clock.now();
+        // The lock is released before a connection is closed.
+        let verdict = shared.lock().table.grow_answer(now, *number, self.size, part);
+        match verdict {
+            MemoryVerdict::Reserved => {
+                self.size.0 += part.0;
+                return Ok(true);
+            }
+            MemoryVerdict::TooLarge => {
+                return Err(AnswerTooLargeError { size: ByteSize(self.size.0 + part.0) });
+            }
+            MemoryVerdict::CloseFirst(number) => shared.close(number, "no-memory"),
+            MemoryVerdict::Wait => {}
+        }
+        Ok(false)
+    }
+
+    /// Takes `size`, or all if it is less, out of the reservation.
+    pub fn split(&mut self, size: ByteSize) -> Self {
+        let size = size.min(self.size);
+        self.size.0 -= size.0;
+        Self { client: self.client.clone(), size }
+    }
+
+    /// Releases what is reserved beyond `size`.
+    pub fn shrink_to(&mut self, size: ByteSize) {
+        drop(self.split(ByteSize(self.size.0.saturating_sub(size.0))));
     }
 
     /// Binds the reservation to bytes: it is released once they have been written.
--- a/mustardrill_standins/tests/clients/main.rs
+++ b/mustardrill_standins/tests/clients/main.rs
@@ -3,6 +3,7 @@
 //! and an ordinary request is answered.
 
 mod crowd;
+mod endless_answers;
 mod own;
 mod prepared;
 mod process_meter;
--- a/mustardrill_standins/tests/clients/prepared.rs
+++ b/mustardrill_standins/tests/clients/prepared.rs
@@ -20,7 +20,7 @@
 use crate::worker::Worker;
 
 /// The machine of the process under test; its settings name these limits.
-const BOUNDS: ProcessBounds = ProcessBounds { memory_mb: 64, descriptors: 256 };
+pub const BOUNDS: ProcessBounds = ProcessBounds { memory_mb: 64, descriptors: 256 };
 
 /// A machine on which bodies that are kept chunk by chunk are too large within seconds.
 const SMALLER_BOUNDS: ProcessBounds = ProcessBounds { memory_mb: 40, descriptors: 256 };
@@ -45,10 +45,10 @@
 const ONE_BYTE_CHUNKS: usize = 600_000;
 
 /// A fleet with a second entry, and an agent of its own, on small machines.
-struct SmallMachines {
+pub struct SmallMachines {
     bounds: ProcessBounds,
-    fleet: Fleet,
-    entry: LabProcess,
+    pub fleet: Fleet,
+    pub entry: LabProcess,
     entry_metrics: SocketAddr,
     entry_peers: SocketAddr,
     agent: LabProcess,
@@ -56,7 +56,7 @@
 }
 
 impl SmallMachines {
-    async fn start(bounds: ProcessBounds) -> Self {
+    pub async fn start(bounds: ProcessBounds) -> Self {
         let fleet = Fleet::start(vec![Worker::new("i-1", 1)]).await;
         let (store, engine) = (fleet.stand_ins[0].address, fleet.stand_ins[2].address);
         let limits =
@@ -78,14 +78,14 @@
     }
 
     /// Sends ordinary requests, as a client does that honours refusals, until one is answered.
-    async fn wait_until_served(&self, path: &str) {
+    pub async fn wait_until_served(&self, path: &str) {
         let request = request(path, "ordinary");
         let is_served = async || ordinary_status(self.entry.address, &request).await == Some(200);
         self.fleet.wait_until("an ordinary request is answered", is_served).await;
     }
 
     /// Checks a process after a crowd.
-    fn check(&mut self, what: &str, meter: &ProcessMeter) {
+    pub fn check(&mut self, what: &str, meter: &ProcessMeter) {
         assert!(!self.entry.has_ended(), "{what}\n{}", self.fleet.logs());
         assert!(!self.agent.has_ended(), "{what}\n{}", self.fleet.logs());
         meter.check(what, self.bounds);
@@ -112,7 +112,7 @@
     }
 }
 
-fn request(path: &str, attempt: &str) -> String {
+pub fn request(path: &str, attempt: &str) -> String {
     let method = if path.starts_with("/status/") { "GET" } else { "POST" };
     let model =
         if path.starts_with("/drafts/") { "x-model: m0\r\nx-token-usage: 300,36\r\n" } else { "" };
@@ -125,17 +125,23 @@
 /// An upstream of one answer, which takes any number of requests at once.
 async fn spawn_upstream(fleet: &Fleet, service: &str, head: &'static str, piece: String) {
     let listener = TcpListener::bind((fleet.network.machine_ip(90), 0)).await.unwrap();
-    let models = json!([{"name": "m0", "version": 1, "adapters": []}]);
-    let entry = json!({"service": service, "address": listener.local_addr().unwrap(),
-        "zone": "hall-a", "version": "v1", "slots": 400, "state": "ready", "cold_remaining_ms": 0,
-        "models": if service == "pool" { models } else { json!([]) }, "sequence": 1,
-        "born": 1_700_000_000_000_u64});
-    fleet.store.write("servers/i-long", &entry);
+    let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(answer_long(stream, head, piece.clone()));
         }
     });
+    register_upstream(fleet, "i-long", service, address).await;
+}
+
+/// Registers an upstream with as many slots as any test needs.
+pub async fn register_upstream(fleet: &Fleet, id: &str, service: &str, address: SocketAddr) {
+    let models = json!([{"name": "m0", "version": 1, "adapters": []}]);
+    let entry = json!({"service": service, "address": address, "zone": "hall-a", "version": "v1",
+        "slots": 400, "state": "ready", "cold_remaining_ms": 0,
+        "models": if service == "pool" { models } else { json!([]) }, "sequence": 1,
+        "born": 1_700_000_000_000_u64});
+    fleet.store.write(&format!("servers/{id}"), &entry);
     tokio::time::sleep(Duration::from_millis(300)).await;
 }
 
