Numbers of other processes no longer end an entry or an agent

Callers saw: one registration of another writer with 4,294,967,295 slots, and from then on the running entry answered none of 16 requests, for as long as its process lived, also after the item was gone.

Cause: "slots + requests ahead" overflows in the reducer, the actor that owns it ends with the panic, and the process lives on without decisions. In the release build the sum wraps to a small number. Class: unchecked sums and products of numbers that others state. Found besides, in the same way: shares of an upstream's slots, the sum of all slots, requests, prefill times and queues that peers report, the objective of a configuration, the revision of a limit, the queue of a partner, the number of a load record, the sequence of an engine, an upstream's Keep-Alive and event ids.

Fix: spans add and multiply within their range (`Millis`), counts saturate where they are summed; shares are computed in a wider type. A peer's rate of a limit is at most what the settings accept.

The changes to Keep-Alive and event ids have no test of their own.

--- a/mustardrill_core/src/direct/admission/policy.rs
+++ b/mustardrill_core/src/direct/admission/policy.rs
@@ -32,9 +32,10 @@
         let Some(profile) = self.engine_profile(&state.service) else {
             return state.objective_until;
         };
-        let present = profile.slots + self.settings.requests_ahead.saturating_sub(1);
+        let ahead = self.settings.requests_ahead.saturating_sub(1);
+        let present = profile.slots.saturating_add(ahead);
         let to_first = EngineForecast::new(profile).time_to_first_token(present, state.size);
-        let to_first = Millis(to_first.0 * FIRST_TOKEN_PERCENT / 100);
+        let to_first = to_first.percent(FIRST_TOKEN_PERCENT);
         (state.objective_until - to_first).max(state.arrived_at)
     }
 
@@ -142,7 +143,7 @@
         let service = &state.service;
         let own_waiting = self.queues.get(service).map_or(0, |queue| queue.len()) + 1;
         let peers_waiting = self.upstreams.peer_loads.waiting_peers(service);
-        let peers_waiting = peers_waiting.map(|(_, count)| count).sum();
+        let peers_waiting = peers_waiting.map(|(_, count)| count).fold(0, u32::saturating_add);
         let by_profile = profile_rate * share_by_need(own_waiting, peers_waiting);
         let demand = self.demands.get(service);
         let observed = demand.and_then(|it| it.observed_rate(now));
--- a/mustardrill_core/src/direct/admission/room_rule.rs
+++ b/mustardrill_core/src/direct/admission/room_rule.rs
@@ -38,7 +38,8 @@
         match self {
             Self::InTime { ahead } => capacity::request_limit(slots, ahead),
             Self::Reserved { kinds } => {
-                let reserved = (slots * RESERVED_PERCENT / 100).max(1) * kinds.min(MAX_KINDS);
+                let reserved = capacity::slots_share(slots, RESERVED_PERCENT).max(1);
+                let reserved = reserved.saturating_mul(kinds.min(MAX_KINDS));
                 slots.saturating_sub(reserved).max(1)
             }
             Self::Late { percent } => capacity::late_request_limit(slots, percent),
--- a/mustardrill_core/src/direct/fleet/peer_loads.rs
+++ b/mustardrill_core/src/direct/fleet/peer_loads.rs
@@ -41,8 +41,8 @@
                 subtract(&mut self.totals, &id, before);
             }
             let total = self.totals.entry(id).or_default();
-            total.requests += load.requests;
-            total.pending_prefill = Millis(total.pending_prefill.0 + load.pending_prefill.0);
+            total.requests = total.requests.saturating_add(load.requests);
+            total.pending_prefill = total.pending_prefill + load.pending_prefill;
         }
     }
 
--- a/mustardrill_core/src/direct/fleet/upstream_table.rs
+++ b/mustardrill_core/src/direct/fleet/upstream_table.rs
@@ -450,8 +450,8 @@
         let own = self.states.get(id).map_or(UpstreamLoad::default(), |state| state.own_load);
         let peers = self.peer_loads.total_at(id);
         UpstreamLoad {
-            requests: own.requests + peers.requests,
-            pending_prefill: Millis(own.pending_prefill.0 + peers.pending_prefill.0),
+            requests: own.requests.saturating_add(peers.requests),
+            pending_prefill: own.pending_prefill + peers.pending_prefill,
         }
     }
 
@@ -485,8 +485,7 @@
         if let Some(state) = self.incarnation_mut(start) {
             state.own_load.requests += 1;
             state.sent_since_freed += 1;
-            state.own_load.pending_prefill =
-                Millis(state.own_load.pending_prefill.0 + prefill_time.0);
+            state.own_load.pending_prefill = state.own_load.pending_prefill + prefill_time;
         }
     }
 
--- a/mustardrill_core/src/direct/intake/limit.rs
+++ b/mustardrill_core/src/direct/intake/limit.rs
@@ -154,7 +154,7 @@
             return false;
         }
         if has_changed {
-            self.change(now, rate, self.revision + 1);
+            self.change(now, rate, self.revision.saturating_add(1));
         }
         self.learned_at = now;
         self.stated_at = now;
--- a/mustardrill_core/src/direct/intake/share.rs
+++ b/mustardrill_core/src/direct/intake/share.rs
@@ -125,7 +125,7 @@
         // The others ask one after the other, at the upstream's rate.
         let others_before = (self.rank - self.senders) as f64;
         let turn_ms = others_before * 1_000.0 / self.rate.per_second();
-        let unstated = UNSTATED_LIMIT.0.max(2 * interval_ms as u64);
-        opens_at.max(stated_at) + Millis(unstated + turn_ms as u64)
+        let unstated = UNSTATED_LIMIT.max(Millis(interval_ms as u64) * 2);
+        opens_at.max(stated_at) + unstated + Millis(turn_ms as u64)
     }
 }
--- a/mustardrill_core/src/direct/locality/mod.rs
+++ b/mustardrill_core/src/direct/locality/mod.rs
@@ -64,7 +64,7 @@
     pub(in crate::direct) fn unlimited_slots(&self, now: Moment, state: &RequestState) -> u32 {
         let awake = self.awake_upstreams(now, state);
         let unlimited = awake.filter(|it| it.conditions.intake_limit.rate().is_none());
-        unlimited.map(|upstream| upstream.record.slots).sum()
+        unlimited.map(|upstream| upstream.record.slots).fold(0, u32::saturating_add)
     }
 
     /// Whether a permitted upstream is loading weights or is about to.
--- a/mustardrill_core/src/direct/placement/capacity.rs
+++ b/mustardrill_core/src/direct/placement/capacity.rs
@@ -8,9 +8,15 @@
 
 use mustardrill_types::{Millis, Moment};
 
+/// A share of an upstream's slots, rounded down.
+pub(crate) fn slots_share(slots: u32, percent: u32) -> u32 {
+    let share = u64::from(slots) * u64::from(percent) / 100;
+    share.try_into().unwrap_or(u32::MAX)
+}
+
 /// How many requests an upstream with `slots` slots may have from all entries together.
 pub(crate) fn request_limit(slots: u32, requests_ahead: u32) -> u32 {
-    slots.max(1) + requests_ahead
+    slots.max(1).saturating_add(requests_ahead)
 }
 
 /// How many requests an upstream may have so that it still accepts one that can't meet its
@@ -20,7 +26,7 @@
 /// fill every engine for the time of a whole answer; requests that arrive meanwhile would wait that
 /// long and be late as well, for as long as the load lasts. The slots kept free serve new requests.
 pub(crate) fn late_request_limit(slots: u32, percent: u32) -> u32 {
-    (slots * percent / 100).max(1)
+    slots_share(slots, percent).max(1)
 }
 
 /// How long an entry leaves a slot that a peer's request has freed to each entry before it in the
@@ -58,10 +64,10 @@
 /// well, so that an engine that returns from loading does not get the requests of all entries at
 /// once.
 pub(crate) fn turn_at(freed_at: Moment, turn: &CapacityTurn) -> Moment {
-    let rounds = turn.taken.saturating_mul(turn.peers_waiting + 1);
+    let rounds = turn.taken.saturating_mul(turn.peers_waiting.saturating_add(1));
     let turns = turn.peers_before.saturating_add(rounds).saturating_add(1);
     let contended = turns.saturating_sub(turn.free.saturating_add(turn.taken));
-    turn_order_end(freed_at).min(freed_at + Millis(TURN_STEP.0 * u64::from(contended)))
+    turn_order_end(freed_at).min(freed_at + TURN_STEP * u64::from(contended))
 }
 
 /// From when on any entry may use a slot that became free at `freed_at`.
--- a/mustardrill_core/src/direct/placement/choice.rs
+++ b/mustardrill_core/src/direct/placement/choice.rs
@@ -259,7 +259,7 @@
         let Some(profile) = self.engine_profile(&state.service) else { return Millis(0) };
         let forecast =
             EngineForecast::new(profile).time_to_first_token(present.requests, state.size);
-        Millis(forecast.0 + present.pending_prefill.0)
+        forecast + present.pending_prefill
     }
 
     /// When the request should start at an upstream that states its pace, counted from its sending;
@@ -283,7 +283,7 @@
         let Some(profile) = self.engine_profile(&state.service) else { return Millis(0) };
         let running = present.requests.min(profile.slots);
         let service_ms = EngineForecast::new(profile).service_ms(running, state.size);
-        Millis(service_ms as u64 + present.pending_prefill.0)
+        Millis(service_ms as u64) + present.pending_prefill
     }
 
     /// How long an engine takes to prefill the request's prompt.
--- a/mustardrill_core/src/direct/placement/forecast.rs
+++ b/mustardrill_core/src/direct/placement/forecast.rs
@@ -82,13 +82,13 @@
             return Millis(0);
         }
         let slot_interval_ms = self.service_ms(slots, self.usual_size()) / f64::from(slots);
-        Millis((slot_interval_ms * f64::from(present - slots + 1)) as u64)
+        Millis((slot_interval_ms * (f64::from(present - slots) + 1.0)) as u64)
     }
 
     /// Expected time to first token at an engine with `present` requests running or queued.
     pub fn time_to_first_token(&self, present: u32, size: WorkSize) -> Millis {
         let beside = present.min(self.profile.slots);
         let own_ms = self.prefill_ms(size.prompt_tokens) + self.pass_ms(beside);
-        Millis(self.slot_wait(present).0 + own_ms as u64)
+        self.slot_wait(present) + Millis(own_ms as u64)
     }
 }
--- a/mustardrill_core/src/direct/waiting/wait_policy.rs
+++ b/mustardrill_core/src/direct/waiting/wait_policy.rs
@@ -78,8 +78,8 @@
 
     /// Until when a waiting request counts as able to meet its objective.
     pub(in crate::direct) fn in_time_until(&self, state: &RequestState) -> Moment {
-        let share = state.objective_span().0 * u64::from(self.settings.in_time_percent) / 100;
-        let by_share = state.arrived_at + Millis(share);
+        let share = state.objective_span().percent(u64::from(self.settings.in_time_percent));
+        let by_share = state.arrived_at + share;
         if self.ranks_by_urgency(&state.service) {
             return by_share.max(self.useful_until(state));
         }
@@ -147,7 +147,7 @@
         match self.next_capacity_at(now, &state.service) {
             Some(opens_at) => {
                 let wait = wait_at_rate(ahead, per_second);
-                Millis(wait.0 + opens_at.since(now).0).min(UNBOUNDED_WAIT)
+                (wait + opens_at.since(now)).min(UNBOUNDED_WAIT)
             }
             None => wait_at_rate(ahead + 1, per_second),
         }
@@ -176,9 +176,7 @@
         let resting = self.resting_upstreams(now, state);
         let rest_end = resting.map(|upstream| upstream.conditions.rest.opens_at()).min();
         let retry_after = match rest_end.filter(|_| !is_any_awake) {
-            Some(end) => {
-                Millis(end.since(now).0 + self.random.random_range(0..=REST_RETRY_SPREAD.0))
-            }
+            Some(end) => end.since(now) + Millis(self.random.random_range(0..=REST_RETRY_SPREAD.0)),
             None => self.jittered_retry(expected),
         };
         self.refuse(now, number, ResultCode::Overloaded, retry_after)
--- a/mustardrill_core/src/manifest.rs
+++ b/mustardrill_core/src/manifest.rs
@@ -106,8 +106,8 @@
 
     /// The byte range of a chunk within the weights, as start and exclusive end offset.
     pub fn range(&self, index: ChunkIndex) -> (u64, u64) {
-        let start = u64::from(index.0) * self.chunk_size.0;
-        (start, (start + self.chunk_size.0).min(self.size.0))
+        let start = u64::from(index.0).saturating_mul(self.chunk_size.0).min(self.size.0);
+        (start, start.saturating_add(self.chunk_size.0).min(self.size.0))
     }
 
     /// Whether `bytes` have the digest of the chunk `index`; false if there is no such chunk.
--- a/mustardrill_core/src/partner.rs
+++ b/mustardrill_core/src/partner.rs
@@ -174,12 +174,13 @@
         may_be_remote: bool,
         random: &mut SmallRng,
     ) -> Option<InstanceId> {
-        let mut best: Option<(u32, u32, &InstanceId)> = None;
+        let mut best: Option<(u64, u32, &InstanceId)> = None;
         let usable = |partner: &PartnerState| {
             partner.is_usable(now, index) && (may_be_remote || partner.is_local)
         };
         for (id, partner) in self.partners.iter().filter(|(_, it)| usable(it)) {
-            let load = (partner.queue + partner.fetches) * 2 + u32::from(!partner.is_local);
+            let load = u64::from(partner.queue) + u64::from(partner.fetches);
+            let load = load * 2 + u64::from(!partner.is_local);
             let tie = random.random::<u32>();
             if best.is_none_or(|(least, other, _)| (load, tie) < (least, other)) {
                 best = Some((load, tie, id));
--- a/mustardrill_core/src/provisioning/load_ledger.rs
+++ b/mustardrill_core/src/provisioning/load_ledger.rs
@@ -144,7 +144,7 @@
     pub(super) fn reaffirm(&mut self, engine: SocketAddr, start: StartStamp) -> Option<LoadRecord> {
         let ServedWeights { model, version } = self.proven.clone()?;
         let latest = self.latest.as_ref().filter(|latest| latest.is_about(start, &model))?;
-        let number = self.last_number + 1;
+        let number = self.last_number.saturating_add(1);
         let is_denied = !latest.allows(version);
         let record = LoadRecord::proven(engine, start, number, &model, version);
         is_denied.then(|| self.replace(record))
@@ -195,7 +195,7 @@
             self.proven = None;
         }
         let proven_before = self.proven_version(&weights.model).filter(|_| !self.needs_reload);
-        let number = self.last_number + 1;
+        let number = self.last_number.saturating_add(1);
         let VersionId { model, version } = weights.clone();
         let record = LoadRecord { engine, start, number, model, version, proven_before, state };
         let is_same = self.latest.as_ref().is_some_and(|latest| {
--- a/mustardrill_core/src/provisioning/load_proof.rs
+++ b/mustardrill_core/src/provisioning/load_proof.rs
@@ -195,7 +195,7 @@
         };
         match outcome {
             LoadOrderOutcome::Accepted => {
-                let sequence = order.sequence + 1;
+                let sequence = order.sequence.saturating_add(1);
                 self.ledger.record_accepted(sequence);
                 self.order_accepted(sequence)
             }
@@ -283,9 +283,10 @@
     fn layers_of(&self, chunks: &[ChunkIndex]) -> Option<LayerRange> {
         let (layers, total) = (self.layer_count()?, self.expected_chunk_count()?);
         let (first, last) = (chunks.iter().min()?, chunks.iter().max()?);
-        let first = first.0 * layers / total.max(1);
-        let end = ((last.0 + 1) * layers).div_ceil(total.max(1));
-        Some(LayerRange { first, end: end.min(layers) })
+        let (layers, total) = (u64::from(layers), u64::from(total.max(1)));
+        let first = u64::from(first.0) * layers / total;
+        let end = ((u64::from(last.0) + 1) * layers).div_ceil(total).min(layers);
+        Some(LayerRange { first: first.try_into().ok()?, end: end.try_into().ok()? })
     }
 
     /// Writes the record of proven weights anew where the store holds one that speaks against them.
--- a/mustardrill_entry/src/direct/connections.rs
+++ b/mustardrill_entry/src/direct/connections.rs
@@ -281,7 +281,7 @@
     let timeout = text("keep-alive").and_then(|value| value.split("timeout=").nth(1));
     let seconds = timeout.and_then(|timeout| timeout.split(',').next()?.trim().parse::<u64>().ok());
     let idle_time = seconds.map_or(MAX_IDLE_TIME, |seconds| {
-        Millis((seconds * 1_000).saturating_sub(KEEP_ALIVE_MARGIN.0)).min(MAX_IDLE_TIME)
+        Millis(seconds.saturating_mul(1_000).saturating_sub(KEEP_ALIVE_MARGIN.0)).min(MAX_IDLE_TIME)
     });
     (idle_time.0 > 0).then_some(idle_time)
 }
--- a/mustardrill_entry/src/direct/event_splitter.rs
+++ b/mustardrill_entry/src/direct/event_splitter.rs
@@ -107,7 +107,7 @@
 fn may_follow(last: Option<&str>, next: &str) -> bool {
     let last = last.and_then(|last| last.parse::<u64>().ok());
     match (last, next.parse::<u64>()) {
-        (Some(last), Ok(next)) => next == last + 1,
+        (Some(last), Ok(next)) => Some(next) == last.checked_add(1),
         _ => true,
     }
 }
--- a/mustardrill_runtime/src/datagram.rs
+++ b/mustardrill_runtime/src/datagram.rs
@@ -330,9 +330,9 @@
         Self {
             upstream: upstream.to_string(),
             outstanding: load.requests,
-            prefill_ms: load.pending_prefill.0 as u32,
+            prefill_ms: load.pending_prefill.0.try_into().unwrap_or(u32::MAX),
             pace: pace.map(|report| report.pace.percent()),
-            pace_age_ms: pace.map_or(0, |report| report.age.0 as u32),
+            pace_age_ms: pace.map_or(0, |report| report.age.0.try_into().unwrap_or(u32::MAX)),
         }
     }
 
@@ -369,7 +369,7 @@
         Some(IntakeReport {
             upstream: self.upstream.parse().ok()?,
             start: StartStamp(self.start),
-            rate: self.rate.map(RequestRate),
+            rate: self.rate.map(|rate| RequestRate(rate).min(RequestRate::MAX)),
             revision: self.revision,
             age: Millis(self.age_ms),
         })
--- a/mustardrill_types/src/time.rs
+++ b/mustardrill_types/src/time.rs
@@ -1,6 +1,6 @@
 //! Moments on a process's monotonic clock and spans of time, both in milliseconds.
 
-use std::ops::{Add, Sub};
+use std::ops::{Add, Mul, Sub};
 use std::str::FromStr;
 
 use derive_more::Display;
@@ -64,7 +64,29 @@
     }
 }
 
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(self, span: Self) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+impl Mul<u64> for Millis {
+    type Output = Self;
+
+    fn mul(self, factor: u64) -> Self {
+        Self(self.0.saturating_mul(factor))
+    }
+}
+
 impl Millis {
+    /// Returns this share of the span.
+    pub fn percent(self, percent: u64) -> Self {
+        let share = u128::from(self.0) * u128::from(percent) / 100;
+        Self(share.try_into().unwrap_or(u64::MAX))
+    }
+
     /// Converts to the standard library's type.
     pub fn to_std(self) -> std::time::Duration {
         std::time::Duration::from_millis(self.0)
--- a/mustardrill_types/src/unit.rs
+++ b/mustardrill_types/src/unit.rs
@@ -72,7 +72,7 @@
         if self.0 == 0 {
             return Millis(0);
         }
-        Millis((size.0 * 1_000).div_ceil(self.0))
+        Millis(size.0.saturating_mul(1_000).div_ceil(self.0))
     }
 }
 
