--- a/mustardrill_standins/tests/prepared/main.rs
+++ b/mustardrill_standins/tests/prepared/main.rs
@@ -16,6 +16,7 @@
 mod limits;
 mod listings;
 mod network;
+mod odd_entries;
 mod pages;
 mod parts;
 mod revocations;
--- a/mustardrill_standins/tests/prepared/store.rs
+++ b/mustardrill_standins/tests/prepared/store.rs
@@ -166,7 +166,11 @@
     }
 
     pub fn write(&self, key: &str, value: &Value) {
-        self.state.lock().unwrap().put(key, STANDARD.encode(value.to_string()), 0);
+        self.write_bytes(key, value.to_string().as_bytes());
+    }
+
+    pub fn write_bytes(&self, key: &str, value: &[u8]) {
+        self.state.lock().unwrap().put(key, STANDARD.encode(value), 0);
         self.changed.notify_waiters();
     }
 
