An answer in small chunks takes no more memory than its bytes

Callers saw: a process that asked another one (the origin, a peer, the engine, the platform's services of the own interface) and got chunks of one byte took many times the limit of the answer; with enough of it, it ended.

Cause: `HttpClient::call` collected the frames of a body. Each is a handle of 32 bytes and keeps the buffer that it was read into, and the limit counts only their bytes.

Change: `call` reads into one buffer, as `call_with_read_timeout` did already; both use the same function now. The buffer is shrunk to its length at the end, as answers are cached and counted by it.

--- a/mustardrill_runtime/src/http.rs
+++ b/mustardrill_runtime/src/http.rs
@@ -5,11 +5,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use derive_more::{Display, Error};
 use futures_util::future::BoxFuture;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
@@ -148,19 +148,9 @@
         limit: usize,
     ) -> Result<BufferedResponse, CallError> {
         let head = tokio::time::timeout(read_timeout, self.stream(request)).await;
-        let (head, mut body) = head.unwrap_or(Err(CallError::Timeout))?.into_parts();
-        let mut bytes = BytesMut::new();
-        loop {
-            let frame = tokio::time::timeout(read_timeout, body.frame()).await;
-            let Some(frame) = frame.map_err(|_| CallError::Timeout)? else { break };
-            let frame = frame.map_err(|_| CallError::BadBody)?;
-            bytes.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data));
-            if bytes.len() > limit {
-                return Err(CallError::BadBody);
-            }
-        }
-        let (status, headers) = (head.status, head.headers);
-        Ok(BufferedResponse { status, headers, body: bytes.freeze() })
+        let (head, body) = head.unwrap_or(Err(CallError::Timeout))?.into_parts();
+        let body = read_body(body, read_timeout, limit).await?;
+        Ok(BufferedResponse { status: head.status, headers: head.headers, body })
     }
 
     /// Sends a request and reads an answer of at most `limit` bytes; `timeout` is for the whole
@@ -173,14 +163,35 @@
     ) -> Result<BufferedResponse, CallError> {
         let exchange = async {
             let (head, body) = self.stream(request).await?.into_parts();
-            let body = Limited::new(body, limit).collect().await.map_err(|_| CallError::BadBody)?;
-            let (status, headers) = (head.status, head.headers);
-            Ok(BufferedResponse { status, headers, body: body.to_bytes() })
+            let body = read_body(body, timeout, limit).await?;
+            Ok(BufferedResponse { status: head.status, headers: head.headers, body })
         };
         tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(CallError::Timeout))
     }
 }
 
+/// Reads a body of at most `limit` bytes, in which nothing takes longer than `read_timeout` to arrive,
+/// into one buffer: its parts may be far smaller than the memory that each of them holds.
+async fn read_body(
+    mut body: Incoming,
+    read_timeout: Duration,
+    limit: usize,
+) -> Result<Bytes, CallError> {
+    let mut bytes = Vec::new();
+    loop {
+        let frame = tokio::time::timeout(read_timeout, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| CallError::Timeout)? else { break };
+        let frame = frame.map_err(|_| CallError::BadBody)?;
+        let part = frame.data_ref().map_or(&[][..], |data| data);
+        if bytes.len() + part.len() > limit {
+            return Err(CallError::BadBody);
+        }
+        bytes.extend_from_slice(part);
+    }
+    bytes.shrink_to_fit();
+    Ok(bytes.into())
+}
+
 /// Whether the machine refuses connections to `address`, so that the process that listened there
 /// has ended. Asks again, up to `attempts` times in all, while the machine does not answer.
 ///
