--- a/mustardrill_standins/tests/prepared/returns.rs
+++ b/mustardrill_standins/tests/prepared/returns.rs
@@ -355,7 +355,7 @@
 
 /// Writes items that no process of the fleet has written, under the prefixes that processes read and
 /// under others.
-fn write_foreign_items(store: &Store, random: &mut StdRng, count: usize) {
+pub fn write_foreign_items(store: &Store, random: &mut StdRng, count: usize) {
     const PREFIXES: [&str; 6] = ["servers/", "a/", "mustardrill/", "mustardrill/x/", "op/x", "z/"];
     const ODD_PARTS: [&str; 8] = ["&", "#", "%", "+", " ", "=", "é", "\"\\"];
     const VALUES: [&str; 5] = ["{}", "[[[[]]]]", "null", "17", "{\"slots\":4294967295}"];
--- a/mustardrill_standins/tests/prepared/soak.rs
+++ b/mustardrill_standins/tests/prepared/soak.rs
@@ -7,6 +7,7 @@
 mod bounds;
 mod endings;
 mod evacuations;
+mod returns;
 
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
@@ -90,6 +91,9 @@
 /// Seeds that CI runs with evacuations.
 const EVACUATIONS_SEEDS: [u64; 3] = [1_000_001, 1_000_002, 1_000_003];
 
+/// Seeds that CI runs with a restart of all processes and with items of other writers.
+const RETURNS_SEEDS: [u64; 2] = [91_000, 91_001];
+
 /// Seeds from this one on run with evacuations; all lower ones belong to the other kinds.
 const FIRST_EVACUATIONS_SEED: u64 = 1_000_000;
 
@@ -1593,6 +1597,9 @@
 async fn run_seed(seed: u64, span: Duration) -> (Vec<String>, String) {
     const TICK: Duration = Duration::from_millis(25);
     let mut soak = Soak::start(seed).await;
+    if returns::has_return(seed) {
+        soak.add_foreign_items();
+    }
     let client = HttpClient::open(Duration::from_millis(500));
     if soak.kind.has_late_weights() {
         // A version that an entry finds announced when it starts supersedes the others at once,
@@ -1618,6 +1625,7 @@
     if soak.kind == SoakKind::LimitedWorker {
         soak.limit_worker();
     }
+    let mut restarts_all = returns::has_return(seed);
     let started_at = Instant::now();
     // The calls continue through the recovery, in which the bound for keys ends.
     let callers = soak.callers(started_at + span + REVOCATION_BOUND);
@@ -1665,6 +1673,10 @@
         if soak.revoked.is_none() && Instant::now() >= revoke_at {
             soak.revoke();
         }
+        if restarts_all && Instant::now() >= revoke_at {
+            soak.restart_all();
+            restarts_all = false;
+        }
         soak.terminate_crashed_engines();
         soak.update_registered_weights();
         soak.run_recovery_actions(false);
@@ -1821,6 +1833,14 @@
     }
 }
 
+/// Runs the CI seeds with a restart of all processes in parallel to the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_seeded_soak_with_returns_keeps_the_promises() {
+    if number("SOAK_SEED").is_none() {
+        run_seeds(&RETURNS_SEEDS).await;
+    }
+}
+
 async fn run_seeds(seeds: &[u64]) {
     let span = Duration::from_secs(number("SOAK_SECONDS").unwrap_or(DEFAULT_FAULT_SECONDS));
     let mut failed = Vec::new();
