--- a/mustardrill_types/src/id.rs
+++ b/mustardrill_types/src/id.rs
@@ -7,7 +7,7 @@
 
 /// The error for text that is not a valid name or id.
 #[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
-#[display("\"{value}\" is not a valid {kind}: {rule}")]
+#[display("{value:?} is not a valid {kind}: {rule}")]
 pub struct ParseIdError {
     value: Box<str>,
     kind: &'static str,
