--- a/mustardrill_entry/src/main.rs
+++ b/mustardrill_entry/src/main.rs
@@ -190,7 +190,7 @@
     let stopping = async {
         stop.cancelled().await;
         tokio::select! {
-            () = handle.stop(drain.to_std()) => {}
+            () = handle.stop(drain) => {}
             () = halt.cancelled() => handle.halt(),
         }
     };
