The engine stand-in of the prepared tests holds no layers after a restart

Cause: the stand-in. It kept its layers over a restart. PROTOCOL.md: "Workers added later and workers that restarted hold no layers", "Staged data survives a crash". Agents are right to take what an incarnation starts with for sound: only workers present at the start have any.

Change, each after the protocol and none of them in a check: - a restart gives up all layers, and ends a load in progress; what is staged stays, damaged or not; - an order that waited in an incarnation that has ended is not carried out by the next one; - a request for a model is answered 421 by an engine without layers; it was run, so this is stricter; - 421 for another version names its request ("Workers echo X-Attempt-Id") and states that it was not run.

--- a/mustardrill_standins/tests/prepared/damaged_weights.rs
+++ b/mustardrill_standins/tests/prepared/damaged_weights.rs
@@ -131,3 +131,39 @@
     fleet.wait_until("the entry is ready", async || fleet.is_ready().await).await;
     assert_whole(&fleet).await;
 }
+
+/// The protocol: what is staged survives a crash, and workers that restarted hold no layers.
+#[test]
+fn an_engine_that_restarted_holds_layers() {
+    let engine = Worker::new("i-1", 1);
+    engine.corrupt_chunk(3);
+    let before = engine.born();
+    engine.restart();
+    assert!(engine.born() > before);
+    assert_eq!((engine.version(), engine.reported_version()), (0, 0));
+    assert!(engine.loads().is_empty());
+}
+
+/// An engine took a damaged chunk and crashed before its agent had read the copy back. It was held to
+/// have started with sound layers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_chunk_taken_just_before_a_crash_made_tokens_after_it() {
+    let fleet = announce_after(|engine| {
+        engine.set_staging_fault(StagingFault {
+            call: StagingCall::Order,
+            version: 2,
+            damaged: vec![5],
+            silence: Duration::ZERO,
+        });
+    })
+    .await;
+    let engine = &fleet.engines[0];
+    fleet.wait_until("the engine has accepted", async || !engine.loads().is_empty()).await;
+    engine.restart();
+    register(&fleet.store, engine, fleet.stand_ins[2].address, "pool");
+    let holds = async || engine.version() == 2;
+    fleet.wait_until("the engine has loaded again", holds).await;
+    register(&fleet.store, engine, fleet.stand_ins[2].address, "pool");
+    assert_whole(&fleet).await;
+    assert!(engine.loads().len() >= 2, "nothing was loaded after the crash");
+}
--- a/mustardrill_standins/tests/prepared/staged_weights.rs
+++ b/mustardrill_standins/tests/prepared/staged_weights.rs
@@ -111,6 +111,11 @@
         OrderEffect::Taken { is_complete }
     }
 
+    /// Gives up all layers, as an engine that starts again holds none.
+    pub fn give_up_layers(&mut self) {
+        self.layers = [None; LAYERS as usize];
+    }
+
     /// Whether all chunks of a version are staged and intact.
     pub fn is_staged(&self, version: u64) -> bool {
         (0..CHUNKS).all(|index| self.is_intact(version, index))
--- a/mustardrill_standins/tests/prepared/worker.rs
+++ b/mustardrill_standins/tests/prepared/worker.rs
@@ -401,7 +401,7 @@
     /// Whether the engine accepts requests for its model: it is not loading, and holds all layers.
     fn accepts_requests(&self) -> bool {
         let state = self.state.lock().unwrap();
-        !state.is_loading() && (state.weights.is_whole() || state.weights.held().0 == 0)
+        !state.is_loading() && state.weights.is_whole()
     }
 
     /// Makes the engine report at least this version, whatever it holds.
@@ -538,12 +538,16 @@
             return self.report();
         }
         if path == "/v1/order" {
-            let worker = self.clone();
+            let (worker, born) = (self.clone(), self.born());
             let accepting = tokio::spawn(async move {
                 worker.suffer_staging_fault(StagingCall::Order).await;
-                worker.order(&body)
+                (worker.born() == born).then(|| worker.order(&body))
             });
-            return accepting.await.unwrap();
+            // The incarnation that received the order may be gone, and with it the order.
+            return match accepting.await.unwrap() {
+                Some(answer) => answer,
+                None => std::future::pending().await,
+            };
         }
         if path.starts_with("/v1/stage-put/") {
             self.state.lock().unwrap().weights.put(index.unwrap(), body);
@@ -568,12 +572,17 @@
             return text_response(StatusCode::MISDIRECTED_REQUEST, "");
         }
         let expected = text("x-expected-version").map(|expected| expected.parse::<u64>().unwrap());
-        if expected.is_some_and(|expected| expected != self.version()) {
-            return text_response(StatusCode::MISDIRECTED_REQUEST, "");
-        }
+        let version = self.version();
         let model = text("x-model").is_some();
-        if model && !self.accepts_requests() {
-            let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "");
+        let is_other = expected.is_some_and(|expected| expected != version);
+        let is_misdirected = is_other || model && version == 0;
+        if is_misdirected || model && !self.accepts_requests() {
+            let status = if is_misdirected {
+                StatusCode::MISDIRECTED_REQUEST
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            };
+            let mut response = text_response(status, "");
             response.headers_mut().insert("x-not-executed", "1".parse().unwrap());
             response.headers_mut().insert("x-attempt-id", head.headers["x-attempt-id"].clone());
             return response;
@@ -706,11 +715,13 @@
         self.state.lock().unwrap().crash_runs.clone()
     }
 
-    /// Starts the next incarnation, which keeps the weights.
+    /// Starts the next incarnation, which holds no layers. What is staged stays.
     pub fn restart(&self) {
         let mut state = self.state.lock().unwrap();
         state.born += 1;
         state.sequence = 0;
+        state.busy_until = None;
+        state.weights.give_up_layers();
     }
 
     /// Start time of the current incarnation, in Unix milliseconds.
