Tests: an upstream displaced by a foreign registration returns with its next one

Asked: can an odd registration under a sound upstream's id, or one with another id at its address, displace it for good? Played on the reducer: it is displaced, and listed again with its own next registration at the same address, or with its second one where a start far ahead was written under its id. Neither failed on the code as it is; nothing else guards it.

--- a/mustardrill_core/tests/restarts.rs
+++ b/mustardrill_core/tests/restarts.rs
@@ -114,6 +114,57 @@
     assert!(is_sent(&arrive(&mut reducer, START + Millis(20), 1)));
 }
 
+/// The upstream that a request is sent to, if it is.
+fn sent_to(effects: &[DirectEffect]) -> Option<String> {
+    effects.iter().find_map(|effect| match effect {
+        DirectEffect::Send(_, plan) => Some(plan.upstream.to_string()),
+        _ => None,
+    })
+}
+
+/// Another writer registers an id of its own at the address of an upstream that goes on registering.
+#[test]
+fn an_upstream_stays_displaced_by_a_foreign_registration_at_its_address() {
+    for (foreign_id, start) in [("u0", 0), ("u0", (1 << 53) - 1), ("u2", 0), ("u2", 1 << 52)] {
+        for is_snapshot in [false, true] {
+            let mut reducer = entry(record("u1", 1_000, 1));
+            let mut changes = vec![FleetChange::Upstream(record(foreign_id, start, 1))];
+            if is_snapshot {
+                changes.push(FleetChange::Upstream(record("u1", 1_000, 1)));
+                changes.sort_by_key(|change| format!("{change:?}"));
+            }
+            let update = FleetUpdate { is_snapshot, ..fleet_update(changes) };
+            let now = START + Millis(10);
+            reducer.reduce(now, DirectEvent::StoreAnswered(update, now));
+            let now = START + Millis(20);
+            apply_change(&mut reducer, now, FleetChange::Upstream(record("u1", 1_000, 1)));
+            let sent = sent_to(&arrive(&mut reducer, now, 1));
+            assert_eq!(sent.as_deref(), Some("u1"), "{foreign_id} {start} {is_snapshot}");
+        }
+    }
+}
+
+/// Another writer writes a far later start under the id of an upstream that goes on registering.
+#[test]
+fn an_upstream_stays_displaced_by_a_later_start_under_its_id() {
+    let mut reducer = entry(record("u1", 1_000, 1));
+    let mut foreign = record("u1", (1 << 53) - 1, 1);
+    foreign.address = SocketAddr::from(([10, 0, 0, 9], 9));
+    apply_change(&mut reducer, START + Millis(10), FleetChange::Upstream(foreign));
+    for sequence in [7, 8] {
+        let warmup = WarmupReport { sequence, ..WarmupReport::default() };
+        let sound = UpstreamRecord { warmup, ..record("u1", 1_000, 1) };
+        let now = START + Millis(10 + sequence);
+        apply_change(&mut reducer, now, FleetChange::Upstream(sound));
+    }
+    let effects = arrive(&mut reducer, START + Millis(30), 1);
+    let address = effects.iter().find_map(|effect| match effect {
+        DirectEffect::Send(_, plan) => Some(plan.address),
+        _ => None,
+    });
+    assert_eq!(address, Some(SocketAddr::from(([10, 0, 0, 1], 8_001))));
+}
+
 #[test]
 fn requests_of_an_earlier_incarnation_are_not_counted_for_the_later_one() {
     let mut reducer = entry(record("u1", 10, 1));
