Several hundred unfinished bodies stay within an entry's memory

Operators saw: 600 clients whose bodies of 60 kB stop short by a kilobyte took an entry of 64 MB over its memory.

Cause: the bodies themselves are reserved; the buffers of their connections are not beyond the 16 kB that each counts with. hyper doubles such a buffer after each read that fills it, up to the limit of a head (32 kB), and holds a part of the body beside it until the body takes it.

Change: one read of a client's HTTP/1 connection brings less than the first buffer (8 kB), so that it isn't enlarged. Large heads are put together in it as before, in memory that is reserved for them. Connections of agents (HTTP/2) are as they were.

--- a/mustardrill_runtime/src/client_stream.rs
+++ b/mustardrill_runtime/src/client_stream.rs
@@ -17,6 +17,9 @@
 /// Bytes of a head that fit into the first buffer of a connection.
 const FIRST_BUFFER: usize = 8 << 10;
 
+/// The most bytes of one read: hyper enlarges a connection's buffer after a read that fills it.
+const MAX_READ: usize = FIRST_BUFFER - 1;
+
 /// How the requests of a connection are told from each other.
 #[derive(Debug)]
 enum RequestFraming {
@@ -123,7 +126,18 @@
     ) -> Poll<io::Result<()>> {
         self.check_open(context)?;
         let filled = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        match self.framing {
+            RequestFraming::Multiplexed { .. } => {
+                ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+            }
+            RequestFraming::Serial { .. } => {
+                let length = buffer.remaining().min(MAX_READ);
+                let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
+                ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
+                let bytes = part.filled().len();
+                buffer.advance(bytes);
+            }
+        }
         let bytes = buffer.filled().len() - filled;
         Poll::Ready(self.record_read(bytes))
     }
--- a/mustardrill_standins/tests/clients/prepared.rs
+++ b/mustardrill_standins/tests/clients/prepared.rs
@@ -40,6 +40,14 @@
 /// Senders of datagrams.
 const DATAGRAM_SENDERS: usize = 200_000;
 
+/// A machine on which as many clients are admitted as their memory allows.
+const CROWDED_BOUNDS: ProcessBounds = ProcessBounds { memory_mb: 64, descriptors: 1_400 };
+
+/// Clients whose bodies stop short of their end, and the length of each.
+const SHORT_SENDERS: usize = 600;
+const SHORT_BODY: usize = 60_000;
+const SHORT_PIECE: usize = 5_900;
+
 /// Clients that send bodies in chunks of one byte, and the chunks of each.
 const CHUNKERS: usize = 5;
 const ONE_BYTE_CHUNKS: usize = 600_000;
@@ -310,6 +318,26 @@
     machines.check(input.name, &meter);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn many_unfinished_bodies_take_more_than_the_memory_of_an_entry() {
+    let _run = exclusive_run().await;
+    let mut machines = SmallMachines::start(CROWDED_BOUNDS).await;
+    let meter = ProcessMeter::open(&machines.entry);
+    let opening = request("/notices/x", "short")
+        .replace("content-length: 0", &format!("content-length: {SHORT_BODY}"));
+    let input = EndlessInput {
+        name: "unfinished bodies",
+        opening: opening.leak(),
+        piece: "x".repeat(SHORT_PIECE).leak(),
+        bytes: SHORT_BODY - 1_000,
+    };
+    let mut clients = connect(machines.entry.address, SHORT_SENDERS).await;
+    send_endless(&mut clients, &input).await;
+    wait_for_reading().await;
+    machines.wait_until_served("/notices/x").await;
+    machines.check(input.name, &meter);
+}
+
 /// An entry kept the load that each sender of a datagram reported, whether it is a peer or not.
 #[tokio::test(flavor = "multi_thread")]
 async fn datagrams_of_many_senders_take_more_than_the_memory_of_an_entry() {
