--- a/mustardrill_standins/tests/clients/endless_answers.rs
+++ b/mustardrill_standins/tests/clients/endless_answers.rs
@@ -5,12 +5,15 @@
 
 use crate::crowd::{connect, request_slowly};
 use crate::exclusive_run;
-use crate::prepared::{BOUNDS, SmallMachines, register_upstream, request};
-use crate::process_meter::ProcessMeter;
+use crate::prepared::{BOUNDS, CROWDED_BOUNDS, SmallMachines, register_upstream, request};
+use crate::process_meter::{ProcessBounds, ProcessMeter};
 
 /// Requests at once, one on each connection.
 const REQUESTS: usize = 100;
 
+/// As many as an entry of 64 MB admits connections.
+const MANY_REQUESTS: usize = 600;
+
 /// Upstreams with the same answer.
 const UPSTREAMS: usize = 4;
 
@@ -128,10 +131,16 @@
 }
 
 /// Sends a crowd of requests to an upstream of each answer, and an ordinary one to a sound one.
-async fn press_entry(service: &str, path: &str, ordinary: &str, answers: &'static [UnendedAnswer]) {
+async fn press_entry(
+    service: &str,
+    path: &str,
+    ordinary: &str,
+    answers: &'static [UnendedAnswer],
+    (bounds, requests): (ProcessBounds, usize),
+) {
     let _run = exclusive_run().await;
     for answer in answers {
-        let mut machines = SmallMachines::start(BOUNDS).await;
+        let mut machines = SmallMachines::start(bounds).await;
         let sound = if service == "pool" { &machines.fleet.engines } else { &machines.fleet.desks };
         for upstream in sound {
             machines.fleet.store.remove(&format!("servers/{}", upstream.id));
@@ -140,7 +149,7 @@
             spawn_upstream(&machines, service, number, answer).await;
         }
         let meter = ProcessMeter::open(&machines.entry);
-        let mut clients = connect(machines.entry.address, REQUESTS).await;
+        let mut clients = connect(machines.entry.address, requests).await;
         let send = |number: usize| request(path, &format!("unended-{number}")).into_bytes();
         let crowd = request_slowly(&mut clients, send);
         tokio::join!(crowd, machines.wait_until_served(ordinary));
@@ -151,10 +160,17 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_without_end_take_more_than_the_memory_of_an_entry() {
-    press_entry("pool", "/drafts/x", "/notices/x", &STREAMS).await;
+    press_entry("pool", "/drafts/x", "/notices/x", &STREAMS, (BOUNDS, REQUESTS)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn plain_answers_without_end_take_more_than_the_memory_of_an_entry() {
-    press_entry("desk", "/status/x", "/drafts/x", &PLAIN).await;
+    press_entry("desk", "/status/x", "/drafts/x", &PLAIN, (BOUNDS, REQUESTS)).await;
+}
+
+/// What is received of a head is bounded for each answer only.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_long_heads_take_more_than_the_memory_of_an_entry() {
+    press_entry("desk", "/status/x", "/drafts/x", &PLAIN[..1], (CROWDED_BOUNDS, MANY_REQUESTS))
+        .await;
 }
--- a/mustardrill_standins/tests/clients/prepared.rs
+++ b/mustardrill_standins/tests/clients/prepared.rs
@@ -41,7 +41,7 @@
 const DATAGRAM_SENDERS: usize = 200_000;
 
 /// A machine on which as many clients are admitted as their memory allows.
-const CROWDED_BOUNDS: ProcessBounds = ProcessBounds { memory_mb: 64, descriptors: 1_400 };
+pub const CROWDED_BOUNDS: ProcessBounds = ProcessBounds { memory_mb: 64, descriptors: 1_400 };
 
 /// Clients whose bodies stop short of their end, and the length of each.
 const SHORT_SENDERS: usize = 600;
