A test: large numbers in an upstream's answer end no task

A Keep-Alive of 18,446,744,073,709,551,615 seconds and an event id of that size panicked in the task of the request after its answer had been read; callers were served all the same.

--- a/mustardrill_standins/tests/prepared/odd_entries.rs
+++ b/mustardrill_standins/tests/prepared/odd_entries.rs
@@ -1,13 +1,17 @@
 //! Odd items of other writers in the store, beside entries and agents that run and that start.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
 use mustardrill_runtime::http::request;
 use mustardrill_standins::process::{LabProcess, daemon};
 use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use crate::fleet::{Fleet, agent_settings, caller_request, entry_settings};
+use crate::framing::{fleet_without_desks, read_head, register_raw};
 use crate::worker::Worker;
 
 /// The time within which an entry that starts is ready.
@@ -228,3 +232,56 @@
     let shapes = odd_keys(&fleet);
     check_shapes(fleet, shapes).await;
 }
+
+/// Starts an upstream that answers each request with this head and body, on kept connections.
+async fn start_upstream(fleet: &Fleet, id: &'static str, service: &str, head: &str, body: &str) {
+    let listener = TcpListener::bind((fleet.network.machine_ip(91), 0)).await.unwrap();
+    register_raw(fleet, id, service, listener.local_addr().unwrap());
+    let (head, body): (Arc<str>, Arc<str>) = (head.into(), body.into());
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (head, body) = (head.clone(), body.clone());
+            tokio::spawn(async move {
+                while let Some(call) = read_head(&mut stream).await {
+                    let attempt = call.lines().find_map(|line| line.strip_prefix("x-attempt-id: "));
+                    let text = format!(
+                        "HTTP/1.1 200 OK\r\nx-attempt-id: {}\r\nx-server-signature: s-{id}\r\n\
+                         content-length: {}\r\n{head}\r\n{body}",
+                        attempt.unwrap_or_default(),
+                        body.len()
+                    );
+                    let _ = stream.write_all(text.as_bytes()).await;
+                }
+            });
+        }
+    });
+}
+
+/// Headers and event ids at the ends of their ranges, and beyond.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_number_in_an_answer_ends_the_task_that_reads_it() {
+    let mut fleet = fleet_without_desks().await;
+    let stated = "keep-alive: timeout=18446744073709551615\r\n\
+                  x-instance-load: 4294967295,4294967295,4294967295\r\n\
+                  server-limit: 999999\r\nx-cold-start-ms: 99999999999999999999\r\n\
+                  retry-after: 18446744073709551615\r\n";
+    start_upstream(&fleet, "i-desk-odd", "desk", stated, "done").await;
+    let stream_head = format!(
+        "content-type: text/event-stream\r\nx-weight-versions: 18446744073709551615\r\n{stated}"
+    );
+    let events = "id: 18446744073709551615\ndata: a\n\n".repeat(3);
+    start_upstream(&fleet, "i-odd", "pool", &stream_head, &events).await;
+    let listed = async || fleet.logs().contains("instance=i-odd");
+    fleet.wait_until("both upstreams are listed", listed).await;
+    let mut served = 0;
+    for number in 0..8 {
+        let answer = fleet.call(&format!("n{number}"), "/notices/x", "key-1").await;
+        served += usize::from(answer.status == StatusCode::OK && *answer.body == *b"done");
+        // Its ids don't count up, so its outcome is the entry's to judge.
+        let call = caller_request(fleet.entry.address, &format!("d{number}"), "/drafts/x", "key-1");
+        let _ = fleet.client.call(call, Duration::from_secs(10), 1_000_000).await;
+    }
+    assert_eq!(served, 8, "{}", fleet.logs());
+    assert!(!fleet.logs().contains("panicked at"), "{}", fleet.logs());
+    assert!(!fleet.entry.has_ended());
+}
